--- /dev/null
+++ b/leverdoor/agent.py
@@ -0,0 +1,315 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""The agent daemon: the control path of one entry VM."""
+
+import asyncio
+import contextlib
+import time
+from random import Random
+
+import msgspec
+from aiohttp import web
+from loguru import logger
+
+from leverdoor.api import Api
+from leverdoor.configuration import Configuration
+from leverdoor.errors import LeverdoorError
+from leverdoor.following import PeerFollower, StoreFollower, elected
+from leverdoor.gossip import GossipSocket
+from leverdoor.link import AgentLink, GateReport, Hints
+from leverdoor.metrics import AgentMetrics
+from leverdoor.peers import Beat, GateState, Gossip, Peers
+from leverdoor.planning import Planner
+from leverdoor.probing import Prober
+from leverdoor.reports import Reporter
+from leverdoor.settings import AgentSettings
+from leverdoor.state import Delta, State
+from leverdoor.store import EtcdStore
+from leverdoor.targets import Probe
+from leverdoor.view import ViewCache
+from leverdoor.vmlist import Departures, HttpVmList, VmState
+
+__all__ = ["Agent"]
+
+FANOUT = 2
+GATE_SILENCE_S = 1.0
+DEPARTED_KEPT_S = 120.0
+
+
+class Agent:
+    """One agent process."""
+
+    def __init__(self, settings: AgentSettings) -> None:
+        """Create an agent; nothing is opened yet."""
+        self._settings = settings
+        self._started = time.time_ns() // 1_000
+        self._stop = asyncio.Event()
+        self._seq = 0
+        self._leaving_vms: frozenset[str] = frozenset()
+        self._departed: dict[str, float] = {}
+        self._probes: dict[str, Probe] = {}
+        self._gates: dict[bytes, float] = {}
+        self._report: GateReport | None = None
+        self._report_at = 0.0
+        self._news: dict[str, Beat] = {}
+
+    def stop(self) -> None:
+        """Ask the agent to end; its gate goes on serving."""
+        self._stop.set()
+
+    async def run(self) -> None:
+        """Follow, gossip, plan and serve the API until stopped."""
+        await self._build()
+        s = self._settings
+        runner = web.AppRunner(
+            self._api.app(), handler_cancellation=True, access_log=None
+        )
+        await runner.setup()
+        site = web.TCPSite(
+            runner, s.api.host, s.api.port, reuse_port=False, shutdown_timeout=1.0
+        )
+        await site.start()
+        logger.info("agent up", api=str(s.api))
+        jobs = (
+            self._gossip_loop(),
+            self._receive_reports(),
+            self._follower.run(),
+            self._planner.run(),
+            self._list_loop(),
+            self._probe_loop(),
+        )
+        tasks = [asyncio.create_task(j) for j in jobs]
+        try:
+            await self._stop.wait()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            await runner.cleanup()
+            await self._close()
+        logger.info("agent down")
+
+    async def _build(self) -> None:
+        s = self._settings
+        self._rng = Random(s.seed or None)
+        self._metrics = AgentMetrics()
+        self._state = State()
+        self._cache = ViewCache(self._state)
+        self._peers = Peers(s.vm, s.region)
+        self._store = EtcdStore(s.store)
+        self._vm_list = HttpVmList(s.vm_list)
+        self._departures = Departures(s.vm_list_lag_ms / 1000)
+        self._prober = Prober()
+        self._pull = PeerFollower(self._state)
+        self._follower = StoreFollower(
+            self._store, self._state, lambda: self._rank() >= 0, self._rng
+        )
+        self._planner = Planner(
+            s.region,
+            self._store,
+            self._state,
+            self._cache,
+            self._peers,
+            self._rank,
+            self.leaving_vms,
+            self.departed,
+        )
+        self._configuration = Configuration(self._store, self._state)
+        self._reporter = Reporter(self._cache, self._peers)
+        self._api = Api(self._configuration, self._state, self._reporter, self._metrics)
+        self._link = AgentLink(s.link)
+        self._socket = GossipSocket(self._take_gossip)
+        await self._socket.open(s.gossip)
+        self._state.changes.subscribe(self._push_delta)
+        self._beat()
+
+    async def _close(self) -> None:
+        self._socket.close()
+        self._link.close()
+        await self._prober.close()
+        await self._pull.close()
+        await self._reporter.close()
+        await self._vm_list.close()
+        await self._store.close()
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def _rank(self) -> int:
+        s = self._settings
+        return elected(self._peers, s.vm, s.region, self._now())
+
+    # Membership.
+
+    def _beat(self) -> Beat:
+        """Renew this VM's own heartbeat."""
+        s = self._settings
+        now = self._now()
+        self._seq += 1
+        beat = Beat(
+            vm=s.vm,
+            region=s.region,
+            domain=s.domain,
+            gossip=str(s.gossip),
+            api=str(s.api),
+            agent=self._started,
+            seq=self._seq,
+            revision=self._state.revision,
+            departed=sorted(self._departed),
+            leaving_vms=sorted(self._leaving_vms),
+        )
+        r = self._report
+        if r is not None and now - self._report_at <= GATE_SILENCE_S:
+            beat = msgspec.structs.replace(
+                beat,
+                gate=r.gate,
+                relay=r.relay,
+                incarnation=r.incarnation,
+                gate_revision=r.revision,
+                ack=r.ack,
+                state=r.state,
+                loads=r.loads,
+                caps=r.caps,
+                draining=r.draining,
+            )
+        self._peers.merge([beat], now)
+        return beat
+
+    async def _gossip_loop(self) -> None:
+        interval = self._settings.gossip_interval_ms / 1000
+        seeds = [str(a) for a in self._settings.seeds if a != self._settings.gossip]
+        while True:
+            now = self._now()
+            self._beat()
+            self._peers.forget(now)
+            message = self._peers.message(self._rng, now)
+            for to in self._peers.partners(self._rng, now, FANOUT, seeds):
+                self._socket.send(message, to)
+            await self._send_hints()
+            self._measure(now)
+            await asyncio.sleep(interval * (0.9 + 0.2 * self._rng.random()))
+
+    def _measure(self, now: float) -> None:
+        m = self._metrics
+        m.revision.set(self._state.revision)
+        m.peers.set(len(self._peers.live(now)))
+        m.store_calls.set(self._store.calls)
+        m.gossip_bytes.labels("sent").set(self._socket.sent_bytes)
+        m.gossip_bytes.labels("received").set(self._socket.received_bytes)
+
+    def _take_gossip(self, gossip: Gossip) -> None:
+        news = self._peers.merge(gossip.beats, self._now())
+        for beat in news:
+            self._news[beat.vm] = beat
+        ahead = [b for b in news if b.revision > self._state.revision]
+        if ahead:
+            best = max(ahead, key=lambda b: b.revision)
+            task = asyncio.create_task(self._pull.pull(best.api))
+            task.add_done_callback(lambda t: t.exception())
+
+    # The VM list.
+
+    def leaving_vms(self) -> frozenset[str]:
+        """VMs that leave, by this agent's readings and its region's watchers'."""
+        found = set(self._leaving_vms)
+        for p in self._peers.live(self._now()):
+            found |= set(p.beat.leaving_vms)
+        return frozenset(found)
+
+    def departed(self) -> frozenset[str]:
+        """Identities of processes that are proved to be gone."""
+        found = set(self._departed)
+        for p in self._peers.live(self._now()):
+            found |= set(p.beat.departed)
+        return frozenset(found)
+
+    async def _list_loop(self) -> None:
+        interval = self._settings.vm_list_interval_ms / 1000
+        while True:
+            if self._rank() >= 0:
+                with contextlib.suppress(LeverdoorError):
+                    await self._read_list()
+            else:
+                self._leaving_vms = frozenset()
+            await asyncio.sleep(interval * (0.9 + 0.2 * self._rng.random()))
+
+    async def _read_list(self) -> None:
+        asked_at = self._now()
+        known: dict[str, set[str]] = {}
+        for m in self._cache.table(self._settings.region).members.values():
+            known.setdefault(m.vm, set()).add(m.identity)
+        vms = await self._vm_list.fetch()
+        self._leaving_vms = frozenset(v.vm for v in vms if v.state is VmState.LEAVING)
+        gone = self._departures.observe({v.vm for v in vms}, known, asked_at)
+        heard = {p.beat.identity for p in self._peers.live(self._now())}
+        for identity in gone - heard:
+            logger.warning("process gone with its VM", identity=identity)
+            self._departed[identity] = asked_at
+        for identity, at in list(self._departed.items()):
+            if asked_at - at > DEPARTED_KEPT_S:
+                del self._departed[identity]
+
+    # Targets.
+
+    async def _probe_loop(self) -> None:
+        interval = self._settings.probe_interval_ms / 1000
+        while True:
+            await asyncio.sleep(interval * (0.9 + 0.2 * self._rng.random()))
+            report = self._report
+            if report is not None:
+                held = [row.removeprefix("t:") for row in report.held]
+                self._probes = await self._prober.probe(held)
+
+    # The gate.
+
+    async def _receive_reports(self) -> None:
+        while True:
+            peer, report = await self._link.receive()
+            self._report = report
+            self._report_at = self._now()
+            if report.revision > self._state.revision or peer not in self._gates:
+                logger.info("gate joined", gate=report.gate)
+            self._gates[peer] = self._report_at
+            if report.revision < self._state.revision:
+                await self._link.send(peer, self._state.delta(report.revision))
+
+    def _push_delta(self, delta: Delta) -> None:
+        for peer in self._gates:
+            task = asyncio.create_task(self._link.send(peer, delta))
+            task.add_done_callback(lambda t: t.exception())
+
+    async def _send_hints(self) -> None:
+        """Tell the gate what is new since the last time."""
+        if self._report is None:
+            return
+        now = self._now()
+        hints = Hints(
+            beats=list(self._news.values()),
+            leaving_vms=sorted(self.leaving_vms()),
+            probes=self._probes,
+            departed=sorted(self.departed()),
+            incarnation_floor=self._floor(self._report),
+        )
+        self._news = {}
+        self._probes = {}
+        for peer, heard_at in list(self._gates.items()):
+            if now - heard_at > GATE_SILENCE_S * 10:
+                del self._gates[peer]
+            else:
+                await self._link.send(peer, hints)
+
+    def _floor(self, report: GateReport) -> int:
+        """Latest incarnation that the table has at this gate's address before it."""
+        members = self._cache.table(self._settings.region).members.values()
+        same = [
+            m.incarnation
+            for m in members
+            if m.gate == report.gate and m.vm == self._settings.vm
+        ]
+        later = [i for i in same if i > report.incarnation]
+        return max(later, default=0)
+
+    @property
+    def gate_state(self) -> GateState:
+        """Where this VM's gate is in its life, as far as is known."""
+        return self._report.state if self._report else GateState.NONE
--- /dev/null
+++ b/leverdoor/errors.py
@@ -0,0 +1,264 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Numbered result codes and the errors that carry them."""
+
+from enum import IntEnum, StrEnum
+
+import msgspec
+
+__all__ = [
+    "Code",
+    "ConfigError",
+    "LeverdoorError",
+    "Problem",
+    "Refusal",
+    "Run",
+    "SettingsError",
+    "StoreUnavailable",
+    "StoreUnknown",
+    "code_info",
+]
+
+
+class Run(StrEnum):
+    """What a caller may conclude about its request."""
+
+    NO = "no"
+    YES = "yes"
+    MAYBE = "maybe"
+
+
+class Code(IntEnum):
+    """Every numbered result code; docs/ERRORS.md has the same table."""
+
+    OK = 0
+    MALFORMED = 1001
+    UNKNOWN_FIELD = 1002
+    DANGLING_REFERENCE = 1003
+    CONTRADICTION = 1004
+    NOT_FOUND = 1005
+    CONFLICT = 1006
+    COMPACTED = 1007
+    READ_ONLY = 1008
+    STORE_UNAVAILABLE = 2001
+    WRITE_UNKNOWN = 2002
+    NO_CONFIGURATION = 2003
+    WAIT_EXPIRED = 2004
+    UNKNOWN_SERVICE = 3001
+    QUEUE_FULL = 3002
+    DEADLINE_TOO_SHORT = 3003
+    SHED_BY_TIER = 3004
+    CAP_REACHED = 3005
+    NOT_READY = 3006
+    KEY_REQUIRED = 3007
+    KEY_INVALID = 3008
+    LEAVING = 3009
+    NO_TARGET = 3010
+    BAD_REQUEST = 3011
+    CONNECT_FAILED = 3012
+    BODY_TOO_SLOW = 3013
+    ANSWER_LOST = 3101
+    ISSUER_GONE = 3102
+    DEADLINE_PASSED = 3103
+    STILL_RUNNING = 3104
+    CALLER_GONE = 3105
+    ISSUER_UNREACHABLE = 3106
+    KEY_EXPIRED = 3107
+    ALREADY_RAN = 3201
+    BAD_SETTING = 4001
+    STEP_FAILED = 4002
+
+
+class CodeInfo(msgspec.Struct, frozen=True):
+    """HTTP status, run verdict and process exit status of one code."""
+
+    status: int
+    run: Run
+    exit_status: int
+    meaning: str
+
+
+_TABLE: dict[Code, CodeInfo] = {
+    Code.OK: CodeInfo(200, Run.YES, 0, "Done."),
+    Code.MALFORMED: CodeInfo(400, Run.NO, 10, "The document cannot be read."),
+    Code.UNKNOWN_FIELD: CodeInfo(
+        422, Run.NO, 11, "A field is unknown, missing, or of the wrong type or unit."
+    ),
+    Code.DANGLING_REFERENCE: CodeInfo(
+        422, Run.NO, 12, "A field names a resource that does not exist."
+    ),
+    Code.CONTRADICTION: CodeInfo(422, Run.NO, 13, "Fields contradict one another."),
+    Code.NOT_FOUND: CodeInfo(404, Run.NO, 14, "There is no such resource or kind."),
+    Code.CONFLICT: CodeInfo(
+        409, Run.NO, 15, "The resource is at another revision than the condition says."
+    ),
+    Code.COMPACTED: CodeInfo(
+        410, Run.NO, 16, "The watch asks for a revision no longer held; list again."
+    ),
+    Code.READ_ONLY: CodeInfo(405, Run.NO, 17, "The resource is a report: read only."),
+    Code.STORE_UNAVAILABLE: CodeInfo(
+        503, Run.NO, 20, "The store is down; nothing was written. Come back as told."
+    ),
+    Code.WRITE_UNKNOWN: CodeInfo(
+        504, Run.MAYBE, 21, "The write's outcome is unknown; read before repeating."
+    ),
+    Code.NO_CONFIGURATION: CodeInfo(
+        503, Run.NO, 22, "This process has no configuration yet."
+    ),
+    Code.WAIT_EXPIRED: CodeInfo(
+        504, Run.YES, 23, "Accepted, but not yet in force on every entry."
+    ),
+    Code.UNKNOWN_SERVICE: CodeInfo(404, Run.NO, 30, "No service of this name."),
+    Code.QUEUE_FULL: CodeInfo(503, Run.NO, 31, "The queue is at its bound."),
+    Code.DEADLINE_TOO_SHORT: CodeInfo(
+        503, Run.NO, 32, "The wait would pass, or has passed, the request's deadline."
+    ),
+    Code.SHED_BY_TIER: CodeInfo(
+        503, Run.NO, 33, "Refused to keep room for callers of a higher tier."
+    ),
+    Code.CAP_REACHED: CodeInfo(
+        503, Run.NO, 34, "The shift cap of every region with room is used up."
+    ),
+    Code.NOT_READY: CodeInfo(503, Run.NO, 35, "This entry is not ready to serve."),
+    Code.KEY_REQUIRED: CodeInfo(
+        428, Run.NO, 36, "The service runs at most once; send an issued key."
+    ),
+    Code.KEY_INVALID: CodeInfo(422, Run.NO, 37, "The key was not issued by leverdoor."),
+    Code.LEAVING: CodeInfo(503, Run.NO, 38, "This entry is leaving; ask another."),
+    Code.NO_TARGET: CodeInfo(503, Run.NO, 39, "No target is in service anywhere."),
+    Code.BAD_REQUEST: CodeInfo(
+        400, Run.NO, 40, "The request's framing or headers are not acceptable."
+    ),
+    Code.CONNECT_FAILED: CodeInfo(
+        503, Run.NO, 41, "No connection could be opened; no byte was sent."
+    ),
+    Code.BODY_TOO_SLOW: CodeInfo(
+        408, Run.NO, 42, "The body came too slowly; it never looked whole."
+    ),
+    Code.ANSWER_LOST: CodeInfo(
+        502, Run.MAYBE, 50, "The request went out and its answer was lost."
+    ),
+    Code.ISSUER_GONE: CodeInfo(
+        410, Run.MAYBE, 51, "The process that issued the key is gone; it may have run."
+    ),
+    Code.DEADLINE_PASSED: CodeInfo(
+        504, Run.MAYBE, 52, "The deadline passed while the request was running."
+    ),
+    Code.STILL_RUNNING: CodeInfo(
+        409, Run.MAYBE, 53, "A request with this key is running; ask again as told."
+    ),
+    Code.CALLER_GONE: CodeInfo(
+        499, Run.MAYBE, 54, "The caller went away before the answer."
+    ),
+    Code.ISSUER_UNREACHABLE: CodeInfo(
+        503, Run.MAYBE, 56, "The process that issued the key cannot be reached now."
+    ),
+    Code.KEY_EXPIRED: CodeInfo(
+        410, Run.MAYBE, 57, "The key is too old; its outcome is no longer known."
+    ),
+    Code.ALREADY_RAN: CodeInfo(
+        200, Run.YES, 55, "It ran once; the answer's body was too large to keep."
+    ),
+    Code.BAD_SETTING: CodeInfo(500, Run.NO, 2, "A setting is missing or wrong."),
+    Code.STEP_FAILED: CodeInfo(500, Run.NO, 3, "A step of a run or load failed."),
+}
+
+
+def code_info(code: Code) -> CodeInfo:
+    """Return what a code means.
+
+    Args:
+      code: the numbered code.
+    Returns: its status, run verdict, exit status and meaning.
+    """
+    return _TABLE[code]
+
+
+class Problem(msgspec.Struct, frozen=True, omit_defaults=True):
+    """An error as it is sent to an operator or a caller."""
+
+    code: int
+    name: str
+    detail: str
+    field: str = ""
+    run: Run = Run.NO
+    retry_after_ms: int = 0
+    revision: int = 0
+
+
+class LeverdoorError(Exception):
+    """Base of all errors that carry a numbered code."""
+
+    def __init__(
+        self,
+        code: Code,
+        detail: str = "",
+        *,
+        field: str = "",
+        retry_after_ms: int = 0,
+        revision: int = 0,
+    ) -> None:
+        """Create an error.
+
+        Args:
+          code: the numbered code.
+          detail: one sentence for a person; the code's meaning if empty.
+          field: the resource field at fault, in dotted form.
+          retry_after_ms: when to come back, in milliseconds; 0 for never.
+          revision: the revision that stands in the way, for conflicts.
+        """
+        self.code = code
+        self.detail = detail or code_info(code).meaning
+        self.field = field
+        self.retry_after_ms = retry_after_ms
+        self.revision = revision
+        super().__init__(f"{int(code)} {code.name}: {self.detail}")
+
+    @property
+    def run(self) -> Run:
+        """What the code says about whether the request ran."""
+        return code_info(self.code).run
+
+    def problem(self) -> Problem:
+        """Return the error in the form that is sent."""
+        return Problem(
+            code=int(self.code),
+            name=self.code.name,
+            detail=self.detail,
+            field=self.field,
+            run=self.run,
+            retry_after_ms=self.retry_after_ms,
+            revision=self.revision,
+        )
+
+
+class ConfigError(LeverdoorError):
+    """A resource was refused; nothing was stored."""
+
+
+class SettingsError(LeverdoorError):
+    """A daemon's setting is missing or wrong."""
+
+    def __init__(self, detail: str, *, field: str = "") -> None:
+        """Create the error for one setting."""
+        super().__init__(Code.BAD_SETTING, detail, field=field)
+
+
+class Refusal(LeverdoorError):
+    """A request was given up on; the code says whether it may have run."""
+
+
+class StoreUnavailable(LeverdoorError):
+    """The store did not take the call; nothing was written."""
+
+    def __init__(self, detail: str = "", retry_after_ms: int = 2000) -> None:
+        """Create the error, with when to come back in milliseconds."""
+        super().__init__(Code.STORE_UNAVAILABLE, detail, retry_after_ms=retry_after_ms)
+
+
+class StoreUnknown(LeverdoorError):
+    """A write was sent and its answer was lost."""
+
+    def __init__(self, detail: str = "", retry_after_ms: int = 2000) -> None:
+        """Create the error, with when to come back in milliseconds."""
+        super().__init__(Code.WRITE_UNKNOWN, detail, retry_after_ms=retry_after_ms)
--- /dev/null
+++ b/leverdoor/following.py
@@ -0,0 +1,148 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Keeps an agent's State in step: from the store, or from peers."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+
+import aiohttp
+import msgspec
+import xxhash
+from loguru import logger
+
+from leverdoor.codec import unpack
+from leverdoor.errors import Code, LeverdoorError, StoreUnavailable
+from leverdoor.peers import Peers
+from leverdoor.state import PREFIX, Delta, State
+from leverdoor.store import Store
+
+__all__ = ["PeerFollower", "StoreFollower", "elected"]
+
+WATCHERS = 2
+FIRST_BACKOFF_S = 0.2
+LONGEST_BACKOFF_S = 5.0
+PULL_TIMEOUT_S = 2.0
+ELECTION_POLL_S = 0.5
+
+
+def elected(peers: Peers, vm: str, region: str, now: float) -> int:
+    """Return this VM's rank among its region's watchers, or -1.
+
+    Every agent ranks the live VMs of its region by the same hash, so that a
+    few watch the store and the rest hear from them. Two agents that see
+    different peers may both elect themselves; that costs a call, no more.
+    """
+    names = {p.beat.vm for p in peers.live(now) if p.beat.region == region} | {vm}
+    ranked = sorted(names, key=lambda n: xxhash.xxh3_64_intdigest(n.encode()))
+    rank = ranked.index(vm)
+    return rank if rank < WATCHERS else -1
+
+
+class StoreFollower:
+    """Watches the store while this agent is elected to."""
+
+    def __init__(
+        self, store: Store, state: State, is_elected: Callable[[], bool], rng: Random
+    ) -> None:
+        """Create it.
+
+        Args:
+          store: the platform's service.
+          state: the copy to keep in step.
+          is_elected: whether this agent should watch now.
+          rng: spreads the calls after an outage.
+        """
+        self._store = store
+        self._state = state
+        self._is_elected = is_elected
+        self._rng = rng
+        self.reachable = False
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        backoff = FIRST_BACKOFF_S
+        while True:
+            if not self._is_elected():
+                await asyncio.sleep(ELECTION_POLL_S)
+                continue
+            try:
+                await self._follow()
+                backoff = FIRST_BACKOFF_S
+            except LeverdoorError as e:
+                if self.reachable:
+                    logger.warning("store lost", error=str(e))
+                    backoff = FIRST_BACKOFF_S
+                self.reachable = False
+                await asyncio.sleep(backoff * (0.5 + self._rng.random()))
+                backoff = min(backoff * 2, LONGEST_BACKOFF_S)
+
+    async def _follow(self) -> None:
+        """Watch from where the copy stands; list only when that is not possible."""
+        if self._state.revision == 0:
+            await self._list()
+        watch = self._store.watch(PREFIX, self._state.revision)
+        try:
+            async for events in watch:
+                self.reachable = True
+                self._state.extend(events)
+                if not self._is_elected():
+                    return
+        except LeverdoorError as e:
+            if e.code is not Code.COMPACTED:
+                raise
+            await self._list()
+        finally:
+            await watch.aclose()  # type: ignore[attr-defined]
+
+    async def _list(self) -> None:
+        listing = await self._store.read(PREFIX)
+        self.reachable = True
+        if not self._state.reset(listing) and listing.revision < self._state.revision:
+            logger.error(
+                "the store is behind what was accepted",
+                store=listing.revision,
+                held=self._state.revision,
+            )
+            raise StoreUnavailable("the store went back")
+
+
+class PeerFollower:
+    """Fetches what a peer has and this agent lacks."""
+
+    def __init__(self, state: State) -> None:
+        """Create it around the copy to keep in step."""
+        self._state = state
+        self._session: aiohttp.ClientSession | None = None
+        self._pulling = False
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def pull(self, api: str) -> bool:
+        """Fetch from one peer's API address.
+
+        Returns: whether anything newer came.
+        """
+        if self._pulling:
+            return False
+        self._pulling = True
+        try:
+            delta = await self._fetch(api)
+        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError) as e:
+            logger.info("pull failed", peer=api, error=repr(e))
+            return False
+        finally:
+            self._pulling = False
+        return self._state.apply(delta)
+
+    async def _fetch(self, api: str) -> Delta:
+        if self._session is None:
+            timeout = aiohttp.ClientTimeout(total=PULL_TIMEOUT_S)
+            self._session = aiohttp.ClientSession(timeout=timeout)
+        url = f"http://{api}/v1/internal/state?since={self._state.revision}"
+        async with self._session.get(url) as answer:
+            answer.raise_for_status()
+            return unpack(await answer.read(), Delta)
--- /dev/null
+++ b/leverdoor/gate.py
@@ -0,0 +1,215 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""The gate daemon: the data path of one entry VM."""
+
+import asyncio
+import contextlib
+import secrets
+import time
+from random import Random
+
+import msgspec
+from aiohttp import web
+from loguru import logger
+
+from leverdoor.burn import BurnMeter
+from leverdoor.dispatch import Dispatcher
+from leverdoor.front import MAX_HEADER_BYTES, Front
+from leverdoor.holdings import Holdings
+from leverdoor.keyed import KeyedServer
+from leverdoor.keys import KeyRing
+from leverdoor.link import GateLink, GateReport, Hints
+from leverdoor.metrics import GateMetrics
+from leverdoor.peers import GateState
+from leverdoor.relay import HopClient
+from leverdoor.scheduler import Scheduler
+from leverdoor.serving import Server
+from leverdoor.settings import Address, GateSettings
+from leverdoor.state import Delta, State
+from leverdoor.view import ViewCache
+
+__all__ = ["Gate"]
+
+REPORT_INTERVAL_S = 0.1
+STOP_POLL_S = 0.05
+
+
+class Gate:
+    """One gate process."""
+
+    def __init__(self, settings: GateSettings) -> None:
+        """Create a gate; nothing is opened yet."""
+        self._settings = settings
+        self._incarnation = time.time_ns() // 1_000
+        self._stop = asyncio.Event()
+        self._runners: list[web.AppRunner] = []
+
+    def stop(self) -> None:
+        """Ask the gate to leave: finish all in flight, then end."""
+        self._stop.set()
+
+    async def run(self) -> None:
+        """Serve until stopped and everything in flight has ended."""
+        s = self._settings
+        self._build()
+        await self._listen(self._front.relay_app(), s.relay)
+        await self._listen(self._front.caller_app(), s.listen)
+        logger.info("gate up", listen=str(s.listen), relay=str(s.relay))
+        tasks = [
+            asyncio.create_task(t)
+            for t in (self._dispatcher.run(), self._report(), self._receive())
+        ]
+        try:
+            await self._stop.wait()
+            await self._leave()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            for runner in self._runners:
+                await runner.cleanup()
+            await self._client.close()
+            self._link.close()
+        logger.info("gate down")
+
+    def _build(self) -> None:
+        s = self._settings
+        rng = Random(s.seed or None)
+        now = asyncio.get_running_loop().time()
+        self._state = State()
+        self._cache = ViewCache(self._state)
+        self._holdings = Holdings(str(s.listen), self._incarnation)
+        self._scheduler = Scheduler(
+            s.vm, s.region, self._holdings, self._cache.view, rng
+        )
+        self._dispatcher = Dispatcher(self._scheduler)
+        self._client = HopClient()
+        self._server = Server(self._dispatcher, self._client, s.vm)
+        self._ring = KeyRing(
+            s.vm, str(s.relay), self._incarnation, secrets.token_bytes(32), now
+        )
+        self._keyed = KeyedServer(
+            self._ring, self._server, self._scheduler, self._client
+        )
+        self._metrics = GateMetrics()
+        self._front = Front(
+            s.region,
+            str(s.relay),
+            s.lookup_ttl_ms,
+            self._scheduler,
+            self._server,
+            self._keyed,
+            self._ring,
+            BurnMeter(),
+            self._metrics,
+        )
+        self._front.address = str(s.listen)
+        self._link = GateLink(s.agent)
+
+    async def _listen(self, app: web.Application, address: Address) -> None:
+        """Bind an address for this process alone.
+
+        The ownership table takes a bound address as proof that the process
+        that had it before has ended, so it must never be shared.
+        """
+        runner = web.AppRunner(
+            app,
+            handler_cancellation=True,
+            access_log=None,
+            max_field_size=MAX_HEADER_BYTES,
+            max_line_size=MAX_HEADER_BYTES,
+        )
+        await runner.setup()
+        site = web.TCPSite(
+            runner, address.host, address.port, reuse_port=False, backlog=512
+        )
+        await site.start()
+        self._runners.append(runner)
+
+    # The link to the agent.
+
+    async def _report(self) -> None:
+        """Tell the agent what this gate holds and how it fares."""
+        loop = asyncio.get_running_loop()
+        s = self._settings
+        while True:
+            now = loop.time()
+            self._metrics.waiting.set(self._dispatcher.waiting)
+            report = GateReport(
+                gate=str(s.listen),
+                relay=str(s.relay),
+                incarnation=self._incarnation,
+                revision=self._state.revision,
+                ack=self._holdings.ack(now),
+                state=self._front.state,
+                loads=self._scheduler.loads(now),
+                caps=self._scheduler.caps(now),
+                held=sorted(r for r in self._holdings.rows if r.startswith("t:")),
+                draining=self._scheduler.draining(now),
+            )
+            await self._link.send(report)
+            await asyncio.sleep(REPORT_INTERVAL_S)
+
+    async def _receive(self) -> None:
+        """Take configuration and hints from the agent."""
+        while True:
+            try:
+                message = await self._link.receive()
+            except msgspec.MsgspecError as e:
+                logger.error("bad message from the agent", error=str(e))
+                continue
+            if isinstance(message, Delta):
+                self._take_delta(message)
+            else:
+                self._take_hints(message)
+            self._dispatcher.kick()
+
+    def _take_delta(self, delta: Delta) -> None:
+        if not self._state.apply(delta):
+            return
+        now = asyncio.get_running_loop().time()
+        region = self._settings.region
+        self._scheduler.view = self._cache.view
+        self._holdings.apply(
+            self._cache.table(region), self._cache.view.settle_s(region), now
+        )
+        self._metrics.revision.set(self._state.revision)
+        if self._front.state is GateState.STARTING:
+            self._front.state = GateState.SERVING
+            logger.info("gate ready", revision=self._state.revision)
+
+    def _take_hints(self, hints: Hints) -> None:
+        now = asyncio.get_running_loop().time()
+        self._scheduler.hear(hints.beats, now)
+        self._scheduler.leaving_vms = frozenset(hints.leaving_vms)
+        self._scheduler.departed = frozenset(hints.departed)
+        for address, probe in hints.probes.items():
+            self._scheduler.targets.report(address, probe)
+        if hints.incarnation_floor >= self._incarnation:
+            self._rename(hints.incarnation_floor + 1)
+
+    def _rename(self, incarnation: int) -> None:
+        """Take a later incarnation, since an earlier clock gave too early a one."""
+        if self._holdings.rows:
+            return
+        logger.warning("later incarnation", incarnation=incarnation)
+        self._incarnation = incarnation
+        self._holdings.incarnation = incarnation
+        self._holdings.version = 0
+        self._ring.incarnation = incarnation
+
+    # Leaving.
+
+    async def _leave(self) -> None:
+        """Stop being named, serve cached answers for a while, finish, end."""
+        s = self._settings
+        self._front.state = GateState.LEAVING
+        logger.info("gate leaving", active=self._front.active)
+        await asyncio.sleep(s.lookup_ttl_ms / 1000 + s.leave_grace_s)
+        for runner in self._runners:
+            for site in list(runner.sites):
+                await site.stop()
+        while self._front.active or self._keyed.running:
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.sleep(STOP_POLL_S)
+        logger.info("gate drained")
--- /dev/null
+++ b/leverdoor/gossip.py
@@ -0,0 +1,65 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Sends and receives heartbeats over UDP."""
+
+import asyncio
+import zlib
+from collections.abc import Callable
+
+import msgspec
+from loguru import logger
+
+from leverdoor.codec import pack, unpack
+from leverdoor.peers import Gossip
+from leverdoor.settings import Address, parse_address
+
+__all__ = ["GossipSocket"]
+
+MAX_DATAGRAM = 60_000
+
+
+class GossipSocket(asyncio.DatagramProtocol):
+    """One UDP socket; messages are compressed MessagePack."""
+
+    def __init__(self, take: Callable[[Gossip], None]) -> None:
+        """Create it.
+
+        Args:
+          take: called with each message received.
+        """
+        self._take = take
+        self._transport: asyncio.DatagramTransport | None = None
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    async def open(self, listen: Address) -> None:
+        """Bind the gossip address."""
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(listen.host, listen.port)
+        )
+
+    def send(self, message: Gossip, to: str) -> None:
+        """Send a message to one peer; nobody waits for it to arrive."""
+        assert self._transport is not None
+        data = zlib.compress(pack(message), 1)
+        address = parse_address(to)
+        self.sent_bytes += len(data)
+        self._transport.sendto(data, (address.host, address.port))
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take one datagram; what cannot be read is dropped."""
+        self.received_bytes += len(data)
+        try:
+            raw = zlib.decompressobj().decompress(data, MAX_DATAGRAM)
+            self._take(unpack(raw, Gossip))
+        except (zlib.error, msgspec.MsgspecError) as e:
+            logger.warning("bad gossip", sender=addr[0], error=str(e))
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore that a peer is not there; heartbeats tell."""
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
--- /dev/null
+++ b/leverdoor/link.py
@@ -0,0 +1,106 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""The link between a VM's gate and its agent: typed messages over ZeroMQ."""
+
+from typing import TypeAlias
+
+import msgspec
+import zmq
+import zmq.asyncio
+
+from leverdoor.codec import pack, unpack
+from leverdoor.ownership import Ack
+from leverdoor.peers import Beat, GateState, Load
+from leverdoor.settings import Address
+from leverdoor.state import Delta
+from leverdoor.targets import Probe
+
+__all__ = ["AgentLink", "FromAgent", "GateLink", "GateReport", "Hints"]
+
+HIGH_WATER = 1_000
+
+
+class GateReport(msgspec.Struct, frozen=True, tag=True):
+    """What a gate tells its agent, several times a second."""
+
+    gate: str
+    relay: str
+    incarnation: int
+    revision: int
+    ack: Ack
+    state: GateState
+    loads: dict[str, Load]
+    caps: dict[str, int]
+    held: list[str]
+    draining: dict[str, int] = {}
+
+
+class Hints(msgspec.Struct, frozen=True, tag=True):
+    """What an agent tells its gate of other gates and of targets."""
+
+    beats: list[Beat]
+    leaving_vms: list[str]
+    probes: dict[str, Probe]
+    departed: list[str] = []
+    incarnation_floor: int = 0
+
+
+FromAgent: TypeAlias = Delta | Hints
+
+
+class GateLink:
+    """The gate's end; it reconnects by itself when the agent comes back."""
+
+    def __init__(self, agent: Address) -> None:
+        """Connect to the agent, which need not be there yet."""
+        self._context = zmq.asyncio.Context()
+        self._socket = self._context.socket(zmq.DEALER)
+        self._socket.setsockopt(zmq.LINGER, 0)
+        self._socket.setsockopt(zmq.SNDHWM, HIGH_WATER)
+        self._socket.setsockopt(zmq.RECONNECT_IVL_MAX, 500)
+        self._socket.connect(f"tcp://{agent}")
+
+    async def send(self, report: GateReport) -> None:
+        """Send a report; it is dropped when the agent is away."""
+        try:
+            await self._socket.send(pack(report), flags=zmq.NOBLOCK)
+        except zmq.Again:
+            return
+
+    async def receive(self) -> FromAgent:
+        """Wait for the next message of the agent."""
+        return unpack(await self._socket.recv(), FromAgent)  # type: ignore[arg-type]
+
+    def close(self) -> None:
+        """Close the link."""
+        self._socket.close(0)
+        self._context.term()
+
+
+class AgentLink:
+    """The agent's end, which serves the gates of its VM."""
+
+    def __init__(self, listen: Address) -> None:
+        """Bind the agent's link address."""
+        self._context = zmq.asyncio.Context()
+        self._socket = self._context.socket(zmq.ROUTER)
+        self._socket.setsockopt(zmq.LINGER, 0)
+        self._socket.setsockopt(zmq.SNDHWM, HIGH_WATER)
+        self._socket.bind(f"tcp://{listen}")
+
+    async def send(self, peer: bytes, message: FromAgent) -> None:
+        """Send a message to one gate; it is dropped when the gate is away."""
+        try:
+            await self._socket.send_multipart([peer, pack(message)], flags=zmq.NOBLOCK)
+        except zmq.Again:
+            return
+
+    async def receive(self) -> tuple[bytes, GateReport]:
+        """Wait for the next report and who sent it."""
+        peer, data = await self._socket.recv_multipart()
+        return peer, unpack(data, GateReport)
+
+    def close(self) -> None:
+        """Close the link."""
+        self._socket.close(0)
+        self._context.term()
--- /dev/null
+++ b/leverdoor/queries/get.py
@@ -0,0 +1,46 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""`leverdoor get`: read resources."""
+
+from collections.abc import Sequence
+
+import click
+import msgspec
+
+from leverdoor.operator import Operator
+from leverdoor.settings import Address
+from leverdoor.terminal import api_option, output_option, run, show
+
+__all__ = ["get"]
+
+
+@click.command()
+@api_option
+@output_option
+@click.argument("what", metavar="[KIND | KIND/NAME]", default="")
+def get(agents: Sequence[Address], output: str, what: str) -> None:
+    """Read all resources, those of one kind, or one."""
+
+    async def work(operator: Operator) -> None:
+        if "/" in what:
+            click.echo((await operator.get_one(what)).decode())
+            return
+        listing = await operator.get(what)
+        if output == "json":
+            for item in listing.items:
+                click.echo(msgspec.json.encode(item).decode())
+            return
+        rows = []
+        for item in listing.items:
+            resource = msgspec.json.decode(item.resource)
+            rows.append(
+                {
+                    "kind": resource["kind"],
+                    "name": resource["name"],
+                    "revision": item.revision,
+                    "in force": f"{item.in_force}/{item.entries}",
+                }
+            )
+        show(rows, output)
+
+    run(agents, work)
--- /dev/null
+++ b/leverdoor/queries/lookup.py
@@ -0,0 +1,39 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""`leverdoor lookup`: ask which entry VMs to use, as a caller does."""
+
+import asyncio
+import sys
+
+import click
+import msgspec
+
+from leverdoor.client import Caller
+from leverdoor.errors import Refusal, code_info
+from leverdoor.options import ADDRESS
+from leverdoor.settings import Address
+from leverdoor.terminal import output_option, show
+
+__all__ = ["lookup"]
+
+
+@click.command()
+@click.argument("service")
+@click.option("--entry", type=ADDRESS, required=True, help="ip:port of any gate.")
+@output_option
+def lookup(service: str, entry: Address, output: str) -> None:
+    """Ask a gate which entry VMs serve a service."""
+
+    async def work() -> None:
+        caller = Caller([str(entry)])
+        try:
+            answer = await caller.lookup(service)
+        finally:
+            await caller.close()
+        show([msgspec.to_builtins(e) for e in answer.entries], output)
+
+    try:
+        asyncio.run(work())
+    except Refusal as e:
+        click.echo(str(e), err=True)
+        sys.exit(code_info(e.code).exit_status)
--- /dev/null
+++ b/leverdoor/queries/watch.py
@@ -0,0 +1,28 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""`leverdoor watch`: follow changes of resources."""
+
+from collections.abc import Sequence
+
+import click
+import msgspec
+
+from leverdoor.operator import Operator
+from leverdoor.settings import Address
+from leverdoor.terminal import api_option, run
+
+__all__ = ["watch"]
+
+
+@click.command()
+@api_option
+@click.argument("kind", default="")
+@click.option("--since", type=int, help="Begin after this revision.")
+def watch(agents: Sequence[Address], kind: str, since: int | None) -> None:
+    """Print changes as JSON lines, without a gap after a revision."""
+
+    async def work(operator: Operator) -> None:
+        async for change in operator.watch(kind, since):
+            click.echo(msgspec.json.encode(change).decode())
+
+    run(agents, work)
--- /dev/null
+++ b/leverdoor/reports.py
@@ -0,0 +1,194 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Reports: what leverdoor says of itself, computed when asked for."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+
+from leverdoor.burn import BurnLine, Series, merge_series, summarize
+from leverdoor.errors import Code, LeverdoorError
+from leverdoor.ownership import cap_row
+from leverdoor.peers import Peer, Peers
+from leverdoor.view import ViewCache
+
+__all__ = ["REPORTS", "Report", "Reporter"]
+
+FETCH_TIMEOUT_S = 1.5
+REPORTS = ("entries", "headroom", "burn", "shifts", "drains")
+
+
+class EntryLine(msgspec.Struct, tag_field="type"):
+    """One entry VM."""
+
+    vm: str
+    region: str
+    domain: str
+    state: str
+    gate: str
+    revision: int
+    age_ms: int
+
+
+class HeadroomLine(msgspec.Struct, tag_field="type"):
+    """Room for one service in one region."""
+
+    region: str
+    service: str
+    slots: int
+    held: int
+    free: int
+    waiting: int
+
+
+class ShiftLine(msgspec.Struct, tag_field="type"):
+    """One shift cap and what is left of it in the current window."""
+
+    service: str
+    region: str
+    cap: int
+    held: int
+    free: int
+
+
+class DrainLine(msgspec.Struct, tag_field="type"):
+    """One drain and what is still in flight under it."""
+
+    name: str
+    targets: int
+    in_flight: int
+
+
+class Report(msgspec.Struct):
+    """One report at one moment; lines are of the report's own type."""
+
+    name: str
+    revision: int
+    entries: int
+    missing: list[str]
+    lines: list[EntryLine | HeadroomLine | BurnLine | ShiftLine | DrainLine]
+
+
+class Reporter:
+    """Computes reports from heartbeats and from what gates answer."""
+
+    def __init__(self, cache: ViewCache, peers: Peers) -> None:
+        """Create it from an agent's parts."""
+        self._cache = cache
+        self._peers = peers
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    def _live(self) -> list[Peer]:
+        return self._peers.live(asyncio.get_running_loop().time())
+
+    async def report(self, name: str) -> Report:
+        """Compute a report.
+
+        Raises:
+          LeverdoorError: NOT_FOUND.
+        """
+        missing: list[str] = []
+        lines: list[EntryLine | HeadroomLine | BurnLine | ShiftLine | DrainLine]
+        match name:
+            case "entries":
+                lines = list(self._entries())
+            case "headroom":
+                lines = list(self._headroom())
+            case "shifts":
+                lines = list(self._shifts())
+            case "drains":
+                lines = list(self._drains())
+            case "burn":
+                burn, missing = await self._burn()
+                lines = list(burn)
+            case _:
+                raise LeverdoorError(Code.NOT_FOUND, f"there is no report {name}")
+        view = self._cache.view
+        return Report(name, view.revision, len(self._live()), missing, lines)
+
+    def in_force(self, revision: int) -> tuple[int, int]:
+        """Count the serving entries that have a revision in force, and all."""
+        gates = [p.beat for p in self._live() if p.beat.gate]
+        return sum(b.gate_revision >= revision for b in gates), len(gates)
+
+    def _entries(self) -> list[EntryLine]:
+        now = asyncio.get_running_loop().time()
+        return [
+            EntryLine(
+                p.beat.vm,
+                p.beat.region,
+                p.beat.domain,
+                p.beat.state.value,
+                p.beat.gate,
+                p.beat.gate_revision,
+                int((now - p.heard_at) * 1000),
+            )
+            for p in self._live()
+        ]
+
+    def _headroom(self) -> list[HeadroomLine]:
+        lines = []
+        for (service, region), targets in sorted(self._cache.view.by_place.items()):
+            loads = [
+                p.beat.loads[service]
+                for p in self._live()
+                if p.beat.region == region and service in p.beat.loads
+            ]
+            lines.append(
+                HeadroomLine(
+                    region,
+                    service,
+                    sum(t.slots for t in targets),
+                    sum(load.held for load in loads),
+                    sum(load.free for load in loads),
+                    sum(load.waiting for load in loads),
+                )
+            )
+        return lines
+
+    def _shifts(self) -> list[ShiftLine]:
+        lines = []
+        for cap in sorted(self._cache.view.caps.values(), key=lambda c: c.name):
+            row = cap_row(cap.service, cap.region)
+            held = self._cache.table(cap.region).rows.get(row)
+            free = sum(p.beat.caps.get(row, 0) for p in self._live())
+            units = sum(held.held.values()) if held else 0
+            lines.append(ShiftLine(cap.service, cap.region, cap.units, units, free))
+        return lines
+
+    def _drains(self) -> list[DrainLine]:
+        view = self._cache.view
+        in_flight: dict[str, int] = {}
+        for p in self._live():
+            for target, n in p.beat.draining.items():
+                in_flight[target] = in_flight.get(target, 0) + n
+        lines = []
+        for drain in sorted(view.drains.values(), key=lambda d: d.name):
+            covered = [t.name for t in view.targets.values() if drain.covers(t)]
+            total = sum(in_flight.get(name, 0) for name in covered)
+            lines.append(DrainLine(drain.name, len(covered), total))
+        return lines
+
+    async def _burn(self) -> tuple[list[BurnLine], list[str]]:
+        """Ask every live gate and merge what they count."""
+        beats = [p.beat for p in self._live() if p.beat.relay]
+        parts = await asyncio.gather(*(self._series(b.relay) for b in beats))
+        missing = [b.vm for b, p in zip(beats, parts, strict=True) if p is None]
+        merged = merge_series(s for p in parts if p for s in p)
+        return summarize(merged, self._cache.view.levels.values()), missing
+
+    async def _series(self, relay: str) -> list[Series] | None:
+        if self._session is None:
+            timeout = aiohttp.ClientTimeout(total=FETCH_TIMEOUT_S)
+            self._session = aiohttp.ClientSession(timeout=timeout)
+        try:
+            async with self._session.get(f"http://{relay}/v1/burn") as answer:
+                return msgspec.json.decode(await answer.read(), type=list[Series])
+        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError):
+            return None
--- /dev/null
+++ b/leverdoor/serving.py
@@ -0,0 +1,291 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Serves one request: places it, sends it on, and tries again where that is safe."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import msgspec
+from loguru import logger
+
+from leverdoor import headers as h
+from leverdoor.dispatch import Dispatcher
+from leverdoor.errors import Code, Refusal, Run
+from leverdoor.queueing import Job
+from leverdoor.relay import BUFFERED_ANSWER, Answer, Body, Hop, HopClient, refusal_of
+from leverdoor.resources import Service, Work
+from leverdoor.scheduler import Dispatch, Forward, Refuse
+
+__all__ = ["Inbound", "RetryBudget", "Served", "Server"]
+
+MAX_ATTEMPTS = 4
+BUDGET_RATIO = 0.1
+BUDGET_LIMIT = 10.0
+
+
+class Inbound(msgspec.Struct):
+    """One request as a gate takes it in."""
+
+    request_id: str
+    service: Service
+    method: str
+    tail: str
+    headers: list[tuple[str, str]]
+    body: Body
+    job: Job
+    caller: str
+    key: str = ""
+    arrived: float = 0.0
+
+    @property
+    def once(self) -> bool:
+        """Say whether a repeat could do harm."""
+        return self.service.work is not Work.LOOKUP or bool(self.key)
+
+
+class RetryBudget:
+    """Repeats allowed as a share of requests, so that repeats never pile up."""
+
+    def __init__(self) -> None:
+        """Create a full budget."""
+        self._tokens = BUDGET_LIMIT
+
+    def earn(self) -> None:
+        """Count a request."""
+        self._tokens = min(BUDGET_LIMIT, self._tokens + BUDGET_RATIO)
+
+    def spend(self) -> bool:
+        """Take one repeat if there is one left."""
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+class Served:
+    """An answer on its way back, which holds units until it is finished."""
+
+    def __init__(
+        self,
+        server: "Server",
+        inbound: Inbound,
+        answer: Answer,
+        made: Dispatch | None,
+        began: float,
+    ) -> None:
+        """Wrap an answer.
+
+        Args:
+          server: who gets the units back.
+          inbound: the request.
+          answer: the answer, its body unread.
+          made: the decision that took units, None for a forwarded request.
+          began: loop time at which the request was sent, in seconds.
+        """
+        self._server = server
+        self._inbound = inbound
+        self._answer = answer
+        self._made = made
+        self._began = began
+        self._finished = False
+        self.status = answer.status
+        self.headers = answer.headers
+        self.served_by = answer.served_by
+        if made is not None:
+            self.served_by = f"{made.target.region}/{made.target.name}"
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body; a small one is read whole, and its slot freed, first."""
+        head: list[bytes] = []
+        size = 0
+        whole = False
+        source = self._answer.chunks()
+        try:
+            while size < BUFFERED_ANSWER:
+                chunk = await anext(source, None)
+                if chunk is None:
+                    whole = True
+                    break
+                head.append(chunk)
+                size += len(chunk)
+            if whole:
+                self.finish(True)
+            for chunk in head:
+                yield chunk
+            if not whole:
+                async for chunk in source:
+                    yield chunk
+                self.finish(True)
+        finally:
+            self.finish(False)
+
+    def finish(self, whole: bool) -> None:
+        """Give units back; an answer not read whole is cancelled."""
+        if self._finished:
+            return
+        self._finished = True
+        if whole:
+            self._answer.release()
+        else:
+            self._answer.close()
+        if self._made is not None:
+            self._server.give_back(self._inbound, self._made, self._began, whole)
+
+
+class Server:
+    """Serves requests of one gate."""
+
+    def __init__(self, dispatcher: Dispatcher, client: HopClient, me: str) -> None:
+        """Create it.
+
+        Args:
+          dispatcher: where requests are placed.
+          client: how they are sent on.
+          me: this VM, for the logs.
+        """
+        self._dispatcher = dispatcher
+        self._client = client
+        self._me = me
+        self._budget = RetryBudget()
+
+    async def serve(self, inbound: Inbound) -> Served:
+        """Get the head of an answer.
+
+        Raises:
+          Refusal: it was given up on; the code says whether it may have run.
+        """
+        self._budget.earn()
+        attempt = 0
+        while True:
+            attempt += 1
+            decision = await self._dispatcher.place(inbound.job)
+            try:
+                if isinstance(decision, Refuse):
+                    raise Refusal(decision.code, retry_after_ms=decision.retry_after_ms)
+                if isinstance(decision, Dispatch):
+                    return await self._to_target(inbound, decision)
+                return await self._to_gate(inbound, decision)
+            except Refusal as e:
+                if isinstance(decision, Refuse) or attempt >= MAX_ATTEMPTS:
+                    raise
+                if not self._again(inbound, e):
+                    raise
+                logger.info(
+                    "again",
+                    request_id=inbound.request_id,
+                    code=int(e.code),
+                    attempt=attempt,
+                )
+
+    def _again(self, inbound: Inbound, refusal: Refusal) -> bool:
+        """Say whether another attempt is safe and worth it."""
+        if inbound.job.forwarded or not inbound.body.replayable:
+            return False
+        if refusal.run is Run.NO:
+            return True
+        lost = refusal.code is Code.ANSWER_LOST
+        return lost and not inbound.once and self._budget.spend()
+
+    async def _to_target(self, inbound: Inbound, made: Dispatch) -> Served:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        health = self._dispatcher.scheduler.targets.of(made.target, began)
+        hop = self._hop(inbound, f"http://{made.target.address}/{inbound.tail}")
+        try:
+            answer = await self._client.send(hop, began)
+        except Refusal as e:
+            inbound.job.tried.add(made.target.address)
+            if e.code is not Code.DEADLINE_PASSED:
+                health.failed(loop.time())
+            self._return(inbound, made, began, False, e.run is not Run.NO)
+            raise
+        except BaseException:
+            self._return(inbound, made, began, False, True)
+            raise
+        if answer.leaving:
+            health.leaving = True
+        if answer.shed:
+            answer.close()
+            health.shed(loop.time())
+            self._return(inbound, made, began, False, False)
+            inbound.job.tried.add(made.target.address)
+            raise Refusal(Code.CONNECT_FAILED, "the target shed it")
+        if answer.status in (429, 503):
+            health.shed(loop.time())
+        return Served(self, inbound, answer, made, began)
+
+    async def _to_gate(self, inbound: Inbound, made: Forward) -> Served:
+        loop = asyncio.get_running_loop()
+        scheduler = self._dispatcher.scheduler
+        path = f"s/{inbound.service.name}/{inbound.tail}"
+        hop = self._hop(inbound, f"http://{made.relay}/{path}", relay=True)
+        try:
+            answer = await self._client.send(hop, loop.time())
+            problem = await answer.problem()
+        except Refusal as e:
+            if e.code is Code.CONNECT_FAILED:
+                scheduler.lost(made.vm, loop.time())
+            raise
+        if problem is not None:
+            answer.close()
+            if problem.run is Run.NO:
+                scheduler.refused(made.vm, inbound.service.name)
+            raise refusal_of(problem)
+        return Served(self, inbound, answer, None, 0.0)
+
+    def _hop(self, inbound: Inbound, url: str, relay: bool = False) -> Hop:
+        now = asyncio.get_running_loop().time()
+        left_ms = max(int((inbound.job.deadline - now) * 1000), 1)
+        extra = [(h.REQUEST_ID, inbound.request_id)]
+        if not inbound.job.bulk:
+            extra.append((h.DEADLINE, str(left_ms)))
+        if relay:
+            extra += [
+                (h.HOP, "1"),
+                (h.HOME, inbound.job.home),
+                (h.TIER, inbound.job.tier.name),
+                (h.CALLER, inbound.caller),
+            ]
+        return Hop(
+            method=inbound.method,
+            url=url,
+            headers=inbound.headers + extra,
+            body=inbound.body,
+            deadline=inbound.job.deadline,
+            stall_s=inbound.service.deadline_ms / 1000,
+            once=inbound.once,
+            relay=relay,
+        )
+
+    def give_back(
+        self, inbound: Inbound, made: Dispatch, began: float, whole: bool
+    ) -> None:
+        """Give back the units of a dispatch whose answer has ended."""
+        self._return(inbound, made, began, whole, not whole)
+
+    def _return(
+        self,
+        inbound: Inbound,
+        made: Dispatch,
+        began: float,
+        ok: bool,
+        may_run: bool,
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        took_ms = (now - began) * 1000
+        scheduler = self._dispatcher.scheduler
+        if ok:
+            scheduler.targets.of(made.target, now).served(took_ms)
+        cool_s = inbound.service.linger_ms / 1000 if may_run else 0.0
+        scheduler.done(inbound.job, made, now, took_ms, ok, cool_s)
+        self._dispatcher.kick()
+
+
+@contextlib.asynccontextmanager
+async def finishing(served: Served) -> AsyncIterator[Served]:
+    """Finish an answer whatever happens to its reader."""
+    try:
+        yield served
+    finally:
+        served.finish(False)
--- /dev/null
+++ b/leverdoor/terminal.py
@@ -0,0 +1,87 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""What the command line's parts share: options, output and exit statuses."""
+
+import asyncio
+import sys
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any
+
+import click
+import msgspec
+
+from leverdoor.errors import LeverdoorError, code_info
+from leverdoor.operator import Operator
+from leverdoor.options import ADDRESS
+from leverdoor.settings import Address
+
+__all__ = ["api_option", "output_option", "run", "show"]
+
+DEFAULT_API = "127.0.0.1:7400"
+
+api_option = click.option(
+    "--api",
+    "agents",
+    type=ADDRESS,
+    multiple=True,
+    envvar="LEVERDOOR_API",
+    show_envvar=True,
+    default=(DEFAULT_API,),
+    help="ip:port of an agent's resource API; several are tried in turn.",
+)
+output_option = click.option(
+    "--output",
+    "-o",
+    type=click.Choice(["table", "json"]),
+    default="table",
+    help="How to print.",
+)
+
+
+def run(agents: Sequence[Address], work: Callable[[Operator], Awaitable[None]]) -> None:
+    """Run an operator's work; an error ends the process with its exit status."""
+    try:
+        asyncio.run(_run(agents, work))
+    except LeverdoorError as e:
+        field = f" (field {e.field})" if e.field else ""
+        click.echo(f"error {int(e.code)} {e.code.name}: {e.detail}{field}", err=True)
+        if e.retry_after_ms:
+            click.echo(f"come back in {e.retry_after_ms} ms", err=True)
+        sys.exit(code_info(e.code).exit_status)
+    except KeyboardInterrupt:
+        sys.exit(130)
+
+
+async def _run(
+    agents: Sequence[Address], work: Callable[[Operator], Awaitable[None]]
+) -> None:
+    operator = Operator([str(a) for a in agents])
+    try:
+        await work(operator)
+    finally:
+        await operator.close()
+
+
+def show(rows: Sequence[dict[str, Any]], output: str) -> None:
+    """Print rows as a table, or as JSON lines."""
+    if output == "json":
+        for row in rows:
+            click.echo(msgspec.json.encode(row).decode())
+        return
+    if not rows:
+        click.echo("(none)")
+        return
+    names = list(rows[0])
+    cells = [names] + [[_cell(row.get(n)) for n in names] for row in rows]
+    widths = [max(len(line[i]) for line in cells) for i in range(len(names))]
+    for line in cells:
+        text = "  ".join(c.ljust(w) for c, w in zip(line, widths, strict=True))
+        click.echo(text.rstrip())
+
+
+def _cell(value: Any) -> str:
+    if isinstance(value, float):
+        return f"{value:.4g}"
+    if isinstance(value, list):
+        return ",".join(str(v) for v in value)
+    return str(value)
