Gate over real sockets: whole answers, at most once, told not run, leaving, caps

Found by these tests and mended, each with its test: - a wait on one loop could swallow its cancellation and hang a stop; - a look-up repeated after a lost answer was told 'not run' by the repeat's refusal; the earlier attempt's verdict now stands; - a gate's exact refusal at the deadline came after its asker had given up; - a drained region still counted as room, so nothing was shifted out of it; - a gate started again did not know that its predecessor's keys are dead.

Ruled out: relying on the HTTP client's own repeats; they are switched off, since it sends PUT again on a broken kept connection.

--- a/leverdoor/agent.py
+++ b/leverdoor/agent.py
@@ -34,6 +34,7 @@
 FANOUT = 2
 GATE_SILENCE_S = 1.0
 DEPARTED_KEPT_S = 120.0
+STOP_TIMEOUT_S = 1.0
 
 
 class Agent:
@@ -62,12 +63,13 @@
         await self._build()
         s = self._settings
         runner = web.AppRunner(
-            self._api.app(), handler_cancellation=True, access_log=None
+            self._api.app(),
+            handler_cancellation=True,
+            access_log=None,
+            shutdown_timeout=STOP_TIMEOUT_S,
         )
         await runner.setup()
-        site = web.TCPSite(
-            runner, s.api.host, s.api.port, reuse_port=False, shutdown_timeout=1.0
-        )
+        site = web.TCPSite(runner, s.api.host, s.api.port, reuse_port=False)
         await site.start()
         logger.info("agent up", api=str(s.api))
         jobs = (
@@ -287,7 +289,6 @@
             beats=list(self._news.values()),
             leaving_vms=sorted(self.leaving_vms()),
             probes=self._probes,
-            departed=sorted(self.departed()),
             incarnation_floor=self._floor(self._report),
         )
         self._news = {}
--- a/leverdoor/api.py
+++ b/leverdoor/api.py
@@ -200,7 +200,8 @@
                         yield serialize_json(_change(event))
                 since = max(since, delta.revision)
                 try:
-                    delta = await asyncio.wait_for(queue.get(), BOOKMARK_S)
+                    async with asyncio.timeout(BOOKMARK_S):
+                        delta = await queue.get()
                 except TimeoutError:
                     yield serialize_json(Change(since, "bookmark"))
                     delta = Delta(since, since, False, [])
--- a/leverdoor/cli.py
+++ b/leverdoor/cli.py
@@ -9,6 +9,7 @@
 from leverdoor.commands.daemons import agent, gate
 from leverdoor.commands.delete import delete
 from leverdoor.commands.drain import drain, undrain
+from leverdoor.commands.load import load
 from leverdoor.queries.get import get
 from leverdoor.queries.lookup import lookup
 from leverdoor.queries.report import report
@@ -28,7 +29,7 @@
     """
 
 
-for command in (apply, delete, drain, undrain, agent, gate):
+for command in (apply, delete, drain, undrain, load, agent, gate):
     main.add_command(command)
 for query in (get, watch, report, status, lookup):
     main.add_command(query)
--- a/leverdoor/client.py
+++ b/leverdoor/client.py
@@ -18,9 +18,11 @@
 
 __all__ = ["Caller", "Reply"]
 
-MAX_ATTEMPTS = 5
+MAX_ATTEMPTS = 8
 LOOKUP_TIMEOUT_S = 2.0
 DEFAULT_WAIT_MS = 100
+ANSWER_GRACE_S = 0.25
+"""A refusal at the deadline is still heard, since it says whether it ran."""
 
 
 class Reply(msgspec.Struct, frozen=True):
@@ -108,6 +110,8 @@
         method: str = "GET",
         body: bytes | None = None,
         deadline_ms: int = 2_000,
+        attempts: int = MAX_ATTEMPTS,
+        request_id: str = "",
     ) -> Reply:
         """Make a request and get its whole answer.
 
@@ -119,7 +123,7 @@
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + deadline_ms / 1000
-        request_id = secrets.token_hex(8)
+        request_id = request_id or secrets.token_hex(8)
         answer = await self.lookup(service)
         key = ""
         if answer.key:
@@ -128,7 +132,7 @@
         last = Refusal(Code.NOT_READY)
         ran = Run.NO
         tried: list[str] = []
-        for attempt in range(1, MAX_ATTEMPTS + 1):
+        for attempt in range(1, attempts + 1):
             entry = self._choose(answer.entries, tried, keyed=bool(key))
             tried.append(entry)
             left_ms = int((deadline - loop.time()) * 1000)
@@ -151,6 +155,8 @@
                 if e.code in _FINAL:
                     break
             wait_s = (last.retry_after_ms or DEFAULT_WAIT_MS) / 1000
+            longer_s = wait_s * 2 ** (attempt - 1) * self._rng.random()
+            wait_s = max(wait_s, min(longer_s, (deadline - loop.time()) / 2))
             if last.code is Code.CONNECT_FAILED:
                 wait_s = 0.0
             if loop.time() + wait_s >= deadline:
@@ -182,7 +188,7 @@
         left_ms: int,
         attempt: int,
     ) -> Reply:
-        timeout = aiohttp.ClientTimeout(total=left_ms / 1000)
+        timeout = aiohttp.ClientTimeout(total=left_ms / 1000 + ANSWER_GRACE_S)
         try:
             async with self._session.request(
                 method, url, headers=head, data=body, timeout=timeout
--- a/leverdoor/daemon.py
+++ b/leverdoor/daemon.py
@@ -47,9 +47,11 @@
         """Serve until stopped."""
         runners = []
         for app, address in self._apps:
-            runner = web.AppRunner(app, handler_cancellation=True, access_log=None)
+            runner = web.AppRunner(
+                app, handler_cancellation=True, access_log=None, shutdown_timeout=0.1
+            )
             await runner.setup()
-            site = web.TCPSite(runner, address.host, address.port, shutdown_timeout=0.1)
+            site = web.TCPSite(runner, address.host, address.port)
             await site.start()
             runners.append(runner)
         await self._stop.wait()
--- a/leverdoor/dispatch.py
+++ b/leverdoor/dispatch.py
@@ -85,7 +85,8 @@
         while True:
             tick = TICK_S if self._waiting else IDLE_TICK_S
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), tick)
+                async with asyncio.timeout(tick):
+                    await self._wake.wait()
             self._wake.clear()
             for job, decision in self.scheduler.poll(loop.time()):
                 self._resolve(job, decision)
--- a/leverdoor/gate.py
+++ b/leverdoor/gate.py
@@ -32,6 +32,7 @@
 
 REPORT_INTERVAL_S = 0.1
 STOP_POLL_S = 0.05
+CLOSE_TIMEOUT_S = 1.0
 
 
 class Gate:
@@ -116,6 +117,7 @@
             app,
             handler_cancellation=True,
             access_log=None,
+            shutdown_timeout=CLOSE_TIMEOUT_S,
             max_field_size=MAX_HEADER_BYTES,
             max_line_size=MAX_HEADER_BYTES,
         )
@@ -182,7 +184,6 @@
         now = asyncio.get_running_loop().time()
         self._scheduler.hear(hints.beats, now)
         self._scheduler.leaving_vms = frozenset(hints.leaving_vms)
-        self._scheduler.departed = frozenset(hints.departed)
         for address, probe in hints.probes.items():
             self._scheduler.targets.report(address, probe)
         if hints.incarnation_floor >= self._incarnation:
--- a/leverdoor/keyed.py
+++ b/leverdoor/keyed.py
@@ -130,8 +130,7 @@
 
     def _is_gone(self, key: Key, issuer: Beat | None) -> bool:
         """Say whether the process that issued a key is proved to be gone."""
-        identity = f"{key.vm}|{key.relay}|{key.incarnation}"
-        if identity in self._scheduler.departed:
+        if self._ring.replaced(key):
             return True
         if issuer is None or issuer.relay != key.relay:
             return False
--- a/leverdoor/keys.py
+++ b/leverdoor/keys.py
@@ -122,6 +122,11 @@
             self.incarnation,
         )
 
+    def replaced(self, key: Key) -> bool:
+        """Say whether an earlier process at this one's address issued a key."""
+        same = (key.vm, key.relay) == (self._vm, self._relay)
+        return same and key.incarnation < self.incarnation
+
     def begin(self, key: Key, now: float) -> KeyState:
         """Ask to run the request of a key.
 
--- a/leverdoor/link.py
+++ b/leverdoor/link.py
@@ -41,7 +41,6 @@
     beats: list[Beat]
     leaving_vms: list[str]
     probes: dict[str, Probe]
-    departed: list[str] = []
     incarnation_floor: int = 0
 
 
--- a/leverdoor/relay.py
+++ b/leverdoor/relay.py
@@ -18,7 +18,8 @@
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTION_S = 15.0
 BUFFERED_ANSWER = 256 * 1024
-RETRY_UNSET = -1
+RELAY_GRACE_S = 0.1
+"""A gate that refuses at the deadline is still heard, since it knows more."""
 
 
 class Body:
@@ -166,8 +167,9 @@
         """
         session = self._fresh if hop.once else self._kept
         streamed = hop.body.whole is None
+        grace_s = RELAY_GRACE_S if hop.relay else 0.0
         timeout = aiohttp.ClientTimeout(
-            total=None if streamed else max(hop.deadline - now, 0.001),
+            total=None if streamed else max(hop.deadline - now, 0.001) + grace_s,
             sock_connect=CONNECT_TIMEOUT_S,
             sock_read=hop.stall_s if streamed else None,
         )
--- a/leverdoor/scheduler.py
+++ b/leverdoor/scheduler.py
@@ -84,7 +84,6 @@
         self.view = view
         self.targets = TargetBook()
         self.leaving_vms: frozenset[str] = frozenset()
-        self.departed: frozenset[str] = frozenset()
         self._rng = rng
         self._queues: dict[str, WaitQueue] = {}
         self._neighbours: dict[str, _Neighbour] = {}
@@ -142,9 +141,8 @@
         for name in self.view.services:
             held, free = 0, 0
             for t in self._local(name):
-                row = slot_row(t.address)
-                held += self.holdings.held(row)
                 if self._open(t, now):
+                    held += self.holdings.held(slot_row(t.address))
                     free += max(self._room(t, now), 0)
             queue = self._queues.get(name)
             waiting = queue.people() if queue else 0
@@ -197,11 +195,11 @@
         """Let a job wait if that makes sense."""
         if job.forwarded and job.home != self.region:
             return self._refuse(Code.CAP_REACHED, job, now)
-        if not self._anything(service, now):
+        if not self._anything(service):
             return self._refuse(Code.NO_TARGET, job, now)
         limit = service.queue
         if job.forwarded:
-            limit = min(limit, max(1, self._held(job.service)))
+            limit = min(limit, max(1, self._held(job.service, now)))
         if not job.bulk:
             wait_ms = self.expected_wait_ms(job, now)
             mean = self._mean_ms.get(job.service, 0.0)
@@ -245,7 +243,7 @@
         while progress:
             progress = False
             in_use = self._in_use.get(service.name, {})
-            for job in queue.order(in_use, self._held(service.name)):
+            for job in queue.order(in_use, self._held(service.name, now)):
                 decision = self._place(job, service, now)
                 if decision is not None:
                     queue.pop(job)
@@ -296,7 +294,7 @@
         """Estimate how long a new job would wait in this region."""
         queue = self._queues.get(job.service)
         ahead = queue.ahead(job.tier) if queue else 0.0
-        held, waiting = self._held(job.service), ahead
+        held, waiting = self._held(job.service, now), ahead
         for n in self._neighbours.values():
             load = n.beat.loads.get(job.service)
             if load and n.beat.region == self.region and self._usable(n, now):
@@ -347,7 +345,7 @@
         mean = self._mean_ms.get(service, 0.0)
         if region == self.region:
             queue = self._queues.get(service)
-            held = self._held(service)
+            held = self._held(service, now)
             waiting = queue.people() if queue else 0
         for n in self._neighbours.values():
             load = n.beat.loads.get(service)
@@ -359,7 +357,7 @@
 
     def _here(self, job: Job, service: Service, now: float) -> Dispatch | None:
         """Take a slot that this gate holds, and a cap unit for foreign work."""
-        if job.bulk and not self._bulk_room(service):
+        if job.bulk and not self._bulk_room(service, now):
             return None
         best: Target | None = None
         best_score = 0.0
@@ -401,9 +399,9 @@
         ramp.use()
         return True
 
-    def _bulk_room(self, service: Service) -> bool:
+    def _bulk_room(self, service: Service, now: float) -> bool:
         """Bulk work takes a share of the slots, and none while people wait."""
-        held = self._held(service.name)
+        held = self._held(service.name, now)
         if service.work is not Work.BULK:
             held = max(1, int(held * BULK_SHARE))
         queue = self._queues.get(service.name)
@@ -444,9 +442,10 @@
         return self.view.by_place.get((service, self.region), [])
 
     def _open(self, target: Target, now: float) -> bool:
-        if target.vm in self.leaving_vms or self.view.drained(target):
-            return False
-        return self.targets.of(target, now).usable(now)
+        return self._in_service(target) and self.targets.of(target, now).usable(now)
+
+    def _in_service(self, target: Target) -> bool:
+        return target.vm not in self.leaving_vms and not self.view.drained(target)
 
     def _room(self, target: Target, now: float) -> int:
         row = slot_row(target.address)
@@ -458,18 +457,20 @@
         allowed = health.allowance(held, target.warmup_ms / 1000, now)
         return min(free, allowed - health.in_flight)
 
-    def _held(self, service: str) -> int:
+    def _held(self, service: str, now: float) -> int:
+        """Slots held here of targets that take new work."""
         return sum(
-            self.holdings.held(slot_row(t.address)) for t in self._local(service)
+            self.holdings.held(slot_row(t.address))
+            for t in self._local(service)
+            if self._open(t, now)
         )
 
-    def _anything(self, service: Service, now: float) -> bool:
-        """Say whether any gate that can be used holds slots for a service."""
-        if self._held(service.name):
-            return True
+    def _anything(self, service: Service) -> bool:
+        """Say whether any target is in service, be it out for a moment or not."""
         return any(
-            n.beat.loads.get(service.name) and self._usable(n, now)
-            for n in self._neighbours.values()
+            self._in_service(t)
+            for region in {*self.view.regions, self.region}
+            for t in self.view.by_place.get((service.name, region), [])
         )
 
     def _refuse(self, code: Code, job: Job, now: float) -> Refuse:
--- a/leverdoor/serving.py
+++ b/leverdoor/serving.py
@@ -157,6 +157,7 @@
         """
         self._budget.earn()
         attempt = 0
+        lost: Refusal | None = None
         while True:
             attempt += 1
             decision = await self._dispatcher.place(inbound.job)
@@ -167,10 +168,11 @@
                     return await self._to_target(inbound, decision)
                 return await self._to_gate(inbound, decision)
             except Refusal as e:
-                if isinstance(decision, Refuse) or attempt >= MAX_ATTEMPTS:
-                    raise
-                if not self._again(inbound, e):
-                    raise
+                if e.run is not Run.NO:
+                    lost = e
+                ended = isinstance(decision, Refuse) or attempt >= MAX_ATTEMPTS
+                if ended or not self._again(inbound, e):
+                    raise lost or e from None
                 logger.info(
                     "again",
                     request_id=inbound.request_id,
--- a/leverdoor/store.py
+++ b/leverdoor/store.py
@@ -189,7 +189,8 @@
                     yield found
                     continue
                 try:
-                    await asyncio.wait_for(changed.wait(), WATCH_SILENCE_S / 3)
+                    async with asyncio.timeout(WATCH_SILENCE_S / 3):
+                        await changed.wait()
                 except TimeoutError:
                     yield []
         finally:
--- /dev/null
+++ b/tests/test_gate.py
@@ -0,0 +1,504 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""A gate and its neighbours, over real sockets on one loop."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+
+import aiohttp
+import pytest
+from bench import Bench, calling, running, until
+
+from leverdoor import headers as h
+from leverdoor.client import Reply
+from leverdoor.errors import Code, Refusal, Run
+from leverdoor.operator import Operator
+from leverdoor.probing import PROBE_PATH
+from leverdoor.resources import (
+    Drain,
+    Region,
+    Resource,
+    Service,
+    ShiftCap,
+    Tier,
+    Work,
+)
+from leverdoor.standins.deployments import Deployment, EntryVm, TargetPlan
+from leverdoor.vmlist import Vm, VmState
+
+LOOKUP = Service(name="look", work=Work.LOOKUP, deadline_ms=2000, linger_ms=50)
+ONCE = Service(
+    name="once",
+    work=Work.ONCE,
+    deadline_ms=2000,
+    linger_ms=50,
+    bulk_prefixes=["bulk/"],
+)
+CAP = ShiftCap(name="c", service="look", region="r1", units=3, window_ms=400)
+
+
+def deployment(vms: int = 2, regions: int = 1, targets: int = 2) -> Deployment:
+    entry_vms, plans = [], []
+    resources: list[Resource] = [LOOKUP, ONCE, Tier(name="t", default=True)]
+    for r in range(regions):
+        others = {f"r{o}": 1 for o in range(regions) if o != r}
+        resources.append(
+            Region(name=f"r{r}", domains=[f"r{r}-0", f"r{r}-1"], latency_ms=others)
+        )
+        for i in range(vms):
+            entry_vms.append(EntryVm(f"vm{r}{i}", f"r{r}", f"r{r}-{i % 2}"))
+        for service in ("look", "once"):
+            for i in range(targets):
+                name = f"{service}-{r}{i}"
+                plans.append(TargetPlan(name, service, f"r{r}", f"r{r}-{i % 2}", 2))
+    if regions > 1:
+        resources.append(CAP)
+    return Deployment(entry_vms, plans, resources)
+
+
+@pytest.fixture
+async def bench() -> AsyncIterator[Bench]:
+    async with running(deployment()) as b:
+        yield b
+
+
+@pytest.fixture
+async def session() -> AsyncIterator[aiohttp.ClientSession]:
+    async with aiohttp.ClientSession() as s:
+        yield s
+
+
+def runs(bench: Bench, service: str) -> list[str]:
+    """Request ids that targets of a service ran, in order of arrival."""
+    found = [
+        a
+        for name, t in bench.targets.items()
+        if name.startswith(service)
+        for a in t.log.arrivals
+        if a.ran
+    ]
+    return [a.request_id for a in sorted(found, key=lambda a: a.at)]
+
+
+async def test_every_caller_gets_its_own_answer(bench: Bench) -> None:
+    async with calling(bench.listen(), bench.listen("vm01")) as caller:
+        replies = await asyncio.gather(
+            *(caller.request("look", f"x?size={i * 997}") for i in range(100))
+        )
+    for i, reply in enumerate(replies):
+        body = json.loads(reply.body)
+        assert body["request_id"] == reply.request_id
+        assert len(body["pad"]) == i * 997
+
+
+async def test_no_target_is_past_its_slots(bench: Bench) -> None:
+    async with calling(bench.listen(), bench.listen("vm01")) as caller:
+        asked = [caller.request("look", "x") for _ in range(200)]
+        replies = await asyncio.gather(*asked, return_exceptions=True)
+    assert len([r for r in replies if isinstance(r, Reply)]) >= 8
+    for target in bench.targets.values():
+        assert target.log.most_in_flight <= target.log.slots
+
+
+async def test_an_answer_cut_short_is_an_error(
+    bench: Bench, session: aiohttp.ClientSession
+) -> None:
+    for target in bench.targets.values():
+        target.faults.cut_answers = 10
+    url = f"http://{bench.listen()}/s/look/x?size=600000"
+    with pytest.raises(aiohttp.ClientPayloadError):
+        async with session.get(url) as answer:
+            await answer.read()
+
+
+async def test_an_answer_without_an_end_is_an_error(
+    bench: Bench, session: aiohttp.ClientSession
+) -> None:
+    async def endless(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        if PROBE_PATH.encode() in head:
+            writer.write(b"HTTP/1.1 404 None\r\nContent-Length: 0\r\n\r\n")
+        else:
+            writer.write(b"HTTP/1.0 200 OK\r\n\r\npart")
+        writer.close()
+
+    server = await asyncio.start_server(endless, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    await _move_targets(bench, "look", f"127.0.0.1:{port}")
+    async with session.get(f"http://{bench.listen()}/s/look/x") as answer:
+        assert answer.status == 502
+        assert answer.headers[h.RUN] == Run.MAYBE
+    server.close()
+
+
+async def _move_targets(bench: Bench, service: str, address: str) -> None:
+    """Leave a service one target, at an address."""
+    operator = Operator([bench.api("vm00")])
+    for name in bench.targets:
+        if name.startswith(service):
+            await operator.delete(f"target/{name}")
+    plan = TargetPlan("only", service, "r0", "r0-0", 4)
+    made = Deployment([], [plan], []).target_resources({"only": address})
+    await operator.apply(made)
+    await operator.close()
+    await until(
+        lambda: any(
+            f"t:{address}" in g._holdings.rows
+            and g._holdings.free(f"t:{address}", asyncio.get_running_loop().time())
+            for g in bench.gates.values()
+        )
+    )
+
+
+@pytest.mark.parametrize("size", [1000, 300_000])
+async def test_an_upload_cut_short_never_looks_whole(bench: Bench, size: int) -> None:
+    reader, writer = await asyncio.open_connection(*bench.listen().split(":"))
+    path = "/s/once/bulk/x"
+    head = f"POST {path} HTTP/1.1\r\nHost: a\r\nContent-Length: {size}\r\n\r\n"
+    writer.write(head.encode() + b"x" * (size // 2))
+    await writer.drain()
+    await asyncio.sleep(0.1)
+    writer.close()
+    await asyncio.sleep(0.2)
+    assert runs(bench, "once") == []
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: 5\r\nContent-Length: 6\r\n",
+        "Content-Length: +5\r\n",
+        "Transfer-Encoding: chunked, identity\r\n",
+        "Bad Header: x\r\n",
+        "X: " + "y" * 20_000 + "\r\n",
+    ],
+)
+async def test_bad_framing_never_reaches_a_target(bench: Bench, head: str) -> None:
+    reader, writer = await asyncio.open_connection(*bench.listen().split(":"))
+    text = f"POST /s/look/x HTTP/1.1\r\nHost: a\r\n{head}\r\n5\r\nhello\r\n0\r\n\r\n"
+    writer.write(text.encode())
+    line = await reader.readline()
+    assert line.split()[1] == b"400"
+    writer.close()
+    assert runs(bench, "look") == []
+
+
+async def test_a_slow_body_holds_no_slot(bench: Bench) -> None:
+    reader, writer = await asyncio.open_connection(*bench.listen().split(":"))
+    writer.write(b"POST /s/look/x HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nx")
+    before = bench.free()
+    await asyncio.sleep(0.1)
+    assert bench.free() == before
+    line = await reader.readline()
+    assert line.split()[1] == b"408"
+    writer.close()
+
+
+async def test_hop_by_hop_headers_stop_here(
+    bench: Bench, session: aiohttp.ClientSession
+) -> None:
+    found: list[str] = []
+
+    async def show(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        found.append(head.decode().lower())
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close, X-Hop\r\n"
+            b"X-Hop: 1\r\nX-Kept: 1\r\nLeverdoor-Run: no\r\n\r\nok"
+        )
+        writer.close()
+
+    server = await asyncio.start_server(show, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    await _move_targets(bench, "look", f"127.0.0.1:{port}")
+    sent = {"Connection": "X-Mine", "X-Mine": "1", "TE": "x", "X-Passes": "1"}
+    sent |= {h.HOP: "1", h.TIER: "t"}
+    url = f"http://{bench.listen()}/s/look/x"
+    async with session.get(url, headers=sent) as answer:
+        assert answer.headers[h.RUN] == "yes"
+        assert "X-Kept" in answer.headers
+        assert "X-Hop" not in answer.headers
+    request = next(f for f in found if "/x " in f)
+    assert "x-passes" in request
+    assert "x-mine" not in request
+    assert "\nte:" not in request
+    assert "leverdoor-tier" not in request
+    server.close()
+
+
+# At most once.
+
+
+async def test_a_repeat_with_the_same_key_gets_the_same_answer(
+    bench: Bench, session: aiohttp.ClientSession
+) -> None:
+    async with calling(bench.listen()) as caller:
+        key = (await caller.lookup("once")).key
+    bodies = []
+    for vm in ("vm00", "vm01", "vm00", "vm01"):
+        url = f"http://{bench.listen(vm)}/s/once/file"
+        async with session.post(url, data=b"x", headers={h.KEY: key}) as answer:
+            assert answer.status == 200
+            bodies.append(await answer.read())
+    assert len(set(bodies)) == 1
+    assert len(runs(bench, "once")) == 1
+
+
+async def test_repeats_at_the_same_time_run_once(
+    bench: Bench, session: aiohttp.ClientSession
+) -> None:
+    async with calling(bench.listen()) as caller:
+        key = (await caller.lookup("once")).key
+
+    async def one(vm: str) -> int:
+        url = f"http://{bench.listen(vm)}/s/once/file"
+        async with session.post(url, data=b"x", headers={h.KEY: key}) as answer:
+            return answer.status
+
+    statuses = await asyncio.gather(*(one(f"vm0{i % 2}") for i in range(20)))
+    assert statuses == [200] * 20
+    assert len(runs(bench, "once")) == 1
+
+
+async def test_a_lost_answer_is_never_run_again(
+    bench: Bench, session: aiohttp.ClientSession
+) -> None:
+    for target in bench.targets.values():
+        target.faults.drop_answers = 1000
+    async with calling(bench.listen()) as caller:
+        key = (await caller.lookup("once")).key
+    for vm in ("vm00", "vm01", "vm00"):
+        url = f"http://{bench.listen(vm)}/s/once/file"
+        async with session.post(url, data=b"x", headers={h.KEY: key}) as answer:
+            assert answer.status == 502
+            assert answer.headers[h.CODE] == str(int(Code.ANSWER_LOST))
+    assert len(runs(bench, "once")) == 1
+
+
+async def test_a_put_on_a_broken_kept_connection_is_not_repeated(
+    bench: Bench, session: aiohttp.ClientSession
+) -> None:
+    """The HTTP library would send PUT and DELETE again by itself."""
+    for target in bench.targets.values():
+        target.faults.drop_answers = 1000
+    async with calling(bench.listen()) as caller:
+        key = (await caller.lookup("once")).key
+    url = f"http://{bench.listen()}/s/once/entry"
+    async with session.put(url, data=b"x", headers={h.KEY: key}) as answer:
+        assert answer.status == 502
+    assert len(runs(bench, "once")) == 1
+
+
+async def test_a_caller_that_leaves_finds_its_outcome(
+    bench: Bench, session: aiohttp.ClientSession
+) -> None:
+    for target in bench.targets.values():
+        target.faults.fixed, target.faults.mean_ms = True, 300.0
+    async with calling(bench.listen()) as caller:
+        key = (await caller.lookup("once")).key
+    url = f"http://{bench.listen()}/s/once/file"
+    timeout = aiohttp.ClientTimeout(total=0.1)
+    with pytest.raises(TimeoutError):
+        await session.post(url, data=b"x", headers={h.KEY: key}, timeout=timeout)
+    async with session.post(url, data=b"x", headers={h.KEY: key}) as answer:
+        assert answer.status == 200
+    assert len(runs(bench, "once")) == 1
+
+
+async def test_after_its_issuer_died_a_key_never_runs(
+    bench: Bench, session: aiohttp.ClientSession
+) -> None:
+    async with calling(bench.listen("vm00")) as caller:
+        key = (await caller.lookup("once")).key
+    old = bench.gates["vm00"]._incarnation
+    await bench.end("gate-vm00")
+    url = f"http://{bench.listen('vm01')}/s/once/file"
+    async with session.post(url, data=b"x", headers={h.KEY: key}) as answer:
+        assert answer.headers[h.CODE] == str(int(Code.ISSUER_UNREACHABLE))
+        assert int(answer.headers[h.RETRY_AFTER_MS]) > 0
+    bench.start_gate(bench.deployment.vms[0])
+    peers = bench.gates["vm01"]._scheduler
+
+    def known() -> bool:
+        beat = peers.neighbour("vm00")
+        return beat is not None and beat.incarnation > old
+
+    await until(known)
+    for vm in ("vm00", "vm01"):
+        url = f"http://{bench.listen(vm)}/s/once/file"
+        async with session.post(url, data=b"x", headers={h.KEY: key}) as answer:
+            assert answer.headers[h.CODE] == str(int(Code.ISSUER_GONE))
+            assert answer.headers[h.RUN] == Run.MAYBE
+    assert runs(bench, "once") == []
+
+
+@pytest.mark.parametrize(
+    ("key", "code"), [("", Code.KEY_REQUIRED), ("made-up", Code.KEY_INVALID)]
+)
+async def test_without_an_issued_key_nothing_runs(
+    bench: Bench, session: aiohttp.ClientSession, key: str, code: Code
+) -> None:
+    head = {h.KEY: key} if key else {}
+    url = f"http://{bench.listen()}/s/once/file"
+    async with session.post(url, data=b"x", headers=head) as answer:
+        assert answer.headers[h.CODE] == str(int(code))
+        assert answer.headers[h.RUN] == Run.NO
+    assert runs(bench, "once") == []
+
+
+# Told not run means not run.
+
+
+async def test_told_not_run_means_not_run(
+    bench: Bench, session: aiohttp.ClientSession
+) -> None:
+    """Far more work than fits; callers' answers joined with targets' logs."""
+    for target in bench.targets.values():
+        target.faults.mean_ms = 30.0
+    told: dict[str, str] = {}
+
+    async def one(i: int) -> None:
+        head = {h.REQUEST_ID: f"id{i}", h.DEADLINE: "150"}
+        url = f"http://{bench.listen(f'vm0{i % 2}')}/s/look/x"
+        async with session.get(url, headers=head) as answer:
+            told[f"id{i}"] = answer.headers[h.RUN]
+            if answer.headers[h.RUN] == Run.NO:
+                assert int(answer.headers[h.RETRY_AFTER_MS]) > 0
+
+    await asyncio.gather(*(one(i) for i in range(400)))
+    ran = set(runs(bench, "look"))
+    refused = {i for i, run in told.items() if run == Run.NO}
+    assert refused
+    assert not refused & ran
+
+
+async def test_a_shedding_target_that_reports_idle_is_left_alone(
+    bench: Bench,
+) -> None:
+    liar = bench.targets["look-00"]
+    liar.faults.shed = liar.faults.lie_idle = True
+    async with calling(bench.listen(), bench.listen("vm01")) as caller:
+        for _ in range(40):
+            reply = await caller.request("look", "x")
+            assert reply.served_by == "r0/look-01"
+
+
+async def test_no_target_at_all_is_refused_with_when_to_come_back(
+    bench: Bench,
+) -> None:
+    operator = Operator([bench.api("vm00")])
+    for name in ("look-00", "look-01"):
+        await operator.delete(f"target/{name}")
+    await operator.close()
+    await until(lambda: bench.free() == 4)
+    await asyncio.sleep(0.3)
+    async with calling(bench.listen()) as caller:
+        with pytest.raises(Refusal) as e:
+            await caller.request("look", "x", deadline_ms=300)
+    assert e.value.code is Code.NO_TARGET
+    assert e.value.retry_after_ms > 0
+
+
+# Leaving.
+
+
+async def test_a_drained_target_gets_nothing_new(bench: Bench) -> None:
+    operator = Operator([bench.api("vm01")])
+    done = await operator.apply([Drain(name="d", target="look-00")])
+    await operator.wait(done.revision, 2, 5)
+    await operator.close()
+    await _gets_nothing_new(bench, "look-00")
+
+
+async def _gets_nothing_new(bench: Bench, name: str) -> None:
+    before = len(bench.targets[name].log.arrivals)
+    async with calling(bench.listen(), bench.listen("vm01")) as caller:
+        await asyncio.gather(*(caller.request("look", "x") for _ in range(50)))
+    assert len(bench.targets[name].log.arrivals) == before
+
+
+async def test_a_target_that_says_it_leaves_gets_nothing_new(bench: Bench) -> None:
+    bench.targets["look-00"].faults.leaving = True
+    address = str(bench.targets["look-00"].address)
+    await until(
+        lambda: all(
+            g._scheduler.targets._health[address].leaving
+            for g in bench.gates.values()
+            if g._holdings.held(f"t:{address}")
+            and address in g._scheduler.targets._health
+        )
+    )
+    await _gets_nothing_new(bench, "look-00")
+
+
+async def test_a_vm_that_leaves_by_the_list_is_not_named(bench: Bench) -> None:
+    bench.vms._shown = [Vm("vm00", VmState.LEAVING), Vm("vm01")]
+    named = {bench.listen("vm00")}
+    async with calling(bench.listen("vm01")) as caller:
+        async with asyncio.timeout(10):
+            while bench.listen("vm00") in named:
+                answer = await caller.lookup("look", fresh=True)
+                named = {e.address for e in answer.entries}
+        reply = await caller.request("look", "x")
+    assert named == {bench.listen("vm01")}
+    assert reply.status == 200
+
+
+async def test_a_planned_stop_of_a_gate_cuts_nothing(bench: Bench) -> None:
+    async def slow() -> AsyncIterator[bytes]:
+        for _ in range(20):
+            yield b"x" * 50_000
+            await asyncio.sleep(0.05)
+
+    async with calling(bench.listen("vm00")) as caller:
+        await caller.lookup("once")
+        caller._cache["once"].answer.entries[:] = [
+            e
+            for e in caller._cache["once"].answer.entries
+            if e.address == bench.listen("vm00")
+        ]
+        upload = asyncio.create_task(caller.upload("once", "bulk/x", slow(), 1_000_000))
+        await asyncio.sleep(0.2)
+        bench.gates["vm00"].stop()
+        await asyncio.sleep(0.1)
+        await bench.end("agent-vm01")
+        reply = await upload
+        await bench.stopped("gate-vm00")
+    assert json.loads(reply.body)["bytes"] == 1_000_000
+
+
+# Shifts.
+
+
+async def test_a_shift_never_exceeds_its_cap() -> None:
+    async with running(deployment(vms=2, regions=2)) as bench:
+        for target in bench.targets.values():
+            target.faults.mean_ms = 5.0
+        operator = Operator([bench.api("vm00")])
+        done = await operator.apply([Drain(name="d", region="r0")])
+        await operator.wait(done.revision, 4, 5)
+        await operator.close()
+
+        async def one(caller_vm: str) -> bool:
+            async with calling(bench.listen(caller_vm)) as caller:
+                try:
+                    await caller.request("look", "x", deadline_ms=1500)
+                except Refusal as e:
+                    return e.run is not Run.NO
+                return True
+
+        vms = [f"vm0{i % 2}" for i in range(30)]
+        served = await asyncio.gather(*(one(vm) for vm in vms))
+        at = sorted(
+            a.at
+            for name, t in bench.targets.items()
+            if name.startswith("look-1")
+            for a in t.log.arrivals
+        )
+        assert sum(served) == len(at) > 3
+        for i in range(len(at) - CAP.units):
+            assert at[i + CAP.units] - at[i] >= CAP.window_ms / 1000
