--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -8,8 +8,8 @@
 
 import aiohttp
 import pytest
-from bench import Bench, calling, running, until
 
+from bench import Bench, calling, running, until
 from leverdoor import headers as h
 from leverdoor.client import Reply
 from leverdoor.errors import Code, Refusal, Run
