Pass work on to wait where the queue is shorter

Cause: a gate forwarded only to a hinted free slot; at 95% load a slot is free for a few ms and a hint is 100 ms old, so queues could not even out. Change: a new job that would wait goes to the better of two random gates of the region if the wait there, by queue length, slots held, mean service time and what was sent since the hint, is shorter by the cost of the hop; it waits there within the service's own bound.

--- a/leverdoor/scheduler.py
+++ b/leverdoor/scheduler.py
@@ -25,6 +25,7 @@
 MAX_RETRY_MS = 30_000
 BULK_SHARE = 0.5
 SPILL_MARGIN_MS = 5.0
+FORWARD_MARGIN_MS = 2.0
 
 
 class Dispatch(msgspec.Struct, frozen=True):
@@ -59,6 +60,7 @@
     beat: Beat
     heard_at: float
     free: dict[str, int]
+    sent: dict[str, int]
     caps: dict[str, int]
     out_until: float = 0.0
 
@@ -107,7 +109,7 @@
                 out = 0.0
             free = {s: load.free - load.waiting for s, load in beat.loads.items()}
             self._neighbours[beat.vm] = _Neighbour(
-                beat, now, free, dict(beat.caps), out
+                beat, now, free, {}, dict(beat.caps), out
             )
 
     def lost(self, vm: str, now: float) -> None:
@@ -187,6 +189,9 @@
             decision = self._place(job, service, now)
             if decision is not None:
                 return decision
+        shorter = self._shorter_queue(job, now)
+        if shorter is not None:
+            return shorter
         return self._wait(job, service, queue, now)
 
     def _wait(
@@ -197,19 +202,51 @@
             return self._refuse(Code.CAP_REACHED, job, now)
         if not self._anything(service):
             return self._refuse(Code.NO_TARGET, job, now)
-        limit = service.queue
-        if job.forwarded:
-            limit = min(limit, max(1, self._held(job.service, now)))
         if not job.bulk:
             wait_ms = self.expected_wait_ms(job, now)
             mean = self._mean_ms.get(job.service, 0.0)
             if now + (wait_ms + mean) / 1000 > job.deadline:
                 return self._refuse(Code.DEADLINE_TOO_SHORT, job, now)
-        if len(queue) < limit:
+        if len(queue) < service.queue:
             queue.push(job)
             return None
         return self._refuse(Code.QUEUE_FULL, job, now)
 
+    def _shorter_queue(self, job: Job, now: float) -> Forward | None:
+        """Pass a job on to wait where the wait is shorter, in this region.
+
+        A slot is free for a shorter time than a hint is old, so under load the
+        lengths of queues say more than free slots do.
+        """
+        if job.forwarded or job.bulk:
+            return None
+        mean = self._mean_ms.get(job.service, ASSUMED_MS)
+        held = self._held(job.service, now)
+        queue = self._queues[job.service]
+        own_ms = (queue.people() + 1) * mean / held if held else MAX_RETRY_MS
+        found = [
+            (wait_ms, n)
+            for n in self._neighbours.values()
+            if n.beat.region == self.region
+            and self._usable(n, now)
+            and (wait_ms := self._wait_there_ms(n, job.service)) is not None
+        ]
+        if not found:
+            return None
+        picked = self._rng.sample(found, min(2, len(found)))
+        wait_ms, best = min(picked, key=lambda f: f[0])
+        if wait_ms + FORWARD_MARGIN_MS >= own_ms:
+            return None
+        best.sent[job.service] = best.sent.get(job.service, 0) + 1
+        return Forward(best.beat.vm, best.beat.relay, self.region)
+
+    def _wait_there_ms(self, n: _Neighbour, service: str) -> float | None:
+        load = n.beat.loads.get(service)
+        if load is None or not load.held:
+            return None
+        queued = load.waiting - load.free + n.sent.get(service, 0) + 1
+        return max(queued, 0) * (load.mean_ms or ASSUMED_MS) / load.held
+
     def evictable(self, job: Job) -> Job | None:
         """Return a waiting job that should make way for one of a higher tier."""
         queue = self._queues.get(job.service)
