--- a/leverdoor/queueing.py
+++ b/leverdoor/queueing.py
@@ -109,11 +109,6 @@
                 total += len(queue) * other.weight / (other.weight + tier.weight)
         return total
 
-    def newest(self) -> Job | None:
-        """Return the job that came here last, bulk work left out."""
-        tails = [q[-1] for q in self._waiting.values() if q]
-        return max(tails, key=lambda j: j.arrived, default=None)
-
     def lowest(self, than: Tier) -> Job | None:
         """Return the newest job of the lowest tier below a tier."""
         below = [
--- a/leverdoor/scheduler.py
+++ b/leverdoor/scheduler.py
@@ -270,18 +270,6 @@
             if service is None:
                 continue
             made.extend(self._serve(queue, service, now))
-            made.extend(self._even_out(queue, now))
-        return made
-
-    def _even_out(self, queue: WaitQueue, now: float) -> list[tuple[Job, Decision]]:
-        """Pass on the newest jobs while another queue of the region is shorter."""
-        made: list[tuple[Job, Decision]] = []
-        while (job := queue.newest()) is not None:
-            shorter = self._shorter_queue(job, now)
-            if shorter is None:
-                break
-            queue.remove(job)
-            made.append((job, shorter))
         return made
 
     def _serve(
