A request refused past its deadline is told when to come back

Cause: the first check of an offer refused without a hint; a forwarded request can arrive past its deadline.

--- a/leverdoor/scheduler.py
+++ b/leverdoor/scheduler.py
@@ -183,7 +183,7 @@
         if service is None:
             return Refuse(Code.UNKNOWN_SERVICE, 0)
         if now >= job.deadline:
-            return Refuse(Code.DEADLINE_TOO_SHORT, 0)
+            return self._refuse(Code.DEADLINE_TOO_SHORT, job, now)
         queue = self._queues.setdefault(job.service, WaitQueue())
         if not queue.people() or (job.forwarded and job.home != self.region):
             decision = self._place(job, service, now)
