Client blocks: compiled chunk by chunk, kept parsed nowhere

Cause: every process kept each block as a parsed resource and compiled all of them again at any change; an operator's write parsed all of them once more. Ruled out: refusing chunks that overlap; only those that do are compiled together.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -359,7 +359,7 @@
                 slots=setup.slots,
             )
         )
-    return View(1, {resource_key(r): r for r in resources}, BlockMap())
+    return View(1, {resource_key(r): r for r in resources}, BlockMap({}))
 
 
 def leverdoor_with(holders: int) -> Callable[[Setup], Outcome]:
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -19,7 +19,7 @@
 from collections.abc import Callable, Sequence
 from random import Random
 
-from leverdoor.blocks import BlockMap
+from leverdoor.blocks import BlockMap, compile_chunk
 from leverdoor.codec import pack, unpack
 from leverdoor.ownership import (
     Ack,
@@ -47,6 +47,7 @@
 from leverdoor.view import View, ViewCache
 
 REPEATS = 3
+CHUNK = 5_000
 
 
 def rss_kb() -> int:
@@ -79,18 +80,25 @@
     )
 
 
-def chunks(blocks: int) -> list[ClientBlocks]:
-    rng = Random(1)
-    found, made = [], []
-    for i in range(blocks):
+def chunk(number: int, size: int) -> ClientBlocks:
+    """Return one chunk of client blocks."""
+    rng = Random(number)
+    blocks = []
+    for i in range(number * CHUNK, number * CHUNK + size):
         address = f"{10 + i // 65536 % 200}.{i // 256 % 256}.{i % 256}.0/24"
-        made.append(Block(prefix=address, region=f"r{rng.randrange(28)}"))
-        if len(made) == 10_000:
-            found.append(ClientBlocks(name=f"b{len(found)}", blocks=made))
-            made = []
-    if made:
-        found.append(ClientBlocks(name=f"b{len(found)}", blocks=made))
-    return found
+        blocks.append(Block(prefix=address, region=f"r{rng.randrange(28)}"))
+    return ClientBlocks(name=f"b{number}", blocks=blocks)
+
+
+def chunks(blocks: int) -> list[ClientBlocks]:
+    """Return client blocks in chunks."""
+    return [
+        chunk(i, min(CHUNK, blocks - i * CHUNK)) for i in range(-(-blocks // CHUNK))
+    ]
+
+
+def compiled(resources: Sequence[ClientBlocks]) -> BlockMap:
+    return BlockMap({r.name: compile_chunk(r) for r in resources})
 
 
 def in_child(name: str, size: int) -> float:
@@ -161,11 +169,13 @@
     """One size in a fresh process; returns kB."""
     gc.collect()
     before = rss_kb()
-    if name == "blocks":
-        kept: object = BlockMap(chunks(size))
-    elif name == "blocks-state":
-        state = state_with(chunks(size))
-        kept = (state, ViewCache(state))
+    if name.startswith("blocks"):
+        state = State()
+        kept: object = (state, ViewCache(state, with_blocks=name == "blocks in a gate"))
+        for i in range(-(-size // CHUNK)):
+            value = serialize_resource(chunk(i, min(CHUNK, size - i * CHUNK)))
+            event = Event(i + 1, f"{RESOURCES}clientblocks/b{i}", value)
+            state.apply(Delta(i, i + 1, False, [event]))
     elif name == "targets":
         state = state_with(region_resources(size))
         kept = (state, ViewCache(state))
@@ -182,8 +192,8 @@
 
 def memory() -> None:
     sizes = {
-        "blocks": (20_000, 55_000, 110_000, 220_000),
-        "blocks-state": (20_000, 55_000, 110_000, 220_000),
+        "blocks in a gate": (20_000, 55_000, 110_000, 220_000),
+        "blocks in an agent": (20_000, 55_000, 110_000, 220_000),
         "targets": (1_000, 4_000, 8_000, 16_000),
         "peers": (250, 625, 1_250, 2_500),
     }
@@ -195,7 +205,7 @@
     rng = Random(2)
     points = []
     for blocks in (20_000, 55_000, 110_000, 220_000):
-        block_map = BlockMap(chunks(blocks))
+        block_map = compiled(chunks(blocks))
         asked = [
             f"{10 + rng.randrange(4)}.{rng.randrange(256)}.{rng.randrange(256)}.9"
             for _ in range(50_000)
@@ -209,10 +219,17 @@
     points = []
     for blocks in (20_000, 55_000, 110_000, 220_000):
         parts = chunks(blocks)
-        points.append((blocks, cpu(lambda p=parts: BlockMap(p)) * 1000))  # type: ignore[misc]
-    fit("recompiling all blocks", "ms", points)
-    chunk = chunks(10_000)[0]
-    print(f"a chunk of 10,000 blocks is {len(serialize_resource(chunk))} bytes")
+        points.append((blocks, cpu(lambda p=parts: compiled(p)) * 1000))  # type: ignore[misc]
+    fit("compiling all blocks", "ms", points)
+    points = []
+    for blocks in (20_000, 55_000, 110_000, 220_000):
+        cache = ViewCache(state_with(chunks(blocks)))
+        value = serialize_resource(chunks(2_200)[0])
+        delta = Delta(1, 2, False, [Event(2, RESOURCES + "clientblocks/b0", value)])
+        points.append((blocks, cpu(lambda c=cache, d=delta: c.take(d)) * 1000))  # type: ignore[misc]
+    fit("changing 2,200 blocks, by blocks held", "ms", points)
+    size = len(serialize_resource(chunk(0, CHUNK)))
+    print(f"a chunk of {CHUNK} blocks is {size} bytes")
 
 
 def change_target() -> None:
@@ -313,7 +330,7 @@
     points = []
     for targets in (8, 16, 32, 64):
         resources = region_resources(targets)
-        view = View(1, {resource_key(r): r for r in resources}, BlockMap())
+        view = View(1, {resource_key(r): r for r in resources}, BlockMap({}))
         member = Member("vm0", "g0", 1)
         held = plan(Table("r"), view.specs("r"), [member])
         assert held is not None
--- a/leverdoor/agent.py
+++ b/leverdoor/agent.py
@@ -96,7 +96,7 @@
         self._rng = Random(s.seed or None)
         self._metrics = AgentMetrics()
         self._state = State()
-        self._cache = ViewCache(self._state)
+        self._cache = ViewCache(self._state, with_blocks=False)
         self._peers = Peers(s.vm, s.region)
         self._store = EtcdStore(s.store)
         self._vm_list = HttpVmList(s.vm_list)
@@ -116,7 +116,7 @@
             self.leaving_vms,
             self.departed,
         )
-        self._configuration = Configuration(self._store, self._state)
+        self._configuration = Configuration(self._store, self._state, self._cache)
         self._reporter = Reporter(self._cache, self._peers)
         self._api = Api(self._configuration, self._state, self._reporter, self._metrics)
         self._link = AgentLink(s.link)
--- a/leverdoor/blocks.py
+++ b/leverdoor/blocks.py
@@ -3,87 +3,187 @@
 """The map from client networks to home regions, as flat sorted arrays."""
 
 import ipaddress
+import socket
 from array import array
 from bisect import bisect_right
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import TypeAlias
 
+import msgspec
+
 from leverdoor.resources import Block, ClientBlocks
 
-__all__ = ["BlockMap"]
+__all__ = ["BlockMap", "Chunk", "compile_chunk", "outline"]
 
 NO_REGION = 0
+HALF_BITS = 64
+
+_Range: TypeAlias = tuple[int, int, int]
+
+
+class Chunk(msgspec.Struct):
+    """One resource's networks, compiled: bounds and region of each, by version."""
+
+    regions: list[str]
+    ranges: dict[int, list["array[int]"]]
+
+
+class _Part(msgspec.Struct):
+    """Disjoint ranges between two addresses, in the order of their starts."""
+
+    first: int
+    last: int
+    starts: "array[int]"
+    numbers: "array[int]"
+    regions: list[str]
 
-_Ranges: TypeAlias = "tuple[array[int], array[int]]"
+    def region(self, value: int) -> str:
+        at = bisect_right(self.starts, value) - 1
+        return self.regions[self.numbers[at]] if at >= 0 else ""
+
+
+def compile_chunk(resource: ClientBlocks) -> Chunk:
+    """Compile the networks of one resource."""
+    regions = ["", *sorted({b.region for b in resource.blocks})]
+    numbers = {name: i for i, name in enumerate(regions)}
+    ranges = {v: [array("Q"), array("Q"), array("H")] for v in (4, 6)}
+    for block in resource.blocks:
+        version, first, last = _bounds(block.prefix)
+        firsts, lasts, which = ranges[version]
+        firsts.append(first)
+        lasts.append(last)
+        which.append(numbers[block.region])
+    return Chunk(regions, ranges)
+
+
+def outline(resource: ClientBlocks) -> ClientBlocks:
+    """Return a resource with one block for each region, to check references by."""
+    by_region = {b.region: b for b in resource.blocks}
+    blocks = [Block(prefix=b.prefix, region=r) for r, b in sorted(by_region.items())]
+    return ClientBlocks(name=resource.name, blocks=blocks)
 
 
 class BlockMap:
-    """Longest-prefix match by binary search over disjoint ranges.
+    """Longest-prefix match by binary search.
 
-    Nested networks are flattened once, when the map is built, into ranges
-    that each have one answer; a look-up is then one bisection. IPv4 and IPv6
-    have a table each; a v6 range is told by the upper 64 bits of its address.
+    Each chunk is flattened by itself into disjoint ranges that have one answer
+    each; a look-up bisects the chunks and then one chunk. Only chunks that
+    overlap are flattened together. A v6 address is told by its upper 64 bits.
     """
 
-    def __init__(self, resources: Iterable[ClientBlocks] = ()) -> None:
-        """Build the map from its chunks."""
-        self.regions: list[str] = [""]
-        self._numbers: dict[str, int] = {"": NO_REGION}
-        networks: dict[int, list[tuple[int, int, int]]] = {4: [], 6: []}
-        for resource in resources:
-            for block in resource.blocks:
-                version, entry = self._entry(block)
-                networks[version].append(entry)
-        self._tables = {v: _flatten(n) for v, n in networks.items()}
-
-    def _entry(self, block: Block) -> tuple[int, tuple[int, int, int]]:
-        network = ipaddress.ip_network(block.prefix)
-        number = self._numbers.setdefault(block.region, len(self.regions))
-        if number == len(self.regions):
-            self.regions.append(block.region)
-        first = int(network.network_address)
-        last = int(network.broadcast_address)
-        if network.version == 6:
-            first, last = first >> 64, last >> 64
-        return network.version, (first, last, number)
-
-    def __len__(self) -> int:
-        """Count the ranges."""
-        return sum(len(starts) for starts, _ in self._tables.values())
+    def __init__(
+        self, chunks: Mapping[str, Chunk], before: "BlockMap | None" = None
+    ) -> None:
+        """Build the map.
+
+        Args:
+          chunks: compiled chunks by resource name.
+          before: an earlier map, whose parts for unchanged chunks are reused.
+        """
+        self._known: dict[tuple[int, tuple[int, ...]], _Part] = {}
+        known = before._known if before is not None else {}
+        self._parts: dict[int, list[_Part]] = {}
+        self._firsts: dict[int, list[int]] = {}
+        for version in (4, 6):
+            parts = []
+            for group in _groups(chunks.values(), version):
+                key = (version, tuple(id(c) for c in group))
+                part = known.get(key) or _flatten(group, version)
+                self._known[key] = part
+                parts.append(part)
+            self._parts[version] = parts
+            self._firsts[version] = [p.first for p in parts]
+        self._chunks = list(chunks.values())
 
     def region(self, address: str) -> str:
         """Return the home region of a client, or "" when none is known."""
         try:
-            ip = ipaddress.ip_address(address)
-        except ValueError:
+            version = 6 if ":" in address else 4
+            value = _number(address, version)
+        except (OSError, ValueError):
             return ""
-        value = int(ip) if ip.version == 4 else int(ip) >> 64
-        starts, numbers = self._tables[ip.version]
-        at = bisect_right(starts, value) - 1
-        return self.regions[numbers[at]] if at >= 0 else ""
-
-
-def _flatten(networks: list[tuple[int, int, int]]) -> "_Ranges":
+        at = bisect_right(self._firsts[version], value) - 1
+        if at < 0:
+            return ""
+        part = self._parts[version][at]
+        return part.region(value) if value <= part.last else ""
+
+
+def _number(address: str, version: int) -> int:
+    if version == 4:
+        return int.from_bytes(socket.inet_pton(socket.AF_INET, address))
+    packed = socket.inet_pton(socket.AF_INET6, address.split("%")[0])
+    return int.from_bytes(packed[:8])
+
+
+def _bounds(prefix: str) -> tuple[int, int, int]:
+    """Return version, first and last address of a network."""
+    network = ipaddress.ip_network(prefix)
+    first = int(network.network_address)
+    last = int(network.broadcast_address)
+    if network.version == 6:
+        return 6, first >> HALF_BITS, last >> HALF_BITS
+    return 4, first, last
+
+
+def _groups(chunks: Iterable[Chunk], version: int) -> list[list[Chunk]]:
+    """Put chunks together that overlap, in the order of their addresses."""
+    spans = sorted(
+        (
+            (min(c.ranges[version][0]), max(c.ranges[version][1]), c)
+            for c in chunks
+            if c.ranges[version][0]
+        ),
+        key=lambda s: (s[0], s[1]),
+    )
+    groups: list[list[Chunk]] = []
+    end = -1
+    for first, last, chunk in spans:
+        if first > end:
+            groups.append([])
+        groups[-1].append(chunk)
+        end = max(end, last)
+    return groups
+
+
+def _flatten(group: list[Chunk], version: int) -> _Part:
     """Cut nested networks into disjoint ranges; the longest prefix wins."""
-    starts = array("Q")
-    numbers = array("H")
+    regions = ["", *sorted({r for c in group for r in c.regions if r})]
+    numbers = {name: i for i, name in enumerate(regions)}
+    networks: list[_Range] = []
+    for chunk in group:
+        firsts, lasts, which = chunk.ranges[version]
+        mapped = [numbers[name] for name in chunk.regions]
+        networks += [
+            (f, e, mapped[w]) for f, e, w in zip(firsts, lasts, which, strict=True)
+        ]
+    networks.sort(key=lambda n: (n[0], -n[1]))
+    starts, found = _cut(networks)
+    last = max(n[1] for n in networks)
+    return _Part(networks[0][0], last, starts, found, regions)
+
+
+def _cut(networks: list[_Range]) -> "tuple[array[int], array[int]]":
+    """Turn sorted networks into the starts of ranges and their regions."""
+    starts, found = array("Q"), array("H")
     enclosing: list[tuple[int, int]] = []
 
     def emit(start: int, number: int) -> None:
         if starts and starts[-1] == start:
-            numbers[-1] = number
-        elif not numbers or numbers[-1] != number:
+            found[-1] = number
+        elif not found or found[-1] != number:
             starts.append(start)
-            numbers.append(number)
+            found.append(number)
 
     def close(before: int) -> None:
         while enclosing and enclosing[-1][0] < before:
             last, _ = enclosing.pop()
-            emit(last + 1, enclosing[-1][1] if enclosing else NO_REGION)
+            if last + 1 < 1 << HALF_BITS:
+                emit(last + 1, enclosing[-1][1] if enclosing else NO_REGION)
 
-    for first, last, number in sorted(networks, key=lambda n: (n[0], -n[1])):
+    for first, last, number in networks:
         close(first)
         emit(first, number)
         enclosing.append((last, number))
     close(1 << 65)
-    return starts, numbers
+    return starts, found
--- a/leverdoor/configuration.py
+++ b/leverdoor/configuration.py
@@ -26,7 +26,7 @@
 )
 from leverdoor.state import GUARD, PREFIX, RESOURCES, State
 from leverdoor.store import Entry, Store, Write
-from leverdoor.view import parse_entries
+from leverdoor.view import ViewCache, parse_entries
 
 __all__ = ["Applied", "Configuration", "Guard"]
 
@@ -65,13 +65,17 @@
 class Configuration:
     """Commands on resources."""
 
-    def __init__(self, store: Store, state: State) -> None:
+    def __init__(
+        self, store: Store, state: State, cache: ViewCache | None = None
+    ) -> None:
         """Create it.
 
         Args:
           store: the platform's service.
           state: a copy that may lag; conflicts are then read afresh.
+          cache: what is compiled of the copy, so that it is parsed only once.
         """
+        self._cache = cache
         self._store = store
         self._state = state
 
@@ -166,7 +170,9 @@
         stored = [e for k, e in entries.items() if k.startswith(RESOURCES)]
         guard = entries.get(GUARD)
         return _Snapshot(
-            parse_entries(stored),
+            parse_entries(
+                stored, self._cache.view if self._cache else None, self._state
+            ),
             {e.key.removeprefix(RESOURCES): e.revision for e in stored},
             _parse_guard(guard),
             guard.revision if guard else 0,
--- a/leverdoor/view.py
+++ b/leverdoor/view.py
@@ -7,7 +7,7 @@
 
 from loguru import logger
 
-from leverdoor.blocks import BlockMap
+from leverdoor.blocks import BlockMap, Chunk, compile_chunk, outline
 from leverdoor.errors import LeverdoorError
 from leverdoor.ownership import RowSpec, Table, cap_row, parse_table, slot_row
 from leverdoor.resources import (
@@ -21,7 +21,6 @@
     Target,
     Tier,
     parse_resource,
-    resource_key,
 )
 from leverdoor.state import RESOURCES, TABLES, Delta, State
 from leverdoor.store import Entry
@@ -126,12 +125,22 @@
 
 
 class ViewCache:
-    """Keeps the compiled view and the ownership tables in step with a State."""
+    """Keeps the compiled view and the ownership tables in step with a State.
 
-    def __init__(self, state: State) -> None:
-        """Follow a state from now on."""
-        self._state = state
-        self._blocks = BlockMap()
+    Client blocks are kept compiled only; in their place among the resources
+    stands an outline that names the regions they refer to.
+    """
+
+    def __init__(self, state: State, with_blocks: bool = True) -> None:
+        """Follow a state from now on.
+
+        Args:
+          state: the copy of the store.
+          with_blocks: whether to compile client blocks; agents look none up.
+        """
+        self._with_blocks = with_blocks
+        self._chunks: dict[str, Chunk] = {}
+        self._blocks = BlockMap({})
         self.view = View(0, {}, self._blocks)
         self.tables: dict[str, Table] = {}
         self.take(state.delta(0))
@@ -139,26 +148,22 @@
 
     def take(self, delta: Delta) -> None:
         """Compile what a delta changed."""
-        resources = {} if delta.full else self.view.resources
-        changed = False
-        blocks_changed = delta.full
+        resources = {} if delta.full else dict(self.view.resources)
+        chunks = {} if delta.full else dict(self._chunks)
+        changed = delta.full
         for e in delta.events:
             if e.key.startswith(TABLES):
                 self._take_table(e.key, e.value)
             elif e.key.startswith(RESOURCES):
-                if not changed:
-                    resources = dict(resources)
-                    changed = True
+                changed = True
                 key = e.key.removeprefix(RESOURCES)
-                blocks_changed |= key.startswith("clientblocks/")
-                _put(resources, key, e.value)
-        if not (changed or delta.full):
+                _put(resources, chunks if self._with_blocks else None, key, e.value)
+        if not changed:
             self.view.revision = delta.revision
             return
-        if blocks_changed:
-            self._blocks = BlockMap(
-                r for r in resources.values() if isinstance(r, ClientBlocks)
-            )
+        if self._with_blocks and chunks != self._chunks:
+            self._chunks = chunks
+            self._blocks = BlockMap(chunks, self._blocks)
         self.view = View(delta.revision, resources, self._blocks)
 
     def _take_table(self, key: str, value: bytes | None) -> None:
@@ -173,19 +178,47 @@
         return self.tables.get(region) or Table(region)
 
 
-def _put(resources: dict[str, Resource], key: str, value: bytes | None) -> None:
+def _put(
+    resources: dict[str, Resource],
+    chunks: dict[str, Chunk] | None,
+    key: str,
+    value: bytes | None,
+) -> None:
+    """Take one stored resource in, or out; an unreadable one is left out."""
+    resources.pop(key, None)
+    if chunks is not None:
+        chunks.pop(key, None)
     if value is None:
-        resources.pop(key, None)
         return
     try:
-        resources[key] = parse_resource(value)
+        resource = parse_resource(value)
     except LeverdoorError as e:
-        logger.error("stored resource {} cannot be read: {}", key, e)
-
-
-def parse_entries(entries: Iterable[Entry]) -> dict[str, Resource]:
-    """Parse stored resources by `kind/name`, leaving out unreadable ones."""
+        logger.error("stored resource cannot be read", key=key, error=str(e))
+        return
+    if isinstance(resource, ClientBlocks):
+        if chunks is not None:
+            chunks[key] = compile_chunk(resource)
+        resource = outline(resource)
+    resources[key] = resource
+
+
+def parse_entries(
+    entries: Iterable[Entry], known: View | None, state: State
+) -> dict[str, Resource]:
+    """Parse stored resources by `kind/name`.
+
+    Args:
+      entries: as the store has them.
+      known: the view of `state`, from which what has not changed is taken.
+      state: the copy of the store that the view was compiled from.
+    """
     found: dict[str, Resource] = {}
     for e in entries:
-        _put(found, e.key.removeprefix(RESOURCES), e.value)
-    return {resource_key(r): r for r in found.values()}
+        key = e.key.removeprefix(RESOURCES)
+        have = state.entries.get(e.key)
+        if known is not None and have is not None and have.revision == e.revision:
+            if key in known.resources:
+                found[key] = known.resources[key]
+        else:
+            _put(found, None, key, e.value)
+    return found
