Heartbeats and planning that hold at ninety gates a region

Cause: (1) a gate counted as lost after 1.5 s without a beat, however seldom beats of a large region arrive; with 90 gates a region each is heard about every 2.4 s. (2) Each round walked over all peers. (3) The planner computed the table, 0.15 s at 1,000 targets, four times a second though nothing changed. (4) A decision walked over all targets of a region, not those held. Ruled out: faster or longer gossip; bytes are bounded. Change: patience follows each peer's own rhythm (4 gaps, 1.5 to 10 s); near partners come from a ring of 8 fixed neighbours; near, far and ring are kept; the planner computes only when what it rests on changed; held targets are kept.

--- a/leverdoor/agent.py
+++ b/leverdoor/agent.py
@@ -31,10 +31,10 @@
 
 __all__ = ["Agent"]
 
-FANOUT = 2
 GATE_SILENCE_S = 1.0
 DEPARTED_KEPT_S = 120.0
 STOP_TIMEOUT_S = 1.0
+MEASURE_BEATS = 10
 
 
 class Agent:
@@ -138,8 +138,7 @@
         return asyncio.get_running_loop().time()
 
     def _rank(self) -> int:
-        s = self._settings
-        return elected(self._peers, s.vm, s.region, self._now())
+        return elected(self._peers, self._settings.vm, self._now())
 
     # Membership.
 
@@ -183,12 +182,14 @@
         while True:
             now = self._now()
             self._beat()
-            self._peers.forget(now)
+            if self._seq % MEASURE_BEATS == 0:
+                self._peers.forget(now)
             message = self._peers.message(self._rng, now)
-            for to in self._peers.partners(self._rng, now, FANOUT, seeds):
+            for to in self._peers.partners(self._rng, seeds):
                 self._socket.send(message, to)
             await self._send_hints()
-            self._measure(now)
+            if self._seq % MEASURE_BEATS == 0:
+                self._measure(now)
             await asyncio.sleep(interval * (0.9 + 0.2 * self._rng.random()))
 
     def _measure(self, now: float) -> None:
@@ -214,15 +215,15 @@
     def leaving_vms(self) -> frozenset[str]:
         """VMs that leave, by this agent's readings and its region's watchers'."""
         found = set(self._leaving_vms)
-        for p in self._peers.live(self._now()):
-            found |= set(p.beat.leaving_vms)
+        for beat in self._peers.live_near(self._now()):
+            found |= set(beat.leaving_vms)
         return frozenset(found)
 
     def departed(self) -> frozenset[str]:
         """Identities of processes that are proved to be gone."""
         found = set(self._departed)
-        for p in self._peers.live(self._now()):
-            found |= set(p.beat.departed)
+        for beat in self._peers.live_near(self._now()):
+            found |= set(beat.departed)
         return frozenset(found)
 
     async def _list_loop(self) -> None:
@@ -243,7 +244,7 @@
         vms = await self._vm_list.fetch()
         self._leaving_vms = frozenset(v.vm for v in vms if v.state is VmState.LEAVING)
         gone = self._departures.observe({v.vm for v in vms}, known, asked_at)
-        heard = {p.beat.identity for p in self._peers.live(self._now())}
+        heard = {b.identity for b in self._peers.live_near(self._now())}
         for identity in gone - heard:
             logger.warning("process gone with its VM", identity=identity)
             self._departed[identity] = asked_at
--- a/leverdoor/following.py
+++ b/leverdoor/following.py
@@ -26,14 +26,14 @@
 ELECTION_POLL_S = 0.5
 
 
-def elected(peers: Peers, vm: str, region: str, now: float) -> int:
+def elected(peers: Peers, vm: str, now: float) -> int:
     """Return this VM's rank among its region's watchers, or -1.
 
     Every agent ranks the live VMs of its region by the same hash, so that a
     few watch the store and the rest hear from them. Two agents that see
     different peers may both elect themselves; that costs a call, no more.
     """
-    names = {p.beat.vm for p in peers.live(now) if p.beat.region == region} | {vm}
+    names = {b.vm for b in peers.live_near(now)} | {vm}
     ranked = sorted(names, key=lambda n: xxhash.xxh3_64_intdigest(n.encode()))
     rank = ranked.index(vm)
     return rank if rank < WATCHERS else -1
--- a/leverdoor/peers.py
+++ b/leverdoor/peers.py
@@ -7,12 +7,18 @@
 from random import Random
 
 import msgspec
+import xxhash
 
 from leverdoor.ownership import Ack
 
 __all__ = ["Beat", "GateState", "Gossip", "Load", "Peer", "Peers"]
 
-HEARTBEAT_LOSS_S = 1.5
+LEAST_SILENCE_S = 1.5
+MOST_SILENCE_S = 10.0
+GAPS_MISSED = 4
+GAP_WEIGHT = 0.2
+RING = 8
+PLACES = 1 << 64
 FORGET_S = 60.0
 MESSAGE_BEATS = 5
 SAME_REGION_BIAS = 0.75
@@ -76,10 +82,26 @@
 
 
 class Peer(msgspec.Struct):
-    """The latest beat of a VM and when it arrived here."""
+    """The latest beat of a VM, when it arrived here, and how often they do.
+
+    In a large fleet most peers are heard through others and seldom, so how
+    long a silence means anything depends on how often a peer was heard.
+    """
 
     beat: Beat
     heard_at: float
+    gap_s: float = 0.0
+
+    def hear(self, beat: Beat, now: float) -> None:
+        """Take a newer beat."""
+        self.gap_s += GAP_WEIGHT * (now - self.heard_at - self.gap_s)
+        self.beat = beat
+        self.heard_at = now
+
+    def silent(self, now: float) -> bool:
+        """Say whether beats have stayed away for too long."""
+        patience = max(LEAST_SILENCE_S, min(GAPS_MISSED * self.gap_s, MOST_SILENCE_S))
+        return now - self.heard_at > patience
 
 
 class Peers:
@@ -94,6 +116,11 @@
         """
         self._vm = vm
         self._region = region
+        self._turn = 0
+        self._changed = False
+        self._near: list[str] = []
+        self._far: list[str] = []
+        self._ring: list[str] = []
         self.known: dict[str, Peer] = {}
 
     def merge(self, beats: Iterable[Beat], now: float) -> list[Beat]:
@@ -104,9 +131,13 @@
         news = []
         for beat in beats:
             have = self.known.get(beat.vm)
-            if have is not None and not beat.newer(have.beat):
+            if have is None:
+                self.known[beat.vm] = Peer(beat, now)
+                self._changed = True
+            elif beat.newer(have.beat):
+                have.hear(beat, now)
+            else:
                 continue
-            self.known[beat.vm] = Peer(beat, now)
             news.append(beat)
         return news
 
@@ -115,42 +146,77 @@
         old = [vm for vm, p in self.known.items() if now - p.heard_at > FORGET_S]
         for vm in old:
             del self.known[vm]
+            self._changed = True
+
+    def _arrange(self) -> None:
+        """Sort peers into near and far, and draw the ring, if any came or went."""
+        if not self._changed:
+            return
+        self._changed = False
+        others = [p.beat for p in self.known.values() if p.beat.vm != self._vm]
+        self._near = [b.vm for b in others if b.region == self._region]
+        self._far = [b.vm for b in others if b.region != self._region]
+        mine = _place(self._vm)
+        self._ring = sorted(self._near, key=lambda vm: (_place(vm) - mine) % PLACES)
+        del self._ring[RING:]
 
     def live(self, now: float) -> list[Peer]:
         """VMs heard from lately, in the order of their names."""
-        found = [p for p in self.known.values() if now - p.heard_at <= HEARTBEAT_LOSS_S]
+        found = [p for p in self.known.values() if not p.silent(now)]
         return sorted(found, key=lambda p: p.beat.vm)
 
+    def live_near(self, now: float) -> list[Beat]:
+        """Beats of this region's live VMs, this one's included, by name."""
+        self._arrange()
+        names = sorted([*self._near, *([self._vm] if self._vm in self.known else [])])
+        peers = [self.known[vm] for vm in names]
+        return [p.beat for p in peers if not p.silent(now)]
+
     def acks(self) -> dict[str, Ack]:
-        """The latest acknowledgement of each gate process."""
-        return {p.beat.identity: p.beat.ack for p in self.known.values() if p.beat.gate}
+        """The latest acknowledgement of each gate process of the region."""
+        self._arrange()
+        peers = [self.known.get(vm) for vm in (*self._near, self._vm)]
+        return {p.beat.identity: p.beat.ack for p in peers if p and p.beat.gate}
 
     def message(self, rng: Random, now: float) -> Gossip:
         """Compose a gossip message: own beat, and a sample of live others."""
+        self._arrange()
         own = self.known.get(self._vm)
-        others = [p.beat for p in self.live(now) if p.beat.vm != self._vm]
-        near = [b for b in others if b.region == self._region]
-        far = [b for b in others if b.region != self._region]
-        quota = min(len(near), round(MESSAGE_BEATS * SAME_REGION_BIAS))
-        picked = rng.sample(near, quota)
-        picked += rng.sample(far, min(len(far), MESSAGE_BEATS - quota))
+        quota = round(MESSAGE_BEATS * SAME_REGION_BIAS)
+        picked = self._sample(self._near, quota, rng, now)
+        picked += self._sample(self._far, MESSAGE_BEATS - len(picked), rng, now)
         return Gossip(([own.beat] if own else []) + picked)
 
-    def partners(
-        self, rng: Random, now: float, count: int, seeds: Iterable[str]
-    ) -> list[str]:
-        """Choose whom to send gossip to, mostly within the region.
-
-        A seed is chosen now and then, so that parts that lost each other meet.
+    def _sample(
+        self, names: list[str], count: int, rng: Random, now: float
+    ) -> list[Beat]:
+        """Draw live peers; a silent one that is drawn is left out."""
+        drawn = rng.sample(names, min(len(names), count))
+        peers = [self.known[vm] for vm in drawn]
+        return [p.beat for p in peers if not p.silent(now)]
+
+    def partners(self, rng: Random, seeds: Iterable[str]) -> list[str]:
+        """Choose whom to send gossip to: one in the region, one anywhere else.
+
+        In the region the next one of a few fixed neighbours on a ring of all
+        its VMs is taken in turn, so that each gate has some neighbours that it
+        hears from often, however large the region is. A seed is chosen now
+        and then, so that parts that lost each other meet.
         """
-        others = [p.beat for p in self.known.values() if p.beat.vm != self._vm]
-        near = [b.gossip for b in others if b.region == self._region]
-        far = [b.gossip for b in others if b.region != self._region]
-        chosen = rng.sample(near, min(len(near), max(count - 1, 1)))
-        pool = far or near or list(seeds)
-        if pool:
-            chosen.append(rng.choice(pool))
+        self._arrange()
+        chosen = []
+        if self._ring:
+            self._turn += 1
+            chosen.append(self._ring[self._turn % len(self._ring)])
+        if self._far:
+            chosen.append(rng.choice(self._far))
+        addresses = {self.known[vm].beat.gossip for vm in chosen}
         extra = list(seeds)
-        if extra and (not others or rng.random() < 1 / (1 + len(others))):
-            chosen.append(rng.choice(extra))
-        return sorted(set(chosen))
+        others = len(self._near) + len(self._far)
+        if extra and rng.random() < 1 / (1 + others):
+            addresses.add(rng.choice(extra))
+        return sorted(addresses)
+
+
+def _place(vm: str) -> int:
+    return xxhash.xxh3_64_intdigest(vm.encode())
--- a/leverdoor/planning.py
+++ b/leverdoor/planning.py
@@ -4,15 +4,16 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import TypeAlias
 
 from loguru import logger
 
 from leverdoor.errors import StoreUnavailable, StoreUnknown
-from leverdoor.ownership import Member, Table, plan, serialize_table
+from leverdoor.ownership import Ack, Member, Table, plan, serialize_table
 from leverdoor.peers import GateState, Peers
 from leverdoor.state import TABLES, State
 from leverdoor.store import Store, Write
-from leverdoor.view import ViewCache
+from leverdoor.view import View, ViewCache
 
 __all__ = ["Planner"]
 
@@ -20,6 +21,11 @@
 STANDBY_ROUNDS = 6
 
 
+_Basis: TypeAlias = tuple[
+    View, Table, frozenset[str], frozenset[str], frozenset[str], dict[str, Ack]
+]
+
+
 class Planner:
     """Computes and writes the next table; any number may run at once."""
 
@@ -55,6 +61,7 @@
         self._leaving = leaving
         self._gone = gone
         self._pending = 0
+        self._settled: _Basis | None = None
 
     async def run(self) -> None:
         """Plan until cancelled."""
@@ -70,20 +77,39 @@
                 await asyncio.sleep(1.0)
 
     def next_table(self) -> Table | None:
-        """Compute the next table from what is known now."""
+        """Compute the next table from what is known now.
+
+        Nothing is computed again while nothing that it rests on has changed.
+        """
         now = asyncio.get_running_loop().time()
-        beats = [p.beat for p in self._peers.live(now) if p.beat.region == self._region]
+        beats = self._peers.live_near(now)
         live = [Member(b.vm, b.gate, b.incarnation, b.domain) for b in beats if b.gate]
-        leaving = {b.vm for b in beats if b.state is GateState.LEAVING}
+        stopping = {b.vm for b in beats if b.state is GateState.LEAVING}
         drained = {b.vm for b in beats if self._cache.view.vm_drained(b.vm)}
-        return plan(
-            self._cache.table(self._region),
-            self._cache.view.specs(self._region),
-            live,
-            self._leaving() | leaving | drained,
-            self._gone(),
-            self._peers.acks(),
+        leaving = self._leaving() | stopping | drained
+        gone = self._gone()
+        table = self._cache.table(self._region)
+        acks = self._awaited_acks(table)
+        basis = (
+            self._cache.view,
+            table,
+            frozenset(m.identity for m in live),
+            leaving,
+            gone,
+            acks,
         )
+        if basis == self._settled:
+            return None
+        specs = self._cache.view.specs(self._region)
+        after = plan(table, specs, live, leaving, gone, acks)
+        self._settled = basis if after is None else None
+        return after
+
+    def _awaited_acks(self, table: Table) -> dict[str, Ack]:
+        """Acknowledgements of members that are giving units back."""
+        waiting = {r.member for row in table.rows.values() for r in row.releases}
+        identities = {table.members[n].identity for n in waiting}
+        return {i: a for i, a in self._peers.acks().items() if i in identities}
 
     async def _step(self) -> None:
         key = TABLES + self._region
--- a/leverdoor/scheduler.py
+++ b/leverdoor/scheduler.py
@@ -11,7 +11,7 @@
 from leverdoor.errors import Code
 from leverdoor.holdings import Holdings
 from leverdoor.ownership import cap_row, slot_row
-from leverdoor.peers import HEARTBEAT_LOSS_S, Beat, GateState, Load
+from leverdoor.peers import Beat, GateState, Load, Peer
 from leverdoor.queueing import Job, WaitQueue
 from leverdoor.ramp import Ramp
 from leverdoor.resources import Service, Target, Work
@@ -57,13 +57,17 @@
 class _Neighbour(msgspec.Struct):
     """Another gate's room, less what was sent there since it was told."""
 
-    beat: Beat
-    heard_at: float
+    peer: Peer
     free: dict[str, int]
     sent: dict[str, int]
     caps: dict[str, int]
     out_until: float = 0.0
 
+    @property
+    def beat(self) -> Beat:
+        """The latest beat."""
+        return self.peer.beat
+
 
 class Scheduler:
     """Places jobs on targets and gates, or lets them wait, or refuses them."""
@@ -93,6 +97,8 @@
         self._bulk_in_use: dict[str, int] = {}
         self._mean_ms: dict[str, float] = {}
         self._ramps: dict[str, Ramp] = {}
+        self._mine: dict[str, list[Target]] = {}
+        self._mine_of: tuple[View, int] = (view, -1)
 
     # What is known.
 
@@ -101,16 +107,19 @@
         for beat in beats:
             if beat.vm == self.vm or not beat.gate:
                 continue
-            have = self._neighbours.get(beat.vm)
-            if have is not None and not beat.newer(have.beat):
+            n = self._neighbours.get(beat.vm)
+            if n is None:
+                n = _Neighbour(Peer(beat, now), {}, {}, {})
+                self._neighbours[beat.vm] = n
+            elif beat.newer(n.beat):
+                if beat.incarnation != n.beat.incarnation:
+                    n.out_until = 0.0
+                n.peer.hear(beat, now)
+            else:
                 continue
-            out = have.out_until if have else 0.0
-            if have is not None and have.beat.incarnation != beat.incarnation:
-                out = 0.0
-            free = {s: load.free - load.waiting for s, load in beat.loads.items()}
-            self._neighbours[beat.vm] = _Neighbour(
-                beat, now, free, {}, dict(beat.caps), out
-            )
+            n.free = {s: load.free - load.waiting for s, load in beat.loads.items()}
+            n.sent = {}
+            n.caps = dict(beat.caps)
 
     def lost(self, vm: str, now: float) -> None:
         """Leave a gate alone for a while after a failed connection."""
@@ -472,11 +481,21 @@
             n.beat.state is GateState.SERVING
             and not self.vm_leaving(n.beat.vm)
             and now >= n.out_until
-            and now - n.heard_at <= HEARTBEAT_LOSS_S
+            and not n.peer.silent(now)
         )
 
     def _local(self, service: str) -> list[Target]:
-        return self.view.by_place.get((service, self.region), [])
+        """Targets of a service of which slots are held here."""
+        if self._mine_of != (self.view, self.holdings.version):
+            self._mine_of = (self.view, self.holdings.version)
+            self._mine = {}
+        found = self._mine.get(service)
+        if found is None:
+            rows = self.holdings.rows
+            region = self.view.by_place.get((service, self.region), [])
+            found = [t for t in region if slot_row(t.address) in rows]
+            self._mine[service] = found
+        return found
 
     def _open(self, target: Target, now: float) -> bool:
         return self._in_service(target) and self.targets.of(target, now).usable(now)
