--- a/leverdoor/reports.py
+++ b/leverdoor/reports.py
@@ -28,6 +28,7 @@
     state: str
     gate: str
     revision: int
+    held: int
     age_ms: int
 
 
@@ -127,6 +128,7 @@
                 p.beat.state.value,
                 p.beat.gate,
                 p.beat.gate_revision,
+                sum(load.held for load in p.beat.loads.values()),
                 int((now - p.heard_at) * 1000),
             )
             for p in self._live()
--- a/leverdoor/standins/site.py
+++ b/leverdoor/standins/site.py
@@ -2,6 +2,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """Starts a whole site on loopback, each part a process, for trials and tests."""
 
+import asyncio
 import json
 import signal
 import socket
@@ -12,9 +13,14 @@
 from collections.abc import Sequence
 from pathlib import Path
 
+import msgspec
+
+from leverdoor.operator import Operator
+from leverdoor.reports import HeadroomLine
 from leverdoor.standins.deployments import Deployment, EntryVm
+from leverdoor.standins.targets import TargetLog
 
-__all__ = ["Site"]
+__all__ = ["Site", "configure", "free_ports", "target_logs"]
 
 HOST = "127.0.0.1"
 START_TIMEOUT_S = 30.0
@@ -48,7 +54,7 @@
         self._mean_ms = mean_ms
         self._agent_flags = list(agent_flags)
         self._gate_flags = list(gate_flags)
-        self._ports = _free_ports(5 * len(deployment.vms) + len(deployment.targets) + 2)
+        self._ports = free_ports(5 * len(deployment.vms) + len(deployment.targets) + 2)
         self.kv = self._port()
         self.vms = self._port()
         self.addresses = {t.name: self._port() for t in deployment.targets}
@@ -198,7 +204,7 @@
     return [f"--vm={vm.vm}", f"--region={vm.region}", f"--domain={vm.domain}"]
 
 
-def _free_ports(count: int) -> list[int]:
+def free_ports(count: int) -> list[int]:
     """Ask the system for ports that are free now."""
     sockets = [socket.socket() for _ in range(count)]
     try:
@@ -208,3 +214,36 @@
     finally:
         for s in sockets:
             s.close()
+
+
+async def configure(site: Site) -> Operator:
+    """Apply a site's resources and wait until every slot can be used.
+
+    Returns: the operator that did it, still open.
+    """
+    d = site.deployment
+    operator = Operator(list(site.api.values()))
+    done = await operator.apply(d.resources + d.target_resources(site.addresses))
+    await operator.wait(done.revision, len(d.vms), START_TIMEOUT_S)
+    slots = sum(t.slots for t in d.targets)
+    async with asyncio.timeout(START_TIMEOUT_S):
+        while await free_slots(operator) < slots:
+            await asyncio.sleep(POLL_S)
+    return operator
+
+
+async def free_slots(operator: Operator) -> int:
+    """Count the slots that gates say are free."""
+    report = await operator.report("headroom")
+    return sum(v.free for v in report.lines if isinstance(v, HeadroomLine))
+
+
+def target_logs(site: Site, region: str = "") -> dict[str, TargetLog]:
+    """Fetch what targets saw, of one region or of all."""
+    found = {}
+    for t in site.deployment.targets:
+        if region in ("", t.region):
+            url = f"http://{site.addresses[t.name]}/.standin/log"
+            with urllib.request.urlopen(url, timeout=10) as answer:
+                found[t.name] = msgspec.json.decode(answer.read(), type=TargetLog)
+    return found
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -17,7 +17,7 @@
 from leverdoor.settings import AgentSettings, GateSettings, parse_address
 from leverdoor.standins.deployments import Deployment, EntryVm
 from leverdoor.standins.kv import KvStandin
-from leverdoor.standins.site import HOST, _free_ports
+from leverdoor.standins.site import HOST, free_ports
 from leverdoor.standins.targets import TargetStandin
 from leverdoor.standins.vms import VmListStandin
 from leverdoor.vmlist import Vm
@@ -38,7 +38,7 @@
     def __init__(self, deployment: Deployment, mean_ms: float = 2.0) -> None:
         self.deployment = deployment
         count = 5 * len(deployment.vms) + len(deployment.targets) + 2
-        ports = [f"{HOST}:{p}" for p in _free_ports(count)]
+        ports = [f"{HOST}:{p}" for p in free_ports(count)]
         self.kv = KvStandin()
         self.vms = VmListStandin([Vm(v.vm) for v in deployment.vms])
         self._kv_at, self._vms_at = ports.pop(), ports.pop()
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -9,11 +9,9 @@
 import json
 import signal
 import time
-import urllib.request
 from collections.abc import AsyncIterator, Iterator
 from pathlib import Path
 
-import msgspec
 import pytest
 
 from bench import calling
@@ -23,7 +21,7 @@
 from leverdoor.operator import Operator
 from leverdoor.resources import Drain, Tier, resource_key
 from leverdoor.standins.deployments import Deployment, build
-from leverdoor.standins.site import Site
+from leverdoor.standins.site import Site, configure, target_logs
 from leverdoor.standins.targets import TargetLog
 
 AGENT = [
@@ -42,39 +40,14 @@
     made = Site(build("utility", 0.5), tmp_path, 20.0, AGENT, GATE)
     try:
         made.start()
-        asyncio.run(configure(made))
+        asyncio.run(configured(made))
         yield made
     finally:
         made.stop()
 
 
-async def configure(site: Site) -> None:
-    """Apply all resources and wait until every slot can be used."""
-    d = site.deployment
-    operator = Operator(list(site.api.values()))
-    resources = d.resources + d.target_resources(site.addresses)
-    done = await operator.apply(resources)
-    await operator.wait(done.revision, len(d.vms), 30)
-    slots = sum(t.slots for t in d.targets)
-    async with asyncio.timeout(30):
-        while await free_slots(operator) < slots:
-            await asyncio.sleep(0.1)
-    await operator.close()
-
-
-async def free_slots(operator: Operator) -> int:
-    report = await operator.report("headroom")
-    return sum(line.free for line in report.lines)  # type: ignore[union-attr]
-
-
-def logs(site: Site, region: str = "") -> dict[str, TargetLog]:
-    found = {}
-    for t in site.deployment.targets:
-        if region in ("", t.region):
-            url = f"http://{site.addresses[t.name]}/.standin/log"
-            with urllib.request.urlopen(url, timeout=10) as answer:
-                found[t.name] = msgspec.json.decode(answer.read(), type=TargetLog)
-    return found
+async def configured(site: Site) -> None:
+    await (await configure(site)).close()
 
 
 def plan(site: Site, rate: float = 60.0) -> LoadPlan:
@@ -160,7 +133,7 @@
             (6.0, lambda: site.kill("gate-vm03")),
         )
     )
-    check_promises(result, logs(site), site.deployment)
+    check_promises(result, target_logs(site), site.deployment)
 
 
 def test_promises_hold_when_the_store_goes_and_vms_are_replaced(site: Site) -> None:
@@ -191,7 +164,7 @@
             (6.0, lambda: site.list_vms(dict.fromkeys(names, "live"))),
         )
     )
-    check_promises(result, logs(site), site.deployment)
+    check_promises(result, target_logs(site), site.deployment)
 
 
 def test_promises_hold_when_a_region_dies(site: Site) -> None:
@@ -200,7 +173,7 @@
     kept: dict[str, TargetLog] = {}
 
     def kill_region() -> None:
-        kept.update(logs(site, dead))
+        kept.update(target_logs(site, dead))
         for vm in site.deployment.vms:
             if vm.region == dead:
                 site.kill(f"gate-{vm.vm}")
@@ -211,7 +184,7 @@
     alive = {
         name: log
         for region in ("siliguri", "durgapur")
-        for name, log in logs(site, region).items()
+        for name, log in target_logs(site, region).items()
     }
     runs = [a for log in alive.values() for a in log.arrivals if a.ran]
     assert all(log.most_in_flight <= log.slots for log in alive.values())
@@ -236,7 +209,7 @@
         await Load(entries, LoadPlan((stream,), 4.0)).run()
 
     asyncio.run(play())
-    worst = check_shifts(logs(site), site.deployment, home)
+    worst = check_shifts(target_logs(site), site.deployment, home)
     assert 0 < worst <= CAP_UNITS
 
 
@@ -330,7 +303,7 @@
 
 
 async def drain_where_it_runs(site: Site) -> None:
-    found = await asyncio.to_thread(logs, site)
+    found = await asyncio.to_thread(target_logs, site)
     name = next(n for n, log in found.items() if log.most_in_flight)
     operator = Operator([site.api["vm01"], site.api["vm02"]])
     done = await operator.apply([Drain(name="d", target=name)])
