--- a/leverdoor/commands/daemons.py
+++ b/leverdoor/commands/daemons.py
@@ -26,6 +26,7 @@
 @domain_setting
 @setting("--listen", type=ADDRESS, required=True, help="Where callers come.")
 @setting("--relay", type=ADDRESS, required=True, help="Where other gates come.")
+@setting("--relay-as", type=ADDRESS, help="What other gates are told instead.")
 @setting("--agent", type=ADDRESS, required=True, help="Link of this VM's agent.")
 @setting("--lookup-ttl-ms", type=click.IntRange(100, 600_000), default=2_000)
 @setting("--leave-grace-s", type=click.FloatRange(0, 600), default=3.0)
@@ -37,6 +38,7 @@
     domain: str,
     listen: Address,
     relay: Address,
+    relay_as: Address | None,
     agent: Address,
     lookup_ttl_ms: int,
     leave_grace_s: float,
@@ -59,6 +61,7 @@
                 domain=domain,
                 listen=listen,
                 relay=relay,
+                relay_as=relay_as,
                 agent=agent,
                 lookup_ttl_ms=lookup_ttl_ms,
                 leave_grace_s=leave_grace_s,
--- a/leverdoor/front.py
+++ b/leverdoor/front.py
@@ -55,7 +55,6 @@
     def __init__(
         self,
         region: str,
-        relay: str,
         lookup_ttl_ms: int,
         scheduler: Scheduler,
         server: Server,
@@ -69,7 +68,6 @@
         self.address = ""
         self.active = 0
         self._region = region
-        self._relay = relay
         self._lookup_ttl_ms = lookup_ttl_ms
         self._scheduler = scheduler
         self._server = server
--- a/leverdoor/gate.py
+++ b/leverdoor/gate.py
@@ -87,7 +87,7 @@
         self._client = HopClient()
         self._server = Server(self._dispatcher, self._client, s.vm)
         self._ring = KeyRing(
-            s.vm, str(s.relay), self._incarnation, secrets.token_bytes(32), now
+            s.vm, s.relay_address, self._incarnation, secrets.token_bytes(32), now
         )
         self._keyed = KeyedServer(
             self._ring, self._server, self._scheduler, self._client
@@ -95,7 +95,6 @@
         self._metrics = GateMetrics()
         self._front = Front(
             s.region,
-            str(s.relay),
             s.lookup_ttl_ms,
             self._scheduler,
             self._server,
@@ -139,7 +138,7 @@
             self._metrics.waiting.set(self._dispatcher.waiting)
             report = GateReport(
                 gate=str(s.listen),
-                relay=str(s.relay),
+                relay=s.relay_address,
                 incarnation=self._incarnation,
                 revision=self._state.revision,
                 ack=self._holdings.ack(now),
--- a/leverdoor/serving.py
+++ b/leverdoor/serving.py
@@ -225,9 +225,8 @@
         try:
             answer = await self._client.send(hop, loop.time())
             problem = await answer.problem()
-        except Refusal as e:
-            if e.code is Code.CONNECT_FAILED:
-                scheduler.lost(made.vm, loop.time())
+        except Refusal:
+            scheduler.lost(made.vm, loop.time())
             raise
         if problem is not None:
             answer.close()
--- a/leverdoor/settings.py
+++ b/leverdoor/settings.py
@@ -53,6 +53,12 @@
     lookup_ttl_ms: int = 2_000
     leave_grace_s: float = 3.0
     seed: int = 0
+    relay_as: Address | None = None
+
+    @property
+    def relay_address(self) -> str:
+        """Where other gates are told to come."""
+        return str(self.relay_as or self.relay)
 
 
 class AgentSettings(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/tests/test_keyed.py
@@ -0,0 +1,181 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""At most once across gates, and links cut in one direction."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+
+import aiohttp
+import pytest
+
+from bench import Bench, calling, running, until
+from leverdoor import headers as h
+from leverdoor.client import Reply
+from leverdoor.errors import Code, Refusal, Run
+from test_gate import deployment, runs
+
+
+@pytest.fixture
+async def bench() -> AsyncIterator[Bench]:
+    async with running(deployment()) as b:
+        yield b
+
+
+@pytest.fixture
+async def session() -> AsyncIterator[aiohttp.ClientSession]:
+    async with aiohttp.ClientSession() as s:
+        yield s
+
+
+async def test_a_repeat_with_the_same_key_gets_the_same_answer(
+    bench: Bench, session: aiohttp.ClientSession
+) -> None:
+    async with calling(bench.listen()) as caller:
+        key = (await caller.lookup("once")).key
+    bodies = []
+    for vm in ("vm00", "vm01", "vm00", "vm01"):
+        url = f"http://{bench.listen(vm)}/s/once/file"
+        async with session.post(url, data=b"x", headers={h.KEY: key}) as answer:
+            assert answer.status == 200
+            bodies.append(await answer.read())
+    assert len(set(bodies)) == 1
+    assert len(runs(bench, "once")) == 1
+
+
+async def test_repeats_at_the_same_time_run_once(
+    bench: Bench, session: aiohttp.ClientSession
+) -> None:
+    async with calling(bench.listen()) as caller:
+        key = (await caller.lookup("once")).key
+
+    async def one(vm: str) -> int:
+        url = f"http://{bench.listen(vm)}/s/once/file"
+        async with session.post(url, data=b"x", headers={h.KEY: key}) as answer:
+            return answer.status
+
+    statuses = await asyncio.gather(*(one(f"vm0{i % 2}") for i in range(20)))
+    assert statuses == [200] * 20
+    assert len(runs(bench, "once")) == 1
+
+
+async def test_a_lost_answer_is_never_run_again(
+    bench: Bench, session: aiohttp.ClientSession
+) -> None:
+    for target in bench.targets.values():
+        target.faults.drop_answers = 1000
+    async with calling(bench.listen()) as caller:
+        key = (await caller.lookup("once")).key
+    for vm in ("vm00", "vm01", "vm00"):
+        url = f"http://{bench.listen(vm)}/s/once/file"
+        async with session.post(url, data=b"x", headers={h.KEY: key}) as answer:
+            assert answer.status == 502
+            assert answer.headers[h.CODE] == str(int(Code.ANSWER_LOST))
+    assert len(runs(bench, "once")) == 1
+
+
+async def test_a_put_on_a_broken_kept_connection_is_not_repeated(
+    bench: Bench, session: aiohttp.ClientSession
+) -> None:
+    """The HTTP library would send PUT and DELETE again by itself."""
+    for target in bench.targets.values():
+        target.faults.drop_answers = 1000
+    async with calling(bench.listen()) as caller:
+        key = (await caller.lookup("once")).key
+    url = f"http://{bench.listen()}/s/once/entry"
+    async with session.put(url, data=b"x", headers={h.KEY: key}) as answer:
+        assert answer.status == 502
+    assert len(runs(bench, "once")) == 1
+
+
+async def test_a_caller_that_leaves_finds_its_outcome(
+    bench: Bench, session: aiohttp.ClientSession
+) -> None:
+    for target in bench.targets.values():
+        target.faults.fixed, target.faults.mean_ms = True, 300.0
+    async with calling(bench.listen()) as caller:
+        key = (await caller.lookup("once")).key
+    url = f"http://{bench.listen()}/s/once/file"
+    timeout = aiohttp.ClientTimeout(total=0.1)
+    with pytest.raises(TimeoutError):
+        await session.post(url, data=b"x", headers={h.KEY: key}, timeout=timeout)
+    async with session.post(url, data=b"x", headers={h.KEY: key}) as answer:
+        assert answer.status == 200
+    assert len(runs(bench, "once")) == 1
+
+
+async def test_after_its_issuer_died_a_key_never_runs(
+    bench: Bench, session: aiohttp.ClientSession
+) -> None:
+    async with calling(bench.listen("vm00")) as caller:
+        key = (await caller.lookup("once")).key
+    old = bench.gates["vm00"]._incarnation
+    await bench.end("gate-vm00")
+    url = f"http://{bench.listen('vm01')}/s/once/file"
+    async with session.post(url, data=b"x", headers={h.KEY: key}) as answer:
+        assert answer.headers[h.CODE] == str(int(Code.ISSUER_UNREACHABLE))
+        assert int(answer.headers[h.RETRY_AFTER_MS]) > 0
+    bench.start_gate(bench.deployment.vms[0])
+    peers = bench.gates["vm01"]._scheduler
+
+    def known() -> bool:
+        beat = peers.neighbour("vm00")
+        return beat is not None and beat.incarnation > old
+
+    await until(known)
+    for vm in ("vm00", "vm01"):
+        url = f"http://{bench.listen(vm)}/s/once/file"
+        async with session.post(url, data=b"x", headers={h.KEY: key}) as answer:
+            assert answer.headers[h.CODE] == str(int(Code.ISSUER_GONE))
+            assert answer.headers[h.RUN] == Run.MAYBE
+    assert runs(bench, "once") == []
+
+
+@pytest.mark.parametrize(
+    ("key", "code"), [("", Code.KEY_REQUIRED), ("made-up", Code.KEY_INVALID)]
+)
+async def test_without_an_issued_key_nothing_runs(
+    bench: Bench, session: aiohttp.ClientSession, key: str, code: Code
+) -> None:
+    head = {h.KEY: key} if key else {}
+    url = f"http://{bench.listen()}/s/once/file"
+    async with session.post(url, data=b"x", headers=head) as answer:
+        assert answer.headers[h.CODE] == str(int(code))
+        assert answer.headers[h.RUN] == Run.NO
+    assert runs(bench, "once") == []
+
+
+@pytest.mark.parametrize("direction", ["cut_there", "cut_back"])
+async def test_a_link_cut_in_one_direction_breaks_no_promise(direction: str) -> None:
+    """Forwards to a gate hang; what callers are told agrees with the targets."""
+    async with running(deployment(), linked=True) as bench:
+        await _cut(bench, direction)
+
+
+async def _cut(bench: Bench, direction: str) -> None:
+    setattr(bench.links["vm01"], direction, True)
+    told: dict[str, Run] = {}
+
+    async def one(i: int, service: str) -> Reply | None:
+        request_id = f"{service}{i}"
+        async with calling(bench.listen("vm00")) as caller:
+            try:
+                reply = await caller.request(
+                    service, "x", "POST", b"x", 600, 1, request_id
+                )
+            except Refusal as e:
+                told[request_id] = e.run
+                return None
+        assert json.loads(reply.body)["request_id"] == request_id
+        return reply
+
+    asked = [one(i, s) for i in range(40) for s in ("look", "once")]
+    replies = [r for r in await asyncio.gather(*asked) if r is not None]
+    assert replies
+    await asyncio.sleep(0.1)
+    ran = runs(bench, "look") + runs(bench, "once")
+    assert not {i for i, run in told.items() if run is Run.NO} & set(ran)
+    once = runs(bench, "once")
+    assert len(once) == len(set(once))
+    for target in bench.targets.values():
+        assert target.log.most_in_flight <= target.log.slots
--- /dev/null
+++ b/tests/test_resources.py
@@ -0,0 +1,140 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Tests of resources: what is refused, with which code, naming which field."""
+
+import json
+
+import pytest
+from returns.result import Success
+
+from leverdoor.errors import Code, ConfigError
+from leverdoor.resources import (
+    Resource,
+    parse_resource,
+    parse_resources,
+    resource_key,
+    serialize_resource,
+    validate,
+)
+from leverdoor.standins.deployments import DEPLOYMENTS, build
+
+BASE = [
+    {"kind": "region", "name": "r", "domains": ["d"]},
+    {"kind": "service", "name": "s", "work": "lookup"},
+    {"kind": "tier", "name": "t", "reserve_percent": 60, "callers": ["x"]},
+    {
+        "kind": "target",
+        "name": "a",
+        "service": "s",
+        "region": "r",
+        "domain": "d",
+        "address": "10.0.0.1:80",
+        "slots": 2,
+    },
+    {
+        "kind": "shiftcap",
+        "name": "c",
+        "service": "s",
+        "region": "r",
+        "units": 1,
+        "window_ms": 1000,
+    },
+]
+
+
+def base() -> dict[str, Resource]:
+    found = parse_resources(json.dumps(BASE))
+    result = validate(found, {})
+    assert isinstance(result, Success)
+    return result.unwrap()
+
+
+PARSING = [
+    ("{", Code.MALFORMED, ""),
+    ('{"kind": "nothing", "name": "x"}', Code.UNKNOWN_FIELD, "kind"),
+    ('{"kind": "tier", "name": "x", "wieght": 1}', Code.UNKNOWN_FIELD, "wieght"),
+    ('{"kind": "tier", "name": "Bad Name"}', Code.UNKNOWN_FIELD, "name"),
+    ('{"kind": "tier", "name": "x", "weight": 0}', Code.UNKNOWN_FIELD, "weight"),
+    ('{"kind": "tier", "name": "x", "weight": "3s"}', Code.UNKNOWN_FIELD, "weight"),
+    (
+        '{"kind": "shiftcap", "name": "c", "service": "s", "region": "r",'
+        ' "units": 0, "window_ms": 1}',
+        Code.UNKNOWN_FIELD,
+        "units",
+    ),
+    ('{"kind": "region", "name": "x"}', Code.UNKNOWN_FIELD, "domains"),
+]
+
+
+@pytest.mark.parametrize(("text", "code", "field"), PARSING)
+def test_what_cannot_be_read_names_the_field(text: str, code: Code, field: str) -> None:
+    with pytest.raises(ConfigError) as e:
+        parse_resource(text)
+    assert (e.value.code, e.value.field) == (code, field)
+
+
+def changed(at: int, **fields: object) -> dict[str, object]:
+    return {**BASE[at], **fields}
+
+
+CHECKS = [
+    (changed(3, service="none"), Code.DANGLING_REFERENCE, "service"),
+    (changed(3, region="none"), Code.DANGLING_REFERENCE, "region"),
+    (changed(3, domain="none"), Code.DANGLING_REFERENCE, "domain"),
+    (changed(3, address="host:80"), Code.UNKNOWN_FIELD, "address"),
+    (changed(3, address="10.0.0.1:0"), Code.UNKNOWN_FIELD, "address"),
+    (changed(3, connections=1), Code.CONTRADICTION, "connections"),
+    (changed(3, name="b"), Code.CONTRADICTION, "address"),
+    (changed(4, name="c2"), Code.CONTRADICTION, "service"),
+    (changed(2, name="t2", reserve_percent=41), Code.CONTRADICTION, "reserve_percent"),
+    (changed(2, name="t2", reserve_percent=1), Code.CONTRADICTION, "callers"),
+    ({"kind": "drain", "name": "d"}, Code.CONTRADICTION, "region"),
+    (
+        {"kind": "drain", "name": "d", "target": "a", "vm": "v"},
+        Code.CONTRADICTION,
+        "region",
+    ),
+    (
+        {"kind": "drain", "name": "d", "domain": "none"},
+        Code.DANGLING_REFERENCE,
+        "domain",
+    ),
+    (
+        {
+            "kind": "clientblocks",
+            "name": "b",
+            "blocks": [{"prefix": "10.0.0.1/8", "region": "r"}],
+        },
+        Code.UNKNOWN_FIELD,
+        "blocks[0].prefix",
+    ),
+    (
+        {
+            "kind": "clientblocks",
+            "name": "b",
+            "blocks": [{"prefix": "10.0.0.0/8", "region": "none"}],
+        },
+        Code.DANGLING_REFERENCE,
+        "blocks[0].region",
+    ),
+]
+
+
+@pytest.mark.parametrize(("resource", "code", "field"), CHECKS)
+def test_what_contradicts_is_refused(
+    resource: dict[str, object], code: Code, field: str
+) -> None:
+    result = validate([parse_resource(json.dumps(resource))], base())
+    problem = result.failure()
+    assert (problem.code, problem.field) == (code, field)
+
+
+@pytest.mark.parametrize("name", sorted(DEPLOYMENTS))
+def test_sample_deployments_are_valid_and_read_back(name: str) -> None:
+    d = build(name)
+    addresses = {t.name: f"10.0.0.{i + 1}:80" for i, t in enumerate(d.targets)}
+    resources = d.resources + d.target_resources(addresses)
+    assert isinstance(validate(resources, {}), Success)
+    for r in resources:
+        assert parse_resource(serialize_resource(r)) == r
+    assert len({resource_key(r) for r in resources}) == len(resources)
