Say when to come back by the rate that the caps let through

Cause: with no slots at home the expected wait was taken as 0, so requests waited to their deadline before they were refused, and were told to come back in 50 ms. Change: the wait is estimated from this gate's share of the caps' rates. Ruled out: that tiers were served wrongly; the caps (40 a second) are what limits here, and paid work gets four fifths of them, as weighted.

--- a/leverdoor/scheduler.py
+++ b/leverdoor/scheduler.py
@@ -2,6 +2,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """Where and when each request goes: the decisions of one gate, without I/O."""
 
+import math
 from collections.abc import Iterable
 from random import Random
 from typing import TypeAlias
@@ -347,7 +348,22 @@
                 held += load.held
                 waiting += load.waiting
         mean = self._mean_ms.get(job.service, ASSUMED_MS)
-        return (waiting + 1) * mean / held if held else 0.0
+        if held:
+            return (waiting + 1) * mean / held
+        return 1000 * (ahead + 1) / self._shifts_per_s(job, mean, now)
+
+    def _shifts_per_s(self, job: Job, mean_ms: float, now: float) -> float:
+        """This gate's share of what the shift caps let out of its region."""
+        total = 0.0
+        for region in self.view.regions:
+            if region == job.home or (job.service, region) not in self.view.by_place:
+                continue
+            cap = self.view.caps.get((job.service, region))
+            if cap is None:
+                return math.inf
+            total += 1000 * cap.units / (cap.window_ms + mean_ms)
+        near = [n for n in self.neighbours(now) if n.region == self.region]
+        return total / (1 + len(near)) or math.inf
 
     # How it is decided.
 
