Expected wait counts targets that are out for a moment

Cause: while targets come back one by one the wait was worked out from those few, or from the shift caps when none was back, and callers were sent away for 5 to 6 s, past their deadlines.

--- a/leverdoor/scheduler.py
+++ b/leverdoor/scheduler.py
@@ -341,7 +341,7 @@
         """Estimate how long a new job would wait in this region."""
         queue = self._queues.get(job.service)
         ahead = queue.ahead(job.tier) if queue else 0.0
-        held, waiting = self._held(job.service, now), ahead
+        held, waiting = self._held_in_service(job.service), ahead
         for n in self._neighbours.values():
             load = n.beat.loads.get(job.service)
             if load and n.beat.region == self.region and self._usable(n, now):
@@ -349,9 +349,26 @@
                 waiting += load.waiting
         mean = self._mean_ms.get(job.service, ASSUMED_MS)
         if held:
-            return (waiting + 1) * mean / held
+            return self._pause_ms(job.service, now) + (waiting + 1) * mean / held
         return 1000 * (ahead + 1) / self._shifts_per_s(job, mean, now)
 
+    def _pause_ms(self, service: str, now: float) -> float:
+        """Time until the first target here that is out for a moment is back."""
+        pauses = [
+            self.targets.of(t, now).out_until - now
+            for t in self._local(service)
+            if self._in_service(t)
+        ]
+        return 1000 * max(min(pauses, default=0.0), 0.0)
+
+    def _held_in_service(self, service: str) -> int:
+        """Slots held here, of targets that are out for a moment too."""
+        return sum(
+            self.holdings.held(slot_row(t.address))
+            for t in self._local(service)
+            if self._in_service(t)
+        )
+
     def _shifts_per_s(self, job: Job, mean_ms: float, now: float) -> float:
         """This gate's share of what the shift caps let out of its region."""
         total = 0.0
