Paid work is not turned away for what waits elsewhere of lower tiers

Cause: the expected wait counted all that waits at other gates, of whatever tier; at 120% of the logbook's capacity paid work was refused as too late. Ruled out: weights; two of the three regions there are offered 133% and paid work is 89% of their capacity, above its four fifths by weight, so some of it is refused by what was configured. A pure test was red before and passes now.

--- a/leverdoor/scheduler.py
+++ b/leverdoor/scheduler.py
@@ -341,12 +341,15 @@
         """Estimate how long a new job would wait in this region."""
         queue = self._queues.get(job.service)
         ahead = queue.ahead(job.tier) if queue else 0.0
-        held, waiting = self._held_in_service(job.service), ahead
+        people = queue.people() if queue else 0
+        # Other gates tell how many wait, not of which tier; take it as here.
+        share = ahead / people if people else 1.0
+        held, waiting = float(self._held_in_service(job.service)), ahead
         for n in self._neighbours.values():
             load = n.beat.loads.get(job.service)
             if load and n.beat.region == self.region and self._usable(n, now):
                 held += load.held
-                waiting += load.waiting
+                waiting += share * load.waiting
         mean = self._mean_ms.get(job.service, ASSUMED_MS)
         if held:
             return self._pause_ms(job.service, now) + (waiting + 1) * mean / held
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -4,6 +4,7 @@
 
 from random import Random
 
+import msgspec
 import pytest
 
 from leverdoor.blocks import BlockMap
@@ -298,3 +299,15 @@
     assert ramp.allowed(8, 3.0) == 4
     assert ramp.allowed(8, 60.0) == 2
     assert Ramp(0.1, 1.0, 0.0).allowed(1, 0.0) == 1
+
+
+def test_others_waiting_of_a_low_tier_do_not_turn_paid_work_away() -> None:
+    s = scheduler(view(target(0, 2), queue=50))
+    fill(s)
+    for _ in range(10):
+        s.offer(job(FREE), 0.0)
+    crowded = neighbour("home", 0)
+    loads = {"s": Load(2, 0, 300, 20.0)}
+    s.hear([msgspec.structs.replace(crowded, loads=loads)], 0.0)
+    assert isinstance(s.offer(job(FREE, deadline=1.0), 0.0), Refuse)
+    assert s.offer(job(PAID, deadline=1.0), 0.0) is None
