--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -282,7 +282,7 @@
                     if served:
                         answer(True)
                     else:
-                        gates[i].scheduler.refused(f"vm{other}", "s")
+                        gates[i].scheduler.neighbours.refused(f"vm{other}", "s")
                         decide(i, job, service_s, answer)
 
                 clock.at(clock.now + HOP_S, arrive_back)
@@ -317,7 +317,7 @@
         clock.at(clock.now + setup.hint_s, lambda: hint(i))
 
     def heard(j: int, beat: Beat) -> None:
-        gates[j].scheduler.hear([beat], clock.now)
+        gates[j].scheduler.neighbours.hear([beat], clock.now)
         poll(j)
 
     def tick(i: int) -> None:
--- a/leverdoor/front.py
+++ b/leverdoor/front.py
@@ -132,7 +132,7 @@
         ):
             held = own.held if own else 0
             found.append(LookupEntry(self.address, self._region, held + 1))
-        for beat in self._scheduler.neighbours(now):
+        for beat in self._scheduler.usable_gates(now):
             load = beat.loads.get(service.name)
             held = load.held if load else 0
             found.append(LookupEntry(beat.gate, beat.region, held + 1))
--- a/leverdoor/gate.py
+++ b/leverdoor/gate.py
@@ -146,7 +146,7 @@
                 loads=self._scheduler.loads(now),
                 caps=self._scheduler.caps(now),
                 held=sorted(r for r in self._holdings.rows if r.startswith("t:")),
-                draining=self._scheduler.draining(now),
+                draining=self._scheduler.pool.draining(now),
             )
             await self._link.send(report)
             await asyncio.sleep(REPORT_INTERVAL_S)
@@ -181,8 +181,8 @@
 
     def _take_hints(self, hints: Hints) -> None:
         now = asyncio.get_running_loop().time()
-        self._scheduler.hear(hints.beats, now)
-        self._scheduler.leaving_vms = frozenset(hints.leaving_vms)
+        self._scheduler.neighbours.hear(hints.beats, now)
+        self._scheduler.pool.leaving_vms = frozenset(hints.leaving_vms)
         for address, probe in hints.probes.items():
             self._scheduler.targets.report(address, probe)
         if hints.incarnation_floor >= self._incarnation:
--- a/leverdoor/keyed.py
+++ b/leverdoor/keyed.py
@@ -108,7 +108,7 @@
 
     async def _ask_issuer(self, inbound: Inbound, key: Key) -> Outcome:
         """Pass the request to the gate that issued its key."""
-        issuer = self._scheduler.neighbour(key.vm)
+        issuer = self._scheduler.neighbours.get(key.vm)
         if self._is_gone(key, issuer):
             raise Refusal(Code.ISSUER_GONE)
         if issuer is None:
--- /dev/null
+++ b/leverdoor/neighbours.py
@@ -0,0 +1,175 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""What one gate knows of the other gates' room, from hints that may be old."""
+
+from collections.abc import Callable, Iterable
+from random import Random
+
+import msgspec
+
+from leverdoor.peers import Beat, GateState, Peer
+from leverdoor.targets import ASSUMED_MS
+
+__all__ = ["Neighbour", "Neighbours", "RegionLoad"]
+
+PEER_BACKOFF_S = 1.0
+FORWARD_MARGIN_MS = 2.0
+
+
+class RegionLoad(msgspec.Struct, frozen=True):
+    """Slots held and requests waiting at the other gates of a region."""
+
+    held: int
+    waiting: int
+    mean_ms: float
+    gates: int
+
+
+class Neighbour(msgspec.Struct):
+    """Another gate's room, less what was sent there since it was told."""
+
+    peer: Peer
+    free: dict[str, int] = {}
+    sent: dict[str, int] = {}
+    caps: dict[str, int] = {}
+    out_until: float = 0.0
+
+    @property
+    def beat(self) -> Beat:
+        """The latest beat."""
+        return self.peer.beat
+
+    def refresh(self) -> None:
+        """Start from the latest beat again."""
+        self.free = {s: v.free - v.waiting for s, v in self.beat.loads.items()}
+        self.sent = {}
+        self.caps = dict(self.beat.caps)
+
+    def wait_ms(self, service: str) -> float | None:
+        """Estimate the wait of one more request there; None if it holds nothing."""
+        load = self.beat.loads.get(service)
+        if load is None or not load.held:
+            return None
+        queued = load.waiting - load.free + self.sent.get(service, 0) + 1
+        return max(queued, 0) * (load.mean_ms or ASSUMED_MS) / load.held
+
+
+class Neighbours:
+    """The other gates, by VM."""
+
+    def __init__(self, vm: str, leaving: Callable[[str], bool], rng: Random) -> None:
+        """Create an empty book.
+
+        Args:
+          vm: this VM, whose own beats are left out.
+          leaving: says whether a VM leaves.
+          rng: where all chance comes from.
+        """
+        self._vm = vm
+        self._leaving = leaving
+        self._rng = rng
+        self._known: dict[str, Neighbour] = {}
+
+    def hear(self, beats: Iterable[Beat], now: float) -> None:
+        """Take hints that are newer than those known."""
+        for beat in beats:
+            if beat.vm == self._vm or not beat.gate:
+                continue
+            n = self._known.get(beat.vm)
+            if n is None:
+                n = self._known[beat.vm] = Neighbour(Peer(beat, now))
+            elif beat.newer(n.beat):
+                if beat.incarnation != n.beat.incarnation:
+                    n.out_until = 0.0
+                n.peer.hear(beat, now)
+            else:
+                continue
+            n.refresh()
+
+    def get(self, vm: str) -> Beat | None:
+        """Return the latest beat of a VM, however old."""
+        found = self._known.get(vm)
+        return found.beat if found else None
+
+    def lost(self, vm: str, now: float) -> None:
+        """Leave a gate alone for a while after a failed connection."""
+        if vm in self._known:
+            self._known[vm].out_until = now + PEER_BACKOFF_S
+
+    def refused(self, vm: str, service: str) -> None:
+        """Take a gate's refusal as word that it has no room."""
+        if vm in self._known:
+            self._known[vm].free[service] = 0
+
+    def usable(self, now: float, region: str = "") -> list[Neighbour]:
+        """Gates that can be used now, of one region or of all."""
+        return [
+            n
+            for n in self._known.values()
+            if region in ("", n.beat.region)
+            and n.beat.state is GateState.SERVING
+            and now >= n.out_until
+            and not n.peer.silent(now)
+            and not self._leaving(n.beat.vm)
+        ]
+
+    def load(self, service: str, region: str, now: float) -> RegionLoad:
+        """Add up what the gates of a region say."""
+        loads = [
+            n.beat.loads[service]
+            for n in self.usable(now, region)
+            if service in n.beat.loads
+        ]
+        return RegionLoad(
+            sum(v.held for v in loads),
+            sum(v.waiting for v in loads),
+            max((v.mean_ms for v in loads), default=0.0),
+            len(loads),
+        )
+
+    def with_room(
+        self, service: str, region: str, cap: str, now: float
+    ) -> Neighbour | None:
+        """Choose a gate with a free slot: the better of two at random.
+
+        Args:
+          service: the service asked for.
+          region: where to look.
+          cap: the row of a shift cap of which a unit must be free, or "".
+          now: monotonic time in seconds.
+        """
+        found = [
+            n
+            for n in self.usable(now, region)
+            if n.free.get(service, 0) > 0 and (not cap or n.caps.get(cap, 0) > 0)
+        ]
+        if not found:
+            return None
+        picked = self._rng.sample(found, min(2, len(found)))
+        best = max(picked, key=lambda n: n.free[service])
+        best.free[service] -= 1
+        if cap:
+            best.caps[cap] -= 1
+        return best
+
+    def with_shorter_queue(
+        self, service: str, region: str, own_ms: float, now: float
+    ) -> Neighbour | None:
+        """Choose a gate where the wait is shorter than here by more than the hop.
+
+        A slot is free for a shorter time than a hint is old, so under load the
+        lengths of queues say more than free slots do.
+        """
+        found = [
+            (wait_ms, n)
+            for n in self.usable(now, region)
+            if (wait_ms := n.wait_ms(service)) is not None
+        ]
+        if not found:
+            return None
+        picked = self._rng.sample(found, min(2, len(found)))
+        wait_ms, best = min(picked, key=lambda f: f[0])
+        if wait_ms + FORWARD_MARGIN_MS >= own_ms:
+            return None
+        best.sent[service] = best.sent.get(service, 0) + 1
+        return best
--- a/leverdoor/scheduler.py
+++ b/leverdoor/scheduler.py
@@ -3,7 +3,6 @@
 """Where and when each request goes: the decisions of one gate, without I/O."""
 
 import math
-from collections.abc import Iterable
 from random import Random
 from typing import TypeAlias
 
@@ -11,8 +10,10 @@
 
 from leverdoor.errors import Code
 from leverdoor.holdings import Holdings
+from leverdoor.neighbours import Neighbours, RegionLoad
 from leverdoor.ownership import cap_row, slot_row
-from leverdoor.peers import Beat, GateState, Load, Peer
+from leverdoor.peers import Beat, Load
+from leverdoor.pool import TargetPool
 from leverdoor.queueing import Job, WaitQueue
 from leverdoor.ramp import Ramp
 from leverdoor.resources import Service, Target, Work
@@ -21,12 +22,10 @@
 
 __all__ = ["Decision", "Dispatch", "Forward", "Refuse", "Scheduler"]
 
-PEER_BACKOFF_S = 1.0
 MIN_RETRY_MS = 50
 MAX_RETRY_MS = 30_000
 BULK_SHARE = 0.5
 SPILL_MARGIN_MS = 5.0
-FORWARD_MARGIN_MS = 2.0
 
 
 class Dispatch(msgspec.Struct, frozen=True):
@@ -55,21 +54,6 @@
 Decision: TypeAlias = Dispatch | Forward | Refuse
 
 
-class _Neighbour(msgspec.Struct):
-    """Another gate's room, less what was sent there since it was told."""
-
-    peer: Peer
-    free: dict[str, int]
-    sent: dict[str, int]
-    caps: dict[str, int]
-    out_until: float = 0.0
-
-    @property
-    def beat(self) -> Beat:
-        """The latest beat."""
-        return self.peer.beat
-
-
 class Scheduler:
     """Places jobs on targets and gates, or lets them wait, or refuses them."""
 
@@ -88,79 +72,48 @@
         self.vm = vm
         self.region = region
         self.holdings = holdings
-        self.view = view
-        self.targets = TargetBook()
-        self.leaving_vms: frozenset[str] = frozenset()
+        self.pool = TargetPool(region, holdings, view)
+        self.neighbours = Neighbours(vm, self.vm_leaving, rng)
         self._rng = rng
         self._queues: dict[str, WaitQueue] = {}
-        self._neighbours: dict[str, _Neighbour] = {}
         self._in_use: dict[str, dict[str, int]] = {}
         self._bulk_in_use: dict[str, int] = {}
         self._mean_ms: dict[str, float] = {}
         self._ramps: dict[str, Ramp] = {}
-        self._mine: dict[str, list[Target]] = {}
-        self._mine_of: tuple[View, int] = (view, -1)
 
     # What is known.
 
-    def hear(self, beats: Iterable[Beat], now: float) -> None:
-        """Take other gates' load hints."""
-        for beat in beats:
-            if beat.vm == self.vm or not beat.gate:
-                continue
-            n = self._neighbours.get(beat.vm)
-            if n is None:
-                n = _Neighbour(Peer(beat, now), {}, {}, {})
-                self._neighbours[beat.vm] = n
-            elif beat.newer(n.beat):
-                if beat.incarnation != n.beat.incarnation:
-                    n.out_until = 0.0
-                n.peer.hear(beat, now)
-            else:
-                continue
-            n.free = {s: load.free - load.waiting for s, load in beat.loads.items()}
-            n.sent = {}
-            n.caps = dict(beat.caps)
-
-    def lost(self, vm: str, now: float) -> None:
-        """Leave a gate alone for a while after a failed connection."""
-        neighbour = self._neighbours.get(vm)
-        if neighbour is not None:
-            neighbour.out_until = now + PEER_BACKOFF_S
-
-    def refused(self, vm: str, service: str) -> None:
-        """Take a gate's refusal as word that it has no room."""
-        neighbour = self._neighbours.get(vm)
-        if neighbour is not None:
-            neighbour.free[service] = 0
-
-    def neighbours(self, now: float) -> list[Beat]:
-        """Beats of the other gates that can be used now."""
-        return [n.beat for n in self._neighbours.values() if self._usable(n, now)]
+    @property
+    def view(self) -> View:
+        """The configuration in force."""
+        return self.pool.view
 
-    def neighbour(self, vm: str) -> Beat | None:
-        """Return the latest beat of a VM, however old."""
-        found = self._neighbours.get(vm)
-        return found.beat if found else None
+    @view.setter
+    def view(self, view: View) -> None:
+        self.pool.view = view
+
+    @property
+    def targets(self) -> TargetBook:
+        """What is believed of targets."""
+        return self.pool.health
 
     def vm_leaving(self, vm: str) -> bool:
         """Say whether a VM leaves by the platform's word or by a drain."""
-        return vm in self.leaving_vms or self.view.vm_drained(vm)
+        return vm in self.pool.leaving_vms or self.view.vm_drained(vm)
+
+    def usable_gates(self, now: float) -> list[Beat]:
+        """Beats of the other gates that can be used now."""
+        return [n.beat for n in self.neighbours.usable(now)]
 
     def loads(self, now: float) -> dict[str, Load]:
         """Return this gate's own room for each service."""
         found: dict[str, Load] = {}
         for name in self.view.services:
-            held, free = 0, 0
-            for t in self._local(name):
-                if self._open(t, now):
-                    held += self.holdings.held(slot_row(t.address))
-                    free += max(self._room(t, now), 0)
-            queue = self._queues.get(name)
-            waiting = queue.people() if queue else 0
+            held = self.pool.slots(name, now)
+            waiting = self._people(name)
             if held or waiting:
                 mean = round(self._mean_ms.get(name, 0.0), 1)
-                found[name] = Load(held, free, waiting, mean)
+                found[name] = Load(held, self.pool.free(name, now), waiting, mean)
         return found
 
     def caps(self, now: float) -> dict[str, int]:
@@ -171,16 +124,10 @@
             if row.startswith("c:")
         }
 
-    def draining(self, now: float) -> dict[str, int]:
-        """Requests still in flight at targets here that are being drained."""
-        found = {}
-        for t in self.view.targets.values():
-            if t.region != self.region or not self.view.drained(t):
-                continue
-            in_flight = self.targets.of(t, now).in_flight
-            if in_flight:
-                found[t.name] = in_flight
-        return found
+    def _people(self, service: str) -> int:
+        """Count what waits here, bulk work left out."""
+        queue = self._queues.get(service)
+        return queue.people() if queue else 0
 
     # What is decided.
 
@@ -210,7 +157,7 @@
         """Let a job wait if that makes sense."""
         if job.forwarded and job.home != self.region:
             return self._refuse(Code.CAP_REACHED, job, now)
-        if not self._anything(service):
+        if not self.pool.any_in_service(service.name):
             return self._refuse(Code.NO_TARGET, job, now)
         if not job.bulk:
             wait_ms = self.expected_wait_ms(job, now)
@@ -223,39 +170,20 @@
         return self._refuse(Code.QUEUE_FULL, job, now)
 
     def _shorter_queue(self, job: Job, now: float) -> Forward | None:
-        """Pass a job on to wait where the wait is shorter, in this region.
-
-        A slot is free for a shorter time than a hint is old, so under load the
-        lengths of queues say more than free slots do.
-        """
+        """Pass a job on to wait where the wait is shorter, in this region."""
         if job.forwarded or job.bulk:
             return None
         mean = self._mean_ms.get(job.service, ASSUMED_MS)
-        held = self._held(job.service, now)
-        queue = self._queues[job.service]
-        own_ms = (queue.people() + 1) * mean / held if held else MAX_RETRY_MS
-        found = [
-            (wait_ms, n)
-            for n in self._neighbours.values()
-            if n.beat.region == self.region
-            and self._usable(n, now)
-            and (wait_ms := self._wait_there_ms(n, job.service)) is not None
-        ]
-        if not found:
-            return None
-        picked = self._rng.sample(found, min(2, len(found)))
-        wait_ms, best = min(picked, key=lambda f: f[0])
-        if wait_ms + FORWARD_MARGIN_MS >= own_ms:
-            return None
-        best.sent[job.service] = best.sent.get(job.service, 0) + 1
-        return Forward(best.beat.vm, best.beat.relay, self.region)
-
-    def _wait_there_ms(self, n: _Neighbour, service: str) -> float | None:
-        load = n.beat.loads.get(service)
-        if load is None or not load.held:
+        held = self.pool.slots(job.service, now)
+        own_ms = MAX_RETRY_MS + 0.0
+        if held:
+            own_ms = (self._people(job.service) + 1) * mean / held
+        found = self.neighbours.with_shorter_queue(
+            job.service, self.region, own_ms, now
+        )
+        if found is None:
             return None
-        queued = load.waiting - load.free + n.sent.get(service, 0) + 1
-        return max(queued, 0) * (load.mean_ms or ASSUMED_MS) / load.held
+        return Forward(found.beat.vm, found.beat.relay, self.region)
 
     def evictable(self, job: Job) -> Job | None:
         """Return a waiting job that should make way for one of a higher tier."""
@@ -290,7 +218,7 @@
         while progress:
             progress = False
             in_use = self._in_use.get(service.name, {})
-            for job in queue.order(in_use, self._held(service.name, now)):
+            for job in queue.order(in_use, self.pool.slots(service.name, now)):
                 decision = self._place(job, service, now)
                 if decision is not None:
                     queue.pop(job)
@@ -341,38 +269,18 @@
         """Estimate how long a new job would wait in this region."""
         queue = self._queues.get(job.service)
         ahead = queue.ahead(job.tier) if queue else 0.0
-        people = queue.people() if queue else 0
+        people = self._people(job.service)
         # Other gates tell how many wait, not of which tier; take it as here.
         share = ahead / people if people else 1.0
-        held, waiting = float(self._held_in_service(job.service)), ahead
-        for n in self._neighbours.values():
-            load = n.beat.loads.get(job.service)
-            if load and n.beat.region == self.region and self._usable(n, now):
-                held += load.held
-                waiting += share * load.waiting
+        others = self.neighbours.load(job.service, self.region, now)
+        held = self.pool.slots_in_service(job.service) + others.held
         mean = self._mean_ms.get(job.service, ASSUMED_MS)
-        if held:
-            return self._pause_ms(job.service, now) + (waiting + 1) * mean / held
-        return 1000 * (ahead + 1) / self._shifts_per_s(job, mean, now)
-
-    def _pause_ms(self, service: str, now: float) -> float:
-        """Time until the first target here that is out for a moment is back."""
-        pauses = [
-            self.targets.of(t, now).out_until - now
-            for t in self._local(service)
-            if self._in_service(t)
-        ]
-        return 1000 * max(min(pauses, default=0.0), 0.0)
-
-    def _held_in_service(self, service: str) -> int:
-        """Slots held here, of targets that are out for a moment too."""
-        return sum(
-            self.holdings.held(slot_row(t.address))
-            for t in self._local(service)
-            if self._in_service(t)
-        )
+        if not held:
+            return 1000 * (ahead + 1) / self._shifts_per_s(job, mean, others.gates)
+        waiting = ahead + share * others.waiting
+        return self.pool.pause_ms(job.service, now) + (waiting + 1) * mean / held
 
-    def _shifts_per_s(self, job: Job, mean_ms: float, now: float) -> float:
+    def _shifts_per_s(self, job: Job, mean_ms: float, others: int) -> float:
         """This gate's share of what the shift caps let out of its region."""
         total = 0.0
         for region in self.view.regions:
@@ -382,8 +290,7 @@
             if cap is None:
                 return math.inf
             total += 1000 * cap.units / (cap.window_ms + mean_ms)
-        near = [n for n in self.neighbours(now) if n.region == self.region]
-        return total / (1 + len(near)) or math.inf
+        return total / (1 + others) or math.inf
 
     # How it is decided.
 
@@ -413,44 +320,31 @@
         """Say whether leaving a region beats waiting in it."""
         if region != job.home:
             return True
-        held, waiting, mean = self._region_load(job.service, region, now)
-        if held == 0:
+        load = self._region_load(job.service, region, now)
+        if load.held == 0:
             return True
         others = [r for r in self.view.regions if r != region]
         nearest = min((self.view.distance_ms(region, r) for r in others), default=0.0)
-        return (waiting + 1) * mean / held > 2 * nearest + SPILL_MARGIN_MS
-
-    def _region_load(
-        self, service: str, region: str, now: float
-    ) -> tuple[int, int, float]:
-        held, waiting = 0, 0
-        mean = self._mean_ms.get(service, 0.0)
-        if region == self.region:
-            queue = self._queues.get(service)
-            held = self._held(service, now)
-            waiting = queue.people() if queue else 0
-        for n in self._neighbours.values():
-            load = n.beat.loads.get(service)
-            if load and n.beat.region == region and self._usable(n, now):
-                held += load.held
-                waiting += load.waiting
-                mean = max(mean, load.mean_ms)
-        return held, waiting, mean or ASSUMED_MS
+        wait_ms = (load.waiting + 1) * (load.mean_ms or ASSUMED_MS) / load.held
+        return wait_ms > 2 * nearest + SPILL_MARGIN_MS
+
+    def _region_load(self, service: str, region: str, now: float) -> RegionLoad:
+        """Add up a region's load, this gate's own included."""
+        others = self.neighbours.load(service, region, now)
+        if region != self.region:
+            return others
+        return RegionLoad(
+            others.held + self.pool.slots(service, now),
+            others.waiting + self._people(service),
+            max(others.mean_ms, self._mean_ms.get(service, 0.0)),
+            others.gates + 1,
+        )
 
     def _here(self, job: Job, service: Service, now: float) -> Dispatch | None:
         """Take a slot that this gate holds, and a cap unit for foreign work."""
         if job.bulk and not self._bulk_room(service, now):
             return None
-        best: Target | None = None
-        best_score = 0.0
-        for t in self._local(job.service):
-            if t.address in job.tried or not self._open(t, now):
-                continue
-            if self._room(t, now) <= 0:
-                continue
-            score = self.targets.of(t, now).score(now) * (1 + self._rng.random() / 10)
-            if best is None or score < best_score:
-                best, best_score = t, score
+        best = self.pool.best(job.service, job.tried, self._rng, now)
         if best is None:
             return None
         cap = ""
@@ -483,87 +377,22 @@
 
     def _bulk_room(self, service: Service, now: float) -> bool:
         """Bulk work takes a share of the slots, and none while people wait."""
-        held = self._held(service.name, now)
+        held = self.pool.slots(service.name, now)
         if service.work is not Work.BULK:
             held = max(1, int(held * BULK_SHARE))
-        queue = self._queues.get(service.name)
-        if queue is not None and queue.people():
+        if self._people(service.name):
             return False
         return self._bulk_in_use.get(service.name, 0) < held
 
     def _peer(self, job: Job, region: str, now: float) -> Forward | None:
-        """Choose a gate with room in a region: the better of two at random."""
-        row = cap_row(job.service, region)
-        capped = region != job.home and (job.service, region) in self.view.caps
-        found = [
-            n
-            for n in self._neighbours.values()
-            if n.beat.region == region
-            and self._usable(n, now)
-            and n.free.get(job.service, 0) > 0
-            and (not capped or n.caps.get(row, 0) > 0)
-        ]
-        if not found:
-            return None
-        picked = self._rng.sample(found, min(2, len(found)))
-        best = max(picked, key=lambda n: n.free[job.service])
-        best.free[job.service] -= 1
-        if capped:
-            best.caps[row] -= 1
-        return Forward(best.beat.vm, best.beat.relay, region)
-
-    def _usable(self, n: _Neighbour, now: float) -> bool:
-        return (
-            n.beat.state is GateState.SERVING
-            and not self.vm_leaving(n.beat.vm)
-            and now >= n.out_until
-            and not n.peer.silent(now)
-        )
-
-    def _local(self, service: str) -> list[Target]:
-        """Targets of a service of which slots are held here."""
-        if self._mine_of != (self.view, self.holdings.version):
-            self._mine_of = (self.view, self.holdings.version)
-            self._mine = {}
-        found = self._mine.get(service)
+        """Pass a job on to a gate with room in a region."""
+        cap = ""
+        if region != job.home and (job.service, region) in self.view.caps:
+            cap = cap_row(job.service, region)
+        found = self.neighbours.with_room(job.service, region, cap, now)
         if found is None:
-            rows = self.holdings.rows
-            region = self.view.by_place.get((service, self.region), [])
-            found = [t for t in region if slot_row(t.address) in rows]
-            self._mine[service] = found
-        return found
-
-    def _open(self, target: Target, now: float) -> bool:
-        return self._in_service(target) and self.targets.of(target, now).usable(now)
-
-    def _in_service(self, target: Target) -> bool:
-        return target.vm not in self.leaving_vms and not self.view.drained(target)
-
-    def _room(self, target: Target, now: float) -> int:
-        row = slot_row(target.address)
-        free = self.holdings.free(row, now)
-        if free <= 0 or not target.warmup_ms:
-            return free
-        health = self.targets.of(target, now)
-        held = self.holdings.held(row)
-        allowed = health.allowance(held, target.warmup_ms / 1000, now)
-        return min(free, allowed - health.in_flight)
-
-    def _held(self, service: str, now: float) -> int:
-        """Slots held here of targets that take new work."""
-        return sum(
-            self.holdings.held(slot_row(t.address))
-            for t in self._local(service)
-            if self._open(t, now)
-        )
-
-    def _anything(self, service: Service) -> bool:
-        """Say whether any target is in service, be it out for a moment or not."""
-        return any(
-            self._in_service(t)
-            for region in {*self.view.regions, self.region}
-            for t in self.view.by_place.get((service.name, region), [])
-        )
+            return None
+        return Forward(found.beat.vm, found.beat.relay, region)
 
     def _refuse(self, code: Code, job: Job, now: float) -> Refuse:
         """Refuse with when to come back, spread so callers don't return together."""
--- a/leverdoor/serving.py
+++ b/leverdoor/serving.py
@@ -226,12 +226,12 @@
             answer = await self._client.send(hop, loop.time())
             problem = await answer.problem()
         except Refusal:
-            scheduler.lost(made.vm, loop.time())
+            scheduler.neighbours.lost(made.vm, loop.time())
             raise
         if problem is not None:
             answer.close()
             if problem.run is Run.NO:
-                scheduler.refused(made.vm, inbound.service.name)
+                scheduler.neighbours.refused(made.vm, inbound.service.name)
             raise refusal_of(problem)
         return Served(self, inbound, answer, None, 0.0)
 
--- a/tests/test_keyed.py
+++ b/tests/test_keyed.py
@@ -119,7 +119,7 @@
     peers = bench.gates["vm01"]._scheduler
 
     def known() -> bool:
-        beat = peers.neighbour("vm00")
+        beat = peers.neighbours.get("vm00")
         return beat is not None and beat.incarnation > old
 
     await until(known)
