Caps proved with a region killed; leaves proved with the store down

Change: all callers of the killed region's test belong to its client block, so every request elsewhere is a shift and every window of the targets' logs is checked; leaves by own word and by the list run with the store up and down.

--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -21,6 +21,7 @@
     Resource,
     Service,
     ShiftCap,
+    Target,
     Tier,
     Work,
 )
@@ -301,7 +302,12 @@
     assert len(bench.targets[name].log.arrivals) == before
 
 
-async def test_a_target_that_says_it_leaves_gets_nothing_new(bench: Bench) -> None:
+@pytest.mark.parametrize("store_down", [False, True])
+async def test_a_target_that_says_it_leaves_gets_nothing_new(
+    bench: Bench, store_down: bool
+) -> None:
+    bench.kv.store.down = store_down
+    bench.kv.store.wake()
     bench.targets["look-00"].faults.leaving = True
     address = str(bench.targets["look-00"].address)
     await until(
@@ -315,6 +321,34 @@
     await _gets_nothing_new(bench, "look-00")
 
 
+@pytest.mark.parametrize("store_down", [False, True])
+async def test_a_target_on_a_vm_that_leaves_gets_nothing_new(
+    bench: Bench, store_down: bool
+) -> None:
+    operator = Operator([bench.api("vm00")])
+    target = Target(
+        name="look-00",
+        service="look",
+        region="r0",
+        domain="r0-0",
+        address=str(bench.targets["look-00"].address),
+        slots=2,
+        vm="host",
+    )
+    done = await operator.apply([target])
+    await operator.wait(done.revision, 2, 5)
+    await operator.close()
+    bench.kv.store.down = store_down
+    bench.kv.store.wake()
+    bench.vms._shown = [Vm("vm00"), Vm("vm01"), Vm("host", VmState.LEAVING)]
+    await until(
+        lambda: all(
+            "host" in g._scheduler.pool.leaving_vms for g in bench.gates.values()
+        )
+    )
+    await _gets_nothing_new(bench, "look-00")
+
+
 async def test_a_vm_that_leaves_by_the_list_is_not_named(bench: Bench) -> None:
     bench.vms._shown = [Vm("vm00", VmState.LEAVING), Vm("vm01")]
     named = {bench.listen("vm00")}
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -19,7 +19,7 @@
 from leverdoor.errors import Code, LeverdoorError, Refusal, Run
 from leverdoor.load import Load, LoadPlan, LoadResult, Stream
 from leverdoor.operator import Operator
-from leverdoor.resources import Drain, Tier, resource_key
+from leverdoor.resources import ClientBlocks, Drain, Tier, resource_key
 from leverdoor.standins.deployments import Deployment, build
 from leverdoor.standins.site import Site, configure, target_logs
 from leverdoor.standins.targets import TargetLog
@@ -168,8 +168,21 @@
 
 
 def test_promises_hold_when_a_region_dies(site: Site) -> None:
-    """Callers of the dead region go on elsewhere, within the caps."""
+    """Callers of the dead region go on elsewhere, within the caps.
+
+    All callers here are of its client block, so all that other regions get
+    is shifted traffic.
+    """
     dead = "kolkata"
+
+    async def map_callers() -> None:
+        operator = Operator(list(site.api.values()))
+        blocks = ClientBlocks(name="all", networks={dead: ["127.0.0.0/8"]})
+        done = await operator.apply([blocks])
+        await operator.wait(done.revision, len(site.deployment.vms), 10)
+        await operator.close()
+
+    asyncio.run(map_callers())
     kept: dict[str, TargetLog] = {}
 
     def kill_region() -> None:
@@ -191,6 +204,8 @@
     assert all(log.most_in_flight <= log.slots for log in kept.values())
     assert runs
     assert sum(s.wrong for s in result.streams) == 0
+    found = {n: TargetLog("", 0, 0, []) for n in kept} | alive
+    assert 0 < check_shifts(found, site.deployment, dead) <= CAP_UNITS
     told_no = {i for i, run in result.told.items() if run == Run.NO}
     assert not told_no & {a.request_id for a in runs}
 
