--- a/leverdoor/agent.py
+++ b/leverdoor/agent.py
@@ -14,6 +14,7 @@
 from leverdoor.api import Api
 from leverdoor.configuration import Configuration
 from leverdoor.errors import LeverdoorError
+from leverdoor.etcd import EtcdStore
 from leverdoor.following import PeerFollower, StoreFollower, elected
 from leverdoor.gossip import GossipSocket
 from leverdoor.link import AgentLink, GateReport, Hints
@@ -24,7 +25,6 @@
 from leverdoor.reports import Reporter
 from leverdoor.settings import AgentSettings
 from leverdoor.state import Delta, State
-from leverdoor.store import EtcdStore
 from leverdoor.targets import Probe
 from leverdoor.view import ViewCache
 from leverdoor.vmlist import Departures, HttpVmList, VmState
--- a/leverdoor/api.py
+++ b/leverdoor/api.py
@@ -10,9 +10,10 @@
 from loguru import logger
 from returns.result import Failure, Result
 
+from leverdoor.answers import json_answer, problem_answer
 from leverdoor.codec import pack, serialize_json
 from leverdoor.configuration import Applied, Configuration
-from leverdoor.errors import Code, ConfigError, LeverdoorError, code_info
+from leverdoor.errors import Code, ConfigError, LeverdoorError
 from leverdoor.metrics import AgentMetrics
 from leverdoor.reports import Reporter
 from leverdoor.resources import (
@@ -127,7 +128,7 @@
         self._need_configuration()
         prefix = RESOURCES + (f"{kind}/" if kind else "")
         items = [self._item(e) for e in self._state.under(prefix)]
-        return _json(ItemList(self._state.revision, items))
+        return json_answer(ItemList(self._state.revision, items))
 
     async def _get(self, request: web.Request) -> web.StreamResponse:
         key = _key(request)
@@ -135,7 +136,7 @@
         entry = self._state.entries.get(RESOURCES + key)
         if entry is None:
             raise LeverdoorError(Code.NOT_FOUND, f"there is no {key}")
-        response = _json(self._item(entry))
+        response = json_answer(self._item(entry))
         response.headers["ETag"] = f'"{entry.revision}"'
         return response
 
@@ -145,7 +146,7 @@
 
     async def _status(self, request: web.Request) -> web.StreamResponse:
         revision = _number(request, "revision", self._state.revision)
-        return _json(Status(revision, *self._reporter.in_force(revision)))
+        return json_answer(Status(revision, *self._reporter.in_force(revision)))
 
     async def _internal_state(self, request: web.Request) -> web.StreamResponse:
         """Give a peer what it lacks."""
@@ -155,7 +156,7 @@
     async def _report(self, request: web.Request) -> web.StreamResponse:
         name = request.match_info["name"]
         if "watch" not in request.query:
-            return _json(await self._reporter.report(name))
+            return json_answer(await self._reporter.report(name))
         await self._reporter.report(name)
         return await _stream_lines(request, self._report_lines(name))
 
@@ -301,27 +302,15 @@
     return int(text)
 
 
-def _json(value: object) -> web.Response:
-    return web.Response(body=serialize_json(value), content_type="application/json")
-
-
 def _applied(result: Result[Applied, LeverdoorError]) -> web.Response:
     if isinstance(result, Failure):
         return _problem(result.failure())
-    return _json(result.unwrap())
+    return json_answer(result.unwrap())
 
 
 def _problem(e: LeverdoorError) -> web.Response:
     logger.info("api refused", code=int(e.code), detail=e.detail)
-    head = {}
-    if e.retry_after_ms:
-        head["Retry-After"] = str(-(-e.retry_after_ms // 1000))
-    return web.Response(
-        status=code_info(e.code).status,
-        body=serialize_json(e.problem()),
-        content_type="application/json",
-        headers=head,
-    )
+    return problem_answer(e)
 
 
 async def _stream_lines(
--- a/leverdoor/client.py
+++ b/leverdoor/client.py
@@ -15,6 +15,7 @@
 from leverdoor.errors import Code, ConfigError, Problem, Refusal, Run
 from leverdoor.front import LookupAnswer, LookupEntry
 from leverdoor.relay import refusal_of
+from leverdoor.sessions import new_session
 
 __all__ = ["Caller", "Reply"]
 
@@ -58,10 +59,7 @@
         self._name = name
         self._rng = rng or Random()
         self._cache: dict[str, _Cached] = {}
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
-        )
-        self._session._retry_connection = False
+        self._session = new_session()
 
     async def close(self) -> None:
         """Close all connections."""
--- /dev/null
+++ b/leverdoor/etcd.py
@@ -0,0 +1,227 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""The key-value service's real client: the JSON form of the etcd v3 API."""
+
+import base64
+from collections.abc import AsyncIterator, Sequence
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+
+from leverdoor.errors import Code, LeverdoorError, StoreUnavailable, StoreUnknown
+from leverdoor.sessions import new_session
+from leverdoor.store import (
+    WATCH_SILENCE_S,
+    Commit,
+    Entry,
+    Event,
+    Listing,
+    Store,
+    Write,
+)
+
+__all__ = ["EtcdStore", "from_base64", "key_text", "to_base64"]
+
+T = TypeVar("T")
+
+CALL_TIMEOUT_S = 2.0
+READ_BUFFER = 4_000_000
+
+
+class EtcdStore(Store):
+    """Client for the JSON form of the etcd v3 API."""
+
+    def __init__(self, urls: Sequence[str], timeout_s: float = CALL_TIMEOUT_S) -> None:
+        """Create a client.
+
+        Args:
+          urls: base URLs of the service's members, tried in turn.
+          timeout_s: longest time for one call, in seconds.
+        """
+        self._urls = [u.rstrip("/") for u in urls]
+        self._at = 0
+        self._timeout_s = timeout_s
+        self._session: aiohttp.ClientSession | None = None
+
+    def _client(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = new_session()
+        return self._session
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def read(self, prefix: str) -> Listing:
+        """Read all entries under a prefix."""
+        body = {"key": to_base64(prefix.encode()), "range_end": _range_end(prefix)}
+        try:
+            answer = await self._call("/v3/kv/range", body, _RangeAnswer)
+        except StoreUnknown as e:
+            raise StoreUnavailable(e.detail) from None
+        return Listing(answer.header.revision, [kv.entry() for kv in answer.kvs])
+
+    async def commit(self, writes: Sequence[Write]) -> Commit:
+        """Write all changes or none, if every `expect` holds."""
+        body = {
+            "compare": [_compare(w) for w in writes if w.expect is not None],
+            "success": [_operation(w) for w in writes],
+        }
+        answer = await self._call("/v3/kv/txn", body, _TxnAnswer)
+        return Commit(answer.succeeded, answer.header.revision)
+
+    async def watch(self, prefix: str, after: int) -> AsyncIterator[list[Event]]:
+        """Yield the changes after a revision."""
+        create = {
+            "key": to_base64(prefix.encode()),
+            "range_end": _range_end(prefix),
+            "start_revision": str(after + 1),
+            "progress_notify": True,
+        }
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=self._timeout_s, sock_read=WATCH_SILENCE_S
+        )
+        self.calls += 1
+        try:
+            async with self._client().post(
+                self._urls[self._at] + "/v3/watch",
+                json={"create_request": create},
+                timeout=timeout,
+                read_bufsize=READ_BUFFER,
+            ) as answer:
+                if answer.status != 200:
+                    raise StoreUnavailable(f"watch: HTTP {answer.status}")
+                async for message in _lines(answer.content):
+                    yield _events(message)
+        except (aiohttp.ClientError, OSError, TimeoutError) as e:
+            self._next()
+            raise StoreUnavailable(f"watch: {e!r}") from None
+        raise StoreUnavailable("watch: ended")
+
+    async def _call(self, path: str, body: object, kind: type[T]) -> T:
+        """Make one call, telling lost answers from calls never taken."""
+        self.calls += 1
+        timeout = aiohttp.ClientTimeout(total=self._timeout_s)
+        try:
+            async with self._client().post(
+                self._urls[self._at] + path,
+                data=msgspec.json.encode(body),
+                headers={"Content-Type": "application/json"},
+                timeout=timeout,
+            ) as answer:
+                data = await answer.read()
+        except aiohttp.ClientConnectorError as e:
+            self._next()
+            raise StoreUnavailable(f"{path}: {e}") from None
+        except (aiohttp.ClientError, OSError, TimeoutError) as e:
+            self._next()
+            raise StoreUnknown(f"{path}: {e!r}") from None
+        if answer.status == 503:
+            raise StoreUnavailable(f"{path}: HTTP 503")
+        if answer.status != 200:
+            raise StoreUnknown(f"{path}: HTTP {answer.status}")
+        return msgspec.json.decode(data, type=kind, strict=False)
+
+    def _next(self) -> None:
+        self._at = (self._at + 1) % len(self._urls)
+
+
+class _Header(msgspec.Struct):
+    revision: int = 0
+
+
+class _Kv(msgspec.Struct):
+    key: str
+    value: str = ""
+    mod_revision: int = 0
+
+    def entry(self) -> Entry:
+        return Entry(key_text(self.key), from_base64(self.value), self.mod_revision)
+
+
+class _RangeAnswer(msgspec.Struct):
+    header: _Header
+    kvs: list[_Kv] = []
+
+
+class _TxnAnswer(msgspec.Struct):
+    header: _Header
+    succeeded: bool = False
+
+
+class _WatchEvent(msgspec.Struct):
+    kv: _Kv
+    type: str = "PUT"
+
+
+class _WatchResult(msgspec.Struct):
+    header: _Header = msgspec.field(default_factory=_Header)
+    events: list[_WatchEvent] = []
+    canceled: bool = False
+    compact_revision: int = 0
+
+
+class _WatchMessage(msgspec.Struct):
+    result: _WatchResult
+
+
+async def _lines(content: aiohttp.StreamReader) -> AsyncIterator[bytes]:
+    """Yield whole lines of any length."""
+    rest = b""
+    async for chunk in content.iter_any():
+        *whole, rest = (rest + chunk).split(b"\n")
+        for line in whole:
+            if line:
+                yield line
+
+
+def _events(line: bytes) -> list[Event]:
+    result = msgspec.json.decode(line, type=_WatchMessage, strict=False).result
+    if result.canceled:
+        raise LeverdoorError(Code.COMPACTED, revision=result.compact_revision)
+    found = []
+    for e in result.events:
+        entry = e.kv.entry()
+        value = None if e.type == "DELETE" else entry.value
+        found.append(Event(entry.revision, entry.key, value))
+    return found
+
+
+def _compare(w: Write) -> dict[str, str]:
+    return {
+        "key": to_base64(w.key.encode()),
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": str(w.expect),
+    }
+
+
+def _operation(w: Write) -> dict[str, dict[str, str]]:
+    key = to_base64(w.key.encode())
+    if w.value is None:
+        return {"request_delete_range": {"key": key}}
+    return {"request_put": {"key": key, "value": to_base64(w.value)}}
+
+
+def to_base64(data: bytes) -> str:
+    """Encode a key or value for the JSON API."""
+    return base64.b64encode(data).decode()
+
+
+def from_base64(text: str) -> bytes:
+    """Decode a key or value of the JSON API."""
+    return base64.b64decode(text)
+
+
+def key_text(text: str) -> str:
+    """Decode a key of the JSON API."""
+    return from_base64(text).decode()
+
+
+def _range_end(prefix: str) -> str:
+    raw = bytearray(prefix.encode())
+    raw[-1] += 1
+    return to_base64(bytes(raw))
--- a/leverdoor/following.py
+++ b/leverdoor/following.py
@@ -14,6 +14,7 @@
 from leverdoor.codec import unpack
 from leverdoor.errors import Code, LeverdoorError, StoreUnavailable
 from leverdoor.peers import Peers
+from leverdoor.sessions import new_session
 from leverdoor.state import PREFIX, Delta, State
 from leverdoor.store import Store
 
@@ -140,8 +141,7 @@
 
     async def _fetch(self, api: str) -> Delta:
         if self._session is None:
-            timeout = aiohttp.ClientTimeout(total=PULL_TIMEOUT_S)
-            self._session = aiohttp.ClientSession(timeout=timeout)
+            self._session = new_session(PULL_TIMEOUT_S)
         url = f"http://{api}/v1/internal/state?since={self._state.revision}"
         async with self._session.get(url) as answer:
             answer.raise_for_status()
--- a/leverdoor/front.py
+++ b/leverdoor/front.py
@@ -11,9 +11,9 @@
 from loguru import logger
 
 from leverdoor import headers as h
+from leverdoor.answers import json_answer, problem_answer
 from leverdoor.burn import BurnMeter
-from leverdoor.codec import serialize_json
-from leverdoor.errors import Code, Refusal, Run, code_info
+from leverdoor.errors import Code, Refusal, Run
 from leverdoor.keyed import KeyedServer
 from leverdoor.keys import KeyRing, Outcome
 from leverdoor.metrics import GateMetrics
@@ -102,10 +102,10 @@
     async def _lookup(self, request: web.Request) -> web.StreamResponse:
         """Say which entry VMs to use."""
         if self.state is GateState.STARTING:
-            return problem_response(Refusal(Code.NOT_READY, retry_after_ms=500))
+            return problem_answer(Refusal(Code.NOT_READY, retry_after_ms=500))
         service = self._scheduler.view.services.get(request.match_info["service"])
         if service is None:
-            return problem_response(Refusal(Code.UNKNOWN_SERVICE))
+            return problem_answer(Refusal(Code.UNKNOWN_SERVICE))
         client = request.query.get("client", request.remote or "")
         home = self._scheduler.view.blocks.region(client) or self._region
         now = asyncio.get_running_loop().time()
@@ -119,9 +119,7 @@
             self._lookup_ttl_ms,
             key,
         )
-        return web.Response(
-            body=serialize_json(answer), content_type="application/json"
-        )
+        return json_answer(answer)
 
     def _entries(self, service: Service, home: str, now: float) -> list[LookupEntry]:
         """Choose entries by what they hold, the caller's region first."""
@@ -192,7 +190,7 @@
                 detail=e.detail,
             )
             self._metrics.refused(e.code)
-            return problem_response(e, request_id)
+            return problem_answer(e, request_id)
         finally:
             self.active -= 1
             if not forwarded and service_name in self._scheduler.view.services:
@@ -293,9 +291,7 @@
 
     async def _burn_series(self, request: web.Request) -> web.StreamResponse:
         series = self._burn.series(asyncio.get_running_loop().time())
-        return web.Response(
-            body=serialize_json(series), content_type="application/json"
-        )
+        return json_answer(series)
 
     async def _healthz(self, request: web.Request) -> web.StreamResponse:
         return web.Response(text="ok\n")
@@ -305,7 +301,7 @@
         if self.state is GateState.SERVING:
             return web.Response(text="ready\n")
         code = Code.LEAVING if self.state is GateState.LEAVING else Code.NOT_READY
-        return problem_response(Refusal(code, retry_after_ms=500))
+        return problem_answer(Refusal(code, retry_after_ms=500))
 
 
 async def _no_expect(request: web.Request) -> None:
@@ -361,20 +357,3 @@
     response.headers[h.CODE] = "0"
     response.headers[h.RUN] = Run.YES.value
     response.headers[h.SERVED_BY] = served_by
-
-
-def problem_response(refusal: Refusal, request_id: str = "") -> web.Response:
-    """Turn a refusal into a final answer, with when to come back."""
-    info = code_info(refusal.code)
-    head = {h.CODE: str(int(refusal.code)), h.RUN: info.run.value}
-    if request_id:
-        head[h.REQUEST_ID] = request_id
-    if refusal.retry_after_ms:
-        head["Retry-After"] = str(-(-refusal.retry_after_ms // 1000))
-        head[h.RETRY_AFTER_MS] = str(refusal.retry_after_ms)
-    return web.Response(
-        status=info.status,
-        body=serialize_json(refusal.problem()),
-        content_type="application/json",
-        headers=head,
-    )
--- a/leverdoor/operator.py
+++ b/leverdoor/operator.py
@@ -14,6 +14,7 @@
 from leverdoor.errors import Code, LeverdoorError, Problem, StoreUnknown
 from leverdoor.reports import Report
 from leverdoor.resources import Resource
+from leverdoor.sessions import new_session
 
 __all__ = ["Operator"]
 
@@ -32,10 +33,7 @@
           agents: API addresses, tried in turn.
         """
         self._agents = list(agents)
-        self._session = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
-        )
-        self._session._retry_connection = False
+        self._session = new_session(CALL_TIMEOUT_S)
 
     async def close(self) -> None:
         """Close all connections."""
--- a/leverdoor/relay.py
+++ b/leverdoor/relay.py
@@ -12,11 +12,11 @@
 
 from leverdoor import headers as h
 from leverdoor.errors import Code, Problem, Refusal, Run
+from leverdoor.sessions import new_session
 
 __all__ = ["Answer", "Body", "Hop", "HopClient"]
 
 CONNECT_TIMEOUT_S = 1.0
-IDLE_CONNECTION_S = 15.0
 BUFFERED_ANSWER = 256 * 1024
 RELAY_GRACE_S = 0.1
 """A gate that refuses at the deadline is still heard, since it knows more."""
@@ -147,8 +147,8 @@
 
     def __init__(self) -> None:
         """Create the client; must be called on the loop."""
-        self._kept = _session(force_close=False)
-        self._fresh = _session(force_close=True)
+        self._kept = new_session()
+        self._fresh = new_session(keep_connections=False)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -199,23 +199,6 @@
         return answer
 
 
-def _session(force_close: bool) -> aiohttp.ClientSession:
-    if force_close:
-        connector = aiohttp.TCPConnector(limit=0, force_close=True)
-    else:
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_S)
-    session = aiohttp.ClientSession(
-        connector=connector,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        auto_decompress=False,
-        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
-    )
-    # aiohttp repeats GET, PUT and DELETE by itself when a kept connection
-    # breaks; a second run must never happen unseen.
-    session._retry_connection = False
-    return session
-
-
 def refusal_of(problem: Problem) -> Refusal:
     """Turn a problem that a gate sent back into the error it was."""
     try:
--- a/leverdoor/reports.py
+++ b/leverdoor/reports.py
@@ -11,6 +11,7 @@
 from leverdoor.errors import Code, LeverdoorError
 from leverdoor.ownership import cap_row
 from leverdoor.peers import Peer, Peers
+from leverdoor.sessions import new_session
 from leverdoor.view import ViewCache
 
 __all__ = ["REPORTS", "Report", "Reporter"]
@@ -187,8 +188,7 @@
 
     async def _series(self, relay: str) -> list[Series] | None:
         if self._session is None:
-            timeout = aiohttp.ClientTimeout(total=FETCH_TIMEOUT_S)
-            self._session = aiohttp.ClientSession(timeout=timeout)
+            self._session = new_session(FETCH_TIMEOUT_S)
         try:
             async with self._session.get(f"http://{relay}/v1/burn") as answer:
                 return msgspec.json.decode(await answer.read(), type=list[Series])
--- a/leverdoor/vmlist.py
+++ b/leverdoor/vmlist.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from leverdoor.errors import Code, ConfigError, LeverdoorError
+from leverdoor.sessions import new_session
 
 __all__ = ["Departures", "HttpVmList", "MemoryVmList", "Vm", "VmList", "VmState"]
 
@@ -70,8 +71,7 @@
     async def fetch(self) -> list[Vm]:
         """Read the list."""
         if self._session is None:
-            timeout = aiohttp.ClientTimeout(total=FETCH_TIMEOUT_S)
-            self._session = aiohttp.ClientSession(timeout=timeout)
+            self._session = new_session(FETCH_TIMEOUT_S)
         try:
             async with self._session.get(self._url) as answer:
                 answer.raise_for_status()
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -13,9 +13,16 @@
 from leverdoor.client import Caller
 from leverdoor.gate import Gate
 from leverdoor.operator import Operator
-from leverdoor.resources import Resource
+from leverdoor.resources import (
+    Region,
+    Resource,
+    Service,
+    ShiftCap,
+    Tier,
+    Work,
+)
 from leverdoor.settings import AgentSettings, GateSettings, parse_address
-from leverdoor.standins.deployments import Deployment, EntryVm
+from leverdoor.standins.deployments import Deployment, EntryVm, TargetPlan
 from leverdoor.standins.forwarder import Forwarder
 from leverdoor.standins.kv import KvStandin
 from leverdoor.standins.site import HOST, free_ports
@@ -26,6 +33,48 @@
 TIMEOUT_S = 20.0
 
 
+LOOKUP = Service(name="look", work=Work.LOOKUP, deadline_ms=2000, linger_ms=50)
+ONCE = Service(
+    name="once",
+    work=Work.ONCE,
+    deadline_ms=2000,
+    linger_ms=50,
+    bulk_prefixes=["bulk/"],
+)
+CAP = ShiftCap(name="c", service="look", region="r1", units=3, window_ms=400)
+
+
+def deployment(vms: int = 2, regions: int = 1, targets: int = 2) -> Deployment:
+    entry_vms, plans = [], []
+    resources: list[Resource] = [LOOKUP, ONCE, Tier(name="t", default=True)]
+    for r in range(regions):
+        others = {f"r{o}": 1 for o in range(regions) if o != r}
+        resources.append(
+            Region(name=f"r{r}", domains=[f"r{r}-0", f"r{r}-1"], latency_ms=others)
+        )
+        for i in range(vms):
+            entry_vms.append(EntryVm(f"vm{r}{i}", f"r{r}", f"r{r}-{i % 2}"))
+        for service in ("look", "once"):
+            for i in range(targets):
+                name = f"{service}-{r}{i}"
+                plans.append(TargetPlan(name, service, f"r{r}", f"r{r}-{i % 2}", 2))
+    if regions > 1:
+        resources.append(CAP)
+    return Deployment(entry_vms, plans, resources)
+
+
+def runs(bench: "Bench", service: str) -> list[str]:
+    """Request ids that targets of a service ran, in order of arrival."""
+    found = [
+        a
+        for name, t in bench.targets.items()
+        if name.startswith(service)
+        for a in t.log.arrivals
+        if a.ran
+    ]
+    return [a.request_id for a in sorted(found, key=lambda a: a.at)]
+
+
 async def until(true: Callable[[], bool], timeout_s: float = TIMEOUT_S) -> None:
     """Wait until something is so."""
     async with asyncio.timeout(timeout_s):
