Leaving and stopping shown to fail without their mechanisms; loops start again

Change: both tests; a loop that fails is logged and starts again after 1 s; a caller that leaves is seen to cancel its look-up at the target.

--- a/leverdoor/agent.py
+++ b/leverdoor/agent.py
@@ -13,6 +13,7 @@
 
 from leverdoor.api import Api
 from leverdoor.configuration import Configuration
+from leverdoor.daemon import keep_running
 from leverdoor.errors import LeverdoorError
 from leverdoor.etcd import EtcdStore
 from leverdoor.following import PeerFollower, StoreFollower, elected
@@ -73,15 +74,15 @@
         site = web.TCPSite(runner, s.api.host, s.api.port, reuse_port=False)
         await site.start()
         logger.info("agent up", api=str(s.api))
-        jobs = (
-            self._gossip_loop(),
-            self._receive_reports(),
-            self._follower.run(),
-            self._planner.run(),
-            self._list_loop(),
-            self._probe_loop(),
+        loops = (
+            self._gossip_loop,
+            self._receive_reports,
+            self._follower.run,
+            self._planner.run,
+            self._list_loop,
+            self._probe_loop,
         )
-        tasks = [asyncio.create_task(j) for j in jobs]
+        tasks = [asyncio.create_task(keep_running(w.__qualname__, w)) for w in loops]
         try:
             await self._stop.wait()
         finally:
--- a/leverdoor/daemon.py
+++ b/leverdoor/daemon.py
@@ -4,13 +4,17 @@
 
 import asyncio
 import signal
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 from aiohttp import web
+from loguru import logger
 
 from leverdoor.settings import Address
 
-__all__ = ["Daemon", "run_daemon", "serve_apps"]
+__all__ = ["Daemon", "keep_running", "run_daemon", "serve_apps"]
+
+RESTART_S = 1.0
 
 
 class Daemon(Protocol):
@@ -28,6 +32,21 @@
     asyncio.run(_run(daemon))
 
 
+async def keep_running(name: str, work: Callable[[], Awaitable[None]]) -> None:
+    """Run a daemon's loop, and again after a fault, which must not end the rest.
+
+    Args:
+      name: what to call it in the log.
+      work: starts the loop.
+    """
+    while True:
+        try:
+            return await work()
+        except Exception as e:
+            logger.exception("loop failed, starts again", loop=name, error=repr(e))
+            await asyncio.sleep(RESTART_S)
+
+
 async def _run(daemon: Daemon) -> None:
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/leverdoor/gate.py
+++ b/leverdoor/gate.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from leverdoor.burn import BurnMeter
+from leverdoor.daemon import keep_running
 from leverdoor.dispatch import Dispatcher
 from leverdoor.front import MAX_HEADER_BYTES, Front
 from leverdoor.holdings import Holdings
@@ -56,10 +57,8 @@
         await self._listen(self._front.relay_app(), s.relay)
         await self._listen(self._front.caller_app(), s.listen)
         logger.info("gate up", listen=str(s.listen), relay=str(s.relay))
-        tasks = [
-            asyncio.create_task(t)
-            for t in (self._dispatcher.run(), self._report(), self._receive())
-        ]
+        loops = (self._dispatcher.run, self._report, self._receive)
+        tasks = [asyncio.create_task(keep_running(w.__qualname__, w)) for w in loops]
         try:
             await self._stop.wait()
             await self._leave()
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -13,7 +13,9 @@
 from leverdoor import headers as h
 from leverdoor.client import Reply
 from leverdoor.errors import Code, Refusal, Run
+from leverdoor.gate import Gate
 from leverdoor.operator import Operator
+from leverdoor.pool import TargetPool
 from leverdoor.probing import PROBE_PATH
 from leverdoor.resources import (
     Drain,
@@ -305,19 +307,40 @@
     assert reply.status == 200
 
 
-async def test_a_planned_stop_of_a_gate_cuts_nothing(bench: Bench) -> None:
+async def test_without_leaving_out_drained_targets_new_work_reaches_them(
+    bench: Bench, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(TargetPool, "in_service", lambda pool, target: True)
+    with pytest.raises(AssertionError):
+        await test_a_drained_target_gets_nothing_new(bench)
+
+
+async def test_a_caller_that_leaves_cancels_its_look_up(
+    bench: Bench, session: aiohttp.ClientSession
+) -> None:
+    """The targets would run for minutes if they were not told."""
+    for target in bench.targets.values():
+        target.faults.fixed, target.faults.mean_ms = True, 300_000.0
+    url = f"http://{bench.listen()}/s/look/x"
+    timeout = aiohttp.ClientTimeout(total=0.2)
+    with pytest.raises(TimeoutError):
+        await session.get(url, timeout=timeout)
+    assert any(t.log.arrivals for t in bench.targets.values())
+    await until(lambda: not any(t._in_flight for t in bench.targets.values()))
+
+
+async def _upload_across_a_stop(bench: Bench) -> None:
+    """Stop a gate while an upload passes through it, and lose an agent too."""
+
     async def slow() -> AsyncIterator[bytes]:
         for _ in range(20):
             yield b"x" * 50_000
             await asyncio.sleep(0.05)
 
-    async with calling(bench.listen("vm00")) as caller:
-        await caller.lookup("once")
-        caller._cache["once"].answer.entries[:] = [
-            e
-            for e in caller._cache["once"].answer.entries
-            if e.address == bench.listen("vm00")
-        ]
+    vm = bench.listen("vm00")
+    async with calling(vm) as caller:
+        entries = (await caller.lookup("once")).entries
+        entries[:] = [e for e in entries if e.address == vm]
         upload = asyncio.create_task(caller.upload("once", "bulk/x", slow(), 1_000_000))
         await asyncio.sleep(0.2)
         bench.gates["vm00"].stop()
@@ -328,6 +351,21 @@
     assert json.loads(reply.body)["bytes"] == 1_000_000
 
 
+async def test_a_planned_stop_of_a_gate_cuts_nothing(bench: Bench) -> None:
+    await _upload_across_a_stop(bench)
+
+
+async def test_without_waiting_a_planned_stop_cuts_an_upload(
+    bench: Bench, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def at_once(gate: Gate) -> None:
+        return None
+
+    monkeypatch.setattr(Gate, "_leave", at_once)
+    with pytest.raises(Refusal):
+        await _upload_across_a_stop(bench)
+
+
 # Shifts.
 
 
