A leaving gate keeps its addresses until its last work has ended

Cause: a gate that leaves closed its listening sockets while uploads were still in flight. A new gate could then bind the address, which the ownership table takes as proof that the old one is dead, and its units were granted while its work still ran: a target could go past its slots after a planned stop. Found by reading the argument against the code. Ruled out: a port of its own as a fence; the addresses themselves do. Change: the addresses stay bound; after the grace time new requests are refused with LEAVING, not run, come back elsewhere. Before: a second listener could bind the address during the stop (the test was red); after: it cannot, and the upload ends whole. Also: configuration with an agent frozen for 4 s and with a region dead, and the long upload with the store down and its gate frozen for 2 s.

--- a/leverdoor/front.py
+++ b/leverdoor/front.py
@@ -21,7 +21,7 @@
 from leverdoor.queueing import Job
 from leverdoor.relay import Body
 from leverdoor.resources import Service, Tier, Work
-from leverdoor.scheduler import Scheduler
+from leverdoor.scheduler import MIN_RETRY_MS, Scheduler
 from leverdoor.serving import Inbound, Served, Server, finishing
 
 __all__ = ["Front", "LookupAnswer", "LookupEntry"]
@@ -67,6 +67,7 @@
         self.state = GateState.STARTING
         self.address = ""
         self.active = 0
+        self.closed = False
         self._region = region
         self._lookup_ttl_ms = lookup_ttl_ms
         self._scheduler = scheduler
@@ -220,6 +221,8 @@
         """Read what a request says of itself."""
         if self.state is GateState.STARTING:
             raise Refusal(Code.NOT_READY, retry_after_ms=500)
+        if self.closed:
+            raise Refusal(Code.LEAVING, retry_after_ms=MIN_RETRY_MS)
         service = self._scheduler.view.services.get(request.match_info["service"])
         if service is None:
             raise Refusal(Code.UNKNOWN_SERVICE)
--- a/leverdoor/gate.py
+++ b/leverdoor/gate.py
@@ -3,7 +3,6 @@
 """The gate daemon: the data path of one entry VM."""
 
 import asyncio
-import contextlib
 import secrets
 import time
 from random import Random
@@ -200,15 +199,16 @@
     # Leaving.
 
     async def _leave(self) -> None:
-        """Stop being named, serve cached answers for a while, finish, end."""
+        """Stop being named, serve cached answers for a while, finish, end.
+
+        The addresses stay bound to the end: that another process can bind
+        them is taken as proof that this one has nothing in flight.
+        """
         s = self._settings
         self._front.state = GateState.LEAVING
         logger.info("gate leaving", active=self._front.active)
         await asyncio.sleep(s.lookup_ttl_ms / 1000 + s.leave_grace_s)
-        for runner in self._runners:
-            for site in list(runner.sites):
-                await site.stop()
+        self._front.closed = True
         while self._front.active or self._keyed.running:
-            with contextlib.suppress(asyncio.CancelledError):
-                await asyncio.sleep(STOP_POLL_S)
+            await asyncio.sleep(STOP_POLL_S)
         logger.info("gate drained")
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -329,7 +329,7 @@
     await until(lambda: not any(t._in_flight for t in bench.targets.values()))
 
 
-async def _upload_across_a_stop(bench: Bench) -> None:
+async def _upload_across_a_stop(bench: Bench, leaving: bool = True) -> None:
     """Stop a gate while an upload passes through it, and lose an agent too."""
 
     async def slow() -> AsyncIterator[bytes]:
@@ -346,11 +346,24 @@
         bench.gates["vm00"].stop()
         await asyncio.sleep(0.1)
         await bench.end("agent-vm01")
+        if leaving:
+            await asyncio.sleep(0.5)
+            await _still_bound_but_closed(vm)
         reply = await upload
         await bench.stopped("gate-vm00")
     assert json.loads(reply.body)["bytes"] == 1_000_000
 
 
+async def _still_bound_but_closed(address: str) -> None:
+    """A bound address proves that the process before has ended."""
+    host, port = address.split(":")
+    with pytest.raises(OSError):
+        await asyncio.start_server(lambda r, w: None, host, int(port))
+    url = f"http://{address}/s/look/x"
+    async with aiohttp.ClientSession() as session, session.get(url) as answer:
+        assert answer.headers[h.CODE] == str(int(Code.LEAVING))
+
+
 async def test_a_planned_stop_of_a_gate_cuts_nothing(bench: Bench) -> None:
     await _upload_across_a_stop(bench)
 
@@ -363,7 +376,7 @@
 
     monkeypatch.setattr(Gate, "_leave", at_once)
     with pytest.raises(Refusal):
-        await _upload_across_a_stop(bench)
+        await _upload_across_a_stop(bench, leaving=False)
 
 
 # Shifts.
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -33,6 +33,7 @@
 SECONDS = 8.0
 WINDOW_S = 1.0
 CAP_UNITS = 40
+DOWN = {"down": True}
 
 
 @pytest.fixture
@@ -263,6 +264,39 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize("fault", ["frozen", "region dead"])
+def test_configuration_reaches_all_that_live(site: Site, fault: str) -> None:
+    """One agent is frozen longer than any time-out, or a region is dead."""
+    d = site.deployment
+    struck = d.vms[:1]
+    if fault == "region dead":
+        struck = [v for v in d.vms if v.region == d.vms[0].region]
+
+    async def play() -> None:
+        operator = Operator([site.api[v.vm] for v in d.vms if v not in struck])
+        for v in struck:
+            if fault == "frozen":
+                site.signal(f"agent-{v.vm}", signal.SIGSTOP)
+            else:
+                site.kill(f"agent-{v.vm}")
+                site.kill(f"gate-{v.vm}")
+        await asyncio.sleep(4.0)
+        done = await operator.apply([Tier(name="counter", weight=77)])
+        for v in d.vms:
+            if v not in struck:
+                await in_force(site, v.vm, done.revision)
+        for v in struck:
+            if fault == "frozen":
+                site.signal(f"agent-{v.vm}", signal.SIGCONT)
+            else:
+                site.start_agent(v)
+                site.start_gate(v)
+            await in_force(site, v.vm, done.revision)
+        await operator.close()
+
+    asyncio.run(play())
+
+
 async def in_force(site: Site, vm: str, revision: int) -> None:
     """Wait until an agent has a revision, and see that it is the right one."""
     operator = Operator([site.api[vm]])
@@ -270,9 +304,11 @@
         while True:
             try:
                 item = json.loads(await operator.get_one("tier/counter"))
-                break
+                if item["revision"] >= revision:
+                    break
             except LeverdoorError:
-                await asyncio.sleep(0.1)
+                pass
+            await asyncio.sleep(0.1)
     assert item["revision"] == revision
     assert item["resource"]["weight"] == 77
     await operator.close()
@@ -303,6 +339,10 @@
             await drain_where_it_runs(site)
             for other in site.deployment.vms[1:]:
                 site.signal(f"gate-{other.vm}", signal.SIGTERM)
+            await asyncio.to_thread(site.post, site.kv, "/standin/faults", DOWN)
+            site.signal(f"gate-{vm.vm}", signal.SIGSTOP)
+            await asyncio.sleep(2)
+            site.signal(f"gate-{vm.vm}", signal.SIGCONT)
             reply = await upload
         assert json.loads(reply.body)["bytes"] == length
 
