--- a/leverdoor/agent.py
+++ b/leverdoor/agent.py
@@ -20,7 +20,7 @@
 from leverdoor.gossip import GossipSocket
 from leverdoor.link import AgentLink, GateReport, Hints
 from leverdoor.metrics import AgentMetrics
-from leverdoor.peers import Beat, GateState, Gossip, Peers
+from leverdoor.peers import Beat, Gossip, Peers
 from leverdoor.planning import Planner
 from leverdoor.probing import Prober
 from leverdoor.reports import Reporter
@@ -316,8 +316,3 @@
         ]
         later = [i for i in same if i > report.incarnation]
         return max(later, default=0)
-
-    @property
-    def gate_state(self) -> GateState:
-        """Where this VM's gate is in its life, as far as is known."""
-        return self._report.state if self._report else GateState.NONE
--- a/leverdoor/errors.py
+++ b/leverdoor/errors.py
@@ -61,12 +61,10 @@
     ISSUER_GONE = 3102
     DEADLINE_PASSED = 3103
     STILL_RUNNING = 3104
-    CALLER_GONE = 3105
     ISSUER_UNREACHABLE = 3106
     KEY_EXPIRED = 3107
     ALREADY_RAN = 3201
     BAD_SETTING = 4001
-    STEP_FAILED = 4002
 
 
 class CodeInfo(msgspec.Struct, frozen=True):
@@ -147,9 +145,6 @@
     Code.STILL_RUNNING: CodeInfo(
         409, Run.MAYBE, 53, "A request with this key is running; ask again as told."
     ),
-    Code.CALLER_GONE: CodeInfo(
-        499, Run.MAYBE, 54, "The caller went away before the answer."
-    ),
     Code.ISSUER_UNREACHABLE: CodeInfo(
         503, Run.MAYBE, 56, "The process that issued the key cannot be reached now."
     ),
@@ -160,7 +155,6 @@
         200, Run.YES, 55, "It ran once; the answer's body was too large to keep."
     ),
     Code.BAD_SETTING: CodeInfo(500, Run.NO, 2, "A setting is missing or wrong."),
-    Code.STEP_FAILED: CodeInfo(500, Run.NO, 3, "A step of a run or load failed."),
 }
 
 
--- a/leverdoor/gate.py
+++ b/leverdoor/gate.py
@@ -83,7 +83,7 @@
         )
         self._dispatcher = Dispatcher(self._scheduler)
         self._client = HopClient()
-        self._server = Server(self._dispatcher, self._client, s.vm)
+        self._server = Server(self._dispatcher, self._client)
         self._ring = KeyRing(
             s.vm, s.relay_address, self._incarnation, secrets.token_bytes(32), now
         )
--- a/leverdoor/operator.py
+++ b/leverdoor/operator.py
@@ -107,10 +107,6 @@
         data = await self._call("GET", f"/v1/reports/{name}")
         return msgspec.json.decode(data, type=Report)
 
-    async def report_json(self, name: str) -> bytes:
-        """Read a report as JSON."""
-        return await self._call("GET", f"/v1/reports/{name}")
-
     async def watch(
         self, kind: str = "", since: int | None = None
     ) -> AsyncIterator[Change]:
--- a/leverdoor/serving.py
+++ b/leverdoor/serving.py
@@ -136,17 +136,15 @@
 class Server:
     """Serves requests of one gate."""
 
-    def __init__(self, dispatcher: Dispatcher, client: HopClient, me: str) -> None:
+    def __init__(self, dispatcher: Dispatcher, client: HopClient) -> None:
         """Create it.
 
         Args:
           dispatcher: where requests are placed.
           client: how they are sent on.
-          me: this VM, for the logs.
         """
         self._dispatcher = dispatcher
         self._client = client
-        self._me = me
         self._budget = RetryBudget()
 
     async def serve(self, inbound: Inbound) -> Served:
