--- a/leverdoor/scheduler.py
+++ b/leverdoor/scheduler.py
@@ -2,7 +2,6 @@
 # SPDX-License-Identifier: Apache-2.0
 """Where and when each request goes: the decisions of one gate, without I/O."""
 
-import math
 from random import Random
 from typing import TypeAlias
 
@@ -15,8 +14,8 @@
 from leverdoor.peers import Beat, Load
 from leverdoor.pool import TargetPool
 from leverdoor.queueing import Job, WaitQueue
-from leverdoor.ramp import Ramp
 from leverdoor.resources import Service, Target, Work
+from leverdoor.shifts import ShiftLimiter, rate_out
 from leverdoor.targets import ASSUMED_MS, TargetBook
 from leverdoor.view import View
 
@@ -74,12 +73,12 @@
         self.holdings = holdings
         self.pool = TargetPool(region, holdings, view)
         self.neighbours = Neighbours(vm, self.vm_leaving, rng)
+        self._shifts = ShiftLimiter(region, holdings)
         self._rng = rng
         self._queues: dict[str, WaitQueue] = {}
         self._in_use: dict[str, dict[str, int]] = {}
         self._bulk_in_use: dict[str, int] = {}
         self._mean_ms: dict[str, float] = {}
-        self._ramps: dict[str, Ramp] = {}
 
     # What is known.
 
@@ -118,11 +117,7 @@
 
     def caps(self, now: float) -> dict[str, int]:
         """Return this gate's free units of each shift cap into its region."""
-        return {
-            row: max(self.holdings.free(row, now), 0)
-            for row in self.holdings.rows
-            if row.startswith("c:")
-        }
+        return self._shifts.free(now)
 
     def _people(self, service: str) -> int:
         """Count what waits here, bulk work left out."""
@@ -254,9 +249,7 @@
         """
         self.holdings.release(made.slot, now, cool_s)
         if made.cap:
-            cap = self.view.caps.get((job.service, self.region))
-            window_s = cap.window_ms / 1000 if cap else 0.0
-            self.holdings.release(made.cap, now, window_s + cool_s)
+            self._shifts.give_back(self.view, job.service, made.cap, now, cool_s)
         self.targets.of(made.target, now).in_flight -= 1
         self._in_use[job.service][job.tier.name] -= 1
         if job.bulk:
@@ -276,22 +269,11 @@
         held = self.pool.slots_in_service(job.service) + others.held
         mean = self._mean_ms.get(job.service, ASSUMED_MS)
         if not held:
-            return 1000 * (ahead + 1) / self._shifts_per_s(job, mean, others.gates)
+            rate = rate_out(self.view, job.service, job.home, mean)
+            return 1000 * (ahead + 1) * (1 + others.gates) / rate
         waiting = ahead + share * others.waiting
         return self.pool.pause_ms(job.service, now) + (waiting + 1) * mean / held
 
-    def _shifts_per_s(self, job: Job, mean_ms: float, others: int) -> float:
-        """This gate's share of what the shift caps let out of its region."""
-        total = 0.0
-        for region in self.view.regions:
-            if region == job.home or (job.service, region) not in self.view.by_place:
-                continue
-            cap = self.view.caps.get((job.service, region))
-            if cap is None:
-                return math.inf
-            total += 1000 * cap.units / (cap.window_ms + mean_ms)
-        return total / (1 + others) or math.inf
-
     # How it is decided.
 
     def _place(self, job: Job, service: Service, now: float) -> Decision | None:
@@ -347,11 +329,11 @@
         best = self.pool.best(job.service, job.tried, self._rng, now)
         if best is None:
             return None
-        cap = ""
-        if job.home != self.region and (job.service, self.region) in self.view.caps:
-            cap = cap_row(job.service, self.region)
-            if not self._take_cap(job, cap, now):
-                return None
+        cap: str | None = ""
+        if job.home != self.region:
+            cap = self._shifts.take(self.view, job.service, now)
+        if cap is None:
+            return None
         slot = slot_row(best.address)
         self.holdings.acquire(slot, now)
         self.targets.of(best, now).in_flight += 1
@@ -362,19 +344,6 @@
             self._bulk_in_use[job.service] = used + 1
         return Dispatch(best, slot, cap)
 
-    def _take_cap(self, job: Job, row: str, now: float) -> bool:
-        cap = self.view.caps[(job.service, self.region)]
-        ramp = self._ramps.get(row)
-        if ramp is None:
-            start = cap.ramp_percent / 100
-            ramp = self._ramps[row] = Ramp(start, cap.window_ms / 1000, now)
-        held = self.holdings.held(row)
-        used = held - self.holdings.free(row, now)
-        if used >= ramp.allowed(held, now) or not self.holdings.acquire(row, now):
-            return False
-        ramp.use()
-        return True
-
     def _bulk_room(self, service: Service, now: float) -> bool:
         """Bulk work takes a share of the slots, and none while people wait."""
         held = self.pool.slots(service.name, now)
--- /dev/null
+++ b/leverdoor/shifts.py
@@ -0,0 +1,85 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Shift caps as one gate keeps them: units for foreign work, within a ramp."""
+
+import math
+
+from leverdoor.holdings import Holdings
+from leverdoor.ownership import cap_row
+from leverdoor.ramp import Ramp
+from leverdoor.view import View
+
+__all__ = ["ShiftLimiter", "rate_out"]
+
+
+class ShiftLimiter:
+    """Takes and gives back cap units of work from other regions."""
+
+    def __init__(self, region: str, holdings: Holdings) -> None:
+        """Create it.
+
+        Args:
+          region: this gate's region, into which the work is shifted.
+          holdings: the units of this process.
+        """
+        self._region = region
+        self._holdings = holdings
+        self._ramps: dict[str, Ramp] = {}
+
+    def take(self, view: View, service: str, now: float) -> str | None:
+        """Take a unit for one foreign request.
+
+        Returns: the row that it is of, "" if no cap binds the service here, or
+          None if there is no unit.
+        """
+        cap = view.caps.get((service, self._region))
+        if cap is None:
+            return ""
+        row = cap_row(service, self._region)
+        ramp = self._ramps.get(row)
+        if ramp is None:
+            start = cap.ramp_percent / 100
+            ramp = self._ramps[row] = Ramp(start, cap.window_ms / 1000, now)
+        held = self._holdings.held(row)
+        used = held - self._holdings.free(row, now)
+        if used >= ramp.allowed(held, now) or not self._holdings.acquire(row, now):
+            return None
+        ramp.use()
+        return row
+
+    def give_back(
+        self, view: View, service: str, row: str, now: float, cool_s: float
+    ) -> None:
+        """Give a unit back, which counts for a window more.
+
+        Args:
+          view: the configuration in force.
+          service: the service of the request.
+          row: what `take` returned.
+          now: monotonic time in seconds.
+          cool_s: how long the target may go on with the request besides.
+        """
+        cap = view.caps.get((service, self._region))
+        window_s = cap.window_ms / 1000 if cap else 0.0
+        self._holdings.release(row, now, window_s + cool_s)
+
+    def free(self, now: float) -> dict[str, int]:
+        """Return the free units of each cap into this region, by row."""
+        return {
+            row: max(self._holdings.free(row, now), 0)
+            for row in self._holdings.rows
+            if row.startswith("c:")
+        }
+
+
+def rate_out(view: View, service: str, home: str, mean_ms: float) -> float:
+    """Return how many requests a second the caps let out of a region."""
+    total = 0.0
+    for region in view.regions:
+        if region == home or (service, region) not in view.by_place:
+            continue
+        cap = view.caps.get((service, region))
+        if cap is None:
+            return math.inf
+        total += 1000 * cap.units / (cap.window_ms + mean_ms)
+    return total or math.inf
