A request can be followed through every hop in the logs

Cause: only refusals and repeats wrote a request's id; an answered request left no line. Answers are written at DEBUG, with the target that served them.

--- a/leverdoor/front.py
+++ b/leverdoor/front.py
@@ -180,6 +180,14 @@
             )
             response = await self._answer(request, inbound, forwarded)
             answered = response.status < 500
+            logger.debug(
+                "answered",
+                request_id=request_id,
+                service=service_name,
+                status=response.status,
+                forwarded=forwarded,
+                served_by=response.headers.get(h.SERVED_BY, ""),
+            )
             return response
         except Refusal as e:
             log = logger.info if e.run is Run.NO else logger.warning
