--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -17,6 +17,7 @@
 from leverdoor.operator import Operator
 from leverdoor.pool import TargetPool
 from leverdoor.probing import PROBE_PATH
+from leverdoor.relay import Answer
 from leverdoor.resources import (
     Drain,
     Target,
@@ -56,9 +57,9 @@
             await answer.read()
 
 
-async def test_an_answer_without_an_end_is_an_error(
-    bench: Bench, session: aiohttp.ClientSession
-) -> None:
+async def _serve_without_an_end(bench: Bench) -> asyncio.Server:
+    """Leave a service one target, whose answers end when it closes."""
+
     async def endless(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -72,12 +73,29 @@
     server = await asyncio.start_server(endless, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
     await _move_targets(bench, "look", f"127.0.0.1:{port}")
+    return server
+
+
+async def test_an_answer_without_an_end_is_an_error(
+    bench: Bench, session: aiohttp.ClientSession
+) -> None:
+    server = await _serve_without_an_end(bench)
     async with session.get(f"http://{bench.listen()}/s/look/x") as answer:
         assert answer.status == 502
         assert answer.headers[h.RUN] == Run.MAYBE
     server.close()
 
 
+async def test_without_the_check_of_its_end_a_cut_answer_looks_whole(
+    bench: Bench, session: aiohttp.ClientSession, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(Answer, "delimited", True)
+    server = await _serve_without_an_end(bench)
+    async with session.get(f"http://{bench.listen()}/s/look/x") as answer:
+        assert (answer.status, await answer.read()) == (200, b"part")
+    server.close()
+
+
 async def _move_targets(bench: Bench, service: str, address: str) -> None:
     """Leave a service one target, at an address."""
     operator = Operator([bench.api("vm00")])
