--- a/leverdoor/terminal.py
+++ b/leverdoor/terminal.py
@@ -18,6 +18,8 @@
 __all__ = ["api_option", "output_option", "run", "show"]
 
 DEFAULT_API = "127.0.0.1:7400"
+TAG = "type"
+"""Field that tells lines of a report apart in JSON; a table needs none."""
 
 api_option = click.option(
     "--api",
@@ -71,7 +73,7 @@
     if not rows:
         click.echo("(none)")
         return
-    names = list(rows[0])
+    names = [n for n in rows[0] if n != TAG]
     cells = [names] + [[_cell(row.get(n)) for n in names] for row in rows]
     widths = [max(len(line[i]) for line in cells) for i in range(len(names))]
     for line in cells:
