--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,172 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Targets, VMs and gates that leave, over real sockets on one loop."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+
+import aiohttp
+import pytest
+
+from bench import Bench, calling, until
+from leverdoor import headers as h
+from leverdoor.client import Reply
+from leverdoor.errors import Code, Refusal
+from leverdoor.gate import Gate
+from leverdoor.operator import Operator
+from leverdoor.pool import TargetPool
+from leverdoor.resources import (
+    Drain,
+    Target,
+)
+from leverdoor.vmlist import Vm, VmState
+
+
+async def test_a_drained_target_gets_nothing_new(bench: Bench) -> None:
+    operator = Operator([bench.api("vm01")])
+    done = await operator.apply([Drain(name="d", target="look-00")])
+    await operator.wait(done.revision, 2, 5)
+    await operator.close()
+    await _gets_nothing_new(bench, "look-00")
+
+
+async def _gets_nothing_new(bench: Bench, name: str) -> None:
+    before = len(bench.targets[name].log.arrivals)
+    async with calling(bench.listen(), bench.listen("vm01")) as caller:
+        asked = [caller.request("look", "x") for _ in range(50)]
+        replies = await asyncio.gather(*asked, return_exceptions=True)
+    assert any(isinstance(r, Reply) for r in replies)
+    assert len(bench.targets[name].log.arrivals) == before
+
+
+@pytest.mark.parametrize("store_down", [False, True])
+async def test_a_target_that_says_it_leaves_gets_nothing_new(
+    bench: Bench, store_down: bool
+) -> None:
+    bench.kv.store.down = store_down
+    bench.kv.store.wake()
+    bench.targets["look-00"].faults.leaving = True
+    address = str(bench.targets["look-00"].address)
+    await until(
+        lambda: all(
+            g._scheduler.targets._health[address].leaving
+            for g in bench.gates.values()
+            if g._holdings.held(f"t:{address}")
+            and address in g._scheduler.targets._health
+        )
+    )
+    await _gets_nothing_new(bench, "look-00")
+
+
+@pytest.mark.parametrize("store_down", [False, True])
+async def test_a_target_on_a_vm_that_leaves_gets_nothing_new(
+    bench: Bench, store_down: bool
+) -> None:
+    operator = Operator([bench.api("vm00")])
+    target = Target(
+        name="look-00",
+        service="look",
+        region="r0",
+        domain="r0-0",
+        address=str(bench.targets["look-00"].address),
+        slots=2,
+        vm="host",
+    )
+    done = await operator.apply([target])
+    await operator.wait(done.revision, 2, 5)
+    await operator.close()
+    bench.kv.store.down = store_down
+    bench.kv.store.wake()
+    bench.vms._shown = [Vm("vm00"), Vm("vm01"), Vm("host", VmState.LEAVING)]
+    await until(
+        lambda: all(
+            "host" in g._scheduler.pool.leaving_vms for g in bench.gates.values()
+        )
+    )
+    await _gets_nothing_new(bench, "look-00")
+
+
+async def test_a_vm_that_leaves_by_the_list_is_not_named(bench: Bench) -> None:
+    bench.vms._shown = [Vm("vm00", VmState.LEAVING), Vm("vm01")]
+    named = {bench.listen("vm00")}
+    async with calling(bench.listen("vm01")) as caller:
+        async with asyncio.timeout(10):
+            while bench.listen("vm00") in named:
+                answer = await caller.lookup("look", fresh=True)
+                named = {e.address for e in answer.entries}
+        reply = await caller.request("look", "x")
+    assert named == {bench.listen("vm01")}
+    assert reply.status == 200
+
+
+async def test_without_leaving_out_drained_targets_new_work_reaches_them(
+    bench: Bench, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(TargetPool, "in_service", lambda pool, target: True)
+    with pytest.raises(AssertionError):
+        await test_a_drained_target_gets_nothing_new(bench)
+
+
+async def test_a_caller_that_leaves_cancels_its_look_up(
+    bench: Bench, session: aiohttp.ClientSession
+) -> None:
+    """The targets would run for minutes if they were not told."""
+    for target in bench.targets.values():
+        target.faults.fixed, target.faults.mean_ms = True, 300_000.0
+    url = f"http://{bench.listen()}/s/look/x"
+    timeout = aiohttp.ClientTimeout(total=0.2)
+    with pytest.raises(TimeoutError):
+        await session.get(url, timeout=timeout)
+    assert any(t.log.arrivals for t in bench.targets.values())
+    await until(lambda: not any(t._in_flight for t in bench.targets.values()))
+
+
+async def _upload_across_a_stop(bench: Bench, leaving: bool = True) -> None:
+    """Stop a gate while an upload passes through it, and lose an agent too."""
+
+    async def slow() -> AsyncIterator[bytes]:
+        for _ in range(20):
+            yield b"x" * 50_000
+            await asyncio.sleep(0.05)
+
+    vm = bench.listen("vm00")
+    async with calling(vm) as caller:
+        entries = (await caller.lookup("once")).entries
+        entries[:] = [e for e in entries if e.address == vm]
+        upload = asyncio.create_task(caller.upload("once", "bulk/x", slow(), 1_000_000))
+        await asyncio.sleep(0.2)
+        bench.gates["vm00"].stop()
+        await asyncio.sleep(0.1)
+        await bench.end("agent-vm01")
+        if leaving:
+            await asyncio.sleep(0.5)
+            await _still_bound_but_closed(vm)
+        reply = await upload
+        await bench.stopped("gate-vm00")
+    assert json.loads(reply.body)["bytes"] == 1_000_000
+
+
+async def _still_bound_but_closed(address: str) -> None:
+    """A bound address proves that the process before has ended."""
+    host, port = address.split(":")
+    with pytest.raises(OSError):
+        await asyncio.start_server(lambda r, w: None, host, int(port))
+    url = f"http://{address}/s/look/x"
+    async with aiohttp.ClientSession() as session, session.get(url) as answer:
+        assert answer.headers[h.CODE] == str(int(Code.LEAVING))
+
+
+async def test_a_planned_stop_of_a_gate_cuts_nothing(bench: Bench) -> None:
+    await _upload_across_a_stop(bench)
+
+
+async def test_without_waiting_a_planned_stop_cuts_an_upload(
+    bench: Bench, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def at_once(gate: Gate) -> None:
+        return None
+
+    monkeypatch.setattr(Gate, "_leave", at_once)
+    with pytest.raises(Refusal):
+        await _upload_across_a_stop(bench, leaving=False)
