--- a/leverdoor/agent.py
+++ b/leverdoor/agent.py
@@ -122,7 +122,7 @@
         self._reporter = Reporter(self._cache, self._peers)
         self._api = Api(self._configuration, self._state, self._reporter, self._metrics)
         self._link = AgentLink(s.link)
-        self._socket = GossipSocket(self._take_gossip)
+        self._socket = GossipSocket(Gossip, self._take_gossip)
         await self._socket.open(s.gossip)
         self._state.changes.subscribe(self._push_delta)
         self._beat()
--- /dev/null
+++ b/leverdoor/entry/catalog.py
@@ -0,0 +1,97 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""The resources in force, compiled for decisions on requests."""
+
+from collections.abc import Iterable
+from typing import TypeVar
+
+from leverdoor.resources import (
+    ClientLimits,
+    Drain,
+    Region,
+    Resource,
+    Route,
+    Service,
+    Target,
+)
+
+__all__ = ["Catalog", "EMPTY", "entry_host"]
+
+T = TypeVar("T")
+
+DEFAULT_LIMITS = ClientLimits(name="default")
+
+
+def entry_host(header: str) -> str:
+    """Return the host that a Host header names, without a port."""
+    host = header.strip().lower()
+    if host.startswith("["):
+        return host.partition("]")[0] + "]"
+    return host.partition(":")[0]
+
+
+class Catalog:
+    """All resources at one revision, indexed for routing and placement."""
+
+    def __init__(
+        self, revision: int, version: str, resources: Iterable[Resource]
+    ) -> None:
+        """Index resources.
+
+        Args:
+          revision: the store's revision at which they stand.
+          version: the operator's name of the configuration; "" for none yet.
+          resources: all of them.
+        """
+        self.revision = revision
+        self.version = version
+        known = list(resources)
+        self.regions = {r.name: r for r in _of(known, Region)}
+        self.services = {s.name: s for s in _of(known, Service)}
+        self.targets = {t.name: t for t in _of(known, Target)}
+        self.limits = next(iter(_of(known, ClientLimits)), DEFAULT_LIMITS)
+        drains = _of(known, Drain)
+        self._routes = _by_host(_of(known, Route))
+        self.by_service: dict[str, list[Target]] = {}
+        for target in sorted(self.targets.values(), key=lambda t: t.name):
+            if target.draining or any(d.covers(target) for d in drains):
+                continue
+            self.by_service.setdefault(target.service, []).append(target)
+
+    @property
+    def configured(self) -> bool:
+        """Say whether a configuration is known at all."""
+        return self.version != ""
+
+    @property
+    def route_count(self) -> int:
+        """How many routes are in force."""
+        return sum(len(routes) for routes in self._routes.values())
+
+    def route(self, host: str, path: str) -> Route | None:
+        """Return the route of a host with the longest prefix of a path."""
+        for route in self._routes.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def hosts(self, host: str) -> bool:
+        """Say whether any route is of a host."""
+        return host in self._routes
+
+
+def _of(resources: list[Resource], kind: type[T]) -> list[T]:
+    return [r for r in resources if isinstance(r, kind)]
+
+
+def _by_host(routes: list[Route]) -> dict[str, list[Route]]:
+    """Return the routes of each host, those with longer prefixes first."""
+    found: dict[str, list[Route]] = {}
+    for route in routes:
+        found.setdefault(route.host.lower(), []).append(route)
+    for listed in found.values():
+        listed.sort(key=lambda r: -len(r.prefix))
+    return found
+
+
+EMPTY = Catalog(0, "", ())
--- /dev/null
+++ b/leverdoor/entry/connections.py
@@ -0,0 +1,132 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Connections to targets that are kept for the next request."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import msgspec
+
+from leverdoor.entry.connection import (
+    Reply,
+    TargetConnection,
+    open_connection,
+)
+from leverdoor.resources import Target
+from leverdoor.settings import parse_address
+
+__all__ = ["Connections", "Outgoing"]
+
+CONNECT_TIMEOUT_S = 0.4
+REMOTE_CONNECT_TIMEOUT_S = 0.8
+IDLE_S = 4.0
+IDLE_MARGIN_S = 1.5
+MAX_IDLE = 16
+
+
+class Outgoing(msgspec.Struct):
+    """One request as it goes to a target."""
+
+    request_id: str
+    method: str
+    head: bytes
+    body: bytes | AsyncIterator[bytes]
+
+
+class Connections:
+    """Kept connections by target; at most one request on each."""
+
+    def __init__(self, id_header: str, region: str) -> None:
+        """Create it without any connection.
+
+        Args:
+          id_header: the header, in lower case, that carries a request's id.
+          region: this entry's region.
+        """
+        self._id_header = id_header
+        self._region = region
+        self._idle: dict[str, list[TargetConnection]] = {}
+        self.opened = 0
+
+    async def exchange(self, target: Target, outgoing: Outgoing) -> Reply:
+        """Send a request to a target and wait for the whole answer.
+
+        Raises:
+          NotSent: no byte was sent.
+          AnswerLost: the request may have run.
+        """
+        connection = self._take(target)
+        if connection is None:
+            connection = await self._open(target)
+        reply = await connection.exchange(
+            outgoing.head,
+            outgoing.body,
+            outgoing.request_id,
+            self._id_header,
+            outgoing.method == "HEAD",
+        )
+        self._keep(target, connection, reply)
+        return reply
+
+    def _take(self, target: Target) -> TargetConnection | None:
+        now = asyncio.get_running_loop().time()
+        kept = self._idle.get(target.name, [])
+        while kept:
+            connection = kept.pop()
+            if connection.closed:
+                continue
+            if now - connection.idle_since < connection.idle_limit_s:
+                return connection
+            connection.close()
+        return None
+
+    async def _open(self, target: Target) -> TargetConnection:
+        address = parse_address(target.address)
+        near = target.region == self._region
+        timeout_s = CONNECT_TIMEOUT_S if near else REMOTE_CONNECT_TIMEOUT_S
+        self.opened += 1
+        return await open_connection(address.host, address.port, timeout_s)
+
+    def _keep(self, target: Target, connection: TargetConnection, reply: Reply) -> None:
+        if connection.closed:
+            return
+        kept = self._idle.setdefault(target.name, [])
+        if len(kept) >= MAX_IDLE:
+            connection.close()
+            return
+        connection.idle_since = asyncio.get_running_loop().time()
+        connection.idle_limit_s = _idle_limit_s(reply.get("keep-alive"))
+        kept.append(connection)
+
+    def sweep(self, now: float) -> None:
+        """Close what has been idle for too long."""
+        for name, kept in list(self._idle.items()):
+            fresh = []
+            for connection in kept:
+                old = now - connection.idle_since >= connection.idle_limit_s
+                if connection.closed or old:
+                    connection.close()
+                else:
+                    fresh.append(connection)
+            self._idle[name] = fresh
+            if not fresh:
+                del self._idle[name]
+
+    def drop(self, name: str) -> None:
+        """Close the idle connections to a target that is gone."""
+        for connection in self._idle.pop(name, []):
+            connection.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for name in list(self._idle):
+            self.drop(name)
+
+
+def _idle_limit_s(keep_alive: str) -> float:
+    """Return how long a connection may rest, from a Keep-Alive header."""
+    for part in keep_alive.split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.strip().isdigit():
+            return max(0.0, int(value) - IDLE_MARGIN_S)
+    return IDLE_S
--- /dev/null
+++ b/leverdoor/entry/daemon.py
@@ -0,0 +1,304 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""The entry daemon: wires the parts of one entry and runs them on one loop."""
+
+import asyncio
+import time
+from random import Random
+
+from aiohttp import web
+
+from leverdoor.daemon import keep_running
+from leverdoor.entry.catalog import EMPTY, Catalog
+from leverdoor.entry.connections import Connections
+from leverdoor.entry.dialect import Dialect
+from leverdoor.entry.events import Events
+from leverdoor.entry.fleet import Fleet
+from leverdoor.entry.forwarding import Forwarder, RepeatBudget
+from leverdoor.entry.front import Front
+from leverdoor.entry.metrics import EntryMetrics
+from leverdoor.entry.placement import Placement
+from leverdoor.entry.registration import Registration
+from leverdoor.entry.roster import (
+    LEAVING,
+    SERVING,
+    STARTING,
+    EntryBeat,
+    Member,
+    Roster,
+)
+from leverdoor.entry.settings import EntrySettings
+from leverdoor.entry.side import Side
+from leverdoor.following import PeerFollower, StoreFollower
+from leverdoor.gossip import GossipSocket
+from leverdoor.resources import Target
+from leverdoor.settings import Address
+from leverdoor.state import Delta, State
+from leverdoor.store import LeasingStore
+
+__all__ = ["Entry"]
+
+BEAT_S = 0.1
+SPILL_BEATS = 3
+SWEEP_BEATS = 10
+KEEPALIVE_S = 15.0
+LISTEN_ON_S = 2.2
+STOP_MARGIN_S = 0.4
+STOP_POLL_S = 0.02
+MAX_LINE_BYTES = 16_384
+BACKLOG = 512
+SEEN_BACKOFF_S = 1.0
+REPEAT_SHARE = 0.5
+REPEATS_SAVED = 4.0
+
+
+class Entry:
+    """One entry process."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        store: LeasingStore,
+        dialect: Dialect,
+        events: Events,
+    ) -> None:
+        """Create an entry; nothing is opened yet."""
+        self._settings = settings
+        self._store = store
+        self._dialect = dialect
+        self._events = events
+        self._stop = asyncio.Event()
+        self._life = STARTING
+        self._seq = 0
+        self._catalog = EMPTY
+        self._source = "store"
+        self._servers: list[asyncio.Server] = []
+
+    def stop(self) -> None:
+        """Ask the entry to leave: finish all in flight, then end."""
+        self._stop.set()
+
+    async def run(self) -> None:
+        """Serve until stopped and everything in flight has ended."""
+        self._build()
+        s = self._settings
+        self._events.process("start", region=s.region, domain=s.domain)
+        await self._socket.open(s.gossip)
+        front = await self._listen(self._front_server, s.front)
+        for address in (s.ready, s.directory, s.pull, s.metrics):
+            await self._listen(self._side_server, address)
+        loops = (self._follower.run, self._registration.run, self._beat)
+        tasks = [asyncio.create_task(keep_running(w.__qualname__, w)) for w in loops]
+        try:
+            await self._stop.wait()
+            await self._leave(front)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            await self._close()
+        self._events.process("end")
+
+    def _build(self) -> None:
+        s = self._settings
+        rng = Random(s.seed or None)
+        self._member = Member(
+            s.name,
+            s.region,
+            s.domain,
+            str(s.front),
+            str(s.gossip),
+            str(s.pull),
+            time.time_ns() // 1_000,
+        )
+        self._state = State()
+        self._state.changes.subscribe(self._take_delta)
+        self._roster = Roster(self._member, rng)
+        self._fleet = Fleet()
+        self._placement = Placement(s.region, s.domain, self._fleet, rng)
+        self._placement.sharers = self._sharers
+        self._connections = Connections(self._dialect.headers.request_id, s.region)
+        self._metrics = EntryMetrics()
+        forwarder = Forwarder(
+            self._dialect,
+            self._placement,
+            self._fleet,
+            self._connections,
+            RepeatBudget(s.repeat_ratio * REPEAT_SHARE, REPEATS_SAVED),
+            self._events,
+        )
+        self._front = Front(
+            self._dialect,
+            self._placement,
+            forwarder,
+            self._events,
+            self._metrics,
+            lambda: self._catalog,
+        )
+        side = Side(
+            self._dialect,
+            self._state,
+            self._metrics,
+            lambda: self._life == SERVING,
+            lambda region, domain, now: self._roster.addresses(
+                region, domain, self._life, now
+            ),
+            s.lookup_ttl_s,
+        )
+        self._front_server = web.Server(
+            self._front.handle,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=KEEPALIVE_S,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+        )
+        self._side_server = web.Server(side.handle, access_log=None)
+        self._socket = GossipSocket(EntryBeat, self._take_beat)
+        self._puller = PeerFollower(self._state)
+        self._follower = StoreFollower(
+            self._store,
+            self._state,
+            self._is_elected,
+            rng,
+            prefix="",
+            longest_backoff_s=SEEN_BACKOFF_S,
+        )
+        self._registration = Registration(
+            self._store,
+            self._dialect.peer_key(s.name),
+            self._member,
+            self._events,
+            rng,
+        )
+
+    async def _listen(self, server: web.Server, address: Address) -> asyncio.Server:
+        listener = await asyncio.get_running_loop().create_server(
+            server, address.host, address.port, backlog=BACKLOG
+        )
+        self._servers.append(listener)
+        return listener
+
+    async def _close(self) -> None:
+        for listener in self._servers:
+            listener.close()
+        await self._front_server.shutdown(STOP_POLL_S)
+        await self._side_server.shutdown(STOP_POLL_S)
+        self._connections.close()
+        self._socket.close()
+        await self._puller.close()
+        await self._store.close()
+
+    # What is known.
+
+    def _is_elected(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        return self._roster.elected(self._settings.watchers, now)
+
+    def _take_delta(self, delta: Delta) -> None:
+        """Compile a newer state; one that can't be read leaves the old in force."""
+        now = asyncio.get_running_loop().time()
+        said = self._dialect.translate(self._state.entries)
+        self._roster.found(said.peers, now)
+        catalog = Catalog(self._state.revision, said.version, said.resources)
+        before = self._catalog.targets.keys()
+        came = [n for n in catalog.targets if n not in before]
+        gone = [n for n in before if n not in catalog.targets]
+        if catalog.version != self._catalog.version:
+            self._events.configuration(
+                catalog.version,
+                catalog.revision,
+                catalog.route_count,
+                len(catalog.targets),
+                self._source,
+            )
+        if came or gone:
+            self._events.targets(came, gone, catalog.revision)
+        self._catalog = catalog
+        self._fleet.renew(catalog.targets, now)
+        for name in gone:
+            self._connections.drop(name)
+        self._placement.renew(catalog)
+        self._metrics.revision.set(catalog.revision)
+        if self._life == STARTING and catalog.configured:
+            self._life = SERVING
+            self._events.process("ready", version=catalog.version)
+            self._tell_everyone()
+
+    def _take_beat(self, beat: EntryBeat) -> None:
+        now = asyncio.get_running_loop().time()
+        if not self._roster.hear(beat, now):
+            return
+        self._fleet.hear(beat.member.name, beat.in_flight, now)
+        if beat.revision > self._state.revision:
+            asyncio.ensure_future(self._pull(beat.member.pull))
+
+    async def _pull(self, address: str) -> None:
+        """Fetch what another entry has and this one lacks."""
+        self._source = address
+        await self._puller.pull(address)
+        self._source = "store"
+
+    def _sharers(self, target: Target) -> int:
+        """Count the entries that share a cold target's allowance."""
+        near = self._roster.in_domain(target.domain)
+        if near:
+            return near if self._settings.domain == target.domain else 0
+        near = self._roster.in_region(target.region)
+        if near:
+            return near if self._settings.region == target.region else 0
+        return max(len(self._roster.everyone()) + 1, 1)
+
+    # What is told.
+
+    def _own_beat(self) -> EntryBeat:
+        self._seq += 1
+        return EntryBeat(
+            self._member,
+            self._seq,
+            self._life,
+            self._state.revision,
+            self._fleet.in_flight(),
+            self._placement.spill_shares(),
+        )
+
+    def _tell_everyone(self) -> None:
+        self._socket.send_all(self._own_beat(), self._roster.everyone())
+
+    async def _beat(self) -> None:
+        """Tell other entries how this one fares, and look after what ages."""
+        loop = asyncio.get_running_loop()
+        turn = 0
+        while True:
+            await asyncio.sleep(BEAT_S)
+            turn += 1
+            now = loop.time()
+            self._socket.send_all(self._own_beat(), self._roster.partners())
+            if turn % SPILL_BEATS == 0:
+                peers = [b.spill for b in self._roster.near(now)]
+                self._placement.update_spill(peers, now)
+            if turn % SWEEP_BEATS == 0:
+                self._connections.sweep(now)
+                self._roster.forget(now)
+                self._metrics.in_flight.set(self._front.active)
+                self._metrics.peers.set(len(self._roster.live(now)))
+
+    # Leaving.
+
+    async def _leave(self, front: asyncio.Server) -> None:
+        """Stop being named, serve cached answers for a while, finish, end."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        self._life = LEAVING
+        self._front.leaving = True
+        self._events.process("leaving", in_flight=self._front.active)
+        self._tell_everyone()
+        removal = asyncio.create_task(self._registration.end())
+        await asyncio.sleep(LISTEN_ON_S)
+        front.close()
+        self._front_server.pre_shutdown()
+        last = began + self._settings.grace_s - STOP_MARGIN_S
+        while self._front.active and loop.time() < last:
+            await asyncio.sleep(STOP_POLL_S)
+        removal.cancel()
+        self._events.process("drained", in_flight=self._front.active)
--- /dev/null
+++ b/leverdoor/entry/events.py
@@ -0,0 +1,197 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Every event that an entry logs: named here, bounded, never blocking.
+
+A line is one JSON object. Each kind has a budget of lines a second; what is
+left out is counted and told with the next line of the kind.
+"""
+
+import os
+import time
+from collections import deque
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from leverdoor.errors import Refusal
+
+if TYPE_CHECKING:
+    from leverdoor.entry.placement import Asked, Chosen
+
+__all__ = ["Events", "LineWriter"]
+
+LINES_PER_S = 60.0
+BURST_LINES = 200.0
+MAX_PENDING_BYTES = 256 * 1024
+
+
+class LineWriter:
+    """Writes lines to a descriptor that may not be read by anybody."""
+
+    def __init__(self, descriptor: int) -> None:
+        """Create it; the descriptor is made non-blocking.
+
+        Args:
+          descriptor: an open file descriptor, owned by the caller.
+        """
+        self._descriptor = descriptor
+        self._pending: deque[bytes] = deque()
+        self._pending_bytes = 0
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def write(self, line: bytes) -> None:
+        """Write a line, or keep it for later, or drop it."""
+        if self._pending_bytes + len(line) > MAX_PENDING_BYTES:
+            self.dropped += 1
+            return
+        self._pending.append(line)
+        self._pending_bytes += len(line)
+        self.flush()
+
+    def flush(self) -> None:
+        """Write what the descriptor takes now."""
+        while self._pending:
+            line = self._pending[0]
+            try:
+                count = os.write(self._descriptor, line)
+            except OSError:
+                return
+            self._pending_bytes -= count
+            if count < len(line):
+                self._pending[0] = line[count:]
+                return
+            self._pending.popleft()
+
+
+class _Budget:
+    """Lines that one kind may still write."""
+
+    def __init__(self, now: float) -> None:
+        self.saved = BURST_LINES
+        self.at = now
+        self.left_out = 0
+
+    def spend(self, now: float) -> bool:
+        self.saved = min(BURST_LINES, self.saved + (now - self.at) * LINES_PER_S)
+        self.at = now
+        if self.saved < 1.0:
+            self.left_out += 1
+            return False
+        self.saved -= 1.0
+        return True
+
+
+class Events:
+    """The log of one entry; one method for each kind of event."""
+
+    def __init__(self, writer: LineWriter, entry: str) -> None:
+        """Create it.
+
+        Args:
+          writer: where lines go.
+          entry: this entry's name.
+        """
+        self._writer = writer
+        self._entry = entry
+        self._budgets: dict[str, _Budget] = {}
+
+    def emit(self, kind: str, **fields: Any) -> None:
+        """Write one line of a kind, within its budget."""
+        now = time.monotonic()
+        budget = self._budgets.get(kind)
+        if budget is None:
+            budget = self._budgets[kind] = _Budget(now)
+        if not budget.spend(now):
+            return
+        line: dict[str, Any] = {"t": round(time.time(), 3), "event": kind}
+        line["entry"] = self._entry
+        line.update(fields)
+        if budget.left_out:
+            line["left_out"] = budget.left_out
+            budget.left_out = 0
+        self._writer.write(msgspec.json.encode(line) + b"\n")
+
+    # Requests.
+
+    def attempt(
+        self,
+        asked: "Asked",
+        chosen: "Chosen",
+        attempt: int,
+        outcome: str,
+        took_s: float,
+    ) -> None:
+        """A request was sent to a target and ended there."""
+        self.emit(
+            "attempt",
+            request_id=asked.request_id,
+            route=asked.route.name,
+            service=asked.service,
+            key=asked.key,
+            target=chosen.target.name,
+            region=chosen.target.region,
+            attempt=attempt,
+            reason=chosen.reason,
+            load=chosen.load,
+            slots=chosen.target.slots,
+            warm=chosen.warm,
+            expected_ms=round(chosen.expected_ms),
+            took_ms=round(took_s * 1000),
+            outcome=outcome,
+        )
+
+    def refused(
+        self, request_id: str, refusal: Refusal, version: str, took_s: float
+    ) -> None:
+        """A request was given up on."""
+        self.emit(
+            "refused",
+            request_id=request_id,
+            code=int(refusal.code),
+            name=refusal.code.name,
+            run=refusal.run.value,
+            detail=refusal.detail,
+            retry_after_ms=refusal.retry_after_ms,
+            version=version,
+            took_ms=round(took_s * 1000),
+        )
+
+    def left(self, request_id: str, took_s: float) -> None:
+        """A client left before its answer."""
+        self.emit("client_left", request_id=request_id, took_ms=round(took_s * 1000))
+
+    # Beliefs.
+
+    def configuration(
+        self, version: str, revision: int, routes: int, targets: int, source: str
+    ) -> None:
+        """A newer state is in force."""
+        self.emit(
+            "configuration",
+            version=version,
+            revision=revision,
+            routes=routes,
+            targets=targets,
+            source=source,
+        )
+
+    def targets(self, came: list[str], gone: list[str], revision: int) -> None:
+        """Targets came or went."""
+        self.emit("targets", came=came, gone=gone, revision=revision)
+
+    def peer(self, name: str, change: str, age_s: float) -> None:
+        """Another entry was found, lost, or said that it leaves."""
+        self.emit("peer", peer=name, change=change, age_s=round(age_s, 2))
+
+    def spill(self, service: str, share: float, pressure: float) -> None:
+        """The share of a service's keys that leave the region moved."""
+        self.emit(
+            "spill", service=service, share=round(share, 3), pressure=round(pressure, 2)
+        )
+
+    # The process.
+
+    def process(self, change: str, **fields: Any) -> None:
+        """The process started, is ready, leaves, ends, or read its settings."""
+        self.emit("process", change=change, **fields)
--- /dev/null
+++ b/leverdoor/entry/fleet.py
@@ -0,0 +1,232 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""What one entry believes of each target: load, warmth, health, allowance."""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Mapping
+
+from leverdoor.entry.dialect import TargetLoad
+from leverdoor.resources import Target
+
+__all__ = ["Allowance", "Fleet", "TargetState"]
+
+FIRST_EJECTION_S = 0.5
+LONGEST_EJECTION_S = 4.0
+TOLD_TRUST_S = 0.3
+PEER_TRUST_S = 1.2
+REMEMBERED_KEYS = 256
+SLOW_RATIO = 3.0
+SLOW_WEIGHT = 0.15
+SLOW_REST_S = 2.0
+SILENCE_S = 1.2
+SILENT_REQUESTS = 3
+
+
+class Allowance:
+    """A rate of requests, spent one at a time; it saves up only one."""
+
+    def __init__(self, per_s: float, now: float) -> None:
+        """Create it, with one request to spend.
+
+        Args:
+          per_s: requests a second.
+          now: monotonic time in seconds.
+        """
+        self.per_s = per_s
+        self._saved = 1.0
+        self._at = now
+
+    def spend(self, now: float) -> bool:
+        """Take one request if there is one."""
+        self._saved = min(1.0, self._saved + (now - self._at) * self.per_s)
+        self._at = now
+        if self._saved < 1.0:
+            return False
+        self._saved -= 1.0
+        return True
+
+
+class TargetState:
+    """One target as this entry sees it."""
+
+    def __init__(self, target: Target, now: float) -> None:
+        """Create it for a target first heard of now."""
+        self.target = target
+        self.in_flight = 0
+        self.cold_until = now + target.cold_ms / 1000
+        self.out_until = 0.0
+        self.closing = False
+        self._failures = 0
+        self._told: tuple[float, int] | None = None
+        self._peers: dict[str, tuple[float, int]] = {}
+        self._peers_sum = 0
+        self._peers_until = 0.0
+        self._keys: OrderedDict[str, None] = OrderedDict()
+        self._slowness = 1.0
+        self._last_answer = now
+        self._allowance: Allowance | None = None
+
+    def renew(self, target: Target, now: float) -> None:
+        """Take a changed description of the target."""
+        if target == self.target:
+            return
+        if target.cold_ms != self.target.cold_ms or target.cold_ms:
+            self.cold_until = max(self.cold_until, now + target.cold_ms / 1000)
+            if target.cold_ms:
+                self._keys.clear()
+        self.target = target
+
+    # Load.
+
+    def told(self, load: TargetLoad, now: float) -> None:
+        """Take what the target says of its load; own requests are part of it."""
+        others = load.running + load.waiting - self.in_flight
+        self._told = (now, max(others, 0))
+
+    def told_by_peer(self, peer: str, in_flight: int, now: float) -> None:
+        """Take how many requests another entry has in flight there."""
+        if in_flight:
+            self._peers[peer] = (now, in_flight)
+        else:
+            self._peers.pop(peer, None)
+        self._peers_until = 0.0
+
+    def load(self, now: float) -> int:
+        """Estimate how many requests the target has, of all entries."""
+        if now >= self._peers_until:
+            self._sum_peers(now)
+        others = self._peers_sum
+        if self._told is not None and now - self._told[0] <= TOLD_TRUST_S:
+            others = max(others, self._told[1])
+        return self.in_flight + others
+
+    def _sum_peers(self, now: float) -> None:
+        fresh = {p: v for p, v in self._peers.items() if now - v[0] <= PEER_TRUST_S}
+        self._peers = fresh
+        self._peers_sum = sum(count for _, count in fresh.values())
+        oldest = min((at for at, _ in fresh.values()), default=now)
+        self._peers_until = oldest + PEER_TRUST_S
+
+    # Warmth.
+
+    def remember(self, key: str) -> None:
+        """Note that the target has seen a key now."""
+        self._keys[key] = None
+        self._keys.move_to_end(key)
+        if len(self._keys) > REMEMBERED_KEYS:
+            self._keys.popitem(last=False)
+
+    def saw(self, key: str) -> bool:
+        """Say whether the target has lately seen a key from here."""
+        return key in self._keys
+
+    def cold(self, now: float) -> bool:
+        """Say whether the target is in its warm-up."""
+        return now < self.cold_until
+
+    def spend_allowance(self, per_s: float, now: float) -> bool:
+        """Take one request of this entry's share of a cold target's allowance."""
+        if self._allowance is None:
+            self._allowance = Allowance(per_s, now)
+        self._allowance.per_s = per_s
+        return self._allowance.spend(now)
+
+    # Health.
+
+    def answered(self, took_ratio: float, now: float) -> None:
+        """Record a whole answer.
+
+        Args:
+          took_ratio: its time over the time expected.
+          now: monotonic time in seconds.
+        """
+        self._failures = 0
+        self._last_answer = now
+        self._slowness += SLOW_WEIGHT * (took_ratio - self._slowness)
+        if self._slowness > SLOW_RATIO:
+            self.out_until = max(self.out_until, now + SLOW_REST_S)
+            self._slowness = 1.0
+
+    def failed(self, now: float) -> None:
+        """Record a failed connection or a lost answer."""
+        wait = min(FIRST_EJECTION_S * 2**self._failures, LONGEST_EJECTION_S)
+        self._failures += 1
+        self.out_until = max(self.out_until, now + wait)
+
+    def refused(self, now: float) -> None:
+        """Record that the target turned a request away: it is full."""
+        slots = self.target.slots
+        self._told = (now, max(slots * 2 - self.in_flight, 0))
+
+    def sent(self, now: float) -> None:
+        """Count a request that goes to the target."""
+        if self.in_flight == 0:
+            self._last_answer = now
+        self.in_flight += 1
+
+    def ended(self) -> None:
+        """Count a request that ended."""
+        self.in_flight -= 1
+
+    def silent(self, now: float) -> bool:
+        """Say whether several requests are there and none was answered lately."""
+        return self.in_flight >= SILENT_REQUESTS and now - self._last_answer > SILENCE_S
+
+    def usable(self, now: float) -> bool:
+        """Say whether new requests may go there, its warm-up aside."""
+        return not self.closing and now >= self.out_until and not self.silent(now)
+
+
+class Fleet:
+    """The states of all targets, by target name."""
+
+    def __init__(self) -> None:
+        """Create an empty one."""
+        self._states: dict[str, TargetState] = {}
+
+    def renew(self, targets: Mapping[str, Target], now: float) -> list[str]:
+        """Take the targets of a new configuration.
+
+        Returns: the names of those that are gone and have nothing in flight.
+        """
+        for name, target in targets.items():
+            state = self._states.get(name)
+            if state is None:
+                self._states[name] = TargetState(target, now)
+            else:
+                state.renew(target, now)
+        gone = [
+            name
+            for name, state in self._states.items()
+            if name not in targets and state.in_flight == 0
+        ]
+        for name in gone:
+            del self._states[name]
+        return gone
+
+    def of(self, target: Target, now: float) -> TargetState:
+        """Return the state of a target."""
+        found = self._states.get(target.name)
+        if found is None:
+            found = self._states[target.name] = TargetState(target, now)
+        return found
+
+    def in_flight(self) -> dict[str, int]:
+        """Return how many requests this entry has at each target, if any."""
+        return {n: s.in_flight for n, s in self._states.items() if s.in_flight}
+
+    def hear(self, peer: str, counts: Mapping[str, int], now: float) -> None:
+        """Take the counts of another entry, for all targets."""
+        for name, state in self._states.items():
+            state.told_by_peer(peer, counts.get(name, 0), now)
+
+    def load(self, targets: Iterable[Target], now: float) -> tuple[int, int]:
+        """Return the load and the slots of the usable, warm ones of some targets."""
+        load = 0
+        slots = 0
+        for target in targets:
+            state = self.of(target, now)
+            if state.usable(now) and not state.cold(now):
+                load += state.load(now)
+                slots += target.slots
+        return load, slots
--- /dev/null
+++ b/leverdoor/entry/forwarding.py
@@ -0,0 +1,232 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Serves one request: place it, send it, and again where that is safe."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import msgspec
+
+from leverdoor.entry.connection import AnswerLost, NotSent, Reply
+from leverdoor.entry.connections import Connections, Outgoing
+from leverdoor.entry.dialect import Dialect
+from leverdoor.entry.events import Events
+from leverdoor.entry.fleet import Fleet
+from leverdoor.entry.placement import Asked, Chosen, Placement, Unplaced
+from leverdoor.errors import Code, Refusal, Run
+from leverdoor.resources import Work
+
+__all__ = ["Forwarder", "Incoming", "RepeatBudget"]
+
+ANSWER_MARGIN_S = 0.03
+NOT_RUN_STATUSES = frozenset({503, 429, 421, 400})
+
+
+class Incoming(msgspec.Struct):
+    """One request as an entry takes it in."""
+
+    asked: Asked
+    method: str
+    path: str
+    """Path and query, unaltered."""
+    headers: list[tuple[str, str]]
+    body: bytes | AsyncIterator[bytes]
+    chunked: bool = False
+    started: bool = False
+    """A streamed body was begun and can't be sent again."""
+
+    @property
+    def replayable(self) -> bool:
+        """Say whether it can be sent to another target."""
+        return isinstance(self.body, bytes) or not self.started
+
+
+class RepeatBudget:
+    """Repeats as a share of the requests taken, for each service.
+
+    The shares of all entries add up to the same share of all requests, in
+    touch or not.
+    """
+
+    def __init__(self, ratio: float, limit: float) -> None:
+        """Create it.
+
+        Args:
+          ratio: repeats earned with each request.
+          limit: most repeats saved up for a service.
+        """
+        self._ratio = ratio
+        self._limit = limit
+        self._saved: dict[str, float] = {}
+
+    def earn(self, service: str) -> None:
+        """Count a request."""
+        saved = self._saved.get(service, self._limit / 2)
+        self._saved[service] = min(self._limit, saved + self._ratio)
+
+    def spend(self, service: str) -> bool:
+        """Take a repeat if there is one."""
+        saved = self._saved.get(service, 0.0)
+        if saved < 1.0:
+            return False
+        self._saved[service] = saved - 1.0
+        return True
+
+
+class Forwarder:
+    """Forwards the requests of one entry."""
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        placement: Placement,
+        fleet: Fleet,
+        connections: Connections,
+        budget: RepeatBudget,
+        events: Events,
+    ) -> None:
+        """Create it from the entry's parts."""
+        self._dialect = dialect
+        self._placement = placement
+        self._fleet = fleet
+        self._connections = connections
+        self._budget = budget
+        self._events = events
+
+    async def serve(self, incoming: Incoming) -> Reply:
+        """Get a whole answer of a target.
+
+        Raises:
+          Refusal: it was given up on; the code says whether it may have run.
+        """
+        asked = incoming.asked
+        self._budget.earn(asked.service)
+        attempt = 0
+        lost: Refusal | None = None
+        while True:
+            attempt += 1
+            try:
+                return await self._attempt(incoming, attempt)
+            except _Failed as e:
+                if e.refusal.run is not Run.NO:
+                    lost = e.refusal
+                if e.placed and self._again(incoming, attempt, e):
+                    continue
+                raise lost or e.refusal from None
+
+    def _again(self, incoming: Incoming, attempt: int, failed: "_Failed") -> bool:
+        """Say whether another target may be tried."""
+        asked = incoming.asked
+        safe = asked.route.work is Work.LOOKUP or failed.refusal.run is Run.NO
+        if (
+            not safe
+            or not incoming.replayable
+            or failed.refusal.code is Code.DEADLINE_PASSED
+        ):
+            return False
+        if failed.arrived and attempt >= asked.route.attempts:
+            return False
+        if not failed.arrived and attempt >= asked.route.attempts + 2:
+            return False
+        return self._budget.spend(asked.service)
+
+    async def _attempt(self, incoming: Incoming, attempt: int) -> Reply:
+        loop = asyncio.get_running_loop()
+        asked = incoming.asked
+        decision = self._placement.place(asked, loop.time())
+        if isinstance(decision, Unplaced):
+            refusal = Refusal(
+                decision.code, decision.reason, retry_after_ms=decision.retry_after_ms
+            )
+            raise _Failed(refusal, placed=False, arrived=False)
+        asked.tried.add(decision.target.name)
+        began = loop.time()
+        outcome = "cancelled"
+        try:
+            reply = await self._send(incoming, decision)
+            outcome = str(reply.status)
+        except _Failed as e:
+            outcome = e.refusal.code.name
+            raise
+        finally:
+            now = loop.time()
+            self._placement.ended(decision, now)
+            self._events.attempt(asked, decision, attempt, outcome, now - began)
+        self._learn(asked, decision, reply, loop.time() - began)
+        return reply
+
+    def _learn(self, asked: Asked, chosen: Chosen, reply: Reply, took_s: float) -> None:
+        now = asyncio.get_running_loop().time()
+        state = self._fleet.of(chosen.target, now)
+        load = self._dialect.parse_load(reply.get(self._dialect.headers.load))
+        if load is not None:
+            state.told(load, now)
+        if reply.status < 400:
+            self._placement.answered(asked, chosen, took_s * 1000, now)
+
+    async def _send(self, incoming: Incoming, chosen: Chosen) -> Reply:
+        loop = asyncio.get_running_loop()
+        asked = incoming.asked
+        state = self._fleet.of(chosen.target, loop.time())
+        outgoing = self._outgoing(incoming, chosen, loop.time())
+        try:
+            async with asyncio.timeout_at(asked.until - ANSWER_MARGIN_S):
+                reply = await self._connections.exchange(chosen.target, outgoing)
+        except NotSent as e:
+            state.failed(loop.time())
+            refusal = Refusal(Code.CONNECT_FAILED, str(e), retry_after_ms=200)
+            raise _Failed(refusal, placed=True, arrived=False) from None
+        except AnswerLost as e:
+            state.failed(loop.time())
+            refusal = Refusal(Code.ANSWER_LOST, str(e))
+            raise _Failed(refusal, placed=True, arrived=True) from None
+        except TimeoutError:
+            refusal = Refusal(Code.DEADLINE_PASSED)
+            raise _Failed(refusal, placed=True, arrived=True) from None
+        not_run = reply.get(self._dialect.headers.not_run) or reply.status == 421
+        if not_run and reply.status in NOT_RUN_STATUSES:
+            self._turned_away(chosen, reply, loop.time())
+        return reply
+
+    def _turned_away(self, chosen: Chosen, reply: Reply, now: float) -> None:
+        """Take a target's word that it did not run the request."""
+        state = self._fleet.of(chosen.target, now)
+        if reply.status == 421:
+            state.failed(now)
+        else:
+            state.refused(now)
+        refusal = Refusal(
+            Code.TARGET_REFUSED, f"status {reply.status}", retry_after_ms=250
+        )
+        raise _Failed(refusal, placed=True, arrived=True)
+
+    def _outgoing(self, incoming: Incoming, chosen: Chosen, now: float) -> Outgoing:
+        names = self._dialect.headers
+        asked = incoming.asked
+        left_ms = max(int((asked.until - now) * 1000), 1)
+        lines = [f"{incoming.method} {incoming.path} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in incoming.headers]
+        lines.append(f"{names.deadline_ms}: {left_ms}")
+        lines.append(f"{names.instance}: {chosen.target.name}")
+        if isinstance(incoming.body, bytes):
+            if incoming.body or incoming.method not in ("GET", "HEAD", "DELETE"):
+                lines.append(f"Content-Length: {len(incoming.body)}")
+        elif incoming.chunked:
+            lines.append("Transfer-Encoding: chunked")
+        head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+        return Outgoing(asked.request_id, incoming.method, head, incoming.body)
+
+
+class _Failed(Exception):
+    """One attempt failed.
+
+    Attributes:
+      placed: a target was chosen.
+      arrived: the request may have reached it.
+    """
+
+    def __init__(self, refusal: Refusal, *, placed: bool, arrived: bool) -> None:
+        super().__init__(str(refusal))
+        self.refusal = refusal
+        self.placed = placed
+        self.arrived = arrived
--- /dev/null
+++ b/leverdoor/entry/front.py
@@ -0,0 +1,224 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""What an entry says to clients: requests and their answers."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from leverdoor.codec import serialize_json
+from leverdoor.entry.catalog import Catalog, entry_host
+from leverdoor.entry.connection import Reply
+from leverdoor.entry.dialect import Dialect
+from leverdoor.entry.events import Events
+from leverdoor.entry.forwarding import Forwarder, Incoming
+from leverdoor.entry.metrics import EntryMetrics
+from leverdoor.entry.placement import Asked, Placement
+from leverdoor.errors import Code, Refusal, code_info
+from leverdoor.headers import bounded_int, passing
+from leverdoor.resources import Route
+
+__all__ = ["Front"]
+
+BUFFERED_BODY = 512 * 1024
+DEFAULT_DEADLINE_MS = 30_000
+LEAVE_EARLY_S = 0.02
+REPLY_HEADERS_DROPPED = frozenset({"content-length", "date", "server"})
+
+
+class Front:
+    """The handler of client requests of one entry."""
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        placement: Placement,
+        forwarder: Forwarder,
+        events: Events,
+        metrics: EntryMetrics,
+        catalog: Callable[[], Catalog],
+    ) -> None:
+        """Create it from the entry's parts."""
+        self._dialect = dialect
+        self._placement = placement
+        self._forwarder = forwarder
+        self._events = events
+        self._metrics = metrics
+        self._catalog = catalog
+        self.active = 0
+        self.leaving = False
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve one request."""
+        loop = asyncio.get_running_loop()
+        arrived = loop.time()
+        request_id = request.headers.get(self._dialect.headers.request_id, "")
+        self.active += 1
+        service = ""
+        outcome = "left"
+        try:
+            incoming = await self._incoming(request, request_id, arrived)
+            service = incoming.asked.service
+            reply = await self._forwarder.serve(incoming)
+            outcome = str(reply.status)
+            return await self._answer(request, reply)
+        except Refusal as e:
+            outcome = e.code.name
+            version = self._catalog().version
+            self._events.refused(request_id, e, version, loop.time() - arrived)
+            return self._refuse(request, e)
+        except asyncio.CancelledError:
+            self._events.left(request_id, loop.time() - arrived)
+            raise
+        except (ConnectionError, web.RequestPayloadError):
+            self._events.left(request_id, loop.time() - arrived)
+            raise
+        finally:
+            self.active -= 1
+            self._metrics.request(service, outcome, loop.time() - arrived)
+
+    # In.
+
+    async def _incoming(
+        self, request: web.BaseRequest, request_id: str, arrived: float
+    ) -> Incoming:
+        """Route a request and take in its body.
+
+        Raises:
+          Refusal: it can't be routed, or is not acceptable.
+        """
+        catalog = self._catalog()
+        if not catalog.configured:
+            raise Refusal(Code.NO_CONFIGURATION, retry_after_ms=500)
+        path = request.raw_path
+        if not path.startswith("/") or not request_id:
+            raise Refusal(Code.BAD_REQUEST, "no request id or no path")
+        host = entry_host(request.headers.get("Host", ""))
+        route = catalog.route(host, path.partition("?")[0])
+        if route is None:
+            raise Refusal(Code.NO_ROUTE, f"{host} {path[:100]}")
+        until = arrived + self._patience_s(request, route)
+        asked = Asked(
+            request_id=request_id,
+            route=route,
+            service=self._placement.pick_service(route),
+            key=request.headers.get(self._dialect.headers.affinity, request_id),
+            arrived=arrived,
+            until=until,
+        )
+        incoming = Incoming(
+            asked=asked,
+            method=request.method,
+            path=path,
+            headers=self._passing(request),
+            body=b"",
+        )
+        if request.body_exists:
+            async with asyncio.timeout_at(until):
+                await self._take_body(request, incoming, catalog.limits.body_bytes)
+        return incoming
+
+    def _patience_s(self, request: web.BaseRequest, route: Route) -> float:
+        """Return how long a request may take here, in seconds."""
+        name = self._dialect.headers.deadline_ms
+        deadline_ms = bounded_int(request.headers, name, DEFAULT_DEADLINE_MS)
+        if route.timeout_ms:
+            deadline_ms = min(deadline_ms, route.timeout_ms)
+        return max(deadline_ms / 1000 - LEAVE_EARLY_S, 0.001)
+
+    def _passing(self, request: web.BaseRequest) -> list[tuple[str, str]]:
+        """Return the headers for the target, Host included."""
+        names = self._dialect.headers
+        own = (names.deadline_ms, names.instance, "content-length")
+        connection = request.headers.get("Connection", "")
+        found = [("Host", request.headers.get("Host", ""))]
+        found += [
+            (name, value)
+            for name, value in passing(request.headers.items(), connection)
+            if name.lower() not in own
+        ]
+        return found
+
+    async def _take_body(
+        self, request: web.BaseRequest, incoming: Incoming, most: int
+    ) -> None:
+        """Read a body whole if it is small, and else prepare to stream it."""
+        length = request.content_length
+        if length is not None and length > most:
+            raise Refusal(Code.BODY_TOO_LARGE)
+        read = bytearray()
+        while len(read) <= BUFFERED_BODY:
+            chunk = await request.content.readany()
+            if not chunk:
+                incoming.body = bytes(read)
+                return
+            read += chunk
+        if length is not None:
+            incoming.headers.append(("Content-Length", str(length)))
+        incoming.chunked = length is None
+        incoming.body = self._stream(request, incoming, bytes(read), most)
+
+    @staticmethod
+    async def _stream(
+        request: web.BaseRequest, incoming: Incoming, first: bytes, most: int
+    ) -> AsyncIterator[bytes]:
+        """Yield the parts of a long body as they come, framed if need be."""
+        incoming.started = True
+        size = 0
+        chunk = first
+        while chunk:
+            size += len(chunk)
+            if size > most:
+                raise Refusal(Code.BODY_TOO_LARGE)
+            if incoming.chunked:
+                yield b"%x\r\n%b\r\n" % (len(chunk), chunk)
+            else:
+                yield chunk
+            chunk = await request.content.readany()
+        if incoming.chunked:
+            yield b"0\r\n\r\n"
+
+    # Out.
+
+    async def _answer(
+        self, request: web.BaseRequest, reply: Reply
+    ) -> web.StreamResponse:
+        """Pass a target's whole answer on."""
+        connection = reply.get("connection")
+        headers: CIMultiDict[str] = CIMultiDict()
+        for name, value in passing(reply.headers, connection):
+            if name not in REPLY_HEADERS_DROPPED:
+                headers.add(name, value)
+        response = web.Response(
+            status=reply.status,
+            reason=reply.reason.decode("latin-1") or None,
+            body=reply.body,
+            headers=headers,
+        )
+        if "content-type" not in headers:
+            del response.headers["Content-Type"]
+        self._finish(response)
+        return response
+
+    def _refuse(self, request: web.BaseRequest, error: Refusal) -> web.StreamResponse:
+        """Give the final answer of a request that was given up on."""
+        info = code_info(error.code)
+        response = web.Response(
+            status=info.status,
+            body=serialize_json(error.problem()),
+            content_type="application/json",
+        )
+        request_id = request.headers.get(self._dialect.headers.request_id, "")
+        if request_id:
+            response.headers[self._dialect.headers.request_id] = request_id
+        if error.retry_after_ms and info.status in (503, 429):
+            response.headers["Retry-After"] = f"{error.retry_after_ms / 1000:.3f}"
+        self._finish(response)
+        return response
+
+    def _finish(self, response: web.Response) -> None:
+        if self.leaving:
+            response.force_close()
+            response.headers["Connection"] = "close"
--- /dev/null
+++ b/leverdoor/entry/metrics.py
@@ -0,0 +1,59 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Prometheus metrics of an entry."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+__all__ = ["EntryMetrics"]
+
+BUCKETS = (0.01, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0, 2.0, 4.0)
+
+
+class EntryMetrics:
+    """Counters and latency histograms of one entry."""
+
+    def __init__(self) -> None:
+        """Create them in a registry of their own."""
+        self.registry = CollectorRegistry()
+        self._requests = Histogram(
+            "leverdoor_entry_request_seconds",
+            "Time from a request's head to the end of its answer.",
+            ["service", "outcome"],
+            buckets=BUCKETS,
+            registry=self.registry,
+        )
+        self.lookups = Counter(
+            "leverdoor_entry_lookups",
+            "Questions of clients where to go.",
+            registry=self.registry,
+        )
+        self.revision = Gauge(
+            "leverdoor_entry_revision",
+            "Revision of the store in force.",
+            registry=self.registry,
+        )
+        self.in_flight = Gauge(
+            "leverdoor_entry_in_flight",
+            "Requests in flight.",
+            registry=self.registry,
+        )
+        self.peers = Gauge(
+            "leverdoor_entry_live_peers",
+            "Other entries heard from lately.",
+            registry=self.registry,
+        )
+
+    def request(self, service: str, outcome: str, took_s: float) -> None:
+        """Count a request that ended.
+
+        Args:
+          service: the service asked for, "" if it could not be routed.
+          outcome: status of the target, or name of the code.
+          took_s: how long it took, in seconds.
+        """
+        self._requests.labels(service, outcome).observe(took_s)
+
+    def text(self) -> bytes:
+        """Return all figures in the text format."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/leverdoor/entry/placement.py
@@ -0,0 +1,357 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Which target serves a request: the decisions of one entry, without I/O."""
+
+from collections.abc import Callable
+from random import Random
+
+import msgspec
+
+from leverdoor.entry.affinity import Ranking, key_place
+from leverdoor.entry.catalog import EMPTY, Catalog
+from leverdoor.entry.fleet import Fleet, TargetState
+from leverdoor.entry.spill import SpillShare, first_share
+from leverdoor.errors import Code
+from leverdoor.resources import Route, Target
+
+__all__ = ["Asked", "Chosen", "Placement", "Unplaced"]
+
+FAST_SHARE = 0.4
+SLOW_SHARE = 1.3
+TIME_WEIGHT = 0.05
+LEAST_WAIT_SHARE = 0.3
+URGENT_PRIORITY = 1
+LESS_URGENT = 0.7
+REMOTE_MS = 80.0
+OTHER_DOMAIN_MS = 8.0
+STRAY_EARN = 0.03
+STRAY_LIMIT = 3.0
+COLD_SHARE = 0.8
+FIRST_RETRY_MS = 150
+RETRY_SPREAD_MS = 350
+DEFAULT_LATENCY_MS = 500
+CANDIDATES = 6
+
+
+class Asked(msgspec.Struct):
+    """A request as placement sees it."""
+
+    request_id: str
+    route: Route
+    service: str
+    key: str
+    arrived: float
+    until: float
+    """Loop time at which it is given up, in seconds."""
+    tried: set[str] = msgspec.field(default_factory=set)
+
+
+class Chosen(msgspec.Struct, frozen=True):
+    """Send it to this target; it is counted there already."""
+
+    target: Target
+    warm: bool
+    expected_ms: float
+    load: int
+    reason: str
+
+
+class Unplaced(msgspec.Struct, frozen=True):
+    """Refuse it now; it was not run."""
+
+    code: Code
+    retry_after_ms: int
+    reason: str
+
+
+class Times(msgspec.Struct):
+    """How long a service takes for a key that a target has lately seen or not."""
+
+    fast_ms: float
+    slow_ms: float
+
+    def learn(self, took_ms: float, warm: bool) -> None:
+        """Take the time of one answer."""
+        if warm:
+            self.fast_ms += TIME_WEIGHT * (took_ms - self.fast_ms)
+        else:
+            self.slow_ms += TIME_WEIGHT * (took_ms - self.slow_ms)
+
+
+class Placement:
+    """Chooses targets by key, place and load."""
+
+    def __init__(self, region: str, domain: str, fleet: Fleet, rng: Random) -> None:
+        """Create it.
+
+        Args:
+          region: this entry's region.
+          domain: this entry's failure domain.
+          fleet: what is believed of targets.
+          rng: where all chance comes from.
+        """
+        self._region = region
+        self._domain = domain
+        self._fleet = fleet
+        self._rng = rng
+        self._catalog = EMPTY
+        self._rankings: dict[tuple[str, str], Ranking] = {}
+        self._regions: dict[tuple[str, str], list[Target]] = {}
+        self._times: dict[str, Times] = {}
+        self._spill: dict[str, SpillShare] = {}
+        self._weights: dict[str, dict[str, float]] = {}
+        self._stray = STRAY_LIMIT
+        self.sharers: Callable[[Target], int] = lambda _: 1
+        """How many entries share a cold target's allowance; 0 if not this one."""
+
+    # What is known.
+
+    def renew(self, catalog: Catalog) -> None:
+        """Take a new configuration."""
+        self._catalog = catalog
+        places: dict[tuple[str, str], list[Target]] = {}
+        domains: dict[tuple[str, str], list[Target]] = {}
+        for service, targets in catalog.by_service.items():
+            for target in targets:
+                places.setdefault((service, target.region), []).append(target)
+                domains.setdefault((service, target.domain), []).append(target)
+        self._regions = places
+        old = self._rankings
+        self._rankings = {}
+        for place, targets in (places | domains).items():
+            known = old.get(place)
+            if known is not None and known.same(targets):
+                self._rankings[place] = known
+            else:
+                self._rankings[place] = Ranking(targets)
+
+    def pick_service(self, route: Route) -> str:
+        """Choose among the services of a route so that their weights hold."""
+        if len(route.services) == 1:
+            return next(iter(route.services))
+        credit = self._weights.setdefault(route.name, {})
+        total = sum(route.services.values())
+        for service, weight in route.services.items():
+            credit[service] = credit.get(service, self._rng.random()) + weight / total
+        best = max(route.services, key=lambda s: credit[s])
+        credit[best] -= 1.0
+        return best
+
+    def spill_shares(self) -> dict[str, float]:
+        """Return the share of each service's keys that leaves the region."""
+        return {s: round(v.share, 4) for s, v in self._spill.items()}
+
+    def update_spill(self, peers: list[dict[str, float]], now: float) -> None:
+        """Move the spill shares; call several times a second.
+
+        Args:
+          peers: the shares of the other entries of the region, by service.
+          now: monotonic time in seconds.
+        """
+        for service in self._catalog.by_service:
+            state = self._spill_of(service, peers, now)
+            pressure = self._pressure(service, self._region, now)
+            others = [
+                self._pressure(service, region, now)
+                for region in self._catalog.regions
+                if region != self._region and (service, region) in self._regions
+            ]
+            elsewhere = min(others, default=9.0)
+            told = [p[service] for p in peers if service in p]
+            state.update(pressure, elsewhere, told, now)
+
+    def _spill_of(
+        self, service: str, peers: list[dict[str, float]], now: float
+    ) -> SpillShare:
+        found = self._spill.get(service)
+        if found is None:
+            told = [p[service] for p in peers if service in p]
+            first = sum(told) / len(told) if told else self._first_share(service)
+            found = self._spill[service] = SpillShare(first, now)
+        return found
+
+    def _first_share(self, service: str) -> float:
+        slots = {
+            region: sum(t.slots for t in self._regions.get((service, region), ()))
+            for region in self._catalog.regions
+        }
+        mean = sum(slots.values()) / max(len(slots), 1)
+        return first_share(slots.get(self._region, 0), mean)
+
+    def _pressure(self, service: str, region: str, now: float) -> float:
+        load, slots = self._fleet.load(self._regions.get((service, region), ()), now)
+        return load / slots if slots else 9.0
+
+    # What is decided.
+
+    def place(self, asked: Asked, now: float) -> Chosen | Unplaced:
+        """Choose a target for a request, or refuse it."""
+        self._stray = min(STRAY_LIMIT, self._stray + STRAY_EARN)
+        regions = self._allowed_regions(asked)
+        if not regions:
+            return self._refuse(Code.NO_TARGET, "no target may serve it")
+        leaves = self._leaves(asked, regions, now)
+        local = self._region in regions
+        if local and not leaves:
+            found = self._best(asked, self._near(asked), "near", now)
+            if found is not None:
+                return found
+        others = [r for r in regions if r != self._region]
+        if leaves or not local or self._may_stray(asked, now):
+            for region in self._by_room(asked, others, now):
+                ranking = self._rankings[(asked.service, region)]
+                candidates = ranking.order(asked.key)[:CANDIDATES]
+                found = self._best(asked, candidates, "spill", now)
+                if found is not None:
+                    return found
+        if local and leaves:
+            found = self._best(asked, self._near(asked), "back", now)
+            if found is not None:
+                return found
+        found = self._cold(asked, regions, now)
+        if found is not None:
+            return found
+        return self._refuse(Code.QUEUE_FULL, "no room in time")
+
+    def _allowed_regions(self, asked: Asked) -> list[str]:
+        homes = asked.route.homes
+        return [
+            region
+            for region in self._catalog.regions
+            if (asked.service, region) in self._regions
+            and (not homes or region in homes)
+        ]
+
+    def _leaves(self, asked: Asked, regions: list[str], now: float) -> bool:
+        """Say whether the request's key is one of those served elsewhere."""
+        state = self._spill.get(asked.service)
+        if state is None or len(regions) < 2:
+            return False
+        return key_place(asked.key, asked.service) < state.share
+
+    def _may_stray(self, asked: Asked, now: float) -> bool:
+        """Let a few requests leave at once, beyond the share, before refusing."""
+        _, slots = self._fleet.load(
+            self._regions.get((asked.service, self._region), ()), now
+        )
+        if slots == 0:
+            return True
+        if self._stray < 1.0:
+            return False
+        self._stray -= 1.0
+        return True
+
+    def _near(self, asked: Asked) -> list[Target]:
+        """Return this region's targets for a key, the own domain's first."""
+        own = self._rankings.get((asked.service, self._domain))
+        region = self._rankings.get((asked.service, self._region))
+        first = own.order(asked.key)[:CANDIDATES] if own else []
+        rest = region.order(asked.key) if region else []
+        return first + [t for t in rest if t.domain != self._domain][:CANDIDATES]
+
+    def _by_room(self, asked: Asked, regions: list[str], now: float) -> list[str]:
+        """Order other regions for a key: a fixed order, full ones last."""
+
+        def rank(region: str) -> tuple[bool, float]:
+            full = self._pressure(asked.service, region, now) > 0.9
+            return full, key_place(asked.key, region)
+
+        return sorted(regions, key=rank)
+
+    def _best(
+        self, asked: Asked, candidates: list[Target], reason: str, now: float
+    ) -> Chosen | None:
+        """Choose the candidate that is expected to answer first."""
+        times = self.times(asked)
+        best: tuple[float, Target, TargetState, bool] | None = None
+        most = self._most_wait_ms(asked, times, now)
+        first = True
+        for target in candidates:
+            if target.name in asked.tried:
+                continue
+            state = self._fleet.of(target, now)
+            if not state.usable(now) or state.cold(now):
+                continue
+            warm = first or not asked.route.affinity or state.saw(asked.key)
+            first = False
+            over = state.load(now) - target.slots + 1
+            takes = times.fast_ms if warm else times.slow_ms
+            wait_ms = max(over, 0) * times.fast_ms / target.slots
+            if wait_ms > most:
+                continue
+            cost = wait_ms + takes
+            if target.domain != self._domain:
+                cost += OTHER_DOMAIN_MS
+            if best is None or cost < best[0]:
+                best = (cost, target, state, warm)
+        if best is None:
+            return None
+        cost, target, state, warm = best
+        load = state.load(now)
+        self._take(asked, state, now)
+        return Chosen(target, warm, cost, load, reason)
+
+    def _take(self, asked: Asked, state: TargetState, now: float) -> None:
+        state.sent(now)
+        state.remember(asked.key)
+
+    def _cold(self, asked: Asked, regions: list[str], now: float) -> Chosen | None:
+        """Use a cold target within this entry's share of what it bears."""
+        service = self._catalog.services.get(asked.service)
+        per_s = service.warmup_per_s if service is not None else 0.0
+        ordered = sorted(regions, key=lambda r: r != self._region)
+        for region in ordered:
+            for target in self._rankings[(asked.service, region)].order(asked.key):
+                state = self._fleet.of(target, now)
+                if not state.cold(now) or not state.usable(now):
+                    continue
+                if target.name in asked.tried or state.load(now) >= target.slots:
+                    continue
+                entries = self.sharers(target)
+                if entries < 1:
+                    continue
+                share = COLD_SHARE * per_s / entries
+                if per_s and not state.spend_allowance(share, now):
+                    continue
+                load = state.load(now)
+                self._take(asked, state, now)
+                return Chosen(target, False, self.times(asked).slow_ms, load, "cold")
+        return None
+
+    def times(self, asked: Asked) -> Times:
+        """Return how long requests of a route take at a service."""
+        name = f"{asked.route.name}@{asked.service}"
+        found = self._times.get(name)
+        if found is None:
+            aim = asked.route.target_latency_ms or DEFAULT_LATENCY_MS
+            found = self._times[name] = Times(FAST_SHARE * aim, SLOW_SHARE * aim)
+        return found
+
+    def _most_wait_ms(self, asked: Asked, times: Times, now: float) -> float:
+        """Return the longest wait at a target that still makes sense."""
+        aim = asked.route.target_latency_ms or DEFAULT_LATENCY_MS
+        spent = (now - asked.arrived) * 1000
+        wait = max(aim - spent - times.fast_ms * 1.2, LEAST_WAIT_SHARE * aim)
+        if asked.route.priority > URGENT_PRIORITY:
+            wait *= LESS_URGENT
+        left = (asked.until - now) * 1000 - times.fast_ms
+        return min(wait, left)
+
+    def _refuse(self, code: Code, reason: str) -> Unplaced:
+        after = FIRST_RETRY_MS + RETRY_SPREAD_MS * self._rng.random()
+        return Unplaced(code, int(after), reason)
+
+    # What came of it.
+
+    def answered(
+        self, asked: Asked, chosen: Chosen, took_ms: float, now: float
+    ) -> None:
+        """Learn from a whole answer."""
+        state = self._fleet.of(chosen.target, now)
+        state.answered(took_ms / max(chosen.expected_ms, 1.0), now)
+        if chosen.load <= chosen.target.slots and chosen.target.region == self._region:
+            self.times(asked).learn(took_ms, chosen.warm)
+
+    def ended(self, chosen: Chosen, now: float) -> None:
+        """Count a request that ended, however it did."""
+        self._fleet.of(chosen.target, now).ended()
--- /dev/null
+++ b/leverdoor/entry/registration.py
@@ -0,0 +1,64 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Keeps this entry written in the store, so that others find it."""
+
+import asyncio
+from random import Random
+
+from leverdoor.codec import pack
+from leverdoor.entry.events import Events
+from leverdoor.entry.roster import Member
+from leverdoor.errors import LeverdoorError
+from leverdoor.store import LeasingStore
+
+__all__ = ["Registration"]
+
+TTL_S = 15.0
+KEEP_S = 5.0
+RETRY_S = 0.5
+
+
+class Registration:
+    """One entry's key in the store, under a lease."""
+
+    def __init__(
+        self, store: LeasingStore, key: str, member: Member, events: Events, rng: Random
+    ) -> None:
+        """Create it; `run` writes.
+
+        Args:
+          store: the platform's service.
+          key: the entry's own key.
+          member: what to write.
+          events: the entry's log.
+          rng: spreads the calls after an outage.
+        """
+        self._store = store
+        self._key = key
+        self._value = pack(member)
+        self._events = events
+        self._rng = rng
+        self._lease = 0
+
+    async def run(self) -> None:
+        """Write the key, and again whenever its lease is over, until cancelled."""
+        while True:
+            try:
+                if self._lease == 0:
+                    self._lease = await self._store.hold(self._key, self._value, TTL_S)
+                    self._events.process("registered", lease=self._lease)
+                elif not await self._store.keep(self._lease):
+                    self._lease = 0
+                    self._events.process("registration lost")
+                    continue
+            except LeverdoorError as e:
+                self._events.process("registration failed", error=str(e))
+                await asyncio.sleep(RETRY_S * (1 + self._rng.random()))
+                continue
+            await asyncio.sleep(KEEP_S)
+
+    async def end(self) -> None:
+        """Remove the key."""
+        lease, self._lease = self._lease, 0
+        if lease:
+            await self._store.let_go(lease)
--- /dev/null
+++ b/leverdoor/entry/roster.py
@@ -0,0 +1,214 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Which entries there are, which can be named to clients, and what they tell."""
+
+from collections.abc import Mapping
+from random import Random
+
+import msgspec
+import xxhash
+
+from leverdoor.codec import unpack
+
+__all__ = ["EntryBeat", "EntryState", "Member", "Roster", "SERVING"]
+
+SILENCE_S = 1.6
+FORGET_S = 60.0
+NEAR_PARTNERS = 8
+MAX_NAMED = 64
+LEAST_NAMED = 2
+
+STARTING = 0
+SERVING = 1
+LEAVING = 2
+
+EntryState = int
+
+
+class Member(msgspec.Struct, frozen=True, array_like=True):
+    """What an entry writes of itself in the store."""
+
+    name: str
+    region: str
+    domain: str
+    front: str
+    """Where clients reach it, as `ip:port`."""
+    gossip: str
+    """Where heartbeats reach it, by UDP."""
+    pull: str
+    """Where other entries fetch the state, by HTTP."""
+    incarnation: int
+
+
+class EntryBeat(msgspec.Struct, frozen=True, array_like=True):
+    """One heartbeat of an entry."""
+
+    member: Member
+    seq: int
+    state: EntryState
+    revision: int
+    in_flight: dict[str, int] = {}
+    """Requests at each target, by its name."""
+    spill: dict[str, float] = {}
+    """Share of each service's keys that leave the entry's region."""
+
+    def newer(self, other: "EntryBeat") -> bool:
+        """Say whether this beat supersedes another of the same entry."""
+        mine = (self.member.incarnation, self.seq)
+        return mine > (other.member.incarnation, other.seq)
+
+
+class _Known(msgspec.Struct):
+    member: Member
+    beat: EntryBeat | None
+    heard_at: float
+    found_at: float
+    seen_at: float
+
+
+class Roster:
+    """All entries that this one knows of, itself left out."""
+
+    def __init__(self, own: Member, rng: Random) -> None:
+        """Create it.
+
+        Args:
+          own: this entry.
+          rng: where all chance comes from.
+        """
+        self.own = own
+        self._rng = rng
+        self._known: dict[str, _Known] = {}
+
+    def found(self, written: Mapping[str, bytes], now: float) -> None:
+        """Take what entries wrote of themselves in the store."""
+        for data in written.values():
+            try:
+                member = unpack(data, Member)
+            except msgspec.MsgspecError:
+                continue
+            self._find(member, now)
+
+    def _find(self, member: Member, now: float) -> None:
+        if member.name == self.own.name:
+            return
+        known = self._known.get(member.name)
+        if known is None:
+            self._known[member.name] = _Known(member, None, -1e9, now, now)
+            return
+        known.seen_at = now
+        if member.incarnation > known.member.incarnation:
+            known.member = member
+            known.found_at = now
+            known.beat = None
+
+    def hear(self, beat: EntryBeat, now: float) -> bool:
+        """Take a heartbeat.
+
+        Returns: whether it was news.
+        """
+        if beat.member.name == self.own.name:
+            return False
+        self._find(beat.member, now)
+        known = self._known[beat.member.name]
+        if beat.member.incarnation < known.member.incarnation:
+            return False
+        if known.beat is not None and not beat.newer(known.beat):
+            return False
+        known.beat = beat
+        known.heard_at = now
+        known.seen_at = now
+        return True
+
+    def forget(self, now: float) -> None:
+        """Drop entries not seen for a long time."""
+        old = [n for n, k in self._known.items() if now - k.seen_at > FORGET_S]
+        for name in old:
+            del self._known[name]
+
+    # Questions.
+
+    def live(self, now: float) -> list[EntryBeat]:
+        """Return the latest beats of the entries heard from lately."""
+        return [
+            k.beat
+            for k in self._known.values()
+            if k.beat is not None and now - k.heard_at <= SILENCE_S
+        ]
+
+    def near(self, now: float) -> list[EntryBeat]:
+        """Return the live ones of this entry's region."""
+        return [b for b in self.live(now) if b.member.region == self.own.region]
+
+    def in_domain(self, domain: str) -> int:
+        """Count the entries of a domain known within the last minute."""
+        others = sum(1 for k in self._known.values() if k.member.domain == domain)
+        return others + (self.own.domain == domain)
+
+    def in_region(self, region: str) -> int:
+        """Count the entries of a region known within the last minute."""
+        others = sum(1 for k in self._known.values() if k.member.region == region)
+        return others + (self.own.region == region)
+
+    def partners(self) -> list[str]:
+        """Choose whom to send a beat to: the region's, and one elsewhere."""
+        near = [m for m in self._members() if m.region == self.own.region]
+        far = [m for m in self._members() if m.region != self.own.region]
+        if len(near) > NEAR_PARTNERS:
+            mine = _place(self.own.name)
+            near.sort(key=lambda m: (_place(m.name) - mine) % (1 << 64))
+            del near[NEAR_PARTNERS:]
+        chosen = [m.gossip for m in near]
+        if far:
+            chosen.append(self._rng.choice(far).gossip)
+        return chosen
+
+    def everyone(self) -> list[str]:
+        """Return the heartbeat addresses of all entries."""
+        return [m.gossip for m in self._members()]
+
+    def _members(self) -> list[Member]:
+        return [k.member for k in self._known.values()]
+
+    def newest(self, revision: int, now: float) -> Member | None:
+        """Return a live entry that has a later revision, a near one first."""
+        ahead = [b for b in self.live(now) if b.revision > revision]
+        if not ahead:
+            return None
+        near = [b for b in ahead if b.member.region == self.own.region]
+        return self._rng.choice(near or ahead).member
+
+    def elected(self, watchers: int, now: float) -> bool:
+        """Say whether this entry is one of its region's followers of the store."""
+        names = [b.member.name for b in self.near(now) if b.state != LEAVING]
+        ranked = sorted([*names, self.own.name], key=_place)
+        return ranked.index(self.own.name) < watchers
+
+    def addresses(
+        self, region: str, domain: str, own_state: EntryState, now: float
+    ) -> list[str]:
+        """Choose the entries to name to a client, the nearest ones.
+
+        Args:
+          region: the client's region.
+          domain: the client's failure domain.
+          own_state: the state of this entry.
+          now: monotonic time in seconds.
+        Returns: addresses of the client's domain; of its region as well when
+          they are few; of all regions when its own has none.
+        """
+        usable = [b.member for b in self.live(now) if b.state == SERVING]
+        if own_state == SERVING:
+            usable.append(self.own)
+        usable.sort(key=lambda m: m.name)
+        same = [m for m in usable if m.domain == domain]
+        if len(same) < LEAST_NAMED:
+            wide = [m for m in usable if m.region == region]
+            same = wide or usable
+        if not same and own_state != STARTING:
+            same = [self.own]
+        return [m.front for m in same[:MAX_NAMED]]
+
+
+def _place(name: str) -> int:
+    return xxhash.xxh3_64_intdigest(name.encode())
--- /dev/null
+++ b/leverdoor/entry/settings.py
@@ -0,0 +1,40 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Checked settings of an entry."""
+
+import msgspec
+
+from leverdoor.settings import Address
+
+__all__ = ["EntrySettings"]
+
+
+class EntrySettings(msgspec.Struct, frozen=True):
+    """Settings of one entry; times in seconds unless the name says otherwise."""
+
+    name: str
+    region: str
+    domain: str
+    domains: dict[str, str]
+    """All failure domains of the deployment, each with its region."""
+    front: Address
+    """Where clients send requests."""
+    ready: Address
+    """Where the platform asks whether the entry is ready."""
+    directory: Address
+    """Where clients ask which entries to use."""
+    gossip: Address
+    """UDP address for heartbeats."""
+    pull: Address
+    """Where other entries fetch the state."""
+    metrics: Address
+    lookup_ttl_s: float = 2.0
+    grace_s: float = 6.0
+    """How long a stop may take."""
+    repeat_ratio: float = 0.2
+    """Repeats that all entries together may make, as a share of requests."""
+    max_shift: float = 0.15
+    """Largest share of a region's requests that may change region in 2 s."""
+    watchers: int = 2
+    """Entries of a region that follow the store."""
+    seed: int = 0
--- /dev/null
+++ b/leverdoor/entry/side.py
@@ -0,0 +1,76 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""What an entry answers besides requests: readiness, directory, state, metrics."""
+
+import asyncio
+from collections.abc import Callable
+
+from aiohttp import web
+
+from leverdoor.codec import pack
+from leverdoor.entry.dialect import Dialect
+from leverdoor.entry.metrics import EntryMetrics
+from leverdoor.headers import bounded_int
+from leverdoor.state import State
+
+__all__ = ["PULL_PATH", "Side"]
+
+PULL_PATH = "/v1/internal/state"
+METRICS_PATH = "/metrics"
+
+
+class Side:
+    """The handler of questions to one entry."""
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        state: State,
+        metrics: EntryMetrics,
+        is_ready: Callable[[], bool],
+        addresses: Callable[[str, str, float], list[str]],
+        ttl_s: float,
+    ) -> None:
+        """Create it.
+
+        Args:
+          dialect: how the surroundings speak.
+          state: the copy of the store that other entries may fetch.
+          metrics: the entry's figures.
+          is_ready: whether the entry serves.
+          addresses: from a client's region and domain, and the time: whom to name.
+          ttl_s: how long an answer of the directory may be kept.
+        """
+        self._dialect = dialect
+        self._state = state
+        self._metrics = metrics
+        self._is_ready = is_ready
+        self._addresses = addresses
+        self._ttl_s = ttl_s
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one question."""
+        path = request.path
+        if path == self._dialect.resolve_path:
+            return self._resolve(request)
+        if path == self._dialect.ready_path:
+            return web.Response(status=200 if self._is_ready() else 503)
+        if path == PULL_PATH:
+            since = bounded_int(request.query, "since", 0)
+            return web.Response(body=pack(self._state.delta(since)))
+        if path == METRICS_PATH:
+            return web.Response(body=self._metrics.text(), content_type="text/plain")
+        return web.Response(status=404)
+
+    def _resolve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Tell a client which entries to use."""
+        self._metrics.lookups.inc()
+        _, region, domain = self._dialect.parse_resolve(request.query)
+        now = asyncio.get_running_loop().time()
+        addresses = self._addresses(region, domain, now)
+        if not addresses:
+            return web.Response(status=503)
+        return web.Response(
+            body=self._dialect.serialize_resolve(addresses, self._ttl_s),
+            content_type="application/json",
+        )
--- a/leverdoor/errors.py
+++ b/leverdoor/errors.py
@@ -57,6 +57,9 @@
     BAD_REQUEST = 3011
     CONNECT_FAILED = 3012
     BODY_TOO_SLOW = 3013
+    NO_ROUTE = 3014
+    BODY_TOO_LARGE = 3015
+    TARGET_REFUSED = 3016
     ANSWER_LOST = 3101
     ISSUER_GONE = 3102
     DEADLINE_PASSED = 3103
@@ -133,6 +136,13 @@
     Code.BODY_TOO_SLOW: CodeInfo(
         408, Run.NO, 42, "The body came too slowly; it never looked whole."
     ),
+    Code.NO_ROUTE: CodeInfo(404, Run.NO, 43, "No route has this host and path."),
+    Code.BODY_TOO_LARGE: CodeInfo(
+        413, Run.NO, 44, "The body is larger than the limits allow."
+    ),
+    Code.TARGET_REFUSED: CodeInfo(
+        503, Run.NO, 45, "The target said that it did not run the request."
+    ),
     Code.ANSWER_LOST: CodeInfo(
         502, Run.MAYBE, 50, "The request went out and its answer was lost."
     ),
--- a/leverdoor/following.py
+++ b/leverdoor/following.py
@@ -44,7 +44,13 @@
     """Watches the store while this agent is elected to."""
 
     def __init__(
-        self, store: Store, state: State, is_elected: Callable[[], bool], rng: Random
+        self,
+        store: Store,
+        state: State,
+        is_elected: Callable[[], bool],
+        rng: Random,
+        prefix: str = PREFIX,
+        longest_backoff_s: float = LONGEST_BACKOFF_S,
     ) -> None:
         """Create it.
 
@@ -53,7 +59,11 @@
           state: the copy to keep in step.
           is_elected: whether this agent should watch now.
           rng: spreads the calls after an outage.
+          prefix: what to follow of the store.
+          longest_backoff_s: longest pause between calls that fail, in seconds.
         """
+        self._prefix = prefix
+        self._longest_backoff_s = longest_backoff_s
         self._store = store
         self._state = state
         self._is_elected = is_elected
@@ -76,13 +86,13 @@
                     backoff = FIRST_BACKOFF_S
                 self.reachable = False
                 await asyncio.sleep(backoff * (0.5 + self._rng.random()))
-                backoff = min(backoff * 2, LONGEST_BACKOFF_S)
+                backoff = min(backoff * 2, self._longest_backoff_s)
 
     async def _follow(self) -> None:
         """Watch from where the copy stands; list only when that is not possible."""
         if self._state.revision == 0:
             await self._list()
-        watch = self._store.watch(PREFIX, self._state.revision)
+        watch = self._store.watch(self._prefix, self._state.revision)
         try:
             async for events in watch:
                 self.reachable = True
@@ -97,7 +107,7 @@
             await watch.aclose()  # type: ignore[attr-defined]
 
     async def _list(self) -> None:
-        listing = await self._store.read(PREFIX)
+        listing = await self._store.read(self._prefix)
         self.reachable = True
         if not self._state.reset(listing) and listing.revision < self._state.revision:
             logger.error(
--- a/leverdoor/gossip.py
+++ b/leverdoor/gossip.py
@@ -4,29 +4,33 @@
 
 import asyncio
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from typing import Any, Generic, TypeVar
 
 import msgspec
 from loguru import logger
 
 from leverdoor.codec import pack, unpack
-from leverdoor.peers import Gossip
 from leverdoor.settings import Address, parse_address
 
 __all__ = ["GossipSocket"]
 
 MAX_DATAGRAM = 60_000
 
+M = TypeVar("M")
 
-class GossipSocket(asyncio.DatagramProtocol):
+
+class GossipSocket(asyncio.DatagramProtocol, Generic[M]):
     """One UDP socket; messages are compressed MessagePack."""
 
-    def __init__(self, take: Callable[[Gossip], None]) -> None:
+    def __init__(self, kind: type[M], take: Callable[[M], None]) -> None:
         """Create it.
 
         Args:
+          kind: the type of the messages.
           take: called with each message received.
         """
+        self._kind: Any = kind
         self._take = take
         self._transport: asyncio.DatagramTransport | None = None
         self.sent_bytes = 0
@@ -39,20 +43,25 @@
             lambda: self, local_addr=(listen.host, listen.port)
         )
 
-    def send(self, message: Gossip, to: str) -> None:
+    def send(self, message: M, to: str) -> None:
         """Send a message to one peer; nobody waits for it to arrive."""
+        self.send_all(message, [to])
+
+    def send_all(self, message: M, to: Iterable[str]) -> None:
+        """Send one message to several peers."""
         assert self._transport is not None
         data = zlib.compress(pack(message), 1)
-        address = parse_address(to)
-        self.sent_bytes += len(data)
-        self._transport.sendto(data, (address.host, address.port))
+        for text in to:
+            address = parse_address(text)
+            self.sent_bytes += len(data)
+            self._transport.sendto(data, (address.host, address.port))
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take one datagram; what cannot be read is dropped."""
         self.received_bytes += len(data)
         try:
             raw = zlib.decompressobj().decompress(data, MAX_DATAGRAM)
-            self._take(unpack(raw, Gossip))
+            self._take(unpack(raw, self._kind))
         except (zlib.error, msgspec.MsgspecError) as e:
             logger.warning("bad gossip", sender=addr[0], error=str(e))
 
--- /dev/null
+++ b/leverdoor/platform/settings.py
@@ -0,0 +1,91 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""The settings file of a process on the platform."""
+
+import msgspec
+
+from leverdoor.entry.settings import EntrySettings
+from leverdoor.errors import SettingsError
+from leverdoor.settings import Address, parse_address
+
+__all__ = ["METRICS_PORT", "PlatformSettings", "parse_settings"]
+
+METRICS_PORT = 7201
+GOSSIP_OFFSET = 0
+PULL_OFFSET = 2
+
+
+class _Names(msgspec.Struct, rename="kebab"):
+    """Fields are spelled with hyphens; unknown ones are passed over."""
+
+
+class _Listen(_Names):
+    frontend: str
+    ready: str
+    directory: str
+
+
+class _Bounds(
+    msgspec.Struct,
+    rename={
+        "grace_s": "grace-period-s",
+        "repeat_ratio": "retry-budget-ratio",
+        "ttl_max_s": "ttl_max_s",
+        "max_shift": "max-shift",
+    },
+):
+    grace_s: float = 6.0
+    repeat_ratio: float = 0.2
+    ttl_max_s: float = 5.0
+    max_shift: float = 0.15
+
+
+class _Store(msgspec.Struct):
+    address: str
+
+
+class PlatformSettings(_Names):
+    """What the platform lays before a process."""
+
+    node_name: str
+    ip_address: str
+    zone: str
+    region: str
+    zones: dict[str, str]
+    listen_addresses: _Listen
+    internal_port_range: list[int]
+    platform: _Store
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+    def entry(self) -> EntrySettings:
+        """Return the settings in the product's names."""
+        listen = self.listen_addresses
+        first = self.internal_port_range[0]
+        return EntrySettings(
+            name=self.node_name,
+            region=self.region,
+            domain=self.zone,
+            domains=self.zones,
+            front=parse_address(listen.frontend),
+            ready=parse_address(listen.ready),
+            directory=parse_address(listen.directory),
+            gossip=Address(self.ip_address, first + GOSSIP_OFFSET),
+            pull=Address(self.ip_address, first + PULL_OFFSET),
+            metrics=Address(self.ip_address, METRICS_PORT),
+            lookup_ttl_s=min(2.0, self.bounds.ttl_max_s),
+            grace_s=self.bounds.grace_s,
+            repeat_ratio=self.bounds.repeat_ratio,
+            max_shift=self.bounds.max_shift,
+        )
+
+
+def parse_settings(data: bytes) -> PlatformSettings:
+    """Parse a settings file.
+
+    Raises:
+      SettingsError: a field is missing or wrong; its name is in the text.
+    """
+    try:
+        return msgspec.json.decode(data, type=PlatformSettings)
+    except msgspec.MsgspecError as e:
+        raise SettingsError(str(e)) from None
--- /dev/null
+++ b/leverdoor/platform/store.py
@@ -0,0 +1,215 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""The platform's metadata store, behind the product's `LeasingStore`."""
+
+import asyncio
+from collections.abc import AsyncIterator, Sequence
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+
+from leverdoor.errors import Code, LeverdoorError, StoreUnavailable, StoreUnknown
+from leverdoor.sessions import new_session
+from leverdoor.store import Commit, Entry, Event, LeasingStore, Listing, Write
+
+__all__ = ["PlatformStore"]
+
+T = TypeVar("T")
+
+CALL_TIMEOUT_S = 2.0
+WATCH_WAIT_MS = 2_500
+WATCH_SLACK_S = 0.9
+GATHER_S = 0.1
+"""Pause after a watch's events, so that those that follow come together."""
+
+
+class _Item(msgspec.Struct, rename={"key": "private-key"}):
+    key: str
+    revision: int
+    value: bytes = b""
+    gone: bool = False
+
+    def entry(self) -> Entry:
+        return Entry(self.key, self.value, self.revision)
+
+    def event(self) -> Event:
+        return Event(self.revision, self.key, None if self.gone else self.value)
+
+
+class _Range(msgspec.Struct):
+    items: list[_Item]
+    more: bool
+    at: int
+
+
+class _Events(msgspec.Struct):
+    events: list[_Item]
+    at: int
+
+
+class _Done(msgspec.Struct):
+    revision: int
+
+
+class _Lease(msgspec.Struct):
+    lease: int
+
+
+class PlatformStore(LeasingStore):
+    """The store over HTTP; each method is one call, `read` one for each page."""
+
+    def __init__(self, address: str) -> None:
+        """Create a client; nothing is opened yet.
+
+        Args:
+          address: the store's `ip:port`.
+        """
+        self._base = f"http://{address}/api/"
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def read(self, prefix: str) -> Listing:
+        """Read all entries under a prefix; the revision is the first page's."""
+        revision = 0
+        found: dict[str, Entry] = {}
+        after = ""
+        while True:
+            query = {"path-prefix": prefix}
+            if after:
+                query["after"] = after
+            page = _parse(await self._read("kv-range", query, CALL_TIMEOUT_S), _Range)
+            revision = revision or page.at
+            found.update((i.key, i.entry()) for i in page.items)
+            if not page.more or not page.items:
+                return Listing(revision, list(found.values()))
+            after = page.items[-1].key
+
+    async def watch(self, prefix: str, after: int) -> AsyncIterator[list[Event]]:
+        """Yield the changes after a revision; an empty list when there are none."""
+        while True:
+            query = {
+                "path-prefix": prefix,
+                "after": str(after),
+                "wait-ms": str(WATCH_WAIT_MS),
+            }
+            timeout_s = WATCH_WAIT_MS / 1000 + WATCH_SLACK_S
+            found = _parse(await self._read("kv-watch", query, timeout_s), _Events)
+            after = max(after, found.at)
+            yield [i.event() for i in found.events]
+            if found.events:
+                await asyncio.sleep(GATHER_S)
+
+    async def commit(self, writes: Sequence[Write]) -> Commit:
+        """Write all changes or none, if every `expect` holds."""
+        return await self._transact(writes, 0)
+
+    async def hold(self, key: str, value: bytes, ttl_s: float) -> int:
+        """Write a key that goes when its lease is not kept."""
+        body = {"ttl_ms": round(ttl_s * 1000)}
+        lease = _parse(await self._write("POST", "kv-lease", body), _Lease).lease
+        await self._transact([Write(key, value)], lease)
+        return lease
+
+    async def keep(self, lease: int) -> bool:
+        """Renew a lease."""
+        status, _ = await self._call("POST", f"kv-keep/{lease}", {}, None)
+        if status not in (200, 404):
+            raise StoreUnavailable(f"kv-keep: HTTP {status}")
+        return status == 200
+
+    async def let_go(self, lease: int) -> None:
+        """End a lease."""
+        try:
+            await self._write("DELETE", f"kv-lease-end/{lease}", None)
+        except LeverdoorError:
+            return
+
+    async def _transact(self, writes: Sequence[Write], lease: int) -> Commit:
+        body = {
+            "expected-revision": [
+                {"private-key": w.key, "revision": w.expect}
+                for w in writes
+                if w.expect is not None
+            ],
+            "put": [
+                {
+                    "private-key": w.key,
+                    "value": w.value,
+                    "lease": lease,
+                }
+                for w in writes
+                if w.value is not None
+            ],
+            "removals": [w.key for w in writes if w.value is None],
+        }
+        status, data = await self._call("POST", "kv-txn", {}, body)
+        if status == 412:
+            return Commit(False, 0)
+        _check(status, "kv-txn")
+        return Commit(True, _parse(data, _Done).revision)
+
+    async def _read(self, call: str, query: dict[str, str], timeout_s: float) -> bytes:
+        """Make a call that changes nothing, so that a lost answer is no more."""
+        try:
+            status, data = await self._call("GET", call, query, None, timeout_s)
+        except StoreUnknown as e:
+            raise StoreUnavailable(e.detail) from None
+        if status == 410:
+            raise LeverdoorError(Code.COMPACTED)
+        _check(status, call)
+        return data
+
+    async def _write(self, method: str, call: str, body: object) -> bytes:
+        status, data = await self._call(method, call, {}, body)
+        _check(status, call)
+        return data
+
+    async def _call(
+        self,
+        method: str,
+        call: str,
+        query: dict[str, str],
+        body: object,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> tuple[int, bytes]:
+        """Make one call, telling lost answers from calls never taken."""
+        if self._session is None:
+            self._session = new_session()
+        self.calls += 1
+        headers = {} if body is None else {"Content-Type": "application/json"}
+        try:
+            async with self._session.request(
+                method,
+                self._base + call,
+                params=query,
+                data=None if body is None else msgspec.json.encode(body),
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+            ) as answer:
+                return answer.status, await answer.read()
+        except aiohttp.ClientConnectorError as e:
+            raise StoreUnavailable(f"{call}: {e}") from None
+        except (aiohttp.ClientError, OSError, TimeoutError) as e:
+            raise StoreUnknown(f"{call}: {e!r}") from None
+
+
+def _check(status: int, call: str) -> None:
+    """Raise unless a call was taken; 429 and 503 say that nothing was done."""
+    if status == 200:
+        return
+    if status in (429, 503, 404):
+        raise StoreUnavailable(f"{call}: HTTP {status}")
+    raise StoreUnknown(f"{call}: HTTP {status}")
+
+
+def _parse(data: bytes, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except msgspec.MsgspecError as e:
+        raise StoreUnavailable(f"not an answer of the store: {e}") from None
--- a/leverdoor/resources.py
+++ b/leverdoor/resources.py
@@ -17,9 +17,11 @@
 __all__ = [
     "KINDS",
     "ClientBlocks",
+    "ClientLimits",
     "Drain",
     "Region",
     "Resource",
+    "Route",
     "Service",
     "ServiceLevel",
     "ShiftCap",
@@ -72,6 +74,12 @@
     """Longest queue for each entry, in requests."""
     bulk_prefixes: list[str] = []
     """Paths whose requests are bulk uploads, whatever the service's work."""
+    health_path: str = ""
+    """Path that a target answers with 200 while it is healthy; "" for none."""
+    connections: Annotated[int, Meta(ge=0, le=1_000_000)] = 0
+    """Most connections of all entries together to one target; 0 for no bound."""
+    warmup_per_s: Annotated[float, Meta(ge=0.0)] = 0.0
+    """Requests a second that a target bears while it is cold; 0 for no bound."""
 
 
 class Target(_Base, frozen=True, tag="target"):
@@ -85,6 +93,10 @@
     connections: Annotated[int, Meta(ge=1, le=100_000)] = 130
     vm: str = ""
     warmup_ms: Millis = 0
+    draining: bool = False
+    """The target says that it is about to leave."""
+    cold_ms: Millis = 0
+    """How much longer the target stays cold from when this was written."""
 
 
 class Tier(_Base, frozen=True, tag="tier"):
@@ -134,6 +146,37 @@
     objective: Share
 
 
+class Route(_Base, frozen=True, tag="route"):
+    """Which requests go to which services, and how they may be treated."""
+
+    host: str
+    prefix: Annotated[str, Meta(pattern=r"^/(.*/)?$")]
+    work: Work
+    services: dict[Name, Annotated[float, Meta(ge=0.0)]]
+    """Weights of the services that share the requests."""
+    timeout_ms: Millis = 0
+    """Longest time that a request is held; 0 for the caller's deadline alone."""
+    target_latency_ms: Millis = 0
+    """Time within which an answer is worth its full price; 0 for none."""
+    priority: Annotated[int, Meta(ge=0, le=1_000)] = 0
+    """Rank of the requests, 0 for the most urgent."""
+    attempts: Annotated[int, Meta(ge=1, le=100)] = 1
+    """Most targets that one request may be sent to."""
+    affinity: bool = False
+    """Targets are faster at things that they have lately seen."""
+    homes: list[Name] = []
+    """Regions that may serve it; empty for all."""
+
+
+class ClientLimits(_Base, frozen=True, tag="clientlimits"):
+    """What a client may send and how long it may take."""
+
+    header_bytes: Positive = 16_384
+    body_bytes: Annotated[int, Meta(ge=0)] = 67_108_864
+    header_timeout_ms: Positive = 3_000
+    idle_timeout_ms: Positive = 15_000
+
+
 class ClientBlocks(_Base, frozen=True, tag="clientblocks"):
     """A chunk of the map from client networks to home regions."""
 
@@ -142,7 +185,16 @@
 
 
 Resource: TypeAlias = (
-    Region | Service | Target | Tier | ShiftCap | Drain | ServiceLevel | ClientBlocks
+    Region
+    | Service
+    | Target
+    | Tier
+    | ShiftCap
+    | Drain
+    | ServiceLevel
+    | Route
+    | ClientLimits
+    | ClientBlocks
 )
 _CLASSES: tuple[type[_Base], ...] = (
     Region,
@@ -152,6 +204,8 @@
     ShiftCap,
     Drain,
     ServiceLevel,
+    Route,
+    ClientLimits,
     ClientBlocks,
 )
 KINDS: dict[str, type[_Base]] = {str(c.__struct_config__.tag): c for c in _CLASSES}
@@ -256,6 +310,8 @@
         case ServiceLevel():
             _need(after, f"service/{resource.service}", owner, "service")
             _need(after, f"tier/{resource.tier}", owner, "tier")
+        case Route():
+            _check_route(resource, after, owner)
         case ClientBlocks():
             _check_blocks(resource, after, owner)
         case _:
@@ -321,6 +377,22 @@
         )
 
 
+def _check_route(route: Route, after: Mapping[str, Resource], owner: str) -> None:
+    for service in route.services:
+        _need(after, f"service/{service}", owner, f"services.{service}")
+    for region in route.homes:
+        _need(after, f"region/{region}", owner, "homes")
+    if not any(route.services.values()):
+        raise _contradiction(owner, "services", "no service has a weight")
+    for other in after.values():
+        if (
+            isinstance(other, Route)
+            and other.name != route.name
+            and (other.host, other.prefix) == (route.host, route.prefix)
+        ):
+            raise _contradiction(owner, "prefix", f"route/{other.name} has it too")
+
+
 def _check_blocks(
     blocks: ClientBlocks, after: Mapping[str, Resource], owner: str
 ) -> None:
--- a/leverdoor/state.py
+++ b/leverdoor/state.py
@@ -89,6 +89,10 @@
         for e in delta.events:
             if e.revision <= self.revision:
                 continue
+            held = self.entries.get(e.key)
+            if held is not None and held.revision > e.revision:
+                # A listing in pages already showed a later value.
+                continue
             if e.value is None:
                 self.entries.pop(e.key, None)
             else:
--- a/leverdoor/store.py
+++ b/leverdoor/store.py
@@ -18,6 +18,7 @@
     "Commit",
     "Entry",
     "Event",
+    "LeasingStore",
     "Listing",
     "MemoryStore",
     "Store",
@@ -103,6 +104,32 @@
         """Give back connections; there may be none."""
 
 
+class LeasingStore(Store):
+    """A store whose keys can go by themselves when their writer is gone."""
+
+    @abstractmethod
+    async def hold(self, key: str, value: bytes, ttl_s: float) -> int:
+        """Write a key that goes when its lease is not kept.
+
+        Returns: the lease.
+        Raises:
+          StoreUnavailable: nothing was written.
+          StoreUnknown: the key may have been written.
+        """
+
+    @abstractmethod
+    async def keep(self, lease: int) -> bool:
+        """Renew a lease; False when it is over and its keys are gone.
+
+        Raises:
+          StoreUnavailable: the service did not answer.
+        """
+
+    @abstractmethod
+    async def let_go(self, lease: int) -> None:
+        """End a lease, which removes its keys; faults are passed over."""
+
+
 class MemoryStore(Store):
     """The key-value service in memory, with faults to order."""
 
