--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -39,7 +39,7 @@
 __all__ = ["Entry"]
 
 BEAT_S = 0.1
-SPILL_BEATS = 3
+SHARE_BEATS = 3
 SWEEP_BEATS = 10
 KEEPALIVE_S = 15.0
 LISTEN_ON_S = 2.2
@@ -259,7 +259,7 @@
             self._life,
             self._state.revision,
             self._fleet.in_flight(),
-            self._placement.spill_shares(),
+            self._placement.shares(),
         )
 
     def _tell_everyone(self) -> None:
@@ -274,9 +274,9 @@
             turn += 1
             now = loop.time()
             self._socket.send_all(self._own_beat(), self._roster.partners())
-            if turn % SPILL_BEATS == 0:
-                peers = [b.spill for b in self._roster.near(now)]
-                self._placement.update_spill(peers, now)
+            if turn % SHARE_BEATS == 0:
+                peers = [b.shares for b in self._roster.near(now)]
+                self._placement.update_shares(peers, now)
             if turn % SWEEP_BEATS == 0:
                 self._connections.sweep(now)
                 self._roster.forget(now)
--- a/leverdoor/entry/placement.py
+++ b/leverdoor/entry/placement.py
@@ -7,10 +7,10 @@
 
 import msgspec
 
-from leverdoor.entry.affinity import Ranking, key_place
+from leverdoor.entry.affinity import Ranking
 from leverdoor.entry.catalog import EMPTY, Catalog
 from leverdoor.entry.fleet import Fleet, TargetState
-from leverdoor.entry.spill import SpillShare, first_share
+from leverdoor.entry.spill import RegionShares, first_shares
 from leverdoor.errors import Code
 from leverdoor.resources import Route, Target
 
@@ -22,7 +22,6 @@
 LEAST_WAIT_SHARE = 0.3
 URGENT_PRIORITY = 1
 LESS_URGENT = 0.7
-REMOTE_MS = 80.0
 OTHER_DOMAIN_MS = 8.0
 STRAY_EARN = 0.03
 STRAY_LIMIT = 3.0
@@ -31,6 +30,7 @@
 RETRY_SPREAD_MS = 350
 DEFAULT_LATENCY_MS = 500
 CANDIDATES = 6
+NO_SLOTS = 9.0
 
 
 class Asked(msgspec.Struct):
@@ -98,7 +98,7 @@
         self._rankings: dict[tuple[str, str], Ranking] = {}
         self._regions: dict[tuple[str, str], list[Target]] = {}
         self._times: dict[str, Times] = {}
-        self._spill: dict[str, SpillShare] = {}
+        self._shares: dict[str, RegionShares] = {}
         self._weights: dict[str, dict[str, float]] = {}
         self._stray = STRAY_LIMIT
         self.sharers: Callable[[Target], int] = lambda _: 1
@@ -137,50 +137,50 @@
         credit[best] -= 1.0
         return best
 
-    def spill_shares(self) -> dict[str, float]:
-        """Return the share of each service's keys that leaves the region."""
-        return {s: round(v.share, 4) for s, v in self._spill.items()}
+    def shares(self) -> dict[str, dict[str, float]]:
+        """Return the regions' shares of each service's keys."""
+        return {
+            service: {r: round(v, 4) for r, v in state.shares.items()}
+            for service, state in self._shares.items()
+        }
 
-    def update_spill(self, peers: list[dict[str, float]], now: float) -> None:
-        """Move the spill shares; call several times a second.
+    def update_shares(
+        self, peers: list[dict[str, dict[str, float]]], now: float
+    ) -> None:
+        """Move the shares; call several times a second.
 
         Args:
           peers: the shares of the other entries of the region, by service.
           now: monotonic time in seconds.
         """
         for service in self._catalog.by_service:
-            state = self._spill_of(service, peers, now)
-            pressure = self._pressure(service, self._region, now)
-            others = [
-                self._pressure(service, region, now)
-                for region in self._catalog.regions
-                if region != self._region and (service, region) in self._regions
-            ]
-            elsewhere = min(others, default=9.0)
             told = [p[service] for p in peers if service in p]
-            state.update(pressure, elsewhere, told, now)
-
-    def _spill_of(
-        self, service: str, peers: list[dict[str, float]], now: float
-    ) -> SpillShare:
-        found = self._spill.get(service)
+            state = self._shares_of(service, told, now)
+            pressures = {
+                region: self._pressure(service, region, now) for region in state.shares
+            }
+            state.update(pressures, told, now)
+
+    def _shares_of(
+        self, service: str, told: list[dict[str, float]], now: float
+    ) -> RegionShares:
+        found = self._shares.get(service)
         if found is None:
-            told = [p[service] for p in peers if service in p]
-            first = sum(told) / len(told) if told else self._first_share(service)
-            found = self._spill[service] = SpillShare(first, now)
+            first = dict(told[0]) if told else self._first_shares(service)
+            found = RegionShares(self._region, first, now)
+            self._shares[service] = found
         return found
 
-    def _first_share(self, service: str) -> float:
+    def _first_shares(self, service: str) -> dict[str, float]:
         slots = {
             region: sum(t.slots for t in self._regions.get((service, region), ()))
             for region in self._catalog.regions
         }
-        mean = sum(slots.values()) / max(len(slots), 1)
-        return first_share(slots.get(self._region, 0), mean)
+        return first_shares(self._region, slots)
 
     def _pressure(self, service: str, region: str, now: float) -> float:
         load, slots = self._fleet.load(self._regions.get((service, region), ()), now)
-        return load / slots if slots else 9.0
+        return load / slots if slots else NO_SLOTS
 
     # What is decided.
 
@@ -190,29 +190,34 @@
         regions = self._allowed_regions(asked)
         if not regions:
             return self._refuse(Code.NO_TARGET, "no target may serve it")
-        leaves = self._leaves(asked, regions, now)
-        local = self._region in regions
-        if local and not leaves:
-            found = self._best(asked, self._near(asked), "near", now)
-            if found is not None:
-                return found
-        others = [r for r in regions if r != self._region]
-        if leaves or not local or self._may_stray(asked, now):
-            for region in self._by_room(asked, others, now):
-                ranking = self._rankings[(asked.service, region)]
-                candidates = ranking.order(asked.key)[:CANDIDATES]
-                found = self._best(asked, candidates, "spill", now)
+        first = self._region_of(asked, regions, now)
+        found = self._in_region(asked, first, "share", now)
+        if found is not None:
+            return found
+        rest = [r for r in regions if r != first]
+        if rest and self._may_stray(asked, first, now):
+            for region in self._by_room(asked, rest, now):
+                found = self._in_region(asked, region, "stray", now)
                 if found is not None:
                     return found
-        if local and leaves:
-            found = self._best(asked, self._near(asked), "back", now)
-            if found is not None:
-                return found
-        found = self._cold(asked, regions, now)
+        found = self._cold(asked, [first, *rest], now)
         if found is not None:
             return found
         return self._refuse(Code.QUEUE_FULL, "no room in time")
 
+    def _region_of(self, asked: Asked, regions: list[str], now: float) -> str:
+        """Return the region that the request's key belongs to."""
+        state = self._shares_of(asked.service, [], now)
+        return state.region(asked.key, regions)
+
+    def _in_region(
+        self, asked: Asked, region: str, reason: str, now: float
+    ) -> Chosen | None:
+        if region == self._region:
+            return self._best(asked, self._near(asked), reason, now)
+        ranking = self._rankings[(asked.service, region)]
+        return self._best(asked, ranking.order(asked.key)[:CANDIDATES], reason, now)
+
     def _allowed_regions(self, asked: Asked) -> list[str]:
         homes = asked.route.homes
         return [
@@ -222,19 +227,9 @@
             and (not homes or region in homes)
         ]
 
-    def _leaves(self, asked: Asked, regions: list[str], now: float) -> bool:
-        """Say whether the request's key is one of those served elsewhere."""
-        state = self._spill.get(asked.service)
-        if state is None or len(regions) < 2:
-            return False
-        return key_place(asked.key, asked.service) < state.share
-
-    def _may_stray(self, asked: Asked, now: float) -> bool:
-        """Let a few requests leave at once, beyond the share, before refusing."""
-        _, slots = self._fleet.load(
-            self._regions.get((asked.service, self._region), ()), now
-        )
-        if slots == 0:
+    def _may_stray(self, asked: Asked, first: str, now: float) -> bool:
+        """Let a few requests leave their key's region at once, before refusing."""
+        if self._pressure(asked.service, first, now) >= NO_SLOTS:
             return True
         if self._stray < 1.0:
             return False
@@ -250,13 +245,8 @@
         return first + [t for t in rest if t.domain != self._domain][:CANDIDATES]
 
     def _by_room(self, asked: Asked, regions: list[str], now: float) -> list[str]:
-        """Order other regions for a key: a fixed order, full ones last."""
-
-        def rank(region: str) -> tuple[bool, float]:
-            full = self._pressure(asked.service, region, now) > 0.9
-            return full, key_place(asked.key, region)
-
-        return sorted(regions, key=rank)
+        """Order regions by their load, the emptiest first."""
+        return sorted(regions, key=lambda r: self._pressure(asked.service, r, now))
 
     def _best(
         self, asked: Asked, candidates: list[Target], reason: str, now: float
--- a/leverdoor/entry/roster.py
+++ b/leverdoor/entry/roster.py
@@ -49,8 +49,8 @@
     revision: int
     in_flight: dict[str, int] = {}
     """Requests at each target, by its name."""
-    spill: dict[str, float] = {}
-    """Share of each service's keys that leave the entry's region."""
+    shares: dict[str, dict[str, float]] = {}
+    """For each service, the regions' shares of the keys asked for here."""
 
     def newer(self, other: "EntryBeat") -> bool:
         """Say whether this beat supersedes another of the same entry."""
--- a/leverdoor/entry/spill.py
+++ b/leverdoor/entry/spill.py
@@ -1,81 +1,144 @@
 # leverdoor: global traffic steering
 # SPDX-License-Identifier: Apache-2.0
-"""What share of a service's keys is served in other regions.
+"""In which region the keys of a service are served.
 
-Keys lie on the unit interval, alike at every entry; those below the share go
-elsewhere. The share follows the load of the region's targets and moves at a
-bounded rate, so that no great part of a region's requests changes region from
-one moment to the next, and caches elsewhere warm up key by key.
+Each region has a share of the keys that this region's clients ask for. Keys
+are dealt by weighted rendezvous, alike at every entry: when a share changes,
+only keys of that region move. The shares follow the load of each region's
+targets and move at a bounded rate, so that no great part of a region's
+requests changes region from one moment to the next, and caches elsewhere warm
+up key by key.
 """
 
-from collections.abc import Iterable
+import math
+from collections.abc import Iterable, Mapping
 
-__all__ = ["SpillShare"]
+from leverdoor.entry.affinity import key_place
 
-RISE_PER_S = 0.05
-FALL_PER_S = 0.03
+__all__ = ["RegionShares", "first_shares"]
+
+MOVE_PER_S = 0.04
 HIGH_PRESSURE = 0.75
-LOW_PRESSURE = 0.55
+LOW_PRESSURE = 0.60
+MARGIN = 0.1
+IMBALANCE = 0.25
 PRESSURE_WEIGHT_S = 1.0
-AGREEMENT = 0.3
+AGREEMENT_PER_S = 0.3
+UNKNOWN_PRESSURE = 9.0
+LEAST_SHARE = 1e-9
+LEAST_PLACE = 1e-18
 
 
-class SpillShare:
-    """The share of one service's keys that leaves this region."""
+class RegionShares:
+    """The shares of one service's keys, by region."""
 
-    def __init__(self, first: float, now: float) -> None:
+    def __init__(self, own: str, first: Mapping[str, float], now: float) -> None:
         """Create it.
 
         Args:
-          first: share to start from.
+          own: the region whose clients' keys are dealt.
+          first: shares to start from, which add up to one.
           now: monotonic time in seconds.
         """
-        self.share = first
-        self._pressure = -1.0
+        self.own = own
+        self.shares = dict(first)
+        self.pressures: dict[str, float] = {}
         self._at = now
 
-    @property
-    def pressure(self) -> float:
-        """Smoothed load over slots of the region's targets; -1 if unknown."""
-        return self._pressure
+    def region(self, key: str, allowed: Iterable[str]) -> str:
+        """Return the region that a key belongs to, among those allowed."""
+
+        def score(region: str) -> float:
+            share = max(self.shares.get(region, 0.0), LEAST_SHARE)
+            return -math.log(max(key_place(key, region), LEAST_PLACE)) / share
+
+        return min(allowed, key=score)
 
     def update(
-        self, pressure: float, elsewhere: float, peers: Iterable[float], now: float
+        self,
+        pressures: Mapping[str, float],
+        peers: Iterable[Mapping[str, float]],
+        now: float,
     ) -> None:
-        """Move the share.
+        """Move the shares.
 
         Args:
-          pressure: load over slots of the region's usable targets.
-          elsewhere: the same for the least loaded other region.
+          pressures: by region, load over slots of its usable targets.
           peers: the shares that other entries of the region use.
           now: monotonic time in seconds.
         """
         passed = min(now - self._at, 1.0)
         self._at = now
-        if self._pressure < 0:
-            self._pressure = pressure
+        self._smooth(pressures, passed)
+        self._agree([p for p in peers if p], passed)
+        found = self._wanted_move()
+        if found is not None:
+            source, sink = found
+            self._move(source, sink, MOVE_PER_S * passed)
+
+    def _smooth(self, pressures: Mapping[str, float], passed: float) -> None:
         weight = min(1.0, passed / PRESSURE_WEIGHT_S)
-        self._pressure += weight * (pressure - self._pressure)
-        step = 0.0
-        if self._pressure > HIGH_PRESSURE and elsewhere < self._pressure:
-            step = RISE_PER_S
-        elif self._pressure < LOW_PRESSURE:
-            step = -FALL_PER_S
-        told = list(peers)
-        if told:
-            mean = sum(told) / len(told)
-            pull = AGREEMENT * (mean - self.share)
-            step += max(-RISE_PER_S, min(RISE_PER_S, pull))
-        step = max(-RISE_PER_S, min(RISE_PER_S, step))
-        self.share = max(0.0, min(1.0, self.share + step * passed))
-
-
-def first_share(region_slots: int, mean_slots: float) -> float:
-    """Return the share to start from, before any load is known.
+        smoothed = {}
+        for region, pressure in pressures.items():
+            before = self.pressures.get(region, pressure)
+            smoothed[region] = before + weight * (pressure - before)
+        self.pressures = smoothed
+
+    def _agree(self, peers: list[Mapping[str, float]], passed: float) -> None:
+        """Go a part of the way to the mean of the region's entries."""
+        if not peers:
+            return
+        for region in self.shares:
+            mean = sum(p.get(region, 0.0) for p in peers) / len(peers)
+            gap = mean - self.shares[region]
+            most = MOVE_PER_S * passed / 2
+            step = AGREEMENT_PER_S * passed * gap
+            self.shares[region] += max(-most, min(most, step))
+        total = sum(self.shares.values())
+        self.shares = {r: v / total for r, v in self.shares.items()}
+
+    def _wanted_move(self) -> tuple[str, str] | None:
+        """Return from which region to which some keys should move, if any."""
+        known = {r: self._pressure(r) for r in self.shares}
+        own = known.get(self.own, UNKNOWN_PRESSURE)
+        others = {r: p for r, p in known.items() if r != self.own}
+        if not others:
+            return None
+        least = min(others, key=lambda r: others[r])
+        if own > HIGH_PRESSURE and others[least] + MARGIN < own:
+            return self.own, least
+        used = [r for r in others if self.shares[r] > LEAST_SHARE]
+        if not used:
+            return None
+        most = max(used, key=lambda r: others[r])
+        if own < LOW_PRESSURE:
+            return most, self.own
+        if others[most] - others[least] > IMBALANCE:
+            return most, least
+        return None
+
+    def _pressure(self, region: str) -> float:
+        return self.pressures.get(region, UNKNOWN_PRESSURE)
+
+    def _move(self, source: str, sink: str, share: float) -> None:
+        moved = min(share, self.shares[source])
+        self.shares[source] -= moved
+        self.shares[sink] += moved
+
+
+def first_shares(own: str, slots: Mapping[str, int]) -> dict[str, float]:
+    """Return the shares to start from, before any load is known.
 
     A region with much less than the mean of slots will be short of them when
-    its clients are as many as elsewhere.
+    its clients are as many as elsewhere; the rest goes where slots are.
     """
-    if mean_slots <= 0:
-        return 0.0
-    return max(0.0, min(1.0, 1.0 - 2.0 * region_slots / mean_slots))
+    mean = sum(slots.values()) / max(len(slots), 1)
+    others = sum(v for r, v in slots.items() if r != own)
+    kept = min(1.0, 2.0 * slots.get(own, 0) / mean) if mean else 1.0
+    if not others:
+        kept = 1.0
+    found = {own: kept}
+    for region, count in slots.items():
+        if region != own:
+            found[region] = (1.0 - kept) * count / others if others else 0.0
+    return found
