--- a/leverdoor/entry/placement.py
+++ b/leverdoor/entry/placement.py
@@ -18,7 +18,15 @@
 
 FAST_SHARE = 0.4
 SLOW_SHARE = 1.3
-TIME_WEIGHT = 0.05
+TIME_STEP = 0.03
+FAST_QUANTILE = 0.4
+SLOW_QUANTILE = 0.6
+COLD_ROOM = 0.6
+"""Load over slots up to which a target may be asked for what it has not seen.
+
+A run for an unseen key takes about three times as long: when targets are busy,
+spreading keys over more of them makes all of them slower.
+"""
 LEAST_WAIT_SHARE = 0.3
 URGENT_PRIORITY = 1
 LESS_URGENT = 0.7
@@ -71,11 +79,22 @@
     slow_ms: float
 
     def learn(self, took_ms: float, warm: bool) -> None:
-        """Take the time of one answer."""
+        """Take the time of one answer.
+
+        Both follow a quantile and not the mean, since what is taken for warm
+        is often cold at first, and what is taken for cold may have been
+        warmed by another entry.
+        """
         if warm:
-            self.fast_ms += TIME_WEIGHT * (took_ms - self.fast_ms)
+            self.fast_ms = _toward(self.fast_ms, took_ms, FAST_QUANTILE)
         else:
-            self.slow_ms += TIME_WEIGHT * (took_ms - self.slow_ms)
+            self.slow_ms = _toward(self.slow_ms, took_ms, SLOW_QUANTILE)
+
+
+def _toward(estimate: float, sample: float, quantile: float) -> float:
+    """Move an estimate of a quantile by one sample."""
+    step = TIME_STEP * estimate
+    return estimate + step * (quantile if sample > estimate else quantile - 1.0)
 
 
 class Placement:
@@ -238,11 +257,8 @@
 
     def _near(self, asked: Asked) -> list[Target]:
         """Return this region's targets for a key, the own domain's first."""
-        own = self._rankings.get((asked.service, self._domain))
         region = self._rankings.get((asked.service, self._region))
-        first = own.order(asked.key)[:CANDIDATES] if own else []
-        rest = region.order(asked.key) if region else []
-        return first + [t for t in rest if t.domain != self._domain][:CANDIDATES]
+        return region.order(asked.key)[:CANDIDATES] if region else []
 
     def _by_room(self, asked: Asked, regions: list[str], now: float) -> list[str]:
         """Order regions by their load, the emptiest first."""
@@ -262,9 +278,13 @@
             state = self._fleet.of(target, now)
             if not state.usable(now) or state.cold(now):
                 continue
-            warm = first or not asked.route.affinity or state.saw(asked.key)
+            load = state.load(now)
+            seen = not asked.route.affinity or state.saw(asked.key)
+            warm = seen or (first and reason != "stray")
             first = False
-            over = state.load(now) - target.slots + 1
+            if not warm and load >= COLD_ROOM * target.slots:
+                continue
+            over = load - target.slots + 1
             takes = times.fast_ms if warm else times.slow_ms
             wait_ms = max(over, 0) * times.fast_ms / target.slots
             if wait_ms > most:
