--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -45,6 +45,8 @@
 LISTEN_ON_S = 2.2
 STOP_MARGIN_S = 0.4
 STOP_POLL_S = 0.02
+IDLE_ROUNDS = 3
+"""Rounds without a request before the end: some may just have been accepted."""
 MAX_LINE_BYTES = 16_384
 BACKLOG = 512
 SEEN_BACKOFF_S = 1.0
@@ -296,9 +298,33 @@
         removal = asyncio.create_task(self._registration.end())
         await asyncio.sleep(LISTEN_ON_S)
         front.close()
-        self._front_server.pre_shutdown()
         last = began + self._settings.grace_s - STOP_MARGIN_S
-        while self._front.active and loop.time() < last:
+        idle_rounds = 0
+        idle: set[object] = set()
+        while idle_rounds < IDLE_ROUNDS and loop.time() < last:
+            idle = self._close_idle(idle)
             await asyncio.sleep(STOP_POLL_S)
+            idle_rounds = 0 if self._front.active else idle_rounds + 1
         removal.cancel()
         self._events.process("drained", in_flight=self._front.active)
+
+    def _close_idle(self, before: set[object]) -> set[object]:
+        """Close the connections that were idle a moment ago and still are.
+
+        The HTTP library's own way leaves them open and deaf to what still
+        arrives until the process ends, so that a request sent meanwhile is
+        neither answered nor refused.
+
+        Args:
+          before: the connections that were idle at the last call.
+        Returns: those that are idle now.
+        """
+        idle: set[object] = set()
+        for connection in self._front_server.connections:
+            if connection in self._front.busy:
+                continue
+            if connection in before:
+                connection.force_close()
+            else:
+                idle.add(connection)
+        return idle
--- a/leverdoor/entry/front.py
+++ b/leverdoor/entry/front.py
@@ -47,15 +47,34 @@
         self._events = events
         self._metrics = metrics
         self._catalog = catalog
-        self.active = 0
+        self.busy: set[object] = set()
+        """The connections on which a request is being served."""
         self.leaving = False
 
+    @property
+    def active(self) -> int:
+        """How many requests are being served."""
+        return len(self.busy)
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Serve one request."""
+        """Serve one request and send its answer."""
+        connection = request.protocol
+        if request.transport is None:
+            raise ConnectionResetError("closed before the request was begun")
+        self.busy.add(connection)
+        try:
+            response = await self._serve(request)
+            await response.prepare(request)
+            await response.write_eof()
+            return response
+        finally:
+            self.busy.discard(connection)
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Get the answer to one request, which may be a refusal."""
         loop = asyncio.get_running_loop()
         arrived = loop.time()
         request_id = request.headers.get(self._dialect.headers.request_id, "")
-        self.active += 1
         service = ""
         outcome = "left"
         try:
@@ -76,7 +95,6 @@
             self._events.left(request_id, loop.time() - arrived)
             raise
         finally:
-            self.active -= 1
             self._metrics.request(service, outcome, loop.time() - arrived)
 
     # In.
