--- a/leverdoor/platform/settings.py
+++ b/leverdoor/platform/settings.py
@@ -8,9 +8,9 @@
 from leverdoor.errors import SettingsError
 from leverdoor.settings import Address, parse_address
 
-__all__ = ["METRICS_PORT", "PlatformSettings", "parse_settings"]
+__all__ = ["PlatformSettings", "parse_settings"]
 
-METRICS_PORT = 7201
+METRICS_OFFSET = 1
 GOSSIP_OFFSET = 0
 PULL_OFFSET = 2
 
@@ -71,7 +71,7 @@
             directory=parse_address(listen.directory),
             gossip=Address(self.ip_address, first + GOSSIP_OFFSET),
             pull=Address(self.ip_address, first + PULL_OFFSET),
-            metrics=Address(self.ip_address, METRICS_PORT),
+            metrics=Address(self.ip_address, first + METRICS_OFFSET),
             lookup_ttl_s=min(2.0, self.bounds.ttl_max_s),
             grace_s=self.bounds.grace_s,
             repeat_ratio=self.bounds.repeat_ratio,
--- /dev/null
+++ b/leverdoor/standins/entry_site.py
@@ -0,0 +1,326 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Entries as real processes on loopback, beside stand-ins of store and targets."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import tempfile
+from collections.abc import Mapping
+from itertools import count
+from pathlib import Path
+
+import aiohttp
+import msgspec
+from aiohttp import web
+from yarl import URL
+
+from leverdoor.codec import serialize_json
+from leverdoor.sessions import new_session
+from leverdoor.standins.metadata import MetadataStandin
+from leverdoor.standins.upstreams import UpstreamStandin
+
+__all__ = ["Answer", "EntryProcess", "EntrySite", "Place", "SAMPLE_ROUTES"]
+
+HOST = "127.0.0.1"
+FIRST_PORT = 8_381
+HOSTS = count()
+PROBE_S = 0.02
+TURNS = 3_000
+STOP_S = 10.0
+
+SAMPLE_ROUTES: list[dict[str, object]] = [
+    {
+        "name": "look-up",
+        "host": "records.example",
+        "path-prefix": "/look/",
+        "kind": "safe",
+        "service": "look",
+        "timeout-ms": 2000,
+        "target-latency-ms": 500,
+        "priority": 2,
+        "max-attempts": 2,
+        "session-affinity": True,
+    },
+    {
+        "name": "filing",
+        "host": "records.example",
+        "path-prefix": "/file/",
+        "kind": "unsafe",
+        "service": "file",
+        "timeout-ms": 2500,
+        "target-latency-ms": 600,
+        "priority": 1,
+        "max-attempts": 2,
+    },
+    {
+        "name": "upload",
+        "host": "records.example",
+        "path-prefix": "/upload/",
+        "kind": "upload",
+        "traffic-split": [
+            {"service": "file", "weight": 90},
+            {"service": "look", "weight": 10},
+        ],
+        "timeout-ms": 10_000,
+        "target-latency-ms": 2000,
+        "priority": 1,
+    },
+]
+
+
+class Place(msgspec.Struct, frozen=True):
+    """Where an entry or a target stands."""
+
+    zone: str
+    region: str
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """What a client got; status 0 when the connection ended without an answer."""
+
+    request_id: str
+    status: int
+    body: bytes
+    headers: Mapping[str, str]
+    """Their names are found in any case."""
+
+
+class EntryProcess:
+    """One entry as a process."""
+
+    def __init__(
+        self, name: str, place: Place, settings: Path, ports: dict[str, str]
+    ) -> None:
+        """Create it; `start` runs it.
+
+        Args:
+          name: its name.
+          place: where it stands.
+          settings: its settings file.
+          ports: by purpose, where it listens.
+        """
+        self.name = name
+        self.place = place
+        self.settings = settings
+        self.ports = ports
+        self.log = settings.with_suffix(".log")
+        self._process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Start the process."""
+        with self.log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "leverdoor.platform",
+                env=os.environ | {"LEVERDOOR_SETTINGS": str(self.settings)},
+                stdout=log,
+                stderr=log,
+            )
+
+    @property
+    def running(self) -> bool:
+        """Say whether the process runs."""
+        return self._process is not None and self._process.returncode is None
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        if self._process is not None and self.running:
+            self._process.send_signal(number)
+
+    async def ended(self) -> int:
+        """Wait for the end of the process, and return its status."""
+        assert self._process is not None
+        async with asyncio.timeout(STOP_S):
+            return await self._process.wait()
+
+    def events(self) -> list[dict[str, object]]:
+        """Return what the process has logged."""
+        lines = self.log.read_bytes().splitlines()
+        return [json.loads(line) for line in lines if line.startswith(b"{")]
+
+
+class EntrySite:
+    """A deployment: the store and the targets here, the entries as processes."""
+
+    def __init__(
+        self, entries: Mapping[str, Place], targets: list[UpstreamStandin]
+    ) -> None:
+        """Create it; `start` runs it.
+
+        Args:
+          entries: by name, where each entry stands.
+          targets: the targets; their zones must be of those places.
+        """
+        self.store = MetadataStandin()
+        self.targets = {t.name: t for t in targets}
+        self.entries: dict[str, EntryProcess] = {}
+        self._places = dict(entries)
+        self._zones = {p.zone: p.region for p in entries.values()}
+        self._runners: dict[str, web.AppRunner] = {}
+        self._folder = tempfile.TemporaryDirectory()
+        self._numbers = count(1)
+        self._version = 0
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self, routes: list[dict[str, object]] | None = None) -> None:
+        """Start everything and wait until every entry is ready."""
+        address = await self._serve("store", self.store.app())
+        self.configure(SAMPLE_ROUTES if routes is None else routes)
+        for target in self.targets.values():
+            await self.add_target(target)
+        for name, place in self._places.items():
+            self.entries[name] = self._entry(name, place, address)
+        for entry in self.entries.values():
+            await entry.start()
+        for entry in self.entries.values():
+            await self.ready(entry)
+
+    async def stop(self) -> None:
+        """End everything that was started here."""
+        for entry in self.entries.values():
+            entry.send(signal.SIGKILL)
+            if entry.running:
+                await entry.ended()
+        if self._session is not None:
+            await self._session.close()
+        for runner in self._runners.values():
+            await runner.cleanup()
+        self._folder.cleanup()
+
+    async def _serve(self, name: str, app: web.Application) -> str:
+        runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, HOST, 0).start()
+        self._runners[name] = runner
+        return f"{HOST}:{runner.addresses[0][1]}"
+
+    def _entry(self, name: str, place: Place, store: str) -> EntryProcess:
+        host = self._host()
+        ports = {
+            "frontend": f"{host}:{FIRST_PORT}",
+            "ready": f"{host}:{FIRST_PORT + 1}",
+            "directory": f"{host}:{FIRST_PORT + 2}",
+        }
+        settings = {
+            "node-name": name,
+            "ip-address": host,
+            "zone": place.zone,
+            "region": place.region,
+            "zones": self._zones,
+            "listen-addresses": ports,
+            "internal-port-range": [FIRST_PORT + 3, FIRST_PORT + 9],
+            "platform": {"address": store},
+        }
+        path = Path(self._folder.name) / f"{name}.json"
+        path.write_bytes(serialize_json(settings))
+        return EntryProcess(name, place, path, ports)
+
+    def _host(self) -> str:
+        """Return a loopback address that no other entry on this machine has.
+
+        Addresses of their own spare them the search for free ports, which
+        others may take in between.
+        """
+        pid = os.getpid()
+        return f"127.{1 + pid % 250}.{1 + pid // 250 % 250}.{1 + next(HOSTS) % 250}"
+
+    # What the operator and the targets do.
+
+    def configure(self, routes: list[dict[str, object]]) -> int:
+        """Write a configuration; returns the store's revision."""
+        self._version += 1
+        services = sorted({t.service for t in self.targets.values()})
+        config = {
+            "version": f"{self._version:08x}",
+            "routes": routes,
+            "services": [{"name": s, "warmup-per-s": 11.0} for s in services],
+            "limits": {"max-body-bytes": 64 * 1024 * 1024},
+        }
+        return self.store.put("op/config", serialize_json(config))
+
+    async def add_target(self, target: UpstreamStandin) -> None:
+        """Start a target and let it write itself."""
+        self.targets[target.name] = target
+        address = await self._serve(target.name, target.app())
+        self.store.put(f"servers/{target.name}", target.entry(address))
+
+    def drain_target(self, name: str) -> None:
+        """Let a target announce that it leaves."""
+        target = self.targets[name]
+        target.state = "draining"
+        port = self._runners[name].addresses[0][1]
+        self.store.put(f"servers/{name}", target.entry(f"{HOST}:{port}"))
+
+    async def end_target(self, name: str) -> None:
+        """End a target without a word; its entry goes."""
+        await self._runners.pop(name).cleanup()
+        self.store.remove(f"servers/{name}")
+
+    # What clients do.
+
+    async def ready(self, entry: EntryProcess) -> None:
+        """Wait until an entry says that it is ready."""
+        for _ in range(TURNS):
+            if await self.is_ready(entry):
+                return
+            await asyncio.sleep(PROBE_S)
+        raise TimeoutError(f"{entry.name} is not ready")
+
+    async def is_ready(self, entry: EntryProcess) -> bool:
+        """Ask an entry whether it is ready."""
+        answer = await self._ask("GET", f"http://{entry.ports['ready']}/api/readiness")
+        return answer.status == 200
+
+    async def resolve(self, entry: EntryProcess) -> list[str]:
+        """Ask an entry, as a client beside it, where to go."""
+        place = entry.place
+        url = f"http://{entry.ports['directory']}/api/resolve"
+        query = f"?name=records.example&region={place.region}&zone={place.zone}"
+        answer = await self._ask("GET", url + query)
+        if answer.status != 200:
+            return []
+        found: list[str] = json.loads(answer.body)["addresses"]
+        return found
+
+    async def request(
+        self,
+        entry: EntryProcess,
+        method: str,
+        path: str,
+        body: object = None,
+        headers: Mapping[str, str] | None = None,
+        request_id: str = "",
+    ) -> Answer:
+        """Send one request to an entry."""
+        request_id = request_id or f"{next(self._numbers):016x}"
+        given = {
+            "Host": "records.example",
+            "X-Request-Id": request_id,
+            "X-Deadline-Ms": "5000",
+            **(headers or {}),
+        }
+        url = f"http://{entry.ports['frontend']}{path}"
+        return await self._ask(method, url, body, given, request_id)
+
+    async def _ask(
+        self,
+        method: str,
+        url: str,
+        body: object = None,
+        headers: Mapping[str, str] | None = None,
+        request_id: str = "",
+    ) -> Answer:
+        if self._session is None:
+            self._session = new_session(20.0)
+        try:
+            async with self._session.request(
+                method, URL(url, encoded=True), data=body, headers=headers
+            ) as answer:
+                data = await answer.read()
+                return Answer(request_id, answer.status, data, answer.headers)
+        except (aiohttp.ClientError, OSError):
+            return Answer(request_id, 0, b"", {})
