Limits on slow clients, SIGHUP reads the settings again, logs never block

SIGHUP ended the process (the signal's default); a head that trickled or a connection on which nothing came was held for ever; loguru's lines went to a blocking descriptor.

--- a/leverdoor/daemon.py
+++ b/leverdoor/daemon.py
@@ -27,9 +27,18 @@
         """Ask it to end."""
 
 
-def run_daemon(daemon: Daemon) -> None:
-    """Run a daemon until SIGTERM or SIGINT."""
-    asyncio.run(_run(daemon))
+def run_daemon(daemon: Daemon, reload: Callable[[], None] | None = None) -> None:
+    """Run a daemon until SIGTERM or SIGINT.
+
+    Args:
+      daemon: what to run.
+      reload: called at SIGHUP, which is passed over if it is None.
+    """
+    asyncio.run(_run(daemon, reload or _pass_over))
+
+
+def _pass_over() -> None:
+    """Do nothing at a signal that would else end the process."""
 
 
 async def keep_running(name: str, work: Callable[[], Awaitable[None]]) -> None:
@@ -47,8 +56,9 @@
             await asyncio.sleep(RESTART_S)
 
 
-async def _run(daemon: Daemon) -> None:
+async def _run(daemon: Daemon, reload: Callable[[], None]) -> None:
     loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, reload)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, daemon.stop)
     await daemon.run()
--- /dev/null
+++ b/leverdoor/entry/client_connection.py
@@ -0,0 +1,91 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""One connection of a client: how long it may rest, and take over a head."""
+
+import asyncio
+from collections.abc import Container
+
+from aiohttp import web
+
+from leverdoor.resources import ClientLimits
+
+__all__ = ["ClientConnection"]
+
+TOO_SLOW = (
+    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
+
+
+class ClientConnection(web.RequestHandler):
+    """The HTTP library's connection, with the limits that it lacks.
+
+    The library ends kept connections that rest, but neither those on which
+    nothing ever came nor those on which a head comes too slowly.
+    """
+
+    def __init__(
+        self,
+        server: web.Server,
+        loop: asyncio.AbstractEventLoop,
+        limits: ClientLimits,
+        busy: Container[object],
+    ) -> None:
+        """Create it.
+
+        Args:
+          server: what handles the requests.
+          loop: the loop.
+          limits: what a client may do, for the life of the connection.
+          busy: the connections on which a request is being served.
+        """
+        super().__init__(
+            server,
+            loop=loop,
+            access_log=None,  # type: ignore[arg-type]
+            keepalive_timeout=limits.idle_timeout_ms / 1000,
+            max_line_size=limits.header_bytes,
+            max_field_size=limits.header_bytes,
+        )
+        self._limits = limits
+        self._busy = busy
+        self._timer: asyncio.TimerHandle | None = None
+        self._in_head = False
+        self._own_loop = loop
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Wait for a first byte, but not for ever."""
+        super().connection_made(transport)
+        self._expire_after(self._limits.idle_timeout_ms, b"")
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came; a head that is not whole has so long to become it."""
+        before = self._request_count
+        super().data_received(data)
+        if self._request_count > before or self in self._busy or self._messages:
+            self._stop_timer()
+        elif not self._in_head:
+            self._stop_timer()
+            self._in_head = True
+            self._expire_after(self._limits.header_timeout_ms, TOO_SLOW)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Forget the timer."""
+        self._stop_timer()
+        super().connection_lost(exc)
+
+    def _expire_after(self, timeout_ms: int, last_words: bytes) -> None:
+        self._timer = self._own_loop.call_later(
+            timeout_ms / 1000, self._expire, last_words
+        )
+
+    def _stop_timer(self) -> None:
+        self._in_head = False
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _expire(self, last_words: bytes) -> None:
+        self._timer = None
+        if self.transport is not None and last_words:
+            self.transport.write(last_words)
+        self.force_close()
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -4,12 +4,15 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from random import Random
 
+import msgspec
 from aiohttp import web
 
 from leverdoor.daemon import keep_running
 from leverdoor.entry.catalog import EMPTY, Catalog
+from leverdoor.entry.client_connection import ClientConnection
 from leverdoor.entry.connections import Connections
 from leverdoor.entry.dialect import Dialect
 from leverdoor.entry.events import Events
@@ -41,15 +44,14 @@
 BEAT_S = 0.1
 SHARE_BEATS = 3
 SWEEP_BEATS = 10
-KEEPALIVE_S = 15.0
 LISTEN_ON_S = 2.2
 STOP_MARGIN_S = 0.4
 STOP_POLL_S = 0.02
 IDLE_ROUNDS = 3
 """Rounds without a request before the end: some may just have been accepted."""
-MAX_LINE_BYTES = 16_384
 BACKLOG = 512
 SEEN_BACKOFF_S = 1.0
+RELOADABLE = ("grace_s", "repeat_ratio", "max_shift", "lookup_ttl_s", "watchers")
 REPEAT_SHARE = 0.5
 REPEATS_SAVED = 4.0
 
@@ -80,13 +82,31 @@
         """Ask the entry to leave: finish all in flight, then end."""
         self._stop.set()
 
+    def reload(self, settings: EntrySettings) -> None:
+        """Take settings that changed; addresses and places stay as they are."""
+        changed = [
+            name
+            for name in RELOADABLE
+            if getattr(settings, name) != getattr(self._settings, name)
+        ]
+        fixed = [
+            name
+            for name in settings.__struct_fields__
+            if name not in RELOADABLE
+            and getattr(settings, name) != getattr(self._settings, name)
+        ]
+        taken = {name: getattr(settings, name) for name in changed}
+        self._settings = msgspec.structs.replace(self._settings, **taken)
+        self._budget.ratio = self._settings.repeat_ratio * REPEAT_SHARE
+        self._events.process("reload", changed=changed, left_as_they_are=fixed)
+
     async def run(self) -> None:
         """Serve until stopped and everything in flight has ended."""
         self._build()
         s = self._settings
         self._events.process("start", region=s.region, domain=s.domain)
         await self._socket.open(s.gossip)
-        front = await self._listen(self._front_server, s.front)
+        front = await self._listen(self._client_connection, s.front)
         for address in (s.ready, s.directory, s.pull, s.metrics):
             await self._listen(self._side_server, address)
         loops = (self._follower.run, self._registration.run, self._beat)
@@ -121,12 +141,13 @@
         self._placement.sharers = self._sharers
         self._connections = Connections(self._dialect.headers.request_id, s.region)
         self._metrics = EntryMetrics()
+        self._budget = RepeatBudget(s.repeat_ratio * REPEAT_SHARE, REPEATS_SAVED)
         forwarder = Forwarder(
             self._dialect,
             self._placement,
             self._fleet,
             self._connections,
-            RepeatBudget(s.repeat_ratio * REPEAT_SHARE, REPEATS_SAVED),
+            self._budget,
             self._events,
         )
         self._front = Front(
@@ -147,14 +168,7 @@
             ),
             s.lookup_ttl_s,
         )
-        self._front_server = web.Server(
-            self._front.handle,
-            handler_cancellation=True,
-            access_log=None,
-            keepalive_timeout=KEEPALIVE_S,
-            max_line_size=MAX_LINE_BYTES,
-            max_field_size=MAX_LINE_BYTES,
-        )
+        self._front_server = web.Server(self._front.handle, handler_cancellation=True)
         self._side_server = web.Server(side.handle, access_log=None)
         self._socket = GossipSocket(EntryBeat, self._take_beat)
         self._puller = PeerFollower(self._state)
@@ -174,7 +188,14 @@
             rng,
         )
 
-    async def _listen(self, server: web.Server, address: Address) -> asyncio.Server:
+    def _client_connection(self) -> ClientConnection:
+        loop = asyncio.get_running_loop()
+        limits = self._catalog.limits
+        return ClientConnection(self._front_server, loop, limits, self._front.busy)
+
+    async def _listen(
+        self, server: Callable[[], asyncio.Protocol], address: Address
+    ) -> asyncio.Server:
         listener = await asyncio.get_running_loop().create_server(
             server, address.host, address.port, backlog=BACKLOG
         )
--- a/leverdoor/entry/forwarding.py
+++ b/leverdoor/entry/forwarding.py
@@ -55,14 +55,14 @@
           ratio: repeats earned with each request.
           limit: most repeats saved up for a service.
         """
-        self._ratio = ratio
+        self.ratio = ratio
         self._limit = limit
         self._saved: dict[str, float] = {}
 
     def earn(self, service: str) -> None:
         """Count a request."""
         saved = self._saved.get(service, self._limit / 2)
-        self._saved[service] = min(self._limit, saved + self._ratio)
+        self._saved[service] = min(self._limit, saved + self.ratio)
 
     def spend(self, service: str) -> bool:
         """Take a repeat if there is one."""
--- a/leverdoor/logs.py
+++ b/leverdoor/logs.py
@@ -1,8 +1,9 @@
 # leverdoor: global traffic steering
 # SPDX-License-Identifier: Apache-2.0
-"""Logs as JSON lines on standard error."""
+"""Logs as JSON lines on standard error, or where a daemon writes its events."""
 
 import sys
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -23,20 +24,31 @@
     error: str = ""
 
 
-def setup_logs(role: str, vm: str, level: str = "INFO") -> None:
-    """Send all logs to standard error, one JSON object a line.
+def setup_logs(
+    role: str,
+    vm: str,
+    level: str = "INFO",
+    write: Callable[[bytes], None] | None = None,
+) -> None:
+    """Send all logs to one place, one JSON object a line.
 
     Args:
       role: which daemon this is.
       vm: the VM it runs on.
       level: lowest level written.
+      write: takes each line; standard error by default.
     """
     logger.remove()
     logger.configure(extra={"role": role, "vm": vm})
-    logger.add(_write, level=level, format="{message}")
+    taken = write or _write_error
+    logger.add(lambda m: taken(_line(m)), level=level, format="{message}")
 
 
-def _write(message: "Message") -> None:
+def _write_error(line: bytes) -> None:
+    sys.stderr.write(line.decode())
+
+
+def _line(message: "Message") -> bytes:
     record = message.record
     line = _Line(
         time=record["time"].isoformat(),
@@ -46,4 +58,4 @@
         fields={k: str(v) for k, v in record["extra"].items()},
         error=repr(record["exception"].value) if record["exception"] else "",
     )
-    sys.stderr.write(msgspec.json.encode(line).decode() + "\n")
+    return msgspec.json.encode(line) + b"\n"
--- a/leverdoor/platform/__main__.py
+++ b/leverdoor/platform/__main__.py
@@ -12,28 +12,50 @@
 from leverdoor.errors import SettingsError, code_info
 from leverdoor.logs import setup_logs
 from leverdoor.platform.names import dialect
-from leverdoor.platform.settings import parse_settings
+from leverdoor.platform.settings import PlatformSettings, parse_settings
 from leverdoor.platform.store import PlatformStore
 
 SETTINGS = "LEVERDOOR_SETTINGS"
 
 
+def read_settings() -> PlatformSettings:
+    """Read the settings file.
+
+    Raises:
+      SettingsError: it is not there, or a field is missing or wrong.
+    """
+    path = os.environ.get(SETTINGS, "")
+    try:
+        return parse_settings(Path(path).read_bytes())
+    except OSError as e:
+        raise SettingsError(f"{SETTINGS}={path}: {e.strerror}") from None
+
+
 def main() -> int:
     """Run until stopped.
 
     Returns: the exit status.
     """
     try:
-        settings = parse_settings(Path(os.environ[SETTINGS]).read_bytes())
-        entry = settings.entry()
-    except (KeyError, OSError, SettingsError) as e:
-        sys.stderr.write(f"settings: {e!r}\n")
-        code = SettingsError("").code
-        return code_info(code).exit_status
-    setup_logs("entry", entry.name)
-    events = Events(LineWriter(sys.stdout.fileno()), entry.name)
+        settings = read_settings()
+        own = settings.entry()
+    except SettingsError as e:
+        sys.stderr.write(f"{e}\n")
+        return code_info(e.code).exit_status
+    writer = LineWriter(sys.stdout.fileno())
+    setup_logs("entry", own.name, write=writer.write)
+    events = Events(writer, own.name)
     store = PlatformStore(settings.platform.address)
-    run_daemon(Entry(entry, store, dialect(entry.domains), events))
+    entry = Entry(own, store, dialect(own.domains), events)
+
+    def reload() -> None:
+        try:
+            entry.reload(read_settings().entry())
+        except SettingsError as e:
+            events.process("reload failed", error=str(e))
+
+    run_daemon(entry, reload)
+    writer.flush()
     return 0
 
 
--- a/leverdoor/standins/entry_site.py
+++ b/leverdoor/standins/entry_site.py
@@ -230,7 +230,11 @@
 
     # What the operator and the targets do.
 
-    def configure(self, routes: list[dict[str, object]]) -> int:
+    def configure(
+        self,
+        routes: list[dict[str, object]],
+        limits: Mapping[str, int] | None = None,
+    ) -> int:
         """Write a configuration; returns the store's revision."""
         self._version += 1
         services = sorted({t.service for t in self.targets.values()})
@@ -238,7 +242,7 @@
             "version": f"{self._version:08x}",
             "routes": routes,
             "services": [{"name": s, "warmup-per-s": 11.0} for s in services],
-            "limits": {"max-body-bytes": 64 * 1024 * 1024},
+            "limits": {"max-body-bytes": 64 * 1024 * 1024, **(limits or {})},
         }
         return self.store.put("op/config", serialize_json(config))
 
--- a/tests/test_entry_whole.py
+++ b/tests/test_entry_whole.py
@@ -338,3 +338,58 @@
     assert sum(a.status == 200 for a in answers) > 0
     last = await site.request(site.entries["n1"], "GET", "/look/x")
     assert last.status == 200
+
+
+async def test_reading_the_settings_again_ends_nothing(site: EntrySite) -> None:
+    n1 = site.entries["n1"]
+    settings = json.loads(n1.settings.read_bytes())
+    settings["bounds"] = {"retry-budget-ratio": 0.1, "of-tomorrow": 1}
+    n1.settings.write_text(json.dumps(settings))
+    n1.send(signal.SIGHUP)
+    for _ in range(1000):
+        reloads = [e for e in n1.events() if e.get("change") == "reload"]
+        if reloads:
+            break
+        await asyncio.sleep(0.01)
+    assert reloads[0]["changed"] == ["repeat_ratio"]
+    n1.settings.write_text("{")
+    n1.send(signal.SIGHUP)
+    assert (await site.request(n1, "GET", "/look/x")).status == 200
+    assert n1.running
+
+
+async def test_a_setting_that_is_wrong_ends_the_start_with_its_name(
+    site: EntrySite,
+) -> None:
+    n1 = site.entries["n1"]
+    n1.send(signal.SIGTERM)
+    await n1.ended()
+    settings = json.loads(n1.settings.read_bytes())
+    del settings["listen-addresses"]["ready"]
+    n1.settings.write_text(json.dumps(settings))
+    await n1.start()
+    assert await n1.ended() == 2
+    assert b"`ready`" in n1.log.read_bytes().splitlines()[-1]
+
+
+SLOW = [
+    pytest.param(b"", b"", id="nothing"),
+    pytest.param(b"GET /look/x HT", b"408", id="half a head"),
+]
+
+
+@pytest.mark.parametrize(("sent", "status"), SLOW)
+async def test_clients_that_are_too_slow_are_let_go(
+    site: EntrySite, sent: bytes, status: bytes
+) -> None:
+    n1 = site.entries["n1"]
+    limits = {"header-timeout-ms": 200, "idle-timeout-ms": 300}
+    site.configure(SAMPLE_ROUTES[1:], limits)
+    await until_in_force(site, "/look/x", 404)
+    host, port = n1.ports["frontend"].split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(sent)
+    async with asyncio.timeout(10):
+        answer = await reader.read()
+    writer.close()
+    assert answer[9:12] == status
