--- a/leverdoor/entry/catalog.py
+++ b/leverdoor/entry/catalog.py
@@ -57,6 +57,8 @@
             if target.draining or any(d.covers(target) for d in drains):
                 continue
             self.by_service.setdefault(target.service, []).append(target)
+        self.in_service = {t.name for ts in self.by_service.values() for t in ts}
+        """Names of the targets that may get requests."""
 
     @property
     def configured(self) -> bool:
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -50,7 +50,7 @@
 IDLE_ROUNDS = 3
 """Rounds without a request before the end: some may just have been accepted."""
 BACKLOG = 512
-SEEN_BACKOFF_S = 1.0
+STORE_BACKOFF_S = 1.0
 RELOADABLE = ("grace_s", "repeat_ratio", "max_shift", "lookup_ttl_s", "watchers")
 REPEAT_SHARE = 0.5
 REPEATS_SAVED = 4.0
@@ -178,7 +178,10 @@
             self._is_elected,
             rng,
             prefix="",
-            longest_backoff_s=SEEN_BACKOFF_S,
+            longest_backoff_s=STORE_BACKOFF_S,
+            tell=lambda reachable, why: self._events.store(
+                "answers" if reachable else "lost", self._state.revision, why
+            ),
         )
         self._registration = Registration(
             self._store,
@@ -224,9 +227,9 @@
         said = self._dialect.translate(self._state.entries)
         self._roster.found(said.peers, now)
         catalog = Catalog(self._state.revision, said.version, said.resources)
-        before = self._catalog.targets.keys()
-        came = [n for n in catalog.targets if n not in before]
-        gone = [n for n in before if n not in catalog.targets]
+        before = self._catalog.in_service
+        came = [n for n in catalog.in_service if n not in before]
+        gone = [n for n in before if n not in catalog.in_service]
         if catalog.version != self._catalog.version:
             self._events.configuration(
                 catalog.version,
@@ -235,8 +238,9 @@
                 len(catalog.targets),
                 self._source,
             )
-        if came or gone:
-            self._events.targets(came, gone, catalog.revision)
+        cold = [n for n, t in catalog.targets.items() if t.cold_ms and self._new(t)]
+        if came or gone or cold:
+            self._events.targets(came, gone, cold, catalog.revision)
         self._catalog = catalog
         self._fleet.renew(catalog.targets, now)
         for name in gone:
@@ -248,6 +252,10 @@
             self._events.process("ready", version=catalog.version)
             self._tell_everyone()
 
+    def _new(self, target: Target) -> bool:
+        """Say whether a target is described otherwise than before."""
+        return self._catalog.targets.get(target.name) != target
+
     def _take_beat(self, beat: EntryBeat) -> None:
         now = asyncio.get_running_loop().time()
         if not self._roster.hear(beat, now):
@@ -305,6 +313,10 @@
                 self._roster.forget(now)
                 self._metrics.in_flight.set(self._front.active)
                 self._metrics.peers.set(len(self._roster.live(now)))
+                for name, change, silent_s in self._roster.changes(now):
+                    self._events.peer(name, change, silent_s)
+                for service, shares in self._placement.moved_shares().items():
+                    self._events.shares(service, shares)
 
     # Leaving.
 
--- a/leverdoor/entry/events.py
+++ b/leverdoor/entry/events.py
@@ -122,19 +122,25 @@
         outcome: str,
         took_s: float,
     ) -> None:
-        """A request was sent to a target and ended there."""
+        """A request was sent to a target and ended there.
+
+        Attempts that did not succeed have a budget of their own, so that what
+        will be asked about is not left out for what won't.
+        """
         self.emit(
-            "attempt",
+            "attempt" if outcome.startswith("2") else "attempt_failed",
             request_id=asked.request_id,
             route=asked.route.name,
             service=asked.service,
             key=asked.key,
+            version=asked.version,
             target=chosen.target.name,
             region=chosen.target.region,
             attempt=attempt,
             reason=chosen.reason,
             load=chosen.load,
             slots=chosen.target.slots,
+            load_age_ms=chosen.load_age_ms,
             warm=chosen.warm,
             expected_ms=round(chosen.expected_ms),
             took_ms=round(took_s * 1000),
@@ -166,7 +172,7 @@
     def configuration(
         self, version: str, revision: int, routes: int, targets: int, source: str
     ) -> None:
-        """A newer state is in force."""
+        """A newer configuration is in force."""
         self.emit(
             "configuration",
             version=version,
@@ -176,21 +182,33 @@
             source=source,
         )
 
-    def targets(self, came: list[str], gone: list[str], revision: int) -> None:
-        """Targets came or went."""
-        self.emit("targets", came=came, gone=gone, revision=revision)
+    def targets(
+        self, came: list[str], gone: list[str], cold: list[str], revision: int
+    ) -> None:
+        """Targets came, went (by leaving or by an evacuation), or turned cold."""
+        self.emit("targets", came=came, gone=gone, cold=cold, revision=revision)
 
-    def peer(self, name: str, change: str, age_s: float) -> None:
-        """Another entry was found, lost, or said that it leaves."""
-        self.emit("peer", peer=name, change=change, age_s=round(age_s, 2))
+    def target_rests(self, target: str, reason: str, rest_s: float) -> None:
+        """A target gets nothing for a while."""
+        self.emit("target_rests", target=target, reason=reason, rest_s=round(rest_s, 2))
 
-    def spill(self, service: str, share: float, pressure: float) -> None:
-        """The share of a service's keys that leave the region moved."""
+    def peer(self, name: str, change: str, silent_s: float) -> None:
+        """Another entry was heard from, or has been silent for too long."""
+        self.emit("peer", peer=name, change=change, silent_s=round(silent_s, 2))
+
+    def shares(self, service: str, shares: dict[str, float]) -> None:
+        """The regions' shares of a service's keys moved."""
         self.emit(
-            "spill", service=service, share=round(share, 3), pressure=round(pressure, 2)
+            "shares",
+            service=service,
+            shares={r: round(v, 2) for r, v in shares.items()},
         )
 
-    # The process.
+    # Dependencies and the process.
+
+    def store(self, change: str, revision: int, detail: str = "") -> None:
+        """The store was lost or answers again."""
+        self.emit("store", change=change, revision=revision, detail=detail)
 
     def process(self, change: str, **fields: Any) -> None:
         """The process started, is ready, leaves, ends, or read its settings."""
--- a/leverdoor/entry/fleet.py
+++ b/leverdoor/entry/fleet.py
@@ -55,7 +55,6 @@
         self.in_flight = 0
         self.cold_until = now + target.cold_ms / 1000
         self.out_until = 0.0
-        self.closing = False
         self._failures = 0
         self._told: tuple[float, int] | None = None
         self._peers: dict[str, tuple[float, int]] = {}
@@ -100,6 +99,13 @@
             others = max(others, self._told[1])
         return self.in_flight + others
 
+    def load_age_ms(self, now: float) -> int:
+        """Return the age of the newest word of others about it; -1 for none."""
+        heard = [at for at, _ in self._peers.values()]
+        if self._told is not None:
+            heard.append(self._told[0])
+        return round((now - max(heard)) * 1000) if heard else -1
+
     def _sum_peers(self, now: float) -> None:
         fresh = {p: v for p, v in self._peers.items() if now - v[0] <= PEER_TRUST_S}
         self._peers = fresh
@@ -133,12 +139,13 @@
 
     # Health.
 
-    def answered(self, took_ratio: float, now: float) -> None:
+    def answered(self, took_ratio: float, now: float) -> bool:
         """Record a whole answer.
 
         Args:
           took_ratio: its time over the time expected.
           now: monotonic time in seconds.
+        Returns: whether the target is so slow that it rests now.
         """
         self._failures = 0
         self._last_answer = now
@@ -146,12 +153,20 @@
         if self._slowness > SLOW_RATIO:
             self.out_until = max(self.out_until, now + SLOW_REST_S)
             self._slowness = 1.0
+            return True
+        return False
+
+    def failed(self, now: float) -> float:
+        """Record a failed connection or a lost answer.
 
-    def failed(self, now: float) -> None:
-        """Record a failed connection or a lost answer."""
-        wait = min(FIRST_EJECTION_S * 2**self._failures, LONGEST_EJECTION_S)
+        Returns: how long the target rests, in seconds.
+        """
+        wait = min(
+            FIRST_EJECTION_S * 2.0 ** min(self._failures, 10), LONGEST_EJECTION_S
+        )
         self._failures += 1
         self.out_until = max(self.out_until, now + wait)
+        return wait
 
     def refused(self, now: float) -> None:
         """Record that the target turned a request away: it is full."""
@@ -174,7 +189,7 @@
 
     def usable(self, now: float) -> bool:
         """Say whether new requests may go there, its warm-up aside."""
-        return not self.closing and now >= self.out_until and not self.silent(now)
+        return now >= self.out_until and not self.silent(now)
 
 
 class Fleet:
--- a/leverdoor/entry/forwarding.py
+++ b/leverdoor/entry/forwarding.py
@@ -11,7 +11,7 @@
 from leverdoor.entry.connections import Connections, Outgoing
 from leverdoor.entry.dialect import Dialect
 from leverdoor.entry.events import Events
-from leverdoor.entry.fleet import Fleet
+from leverdoor.entry.fleet import SLOW_REST_S, Fleet
 from leverdoor.entry.placement import Asked, Chosen, Placement, Unplaced
 from leverdoor.errors import Code, Refusal, Run
 from leverdoor.resources import Work
@@ -19,6 +19,7 @@
 __all__ = ["Forwarder", "Incoming", "RepeatBudget"]
 
 ANSWER_MARGIN_S = 0.03
+RETRY_MS = 250
 NOT_RUN_STATUSES = frozenset({503, 429, 421, 400})
 
 
@@ -161,23 +162,24 @@
         load = self._dialect.parse_load(reply.get(self._dialect.headers.load))
         if load is not None:
             state.told(load, now)
-        if reply.status < 400:
-            self._placement.answered(asked, chosen, took_s * 1000, now)
+        if reply.status >= 400:
+            return
+        if self._placement.answered(asked, chosen, took_s * 1000, now):
+            self._events.target_rests(chosen.target.name, "slow", SLOW_REST_S)
 
     async def _send(self, incoming: Incoming, chosen: Chosen) -> Reply:
         loop = asyncio.get_running_loop()
         asked = incoming.asked
-        state = self._fleet.of(chosen.target, loop.time())
         outgoing = self._outgoing(incoming, chosen, loop.time())
         try:
             async with asyncio.timeout_at(asked.until - ANSWER_MARGIN_S):
                 reply = await self._connections.exchange(chosen.target, outgoing)
         except NotSent as e:
-            state.failed(loop.time())
-            refusal = Refusal(Code.CONNECT_FAILED, str(e), retry_after_ms=200)
+            self._rest(chosen, "not reached")
+            refusal = Refusal(Code.CONNECT_FAILED, str(e), retry_after_ms=RETRY_MS)
             raise _Failed(refusal, placed=True, arrived=False) from None
         except AnswerLost as e:
-            state.failed(loop.time())
+            self._rest(chosen, "answer lost")
             refusal = Refusal(Code.ANSWER_LOST, str(e))
             raise _Failed(refusal, placed=True, arrived=True) from None
         except TimeoutError:
@@ -190,16 +192,21 @@
 
     def _turned_away(self, chosen: Chosen, reply: Reply, now: float) -> None:
         """Take a target's word that it did not run the request."""
-        state = self._fleet.of(chosen.target, now)
         if reply.status == 421:
-            state.failed(now)
+            self._rest(chosen, "another instance")
         else:
-            state.refused(now)
+            self._fleet.of(chosen.target, now).refused(now)
         refusal = Refusal(
-            Code.TARGET_REFUSED, f"status {reply.status}", retry_after_ms=250
+            Code.TARGET_REFUSED, f"status {reply.status}", retry_after_ms=RETRY_MS
         )
         raise _Failed(refusal, placed=True, arrived=True)
 
+    def _rest(self, chosen: Chosen, reason: str) -> None:
+        """Leave a target alone for a while."""
+        now = asyncio.get_running_loop().time()
+        rest_s = self._fleet.of(chosen.target, now).failed(now)
+        self._events.target_rests(chosen.target.name, reason, rest_s)
+
     def _outgoing(self, incoming: Incoming, chosen: Chosen, now: float) -> Outgoing:
         names = self._dialect.headers
         asked = incoming.asked
--- a/leverdoor/entry/front.py
+++ b/leverdoor/entry/front.py
@@ -123,6 +123,7 @@
             route=route,
             service=self._placement.pick_service(route),
             key=request.headers.get(self._dialect.headers.affinity, request_id),
+            version=catalog.version,
             arrived=arrived,
             until=until,
         )
@@ -134,8 +135,7 @@
             body=b"",
         )
         if request.body_exists:
-            async with asyncio.timeout_at(until):
-                await self._take_body(request, incoming, catalog.limits.body_bytes)
+            await self._take_body(request, incoming, catalog.limits.body_bytes)
         return incoming
 
     def _patience_s(self, request: web.BaseRequest, route: Route) -> float:
@@ -167,12 +167,18 @@
         if length is not None and length > most:
             raise Refusal(Code.BODY_TOO_LARGE)
         read = bytearray()
-        while len(read) <= BUFFERED_BODY:
-            chunk = await request.content.readany()
-            if not chunk:
-                incoming.body = bytes(read)
-                return
-            read += chunk
+        try:
+            async with asyncio.timeout_at(incoming.asked.until):
+                while len(read) <= BUFFERED_BODY:
+                    chunk = await request.content.readany()
+                    if not chunk:
+                        incoming.body = bytes(read)
+                        return
+                    read += chunk
+        except TimeoutError:
+            raise Refusal(Code.BODY_TOO_SLOW, f"{len(read)} bytes came") from None
+        except web.RequestPayloadError as e:
+            raise Refusal(Code.BAD_REQUEST, repr(e)) from None
         if length is not None:
             incoming.headers.append(("Content-Length", str(length)))
         incoming.chunked = length is None
--- a/leverdoor/entry/placement.py
+++ b/leverdoor/entry/placement.py
@@ -39,6 +39,8 @@
 DEFAULT_LATENCY_MS = 500
 CANDIDATES = 6
 NO_SLOTS = 9.0
+TOLD_TARGETS = 3
+TOLD_MOVE = 0.05
 
 
 class Asked(msgspec.Struct):
@@ -48,6 +50,8 @@
     route: Route
     service: str
     key: str
+    version: str
+    """The configuration by which it was routed."""
     arrived: float
     until: float
     """Loop time at which it is given up, in seconds."""
@@ -61,6 +65,8 @@
     warm: bool
     expected_ms: float
     load: int
+    load_age_ms: int
+    """Age of the newest word of others about the load; -1 if there is none."""
     reason: str
 
 
@@ -118,6 +124,7 @@
         self._regions: dict[tuple[str, str], list[Target]] = {}
         self._times: dict[str, Times] = {}
         self._shares: dict[str, RegionShares] = {}
+        self._told_shares: dict[str, dict[str, float]] = {}
         self._weights: dict[str, dict[str, float]] = {}
         self._stray = STRAY_LIMIT
         self.sharers: Callable[[Target], int] = lambda _: 1
@@ -163,6 +170,18 @@
             for service, state in self._shares.items()
         }
 
+    def moved_shares(self) -> dict[str, dict[str, float]]:
+        """Return the shares that moved noticeably since they were last told."""
+        found = {}
+        for service, state in self._shares.items():
+            told = self._told_shares.get(service, {})
+            if any(
+                abs(v - told.get(r, 0.0)) > TOLD_MOVE for r, v in state.shares.items()
+            ):
+                self._told_shares[service] = dict(state.shares)
+                found[service] = dict(state.shares)
+        return found
+
     def update_shares(
         self, peers: list[dict[str, dict[str, float]]], now: float
     ) -> None:
@@ -222,7 +241,20 @@
         found = self._cold(asked, [first, *rest], now)
         if found is not None:
             return found
-        return self._refuse(Code.QUEUE_FULL, "no room in time")
+        return self._refuse(Code.QUEUE_FULL, self._why_full(asked, first, now))
+
+    def _why_full(self, asked: Asked, first: str, now: float) -> str:
+        """Say for the log what was known when there was no room."""
+        place = (asked.service, first)
+        loads = []
+        for target in self._rankings[place].order(asked.key)[:TOLD_TARGETS]:
+            state = self._fleet.of(target, now)
+            cold = " cold" if state.cold(now) else ""
+            rests = "" if state.usable(now) else " rests"
+            age_ms = state.load_age_ms(now)
+            load = f"{state.load(now)}/{target.slots}"
+            loads.append(f"{target.name} {load} ({age_ms} ms){cold}{rests}")
+        return f"{asked.service} in {first}: {', '.join(loads)}"
 
     def _region_of(self, asked: Asked, regions: list[str], now: float) -> str:
         """Return the region that the request's key belongs to."""
@@ -297,13 +329,22 @@
         if best is None:
             return None
         cost, target, state, warm = best
+        return self._take(asked, state, warm, cost, reason, now)
+
+    def _take(
+        self,
+        asked: Asked,
+        state: TargetState,
+        warm: bool,
+        expected_ms: float,
+        reason: str,
+        now: float,
+    ) -> Chosen:
         load = state.load(now)
-        self._take(asked, state, now)
-        return Chosen(target, warm, cost, load, reason)
-
-    def _take(self, asked: Asked, state: TargetState, now: float) -> None:
+        age_ms = state.load_age_ms(now)
         state.sent(now)
         state.remember(asked.key)
+        return Chosen(state.target, warm, expected_ms, load, age_ms, reason)
 
     def _cold(self, asked: Asked, regions: list[str], now: float) -> Chosen | None:
         """Use a cold target within this entry's share of what it bears."""
@@ -323,9 +364,8 @@
                 share = COLD_SHARE * per_s / entries
                 if per_s and not state.spend_allowance(share, now):
                     continue
-                load = state.load(now)
-                self._take(asked, state, now)
-                return Chosen(target, False, self.times(asked).slow_ms, load, "cold")
+                slow_ms = self.times(asked).slow_ms
+                return self._take(asked, state, False, slow_ms, "cold", now)
         return None
 
     def times(self, asked: Asked) -> Times:
@@ -355,12 +395,16 @@
 
     def answered(
         self, asked: Asked, chosen: Chosen, took_ms: float, now: float
-    ) -> None:
-        """Learn from a whole answer."""
+    ) -> bool:
+        """Learn from a whole answer.
+
+        Returns: whether the target is so slow that it rests now.
+        """
         state = self._fleet.of(chosen.target, now)
-        state.answered(took_ms / max(chosen.expected_ms, 1.0), now)
+        rests = state.answered(took_ms / max(chosen.expected_ms, 1.0), now)
         if chosen.load <= chosen.target.slots and chosen.target.region == self._region:
             self.times(asked).learn(took_ms, chosen.warm)
+        return rests
 
     def ended(self, chosen: Chosen, now: float) -> None:
         """Count a request that ended, however it did."""
--- a/leverdoor/entry/roster.py
+++ b/leverdoor/entry/roster.py
@@ -13,6 +13,9 @@
 __all__ = ["EntryBeat", "EntryState", "Member", "Roster", "SERVING"]
 
 SILENCE_S = 1.6
+FAR_SILENCE_S = 4.0
+"""Entries of other regions send one beat in turn to each, so less often."""
+FAR_PARTNERS = 2
 FORGET_S = 60.0
 NEAR_PARTNERS = 8
 MAX_NAMED = 64
@@ -79,6 +82,7 @@
         self.own = own
         self._rng = rng
         self._known: dict[str, _Known] = {}
+        self._told: set[str] = set()
 
     def found(self, written: Mapping[str, bytes], now: float) -> None:
         """Take what entries wrote of themselves in the store."""
@@ -126,6 +130,20 @@
         for name in old:
             del self._known[name]
 
+    def changes(self, now: float) -> list[tuple[str, str, float]]:
+        """Return who was found or lost since the last call.
+
+        Returns: name, "heard" or "silent", and seconds since it was heard.
+        """
+        live = {b.member.name for b in self.live(now)}
+        found = [(name, "heard", 0.0) for name in sorted(live - self._told)]
+        for name in sorted(self._told - live):
+            known = self._known.get(name)
+            silent_s = now - known.heard_at if known else FORGET_S
+            found.append((name, "silent", silent_s))
+        self._told = live
+        return found
+
     # Questions.
 
     def live(self, now: float) -> list[EntryBeat]:
@@ -133,9 +151,13 @@
         return [
             k.beat
             for k in self._known.values()
-            if k.beat is not None and now - k.heard_at <= SILENCE_S
+            if k.beat is not None and now - k.heard_at <= self._patience_s(k)
         ]
 
+    def _patience_s(self, known: _Known) -> float:
+        near = known.member.region == self.own.region
+        return SILENCE_S if near else FAR_SILENCE_S
+
     def near(self, now: float) -> list[EntryBeat]:
         """Return the live ones of this entry's region."""
         return [b for b in self.live(now) if b.member.region == self.own.region]
@@ -151,7 +173,7 @@
         return others + (self.own.region == region)
 
     def partners(self) -> list[str]:
-        """Choose whom to send a beat to: the region's, and one elsewhere."""
+        """Choose whom to send a beat to: the region's, and a few elsewhere."""
         near = [m for m in self._members() if m.region == self.own.region]
         far = [m for m in self._members() if m.region != self.own.region]
         if len(near) > NEAR_PARTNERS:
@@ -159,9 +181,8 @@
             near.sort(key=lambda m: (_place(m.name) - mine) % (1 << 64))
             del near[NEAR_PARTNERS:]
         chosen = [m.gossip for m in near]
-        if far:
-            chosen.append(self._rng.choice(far).gossip)
-        return chosen
+        picked = self._rng.sample(far, min(FAR_PARTNERS, len(far)))
+        return chosen + [m.gossip for m in picked]
 
     def everyone(self) -> list[str]:
         """Return the heartbeat addresses of all entries."""
--- /dev/null
+++ b/leverdoor/explaining.py
@@ -0,0 +1,172 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Explains afterwards what became of a request, from log lines alone."""
+
+import re
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+__all__ = ["Explanation", "LogLine", "explain", "parse_log"]
+
+BELIEF_AGE_S = 30.0
+"""How far back beliefs are looked for before a request's own lines."""
+
+_REQUEST_EVENTS = frozenset({"attempt", "attempt_failed", "refused", "client_left"})
+
+
+class LogLine(msgspec.Struct, frozen=True):
+    """One event of a log."""
+
+    at: float
+    entry: str
+    event: str
+    fields: dict[str, Any]
+
+
+class Explanation(msgspec.Struct, frozen=True):
+    """A request's way and why it ended as it did."""
+
+    request_id: str
+    way: list[str]
+    """What happened to it, in order."""
+    beliefs: list[str]
+    """What the entry believed then that bears on it."""
+    cause: str
+    """One sentence."""
+
+
+def parse_log(lines: Iterable[str]) -> list[LogLine]:
+    """Read events from log lines; whatever stands before the JSON is skipped."""
+    found = []
+    for line in lines:
+        start = line.find("{")
+        if start < 0:
+            continue
+        try:
+            fields = msgspec.json.decode(line[start:])
+        except msgspec.DecodeError:
+            continue
+        if not isinstance(fields, dict) or "event" not in fields:
+            continue
+        at = float(fields.get("t", 0.0))
+        rest = {k: v for k, v in fields.items() if k not in ("event", "t", "entry")}
+        found.append(
+            LogLine(at, str(fields.get("entry", "")), str(fields["event"]), rest)
+        )
+    return sorted(found, key=lambda e: e.at)
+
+
+def explain(request_id: str, log: list[LogLine]) -> Explanation | None:
+    """Explain one request.
+
+    Args:
+      request_id: its id.
+      log: events of all entries, by time.
+    Returns: None if no event names the request.
+    """
+    own = [e for e in log if e.fields.get("request_id") == request_id]
+    if not own:
+        return None
+    entry = own[-1].entry
+    began = own[0].at - own[0].fields.get("took_ms", 0) / 1000
+    before = [
+        e
+        for e in log
+        if e.entry == entry
+        and began - BELIEF_AGE_S <= e.at <= own[-1].at
+        and e.event not in _REQUEST_EVENTS
+    ]
+    targets = {str(e.fields["target"]) for e in own if "target" in e.fields}
+    beliefs = [b for e in before if (b := _belief(e, began, targets))]
+    way = [_step(e, began) for e in own]
+    return Explanation(request_id, way, beliefs, _cause(own, before))
+
+
+def _step(e: LogLine, began: float) -> str:
+    f = e.fields
+    when = f"+{(e.at - began) * 1000:.0f} ms {e.entry}"
+    if e.event in ("attempt", "attempt_failed"):
+        return (
+            f"{when}: attempt {f['attempt']} at {f['target']} ({f['region']}) by"
+            f" '{f['reason']}', load {f['load']}/{f['slots']} told"
+            f" {f['load_age_ms']} ms before, key {f['key']}"
+            f" {'seen' if f['warm'] else 'not seen'} there, expected"
+            f" {f['expected_ms']} ms, took {f['took_ms']} ms: {f['outcome']}"
+        )
+    if e.event == "refused":
+        return (
+            f"{when}: given up with {f['code']} {f['name']} (ran: {f['run']}) after"
+            f" {f['took_ms']} ms by configuration {f['version']}: {f['detail']}"
+        )
+    return f"{when}: the client left after {f['took_ms']} ms"
+
+
+def _belief(e: LogLine, began: float, targets: set[str]) -> str:
+    """Say what an event made the entry believe, if it can bear on a request."""
+    f = e.fields
+    when = f"{began - e.at:.1f} s before" if e.at < began else "meanwhile"
+    if e.event == "configuration":
+        return f"{when}: configuration {f['version']} in force, from {f['source']}"
+    if e.event == "target_rests":
+        mine = " (asked)" if f["target"] in targets else ""
+        return f"{when}: {f['target']}{mine} rests {f['rest_s']} s: {f['reason']}"
+    if e.event == "targets":
+        changes = [f"{k} {', '.join(f[k])}" for k in ("came", "gone", "cold") if f[k]]
+        return f"{when}: targets {'; '.join(changes)}"
+    if e.event == "store":
+        return f"{when}: the store {f['change']} {f['detail']}".rstrip()
+    if e.event == "peer":
+        return f"{when}: entry {f['peer']} {f['change']}"
+    if e.event == "process":
+        return f"{when}: process {f['change']}"
+    return ""
+
+
+def _cause(own: list[LogLine], before: list[LogLine]) -> str:
+    last = own[-1]
+    f = last.fields
+    if last.event == "client_left":
+        return f"The client left after {f['took_ms']} ms, before its answer."
+    if last.event == "attempt":
+        return f"It was answered {f['outcome']} by {f['target']}."
+    if last.event == "attempt_failed":
+        return f"{f['target']} answered {f['outcome']}, which was passed on."
+    return _refusal_cause(own, before)
+
+
+def _refusal_cause(own: list[LogLine], before: list[LogLine]) -> str:
+    f = own[-1].fields
+    attempts = [e.fields for e in own if e.event == "attempt_failed"]
+    tried = attempts[-1]["target"] if attempts else ""
+    rested = [e for e in before if e.event == "target_rests"]
+    match f["name"]:
+        case "QUEUE_FULL":
+            return f"No target had room in time: {f['detail']}."
+        case "NO_TARGET":
+            return "No target in service may serve it: all are gone, or its homes bind."
+        case "NO_ROUTE":
+            return f"Configuration {f['version']} has no route for {f['detail']}."
+        case "NO_CONFIGURATION":
+            return "The entry had just started and knew no configuration yet."
+        case "CONNECT_FAILED":
+            return (
+                f"No connection to {tried} could be opened, and no other try was left."
+            )
+        case "TARGET_REFUSED":
+            return f"{tried} turned it away unrun ({f['detail']}), no try was left."
+        case "ANSWER_LOST":
+            others = sum(e.fields["target"] == tried for e in rested)
+            more = f"; {tried} failed {others} requests then" if others > 1 else ""
+            return f"{tried} took it and its answer was lost ({f['detail']}){more}."
+        case "DEADLINE_PASSED":
+            last = attempts[-1] if attempts else {}
+            load = f"{last.get('load', '?')}/{last.get('slots', '?')}"
+            return (
+                f"{tried or 'A target'} was still at work when the time was over"
+                f" (load {load} when it was sent, expected"
+                f" {last.get('expected_ms', '?')} ms)."
+            )
+        case _:
+            return f"{f['name']}: {f['detail']}."
--- a/leverdoor/following.py
+++ b/leverdoor/following.py
@@ -51,6 +51,7 @@
         rng: Random,
         prefix: str = PREFIX,
         longest_backoff_s: float = LONGEST_BACKOFF_S,
+        tell: Callable[[bool, str], None] | None = None,
     ) -> None:
         """Create it.
 
@@ -61,7 +62,9 @@
           rng: spreads the calls after an outage.
           prefix: what to follow of the store.
           longest_backoff_s: longest pause between calls that fail, in seconds.
+          tell: called when the store is lost or answers again, and why.
         """
+        self._tell = tell or _log
         self._prefix = prefix
         self._longest_backoff_s = longest_backoff_s
         self._store = store
@@ -82,9 +85,8 @@
                 backoff = FIRST_BACKOFF_S
             except LeverdoorError as e:
                 if self.reachable:
-                    logger.warning("store lost", error=str(e))
                     backoff = FIRST_BACKOFF_S
-                self.reachable = False
+                self._set_reachable(False, str(e))
                 await asyncio.sleep(backoff * (0.5 + self._rng.random()))
                 backoff = min(backoff * 2, self._longest_backoff_s)
 
@@ -95,7 +97,7 @@
         watch = self._store.watch(self._prefix, self._state.revision)
         try:
             async for events in watch:
-                self.reachable = True
+                self._set_reachable(True, "")
                 self._state.extend(events)
                 if not self._is_elected():
                     return
@@ -106,9 +108,14 @@
         finally:
             await watch.aclose()  # type: ignore[attr-defined]
 
+    def _set_reachable(self, reachable: bool, why: str) -> None:
+        if reachable != self.reachable:
+            self.reachable = reachable
+            self._tell(reachable, why)
+
     async def _list(self) -> None:
         listing = await self._store.read(self._prefix)
-        self.reachable = True
+        self._set_reachable(True, "")
         if not self._state.reset(listing) and listing.revision < self._state.revision:
             logger.error(
                 "the store is behind what was accepted",
@@ -118,6 +125,13 @@
             raise StoreUnavailable("the store went back")
 
 
+def _log(reachable: bool, why: str) -> None:
+    if reachable:
+        logger.info("store answers")
+    else:
+        logger.warning("store lost", error=why)
+
+
 class PeerFollower:
     """Fetches what a peer has and this agent lacks."""
 
--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -70,6 +70,7 @@
             route=route,
             service=self.placement.pick_service(route),
             key=key,
+            version="v",
             arrived=self.now,
             until=self.now + 2.0,
         )
