--- a/leverdoor/entry/front.py
+++ b/leverdoor/entry/front.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator, Callable
 
 from aiohttp import web
+from loguru import logger
 from multidict import CIMultiDict
 
 from leverdoor.codec import serialize_json
@@ -60,7 +61,7 @@
         """Serve one request and send its answer."""
         connection = request.protocol
         if request.transport is None:
-            raise ConnectionResetError("closed before the request was begun")
+            raise asyncio.CancelledError("closed before the request was begun")
         self.busy.add(connection)
         try:
             response = await self._serve(request)
@@ -94,6 +95,11 @@
         except (ConnectionError, web.RequestPayloadError):
             self._events.left(request_id, loop.time() - arrived)
             raise
+        except Exception as e:
+            # A fault of ours must not pass for word that nothing was run.
+            logger.exception("request failed", request_id=request_id)
+            outcome = "fault"
+            return self._refuse(request, Refusal(Code.ANSWER_LOST, repr(e)))
         finally:
             self._metrics.request(service, outcome, loop.time() - arrived)
 
@@ -222,7 +228,7 @@
             headers=headers,
         )
         if "content-type" not in headers:
-            del response.headers["Content-Type"]
+            response.headers.popall("Content-Type", None)
         self._finish(response)
         return response
 
--- a/leverdoor/explaining.py
+++ b/leverdoor/explaining.py
@@ -2,7 +2,6 @@
 # SPDX-License-Identifier: Apache-2.0
 """Explains afterwards what became of a request, from log lines alone."""
 
-import re
 from collections.abc import Iterable
 from typing import Any
 
--- a/leverdoor/logs.py
+++ b/leverdoor/logs.py
@@ -2,6 +2,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """Logs as JSON lines on standard error, or where a daemon writes its events."""
 
+import logging
 import sys
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -42,6 +43,16 @@
     logger.configure(extra={"role": role, "vm": vm})
     taken = write or _write_error
     logger.add(lambda m: taken(_line(m)), level=level, format="{message}")
+    logging.basicConfig(handlers=[_FromLibraries()], level=logging.WARNING, force=True)
+
+
+class _FromLibraries(logging.Handler):
+    """Takes what libraries log, so that it comes as the rest does."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Pass one record on."""
+        error = record.exc_info[1] if record.exc_info else None
+        logger.opt(exception=error).log(record.levelname, record.getMessage())
 
 
 def _write_error(line: bytes) -> None:
--- a/leverdoor/standins/upstreams.py
+++ b/leverdoor/standins/upstreams.py
@@ -47,6 +47,8 @@
         self.work_s = work_s
         self.state = "ready"
         self.cold_ms = 0
+        self.empty = False
+        """Answers have no body and no type."""
         self.runs: list[Run] = []
         self.refused = 0
         self.misdirected = 0
@@ -118,6 +120,8 @@
         run.ended = True
         headers["X-Server-Stamp"] = f"{self.name}.{len(self.runs)}"
         headers["X-Server-Load"] = f"{self._running},{self._waiting},{self.slots}"
+        if self.empty:
+            return web.Response(headers=headers)
         return web.Response(
             body=serialize_json({"id": run.request_id, "digest": run.digest}),
             headers=headers,
--- a/tests/test_entry_whole.py
+++ b/tests/test_entry_whole.py
@@ -393,3 +393,12 @@
         answer = await reader.read()
     writer.close()
     assert answer[9:12] == status
+
+
+async def test_an_empty_answer_is_passed_on(site: EntrySite) -> None:
+    """Without a body the HTTP library sets no type that could be removed."""
+    n1 = site.entries["n1"]
+    for target in site.targets.values():
+        target.empty = True
+    answer = await site.request(n1, "GET", "/look/x")
+    assert (answer.status, answer.body) == (200, b"")
