--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -23,6 +23,7 @@
 from leverdoor.entry.placement import Placement
 from leverdoor.entry.registration import Registration
 from leverdoor.entry.roster import (
+    BEAT_S,
     LEAVING,
     SERVING,
     STARTING,
@@ -41,7 +42,6 @@
 
 __all__ = ["Entry"]
 
-BEAT_S = 0.1
 SHARE_BEATS = 3
 SWEEP_BEATS = 10
 LISTEN_ON_S = 2.2
--- a/leverdoor/entry/fleet.py
+++ b/leverdoor/entry/fleet.py
@@ -198,6 +198,8 @@
     def __init__(self) -> None:
         """Create an empty one."""
         self._states: dict[str, TargetState] = {}
+        self._told: dict[str, frozenset[str]] = {}
+        """By entry, the targets at which it had requests when last heard."""
 
     def renew(self, targets: Mapping[str, Target], now: float) -> list[str]:
         """Take the targets of a new configuration.
@@ -231,9 +233,14 @@
         return {n: s.in_flight for n, s in self._states.items() if s.in_flight}
 
     def hear(self, peer: str, counts: Mapping[str, int], now: float) -> None:
-        """Take the counts of another entry, for all targets."""
-        for name, state in self._states.items():
-            state.told_by_peer(peer, counts.get(name, 0), now)
+        """Take the counts of another entry; what it does not name is none."""
+        for name in self._told.get(peer, frozenset()) - counts.keys():
+            if name in self._states:
+                self._states[name].told_by_peer(peer, 0, now)
+        for name, count in counts.items():
+            if name in self._states:
+                self._states[name].told_by_peer(peer, count, now)
+        self._told[peer] = frozenset(counts)
 
     def load(self, targets: Iterable[Target], now: float) -> tuple[int, int]:
         """Return the load and the slots of the usable, warm ones of some targets."""
--- a/leverdoor/entry/roster.py
+++ b/leverdoor/entry/roster.py
@@ -2,6 +2,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """Which entries there are, which can be named to clients, and what they tell."""
 
+import math
 from collections.abc import Mapping
 from random import Random
 
@@ -16,6 +17,10 @@
 FAR_SILENCE_S = 4.0
 """Entries of other regions send one beat in turn to each, so less often."""
 FAR_PARTNERS = 2
+MOST_SILENCE_S = 6.0
+MISSED_BEATS = 4
+BEAT_S = 0.1
+"""Time between two rounds of beats."""
 FORGET_S = 60.0
 NEAR_PARTNERS = 8
 MAX_NAMED = 64
@@ -83,6 +88,7 @@
         self._rng = rng
         self._known: dict[str, _Known] = {}
         self._told: set[str] = set()
+        self._turn = 0
 
     def found(self, written: Mapping[str, bytes], now: float) -> None:
         """Take what entries wrote of themselves in the store."""
@@ -155,8 +161,13 @@
         ]
 
     def _patience_s(self, known: _Known) -> float:
-        near = known.member.region == self.own.region
-        return SILENCE_S if near else FAR_SILENCE_S
+        """Return how long a silence means nothing yet: some beats missed."""
+        region = known.member.region
+        if region == self.own.region:
+            turns = math.ceil(self.in_region(region) / NEAR_PARTNERS)
+            return max(SILENCE_S, MISSED_BEATS * turns * BEAT_S)
+        turns = math.ceil(len(self._known) / FAR_PARTNERS)
+        return min(max(FAR_SILENCE_S, MISSED_BEATS * turns * BEAT_S), MOST_SILENCE_S)
 
     def near(self, now: float) -> list[EntryBeat]:
         """Return the live ones of this entry's region."""
@@ -173,16 +184,18 @@
         return others + (self.own.region == region)
 
     def partners(self) -> list[str]:
-        """Choose whom to send a beat to: the region's, and a few elsewhere."""
-        near = [m for m in self._members() if m.region == self.own.region]
+        """Choose whom to send a beat to: the region's in turn, a few elsewhere."""
+        near = sorted(
+            (m for m in self._members() if m.region == self.own.region),
+            key=lambda m: m.name,
+        )
         far = [m for m in self._members() if m.region != self.own.region]
         if len(near) > NEAR_PARTNERS:
-            mine = _place(self.own.name)
-            near.sort(key=lambda m: (_place(m.name) - mine) % (1 << 64))
-            del near[NEAR_PARTNERS:]
-        chosen = [m.gossip for m in near]
+            self._turn += NEAR_PARTNERS
+            start = self._turn % len(near)
+            near = (near[start:] + near[:start])[:NEAR_PARTNERS]
         picked = self._rng.sample(far, min(FAR_PARTNERS, len(far)))
-        return chosen + [m.gossip for m in picked]
+        return [m.gossip for m in (*near, *picked)]
 
     def everyone(self) -> list[str]:
         """Return the heartbeat addresses of all entries."""
--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -439,3 +439,13 @@
     for _ in range(1000):
         budget.earn("s")
     assert sum(budget.spend("s") for _ in range(20)) == 4
+
+
+def test_what_a_peer_no_longer_names_it_no_longer_has() -> None:
+    fleet = Fleet()
+    t0, t1 = target("t0"), target("t1")
+    for t in (t0, t1):
+        fleet.of(t, 0.0)
+    fleet.hear("p", {"t0": 2, "t1": 1, "unknown": 5}, 0.0)
+    fleet.hear("p", {"t1": 3}, 0.1)
+    assert [fleet.of(t, 0.1).load(0.1) for t in (t0, t1)] == [0, 3]
--- a/tests/test_entry_roster.py
+++ b/tests/test_entry_roster.py
@@ -129,3 +129,12 @@
     assert r.changes(0.2) == []
     assert r.changes(5.0) == [("a1-1", "silent", 5.0)]
     assert r.changes(6.0) == []
+
+
+def test_all_of_a_large_region_are_told_in_turn() -> None:
+    r = roster()
+    names = {f"a1-{i}" for i in range(1, 26)}
+    for name in names:
+        r.hear(beat(name), 0.0)
+    told = {p for _ in range(4) for p in r.partners()}
+    assert told == {f"g/{n}" for n in names}
