--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,7 @@
 
 run: $(VENV)/run.stamp
 	$(BIN)/python examples/run.py
+	$(BIN)/python examples/entries.py
 
 test: $(VENV)/test.stamp
 	$(BIN)/ruff format --check .
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -21,6 +21,7 @@
 import msgspec
 
 from leverdoor.entry import placement as product
+from leverdoor.entry import spill
 from leverdoor.entry.catalog import Catalog
 from leverdoor.entry.dialect import TargetLoad
 from leverdoor.entry.fleet import Fleet
@@ -327,29 +328,26 @@
     return found
 
 
-def _spread(_: Placement) -> None:
-    """The product as it was first: unseen keys go wherever it is quickest."""
-    product.COLD_ROOM = 99.0
+class Rule(msgspec.Struct, frozen=True):
+    """The product's constants changed, or what entries tell left out."""
 
+    cold_room: float = product.COLD_ROOM
+    least_wait_share: float = product.LEAST_WAIT_SHARE
+    move_per_s: float = spill.MOVE_PER_S
+    blind: bool = False
 
-def _queues(_: Placement) -> None:
-    """Admit to targets' queues as well."""
-    product.LEAST_WAIT_SHARE = 4.0
+    def put_in_force(self) -> None:
+        product.COLD_ROOM = self.cold_room
+        product.LEAST_WAIT_SHARE = self.least_wait_share
+        spill.MOVE_PER_S = self.move_per_s
 
 
-def _frozen(_: Placement) -> None:
-    """No share of keys ever moves."""
-    import leverdoor.entry.spill as spill
-
-    spill.MOVE_PER_S = 0.0
-
-
-RULES: dict[str, tuple[Callable[[Placement], None] | None, bool]] = {
-    "product": (None, False),
-    "blind": (None, True),
-    "spread": (_spread, False),
-    "queues": (_queues, False),
-    "frozen shares": (_frozen, False),
+RULES = {
+    "product": Rule(),
+    "entries tell nothing": Rule(blind=True),
+    "unseen keys anywhere": Rule(cold_room=99.0),
+    "queues at targets": Rule(least_wait_share=4.0),
+    "shares never move": Rule(move_per_s=0.0),
 }
 
 
@@ -361,20 +359,15 @@
     parser.add_argument("--rule", choices=sorted(RULES), default="")
     parser.add_argument("--rates", type=float, nargs="*", default=[132.0, 180.0, 240.0])
     given = parser.parse_args()
-    import leverdoor.entry.spill as spill
-
-    defaults = (product.COLD_ROOM, product.LEAST_WAIT_SHARE, spill.MOVE_PER_S)
     print("| rate | rule | worth | p50 ms | p99 ms | refused | shed | cold | moved |")
     print("|---|---|---|---|---|---|---|---|---|")
     for rate in given.rates:
         plan = Plan(rate, {"a": 10, "b": 12, "c": 2}, seconds=given.seconds)
-        for name, (change, blind) in RULES.items():
+        for name, rule in RULES.items():
             if given.rule and name != given.rule:
                 continue
-            product.COLD_ROOM, product.LEAST_WAIT_SHARE, spill.MOVE_PER_S = defaults
-            if change is not None:
-                change(None)  # type: ignore[arg-type]
-            runs = [run(plan, seed, blind) for seed in range(given.seeds)]
+            rule.put_in_force()
+            runs = [run(plan, seed, rule.blind) for seed in range(given.seeds)]
             _print(rate, name, runs)
 
 
--- a/tests/test_resources.py
+++ b/tests/test_resources.py
@@ -39,6 +39,15 @@
         "units": 1,
         "window_ms": 1000,
     },
+    {
+        "kind": "route",
+        "name": "r1",
+        "host": "h.example",
+        "prefix": "/x/",
+        "work": "once",
+        "services": {"s": 1},
+        "homes": ["r"],
+    },
 ]
 
 
@@ -63,6 +72,17 @@
         "units",
     ),
     ('{"kind": "region", "name": "x"}', Code.UNKNOWN_FIELD, "domains"),
+    (
+        '{"kind": "route", "name": "r", "host": "h", "prefix": "x/", "work": "once",'
+        ' "services": {}}',
+        Code.UNKNOWN_FIELD,
+        "prefix",
+    ),
+    (
+        '{"kind": "clientlimits", "name": "l", "header_timeout_ms": 0}',
+        Code.UNKNOWN_FIELD,
+        "header_timeout_ms",
+    ),
 ]
 
 
@@ -73,6 +93,10 @@
     assert (e.value.code, e.value.field) == (code, field)
 
 
+def route(**fields: object) -> dict[str, object]:
+    return {**BASE[5], **fields}
+
+
 def changed(at: int, **fields: object) -> dict[str, object]:
     return {**BASE[at], **fields}
 
@@ -117,6 +141,10 @@
         Code.DANGLING_REFERENCE,
         "networks.none",
     ),
+    (route(services={"none": 1}), Code.DANGLING_REFERENCE, "services.none"),
+    (route(homes=["none"]), Code.DANGLING_REFERENCE, "homes"),
+    (route(services={"s": 0}), Code.CONTRADICTION, "services"),
+    (route(name="r2"), Code.CONTRADICTION, "prefix"),
 ]
 
 
