--- a/leverdoor/entry/affinity.py
+++ b/leverdoor/entry/affinity.py
@@ -31,6 +31,10 @@
         self._targets = targets
         self._cache: dict[str, list[Target]] = {}
 
+    def __len__(self) -> int:
+        """Count the targets."""
+        return len(self._targets)
+
     def order(self, key: str) -> list[Target]:
         """Return the targets, the one that a key belongs to first."""
         found = self._cache.get(key)
--- a/leverdoor/entry/placement.py
+++ b/leverdoor/entry/placement.py
@@ -38,6 +38,8 @@
 RETRY_SPREAD_MS = 350
 DEFAULT_LATENCY_MS = 500
 CANDIDATES = 6
+MANY_TARGETS = 8
+"""Targets of a domain from which on it keeps its keys to itself."""
 NO_SLOTS = 9.0
 TOLD_TARGETS = 3
 TOLD_MOVE = 0.05
@@ -288,9 +290,21 @@
         return True
 
     def _near(self, asked: Asked) -> list[Target]:
-        """Return this region's targets for a key, the own domain's first."""
+        """Return this region's targets for a key.
+
+        The own domain's come first when they are many: then each has enough of
+        the keys seen, and bytes stay in the domain. When they are few, a key
+        has one target in the whole region, so that fewer runs are cold.
+        """
         region = self._rankings.get((asked.service, self._region))
-        return region.order(asked.key)[:CANDIDATES] if region else []
+        if region is None:
+            return []
+        whole = region.order(asked.key)
+        own = self._rankings.get((asked.service, self._domain))
+        if own is None or len(own) < MANY_TARGETS:
+            return whole[:CANDIDATES]
+        rest = [t for t in whole[: 2 * CANDIDATES] if t.domain != self._domain]
+        return own.order(asked.key)[:CANDIDATES] + rest[:CANDIDATES]
 
     def _by_room(self, asked: Asked, regions: list[str], now: float) -> list[str]:
         """Order regions by their load, the emptiest first."""
--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -449,3 +449,13 @@
     fleet.hear("p", {"t0": 2, "t1": 1, "unknown": 5}, 0.0)
     fleet.hear("p", {"t1": 3}, 0.1)
     assert [fleet.of(t, 0.1).load(0.1) for t in (t0, t1)] == [0, 3]
+
+
+@pytest.mark.parametrize(("each", "own_only"), [(3, False), (12, True)])
+def test_a_domain_with_many_targets_keeps_its_keys(each: int, own_only: bool) -> None:
+    targets = [
+        target(f"{domain}-{i}", domain) for domain in ("a1", "a2") for i in range(each)
+    ]
+    desk = Desk(*targets)
+    used = {desk.name(f"k{i}").split("-")[0] for i in range(60)}
+    assert used == ({"a1"} if own_only else {"a1", "a2"})
