Placement in three: shares and times have modules of their own

First shares were taken from the first targets that appeared; now from all slots until there is load. A domain may be named as its region. The bound on shifts comes from the settings.

--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -182,13 +182,13 @@
 class Entry:
     """One entry with the product's own decisions."""
 
-    def __init__(self, world: World, region: str, name: str) -> None:
+    def __init__(self, world: World, region: str, name: str, move_per_s: float) -> None:
         self.name = name
         self.region = region
         self.world = world
         self.fleet = Fleet()
         rng = Random(world.rng.random())
-        self.placement = Placement(region, region + "1", self.fleet, rng)
+        self.placement = Placement(region, region + "1", self.fleet, rng, move_per_s)
         self.placement.renew(world.catalog)
 
     def serve(self, asked: Asked) -> None:
@@ -237,11 +237,25 @@
             self.world.result.late += 1
 
 
-def run(plan: Plan, seed: int, blind: bool = False) -> Result:
-    """Play one run; `blind` leaves out what entries tell one another."""
+class Rule(msgspec.Struct, frozen=True):
+    """The product's constants changed, or what entries tell left out."""
+
+    cold_room: float = product.COLD_ROOM
+    least_wait_share: float = product.LEAST_WAIT_SHARE
+    move_per_s: float = spill.MOVE_PER_S
+    blind: bool = False
+
+    def put_in_force(self) -> None:
+        product.COLD_ROOM = self.cold_room
+        product.LEAST_WAIT_SHARE = self.least_wait_share
+
+
+def run(plan: Plan, seed: int, rule: Rule) -> Result:
+    """Play one run under a rule."""
+    rule.put_in_force()
     world = World(plan, seed)
     entries = [
-        Entry(world, region, f"{region}-{i}")
+        Entry(world, region, f"{region}-{i}", rule.move_per_s)
         for region in REGIONS
         for i in range(plan.entries)
     ]
@@ -254,7 +268,7 @@
                 near = other.region == one.region
                 if (
                     other is not one
-                    and not blind
+                    and not rule.blind
                     and (near or world.rng.random() < 0.25)
                 ):
                     delay = 0.001 if near else HOP_S
@@ -269,11 +283,11 @@
     def shares() -> None:
         for one in entries:
             told = [
-                o.placement.shares()
+                o.placement.shares.told()
                 for o in entries
                 if o is not one and o.region == one.region
             ]
-            one.placement.update_shares(told, world.clock.now)
+            one.placement.shares.update(told, world.clock.now)
         world.clock.at(world.clock.now + SHARE_S, shares)
 
     def arrive(region: str) -> None:
@@ -328,20 +342,6 @@
     return found
 
 
-class Rule(msgspec.Struct, frozen=True):
-    """The product's constants changed, or what entries tell left out."""
-
-    cold_room: float = product.COLD_ROOM
-    least_wait_share: float = product.LEAST_WAIT_SHARE
-    move_per_s: float = spill.MOVE_PER_S
-    blind: bool = False
-
-    def put_in_force(self) -> None:
-        product.COLD_ROOM = self.cold_room
-        product.LEAST_WAIT_SHARE = self.least_wait_share
-        spill.MOVE_PER_S = self.move_per_s
-
-
 RULES = {
     "product": Rule(),
     "entries tell nothing": Rule(blind=True),
@@ -366,8 +366,7 @@
         for name, rule in RULES.items():
             if given.rule and name != given.rule:
                 continue
-            rule.put_in_force()
-            runs = [run(plan, seed, rule.blind) for seed in range(given.seeds)]
+            runs = [run(plan, seed, rule) for seed in range(given.seeds)]
             _print(rate, name, runs)
 
 
--- a/leverdoor/entry/catalog.py
+++ b/leverdoor/entry/catalog.py
@@ -70,6 +70,11 @@
         """How many routes are in force."""
         return sum(len(routes) for routes in self._routes.values())
 
+    @property
+    def route_names(self) -> set[str]:
+        """The names of the routes in force."""
+        return {route.name for routes in self._routes.values() for route in routes}
+
     def route(self, host: str, path: str) -> Route | None:
         """Return the route of a host with the longest prefix of a path."""
         for route in self._routes.get(host, ()):
@@ -77,10 +82,6 @@
                 return route
         return None
 
-    def hosts(self, host: str) -> bool:
-        """Say whether any route is of a host."""
-        return host in self._routes
-
 
 def _of(resources: list[Resource], kind: type[T]) -> list[T]:
     return [r for r in resources if isinstance(r, kind)]
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -51,8 +51,11 @@
 """Rounds without a request before the end: some may just have been accepted."""
 BACKLOG = 512
 STORE_BACKOFF_S = 1.0
-RELOADABLE = ("grace_s", "repeat_ratio", "max_shift", "lookup_ttl_s", "watchers")
+RELOADABLE = ("grace_s", "repeat_ratio", "lookup_ttl_s", "watchers")
 REPEAT_SHARE = 0.5
+SHIFT_WINDOW_S = 2.0
+MOVED_SHARE = 0.53
+"""Part of the bound on shifts that is planned with; the rest is for chance."""
 REPEATS_SAVED = 4.0
 
 
@@ -137,7 +140,8 @@
         self._state.changes.subscribe(self._take_delta)
         self._roster = Roster(self._member, rng)
         self._fleet = Fleet()
-        self._placement = Placement(s.region, s.domain, self._fleet, rng)
+        move_per_s = s.max_shift * MOVED_SHARE / SHIFT_WINDOW_S
+        self._placement = Placement(s.region, s.domain, self._fleet, rng, move_per_s)
         self._placement.sharers = self._sharers
         self._connections = Connections(self._dialect.headers.request_id, s.region)
         self._metrics = EntryMetrics()
@@ -290,7 +294,7 @@
             self._life,
             self._state.revision,
             self._fleet.in_flight(),
-            self._placement.shares(),
+            self._placement.shares.told(),
         )
 
     def _tell_everyone(self) -> None:
@@ -307,7 +311,7 @@
             self._socket.send_all(self._own_beat(), self._roster.partners())
             if turn % SHARE_BEATS == 0:
                 peers = [b.shares for b in self._roster.near(now)]
-                self._placement.update_shares(peers, now)
+                self._placement.shares.update(peers, now)
             if turn % SWEEP_BEATS == 0:
                 self._connections.sweep(now)
                 self._roster.forget(now)
@@ -315,7 +319,7 @@
                 self._metrics.peers.set(len(self._roster.live(now)))
                 for name, change, silent_s in self._roster.changes(now):
                     self._events.peer(name, change, silent_s)
-                for service, shares in self._placement.moved_shares().items():
+                for service, shares in self._placement.shares.moved().items():
                     self._events.shares(service, shares)
 
     # Leaving.
--- a/leverdoor/entry/placement.py
+++ b/leverdoor/entry/placement.py
@@ -10,17 +10,14 @@
 from leverdoor.entry.affinity import Ranking
 from leverdoor.entry.catalog import EMPTY, Catalog
 from leverdoor.entry.fleet import Fleet, TargetState
-from leverdoor.entry.spill import RegionShares, first_shares
+from leverdoor.entry.sharing import NO_SLOTS, ShareBook
+from leverdoor.entry.spill import MOVE_PER_S
+from leverdoor.entry.times import DEFAULT_LATENCY_MS, ServiceTimes, TimeBook
 from leverdoor.errors import Code
 from leverdoor.resources import Route, Target
 
 __all__ = ["Asked", "Chosen", "Placement", "Unplaced"]
 
-FAST_SHARE = 0.4
-SLOW_SHARE = 1.3
-TIME_STEP = 0.03
-FAST_QUANTILE = 0.4
-SLOW_QUANTILE = 0.6
 COLD_ROOM = 0.6
 """Load over slots up to which a target may be asked for what it has not seen.
 
@@ -36,13 +33,10 @@
 COLD_SHARE = 0.8
 FIRST_RETRY_MS = 150
 RETRY_SPREAD_MS = 350
-DEFAULT_LATENCY_MS = 500
 CANDIDATES = 6
 MANY_TARGETS = 8
 """Targets of a domain from which on it keeps its keys to itself."""
-NO_SLOTS = 9.0
 TOLD_TARGETS = 3
-TOLD_MOVE = 0.05
 
 
 class Asked(msgspec.Struct):
@@ -80,35 +74,17 @@
     reason: str
 
 
-class Times(msgspec.Struct):
-    """How long a service takes for a key that a target has lately seen or not."""
-
-    fast_ms: float
-    slow_ms: float
-
-    def learn(self, took_ms: float, warm: bool) -> None:
-        """Take the time of one answer.
-
-        Both follow a quantile and not the mean, since what is taken for warm
-        is often cold at first, and what is taken for cold may have been
-        warmed by another entry.
-        """
-        if warm:
-            self.fast_ms = _toward(self.fast_ms, took_ms, FAST_QUANTILE)
-        else:
-            self.slow_ms = _toward(self.slow_ms, took_ms, SLOW_QUANTILE)
-
-
-def _toward(estimate: float, sample: float, quantile: float) -> float:
-    """Move an estimate of a quantile by one sample."""
-    step = TIME_STEP * estimate
-    return estimate + step * (quantile if sample > estimate else quantile - 1.0)
-
-
 class Placement:
     """Chooses targets by key, place and load."""
 
-    def __init__(self, region: str, domain: str, fleet: Fleet, rng: Random) -> None:
+    def __init__(
+        self,
+        region: str,
+        domain: str,
+        fleet: Fleet,
+        rng: Random,
+        move_per_s: float = MOVE_PER_S,
+    ) -> None:
         """Create it.
 
         Args:
@@ -116,17 +92,17 @@
           domain: this entry's failure domain.
           fleet: what is believed of targets.
           rng: where all chance comes from.
+          move_per_s: most of a service's keys that change region in a second.
         """
         self._region = region
         self._domain = domain
         self._fleet = fleet
         self._rng = rng
         self._catalog = EMPTY
-        self._rankings: dict[tuple[str, str], Ranking] = {}
-        self._regions: dict[tuple[str, str], list[Target]] = {}
-        self._times: dict[str, Times] = {}
-        self._shares: dict[str, RegionShares] = {}
-        self._told_shares: dict[str, dict[str, float]] = {}
+        self._by_region: dict[tuple[str, str], Ranking] = {}
+        self._by_domain: dict[tuple[str, str], Ranking] = {}
+        self._times = TimeBook()
+        self.shares = ShareBook(region, fleet, move_per_s)
         self._weights: dict[str, dict[str, float]] = {}
         self._stray = STRAY_LIMIT
         self.sharers: Callable[[Target], int] = lambda _: 1
@@ -137,21 +113,16 @@
     def renew(self, catalog: Catalog) -> None:
         """Take a new configuration."""
         self._catalog = catalog
-        places: dict[tuple[str, str], list[Target]] = {}
+        regions: dict[tuple[str, str], list[Target]] = {}
         domains: dict[tuple[str, str], list[Target]] = {}
         for service, targets in catalog.by_service.items():
             for target in targets:
-                places.setdefault((service, target.region), []).append(target)
+                regions.setdefault((service, target.region), []).append(target)
                 domains.setdefault((service, target.domain), []).append(target)
-        self._regions = places
-        old = self._rankings
-        self._rankings = {}
-        for place, targets in (places | domains).items():
-            known = old.get(place)
-            if known is not None and known.same(targets):
-                self._rankings[place] = known
-            else:
-                self._rankings[place] = Ranking(targets)
+        self._by_region = _rankings(regions, self._by_region)
+        self._by_domain = _rankings(domains, self._by_domain)
+        self.shares.renew(catalog.regions, regions)
+        self._times.keep_only(catalog.route_names)
 
     def pick_service(self, route: Route) -> str:
         """Choose among the services of a route so that their weights hold."""
@@ -165,63 +136,6 @@
         credit[best] -= 1.0
         return best
 
-    def shares(self) -> dict[str, dict[str, float]]:
-        """Return the regions' shares of each service's keys."""
-        return {
-            service: {r: round(v, 4) for r, v in state.shares.items()}
-            for service, state in self._shares.items()
-        }
-
-    def moved_shares(self) -> dict[str, dict[str, float]]:
-        """Return the shares that moved noticeably since they were last told."""
-        found = {}
-        for service, state in self._shares.items():
-            told = self._told_shares.get(service, {})
-            if any(
-                abs(v - told.get(r, 0.0)) > TOLD_MOVE for r, v in state.shares.items()
-            ):
-                self._told_shares[service] = dict(state.shares)
-                found[service] = dict(state.shares)
-        return found
-
-    def update_shares(
-        self, peers: list[dict[str, dict[str, float]]], now: float
-    ) -> None:
-        """Move the shares; call several times a second.
-
-        Args:
-          peers: the shares of the other entries of the region, by service.
-          now: monotonic time in seconds.
-        """
-        for service in self._catalog.by_service:
-            told = [p[service] for p in peers if service in p]
-            state = self._shares_of(service, told, now)
-            pressures = {
-                region: self._pressure(service, region, now) for region in state.shares
-            }
-            state.update(pressures, told, now)
-
-    def _shares_of(
-        self, service: str, told: list[dict[str, float]], now: float
-    ) -> RegionShares:
-        found = self._shares.get(service)
-        if found is None:
-            first = dict(told[0]) if told else self._first_shares(service)
-            found = RegionShares(self._region, first, now)
-            self._shares[service] = found
-        return found
-
-    def _first_shares(self, service: str) -> dict[str, float]:
-        slots = {
-            region: sum(t.slots for t in self._regions.get((service, region), ()))
-            for region in self._catalog.regions
-        }
-        return first_shares(self._region, slots)
-
-    def _pressure(self, service: str, region: str, now: float) -> float:
-        load, slots = self._fleet.load(self._regions.get((service, region), ()), now)
-        return load / slots if slots else NO_SLOTS
-
     # What is decided.
 
     def place(self, asked: Asked, now: float) -> Chosen | Unplaced:
@@ -230,7 +144,7 @@
         regions = self._allowed_regions(asked)
         if not regions:
             return self._refuse(Code.NO_TARGET, "no target may serve it")
-        first = self._region_of(asked, regions, now)
+        first = self.shares.region(asked.service, asked.key, regions, now)
         found = self._in_region(asked, first, "share", now)
         if found is not None:
             return found
@@ -247,9 +161,9 @@
 
     def _why_full(self, asked: Asked, first: str, now: float) -> str:
         """Say for the log what was known when there was no room."""
-        place = (asked.service, first)
+        ranking = self._by_region[(asked.service, first)]
         loads = []
-        for target in self._rankings[place].order(asked.key)[:TOLD_TARGETS]:
+        for target in ranking.order(asked.key)[:TOLD_TARGETS]:
             state = self._fleet.of(target, now)
             cold = " cold" if state.cold(now) else ""
             rests = "" if state.usable(now) else " rests"
@@ -258,17 +172,12 @@
             loads.append(f"{target.name} {load} ({age_ms} ms){cold}{rests}")
         return f"{asked.service} in {first}: {', '.join(loads)}"
 
-    def _region_of(self, asked: Asked, regions: list[str], now: float) -> str:
-        """Return the region that the request's key belongs to."""
-        state = self._shares_of(asked.service, [], now)
-        return state.region(asked.key, regions)
-
     def _in_region(
         self, asked: Asked, region: str, reason: str, now: float
     ) -> Chosen | None:
         if region == self._region:
             return self._best(asked, self._near(asked), reason, now)
-        ranking = self._rankings[(asked.service, region)]
+        ranking = self._by_region[(asked.service, region)]
         return self._best(asked, ranking.order(asked.key)[:CANDIDATES], reason, now)
 
     def _allowed_regions(self, asked: Asked) -> list[str]:
@@ -276,13 +185,13 @@
         return [
             region
             for region in self._catalog.regions
-            if (asked.service, region) in self._regions
+            if (asked.service, region) in self._by_region
             and (not homes or region in homes)
         ]
 
     def _may_stray(self, asked: Asked, first: str, now: float) -> bool:
         """Let a few requests leave their key's region at once, before refusing."""
-        if self._pressure(asked.service, first, now) >= NO_SLOTS:
+        if self.shares.pressure(asked.service, first, now) >= NO_SLOTS:
             return True
         if self._stray < 1.0:
             return False
@@ -296,11 +205,11 @@
         the keys seen, and bytes stay in the domain. When they are few, a key
         has one target in the whole region, so that fewer runs are cold.
         """
-        region = self._rankings.get((asked.service, self._region))
+        region = self._by_region.get((asked.service, self._region))
         if region is None:
             return []
         whole = region.order(asked.key)
-        own = self._rankings.get((asked.service, self._domain))
+        own = self._by_domain.get((asked.service, self._domain))
         if own is None or len(own) < MANY_TARGETS:
             return whole[:CANDIDATES]
         rest = [t for t in whole[: 2 * CANDIDATES] if t.domain != self._domain]
@@ -308,13 +217,15 @@
 
     def _by_room(self, asked: Asked, regions: list[str], now: float) -> list[str]:
         """Order regions by their load, the emptiest first."""
-        return sorted(regions, key=lambda r: self._pressure(asked.service, r, now))
+        return sorted(
+            regions, key=lambda r: self.shares.pressure(asked.service, r, now)
+        )
 
     def _best(
         self, asked: Asked, candidates: list[Target], reason: str, now: float
     ) -> Chosen | None:
         """Choose the candidate that is expected to answer first."""
-        times = self.times(asked)
+        times = self._times.of(asked.route, asked.service)
         best: tuple[float, Target, TargetState, bool] | None = None
         most = self._most_wait_ms(asked, times, now)
         first = True
@@ -366,7 +277,7 @@
         per_s = service.warmup_per_s if service is not None else 0.0
         ordered = sorted(regions, key=lambda r: r != self._region)
         for region in ordered:
-            for target in self._rankings[(asked.service, region)].order(asked.key):
+            for target in self._by_region[(asked.service, region)].order(asked.key):
                 state = self._fleet.of(target, now)
                 if not state.cold(now) or not state.usable(now):
                     continue
@@ -378,20 +289,11 @@
                 share = COLD_SHARE * per_s / entries
                 if per_s and not state.spend_allowance(share, now):
                     continue
-                slow_ms = self.times(asked).slow_ms
+                slow_ms = self._times.of(asked.route, asked.service).slow_ms
                 return self._take(asked, state, False, slow_ms, "cold", now)
         return None
 
-    def times(self, asked: Asked) -> Times:
-        """Return how long requests of a route take at a service."""
-        name = f"{asked.route.name}@{asked.service}"
-        found = self._times.get(name)
-        if found is None:
-            aim = asked.route.target_latency_ms or DEFAULT_LATENCY_MS
-            found = self._times[name] = Times(FAST_SHARE * aim, SLOW_SHARE * aim)
-        return found
-
-    def _most_wait_ms(self, asked: Asked, times: Times, now: float) -> float:
+    def _most_wait_ms(self, asked: Asked, times: ServiceTimes, now: float) -> float:
         """Return the longest wait at a target that still makes sense."""
         aim = asked.route.target_latency_ms or DEFAULT_LATENCY_MS
         spent = (now - asked.arrived) * 1000
@@ -417,9 +319,22 @@
         state = self._fleet.of(chosen.target, now)
         rests = state.answered(took_ms / max(chosen.expected_ms, 1.0), now)
         if chosen.load <= chosen.target.slots and chosen.target.region == self._region:
-            self.times(asked).learn(took_ms, chosen.warm)
+            self._times.of(asked.route, asked.service).learn(took_ms, chosen.warm)
         return rests
 
     def ended(self, chosen: Chosen, now: float) -> None:
         """Count a request that ended, however it did."""
         self._fleet.of(chosen.target, now).ended()
+
+
+def _rankings(
+    places: dict[tuple[str, str], list[Target]],
+    before: dict[tuple[str, str], Ranking],
+) -> dict[tuple[str, str], Ranking]:
+    """Rank the targets of each place, keeping what is known where none changed."""
+    found = {}
+    for place, targets in places.items():
+        known = before.get(place)
+        same = known is not None and known.same(targets)
+        found[place] = known if known is not None and same else Ranking(targets)
+    return found
--- /dev/null
+++ b/leverdoor/entry/sharing.py
@@ -0,0 +1,112 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""The regions' shares of every service's keys, as one entry keeps them."""
+
+from collections.abc import Iterable, Mapping
+
+from leverdoor.entry.fleet import Fleet
+from leverdoor.entry.spill import RegionShares, first_shares
+from leverdoor.resources import Target
+
+__all__ = ["NO_SLOTS", "ShareBook"]
+
+NO_SLOTS = 9.0
+"""Pressure of a region without a usable target."""
+TOLD_MOVE = 0.05
+
+
+class ShareBook:
+    """Shares by service, and the pressure that moves them."""
+
+    def __init__(self, region: str, fleet: Fleet, move_per_s: float) -> None:
+        """Create it without any service.
+
+        Args:
+          region: this entry's region.
+          fleet: what is believed of targets.
+          move_per_s: most of a service's keys that change region in a second.
+        """
+        self._region = region
+        self._fleet = fleet
+        self._move_per_s = move_per_s
+        self._names: list[str] = []
+        self._targets: dict[tuple[str, str], list[Target]] = {}
+        self._shares: dict[str, RegionShares] = {}
+        self._told: dict[str, dict[str, float]] = {}
+
+    def renew(
+        self,
+        regions: Iterable[str],
+        targets: dict[tuple[str, str], list[Target]],
+    ) -> None:
+        """Take a new configuration.
+
+        Args:
+          regions: the names of all regions.
+          targets: those in service, by service and region.
+        """
+        self._names = sorted(regions)
+        self._targets = targets
+
+    def region(self, service: str, key: str, allowed: list[str], now: float) -> str:
+        """Return the region that a key of a service belongs to."""
+        return self._of(service, [], now).region(key, allowed)
+
+    def pressure(self, service: str, region: str, now: float) -> float:
+        """Return load over slots of a region's usable targets."""
+        load, slots = self._fleet.load(self._targets.get((service, region), ()), now)
+        return load / slots if slots else NO_SLOTS
+
+    def update(self, peers: list[dict[str, dict[str, float]]], now: float) -> None:
+        """Move the shares; call several times a second.
+
+        Args:
+          peers: the shares of the other entries of the region, by service.
+          now: monotonic time in seconds.
+        """
+        for service in {s for s, _ in self._targets}:
+            told = [p[service] for p in peers if service in p]
+            state = self._of(service, told, now)
+            pressures = {r: self.pressure(service, r, now) for r in state.shares}
+            if not state.begun and not told:
+                state.begin_from(first_shares(self._region, self._slots(service)))
+            state.update(pressures, told, now)
+
+    def _of(
+        self, service: str, told: list[dict[str, float]], now: float
+    ) -> RegionShares:
+        found = self._shares.get(service)
+        if found is None:
+            first = first_shares(self._region, self._slots(service))
+            if told:
+                first |= told[0]
+            found = RegionShares(self._region, first, now, self._move_per_s)
+            self._shares[service] = found
+        return found
+
+    def _slots(self, service: str) -> dict[str, int]:
+        return {
+            region: sum(t.slots for t in self._targets.get((service, region), ()))
+            for region in self._names
+        }
+
+    def told(self) -> dict[str, dict[str, float]]:
+        """Return the shares in the form that other entries are told."""
+        return {
+            service: {r: round(v, 4) for r, v in state.shares.items()}
+            for service, state in self._shares.items()
+            if state.begun
+        }
+
+    def moved(self) -> Mapping[str, dict[str, float]]:
+        """Return the shares that moved noticeably since the last call."""
+        found = {}
+        for service, state in self._shares.items():
+            before = self._told.get(service, {})
+            if _differ(before, state.shares):
+                found[service] = self._told[service] = dict(state.shares)
+        return found
+
+
+def _differ(before: Mapping[str, float], after: Mapping[str, float]) -> bool:
+    return any(abs(v - before.get(r, 0.0)) > TOLD_MOVE for r, v in after.items())
--- a/leverdoor/entry/spill.py
+++ b/leverdoor/entry/spill.py
@@ -32,15 +32,25 @@
 class RegionShares:
     """The shares of one service's keys, by region."""
 
-    def __init__(self, own: str, first: Mapping[str, float], now: float) -> None:
+    def __init__(
+        self,
+        own: str,
+        first: Mapping[str, float],
+        now: float,
+        move_per_s: float = MOVE_PER_S,
+    ) -> None:
         """Create it.
 
         Args:
           own: the region whose clients' keys are dealt.
           first: shares to start from, which add up to one.
           now: monotonic time in seconds.
+          move_per_s: most that a share moves in a second.
         """
         self.own = own
+        self.begun = False
+        """Whether there was any load yet; before, nothing is learnt from it."""
+        self._move_per_s = move_per_s
         self.shares = dict(first)
         self.pressures: dict[str, float] = {}
         self._at = now
@@ -54,6 +64,10 @@
 
         return min(allowed, key=score)
 
+    def begin_from(self, shares: Mapping[str, float]) -> None:
+        """Start from other shares, while there was no load."""
+        self.shares = dict(shares)
+
     def update(
         self,
         pressures: Mapping[str, float],
@@ -69,12 +83,16 @@
         """
         passed = min(now - self._at, 1.0)
         self._at = now
+        loaded = any(0 < p < UNKNOWN_PRESSURE for p in pressures.values())
+        self.begun = self.begun or loaded
+        if not self.begun:
+            return
         self._smooth(pressures, passed)
         self._agree([p for p in peers if p], passed)
         found = self._wanted_move()
         if found is not None:
             source, sink = found
-            self._move(source, sink, MOVE_PER_S * passed)
+            self._move(source, sink, self._move_per_s * passed)
 
     def _smooth(self, pressures: Mapping[str, float], passed: float) -> None:
         weight = min(1.0, passed / PRESSURE_WEIGHT_S)
@@ -91,7 +109,7 @@
         for region in self.shares:
             mean = sum(p.get(region, 0.0) for p in peers) / len(peers)
             gap = mean - self.shares[region]
-            most = MOVE_PER_S * passed / 2
+            most = self._move_per_s * passed / 2
             step = AGREEMENT_PER_S * passed * gap
             self.shares[region] += max(-most, min(most, step))
         total = sum(self.shares.values())
--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -459,3 +459,23 @@
     desk = Desk(*targets)
     used = {desk.name(f"k{i}").split("-")[0] for i in range(60)}
     assert used == ({"a1"} if own_only else {"a1", "a2"})
+
+
+def test_first_shares_do_not_depend_on_the_order_of_arrival() -> None:
+    """Targets appear one by one before there is any load."""
+    desk = Desk(target("b0", "b1"))
+    for i in range(20):
+        desk.now += 0.3
+        desk.placement.shares.update([], desk.now)
+    desk.take(target("b0", "b1"), target("a0"), target("a1"), target("c0", "c1"))
+    desk.now += 0.3
+    desk.placement.shares.update([], desk.now)
+    assert desk.placement.shares.told() == {}
+    keys = [f"k{i}" for i in range(40)]
+    assert all(desk.name(k).startswith("a") for k in keys)
+
+
+def test_a_domain_may_be_named_as_its_region() -> None:
+    named_alike = target("t0", "a", region="a")
+    desk = Desk(named_alike, target("t1", "a2"))
+    assert {desk.name(f"k{i}") for i in range(30)} == {"t0", "t1"}
