--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -464,7 +464,7 @@
 def test_first_shares_do_not_depend_on_the_order_of_arrival() -> None:
     """Targets appear one by one before there is any load."""
     desk = Desk(target("b0", "b1"))
-    for i in range(20):
+    for _ in range(20):
         desk.now += 0.3
         desk.placement.shares.update([], desk.now)
     desk.take(target("b0", "b1"), target("a0"), target("a1"), target("c0", "c1"))
