Naming entries costs the same whatever their number; slopes of an entry's parts

Cause (benchmarks/entry_slopes.py): each look-up counted each entry's region among all entries: 1.2 ms at 300 entries, 67 ms at 2,500. Counts are kept, and a choice serves for 0.1 s: under 1 us.

--- /dev/null
+++ b/benchmarks/entry_slopes.py
@@ -0,0 +1,139 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""What the parts of an entry cost as targets, entries and routes grow.
+
+Pure parts only, at four sizes each; times are the median of several runs.
+
+    python benchmarks/entry_slopes.py
+"""
+
+import statistics
+import time
+import zlib
+from collections.abc import Callable
+from random import Random
+
+from leverdoor.codec import pack
+from leverdoor.entry.catalog import Catalog
+from leverdoor.entry.fleet import Fleet
+from leverdoor.entry.placement import Asked, Chosen, Placement
+from leverdoor.entry.roster import SERVING, EntryBeat, Member, Roster
+from leverdoor.resources import Region, Resource, Route, Service, Target, Work
+
+RUNS = 7
+REGIONS = ("a", "b", "c")
+
+
+def median_us(work: Callable[[], object], count: int) -> float:
+    """Return the median time of one of `count` calls, in microseconds."""
+    found = []
+    for _ in range(RUNS):
+        began = time.perf_counter()
+        for _ in range(count):
+            work()
+        found.append((time.perf_counter() - began) / count * 1e6)
+    return statistics.median(found)
+
+
+def resources(targets: int, routes: int) -> list[Resource]:
+    """Return a configuration of three regions and one service."""
+    found: list[Resource] = [
+        Region(name=r, domains=[f"{r}1", f"{r}2"]) for r in REGIONS
+    ]
+    found.append(Service(name="s", work=Work.ONCE))
+    found += [
+        Route(
+            name=f"r{i}",
+            host=f"h{i % 10}",
+            prefix=f"/{i}/",
+            work=Work.LOOKUP,
+            services={"s": 1.0},
+            target_latency_ms=500,
+            affinity=True,
+        )
+        for i in range(routes)
+    ]
+    for i in range(targets):
+        region = REGIONS[i % 3]
+        found.append(
+            Target(
+                name=f"t{i}",
+                service="s",
+                region=region,
+                domain=f"{region}{1 + i // 3 % 2}",
+                address=f"10.{i >> 16}.{i >> 8 & 255}.{i & 255}:80",
+                slots=9,
+            )
+        )
+    return found
+
+
+def by_targets(targets: int) -> None:
+    """Print the costs that grow with targets."""
+    known = resources(targets, 20)
+    compiled = median_us(lambda: Catalog(1, "1", known), 1)
+    catalog = Catalog(1, "1", known)
+    fleet = Fleet()
+    fleet.renew(catalog.targets, 0.0)
+    placement = Placement("a", "a1", fleet, Random(1))
+    ranked = median_us(lambda: placement.renew(catalog), 1)
+    route = catalog.route("h0", "/0/")
+    assert route is not None
+    keys = iter(range(10**9))
+
+    def decide() -> None:
+        asked = Asked("i", route, "s", f"k{next(keys) % 98}", "1", 0.0, 2.0)
+        chosen = placement.place(asked, 0.0)
+        assert isinstance(chosen, Chosen)
+        placement.ended(chosen, 0.0)
+
+    decided = median_us(decide, 300)
+    updated = median_us(lambda: placement.shares.update([], 1.0), 3)
+    counts = {f"t{i}": 2 for i in range(0, min(targets, 60), 3)}
+    heard = median_us(lambda: fleet.hear("p", counts, 0.0), 100)
+    print(
+        f"| {targets} | {compiled / 1000:.2f} | {ranked / 1000:.2f} | {decided:.1f}"
+        f" | {updated / 1000:.2f} | {heard:.1f} |"
+    )
+
+
+def by_entries(entries: int) -> None:
+    """Print the costs that grow with entries."""
+
+    def member(i: int) -> Member:
+        region = REGIONS[i % 3]
+        return Member(f"e{i}", region, f"{region}1", "f", f"10.0.0.{i}:7", "p", 1)
+
+    roster = Roster(member(0), Random(1))
+    counts = {f"i-{i:08x}": 2 for i in range(20)}
+    beats = [EntryBeat(member(i), 1, SERVING, 5, counts) for i in range(1, entries)]
+    for beat in beats:
+        roster.hear(beat, 0.0)
+    numbers = iter(range(2, 10**9))
+
+    def hear() -> None:
+        n = next(numbers)
+        beat = beats[n % len(beats)]
+        roster.hear(EntryBeat(beat.member, n, SERVING, 5, counts), 0.0)
+
+    heard = median_us(hear, 200)
+    named = median_us(lambda: roster.addresses("a", "a1", SERVING, 0.1), 20)
+    partners = median_us(lambda: roster.partners(), 20)
+    size = len(zlib.compress(pack(beats[0]), 1))
+    print(f"| {entries} | {heard:.1f} | {named:.0f} | {partners:.0f} | {size} |")
+
+
+def main() -> None:
+    """Print both tables."""
+    print("| targets | compile ms | rank ms | decide us | shares ms | hear us |")
+    print("|---|---|---|---|---|---|")
+    for targets in (48, 330, 1_000, 4_000):
+        by_targets(targets)
+    print("\n| entries | take a beat us | name us | partners us | beat bytes |")
+    print("|---|---|---|---|---|")
+    for entries in (12, 85, 300, 2_500):
+        by_entries(entries)
+
+
+if __name__ == "__main__":
+    main()
--- a/leverdoor/entry/roster.py
+++ b/leverdoor/entry/roster.py
@@ -3,6 +3,7 @@
 """Which entries there are, which can be named to clients, and what they tell."""
 
 import math
+from collections import Counter
 from collections.abc import Mapping
 from random import Random
 
@@ -25,6 +26,9 @@
 NEAR_PARTNERS = 8
 MAX_NAMED = 64
 LEAST_NAMED = 2
+NAMED_S = 0.1
+"""How long a choice of entries to name is used again."""
+MOST_PLACES = 256
 
 STARTING = 0
 SERVING = 1
@@ -89,6 +93,9 @@
         self._known: dict[str, _Known] = {}
         self._told: set[str] = set()
         self._turn = 0
+        self._regions: Counter[str] = Counter([own.region])
+        self._domains: Counter[str] = Counter([own.domain])
+        self._named: dict[tuple[str, str, EntryState], tuple[float, list[str]]] = {}
 
     def found(self, written: Mapping[str, bytes], now: float) -> None:
         """Take what entries wrote of themselves in the store."""
@@ -105,6 +112,8 @@
         known = self._known.get(member.name)
         if known is None:
             self._known[member.name] = _Known(member, None, -1e9, now, now)
+            self._regions[member.region] += 1
+            self._domains[member.domain] += 1
             return
         known.seen_at = now
         if member.incarnation > known.member.incarnation:
@@ -125,6 +134,8 @@
             return False
         if known.beat is not None and not beat.newer(known.beat):
             return False
+        if known.beat is None or known.beat.state != beat.state:
+            self._named.clear()
         known.beat = beat
         known.heard_at = now
         known.seen_at = now
@@ -134,7 +145,9 @@
         """Drop entries not seen for a long time."""
         old = [n for n, k in self._known.items() if now - k.seen_at > FORGET_S]
         for name in old:
-            del self._known[name]
+            member = self._known.pop(name).member
+            self._regions[member.region] -= 1
+            self._domains[member.domain] -= 1
 
     def changes(self, now: float) -> list[tuple[str, str, float]]:
         """Return who was found or lost since the last call.
@@ -175,13 +188,11 @@
 
     def in_domain(self, domain: str) -> int:
         """Count the entries of a domain known within the last minute."""
-        others = sum(1 for k in self._known.values() if k.member.domain == domain)
-        return others + (self.own.domain == domain)
+        return self._domains[domain]
 
     def in_region(self, region: str) -> int:
         """Count the entries of a region known within the last minute."""
-        others = sum(1 for k in self._known.values() if k.member.region == region)
-        return others + (self.own.region == region)
+        return self._regions[region]
 
     def partners(self) -> list[str]:
         """Choose whom to send a beat to: the region's in turn, a few elsewhere."""
@@ -231,6 +242,18 @@
         Returns: addresses of the client's domain; of its region as well when
           they are few; of all regions when its own has none.
         """
+        place = (region, domain, own_state)
+        at, named = self._named.get(place, (-1.0, []))
+        if not at <= now < at + NAMED_S:
+            named = self._choose(region, domain, own_state, now)
+            if len(self._named) >= MOST_PLACES:
+                self._named.clear()
+            self._named[place] = (now, named)
+        return named
+
+    def _choose(
+        self, region: str, domain: str, own_state: EntryState, now: float
+    ) -> list[str]:
         usable = [b.member for b in self.live(now) if b.state == SERVING]
         if own_state == SERVING:
             usable.append(self.own)
