--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -228,7 +228,7 @@
         now = self.world.clock.now
         self.placement.ended(chosen, now)
         self.fleet.of(chosen.target, now).told(load, now)
-        self.placement.answered(asked, chosen, (now - began) * 1000, now)
+        self.placement.answered(asked, chosen, (now - began) * 1000, 400, now)
         took = now - asked.arrived
         self.world.result.latencies.append(took)
         if took <= AIM_S:
--- a/leverdoor/entry/forwarding.py
+++ b/leverdoor/entry/forwarding.py
@@ -20,6 +20,8 @@
 
 ANSWER_MARGIN_S = 0.03
 RETRY_MS = 250
+LONG_BODY = 512 * 1024
+"""What a streamed body counts as, in bytes."""
 NOT_RUN_STATUSES = frozenset({503, 429, 421, 400})
 
 
@@ -153,10 +155,12 @@
             now = loop.time()
             self._placement.ended(decision, now)
             self._events.attempt(asked, decision, attempt, outcome, now - began)
-        self._learn(asked, decision, reply, loop.time() - began)
+        self._learn(incoming, decision, reply, loop.time() - began)
         return reply
 
-    def _learn(self, asked: Asked, chosen: Chosen, reply: Reply, took_s: float) -> None:
+    def _learn(
+        self, incoming: Incoming, chosen: Chosen, reply: Reply, took_s: float
+    ) -> None:
         now = asyncio.get_running_loop().time()
         state = self._fleet.of(chosen.target, now)
         load = self._dialect.parse_load(reply.get(self._dialect.headers.load))
@@ -164,7 +168,10 @@
             state.told(load, now)
         if reply.status >= 400:
             return
-        if self._placement.answered(asked, chosen, took_s * 1000, now):
+        body = incoming.body
+        size = len(reply.body) + (len(body) if isinstance(body, bytes) else LONG_BODY)
+        asked = incoming.asked
+        if self._placement.answered(asked, chosen, took_s * 1000, size, now):
             self._events.target_rests(chosen.target.name, "slow", SLOW_REST_S)
 
     async def _send(self, incoming: Incoming, chosen: Chosen) -> Reply:
--- a/leverdoor/entry/placement.py
+++ b/leverdoor/entry/placement.py
@@ -12,7 +12,7 @@
 from leverdoor.entry.fleet import Fleet, TargetState
 from leverdoor.entry.sharing import NO_SLOTS, ShareBook
 from leverdoor.entry.spill import MOVE_PER_S
-from leverdoor.entry.times import DEFAULT_LATENCY_MS, ServiceTimes, TimeBook
+from leverdoor.entry.times import DEFAULT_LATENCY_MS, ServiceTimes, SizeBook, TimeBook
 from leverdoor.errors import Code
 from leverdoor.resources import Route, Target
 
@@ -35,7 +35,7 @@
 RETRY_SPREAD_MS = 350
 CANDIDATES = 6
 MANY_TARGETS = 8
-"""Targets of a domain from which on it keeps its keys to itself."""
+"""Targets of a domain from which on it keeps large requests to itself."""
 TOLD_TARGETS = 3
 
 
@@ -102,6 +102,7 @@
         self._by_region: dict[tuple[str, str], Ranking] = {}
         self._by_domain: dict[tuple[str, str], Ranking] = {}
         self._times = TimeBook()
+        self._sizes = SizeBook()
         self.shares = ShareBook(region, fleet, move_per_s)
         self._weights: dict[str, dict[str, float]] = {}
         self._stray = STRAY_LIMIT
@@ -201,16 +202,17 @@
     def _near(self, asked: Asked) -> list[Target]:
         """Return this region's targets for a key.
 
-        The own domain's come first when they are many: then each has enough of
-        the keys seen, and bytes stay in the domain. When they are few, a key
-        has one target in the whole region, so that fewer runs are cold.
+        A key has one target in the whole region, so that few runs are cold.
+        Where requests are large and the own domain has many targets, it has one
+        in each domain, so that bytes stay there.
         """
         region = self._by_region.get((asked.service, self._region))
         if region is None:
             return []
         whole = region.order(asked.key)
         own = self._by_domain.get((asked.service, self._domain))
-        if own is None or len(own) < MANY_TARGETS:
+        many = own is not None and len(own) >= MANY_TARGETS
+        if own is None or not many or not self._sizes.heavy(asked.service):
             return whole[:CANDIDATES]
         rest = [t for t in whole[: 2 * CANDIDATES] if t.domain != self._domain]
         return own.order(asked.key)[:CANDIDATES] + rest[:CANDIDATES]
@@ -310,12 +312,19 @@
     # What came of it.
 
     def answered(
-        self, asked: Asked, chosen: Chosen, took_ms: float, now: float
+        self, asked: Asked, chosen: Chosen, took_ms: float, size: int, now: float
     ) -> bool:
         """Learn from a whole answer.
 
+        Args:
+          asked: the request.
+          chosen: where it was sent.
+          took_ms: how long it took there.
+          size: its bytes and its answer's.
+          now: monotonic time in seconds.
         Returns: whether the target is so slow that it rests now.
         """
+        self._sizes.learn(asked.service, size)
         state = self._fleet.of(chosen.target, now)
         rests = state.answered(took_ms / max(chosen.expected_ms, 1.0), now)
         if chosen.load <= chosen.target.slots and chosen.target.region == self._region:
--- a/leverdoor/entry/times.py
+++ b/leverdoor/entry/times.py
@@ -1,12 +1,12 @@
 # leverdoor: global traffic steering
 # SPDX-License-Identifier: Apache-2.0
-"""How long requests take at targets that have seen their key, or have not."""
+"""How long requests take at targets, by whether their key was seen, and how large."""
 
 import msgspec
 
 from leverdoor.resources import Route
 
-__all__ = ["DEFAULT_LATENCY_MS", "ServiceTimes", "TimeBook"]
+__all__ = ["DEFAULT_LATENCY_MS", "ServiceTimes", "SizeBook", "TimeBook"]
 
 FAST_SHARE = 0.4
 SLOW_SHARE = 1.3
@@ -15,6 +15,10 @@
 FAST_QUANTILE = 0.4
 SLOW_QUANTILE = 0.6
 DEFAULT_LATENCY_MS = 500
+HEAVY_BYTES = 2_500
+LIGHT_BYTES = 1_250
+SIZE_WEIGHT = 0.02
+LEAST_SAMPLES = 20
 
 
 class ServiceTimes(msgspec.Struct):
@@ -59,6 +63,35 @@
             del self._known[place]
 
 
+class _Sizes(msgspec.Struct):
+    mean: float = 0.0
+    samples: int = 0
+    heavy: bool = False
+
+
+class SizeBook:
+    """How many bytes a request and its answer have, by service."""
+
+    def __init__(self) -> None:
+        """Create an empty book."""
+        self._known: dict[str, _Sizes] = {}
+
+    def learn(self, service: str, size: int) -> None:
+        """Take the bytes of one request and its answer."""
+        known = self._known.setdefault(service, _Sizes())
+        known.samples += 1
+        weight = max(SIZE_WEIGHT, 1.0 / known.samples)
+        known.mean += weight * (size - known.mean)
+        if known.samples >= LEAST_SAMPLES:
+            bound = LIGHT_BYTES if known.heavy else HEAVY_BYTES
+            known.heavy = known.mean > bound
+
+    def heavy(self, service: str) -> bool:
+        """Say whether the bytes of a service are worth saving."""
+        known = self._known.get(service)
+        return known is not None and known.heavy
+
+
 def _toward(estimate: float, sample: float, quantile: float) -> float:
     """Move an estimate of a quantile by one sample."""
     step = STEP * estimate
--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -451,12 +451,23 @@
     assert [fleet.of(t, 0.1).load(0.1) for t in (t0, t1)] == [0, 3]
 
 
-@pytest.mark.parametrize(("each", "own_only"), [(3, False), (12, True)])
-def test_a_domain_with_many_targets_keeps_its_keys(each: int, own_only: bool) -> None:
+@pytest.mark.parametrize(
+    ("each", "size", "own_only"),
+    [(3, 50_000, False), (12, 400, False), (12, 50_000, True)],
+)
+def test_a_domain_with_many_targets_keeps_large_requests(
+    each: int, size: int, own_only: bool
+) -> None:
     targets = [
         target(f"{domain}-{i}", domain) for domain in ("a1", "a2") for i in range(each)
     ]
     desk = Desk(*targets)
+    for i in range(30):
+        asked = desk.ask(f"k{i}")
+        found = desk.placement.place(asked, desk.now)
+        assert isinstance(found, Chosen)
+        desk.placement.ended(found, desk.now)
+        desk.placement.answered(asked, found, 200.0, size, desk.now)
     used = {desk.name(f"k{i}").split("-")[0] for i in range(60)}
     assert used == ({"a1"} if own_only else {"a1", "a2"})
 
