--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -42,8 +42,8 @@
 
 __all__ = ["Entry"]
 
-SHARE_BEATS = 3
-SWEEP_BEATS = 10
+SHARE_BEATS = 2
+SWEEP_BEATS = 5
 LISTEN_ON_S = 2.2
 STOP_MARGIN_S = 0.4
 STOP_POLL_S = 0.02
--- a/leverdoor/entry/front.py
+++ b/leverdoor/entry/front.py
@@ -172,6 +172,9 @@
         length = request.content_length
         if length is not None and length > most:
             raise Refusal(Code.BODY_TOO_LARGE)
+        if request.headers.get("Expect", "").lower() == "100-continue":
+            await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            request.writer.output_size = 0
         read = bytearray()
         try:
             async with asyncio.timeout_at(incoming.asked.until):
--- a/tests/test_entry_whole.py
+++ b/tests/test_entry_whole.py
@@ -402,3 +402,19 @@
         target.empty = True
     answer = await site.request(n1, "GET", "/look/x")
     assert (answer.status, answer.body) == (200, b"")
+
+
+async def test_a_client_that_waits_to_be_asked_on_is_asked_on(site: EntrySite) -> None:
+    host, port = site.entries["n1"].ports["frontend"].split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(
+        b"POST /file/x HTTP/1.1\r\nHost: records.example\r\nX-Request-Id: 1\r\n"
+        b"Content-Length: 2\r\nExpect: 100-continue\r\n\r\n"
+    )
+    async with asyncio.timeout(10):
+        assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+        writer.write(b"ab")
+        head = await reader.readuntil(b"\r\n\r\n")
+    writer.close()
+    assert head.startswith(b"HTTP/1.1 200")
+    assert runs(site)["1"] == 1
