--- a/leverdoor/entry/connection.py
+++ b/leverdoor/entry/connection.py
@@ -32,7 +32,16 @@
 
 
 class AnswerLost(Exception):
-    """The request went out and no whole answer came."""
+    """The request went out and no whole answer came.
+
+    Attributes:
+      unreachable: the target did not even acknowledge what was sent.
+    """
+
+    def __init__(self, why: str, unreachable: bool = False) -> None:
+        """Create it with its reason."""
+        super().__init__(why)
+        self.unreachable = unreachable
 
 
 class Reply(msgspec.Struct):
@@ -123,14 +132,14 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request that was on the connection."""
-        self._fail(f"connection lost: {exc!r}")
+        self._fail(f"connection lost: {exc!r}", isinstance(exc, TimeoutError))
 
-    def _fail(self, why: str) -> None:
+    def _fail(self, why: str, unreachable: bool = False) -> None:
         self.usable = False
         self._writable.set()
         pending = self._pending
         if pending is not None and not pending.answer.done():
-            pending.answer.set_exception(AnswerLost(why))
+            pending.answer.set_exception(AnswerLost(why, unreachable))
         self.close()
 
     # The parser's side.
--- a/leverdoor/entry/fleet.py
+++ b/leverdoor/entry/fleet.py
@@ -12,6 +12,7 @@
 
 FIRST_EJECTION_S = 0.5
 LONGEST_EJECTION_S = 4.0
+LOST_IN_A_ROW = 3
 TOLD_TRUST_S = 0.3
 PEER_TRUST_S = 2.5
 REMEMBERED_KEYS = 256
@@ -56,6 +57,7 @@
         self.cold_until = now + target.cold_ms / 1000
         self.out_until = 0.0
         self._failures = 0
+        self._lost = 0
         self._told: tuple[float, int] | None = None
         self._peers: dict[str, tuple[float, int]] = {}
         self._peers_sum = 0
@@ -148,6 +150,7 @@
         Returns: whether the target is so slow that it rests now.
         """
         self._failures = 0
+        self._lost = 0
         self._last_answer = now
         self._slowness += SLOW_WEIGHT * (took_ratio - self._slowness)
         if self._slowness > SLOW_RATIO:
@@ -156,8 +159,8 @@
             return True
         return False
 
-    def failed(self, now: float) -> float:
-        """Record a failed connection or a lost answer.
+    def unreached(self, now: float) -> float:
+        """Record that the target could not be reached.
 
         Returns: how long the target rests, in seconds.
         """
@@ -168,6 +171,19 @@
         self.out_until = max(self.out_until, now + wait)
         return wait
 
+    def lost(self, now: float) -> float:
+        """Record a lost answer; a few may be lost by a target that is well.
+
+        A rest moves its keys to targets that have not seen them, which costs
+        more than another lost answer.
+
+        Returns: how long the target rests, in seconds; 0 for not at all.
+        """
+        self._lost += 1
+        if self._lost < LOST_IN_A_ROW:
+            return 0.0
+        return self.unreached(now)
+
     def refused(self, now: float) -> None:
         """Record that the target turned a request away: it is full."""
         slots = self.target.slots
--- a/leverdoor/entry/forwarding.py
+++ b/leverdoor/entry/forwarding.py
@@ -182,11 +182,11 @@
             async with asyncio.timeout_at(asked.until - ANSWER_MARGIN_S):
                 reply = await self._connections.exchange(chosen.target, outgoing)
         except NotSent as e:
-            self._rest(chosen, "not reached")
+            self._unreached(chosen, "not reached")
             refusal = Refusal(Code.CONNECT_FAILED, str(e), retry_after_ms=RETRY_MS)
             raise _Failed(refusal, placed=True, arrived=False) from None
         except AnswerLost as e:
-            self._rest(chosen, "answer lost")
+            self._lost(chosen, e.unreachable)
             refusal = Refusal(Code.ANSWER_LOST, str(e))
             raise _Failed(refusal, placed=True, arrived=True) from None
         except TimeoutError:
@@ -200,7 +200,7 @@
     def _turned_away(self, chosen: Chosen, reply: Reply, now: float) -> None:
         """Take a target's word that it did not run the request."""
         if reply.status == 421:
-            self._rest(chosen, "another instance")
+            self._unreached(chosen, "another instance")
         else:
             self._fleet.of(chosen.target, now).refused(now)
         refusal = Refusal(
@@ -208,12 +208,22 @@
         )
         raise _Failed(refusal, placed=True, arrived=True)
 
-    def _rest(self, chosen: Chosen, reason: str) -> None:
+    def _unreached(self, chosen: Chosen, reason: str) -> None:
         """Leave a target alone for a while."""
         now = asyncio.get_running_loop().time()
-        rest_s = self._fleet.of(chosen.target, now).failed(now)
+        rest_s = self._fleet.of(chosen.target, now).unreached(now)
         self._events.target_rests(chosen.target.name, reason, rest_s)
 
+    def _lost(self, chosen: Chosen, unreachable: bool) -> None:
+        """Leave a target alone that loses one answer after the other."""
+        if unreachable:
+            self._unreached(chosen, "no acknowledgement")
+            return
+        now = asyncio.get_running_loop().time()
+        rest_s = self._fleet.of(chosen.target, now).lost(now)
+        if rest_s:
+            self._events.target_rests(chosen.target.name, "answers lost", rest_s)
+
     def _outgoing(self, incoming: Incoming, chosen: Chosen, now: float) -> Outgoing:
         names = self._dialect.headers
         asked = incoming.asked
--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -220,7 +220,7 @@
     targets = [target("t0"), target("t1")]
     desk = Desk(*targets)
     home = Ranking(targets).order("k")[0]
-    desk.fleet.of(home, desk.now).failed(desk.now)
+    desk.fleet.of(home, desk.now).unreached(desk.now)
     assert desk.name("k") != home.name
     desk.now += 1.0
     assert desk.name("k") == home.name
@@ -490,3 +490,13 @@
     named_alike = target("t0", "a", region="a")
     desk = Desk(named_alike, target("t1", "a2"))
     assert {desk.name(f"k{i}") for i in range(30)} == {"t0", "t1"}
+
+
+def test_a_target_rests_after_several_lost_answers_in_a_row_only() -> None:
+    state = Fleet().of(target("t"), 0.0)
+    for _ in range(10):
+        assert state.lost(1.0) == state.lost(1.0) == 0.0
+        state.answered(1.0, 1.0)
+    assert [state.lost(1.0) > 0 for _ in range(3)] == [False, False, True]
+    assert not state.usable(1.0)
+    assert state.usable(2.0)
