--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -53,7 +53,7 @@
 """Rounds without a request before the end: some may just have been accepted."""
 BACKLOG = 512
 STORE_BACKOFF_S = 1.0
-RELOADABLE = ("grace_s", "repeat_ratio", "lookup_ttl_s", "watchers")
+RELOADABLE = ("grace_s", "repeat_ratio", "watchers")
 REPEAT_SHARE = 0.5
 SHIFT_WINDOW_S = 2.0
 MOVED_SHARE = 0.53
@@ -110,7 +110,15 @@
         """Serve until stopped and everything in flight has ended."""
         self._build()
         s = self._settings
-        self._events.process("start", region=s.region, domain=s.domain)
+        self._events.process(
+            "start",
+            region=s.region,
+            domain=s.domain,
+            front=str(s.front),
+            gossip=str(s.gossip),
+            pull=str(s.pull),
+            metrics=str(s.metrics),
+        )
         await self._socket.open(s.gossip)
         front = await self._listen(self._client_connection, s.front)
         for address in (s.ready, s.directory, s.pull, s.metrics):
--- a/leverdoor/platform/settings.py
+++ b/leverdoor/platform/settings.py
@@ -8,11 +8,12 @@
 from leverdoor.errors import SettingsError
 from leverdoor.settings import Address, parse_address
 
-__all__ = ["PlatformSettings", "parse_settings"]
+__all__ = ["METRICS_PORT", "PlatformSettings", "parse_settings"]
 
-METRICS_OFFSET = 1
+METRICS_PORT = 9464
+"""As `deploy/system.toml` says; the other ports are given anew each day."""
 GOSSIP_OFFSET = 0
-PULL_OFFSET = 2
+PULL_OFFSET = 1
 
 
 class _Names(msgspec.Struct, rename="kebab"):
@@ -71,7 +72,7 @@
             directory=parse_address(listen.directory),
             gossip=Address(self.ip_address, first + GOSSIP_OFFSET),
             pull=Address(self.ip_address, first + PULL_OFFSET),
-            metrics=Address(self.ip_address, first + METRICS_OFFSET),
+            metrics=Address(self.ip_address, METRICS_PORT),
             lookup_ttl_s=min(2.0, self.bounds.ttl_max_s),
             grace_s=self.bounds.grace_s,
             repeat_ratio=self.bounds.repeat_ratio,
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+import tomllib
 from pathlib import Path
 from typing import Any
 
@@ -11,7 +12,7 @@
 
 from leverdoor.errors import SettingsError
 from leverdoor.platform.formats import Translator, parse_load
-from leverdoor.platform.settings import parse_settings
+from leverdoor.platform.settings import METRICS_PORT, parse_settings
 from leverdoor.resources import ClientLimits, Drain, Route, Service, Target, Work
 from leverdoor.store import Entry
 
@@ -186,6 +187,17 @@
         parse_settings(json.dumps(wrong).encode())
 
 
+def test_metrics_are_where_the_deploy_file_says() -> None:
+    """The range of internal ports differs from day to day; this port must not."""
+    deploy = tomllib.loads((PACKAGE.parent / "deploy" / "system.toml").read_text())
+    assert deploy["roles"]["entry"]["metrics"] == f"{METRICS_PORT}/metrics"
+    for first in (7080, 7520):
+        moved = {**SETTINGS, "internal-port-range": [first, first + 15]}
+        entry = parse_settings(json.dumps(moved).encode()).entry()
+        assert entry.metrics.port == METRICS_PORT
+        assert entry.gossip.port == first
+
+
 def test_only_the_platform_folder_knows_the_platforms_names() -> None:
     """Its stand-ins apart, which take the platform's place."""
     allowed = (PACKAGE / "platform", PACKAGE / "standins")
