--- a/leverdoor/entry/fleet.py
+++ b/leverdoor/entry/fleet.py
@@ -19,6 +19,8 @@
 SLOW_RATIO = 3.0
 SLOW_WEIGHT = 0.15
 SLOW_REST_S = 2.0
+STILL_SLOW = 2.4
+"""What a target is taken for after such a rest, until it answers well."""
 SILENCE_S = 1.2
 SILENT_REQUESTS = 3
 
@@ -56,6 +58,7 @@
         self.in_flight = 0
         self.cold_until = now + target.cold_ms / 1000
         self.out_until = 0.0
+        self.slow_until = 0.0
         self._failures = 0
         self._lost = 0
         self._told: tuple[float, int] | None = None
@@ -152,12 +155,29 @@
         self._failures = 0
         self._lost = 0
         self._last_answer = now
+        return self._judge(took_ratio, now)
+
+    def overran(self, took_ratio: float, now: float) -> bool:
+        """Record a request that was still at work when its time was over.
+
+        Args:
+          took_ratio: the time it had over the time expected.
+          now: monotonic time in seconds.
+        Returns: whether the target is so slow that it rests now.
+        """
+        return took_ratio > 1.0 and self._judge(took_ratio, now)
+
+    def _judge(self, took_ratio: float, now: float) -> bool:
         self._slowness += SLOW_WEIGHT * (took_ratio - self._slowness)
-        if self._slowness > SLOW_RATIO:
-            self.out_until = max(self.out_until, now + SLOW_REST_S)
-            self._slowness = 1.0
-            return True
-        return False
+        if self._slowness <= SLOW_RATIO:
+            return False
+        self.slow_until = now + SLOW_REST_S
+        self._slowness = STILL_SLOW
+        return True
+
+    def slow(self, now: float) -> bool:
+        """Say whether the target rests since it is slow; better than nothing."""
+        return now < self.slow_until
 
     def unreached(self, now: float) -> float:
         """Record that the target could not be reached.
@@ -264,7 +284,7 @@
         slots = 0
         for target in targets:
             state = self.of(target, now)
-            if state.usable(now) and not state.cold(now):
+            if state.usable(now) and not state.cold(now) and not state.slow(now):
                 load += state.load(now)
                 slots += target.slots
         return load, slots
--- a/leverdoor/entry/forwarding.py
+++ b/leverdoor/entry/forwarding.py
@@ -177,7 +177,8 @@
     async def _send(self, incoming: Incoming, chosen: Chosen) -> Reply:
         loop = asyncio.get_running_loop()
         asked = incoming.asked
-        outgoing = self._outgoing(incoming, chosen, loop.time())
+        began = loop.time()
+        outgoing = self._outgoing(incoming, chosen, began)
         try:
             async with asyncio.timeout_at(asked.until - ANSWER_MARGIN_S):
                 reply = await self._connections.exchange(chosen.target, outgoing)
@@ -190,6 +191,7 @@
             refusal = Refusal(Code.ANSWER_LOST, str(e))
             raise _Failed(refusal, placed=True, arrived=True) from None
         except TimeoutError:
+            self._overran(chosen, loop.time() - began)
             refusal = Refusal(Code.DEADLINE_PASSED)
             raise _Failed(refusal, placed=True, arrived=True) from None
         not_run = reply.get(self._dialect.headers.not_run) or reply.status == 421
@@ -208,6 +210,13 @@
         )
         raise _Failed(refusal, placed=True, arrived=True)
 
+    def _overran(self, chosen: Chosen, took_s: float) -> None:
+        """Take a request whose time was over as a sign of how slow a target is."""
+        now = asyncio.get_running_loop().time()
+        ratio = took_s * 1000 / max(chosen.expected_ms, 1.0)
+        if self._fleet.of(chosen.target, now).overran(ratio, now):
+            self._events.target_rests(chosen.target.name, "slow", SLOW_REST_S)
+
     def _unreached(self, chosen: Chosen, reason: str) -> None:
         """Leave a target alone for a while."""
         now = asyncio.get_running_loop().time()
--- a/leverdoor/entry/placement.py
+++ b/leverdoor/entry/placement.py
@@ -226,7 +226,20 @@
     def _best(
         self, asked: Asked, candidates: list[Target], reason: str, now: float
     ) -> Chosen | None:
-        """Choose the candidate that is expected to answer first."""
+        """Choose the candidate that is expected to answer first.
+
+        Slow ones serve only when no other can.
+        """
+        slow = {t.name for t in candidates if self._fleet.of(t, now).slow(now)}
+        if not slow:
+            return self._quickest(asked, candidates, reason, now)
+        sound = [t for t in candidates if t.name not in slow]
+        found = self._quickest(asked, sound, reason, now)
+        return found or self._quickest(asked, candidates, reason, now)
+
+    def _quickest(
+        self, asked: Asked, candidates: list[Target], reason: str, now: float
+    ) -> Chosen | None:
         times = self._times.of(asked.route, asked.service)
         best: tuple[float, Target, TargetState, bool] | None = None
         most = self._most_wait_ms(asked, times, now)
