--- a/leverdoor/standins/site.py
+++ b/leverdoor/standins/site.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import signal
 import socket
 import subprocess
@@ -24,6 +25,7 @@
 __all__ = ["Site", "configure", "free_ports", "target_logs"]
 
 HOST = "127.0.0.1"
+PORT_PARTS = 16
 LOWEST_PORT = 12_000
 HIGHEST_PORT = 32_000
 START_TIMEOUT_S = 30.0
@@ -211,12 +213,15 @@
     """Choose ports that are free now.
 
     They lie below the range from which the system takes ports for outgoing
-    connections, so that none of those takes one before its listener does.
+    connections, so that none of those takes one before its listener does, and
+    in this process's part of it, so that another run beside it seldom does.
     """
     chosen: list[int] = []
     rng = SystemRandom()
+    size = (HIGHEST_PORT - LOWEST_PORT) // PORT_PARTS
+    lowest = LOWEST_PORT + os.getpid() % PORT_PARTS * size
     while len(chosen) < count:
-        port = rng.randrange(LOWEST_PORT, HIGHEST_PORT)
+        port = rng.randrange(lowest, lowest + size)
         if port not in chosen and _is_free(port):
             chosen.append(port)
     return chosen
