--- a/leverdoor/standins/site.py
+++ b/leverdoor/standins/site.py
@@ -25,7 +25,7 @@
 __all__ = ["Site", "configure", "free_ports", "target_logs"]
 
 HOST = "127.0.0.1"
-PORT_PARTS = 16
+PORT_PARTS = 4
 LOWEST_PORT = 12_000
 HIGHEST_PORT = 32_000
 START_TIMEOUT_S = 30.0
@@ -220,13 +220,20 @@
     rng = SystemRandom()
     size = (HIGHEST_PORT - LOWEST_PORT) // PORT_PARTS
     lowest = LOWEST_PORT + os.getpid() % PORT_PARTS * size
+    if len(_given) > size // 2:
+        _given.clear()
     while len(chosen) < count:
         port = rng.randrange(lowest, lowest + size)
-        if port not in chosen and _is_free(port):
+        if port not in _given and _is_free(port):
+            _given.add(port)
             chosen.append(port)
     return chosen
 
 
+_given: set[int] = set()
+"""Ports that `free_ports` gave in this process."""
+
+
 def _is_free(port: int) -> bool:
     """Say whether a port is free for TCP and for UDP."""
     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
