--- a/leverdoor/configuration.py
+++ b/leverdoor/configuration.py
@@ -17,13 +17,8 @@
     StoreUnavailable,
     StoreUnknown,
 )
-from leverdoor.resources import (
-    Resource,
-    check_removal,
-    resource_key,
-    serialize_resource,
-    validate,
-)
+from leverdoor.resource_checks import check_removal, validate
+from leverdoor.resources import Resource, resource_key, serialize_resource
 from leverdoor.state import GUARD, PREFIX, RESOURCES, State
 from leverdoor.store import Entry, Store, Write
 from leverdoor.view import ViewCache, parse_entries
--- /dev/null
+++ b/leverdoor/resource_checks.py
@@ -0,0 +1,214 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Checks of resources against one another, before anything is written."""
+
+import ipaddress
+from collections.abc import Iterable, Mapping
+
+from returns.result import Failure, Result, Success
+
+from leverdoor.errors import Code, ConfigError
+from leverdoor.resources import (
+    ClientBlocks,
+    Drain,
+    Region,
+    Resource,
+    Route,
+    ServiceLevel,
+    ShiftCap,
+    Target,
+    Tier,
+    resource_key,
+)
+
+__all__ = ["check_removal", "validate"]
+
+
+def validate(
+    changed: Iterable[Resource], current: Mapping[str, Resource]
+) -> Result[dict[str, Resource], ConfigError]:
+    """Check resources against one another before anything is written.
+
+    Args:
+      changed: resources to be written.
+      current: all resources now, by `kind/name`.
+    Returns: what all resources would be, or the first problem found.
+    """
+    after = dict(current)
+    touched = []
+    for resource in changed:
+        after[resource_key(resource)] = resource
+        touched.append(resource)
+    try:
+        for resource in touched:
+            _check(resource, after)
+        _check_tiers(after)
+    except ConfigError as e:
+        return Failure(e)
+    return Success(after)
+
+
+def check_removal(
+    key: str, current: Mapping[str, Resource]
+) -> Result[dict[str, Resource], ConfigError]:
+    """Check that nothing refers to a resource about to be deleted."""
+    after = {k: v for k, v in current.items() if k != key}
+    try:
+        for resource in after.values():
+            _check(resource, after)
+    except ConfigError as e:
+        if e.code is not Code.DANGLING_REFERENCE:
+            return Success(after)
+        return Failure(e)
+    return Success(after)
+
+
+def _need(after: Mapping[str, Resource], key: str, owner: str, field: str) -> Resource:
+    """Return the resource that a field refers to."""
+    found = after.get(key)
+    if found is None:
+        raise ConfigError(
+            Code.DANGLING_REFERENCE,
+            f"{owner}: field {field} names {key}, which does not exist",
+            field=field,
+        )
+    return found
+
+
+def _contradiction(owner: str, field: str, text: str) -> ConfigError:
+    return ConfigError(Code.CONTRADICTION, f"{owner}: {text}", field=field)
+
+
+def _check(resource: Resource, after: Mapping[str, Resource]) -> None:
+    owner = resource_key(resource)
+    match resource:
+        case Region():
+            if not resource.domains:
+                raise _contradiction(owner, "domains", "a region needs a domain")
+        case Target():
+            _check_target(resource, after, owner)
+        case ShiftCap():
+            _need(after, f"service/{resource.service}", owner, "service")
+            _need(after, f"region/{resource.region}", owner, "region")
+            _check_one_cap(resource, after, owner)
+        case Drain():
+            _check_drain(resource, after, owner)
+        case ServiceLevel():
+            _need(after, f"service/{resource.service}", owner, "service")
+            _need(after, f"tier/{resource.tier}", owner, "tier")
+        case Route():
+            _check_route(resource, after, owner)
+        case ClientBlocks():
+            _check_blocks(resource, after, owner)
+        case _:
+            pass
+
+
+def _check_target(target: Target, after: Mapping[str, Resource], owner: str) -> None:
+    _need(after, f"service/{target.service}", owner, "service")
+    region = _need(after, f"region/{target.region}", owner, "region")
+    if isinstance(region, Region) and target.domain not in region.domains:
+        raise ConfigError(
+            Code.DANGLING_REFERENCE,
+            f"{owner}: region {region.name} has no domain {target.domain}",
+            field="domain",
+        )
+    host, _, port = target.address.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        if not 0 < int(port) < 65_536:
+            raise ValueError
+    except ValueError:
+        raise ConfigError(
+            Code.UNKNOWN_FIELD,
+            f"{owner}: address must be ip:port, got {target.address!r}",
+            field="address",
+        ) from None
+    for other in after.values():
+        if (
+            isinstance(other, Target)
+            and other.name != target.name
+            and other.address == target.address
+        ):
+            raise _contradiction(owner, "address", f"target/{other.name} has it too")
+    if target.connections < target.slots:
+        raise _contradiction(owner, "connections", "fewer connections than slots")
+
+
+def _check_one_cap(cap: ShiftCap, after: Mapping[str, Resource], owner: str) -> None:
+    for other in after.values():
+        if (
+            isinstance(other, ShiftCap)
+            and other.name != cap.name
+            and (other.service, other.region) == (cap.service, cap.region)
+        ):
+            raise _contradiction(owner, "service", f"shiftcap/{other.name} covers it")
+
+
+def _check_drain(drain: Drain, after: Mapping[str, Resource], owner: str) -> None:
+    named = [f for f in ("region", "domain", "target", "vm") if getattr(drain, f)]
+    if len(named) != 1:
+        raise _contradiction(owner, "region", "name one of region, domain, target, vm")
+    if drain.region:
+        _need(after, f"region/{drain.region}", owner, "region")
+    if drain.target:
+        _need(after, f"target/{drain.target}", owner, "target")
+    if drain.domain and not any(
+        isinstance(r, Region) and drain.domain in r.domains for r in after.values()
+    ):
+        raise ConfigError(
+            Code.DANGLING_REFERENCE,
+            f"{owner}: no region has domain {drain.domain}",
+            field="domain",
+        )
+
+
+def _check_route(route: Route, after: Mapping[str, Resource], owner: str) -> None:
+    for service in route.services:
+        _need(after, f"service/{service}", owner, f"services.{service}")
+    for region in route.homes:
+        _need(after, f"region/{region}", owner, "homes")
+    if not any(route.services.values()):
+        raise _contradiction(owner, "services", "no service has a weight")
+    for other in after.values():
+        if (
+            isinstance(other, Route)
+            and other.name != route.name
+            and (other.host, other.prefix) == (route.host, route.prefix)
+        ):
+            raise _contradiction(owner, "prefix", f"route/{other.name} has it too")
+
+
+def _check_blocks(
+    blocks: ClientBlocks, after: Mapping[str, Resource], owner: str
+) -> None:
+    for region, networks in blocks.networks.items():
+        _need(after, f"region/{region}", owner, f"networks.{region}")
+        for i, network in enumerate(networks):
+            try:
+                ipaddress.ip_network(network)
+            except ValueError as e:
+                raise ConfigError(
+                    Code.UNKNOWN_FIELD,
+                    f"{owner}: {e}",
+                    field=f"networks.{region}[{i}]",
+                ) from None
+
+
+def _check_tiers(after: Mapping[str, Resource]) -> None:
+    tiers = [r for r in after.values() if isinstance(r, Tier)]
+    total = sum(t.reserve_percent for t in tiers)
+    if total > 100:
+        raise _contradiction(
+            "tier", "reserve_percent", f"reserves add up to {total}%, over 100%"
+        )
+    defaults = [t.name for t in tiers if t.default]
+    if len(defaults) > 1:
+        raise _contradiction("tier", "default", f"{defaults} are all the default")
+    seen: dict[str, str] = {}
+    for tier in tiers:
+        for caller in tier.callers:
+            if seen.setdefault(caller, tier.name) != tier.name:
+                raise _contradiction(
+                    f"tier/{tier.name}", "callers", f"{caller} is in two tiers"
+                )
--- a/tests/test_resources.py
+++ b/tests/test_resources.py
@@ -8,13 +8,13 @@
 from returns.result import Success
 
 from leverdoor.errors import Code, ConfigError
+from leverdoor.resource_checks import validate
 from leverdoor.resources import (
     Resource,
     parse_resource,
     parse_resources,
     resource_key,
     serialize_resource,
-    validate,
 )
 from leverdoor.standins.deployments import DEPLOYMENTS, build
 
