--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,8 @@
 import pytest
 
 from bench import Bench, deployment, running
+from entry_bench import PLACES, targets
+from leverdoor.standins.entry_site import EntrySite
 
 
 @pytest.fixture
@@ -20,3 +22,13 @@
 async def session() -> AsyncIterator[aiohttp.ClientSession]:
     async with aiohttp.ClientSession() as s:
         yield s
+
+
+@pytest.fixture
+async def site() -> AsyncIterator[EntrySite]:
+    made = EntrySite(PLACES, targets())
+    try:
+        await made.start()
+        yield made
+    finally:
+        await made.stop()
--- /dev/null
+++ b/tests/desk.py
@@ -0,0 +1,86 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""A placement with a catalogue and a clock, for tests of decisions."""
+
+from random import Random
+
+from leverdoor.entry.catalog import Catalog
+from leverdoor.entry.fleet import Fleet
+from leverdoor.entry.placement import Asked, Chosen, Placement, Unplaced
+from leverdoor.resources import Region, Resource, Route, Service, Target, Work
+
+REGIONS = [
+    Region(name="a", domains=["a1", "a2"]),
+    Region(name="b", domains=["b1"]),
+    Region(name="c", domains=["c1"]),
+]
+
+
+ROUTE = Route(
+    name="r",
+    host="h",
+    prefix="/",
+    work=Work.LOOKUP,
+    services={"s": 1.0},
+    target_latency_ms=500,
+    affinity=True,
+)
+
+
+SLOTS = 4
+
+
+def target(name: str, domain: str = "a1", **more: object) -> Target:
+    fields: dict[str, object] = {
+        "service": "s",
+        "region": domain[0],
+        "domain": domain,
+        "address": "10.0.0.1:80",
+        "slots": SLOTS,
+    }
+    return Target(name=name, **(fields | more))  # type: ignore[arg-type]
+
+
+def service(per_s: float = 0.0) -> Service:
+    return Service(name="s", work=Work.ONCE, warmup_per_s=per_s)
+
+
+class Desk:
+    """A placement with a catalogue and a clock."""
+
+    def __init__(self, *resources: Resource, region: str = "a") -> None:
+        self.now = 100.0
+        self.fleet = Fleet()
+        self.placement = Placement(region, region + "1", self.fleet, Random(1))
+        self.take(*resources)
+        self._numbers = 0
+
+    def take(self, *resources: Resource) -> None:
+        catalog = Catalog(1, "v", [*REGIONS, ROUTE, service(10.0), *resources])
+        self.fleet.renew(catalog.targets, self.now)
+        self.placement.renew(catalog)
+
+    def ask(self, key: str = "k", route: Route = ROUTE) -> Asked:
+        self._numbers += 1
+        return Asked(
+            request_id=str(self._numbers),
+            route=route,
+            service=self.placement.pick_service(route),
+            key=key,
+            version="v",
+            arrived=self.now,
+            until=self.now + 2.0,
+        )
+
+    def place(self, key: str = "k", route: Route = ROUTE) -> Chosen | Unplaced:
+        return self.placement.place(self.ask(key, route), self.now)
+
+    def name(self, key: str = "k", route: Route = ROUTE) -> str:
+        found = self.place(key, route)
+        assert isinstance(found, Chosen), found
+        self.placement.ended(found, self.now)
+        return found.target.name
+
+    def fill(self, target: Target, load: int) -> None:
+        state = self.fleet.of(target, self.now)
+        state.told_by_peer("other", load, self.now)
--- /dev/null
+++ b/tests/test_entry_catalog.py
@@ -0,0 +1,29 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Which route a request is on."""
+
+import pytest
+
+from leverdoor.entry.catalog import Catalog, entry_host
+from leverdoor.resources import Route, Work
+
+
+def test_the_longest_prefix_wins() -> None:
+    routes = [
+        Route(name=n, host=h, prefix=p, work=Work.LOOKUP, services={"s": 1.0})
+        for n, h, p in (("r1", "h", "/"), ("r2", "h", "/a/"), ("r3", "i", "/a/b/"))
+    ]
+    catalog = Catalog(1, "v", routes)
+    found = {p: catalog.route("h", p) for p in ("/x", "/a/", "/a/b/c", "/a")}
+    names = {p: r.name for p, r in found.items() if r is not None}
+    assert names == {"/x": "r1", "/a/": "r2", "/a/b/c": "r2", "/a": "r1"}
+    assert catalog.route("i", "/a/") is None
+    assert catalog.route("j", "/") is None
+
+
+@pytest.mark.parametrize(
+    ("header", "host"),
+    [("H.Example", "h.example"), ("h:80", "h"), (" h ", "h"), ("[::1]:8", "[::1]")],
+)
+def test_hosts(header: str, host: str) -> None:
+    assert entry_host(header) == host
--- /dev/null
+++ b/tests/test_entry_troubles.py
@@ -0,0 +1,104 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Real entries under a series of troubles drawn from a seed."""
+
+import asyncio
+import signal
+from random import Random
+
+import pytest
+
+from entry_bench import (
+    check_promises,
+)
+from leverdoor.standins.entry_site import (
+    SAMPLE_ROUTES,
+    Answer,
+    EntryProcess,
+    EntrySite,
+)
+from leverdoor.standins.metadata import MetadataFaults
+
+
+async def trouble(site: EntrySite, rng: Random, taken: set[str]) -> None:
+    """Let one trouble strike."""
+    kind = rng.choice(["kill", "stop", "store", "history", "config", "target"])
+    entry = site.entries[rng.choice(sorted(set(site.entries) - {"n3"}))]
+    if kind in ("kill", "stop") and entry.running:
+        entry.send(signal.SIGKILL if kind == "kill" else signal.SIGTERM)
+        await entry.ended()
+        await entry.start()
+    elif kind == "store":
+        faults = rng.choice(
+            [
+                MetadataFaults(silent=True),
+                MetadataFaults(busy=503),
+                MetadataFaults(reset=True),
+                MetadataFaults(delay_s=0.3),
+            ]
+        )
+        site.store.faults = faults
+        await asyncio.sleep(0.5)
+        site.store.faults = MetadataFaults()
+    elif kind == "history":
+        site.store.forget_history()
+    elif kind == "config":
+        site.configure(SAMPLE_ROUTES)
+    else:
+        left = sorted(n for n in site.targets if n.endswith("-0") and n not in taken)
+        if left:
+            name = rng.choice(left)
+            taken.add(name)
+            if rng.random() < 0.5:
+                await site.end_target(name)
+            else:
+                site.drain_target(name)
+
+
+async def clients(
+    site: EntrySite, stop: asyncio.Event, number: int, unsafe: set[str]
+) -> list[Answer]:
+    """Ask one thing after another, at any entry that runs, until told to stop."""
+    rng = Random(number)
+    found: list[Answer] = []
+    i = 0
+    while not stop.is_set():
+        i += 1
+        request_id = f"{number:08x}{i:08x}"
+        running: list[EntryProcess] = [e for e in site.entries.values() if e.running]
+        entry = rng.choice(running)
+        headers = {"X-Affinity-Key": str(rng.randrange(20))}
+        if rng.random() < 0.5:
+            unsafe.add(request_id)
+            found.append(
+                await site.request(
+                    entry, "POST", "/file/x", b"x" * 100, headers, request_id
+                )
+            )
+        else:
+            found.append(
+                await site.request(entry, "GET", "/look/x", None, headers, request_id)
+            )
+        await asyncio.sleep(0.005)
+    return found
+
+
+@pytest.mark.timeout(180)
+@pytest.mark.parametrize("seed", [1, 2, 3])
+async def test_promises_under_a_series_of_troubles(site: EntrySite, seed: int) -> None:
+    rng = Random(seed)
+    stop = asyncio.Event()
+    unsafe: set[str] = set()
+    tasks = [asyncio.create_task(clients(site, stop, n, unsafe)) for n in range(4)]
+    taken: set[str] = set()
+    for _ in range(5):
+        await trouble(site, rng, taken)
+        await asyncio.sleep(0.2)
+    for entry in site.entries.values():
+        await site.ready(entry)
+    stop.set()
+    answers = [a for found in await asyncio.gather(*tasks) for a in found]
+    check_promises(site, answers, unsafe)
+    assert sum(a.status == 200 for a in answers) > 0
+    last = await site.request(site.entries["n1"], "GET", "/look/x")
+    assert last.status == 200
