--- a/leverdoor/entry/dialect.py
+++ b/leverdoor/entry/dialect.py
@@ -2,11 +2,11 @@
 # SPDX-License-Identifier: Apache-2.0
 """What an entry needs to know of how its surroundings speak.
 
-The daemon decides; a dialect only names things. The product's own is
-`OWN`; the platform's stands in `leverdoor.platform`.
+The daemon decides; a dialect only names things. The platform's stands in
+`leverdoor.platform`.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from typing import TypeAlias
 
 import msgspec
@@ -66,8 +66,3 @@
     translate: Translate
     peer_key: Callable[[str], str]
     """From an entry's name: the key under which it writes itself."""
-
-
-def header_pairs(raw: Iterable[tuple[bytes, bytes]]) -> list[tuple[str, str]]:
-    """Decode raw headers."""
-    return [(n.decode("latin-1"), v.decode("latin-1")) for n, v in raw]
--- a/leverdoor/entry/roster.py
+++ b/leverdoor/entry/roster.py
@@ -76,7 +76,6 @@
     member: Member
     beat: EntryBeat | None
     heard_at: float
-    found_at: float
     seen_at: float
 
 
@@ -113,14 +112,13 @@
             return
         known = self._known.get(member.name)
         if known is None:
-            self._known[member.name] = _Known(member, None, -1e9, now, now)
+            self._known[member.name] = _Known(member, None, -1e9, now)
             self._regions[member.region] += 1
             self._domains[member.domain] += 1
             return
         known.seen_at = now
         if member.incarnation > known.member.incarnation:
             known.member = member
-            known.found_at = now
             known.beat = None
 
     def hear(self, beat: EntryBeat, now: float) -> bool:
