--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -10,6 +10,7 @@
 import msgspec
 from aiohttp import web
 
+from leverdoor.budget import RepeatBudget
 from leverdoor.daemon import keep_running
 from leverdoor.entry.catalog import EMPTY, Catalog
 from leverdoor.entry.client_connection import ClientConnection
@@ -17,7 +18,7 @@
 from leverdoor.entry.dialect import Dialect
 from leverdoor.entry.events import Events
 from leverdoor.entry.fleet import Fleet
-from leverdoor.entry.forwarding import Forwarder, RepeatBudget
+from leverdoor.entry.forwarding import Forwarder
 from leverdoor.entry.front import Front
 from leverdoor.entry.metrics import EntryMetrics
 from leverdoor.entry.placement import Placement
@@ -59,6 +60,7 @@
 MOVED_SHARE = 0.53
 """Part of the bound on shifts that is planned with; the rest is for chance."""
 REPEATS_SAVED = 4.0
+REPEATS_FIRST = 2.0
 
 
 class Entry:
@@ -156,7 +158,9 @@
         self._placement.sharers = self._sharers
         self._connections = Connections(self._dialect.headers.request_id, s.region)
         self._metrics = EntryMetrics()
-        self._budget = RepeatBudget(s.repeat_ratio * REPEAT_SHARE, REPEATS_SAVED)
+        self._budget = RepeatBudget(
+            s.repeat_ratio * REPEAT_SHARE, REPEATS_SAVED, REPEATS_FIRST
+        )
         forwarder = Forwarder(
             self._dialect,
             self._placement,
--- a/leverdoor/entry/forwarding.py
+++ b/leverdoor/entry/forwarding.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from leverdoor.budget import RepeatBudget
 from leverdoor.entry.connection import AnswerLost, NotSent, Reply
 from leverdoor.entry.connections import Connections, Outgoing
 from leverdoor.entry.dialect import Dialect
@@ -16,7 +17,7 @@
 from leverdoor.errors import Code, Refusal, Run
 from leverdoor.resources import Work
 
-__all__ = ["Forwarder", "Incoming", "RepeatBudget"]
+__all__ = ["Forwarder", "Incoming"]
 
 ANSWER_MARGIN_S = 0.03
 RETRY_MS = 250
@@ -44,38 +45,6 @@
         return isinstance(self.body, bytes) or not self.started
 
 
-class RepeatBudget:
-    """Repeats as a share of the requests taken, for each service.
-
-    The shares of all entries add up to the same share of all requests, in
-    touch or not.
-    """
-
-    def __init__(self, ratio: float, limit: float) -> None:
-        """Create it.
-
-        Args:
-          ratio: repeats earned with each request.
-          limit: most repeats saved up for a service.
-        """
-        self.ratio = ratio
-        self._limit = limit
-        self._saved: dict[str, float] = {}
-
-    def earn(self, service: str) -> None:
-        """Count a request."""
-        saved = self._saved.get(service, self._limit / 2)
-        self._saved[service] = min(self._limit, saved + self.ratio)
-
-    def spend(self, service: str) -> bool:
-        """Take a repeat if there is one."""
-        saved = self._saved.get(service, 0.0)
-        if saved < 1.0:
-            return False
-        self._saved[service] = saved - 1.0
-        return True
-
-
 class Forwarder:
     """Forwards the requests of one entry."""
 
--- a/leverdoor/serving.py
+++ b/leverdoor/serving.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from leverdoor import headers as h
+from leverdoor.budget import RepeatBudget
 from leverdoor.dispatch import Dispatcher
 from leverdoor.errors import Code, Refusal, Run
 from leverdoor.queueing import Job
@@ -17,11 +18,13 @@
 from leverdoor.resources import Service, Work
 from leverdoor.scheduler import Dispatch, Forward, Refuse
 
-__all__ = ["Inbound", "RetryBudget", "Served", "Server"]
+__all__ = ["Inbound", "Served", "Server"]
 
 MAX_ATTEMPTS = 4
 BUDGET_RATIO = 0.1
 BUDGET_LIMIT = 10.0
+EVERY_SERVICE = ""
+"""A gate has one budget for all services."""
 
 
 class Inbound(msgspec.Struct):
@@ -44,25 +47,6 @@
         return self.service.work is not Work.LOOKUP or bool(self.key)
 
 
-class RetryBudget:
-    """Repeats allowed as a share of requests, so that repeats never pile up."""
-
-    def __init__(self) -> None:
-        """Create a full budget."""
-        self._tokens = BUDGET_LIMIT
-
-    def earn(self) -> None:
-        """Count a request."""
-        self._tokens = min(BUDGET_LIMIT, self._tokens + BUDGET_RATIO)
-
-    def spend(self) -> bool:
-        """Take one repeat if there is one left."""
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
-
-
 class Served:
     """An answer on its way back, which holds units until it is finished."""
 
@@ -145,7 +129,7 @@
         """
         self._dispatcher = dispatcher
         self._client = client
-        self._budget = RetryBudget()
+        self._budget = RepeatBudget(BUDGET_RATIO, BUDGET_LIMIT, BUDGET_LIMIT)
 
     async def serve(self, inbound: Inbound) -> Served:
         """Get the head of an answer.
@@ -153,7 +137,7 @@
         Raises:
           Refusal: it was given up on; the code says whether it may have run.
         """
-        self._budget.earn()
+        self._budget.earn(EVERY_SERVICE)
         attempt = 0
         lost: Refusal | None = None
         while True:
@@ -185,7 +169,7 @@
         if refusal.run is Run.NO:
             return True
         lost = refusal.code is Code.ANSWER_LOST
-        return lost and not inbound.once and self._budget.spend()
+        return lost and not inbound.once and self._budget.spend(EVERY_SERVICE)
 
     async def _to_target(self, inbound: Inbound, made: Dispatch) -> Served:
         loop = asyncio.get_running_loop()
