--- /dev/null
+++ b/leverdoor/standins/upstreams.py
@@ -0,0 +1,130 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Stand-ins of the platform's targets: slots, warm keys, refusals, a log."""
+
+import asyncio
+import hashlib
+from collections import OrderedDict
+
+import msgspec
+from aiohttp import web
+
+from leverdoor.codec import serialize_json
+
+__all__ = ["Run", "UpstreamStandin"]
+
+
+class Run(msgspec.Struct):
+    """One request that a target began to work on."""
+
+    request_id: str
+    method: str
+    path: str
+    digest: str
+    deadline_ms: int
+    ended: bool = False
+
+
+class UpstreamStandin:
+    """One target: it runs so many requests at once, and queues as many again."""
+
+    def __init__(
+        self, name: str, service: str, zone: str, slots: int = 4, work_s: float = 0.02
+    ) -> None:
+        """Create a target.
+
+        Args:
+          name: its instance id.
+          service: what it serves.
+          zone: where it stands.
+          slots: requests that it works on at once.
+          work_s: how long one takes; a key not seen lately takes three times it.
+        """
+        self.name = name
+        self.service = service
+        self.zone = zone
+        self.slots = slots
+        self.work_s = work_s
+        self.state = "ready"
+        self.cold_ms = 0
+        self.runs: list[Run] = []
+        self.refused = 0
+        self.misdirected = 0
+        self.most_running = 0
+        self._running = 0
+        self._waiting = 0
+        self._free = asyncio.Semaphore(slots)
+        self._warm: OrderedDict[str, None] = OrderedDict()
+
+    def entry(self, address: str) -> bytes:
+        """Return what the target keeps in the store of itself."""
+        return serialize_json(
+            {
+                "service": self.service,
+                "address": address,
+                "zone": self.zone,
+                "version": "v1",
+                "slots": self.slots,
+                "state": self.state,
+                "cold-remaining-ms": self.cold_ms,
+                "sequence": 1,
+            }
+        )
+
+    def app(self) -> web.Application:
+        """Return the target's HTTP interface."""
+        app = web.Application(client_max_size=256 * 1024 * 1024)
+        app.router.add_route("*", "/{tail:.*}", self._serve)
+        return app
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        headers = {"X-Request-Id": request.headers.get("X-Request-Id", "")}
+        if request.headers.get("X-Expect-Instance", self.name) != self.name:
+            self.misdirected += 1
+            return web.Response(
+                status=421, headers={**headers, "X-Instance-Id": self.name}
+            )
+        body = await request.read()
+        if self._waiting >= self.slots:
+            self.refused += 1
+            return web.Response(status=503, headers={**headers, "X-Not-Executed": "1"})
+        self._waiting += 1
+        try:
+            await self._free.acquire()
+        finally:
+            self._waiting -= 1
+        try:
+            return await self._run(request, body, headers)
+        finally:
+            self._free.release()
+
+    async def _run(
+        self, request: web.Request, body: bytes, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        run = Run(
+            request.headers["X-Request-Id"],
+            request.method,
+            request.raw_path,
+            hashlib.sha256(body).hexdigest(),
+            int(request.headers.get("X-Deadline-Ms", "0")),
+        )
+        self.runs.append(run)
+        self._running += 1
+        self.most_running = max(self.most_running, self._running)
+        try:
+            await asyncio.sleep(self._work_s(request.headers.get("X-Affinity-Key", "")))
+        finally:
+            self._running -= 1
+        run.ended = True
+        headers["X-Server-Stamp"] = f"{self.name}.{len(self.runs)}"
+        headers["X-Server-Load"] = f"{self._running},{self._waiting},{self.slots}"
+        return web.Response(
+            body=serialize_json({"id": run.request_id, "digest": run.digest}),
+            headers=headers,
+        )
+
+    def _work_s(self, key: str) -> float:
+        warm = key in self._warm
+        self._warm[key] = None
+        self._warm.move_to_end(key)
+        return self.work_s if warm else 3 * self.work_s
--- /dev/null
+++ b/tests/test_entry_events.py
@@ -0,0 +1,57 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Logs are bounded and never block, whoever reads them or not."""
+
+import json
+import os
+
+from leverdoor.entry.events import BURST_LINES, MAX_PENDING_BYTES, Events, LineWriter
+
+
+def test_a_pipe_that_nobody_reads_does_not_block() -> None:
+    reader, writer = os.pipe()
+    lines = LineWriter(writer)
+    for _ in range(20_000):
+        lines.write(b"x" * 99 + b"\n")
+    assert lines.dropped > 0
+    os.set_blocking(reader, False)
+    read = bytearray()
+    while True:
+        try:
+            read += os.read(reader, 1 << 16)
+        except BlockingIOError:
+            if not lines._pending:
+                break
+            lines.flush()
+    assert set(bytes(read).split(b"\n")) == {b"x" * 99, b""}
+    assert len(read) <= MAX_PENDING_BYTES + (1 << 16) + 100
+    os.close(reader)
+    os.close(writer)
+
+
+def test_a_closed_reader_does_no_harm() -> None:
+    reader, writer = os.pipe()
+    os.close(reader)
+    lines = LineWriter(writer)
+    for _ in range(10):
+        lines.write(b"x\n")
+    os.close(writer)
+
+
+def test_each_kind_has_a_budget_and_tells_what_it_left_out() -> None:
+    reader, writer = os.pipe()
+    events = Events(LineWriter(writer), "n1")
+    for i in range(int(BURST_LINES) + 50):
+        events.emit("one", number=i)
+    events.emit("two")
+    budget = events._budgets["one"]
+    assert budget.left_out >= 40
+    left_out = budget.left_out
+    budget.saved = 1.0
+    events.emit("one", number=-1)
+    read = [json.loads(line) for line in os.read(reader, 1 << 16).splitlines()]
+    assert read[-2]["event"] == "two"
+    assert read[-1]["left_out"] == left_out
+    assert {line["entry"] for line in read} == {"n1"}
+    os.close(reader)
+    os.close(writer)
--- /dev/null
+++ b/tests/test_entry_roster.py
@@ -0,0 +1,122 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Which entries are known, named to clients, and followers of the store."""
+
+from random import Random
+
+from leverdoor.codec import pack
+from leverdoor.entry.roster import (
+    LEAVING,
+    SERVING,
+    SILENCE_S,
+    STARTING,
+    EntryBeat,
+    Member,
+    Roster,
+)
+
+
+def member(name: str, incarnation: int = 1) -> Member:
+    """`a1-0` is an entry of domain a1 in region a."""
+    domain = name.split("-")[0]
+    return Member(
+        name, domain[0], domain, f"f/{name}", f"g/{name}", f"p/{name}", incarnation
+    )
+
+
+def beat(
+    name: str, seq: int = 1, state: int = SERVING, incarnation: int = 1
+) -> EntryBeat:
+    return EntryBeat(member(name, incarnation), seq, state, 1)
+
+
+def roster(own: str = "a1-0") -> Roster:
+    return Roster(member(own), Random(1))
+
+
+def test_entries_are_found_in_the_store_and_named_once_heard() -> None:
+    r = roster()
+    r.found({"x": pack(member("a1-1")), "bad": b"\xff"}, 0.0)
+    assert r.everyone() == ["g/a1-1"]
+    assert r.addresses("a", "a1", SERVING, 0.0) == ["f/a1-0"]
+    r.hear(beat("a1-1"), 0.1)
+    assert r.addresses("a", "a1", SERVING, 0.2) == ["f/a1-0", "f/a1-1"]
+
+
+def test_a_silent_entry_is_not_named() -> None:
+    r = roster()
+    r.hear(beat("a1-1"), 0.0)
+    late = SILENCE_S + 0.1
+    assert r.addresses("a", "a1", SERVING, late) == ["f/a1-0"]
+
+
+def test_a_leaving_or_starting_entry_is_not_named() -> None:
+    r = roster()
+    r.hear(beat("a1-1", state=LEAVING), 0.0)
+    r.hear(beat("a1-2", state=STARTING), 0.0)
+    assert r.addresses("a", "a1", SERVING, 0.0) == ["f/a1-0"]
+    assert r.addresses("a", "a1", LEAVING, 0.0) == ["f/a1-0"]
+    r.hear(beat("a1-3"), 0.0)
+    assert r.addresses("a", "a1", LEAVING, 0.0) == ["f/a1-3"]
+
+
+def test_an_old_life_says_nothing_about_a_new_one() -> None:
+    r = roster()
+    r.hear(beat("a1-1", 5, incarnation=2), 0.0)
+    assert not r.hear(beat("a1-1", 9, LEAVING, incarnation=1), 0.1)
+    assert not r.hear(beat("a1-1", 5, LEAVING, incarnation=2), 0.1)
+    assert r.addresses("a", "a1", SERVING, 0.1) == ["f/a1-0", "f/a1-1"]
+
+
+def test_a_domain_with_one_entry_is_helped_by_its_region() -> None:
+    r = roster()
+    for name in ("a2-0", "a2-1", "b1-0"):
+        r.hear(beat(name), 0.0)
+    assert r.addresses("a", "a1", SERVING, 0.0) == ["f/a1-0", "f/a2-0", "f/a2-1"]
+    assert r.addresses("a", "a2", SERVING, 0.0) == ["f/a2-0", "f/a2-1"]
+
+
+def test_another_region_is_named_only_when_the_clients_has_none() -> None:
+    r = roster()
+    r.hear(beat("b1-0"), 0.0)
+    assert r.addresses("b", "b1", SERVING, 0.0) == ["f/b1-0"]
+    assert r.addresses("b", "b1", SERVING, 9.0) == ["f/a1-0"]
+
+
+def test_followers_are_few_and_replaced() -> None:
+    names = [f"a1-{i}" for i in range(5)]
+    rosters = {n: roster(n) for n in names}
+    for r in rosters.values():
+        for n in names:
+            r.hear(beat(n), 0.0)
+    elected = [n for n, r in rosters.items() if r.elected(2, 0.0)]
+    assert len(elected) == 2
+    for n, r in rosters.items():
+        for other in names:
+            if other not in elected and other != n:
+                r.hear(beat(other, 2), 5.0)
+    again = [n for n, r in rosters.items() if n not in elected and r.elected(2, 5.0)]
+    assert len(again) == 2
+
+
+def test_a_lone_entry_follows_the_store() -> None:
+    assert roster().elected(2, 0.0)
+
+
+def test_the_entry_with_a_later_revision_is_found() -> None:
+    r = roster()
+    r.hear(EntryBeat(member("b1-0"), 1, SERVING, 9), 0.0)
+    r.hear(EntryBeat(member("a1-1"), 1, SERVING, 8), 0.0)
+    newest = r.newest(7, 0.0)
+    assert newest is not None and newest.name == "a1-1"
+    assert r.newest(9, 0.0) is None
+
+
+def test_a_large_region_is_told_to_few() -> None:
+    r = roster()
+    for i in range(1, 40):
+        r.hear(beat(f"a1-{i}"), 0.0)
+        r.hear(beat(f"b1-{i}"), 0.0)
+    partners = r.partners()
+    assert len(partners) == 9
+    assert sum(p.startswith("g/b") for p in partners) == 1
--- /dev/null
+++ b/tests/test_platform_formats.py
@@ -0,0 +1,198 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""What lies in the platform's store, as resources; and who may know its names."""
+
+import json
+import re
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from leverdoor.errors import SettingsError
+from leverdoor.platform.formats import Translator, parse_load
+from leverdoor.platform.settings import parse_settings
+from leverdoor.resources import ClientLimits, Drain, Route, Service, Target, Work
+from leverdoor.store import Entry
+
+PACKAGE = Path(__file__).parent.parent / "leverdoor"
+NAMES = re.compile(
+    r"X-(Request-Id|Deadline-Ms|Affinity-Key|Expect-Instance|Server-Stamp"
+    r"|Not-Executed|Server-Load|Cold-Ms|Instance-Id)|kv-(key|range|watch|txn|lease)"
+    r"|private-key|op/config|op/evacuate|api/readiness|api/resolve"
+    r"|LEVERDOOR_SETTINGS|fleetbench",
+    re.IGNORECASE,
+)
+ZONES = {"a1": "a", "a2": "a", "b1": "b"}
+CONFIG: dict[str, Any] = {
+    "version": "0000000c",
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "h.example",
+            "path-prefix": "/p/",
+            "kind": "unsafe",
+            "timeout-ms": 2500,
+            "target-latency-ms": 600,
+            "priority": 1,
+            "service": "s1",
+            "max-attempts": 2,
+            "session-affinity": True,
+            "home-regions": ["a"],
+            "a-field-of-tomorrow": 1,
+        },
+        {
+            "name": "r-2",
+            "host": "h.example",
+            "path-prefix": "/q/",
+            "kind": "upload",
+            "traffic-split": [
+                {"service": "s1", "weight": 90},
+                {"service": "s2", "weight": 10},
+            ],
+        },
+    ],
+    "services": [
+        {"name": "s1", "health-check-path": "/health", "warmup-per-s": 11.0},
+        {"name": "s2", "connection-limit": 390},
+    ],
+    "limits": {"max-body-bytes": 5, "idle-timeout-ms": 15000.0},
+}
+SERVER = {
+    "service": "s1",
+    "address": "10.0.0.9:80",
+    "zone": "a2",
+    "version": "v1",
+    "slots": 9,
+    "state": "ready",
+    "cold-remaining-ms": 0,
+    "sequence": 4,
+}
+
+
+def entries(**more: object) -> dict[str, Entry]:
+    found = {"op/config": CONFIG, "servers/i-1": SERVER, **more}
+    return {
+        k: Entry(k, json.dumps(v).encode(), i + 2)
+        for i, (k, v) in enumerate(found.items())
+    }
+
+
+def test_configuration_becomes_resources() -> None:
+    said = Translator(ZONES)(entries())
+    assert said.version == "0000000c"
+    routes = [r for r in said.resources if isinstance(r, Route)]
+    assert routes[0] == Route(
+        name="r-1",
+        host="h.example",
+        prefix="/p/",
+        work=Work.ONCE,
+        services={"s1": 1.0},
+        timeout_ms=2500,
+        target_latency_ms=600,
+        priority=1,
+        attempts=2,
+        affinity=True,
+        homes=["a"],
+    )
+    assert routes[1].services == {"s1": 90.0, "s2": 10.0}
+    assert routes[1].work is Work.BULK
+    services = [r for r in said.resources if isinstance(r, Service)]
+    assert (services[0].warmup_per_s, services[1].connections) == (11.0, 390)
+    limits = [r for r in said.resources if isinstance(r, ClientLimits)]
+    assert (limits[0].body_bytes, limits[0].idle_timeout_ms) == (5, 15_000)
+
+
+def test_targets_and_evacuations_become_resources() -> None:
+    said = Translator(ZONES)(
+        entries(
+            **{
+                "servers/i-2": {
+                    **SERVER,
+                    "state": "draining",
+                    "cold-remaining-ms": 900.5,
+                },
+                "op/evacuate/b1": {},
+                "leverdoor/entries/n1": "x",
+            }
+        )
+    )
+    targets = {r.name: r for r in said.resources if isinstance(r, Target)}
+    assert (targets["i-1"].region, targets["i-1"].domain) == ("a", "a2")
+    assert (targets["i-1"].draining, targets["i-2"].draining) == (False, True)
+    assert targets["i-2"].cold_ms == 900
+    assert [r.domain for r in said.resources if isinstance(r, Drain)] == ["b1"]
+    assert list(said.peers) == ["n1"]
+
+
+def test_what_cannot_be_read_leaves_the_rest_in_force() -> None:
+    translate = Translator(ZONES)
+    translate(entries())
+    broken = entries(**{"servers/i-2": {"zone": 3}})
+    broken["op/config"] = Entry("op/config", b'{"version":', 99)
+    said = translate(broken)
+    assert said.version == "0000000c"
+    assert [r.name for r in said.resources if isinstance(r, Target)] == ["i-1"]
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ("3,0,8", (3, 0, 8)),
+        ("3, 1, 8", (3, 1, 8)),
+        ("", None),
+        ("3,0", None),
+        ("-1,0,8", None),
+        ("a,b,c", None),
+    ],
+)
+def test_told_loads(text: str, expected: tuple[int, int, int] | None) -> None:
+    load = parse_load(text)
+    found = None if load is None else (load.running, load.waiting, load.slots)
+    assert found == expected
+
+
+SETTINGS: dict[str, Any] = {
+    "node-name": "n1",
+    "ip-address": "10.0.0.1",
+    "zone": "a1",
+    "region": "a",
+    "zones": ZONES,
+    "listen-addresses": {
+        "frontend": "10.0.0.1:8381",
+        "ready": "10.0.0.1:8388",
+        "directory": "10.0.0.1:8383",
+    },
+    "internal-port-range": [7200, 7215],
+    "platform": {"address": "10.9.9.9:8384", "form": "kv"},
+    "bounds": {"grace-period-s": 7, "retry-budget-ratio": 0.3, "max-shift": 0.1},
+    "unknown": {"of": "tomorrow"},
+}
+
+
+def test_settings_become_the_products() -> None:
+    settings = parse_settings(json.dumps(SETTINGS).encode())
+    entry = settings.entry()
+    assert str(entry.front) == "10.0.0.1:8381"
+    assert str(entry.gossip) == "10.0.0.1:7200"
+    assert (entry.grace_s, entry.repeat_ratio, entry.max_shift) == (7, 0.3, 0.1)
+    assert entry.domain == "a1"
+
+
+@pytest.mark.parametrize("field", ["node-name", "platform", "listen-addresses"])
+def test_a_missing_setting_is_named(field: str) -> None:
+    wrong = {k: v for k, v in SETTINGS.items() if k != field}
+    with pytest.raises(SettingsError, match=field):
+        parse_settings(json.dumps(wrong).encode())
+
+
+def test_only_the_platform_folder_knows_the_platforms_names() -> None:
+    """Its stand-ins apart, which take the platform's place."""
+    allowed = (PACKAGE / "platform", PACKAGE / "standins")
+    knowing = [
+        str(path.relative_to(PACKAGE))
+        for path in PACKAGE.rglob("*.py")
+        if not path.is_relative_to(allowed[0]) and not path.is_relative_to(allowed[1])
+        if NAMES.search(path.read_text())
+    ]
+    assert knowing == []
