--- a/leverdoor/platform/store.py
+++ b/leverdoor/platform/store.py
@@ -19,6 +19,8 @@
 
 CALL_TIMEOUT_S = 2.0
 WATCH_WAIT_MS = 2_500
+FIRST_WAIT_MS = 150
+"""Wait of a watch's first call, so that a lost store is heard again soon."""
 WATCH_SLACK_S = 0.9
 GATHER_S = 0.1
 """Pause after a watch's events, so that those that follow come together."""
@@ -92,13 +94,15 @@
 
     async def watch(self, prefix: str, after: int) -> AsyncIterator[list[Event]]:
         """Yield the changes after a revision; an empty list when there are none."""
+        wait_ms = FIRST_WAIT_MS
         while True:
             query = {
                 "path-prefix": prefix,
                 "after": str(after),
-                "wait-ms": str(WATCH_WAIT_MS),
+                "wait-ms": str(wait_ms),
             }
-            timeout_s = WATCH_WAIT_MS / 1000 + WATCH_SLACK_S
+            timeout_s = wait_ms / 1000 + WATCH_SLACK_S
+            wait_ms = WATCH_WAIT_MS
             found = _parse(await self._read("kv-watch", query, timeout_s), _Events)
             after = max(after, found.at)
             yield [i.event() for i in found.events]
