Targets whose entries lapse in an outage of the store are held for two seconds

Ruled out: holding every missing target, which would break the bound on targets that leave without a word; the hold needs an outage that was seen here or told by a beat, and ends 0.6 s before that bound.

--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -20,6 +20,7 @@
 from leverdoor.entry.fleet import Fleet
 from leverdoor.entry.forwarding import Forwarder
 from leverdoor.entry.front import Front
+from leverdoor.entry.lapses import Lapses, Outage
 from leverdoor.entry.metrics import EntryMetrics
 from leverdoor.entry.placement import Placement
 from leverdoor.entry.registration import Registration
@@ -83,6 +84,10 @@
         self._seq = 0
         self._catalog = EMPTY
         self._source = "store"
+        self._outage = Outage()
+        self._lapses = Lapses(settings.leave_s)
+        self._lapsed: list[str] = []
+        self._hold_timer: asyncio.TimerHandle | None = None
         self._servers: list[asyncio.Server] = []
         self._news_due = False
 
@@ -198,9 +203,7 @@
             rng,
             prefix="",
             longest_backoff_s=STORE_BACKOFF_S,
-            tell=lambda reachable, why: self._events.store(
-                "answers" if reachable else "lost", self._state.revision, why
-            ),
+            tell=self._take_store,
         )
         self._registration = Registration(
             self._store,
@@ -240,16 +243,48 @@
         now = asyncio.get_running_loop().time()
         return self._roster.elected(self._settings.watchers, now)
 
-    def _take_delta(self, delta: Delta) -> None:
-        """Compile a newer state; one that can't be read leaves the old in force."""
-        now = asyncio.get_running_loop().time()
+    def _take_store(self, reachable: bool, why: str) -> None:
+        """Record that the store was lost, or answers again."""
+        self._outage.take(reachable, asyncio.get_running_loop().time())
+        change = "answers" if reachable else "lost"
+        self._events.store(change, self._state.revision, why)
+
+    def _take_delta(self, _: Delta) -> None:
+        """Compile a newer state, and tell others that there is one."""
+        self._compile()
+        self._metrics.revision.set(self._state.revision)
+        self._spread_news()
+        if self._life == STARTING and self._catalog.configured:
+            self._life = SERVING
+            self._events.process("ready", version=self._catalog.version)
+            self._tell_everyone()
+
+    def _compile(self) -> None:
+        """Compile the state; one that can't be read leaves the old in force."""
+        loop = asyncio.get_running_loop()
+        now = loop.time()
         said = self._dialect.translate(self._state.entries)
         self._roster.found(said.peers, now)
-        catalog = Catalog(self._state.revision, said.version, said.resources)
-        before = self._catalog.in_service
-        came = [n for n in catalog.in_service if n not in before]
-        gone = [n for n in before if n not in catalog.in_service]
-        if catalog.version != self._catalog.version:
+        targets = {t.name: t for t in said.resources if isinstance(t, Target)}
+        held = self._lapses.update(targets, self._outage.recent(now), now)
+        before = self._catalog
+        catalog = Catalog(self._state.revision, said.version, [*said.resources, *held])
+        self._catalog = catalog
+        self._tell_changes(before, catalog, held)
+        self._fleet.renew(catalog.targets, now)
+        for name in before.in_service - catalog.in_service:
+            self._connections.drop(name)
+        self._placement.renew(catalog)
+        if self._hold_timer is not None:
+            self._hold_timer.cancel()
+        end = self._lapses.next_end
+        self._hold_timer = None if end is None else loop.call_at(end, self._compile)
+
+    def _tell_changes(
+        self, before: Catalog, catalog: Catalog, held: list[Target]
+    ) -> None:
+        """Log what is believed now and was not before."""
+        if catalog.version != before.version:
             self._events.configuration(
                 catalog.version,
                 catalog.revision,
@@ -257,20 +292,17 @@
                 len(catalog.targets),
                 self._source,
             )
-        cold = [n for n, t in catalog.targets.items() if t.cold_ms and self._new(t)]
-        if came or gone or cold:
-            self._events.targets(came, gone, cold, catalog.revision)
-        self._catalog = catalog
-        self._fleet.renew(catalog.targets, now)
-        for name in gone:
-            self._connections.drop(name)
-        self._placement.renew(catalog)
-        self._metrics.revision.set(catalog.revision)
-        self._spread_news()
-        if self._life == STARTING and catalog.configured:
-            self._life = SERVING
-            self._events.process("ready", version=catalog.version)
-            self._tell_everyone()
+        came = sorted(catalog.in_service - before.in_service)
+        gone = sorted(before.in_service - catalog.in_service)
+        cold = [
+            name
+            for name, target in catalog.targets.items()
+            if target.cold_ms and before.targets.get(name) != target
+        ]
+        lapsed = sorted(t.name for t in held)
+        if came or gone or cold or lapsed != self._lapsed:
+            self._events.targets(came, gone, cold, lapsed, catalog.revision)
+        self._lapsed = lapsed
 
     def _spread_news(self) -> None:
         """Tell some entries of a newer state soon, once for all that comes by then.
@@ -286,15 +318,12 @@
         self._news_due = False
         self._socket.send_all(self._own_beat(), self._roster.some())
 
-    def _new(self, target: Target) -> bool:
-        """Say whether a target is described otherwise than before."""
-        return self._catalog.targets.get(target.name) != target
-
     def _take_beat(self, beat: EntryBeat) -> None:
         now = asyncio.get_running_loop().time()
         if not self._roster.hear(beat, now):
             return
         self._fleet.hear(beat.member.name, beat.in_flight, now)
+        self._outage.heard(beat.outage_ms, now)
         if beat.revision > self._state.revision:
             asyncio.ensure_future(self._pull(beat.member.pull))
 
@@ -325,6 +354,7 @@
             self._state.revision,
             self._fleet.in_flight(),
             self._placement.shares.told(),
+            self._outage.age_ms(asyncio.get_running_loop().time()),
         )
 
     def _tell_everyone(self) -> None:
--- a/leverdoor/entry/events.py
+++ b/leverdoor/entry/events.py
@@ -183,10 +183,26 @@
         )
 
     def targets(
-        self, came: list[str], gone: list[str], cold: list[str], revision: int
+        self,
+        came: list[str],
+        gone: list[str],
+        cold: list[str],
+        lapsed: list[str],
+        revision: int,
     ) -> None:
-        """Targets came, went (by leaving or by an evacuation), or turned cold."""
-        self.emit("targets", came=came, gone=gone, cold=cold, revision=revision)
+        """Targets came, went (by leaving or by an evacuation), or turned cold.
+
+        Those that lapsed have no entry since an outage of the store, and are
+        gone on with for a moment.
+        """
+        self.emit(
+            "targets",
+            came=came,
+            gone=gone,
+            cold=cold,
+            lapsed=lapsed,
+            revision=revision,
+        )
 
     def target_rests(self, target: str, reason: str, rest_s: float) -> None:
         """A target gets nothing for a while."""
--- a/leverdoor/entry/roster.py
+++ b/leverdoor/entry/roster.py
@@ -65,6 +65,8 @@
     """Requests at each target, by its name."""
     shares: dict[str, dict[str, float]] = {}
     """For each service, the regions' shares of the keys asked for here."""
+    outage_ms: int = -1
+    """How long ago the store was known to be away; -1 if not in recent times."""
 
     def newer(self, other: "EntryBeat") -> bool:
         """Say whether this beat supersedes another of the same entry."""
--- a/leverdoor/entry/settings.py
+++ b/leverdoor/entry/settings.py
@@ -31,6 +31,8 @@
     lookup_ttl_s: float = 2.0
     grace_s: float = 6.0
     """How long a stop may take."""
+    leave_s: float = 2.5
+    """Within which time a leaving target must get nothing new."""
     repeat_ratio: float = 0.2
     """Repeats that all entries together may make, as a share of requests."""
     max_shift: float = 0.15
--- a/leverdoor/platform/settings.py
+++ b/leverdoor/platform/settings.py
@@ -30,12 +30,14 @@
     msgspec.Struct,
     rename={
         "grace_s": "grace-period-s",
+        "drain_ms": "drain-ms",
         "repeat_ratio": "retry-budget-ratio",
         "ttl_max_s": "ttl_max_s",
         "max_shift": "max-shift",
     },
 ):
     grace_s: float = 6.0
+    drain_ms: float = 2_500.0
     repeat_ratio: float = 0.2
     ttl_max_s: float = 5.0
     max_shift: float = 0.15
@@ -75,6 +77,7 @@
             metrics=Address(self.ip_address, METRICS_PORT),
             lookup_ttl_s=min(2.0, self.bounds.ttl_max_s),
             grace_s=self.bounds.grace_s,
+            leave_s=self.bounds.drain_ms / 1000,
             repeat_ratio=self.bounds.repeat_ratio,
             max_shift=self.bounds.max_shift,
         )
--- a/tests/test_entry_whole.py
+++ b/tests/test_entry_whole.py
@@ -64,6 +64,38 @@
     await until_in_force(site, "/look/x", 404)
 
 
+async def test_targets_that_lapse_in_an_outage_are_held_and_then_gone(
+    site: EntrySite,
+) -> None:
+    entries = list(site.entries.values())
+
+    async def until_told(field: str) -> None:
+        """Wait until every entry has told of every target in a field."""
+        while not all(
+            {n for e in entry.events() for n in e.get(field, [])} >= set(site.targets)  # type: ignore[attr-defined]
+            for entry in entries
+        ):
+            await asyncio.sleep(0.02)
+
+    site.store.faults = MetadataFaults(busy=503)
+    while not any(e.get("change") == "lost" for e in entries[0].events()):
+        await asyncio.sleep(0.02)
+    for name in site.targets:
+        site.store.remove(f"servers/{name}")
+    site.store.faults = MetadataFaults()
+    await until_told("lapsed")
+    await until_told("gone")
+    for entry in entries:
+        fields = [
+            f
+            for e in entry.events()
+            if e["event"] == "targets"
+            for f in ("lapsed", "gone")
+            if e[f]
+        ]
+        assert fields[0] == "lapsed"
+
+
 async def test_a_planned_stop_loses_nothing(site: EntrySite) -> None:
     n1, n2 = site.entries["n1"], site.entries["n2"]
     answers: list[Answer] = []
