A fault soak of real entries; reloads asked for at a start, and clocks set back

The soak runs six real entries with proxies before the store, the targets and the entries, and draws 25 kinds of trouble from a seed: signals, links delayed, reset, held one way or silent, a store that is away, forgets, loses writes or lets entries lapse, targets that crash, leave, slow down, lose or repeat answers, addresses that are used again, clocks that are set.

--- a/leverdoor/cli.py
+++ b/leverdoor/cli.py
@@ -10,6 +10,7 @@
 from leverdoor.commands.delete import delete
 from leverdoor.commands.drain import drain, undrain
 from leverdoor.commands.load import load
+from leverdoor.commands.soak import soak
 from leverdoor.queries.explain import explain
 from leverdoor.queries.get import get
 from leverdoor.queries.lookup import lookup
@@ -30,7 +31,7 @@
     """
 
 
-for command in (apply, delete, drain, undrain, load, agent, gate):
+for command in (apply, delete, drain, undrain, load, soak, agent, gate):
     main.add_command(command)
 for query in (get, watch, report, status, lookup, explain):
     main.add_command(query)
--- /dev/null
+++ b/leverdoor/commands/soak.py
@@ -0,0 +1,37 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""`leverdoor soak`: real entries on this machine under random troubles."""
+
+import asyncio
+import sys
+import time
+from pathlib import Path
+
+import click
+import msgspec
+
+__all__ = ["soak"]
+
+BROKEN = 1
+"""Exit status when a promise was broken."""
+
+
+@click.command()
+@click.option("--seed", type=int, default=None, help="First seed; drawn if left out.")
+@click.option("--count", type=click.IntRange(1, 10_000), default=1, help="Seeds.")
+@click.option("--seconds", type=click.FloatRange(1.0, 3_600.0), default=15.0)
+@click.option("--troubles", type=click.IntRange(0, 1_000), default=20)
+@click.option("--logs", type=click.Path(path_type=Path), help="Keep logs of failures.")
+def soak(
+    seed: int | None, count: int, seconds: float, troubles: int, logs: Path | None
+) -> None:
+    """Play soaks one after the other; a line of JSON for each."""
+    from leverdoor.soak.run import Soak
+
+    first = time.time_ns() % 1_000_000_007 if seed is None else seed
+    broken = 0
+    for number in range(first, first + count):
+        verdict = asyncio.run(Soak(number, seconds, troubles).run(logs))
+        broken += bool(verdict.breaches)
+        click.echo(msgspec.json.encode(verdict).decode())
+    sys.exit(BROKEN if broken else 0)
--- a/leverdoor/daemon.py
+++ b/leverdoor/daemon.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from leverdoor.settings import Address
+from leverdoor.signals import EarlyReload
 
 __all__ = ["Daemon", "keep_running", "run_daemon", "serve_apps"]
 
@@ -27,14 +28,19 @@
         """Ask it to end."""
 
 
-def run_daemon(daemon: Daemon, reload: Callable[[], None] | None = None) -> None:
+def run_daemon(
+    daemon: Daemon,
+    reload: Callable[[], None] | None = None,
+    early: EarlyReload | None = None,
+) -> None:
     """Run a daemon until SIGTERM or SIGINT.
 
     Args:
       daemon: what to run.
       reload: called at SIGHUP, which is passed over if it is None.
+      early: knows whether the signal came before; then it is called as well.
     """
-    asyncio.run(_run(daemon, reload or _pass_over))
+    asyncio.run(_run(daemon, reload or _pass_over, early))
 
 
 def _pass_over() -> None:
@@ -56,9 +62,13 @@
             await asyncio.sleep(RESTART_S)
 
 
-async def _run(daemon: Daemon, reload: Callable[[], None]) -> None:
+async def _run(
+    daemon: Daemon, reload: Callable[[], None], early: EarlyReload | None
+) -> None:
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, reload)
+    if early is not None and early.due:
+        loop.call_soon(reload)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, daemon.stop)
     await daemon.run()
--- a/leverdoor/entry/roster.py
+++ b/leverdoor/entry/roster.py
@@ -25,6 +25,8 @@
 BEAT_S = 0.2
 """Time between two rounds of beats."""
 FORGET_S = 60.0
+OLD_LIFE_S = 1.2
+"""How late a beat of an entry's former life may come."""
 NEAR_PARTNERS = 4
 MAX_NAMED = 64
 LEAST_NAMED = 2
@@ -107,7 +109,9 @@
                 member = unpack(data, Member)
             except msgspec.MsgspecError:
                 continue
-            self._find(member, now)
+            known = self._known.get(member.name)
+            if known is None or now - known.heard_at > OLD_LIFE_S:
+                self._find(member, now)
 
     def _find(self, member: Member, now: float) -> None:
         if member.name == self.own.name:
@@ -133,7 +137,12 @@
         self._find(beat.member, now)
         known = self._known[beat.member.name]
         if beat.member.incarnation < known.member.incarnation:
-            return False
+            if now - known.heard_at <= OLD_LIFE_S:
+                return False
+            # No beat of the later one for so long: its clock was ahead, or that
+            # of the one that speaks now is behind.
+            known.member = beat.member
+            known.beat = None
         if known.beat is not None and not beat.newer(known.beat):
             return False
         if known.beat is None or known.beat.state != beat.state:
--- a/leverdoor/platform/__main__.py
+++ b/leverdoor/platform/__main__.py
@@ -2,61 +2,20 @@
 # SPDX-License-Identifier: Apache-2.0
 """`python -m leverdoor.platform`: runs an entry on the platform."""
 
-import os
 import sys
-from pathlib import Path
 
-from leverdoor.daemon import run_daemon
-from leverdoor.entry.daemon import Entry
-from leverdoor.entry.events import Events, LineWriter
-from leverdoor.errors import SettingsError, code_info
-from leverdoor.logs import setup_logs
-from leverdoor.platform.names import dialect
-from leverdoor.platform.settings import PlatformSettings, parse_settings
-from leverdoor.platform.store import PlatformStore
-
-SETTINGS = "LEVERDOOR_SETTINGS"
-
-
-def read_settings() -> PlatformSettings:
-    """Read the settings file.
-
-    Raises:
-      SettingsError: it is not there, or a field is missing or wrong.
-    """
-    path = os.environ.get(SETTINGS, "")
-    try:
-        return parse_settings(Path(path).read_bytes())
-    except OSError as e:
-        raise SettingsError(f"{SETTINGS}={path}: {e.strerror}") from None
+from leverdoor.signals import EarlyReload
 
 
 def main() -> int:
-    """Run until stopped.
+    """Take signals over before anything large is imported, then run.
 
     Returns: the exit status.
     """
-    try:
-        settings = read_settings()
-        own = settings.entry()
-    except SettingsError as e:
-        sys.stderr.write(f"{e}\n")
-        return code_info(e.code).exit_status
-    writer = LineWriter(sys.stdout.fileno())
-    setup_logs("entry", own.name, write=writer.write)
-    events = Events(writer, own.name)
-    store = PlatformStore(settings.platform.address)
-    entry = Entry(own, store, dialect(own.domains), events)
-
-    def reload() -> None:
-        try:
-            entry.reload(read_settings().entry())
-        except SettingsError as e:
-            events.process("reload failed", error=str(e))
-
-    run_daemon(entry, reload)
-    writer.flush()
-    return 0
+    early = EarlyReload()
+    from leverdoor.platform.program import run_entry
+
+    return run_entry(early)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/leverdoor/platform/program.py
@@ -0,0 +1,64 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Reads the settings file and runs an entry."""
+
+import os
+import sys
+from pathlib import Path
+
+from leverdoor.daemon import run_daemon
+from leverdoor.entry.daemon import Entry
+from leverdoor.entry.events import Events, LineWriter
+from leverdoor.errors import SettingsError, code_info
+from leverdoor.logs import setup_logs
+from leverdoor.platform.names import dialect
+from leverdoor.platform.settings import PlatformSettings, parse_settings
+from leverdoor.platform.store import PlatformStore
+from leverdoor.signals import EarlyReload
+
+__all__ = ["run_entry"]
+
+SETTINGS = "LEVERDOOR_SETTINGS"
+
+
+def read_settings() -> PlatformSettings:
+    """Read the settings file.
+
+    Raises:
+      SettingsError: it is not there, or a field is missing or wrong.
+    """
+    path = os.environ.get(SETTINGS, "")
+    try:
+        return parse_settings(Path(path).read_bytes())
+    except OSError as e:
+        raise SettingsError(f"{SETTINGS}={path}: {e.strerror}") from None
+
+
+def run_entry(early: EarlyReload) -> int:
+    """Run until stopped.
+
+    Args:
+      early: knows whether to read the settings again once the loop runs.
+    Returns: the exit status.
+    """
+    try:
+        settings = read_settings()
+        own = settings.entry()
+    except SettingsError as e:
+        sys.stderr.write(f"{e}\n")
+        return code_info(e.code).exit_status
+    writer = LineWriter(sys.stdout.fileno())
+    setup_logs("entry", own.name, write=writer.write)
+    events = Events(writer, own.name)
+    store = PlatformStore(settings.platform.address)
+    entry = Entry(own, store, dialect(own.domains), events)
+
+    def reload() -> None:
+        try:
+            entry.reload(read_settings().entry())
+        except SettingsError as e:
+            events.process("reload failed", error=str(e))
+
+    run_daemon(entry, reload, early)
+    writer.flush()
+    return 0
--- /dev/null
+++ b/leverdoor/soak/callers.py
@@ -0,0 +1,218 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Callers of a soak: they keep connections, leave early, and note what they get."""
+
+import asyncio
+import hashlib
+import json
+from random import Random
+
+import aiohttp
+from yarl import URL
+
+from leverdoor.sessions import new_session
+from leverdoor.soak.record import Attempt, Probe, Record
+from leverdoor.soak.site import SoakSite, mark_path
+from leverdoor.standins.entry_site import EntryProcess
+
+__all__ = ["Caller", "Prober"]
+
+DEADLINE_MS = 5_000
+PATIENCE_S = 7.0
+KEYS = 30
+ONCE_SHARE = 0.5
+LARGE_SHARE = 0.03
+LARGE_BODY = 700 * 1024
+LEAVE_SHARE = 0.03
+PAUSE_S = 0.02
+PROBE_PAUSE_S = 0.15
+
+
+class Caller:
+    """Sends one request after the other, to any entry, on kept connections."""
+
+    def __init__(self, site: SoakSite, record: Record, number: int, seed: int) -> None:
+        """Create it; `run` calls until cancelled.
+
+        Args:
+          site: the deployment.
+          record: where to note what is seen.
+          number: this caller's.
+          seed: of the soak.
+        """
+        self._site = site
+        self._record = record
+        self._number = number
+        self._rng = Random(f"{seed}/{number}")
+        self._count = 0
+
+    async def run(self) -> None:
+        """Call until cancelled."""
+        async with new_session(PATIENCE_S) as session:
+            while True:
+                entry = self._rng.choice(list(self._site.entries.values()))
+                await self._call(session, entry)
+                await asyncio.sleep(self._rng.random() * PAUSE_S)
+
+    async def _call(self, session: aiohttp.ClientSession, entry: EntryProcess) -> None:
+        self._count += 1
+        request_id = f"{self._number:08x}{self._count:08x}"
+        once = self._rng.random() < ONCE_SHARE
+        large = self._rng.random() < LARGE_SHARE
+        size = LARGE_BODY if large else self._rng.randrange(2_000)
+        body = self._rng.randbytes(size) if once else b""
+        call = _Call(
+            entry=entry,
+            url=f"http://{self._site.front(entry)}",
+            method="POST" if once else "GET",
+            path="/file/x" if once else "/look/x",
+            body=body,
+            headers={
+                "Host": "records.example",
+                "X-Request-Id": request_id,
+                "X-Deadline-Ms": str(DEADLINE_MS),
+                "X-Affinity-Key": str(self._rng.randrange(KEYS)),
+            },
+        )
+        leaves = self._rng.random() < LEAVE_SHARE
+        leave_s = self._rng.random() * 0.1 if leaves else None
+        try:
+            self._record.attempts.append(await call.send(session, leave_s))
+        except asyncio.CancelledError:
+            self._record.attempts.append(call.given_up())
+            raise
+
+
+class _Call:
+    """One request of a caller."""
+
+    def __init__(
+        self,
+        entry: EntryProcess,
+        url: str,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: dict[str, str],
+    ) -> None:
+        self._entry = entry
+        self._url = URL(url + path, encoded=True)
+        self._method = method
+        self._path = path
+        self._body = body
+        self._headers = headers
+        self._digest = hashlib.sha256(body).hexdigest()
+        self._began = asyncio.get_running_loop().time()
+
+    def _attempt(self, status: int, **more: bool) -> Attempt:
+        return Attempt(
+            request_id=self._headers["X-Request-Id"],
+            entry=self._entry.name,
+            path=self._path,
+            once=self._method == "POST",
+            digest=self._digest,
+            deadline_ms=DEADLINE_MS,
+            sent_at=self._began,
+            ended_at=asyncio.get_running_loop().time(),
+            status=status,
+            **more,
+        )
+
+    def given_up(self) -> Attempt:
+        """Return the attempt as one that its caller left."""
+        return self._attempt(0, left=True)
+
+    async def send(
+        self, session: aiohttp.ClientSession, leave_s: float | None
+    ) -> Attempt:
+        """Send it and judge the answer; leave after a time if one is given."""
+        try:
+            async with asyncio.timeout(leave_s):
+                return await self._exchange(session)
+        except aiohttp.ClientConnectorError:
+            return self._attempt(0, connected=False)
+        except TimeoutError:
+            return self.given_up()
+        except (aiohttp.ClientError, OSError):
+            return self._attempt(0)
+
+    async def _exchange(self, session: aiohttp.ClientSession) -> Attempt:
+        data = self._body if self._method == "POST" else None
+        async with session.request(
+            self._method, self._url, data=data, headers=self._headers
+        ) as answer:
+            body = await answer.read()
+            stamped = "X-Server-Stamp" in answer.headers
+            own = stamped and self._is_own(body, answer.headers.get("X-Request-Id"))
+            return self._attempt(answer.status, own=own, stamped=stamped)
+
+    def _is_own(self, body: bytes, answered_id: str | None) -> bool:
+        try:
+            said = json.loads(body)
+        except ValueError:
+            return False
+        mine = self._headers["X-Request-Id"]
+        return bool(
+            said == {"id": mine, "digest": self._digest} and answered_id == mine
+        )
+
+
+class Prober:
+    """Asks one entry again and again which configuration is in force."""
+
+    def __init__(self, site: SoakSite, record: Record, entry: EntryProcess) -> None:
+        """Create it; `run` asks until cancelled."""
+        self._site = site
+        self._record = record
+        self._entry = entry
+        self._count = 0
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        async with new_session(PATIENCE_S, keep_connections=False) as session:
+            while True:
+                newest = self._site.routed
+                for version in {newest, max(newest - 1, 1)}:
+                    await self.shows(session, version)
+                await asyncio.sleep(PROBE_PAUSE_S)
+
+    async def shows(self, session: aiohttp.ClientSession, version: int) -> bool:
+        """Ask for the route of one version; returns whether it was served."""
+        loop = asyncio.get_running_loop()
+        self._count += 1
+        request_id = f"probe-{self._entry.name}-{self._count}-{loop.time()}"
+        headers = {
+            "Host": "records.example",
+            "X-Request-Id": request_id,
+            "X-Deadline-Ms": str(DEADLINE_MS),
+        }
+        url = URL(f"http://{self._site.front(self._entry)}{mark_path(version)}")
+        life, began, status = self._entry.lives, loop.time(), 0
+        try:
+            async with session.get(url, headers=headers) as answer:
+                await answer.read()
+                status = answer.status
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            status = 0
+        finally:
+            self._record.attempts.append(
+                Attempt(
+                    request_id=request_id,
+                    entry=self._entry.name,
+                    path=mark_path(version),
+                    once=False,
+                    digest=hashlib.sha256(b"").hexdigest(),
+                    deadline_ms=DEADLINE_MS,
+                    sent_at=began,
+                    ended_at=loop.time(),
+                    status=status,
+                    own=True,
+                    stamped=status == 200,
+                    left=True,
+                )
+            )
+        if status != 200 or life != self._entry.lives:
+            return False
+        probe = Probe(self._entry.name, life, version, began, loop.time())
+        self._record.probes.append(probe)
+        return True
--- /dev/null
+++ b/leverdoor/soak/promises.py
@@ -0,0 +1,116 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Which promises a record breaks: pure checks of what was seen."""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterator
+
+from leverdoor.soak.record import Attempt, Record, Seen
+
+__all__ = ["breaches"]
+
+PROMISED_NOT_RUN = frozenset({408, 421, 429, 503})
+SERVICE_OF = {"/look/": "look", "/file/": "file", "/mark-": "look"}
+MOST_ATTEMPTS = 2
+"""`max-attempts` of the sample routes."""
+QUIET_S = 4.0
+"""How long before a planned stop nothing else may have struck, for it to count."""
+
+
+def breaches(record: Record) -> list[str]:
+    """Return one line for each promise that is broken, none if all hold."""
+    sent = {a.request_id: a for a in record.attempts}
+    ran: defaultdict[str, list[Seen]] = defaultdict(list)
+    for run in record.runs:
+        ran[run.request_id].append(run)
+    found = list(_answers(record, ran))
+    found += _runs(record, sent)
+    found += _counts(sent, ran)
+    found += _leaves(record)
+    found += _reverts(record)
+    found += _stops(record, ran)
+    return found
+
+
+def _answers(record: Record, ran: dict[str, list[Seen]]) -> Iterator[str]:
+    """Callers get the whole answer to their own request, or a failure of ours."""
+    for a in record.attempts:
+        if 200 <= a.status < 300:
+            if not a.own:
+                yield f"MIXED {a.request_id}: a success that is not its own"
+            elif not ran.get(a.request_id):
+                yield f"MIXED {a.request_id}: a success that no target ran"
+        elif a.stamped:
+            yield f"MIXED {a.request_id}: status {a.status} with a target's stamp"
+        if a.once and a.status in PROMISED_NOT_RUN and ran.get(a.request_id):
+            yield f"REFUSED {a.request_id}: status {a.status}, and it ran"
+
+
+def _runs(record: Record, sent: dict[str, Attempt]) -> Iterator[str]:
+    """Targets run only what callers sent, unaltered, where it belongs, in time."""
+    for run in record.runs:
+        a = sent.get(run.request_id)
+        if a is None:
+            yield f"UNASKED {run.request_id} at {run.target}"
+            continue
+        if run.path != a.path or run.digest != a.digest:
+            yield f"UNASKED {run.request_id} at {run.target}: it was altered"
+        if run.deadline_ms > a.deadline_ms:
+            yield f"BUDGET {run.request_id}: {run.deadline_ms} ms were passed on"
+        wanted = [s for prefix, s in SERVICE_OF.items() if a.path.startswith(prefix)]
+        if run.service not in wanted:
+            yield f"ROUTE {run.request_id}: run by {run.service}"
+
+
+def _counts(sent: dict[str, Attempt], ran: dict[str, list[Seen]]) -> Iterator[str]:
+    """What must run once runs once; the rest as often as its route allows."""
+    for request_id, runs in ran.items():
+        a = sent.get(request_id)
+        if a is None:
+            continue
+        if a.once and len(runs) > 1:
+            yield f"TWICE {request_id}: {', '.join(r.target for r in runs)}"
+        if len(runs) > MOST_ATTEMPTS:
+            yield f"BUDGET {request_id}: run {len(runs)} times"
+
+
+def _leaves(record: Record) -> Iterator[str]:
+    """What left gets nothing new."""
+    left = {leave.target: leave.at for leave in record.leaves}
+    late = Counter(r.target for r in record.runs if r.at > left.get(r.target, r.at))
+    for target, count in late.items():
+        yield f"DRAIN {target}: {count} requests after it had to be left alone"
+
+
+def _reverts(record: Record) -> Iterator[str]:
+    """No entry goes back to an older configuration within one life."""
+    lives: defaultdict[tuple[str, int], list[tuple[float, float, int]]]
+    lives = defaultdict(list)
+    for probe in record.probes:
+        times = (probe.sent_at, probe.ended_at, probe.version)
+        lives[probe.entry, probe.life].append(times)
+    for (entry, _), seen in lives.items():
+        newest = 0
+        by_end = sorted(seen, key=lambda t: t[1])
+        told = 0
+        for sent_at, _, version in sorted(seen):
+            while told < len(by_end) and by_end[told][1] < sent_at:
+                newest = max(newest, by_end[told][2])
+                told += 1
+            if version < newest:
+                yield f"CONFIG {entry}: {version} after {newest}"
+
+
+def _stops(record: Record, ran: dict[str, list[Seen]]) -> Iterator[str]:
+    """A planned stop cuts nothing that was passed on."""
+    for entry, began, ended in record.stops:
+        struck = any(
+            name == entry and start < ended and until > began - QUIET_S
+            for name, start, until in record.unplanned
+        )
+        if struck:
+            continue
+        for a in record.attempts:
+            cut = a.entry == entry and a.status == 0 and a.connected and not a.left
+            if cut and began <= a.ended_at <= ended and ran.get(a.request_id):
+                yield f"LOST {a.request_id}: cut by the planned stop of {entry}"
--- /dev/null
+++ b/leverdoor/soak/record.py
@@ -0,0 +1,74 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""What callers and targets saw in a soak."""
+
+import msgspec
+
+__all__ = ["Attempt", "Leave", "Probe", "Record", "Seen"]
+
+
+class Attempt(msgspec.Struct, frozen=True):
+    """One request as its caller saw it; times are seconds of the loop's clock."""
+
+    request_id: str
+    entry: str
+    path: str
+    once: bool
+    """It must not run more than once."""
+    digest: str
+    """Of the body that was sent."""
+    deadline_ms: int
+    sent_at: float
+    ended_at: float
+    status: int
+    """0 when there was no answer."""
+    own: bool = False
+    """The answer names this request and this body, and bears a target's stamp."""
+    stamped: bool = False
+    connected: bool = True
+    """A connection was there; without one nothing can have been sent."""
+    left: bool = False
+    """The caller gave up before there was an answer."""
+
+
+class Seen(msgspec.Struct, frozen=True):
+    """One run of a request as a target saw it."""
+
+    request_id: str
+    target: str
+    service: str
+    path: str
+    digest: str
+    deadline_ms: int
+    at: float
+
+
+class Leave(msgspec.Struct, frozen=True):
+    """A target that must get nothing new from a time on."""
+
+    target: str
+    at: float
+
+
+class Probe(msgspec.Struct, frozen=True):
+    """An entry showed which configuration was in force."""
+
+    entry: str
+    life: int
+    """How often the entry had been started by then."""
+    version: int
+    sent_at: float
+    ended_at: float
+
+
+class Record(msgspec.Struct):
+    """All that was seen."""
+
+    attempts: list[Attempt] = []
+    runs: list[Seen] = []
+    leaves: list[Leave] = []
+    probes: list[Probe] = []
+    stops: list[tuple[str, float, float]] = []
+    """Planned stops: entry, when it was told, when it had ended."""
+    unplanned: list[tuple[str, float, float]] = []
+    """What else struck an entry or its callers' links: entry, from, until."""
--- /dev/null
+++ b/leverdoor/soak/run.py
@@ -0,0 +1,178 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""One soak: real entries under callers and troubles, then judged."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from functools import partial
+from pathlib import Path
+
+import msgspec
+
+from leverdoor.soak.callers import Caller, Prober
+from leverdoor.soak.plan import Trouble, draw_plan
+from leverdoor.soak.promises import breaches
+from leverdoor.soak.record import Leave, Record, Seen
+from leverdoor.soak.site import SoakSite
+from leverdoor.soak.strikes import Strikes
+from leverdoor.standins.entry_site import SAMPLE_ROUTES, EntryProcess
+
+__all__ = ["Soak", "Verdict"]
+
+CALLERS = 8
+SETTLED_S = 45.0
+"""Within which time all must be well after the last trouble; generous."""
+REST_S = 3.0
+"""How long callers go on once all is well."""
+POLL_S = 0.2
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """What came of a soak."""
+
+    seed: int
+    troubles: int
+    requests: int
+    statuses: dict[str, int]
+    runs: int
+    breaches: list[str]
+
+
+class Soak:
+    """Runs one soak."""
+
+    def __init__(self, seed: int, seconds: float, troubles: int) -> None:
+        """Create it.
+
+        Args:
+          seed: draws the troubles and what callers do.
+          seconds: within which all troubles begin.
+          troubles: how many.
+        """
+        self._seed = seed
+        self._plan = draw_plan(seed, seconds, troubles)
+        self._site = SoakSite()
+        self._record = Record()
+        self._late: list[str] = []
+
+    async def run(self, logs: Path | None = None) -> Verdict:
+        """Run it.
+
+        Args:
+          logs: where to keep the entries' logs when a promise was broken.
+        Returns: what came of it.
+        """
+        try:
+            await self._site.start()
+            await self._play()
+            verdict = self._judge()
+            if verdict.breaches and logs is not None:
+                self._keep_logs(logs)
+            return verdict
+        finally:
+            await self._site.stop()
+
+    async def _play(self) -> None:
+        entries = list(self._site.entries.values())
+        probers = [Prober(self._site, self._record, e) for e in entries]
+        callers = [
+            Caller(self._site, self._record, n, self._seed) for n in range(CALLERS)
+        ]
+        tasks = [asyncio.create_task(p.run()) for p in probers]
+        tasks += [asyncio.create_task(c.run()) for c in callers]
+        try:
+            strikes = Strikes(self._site, self._record)
+            troubles = [self._strike(strikes, t) for t in self._plan]
+            await asyncio.gather(*troubles)
+            strikes.end_all()
+            await self._settle()
+            await asyncio.sleep(REST_S)
+        finally:
+            for task in tasks:
+                task.cancel()
+            done = await asyncio.gather(*tasks, return_exceptions=True)
+        self._late += [repr(e) for e in done if isinstance(e, Exception)]
+
+    async def _strike(self, strikes: Strikes, trouble: Trouble) -> None:
+        await asyncio.sleep(trouble.at_s)
+        await strikes.strike(trouble)
+
+    async def _settle(self) -> None:
+        """Wait until all is well: ready, named to callers, the newest in force."""
+        self._site.configure(SAMPLE_ROUTES)
+        self._late += [
+            f"ENDED {e.name}: it ended by itself"
+            for e in self._site.entries.values()
+            if not e.running
+        ]
+        waits = [
+            self._until(f"{e.name} is ready", partial(self._site.is_ready, e))
+            for e in self._site.entries.values()
+        ]
+        await asyncio.gather(*waits)
+        waits = [
+            self._until(f"{e.name} has the newest", partial(self._newest, e.name))
+            for e in self._site.entries.values()
+        ]
+        waits += [
+            self._until(f"{e.name} names its neighbour", partial(self._names, e))
+            for e in self._site.entries.values()
+        ]
+        await asyncio.gather(*waits)
+        now = asyncio.get_running_loop().time()
+        self._record.leaves += [Leave(name, now) for name in self._site.left]
+
+    async def _until(self, what: str, holds: Callable[[], Awaitable[bool]]) -> None:
+        """Wait until something holds, or note that it never did."""
+        try:
+            async with asyncio.timeout(SETTLED_S):
+                while not await holds():
+                    await asyncio.sleep(POLL_S)
+        except TimeoutError:
+            self._late.append(f"RECOVER not within {SETTLED_S:.0f} s: {what}")
+
+    async def _newest(self, name: str) -> bool:
+        newest = self._site.routed
+        return any(p.entry == name and p.version == newest for p in self._record.probes)
+
+    async def _names(self, entry: EntryProcess) -> bool:
+        """Say whether an entry names all entries of its failure domain."""
+        named = set(await self._site.resolve(entry))
+        return named >= {
+            e.ports["frontend"]
+            for e in self._site.entries.values()
+            if e.place == entry.place
+        }
+
+    def _judge(self) -> Verdict:
+        for target in self._site.targets.values():
+            self._record.runs += [
+                Seen(
+                    request_id=r.request_id,
+                    target=target.name,
+                    service=target.service,
+                    path=r.path,
+                    digest=r.digest,
+                    deadline_ms=r.deadline_ms,
+                    at=r.at,
+                )
+                for r in target.runs
+            ]
+        statuses = Counter(str(a.status) for a in self._record.attempts)
+        return Verdict(
+            seed=self._seed,
+            troubles=len(self._plan),
+            requests=len(self._record.attempts),
+            statuses=dict(statuses),
+            runs=len(self._record.runs),
+            breaches=[*self._late, *breaches(self._record)],
+        )
+
+    def _keep_logs(self, logs: Path) -> None:
+        logs.mkdir(parents=True, exist_ok=True)
+        for entry in self._site.entries.values():
+            kept = logs / f"soak-{self._seed}-{entry.name}.log"
+            kept.write_bytes(entry.log.read_bytes())
+        plan = logs / f"soak-{self._seed}-plan.json"
+        plan.write_bytes(msgspec.json.encode(self._plan))
--- /dev/null
+++ b/leverdoor/soak/site.py
@@ -0,0 +1,151 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""The deployment of a soak: every link goes through a proxy, clocks can be set."""
+
+import tempfile
+from pathlib import Path
+
+from leverdoor.soak.skewed import CLOCK
+from leverdoor.standins.entry_site import (
+    SAMPLE_ROUTES,
+    EntryProcess,
+    EntrySite,
+    Place,
+)
+from leverdoor.standins.proxy import LinkFault, LoopbackProxy
+from leverdoor.standins.upstreams import UpstreamStandin
+
+__all__ = ["SoakSite", "mark_path"]
+
+REGIONS = ("a", "b", "c")
+ENTRIES_A_REGION = 2
+SERVICES = ("look", "file")
+TARGETS_A_SERVICE = 2
+"""In each region."""
+
+
+def mark_path(version: int) -> str:
+    """Return the path that only one version of the configuration routes."""
+    return f"/mark-{version}/"
+
+
+class SoakSite(EntrySite):
+    """Entries, targets and a store, with a proxy before each."""
+
+    def __init__(self) -> None:
+        """Create it; `start` runs it."""
+        places = {
+            f"n-{region}-{i}": Place(f"{region}1", region)
+            for region in REGIONS
+            for i in range(ENTRIES_A_REGION)
+        }
+        targets = [
+            UpstreamStandin(f"i-{service}-{region}-{i}", service, f"{region}1")
+            for service in SERVICES
+            for region in REGIONS
+            for i in range(TARGETS_A_SERVICE)
+        ]
+        super().__init__(places, targets)
+        self.proxies: dict[str, LoopbackProxy] = {}
+        self.left: set[str] = set()
+        """Targets that have left or are about to."""
+        self.routed = 0
+        """The newest version of the configuration."""
+        self._behind: dict[str, str] = {}
+        self._fronts: dict[str, str] = {}
+        self._joined = 0
+        self._clocks = tempfile.TemporaryDirectory()
+
+    async def start(self, routes: list[dict[str, object]] | None = None) -> None:
+        """Start everything and wait until every entry is ready."""
+        await super().start(routes)
+        for entry in self.entries.values():
+            front = entry.ports["frontend"]
+            self._fronts[entry.name] = await self._link(f"front/{entry.name}", front)
+
+    async def stop(self) -> None:
+        """End everything that was started here."""
+        await super().stop()
+        for proxy in self.proxies.values():
+            await proxy.close()
+        self._clocks.cleanup()
+
+    def front(self, entry: EntryProcess) -> str:
+        """Return the address at which clients reach an entry."""
+        return self._fronts.get(entry.name, entry.ports["frontend"])
+
+    async def _link(self, name: str, address: str) -> str:
+        self._behind[name] = address
+        proxy = self.proxies[name] = LoopbackProxy(lambda: self._behind[name])
+        return await proxy.start()
+
+    def _entry(self, name: str, place: Place, store: str) -> EntryProcess:
+        entry = super()._entry(name, place, store)
+        entry.program = "leverdoor.soak.skewed"
+        entry.environment[CLOCK] = str(self._clock(name))
+        self.set_clock(name, 0.0)
+        return entry
+
+    def _clock(self, name: str) -> Path:
+        return Path(self._clocks.name) / name
+
+    def set_clock(self, name: str, offset_s: float) -> None:
+        """Set an entry's time of day, as seen from its next look at it."""
+        fresh = self._clock(f"{name}.new")
+        fresh.write_text(str(offset_s))
+        fresh.replace(self._clock(name))
+
+    def configure(
+        self,
+        routes: list[dict[str, object]],
+        limits: dict[str, int] | None = None,  # type: ignore[override]
+    ) -> int:
+        """Write a configuration with a route that only this version has."""
+        version = self._version + 1
+        mark = {
+            **SAMPLE_ROUTES[0],
+            "name": f"mark-{version}",
+            "path-prefix": mark_path(version),
+        }
+        revision = super().configure([*routes, mark], limits)
+        self.routed = version
+        return revision
+
+    def strike_links(self, kind: str, fault: LinkFault) -> None:
+        """Let a fault strike one link, or all of a kind (a name's beginning)."""
+        for name, proxy in self.proxies.items():
+            if name.startswith(kind):
+                proxy.strike(fault)
+
+    def stayers(self, service: str = "") -> list[str]:
+        """Return the targets that neither left nor are the last of their service."""
+        found = []
+        for of in SERVICES if not service else (service,):
+            here = sorted(
+                n
+                for n, t in self.targets.items()
+                if t.service == of and n not in self.left
+            )
+            found += here[1:]
+        return found
+
+    async def join_target(self, service: str, region: str) -> None:
+        """Let one more target come, cold."""
+        self._joined += 1
+        target = UpstreamStandin(f"i-new-{self._joined}", service, f"{region}1")
+        target.cold_ms = 500
+        await self.add_target(target)
+
+    async def reuse_address(self, name: str) -> None:
+        """End a target; its address goes to a new one of another service."""
+        old = self.targets[name]
+        address = self._addresses[name]
+        await self.end_target(name)
+        self._joined += 1
+        service = next(s for s in SERVICES if s != old.service)
+        target = UpstreamStandin(f"i-reuse-{self._joined}", service, old.zone)
+        served = await self._serve(target.name, target.app())
+        self._behind[f"target/{name}"] = served
+        self._addresses[target.name] = address
+        self.targets[target.name] = target
+        self.store.put(f"servers/{target.name}", target.entry(address))
--- /dev/null
+++ b/leverdoor/soak/skewed.py
@@ -0,0 +1,33 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""`python -m leverdoor.soak.skewed`: an entry whose time of day is off.
+
+The file that `SOAK_CLOCK` names holds the seconds to add. The product is not
+changed: what it calls for the time of day is replaced before it starts.
+"""
+
+import os
+import sys
+import time
+from pathlib import Path
+
+CLOCK = "SOAK_CLOCK"
+NS = 1_000_000_000
+
+
+def skew_clock(offset: Path) -> None:
+    """Add the seconds in a file to the time of day from now on."""
+    true_ns = time.time_ns
+
+    def skewed_ns() -> int:
+        return true_ns() + round(float(offset.read_text()) * NS)
+
+    time.time_ns = skewed_ns
+    time.time = lambda: skewed_ns() / NS
+
+
+if __name__ == "__main__":
+    skew_clock(Path(os.environ[CLOCK]))
+    from leverdoor.platform.__main__ import main
+
+    sys.exit(main())
--- a/leverdoor/standins/entry_site.py
+++ b/leverdoor/standins/entry_site.py
@@ -107,16 +107,25 @@
         self.settings = settings
         self.ports = ports
         self.log = settings.with_suffix(".log")
+        self.program = "leverdoor.platform"
+        self.environment: dict[str, str] = {}
+        self.lives = 0
+        """How often it was started."""
+        self._log_before = 0
         self._process: asyncio.subprocess.Process | None = None
 
     async def start(self) -> None:
         """Start the process."""
+        self.lives += 1
+        self._log_before = self.log.stat().st_size if self.log.exists() else 0
         with self.log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "leverdoor.platform",
-                env=os.environ | {"LEVERDOOR_SETTINGS": str(self.settings)},
+                self.program,
+                env=os.environ
+                | {"LEVERDOOR_SETTINGS": str(self.settings)}
+                | self.environment,
                 stdout=log,
                 stderr=log,
             )
@@ -137,6 +146,10 @@
         async with asyncio.timeout(STOP_S):
             return await self._process.wait()
 
+    def told_anything(self) -> bool:
+        """Say whether the process has logged a line in this life."""
+        return self.log.stat().st_size > self._log_before
+
     def events(self) -> list[dict[str, object]]:
         """Return what the process has logged."""
         lines = self.log.read_bytes().splitlines()
@@ -161,6 +174,7 @@
         self._places = dict(entries)
         self._zones = {p.zone: p.region for p in entries.values()}
         self._runners: dict[str, web.AppRunner] = {}
+        self._addresses: dict[str, str] = {}
         self._folder = tempfile.TemporaryDirectory()
         self._numbers = count(1)
         self._version = 0
@@ -173,7 +187,8 @@
         for target in self.targets.values():
             await self.add_target(target)
         for name, place in self._places.items():
-            self.entries[name] = self._entry(name, place, address)
+            store = await self._link(f"store/{name}", address)
+            self.entries[name] = self._entry(name, place, store)
         for entry in self.entries.values():
             await entry.start()
         for entry in self.entries.values():
@@ -191,6 +206,14 @@
             await runner.cleanup()
         self._folder.cleanup()
 
+    async def _link(self, name: str, address: str) -> str:
+        """Return the address at which something behind a link is reached."""
+        return address
+
+    def front(self, entry: EntryProcess) -> str:
+        """Return the address at which clients reach an entry."""
+        return entry.ports["frontend"]
+
     async def _serve(self, name: str, app: web.Application) -> str:
         runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.1)
         await runner.setup()
@@ -249,15 +272,16 @@
     async def add_target(self, target: UpstreamStandin) -> None:
         """Start a target and let it write itself."""
         self.targets[target.name] = target
-        address = await self._serve(target.name, target.app())
+        served = await self._serve(target.name, target.app())
+        address = await self._link(f"target/{target.name}", served)
+        self._addresses[target.name] = address
         self.store.put(f"servers/{target.name}", target.entry(address))
 
     def drain_target(self, name: str) -> None:
         """Let a target announce that it leaves."""
         target = self.targets[name]
         target.state = "draining"
-        port = self._runners[name].addresses[0][1]
-        self.store.put(f"servers/{name}", target.entry(f"{HOST}:{port}"))
+        self.store.put(f"servers/{name}", target.entry(self._addresses[name]))
 
     async def end_target(self, name: str) -> None:
         """End a target without a word; its entry goes."""
@@ -307,7 +331,7 @@
             "X-Deadline-Ms": "5000",
             **(headers or {}),
         }
-        url = f"http://{entry.ports['frontend']}{path}"
+        url = f"http://{self.front(entry)}{path}"
         return await self._ask(method, url, body, given, request_id)
 
     async def _ask(
--- a/leverdoor/standins/upstreams.py
+++ b/leverdoor/standins/upstreams.py
@@ -13,6 +13,8 @@
 
 __all__ = ["Run", "UpstreamStandin"]
 
+SECOND_ANSWER_S = 0.005
+
 
 class Run(msgspec.Struct):
     """One request that a target began to work on."""
@@ -22,6 +24,8 @@
     path: str
     digest: str
     deadline_ms: int
+    at: float = 0.0
+    """When it began, in seconds of the loop's clock."""
     ended: bool = False
 
 
@@ -49,6 +53,12 @@
         self.cold_ms = 0
         self.empty = False
         """Answers have no body and no type."""
+        self.slow_x = 1.0
+        """How many times as long as usual a request takes."""
+        self.lose_every = 0
+        """Each so many-th run's connection is reset in place of an answer."""
+        self.repeat_every = 0
+        """Each so many-th answer is followed by a second one."""
         self.runs: list[Run] = []
         self.refused = 0
         self.misdirected = 0
@@ -109,6 +119,7 @@
             request.raw_path,
             hashlib.sha256(body).hexdigest(),
             int(request.headers.get("X-Deadline-Ms", "0")),
+            asyncio.get_running_loop().time(),
         )
         self.runs.append(run)
         self._running += 1
@@ -118,17 +129,36 @@
         finally:
             self._running -= 1
         run.ended = True
+        if self.lose_every and len(self.runs) % self.lose_every == 0:
+            _reset(request)
         headers["X-Server-Stamp"] = f"{self.name}.{len(self.runs)}"
         headers["X-Server-Load"] = f"{self._running},{self._waiting},{self.slots}"
         if self.empty:
             return web.Response(headers=headers)
-        return web.Response(
-            body=serialize_json({"id": run.request_id, "digest": run.digest}),
-            headers=headers,
-        )
+        body = serialize_json({"id": run.request_id, "digest": run.digest})
+        if self.repeat_every and len(self.runs) % self.repeat_every == 0:
+            _answer_again(request, body, headers)
+        return web.Response(body=body, headers=headers)
 
     def _work_s(self, key: str) -> float:
         warm = key in self._warm
         self._warm[key] = None
         self._warm.move_to_end(key)
-        return self.work_s if warm else 3 * self.work_s
+        return self.slow_x * (self.work_s if warm else 3 * self.work_s)
+
+
+def _reset(request: web.Request) -> None:
+    """Close a connection without an answer."""
+    if request.transport is not None:
+        request.transport.abort()
+    raise asyncio.CancelledError
+
+
+def _answer_again(request: web.Request, body: bytes, headers: dict[str, str]) -> None:
+    """Send a second answer to a request a moment after the first."""
+    lines = ["HTTP/1.1 200 OK", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    data = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+    transport = request.transport
+    if transport is not None:
+        asyncio.get_running_loop().call_later(SECOND_ANSWER_S, transport.write, data)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -3,6 +3,10 @@
 """Tests of what runs daemons."""
 
 import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
 
 import pytest
 
@@ -29,3 +33,23 @@
     task.cancel()
     with pytest.raises(asyncio.CancelledError):
         await task
+
+
+async def test_a_reload_asked_for_at_the_start_ends_nothing(tmp_path: Path) -> None:
+    """A process that still reads its settings when SIGHUP comes goes on."""
+    settings = tmp_path / "settings"
+    os.mkfifo(settings)
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "leverdoor.platform",
+        env=os.environ | {"LEVERDOOR_SETTINGS": str(settings)},
+        stderr=asyncio.subprocess.PIPE,
+    )
+    writer = await asyncio.to_thread(open, settings, "wb")
+    process.send_signal(signal.SIGHUP)
+    writer.write(b"not settings")
+    writer.close()
+    _, told = await process.communicate()
+    assert process.returncode is not None and process.returncode > 0
+    assert b"JSON" in told
--- a/tests/test_entry_roster.py
+++ b/tests/test_entry_roster.py
@@ -9,6 +9,7 @@
     FAR_PARTNERS,
     LEAVING,
     NEAR_PARTNERS,
+    OLD_LIFE_S,
     SERVING,
     SILENCE_S,
     STARTING,
@@ -70,6 +71,18 @@
     assert r.addresses("a", "a1", SERVING, 0.1) == ["f/a1-0", "f/a1-1"]
 
 
+def test_an_entry_whose_clock_was_set_back_is_heard_again() -> None:
+    """Its new life has the lower incarnation; the old one speaks no more."""
+    r = roster()
+    r.hear(beat("a1-1", seq=40, incarnation=9), 0.0)
+    assert not r.hear(beat("a1-1", seq=1, incarnation=3), 0.2)
+    r.hear(beat("a1-1", seq=8, incarnation=3), OLD_LIFE_S + 0.1)
+    now = OLD_LIFE_S + 0.2
+    assert r.addresses("a", "a1", SERVING, now) == ["f/a1-0", "f/a1-1"]
+    r.found({"x": pack(member("a1-1", 9))}, now)
+    assert r.addresses("a", "a1", SERVING, now + 0.2) == ["f/a1-0", "f/a1-1"]
+
+
 def test_a_domain_with_one_entry_is_helped_by_its_region() -> None:
     r = roster()
     for name in ("a2-0", "a2-1", "b1-0"):
--- /dev/null
+++ b/tests/test_soak_promises.py
@@ -0,0 +1,104 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""The checks of a soak find what they are for, and nothing else."""
+
+import pytest
+
+from leverdoor.soak.promises import breaches
+from leverdoor.soak.record import Attempt, Leave, Probe, Record, Seen
+
+
+def attempt(request_id: str = "r", **more: object) -> Attempt:
+    fields: dict[str, object] = {
+        "entry": "n",
+        "path": "/file/x",
+        "once": True,
+        "digest": "d",
+        "deadline_ms": 5000,
+        "sent_at": 1.0,
+        "ended_at": 2.0,
+        "status": 200,
+        "own": True,
+        "stamped": True,
+    }
+    return Attempt(request_id=request_id, **(fields | more))  # type: ignore[arg-type]
+
+
+def run(request_id: str = "r", **more: object) -> Seen:
+    fields: dict[str, object] = {
+        "target": "t",
+        "service": "file",
+        "path": "/file/x",
+        "digest": "d",
+        "deadline_ms": 2000,
+        "at": 1.5,
+    }
+    return Seen(request_id=request_id, **(fields | more))  # type: ignore[arg-type]
+
+
+def test_what_went_well_breaks_nothing() -> None:
+    record = Record(
+        attempts=[attempt(), attempt("s", status=503, own=False, stamped=False)],
+        runs=[run()],
+        leaves=[Leave("t", 1.6)],
+        probes=[Probe("n", 1, 1, 0.0, 0.1), Probe("n", 1, 2, 0.2, 0.3)],
+        stops=[("n", 1.0, 3.0)],
+    )
+    assert breaches(record) == []
+
+
+@pytest.mark.parametrize(
+    ("word", "record"),
+    [
+        ("MIXED", Record(attempts=[attempt(own=False)], runs=[run()])),
+        ("MIXED", Record(attempts=[attempt()])),
+        ("MIXED", Record(attempts=[attempt(status=502)], runs=[run()])),
+        (
+            "REFUSED",
+            Record(attempts=[attempt(status=503, stamped=False)], runs=[run()]),
+        ),
+        ("UNASKED", Record(runs=[run()])),
+        ("UNASKED", Record(attempts=[attempt()], runs=[run(digest="other")])),
+        ("BUDGET", Record(attempts=[attempt()], runs=[run(deadline_ms=6000)])),
+        ("ROUTE", Record(attempts=[attempt()], runs=[run(service="look")])),
+        ("TWICE", Record(attempts=[attempt()], runs=[run(), run(target="u")])),
+        (
+            "BUDGET",
+            Record(attempts=[attempt(once=False)], runs=[run(), run(), run()]),
+        ),
+        (
+            "DRAIN",
+            Record(attempts=[attempt()], runs=[run()], leaves=[Leave("t", 1.4)]),
+        ),
+        (
+            "CONFIG",
+            Record(probes=[Probe("n", 1, 2, 0.0, 0.1), Probe("n", 1, 1, 0.2, 0.3)]),
+        ),
+        (
+            "LOST",
+            Record(
+                attempts=[attempt(status=0, stamped=False)],
+                runs=[run()],
+                stops=[("n", 1.2, 3.0)],
+            ),
+        ),
+    ],
+)
+def test_what_went_wrong_is_told(word: str, record: Record) -> None:
+    found = breaches(record)
+    assert len(found) == 1
+    assert found[0].startswith(word)
+
+
+def test_what_is_no_breach() -> None:
+    """Another life may know less; probes that overlap have no order; crossing cuts."""
+    probes = [Probe("n", 1, 2, 0.0, 0.1), Probe("n", 2, 1, 0.2, 0.3)]
+    assert breaches(Record(probes=probes)) == []
+    probes = [Probe("n", 1, 2, 0.0, 0.3), Probe("n", 1, 1, 0.2, 0.4)]
+    assert breaches(Record(probes=probes)) == []
+    cut = attempt(status=0, stamped=False)
+    stops = [("n", 1.2, 3.0)]
+    assert breaches(Record(attempts=[cut], stops=stops)) == []
+    struck = [("n", 0.0, 0.5)]
+    record = Record(attempts=[cut], runs=[run()], stops=stops, unplanned=struck)
+    assert breaches(record) == []
