--- a/leverdoor/commands/soak.py
+++ b/leverdoor/commands/soak.py
@@ -26,7 +26,7 @@
     seed: int | None, count: int, seconds: float, troubles: int, logs: Path | None
 ) -> None:
     """Play soaks one after the other; a line of JSON for each."""
-    from leverdoor.soak.run import Soak
+    from leverdoor.standins.soak.run import Soak
 
     first = time.time_ns() % 1_000_000_007 if seed is None else seed
     broken = 0
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -23,7 +23,7 @@
 from leverdoor.entry.lapses import Lapses, Outage
 from leverdoor.entry.metrics import EntryMetrics
 from leverdoor.entry.placement import Placement
-from leverdoor.entry.registration import Registration
+from leverdoor.entry.registration import Registration, retry_pause_s
 from leverdoor.entry.roster import (
     BEAT_S,
     LEAVING,
@@ -55,7 +55,7 @@
 """Rounds without a request before the end: some may just have been accepted."""
 BACKLOG = 512
 STORE_BACKOFF_S = 1.0
-RELOADABLE = ("grace_s", "repeat_ratio", "watchers")
+RELOADABLE = ("grace_s", "repeat_ratio", "watchers", "store_writes_per_s")
 REPEAT_SHARE = 0.5
 SHIFT_WINDOW_S = 2.0
 MOVED_SHARE = 0.53
@@ -162,7 +162,11 @@
         move_per_s = s.max_shift * MOVED_SHARE / SHIFT_WINDOW_S
         self._placement = Placement(s.region, s.domain, self._fleet, rng, move_per_s)
         self._placement.sharers = self._sharers
-        self._connections = Connections(self._dialect.headers.request_id, s.region)
+        self._connections = Connections(
+            self._dialect.headers.request_id,
+            s.region,
+            self._events.connections_forgotten,
+        )
         self._metrics = EntryMetrics()
         self._budget = RepeatBudget(
             s.repeat_ratio * REPEAT_SHARE, REPEATS_SAVED, REPEATS_FIRST
@@ -212,6 +216,9 @@
             self._member,
             self._events,
             rng,
+            lambda: retry_pause_s(
+                len(self._roster.everyone()) + 1, self._settings.store_writes_per_s
+            ),
         )
 
     def _client_connection(self) -> ClientConnection:
--- a/leverdoor/entry/events.py
+++ b/leverdoor/entry/events.py
@@ -208,6 +208,10 @@
         """A target gets nothing for a while."""
         self.emit("target_rests", target=target, reason=reason, rest_s=round(rest_s, 2))
 
+    def connections_forgotten(self, service: str) -> None:
+        """A service's targets reset idle connections; young ones are used only."""
+        self.emit("connections_forgotten", service=service)
+
     def peer(self, name: str, change: str, silent_s: float) -> None:
         """Another entry was heard from, or has been silent for too long."""
         self.emit("peer", peer=name, change=change, silent_s=round(silent_s, 2))
--- a/leverdoor/entry/registration.py
+++ b/leverdoor/entry/registration.py
@@ -3,6 +3,7 @@
 """Keeps this entry written in the store, so that others find it."""
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 
 from leverdoor.codec import pack
@@ -11,18 +12,38 @@
 from leverdoor.errors import LeverdoorError
 from leverdoor.store import LeasingStore
 
-__all__ = ["Registration"]
+__all__ = ["Registration", "retry_pause_s"]
 
 TTL_S = 15.0
 KEEP_S = 5.0
 RETRY_S = 0.5
+CALLS = 2
+"""Writing calls of one registration: its lease and its key."""
+RATE_SHARE = 0.25
+"""Part of the store's rate of writes that registrations may take together."""
+
+
+def retry_pause_s(entries: int, writes_per_s: float) -> float:
+    """Return the mean pause after a failure, so that all keep the store's rate.
+
+    Args:
+      entries: how many may register again at the same time.
+      writes_per_s: writing calls that the store takes in a second.
+    """
+    return max(RETRY_S, entries * CALLS / (RATE_SHARE * writes_per_s))
 
 
 class Registration:
     """One entry's key in the store, under a lease."""
 
     def __init__(
-        self, store: LeasingStore, key: str, member: Member, events: Events, rng: Random
+        self,
+        store: LeasingStore,
+        key: str,
+        member: Member,
+        events: Events,
+        rng: Random,
+        pause_s: Callable[[], float],
     ) -> None:
         """Create it; `run` writes.
 
@@ -32,12 +53,14 @@
           member: what to write.
           events: the entry's log.
           rng: spreads the calls after an outage.
+          pause_s: returns the mean pause after a failure, in seconds.
         """
         self._store = store
         self._key = key
         self._value = pack(member)
         self._events = events
         self._rng = rng
+        self._pause_s = pause_s
         self._lease = 0
 
     async def run(self) -> None:
@@ -53,7 +76,7 @@
                     continue
             except LeverdoorError as e:
                 self._events.process("registration failed", error=str(e))
-                await asyncio.sleep(RETRY_S * (1 + self._rng.random()))
+                await asyncio.sleep(self._pause_s() * (0.5 + self._rng.random()))
                 continue
             await asyncio.sleep(KEEP_S)
 
--- a/leverdoor/entry/settings.py
+++ b/leverdoor/entry/settings.py
@@ -41,4 +41,6 @@
     """Entries of a region that follow the store."""
     link_mbps: int = 0
     """Bandwidth of the machine's link; 0 if it is not known."""
+    store_writes_per_s: float = 400.0
+    """Writing calls that the store takes in a second, of all entries together."""
     seed: int = 0
--- a/leverdoor/platform/settings.py
+++ b/leverdoor/platform/settings.py
@@ -49,6 +49,7 @@
 
 class _Store(msgspec.Struct):
     address: str
+    writes_per_s: float = 400.0
 
 
 class PlatformSettings(_Names):
@@ -85,6 +86,7 @@
             leave_s=self.bounds.drain_ms / 1000,
             repeat_ratio=self.bounds.repeat_ratio,
             max_shift=self.bounds.max_shift,
+            store_writes_per_s=self.platform.writes_per_s,
             link_mbps=round(self.limits.link_bandwidth_mbps),
         )
 
--- a/leverdoor/soak/callers.py
+++ b/leverdoor/standins/soak/callers.py
@@ -11,9 +11,9 @@
 from yarl import URL
 
 from leverdoor.sessions import new_session
-from leverdoor.soak.record import Attempt, Probe, Record
-from leverdoor.soak.site import SoakSite, mark_path
 from leverdoor.standins.entry_site import EntryProcess
+from leverdoor.standins.soak.record import Attempt, Probe, Record
+from leverdoor.standins.soak.site import SoakSite, mark_path
 
 __all__ = ["Caller", "Prober"]
 
--- a/leverdoor/soak/promises.py
+++ b/leverdoor/standins/soak/promises.py
@@ -5,7 +5,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterator
 
-from leverdoor.soak.record import Attempt, Record, Seen
+from leverdoor.standins.soak.record import Attempt, Record, Seen
 
 __all__ = ["breaches"]
 
--- a/leverdoor/soak/run.py
+++ b/leverdoor/standins/soak/run.py
@@ -10,13 +10,13 @@
 
 import msgspec
 
-from leverdoor.soak.callers import Caller, Prober
-from leverdoor.soak.plan import Trouble, draw_plan
-from leverdoor.soak.promises import breaches
-from leverdoor.soak.record import Leave, Record, Seen
-from leverdoor.soak.site import SoakSite
-from leverdoor.soak.strikes import Strikes
 from leverdoor.standins.entry_site import SAMPLE_ROUTES, EntryProcess
+from leverdoor.standins.soak.callers import Caller, Prober
+from leverdoor.standins.soak.plan import Trouble, draw_plan
+from leverdoor.standins.soak.promises import breaches
+from leverdoor.standins.soak.record import Leave, Record, Seen
+from leverdoor.standins.soak.site import SoakSite
+from leverdoor.standins.soak.strikes import Strikes
 
 __all__ = ["Soak", "Verdict"]
 
--- a/leverdoor/soak/site.py
+++ b/leverdoor/standins/soak/site.py
@@ -5,7 +5,6 @@
 import tempfile
 from pathlib import Path
 
-from leverdoor.soak.skewed import CLOCK
 from leverdoor.standins.entry_site import (
     SAMPLE_ROUTES,
     EntryProcess,
@@ -13,6 +12,7 @@
     Place,
 )
 from leverdoor.standins.proxy import LinkFault, LoopbackProxy
+from leverdoor.standins.soak.skewed import CLOCK
 from leverdoor.standins.upstreams import UpstreamStandin
 
 __all__ = ["SoakSite", "mark_path"]
@@ -81,7 +81,7 @@
 
     def _entry(self, name: str, place: Place, store: str) -> EntryProcess:
         entry = super()._entry(name, place, store)
-        entry.program = "leverdoor.soak.skewed"
+        entry.program = "leverdoor.standins.soak.skewed"
         entry.environment[CLOCK] = str(self._clock(name))
         self.set_clock(name, 0.0)
         return entry
--- a/leverdoor/soak/skewed.py
+++ b/leverdoor/standins/soak/skewed.py
@@ -1,6 +1,6 @@
 # leverdoor: global traffic steering
 # SPDX-License-Identifier: Apache-2.0
-"""`python -m leverdoor.soak.skewed`: an entry whose time of day is off.
+"""`python -m leverdoor.standins.soak.skewed`: an entry whose time of day is off.
 
 The file that `SOAK_CLOCK` names holds the seconds to add. The product is not
 changed: what it calls for the time of day is replaced before it starts.
--- a/leverdoor/soak/strikes.py
+++ b/leverdoor/standins/soak/strikes.py
@@ -6,12 +6,12 @@
 import signal
 from collections.abc import Awaitable, Callable
 
-from leverdoor.soak.plan import Trouble, TroubleKind
-from leverdoor.soak.record import Record
-from leverdoor.soak.site import REGIONS, SERVICES, SoakSite
 from leverdoor.standins.entry_site import SAMPLE_ROUTES, EntryProcess
 from leverdoor.standins.metadata import MetadataFaults
 from leverdoor.standins.proxy import LinkFault
+from leverdoor.standins.soak.plan import Trouble, TroubleKind
+from leverdoor.standins.soak.record import Record
+from leverdoor.standins.soak.site import REGIONS, SERVICES, SoakSite
 
 __all__ = ["Strikes"]
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from leverdoor.soak.run import Soak
+from leverdoor.standins.soak.run import Soak
 
 SHORT_S = 4.0
 SHORT_TROUBLES = 8
--- a/tests/test_soak_plan.py
+++ b/tests/test_soak_plan.py
@@ -2,7 +2,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """What strikes in a soak is drawn from its seed alone."""
 
-from leverdoor.soak.plan import TroubleKind, draw_plan
+from leverdoor.standins.soak.plan import TroubleKind, draw_plan
 
 
 def test_a_seed_gives_the_same_plan_and_another_another() -> None:
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from leverdoor.soak.promises import breaches
-from leverdoor.soak.record import Attempt, Leave, Probe, Record, Seen
+from leverdoor.standins.soak.promises import breaches
+from leverdoor.standins.soak.record import Attempt, Leave, Probe, Record, Seen
 
 
 def attempt(request_id: str = "r", **more: object) -> Attempt:
