--- a/leverdoor/daemon.py
+++ b/leverdoor/daemon.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 from typing import Protocol
 
 from aiohttp import web
@@ -13,9 +14,10 @@
 from leverdoor.settings import Address
 from leverdoor.signals import EarlyReload
 
-__all__ = ["Daemon", "keep_running", "run_daemon", "serve_apps"]
+__all__ = ["Daemon", "call_on_change", "keep_running", "run_daemon", "serve_apps"]
 
 RESTART_S = 1.0
+SETTINGS_POLL_S = 2.0
 
 
 class Daemon(Protocol):
@@ -32,6 +34,7 @@
     daemon: Daemon,
     reload: Callable[[], None] | None = None,
     early: EarlyReload | None = None,
+    settings: Path | None = None,
 ) -> None:
     """Run a daemon until SIGTERM or SIGINT.
 
@@ -39,8 +42,9 @@
       daemon: what to run.
       reload: called at SIGHUP, which is passed over if it is None.
       early: knows whether the signal came before; then it is called as well.
+      settings: a file that may change without a signal; then it is called as well.
     """
-    asyncio.run(_run(daemon, reload or _pass_over, early))
+    asyncio.run(_run(daemon, reload or _pass_over, early, settings))
 
 
 def _pass_over() -> None:
@@ -62,8 +66,36 @@
             await asyncio.sleep(RESTART_S)
 
 
+async def call_on_change(path: Path, call: Callable[[], None]) -> None:
+    """Call whenever a file has changed, until cancelled.
+
+    Args:
+      path: of the file; while it can't be read, it has not changed.
+      call: takes the change.
+    """
+    before = _stamp(path)
+    while True:
+        await asyncio.sleep(SETTINGS_POLL_S)
+        now = _stamp(path)
+        if now not in (None, before):
+            before = now
+            call()
+
+
+def _stamp(path: Path) -> tuple[int, int] | None:
+    """Return what changes whenever a file is written or replaced."""
+    try:
+        found = path.stat()
+    except OSError:
+        return None
+    return found.st_mtime_ns, found.st_ino
+
+
 async def _run(
-    daemon: Daemon, reload: Callable[[], None], early: EarlyReload | None
+    daemon: Daemon,
+    reload: Callable[[], None],
+    early: EarlyReload | None,
+    settings: Path | None,
 ) -> None:
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, reload)
@@ -71,7 +103,14 @@
         loop.call_soon(reload)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, daemon.stop)
-    await daemon.run()
+    following = None
+    if settings is not None:
+        following = asyncio.create_task(call_on_change(settings, reload))
+    try:
+        await daemon.run()
+    finally:
+        if following is not None:
+            following.cancel()
 
 
 class AppsDaemon:
--- a/leverdoor/entry/connections.py
+++ b/leverdoor/entry/connections.py
@@ -3,15 +3,17 @@
 """Connections to targets that are kept for the next request."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import msgspec
 
 from leverdoor.entry.connection import (
+    AnswerLost,
     Reply,
     TargetConnection,
     open_connection,
 )
+from leverdoor.entry.rests import RestLimits
 from leverdoor.resources import Target
 from leverdoor.settings import parse_address
 
@@ -36,13 +38,18 @@
 class Connections:
     """Kept connections by target; at most one request on each."""
 
-    def __init__(self, id_header: str, region: str) -> None:
+    def __init__(
+        self, id_header: str, region: str, tell_cautious: Callable[[str], None]
+    ) -> None:
         """Create it without any connection.
 
         Args:
           id_header: the header, in lower case, that carries a request's id.
           region: this entry's region.
+          tell_cautious: called with a service whose targets forget connections.
         """
+        self._tell_cautious = tell_cautious
+        self._rests = RestLimits()
         self._id_header = id_header
         self._region = region
         self._idle: dict[str, list[TargetConnection]] = {}
@@ -55,27 +62,39 @@
           NotSent: no byte was sent.
           AnswerLost: the request may have run.
         """
-        connection = self._take(target)
+        now = asyncio.get_running_loop().time()
+        connection = self._take(target, now)
+        rested_s = 0.0 if connection is None else now - connection.idle_since
         if connection is None:
             connection = await self._open(target)
-        reply = await connection.exchange(
-            outgoing.head,
-            outgoing.body,
-            outgoing.request_id,
-            self._id_header,
-            outgoing.method == "HEAD",
-        )
+        try:
+            reply = await connection.exchange(
+                outgoing.head,
+                outgoing.body,
+                outgoing.request_id,
+                self._id_header,
+                outgoing.method == "HEAD",
+            )
+        except AnswerLost:
+            self._lost(target.service, rested_s, now)
+            raise
         self._keep(target, connection, reply)
         return reply
 
-    def _take(self, target: Target) -> TargetConnection | None:
+    def _lost(self, service: str, rested_s: float, sent_at: float) -> None:
         now = asyncio.get_running_loop().time()
+        if self._rests.lost(service, rested_s, now - sent_at, now):
+            self._tell_cautious(service)
+
+    def _take(self, target: Target, now: float) -> TargetConnection | None:
+        longest_s = self._rests.longest_s(target.service, now)
         kept = self._idle.get(target.name, [])
         while kept:
             connection = kept.pop()
             if connection.closed:
                 continue
-            if now - connection.idle_since < connection.idle_limit_s:
+            limit_s = min(connection.idle_limit_s, longest_s)
+            if now - connection.idle_since < limit_s:
                 return connection
             connection.close()
         return None
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -17,6 +17,7 @@
 from leverdoor.entry.connections import Connections
 from leverdoor.entry.dialect import Dialect
 from leverdoor.entry.events import Events
+from leverdoor.entry.finishing import STOP_POLL_S, finish
 from leverdoor.entry.fleet import Fleet
 from leverdoor.entry.forwarding import Forwarder
 from leverdoor.entry.front import Front
@@ -50,9 +51,6 @@
 """Pause before news are told, so that changes in a row are told once."""
 LISTEN_ON_S = 2.2
 STOP_MARGIN_S = 0.4
-STOP_POLL_S = 0.02
-IDLE_ROUNDS = 3
-"""Rounds without a request before the end: some may just have been accepted."""
 BACKLOG = 512
 STORE_BACKOFF_S = 1.0
 RELOADABLE = ("grace_s", "repeat_ratio", "watchers", "store_writes_per_s")
@@ -407,32 +405,6 @@
         await asyncio.sleep(LISTEN_ON_S)
         front.close()
         last = began + self._settings.grace_s - STOP_MARGIN_S
-        idle_rounds = 0
-        idle: set[object] = set()
-        while idle_rounds < IDLE_ROUNDS and loop.time() < last:
-            idle = self._close_idle(idle)
-            await asyncio.sleep(STOP_POLL_S)
-            idle_rounds = 0 if self._front.active else idle_rounds + 1
+        await finish(self._front, self._front_server, last)
         removal.cancel()
         self._events.process("drained", in_flight=self._front.active)
-
-    def _close_idle(self, before: set[object]) -> set[object]:
-        """Close the connections that were idle a moment ago and still are.
-
-        The HTTP library's own way leaves them open and deaf to what still
-        arrives until the process ends, so that a request sent meanwhile is
-        neither answered nor refused.
-
-        Args:
-          before: the connections that were idle at the last call.
-        Returns: those that are idle now.
-        """
-        idle: set[object] = set()
-        for connection in self._front_server.connections:
-            if connection in self._front.busy:
-                continue
-            if connection in before:
-                connection.force_close()
-            else:
-                idle.add(connection)
-        return idle
--- /dev/null
+++ b/leverdoor/entry/finishing.py
@@ -0,0 +1,56 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""The end of a planned stop: what is in flight is finished, the rest closed."""
+
+import asyncio
+
+from aiohttp import web
+
+from leverdoor.entry.front import Front
+
+__all__ = ["STOP_POLL_S", "finish"]
+
+STOP_POLL_S = 0.02
+IDLE_ROUNDS = 3
+"""Rounds without a request before the end: some may just have been accepted."""
+
+
+async def finish(front: Front, server: web.Server, until: float) -> None:
+    """Close idle connections until no request has been in flight for some rounds.
+
+    Args:
+      front: knows which connections have a request in flight.
+      server: holds the connections; its listener is closed already.
+      until: loop time at which it is given up, in seconds.
+    """
+    loop = asyncio.get_running_loop()
+    idle_rounds = 0
+    idle: set[object] = set()
+    while idle_rounds < IDLE_ROUNDS and loop.time() < until:
+        idle = _close_idle(front, server, idle)
+        await asyncio.sleep(STOP_POLL_S)
+        idle_rounds = 0 if front.active else idle_rounds + 1
+
+
+def _close_idle(front: Front, server: web.Server, before: set[object]) -> set[object]:
+    """Close the connections that were idle a moment ago and still are.
+
+    The HTTP library's own way leaves them open and deaf to what still
+    arrives until the process ends, so that a request sent meanwhile is
+    neither answered nor refused.
+
+    Args:
+      front: knows which connections have a request in flight.
+      server: holds the connections.
+      before: the connections that were idle at the last call.
+    Returns: those that are idle now.
+    """
+    idle: set[object] = set()
+    for connection in server.connections:
+        if connection in front.busy:
+            continue
+        if connection in before:
+            connection.force_close()
+        else:
+            idle.add(connection)
+    return idle
--- a/leverdoor/platform/program.py
+++ b/leverdoor/platform/program.py
@@ -21,15 +21,20 @@
 SETTINGS = "LEVERDOOR_SETTINGS"
 
 
+def settings_path() -> Path:
+    """Return where the settings file lies."""
+    return Path(os.environ.get(SETTINGS, ""))
+
+
 def read_settings() -> PlatformSettings:
     """Read the settings file.
 
     Raises:
       SettingsError: it is not there, or a field is missing or wrong.
     """
-    path = os.environ.get(SETTINGS, "")
+    path = settings_path()
     try:
-        return parse_settings(Path(path).read_bytes())
+        return parse_settings(path.read_bytes())
     except OSError as e:
         raise SettingsError(f"{SETTINGS}={path}: {e.strerror}") from None
 
@@ -59,6 +64,6 @@
         except SettingsError as e:
             events.process("reload failed", error=str(e))
 
-    run_daemon(entry, reload, early)
+    run_daemon(entry, reload, early, settings_path())
     writer.flush()
     return 0
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -53,3 +53,29 @@
     _, told = await process.communicate()
     assert process.returncode is not None and process.returncode > 0
     assert b"JSON" in told
+
+
+async def test_a_file_that_changes_without_a_signal_is_noticed(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(daemon, "SETTINGS_POLL_S", 0.01)
+    settings = tmp_path / "settings"
+    settings.write_text("1")
+    seen: list[str] = []
+    told = asyncio.Event()
+
+    def take() -> None:
+        seen.append(settings.read_text())
+        told.set()
+
+    task = asyncio.create_task(daemon.call_on_change(settings, take))
+    await asyncio.sleep(0.05)
+    assert seen == []
+    settings.unlink()
+    await asyncio.sleep(0.05)
+    fresh = tmp_path / "fresh"
+    fresh.write_text("2")
+    fresh.replace(settings)
+    await told.wait()
+    assert seen == ["2"]
+    task.cancel()
--- /dev/null
+++ b/tests/test_entry_connections.py
@@ -0,0 +1,71 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Kept connections, and targets that forget them."""
+
+import asyncio
+
+import pytest
+
+from desk import target
+from leverdoor.entry import rests
+from leverdoor.entry.connection import AnswerLost
+from leverdoor.entry.connections import Connections, Outgoing
+from leverdoor.entry.rests import CAUTIOUS_FOR_S, CAUTIOUS_REST_S, RestLimits
+
+LONG_S = 2 * CAUTIOUS_REST_S
+SOON_S = 0.01
+
+
+def test_a_reset_at_once_after_a_rest_shows_forgotten_connections() -> None:
+    limits = RestLimits()
+    assert limits.longest_s("s", 0.0) > 1e9
+    assert limits.lost("s", LONG_S, SOON_S, 0.0)
+    assert not limits.lost("s", LONG_S, SOON_S, 1.0)
+    assert limits.longest_s("s", 2.0) == CAUTIOUS_REST_S
+    assert limits.longest_s("other", 2.0) > 1e9
+    assert limits.longest_s("s", 1.0 + CAUTIOUS_FOR_S) > 1e9
+
+
+def test_other_lost_answers_do_not() -> None:
+    limits = RestLimits()
+    assert not limits.lost("s", 0.0, SOON_S, 0.0)
+    assert not limits.lost("s", LONG_S, 1.0, 0.0)
+    assert limits.longest_s("s", 0.0) > 1e9
+
+
+def outgoing(request_id: str) -> Outgoing:
+    head = f"POST / HTTP/1.1\r\nHost: h\r\nX-Id: {request_id}\r\n\r\n"
+    return Outgoing(request_id, "POST", head.encode(), b"")
+
+
+async def test_a_service_that_forgets_gets_young_connections(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each connection answers once and is reset by what comes next."""
+    monkeypatch.setattr(rests, "AT_ONCE_S", 30.0)
+
+    async def serve(r: asyncio.StreamReader, w: asyncio.StreamWriter) -> None:
+        head = await r.readuntil(b"\r\n\r\n")
+        request_id = head.split(b"X-Id: ")[1].split(b"\r\n")[0]
+        w.write(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Id: %b\r\n\r\n" % request_id
+        )
+        await r.read(1)
+        w.transport.abort()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    told: list[str] = []
+    connections = Connections("x-id", "a", told.append)
+    one, two = target("one", address=address), target("two", address=address)
+    for t in (one, two):
+        await connections.exchange(t, outgoing("first"))
+    await asyncio.sleep(LONG_S)
+    with pytest.raises(AnswerLost):
+        await connections.exchange(one, outgoing("second"))
+    assert told == ["s"]
+    reply = await connections.exchange(two, outgoing("third"))
+    assert reply.status == 200
+    assert connections.opened == 3
+    connections.close()
+    server.close()
