One proxy that harms links in place of two; one way to harm a target's answers

The tests' forwarder that holds one direction did a part of what the soak's proxy does. test_keyed.py strikes the proxy now, with the same two cuts and the same checks. No entry code changed.

--- a/leverdoor/standins/proxy.py
+++ b/leverdoor/standins/proxy.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from enum import StrEnum
 
+from leverdoor.settings import Address
+
 __all__ = ["LinkFault", "LoopbackProxy"]
 
 HOST = "127.0.0.1"
@@ -52,11 +54,12 @@
         self._open: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def start(self) -> str:
-        """Listen on a free port; returns the address."""
-        self._server = await asyncio.start_server(self._accept, HOST, 0)
+    async def start(self, listen: Address | None = None) -> str:
+        """Listen, on a free port if no address is given; returns the address."""
+        at = listen or Address(HOST, 0)
+        self._server = await asyncio.start_server(self._accept, at.host, at.port)
         port = self._server.sockets[0].getsockname()[1]
-        return f"{HOST}:{port}"
+        return f"{at.host}:{port}"
 
     async def close(self) -> None:
         """Stop listening and end all connections."""
--- a/leverdoor/standins/soak/strikes.py
+++ b/leverdoor/standins/soak/strikes.py
@@ -12,6 +12,7 @@
 from leverdoor.standins.soak.plan import Trouble, TroubleKind
 from leverdoor.standins.soak.record import Record
 from leverdoor.standins.soak.site import REGIONS, SERVICES, SoakSite
+from leverdoor.standins.upstreams import UpstreamStandin
 
 __all__ = ["Strikes"]
 
@@ -59,9 +60,9 @@
             kinds.LINK_CLIENTS: self._links("front/"),
             kinds.TARGET_CRASH: self._crash,
             kinds.TARGET_LEAVES: self._leave,
-            kinds.TARGET_SLOW: self._slow,
-            kinds.TARGET_LOSES_ANSWERS: self._lose_answers,
-            kinds.TARGET_REPEATS_ANSWERS: self._repeat_answers,
+            kinds.TARGET_SLOW: self._harm(_slow),
+            kinds.TARGET_LOSES_ANSWERS: self._harm(_lose_answers),
+            kinds.TARGET_REPEATS_ANSWERS: self._harm(_repeat_answers),
             kinds.TARGET_JOINS: self._join,
             kinds.ADDRESS_REUSED: self._reuse,
             kinds.CONFIGURE: self._configure,
@@ -215,29 +216,21 @@
         else:
             self._site.store.remove(f"servers/{name}")
 
-    async def _slow(self, trouble: Trouble) -> None:
-        name = self._pick_target(trouble)
-        if name is not None:
-            target = self._site.targets[name]
-            target.slow_x = SLOW_TARGET_X
-            await asyncio.sleep(trouble.for_s)
-            target.slow_x = 1.0
+    def _harm(
+        self, begin: Callable[[UpstreamStandin], None]
+    ) -> Callable[[Trouble], Awaitable[None]]:
+        """Return what harms a target's answers for a while."""
 
-    async def _lose_answers(self, trouble: Trouble) -> None:
-        name = self._pick_target(trouble)
-        if name is not None:
+        async def strike(trouble: Trouble) -> None:
+            name = self._pick_target(trouble)
+            if name is None:
+                return
             target = self._site.targets[name]
-            target.lose_every = EVERY
+            begin(target)
             await asyncio.sleep(trouble.for_s)
-            target.lose_every = 0
+            target.answer_well()
 
-    async def _repeat_answers(self, trouble: Trouble) -> None:
-        name = self._pick_target(trouble)
-        if name is not None:
-            target = self._site.targets[name]
-            target.repeat_every = EVERY
-            await asyncio.sleep(trouble.for_s)
-            target.repeat_every = 0
+        return strike
 
     async def _join(self, trouble: Trouble) -> None:
         service = SERVICES[int(trouble.variant * len(SERVICES))]
@@ -264,5 +257,17 @@
         self._site.store.remove(key)
 
 
+def _slow(target: UpstreamStandin) -> None:
+    target.slow_x = SLOW_TARGET_X
+
+
+def _lose_answers(target: UpstreamStandin) -> None:
+    target.lose_every = EVERY
+
+
+def _repeat_answers(target: UpstreamStandin) -> None:
+    target.repeat_every = EVERY
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/leverdoor/standins/upstreams.py
+++ b/leverdoor/standins/upstreams.py
@@ -53,12 +53,7 @@
         self.cold_ms = 0
         self.empty = False
         """Answers have no body and no type."""
-        self.slow_x = 1.0
-        """How many times as long as usual a request takes."""
-        self.lose_every = 0
-        """Each so many-th run's connection is reset in place of an answer."""
-        self.repeat_every = 0
-        """Each so many-th answer is followed by a second one."""
+        self.answer_well()
         self.runs: list[Run] = []
         self.refused = 0
         self.misdirected = 0
@@ -68,6 +63,15 @@
         self._free = asyncio.Semaphore(slots)
         self._warm: OrderedDict[str, None] = OrderedDict()
 
+    def answer_well(self) -> None:
+        """End what harms answers."""
+        self.slow_x = 1.0
+        """How many times as long as usual a request takes."""
+        self.lose_every = 0
+        """Each so many-th run's connection is reset in place of an answer."""
+        self.repeat_every = 0
+        """Each so many-th answer is followed by a second one."""
+
     def entry(self, address: str) -> bytes:
         """Return what the target keeps in the store of itself."""
         return serialize_json(
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator, Callable
+from functools import partial
 from random import Random
 
 from aiohttp import web
@@ -23,8 +24,8 @@
 )
 from leverdoor.settings import AgentSettings, GateSettings, parse_address
 from leverdoor.standins.deployments import Deployment, EntryVm, TargetPlan
-from leverdoor.standins.forwarder import Forwarder
 from leverdoor.standins.kv import KvStandin
+from leverdoor.standins.proxy import LoopbackProxy
 from leverdoor.standins.site import HOST, free_ports
 from leverdoor.standins.targets import TargetStandin
 from leverdoor.standins.vms import VmListStandin
@@ -101,7 +102,7 @@
             target.faults.mean_ms = mean_ms
             self.targets[t.name] = target
         self.places = {v.vm: [ports.pop() for _ in range(5)] for v in deployment.vms}
-        self.links: dict[str, Forwarder] = {}
+        self.links: dict[str, LoopbackProxy] = {}
         self._link_at = {
             v.vm: f"{HOST}:{p}"
             for v, p in zip(
@@ -129,8 +130,8 @@
         for target in self.targets.values():
             await self._serve(target.app(), str(target.address))
         for vm in self.deployment.vms:
-            link = Forwarder(parse_address(self.places[vm.vm][4]))
-            await link.open(parse_address(self._link_at[vm.vm]))
+            link = LoopbackProxy(partial(self.places[vm.vm].__getitem__, 4))
+            await link.start(parse_address(self._link_at[vm.vm]))
             self.links[vm.vm] = link
             self.start_agent(vm)
             self.start_gate(vm)
--- a/tests/test_keyed.py
+++ b/tests/test_keyed.py
@@ -12,6 +12,7 @@
 from leverdoor import headers as h
 from leverdoor.client import Reply
 from leverdoor.errors import Code, Refusal, Run
+from leverdoor.standins.proxy import LinkFault
 
 
 async def test_a_repeat_with_the_same_key_gets_the_same_answer(
@@ -131,15 +132,17 @@
     assert runs(bench, "once") == []
 
 
-@pytest.mark.parametrize("direction", ["cut_there", "cut_back"])
-async def test_a_link_cut_in_one_direction_breaks_no_promise(direction: str) -> None:
+@pytest.mark.parametrize("direction", [LinkFault.HOLD_REQUESTS, LinkFault.HOLD_ANSWERS])
+async def test_a_link_cut_in_one_direction_breaks_no_promise(
+    direction: LinkFault,
+) -> None:
     """Forwards to a gate hang; what callers are told agrees with the targets."""
     async with running(deployment(), linked=True) as bench:
         await _cut(bench, direction)
 
 
-async def _cut(bench: Bench, direction: str) -> None:
-    setattr(bench.links["vm01"], direction, True)
+async def _cut(bench: Bench, direction: LinkFault) -> None:
+    bench.links["vm01"].strike(direction)
     told: dict[str, Run] = {}
 
     async def one(i: int, service: str) -> Reply | None:
