Warm and cold runs are told apart by their times; overflow goes to one further target

Cause: a key's first target passed for warm whether it was or not, and what was full sent its keys to any of five further targets that had room.

Now: run times are split into two clusters; from them an entry learns how often the first, second, ... choice for a key runs cold and which targets forget keys that they were sent; only the first two targets of a key are asked, the second cold only below half of its slots and while it keeps its keys.

--- a/leverdoor/entry/placement.py
+++ b/leverdoor/entry/placement.py
@@ -12,17 +12,20 @@
 from leverdoor.entry.fleet import Fleet, TargetState
 from leverdoor.entry.sharing import NO_SLOTS, ShareBook
 from leverdoor.entry.spill import MOVE_PER_S
-from leverdoor.entry.times import DEFAULT_LATENCY_MS, ServiceTimes, SizeBook, TimeBook
+from leverdoor.entry.times import DEFAULT_LATENCY_MS, SizeBook, TimeBook
+from leverdoor.entry.warmth import RANKS, WarmthBook
 from leverdoor.errors import Code
 from leverdoor.resources import Route, Target
 
 __all__ = ["Asked", "Chosen", "Placement", "Unplaced"]
 
-COLD_ROOM = 0.6
-"""Load over slots up to which a target may be asked for what it has not seen.
+LIKELY_COLD = 0.5
+"""Share of cold runs from which on a choice counts as cold; chosen, not measured."""
+COLD_ROOM = 0.5
+"""Load over slots up to which a key's second target may be asked for it cold.
 
-A run for an unseen key takes about three times as long: when targets are busy,
-spreading keys over more of them makes all of them slower.
+A cold run takes about three times as long: where targets are busy, it makes all
+of them slower.
 """
 LEAST_WAIT_SHARE = 0.8
 """Longest wait that is always accepted, as a share of the target latency.
@@ -40,6 +43,8 @@
 FIRST_RETRY_MS = 150
 RETRY_SPREAD_MS = 350
 CANDIDATES = 6
+SECOND = 1
+"""Rank of the further target that a key is kept warm at."""
 MANY_TARGETS = 8
 """Targets of a domain from which on it keeps large requests to itself."""
 TOLD_TARGETS = 3
@@ -64,7 +69,12 @@
     """Send it to this target; it is counted there already."""
 
     target: Target
-    warm: bool
+    rank: int
+    """Place of the target in its region's order for the key."""
+    seen: bool
+    """Whether this entry had an answer for the key from there."""
+    cold_share: float
+    """How likely the run was taken to be cold."""
     expected_ms: float
     load: float
     """Requests that it was believed to have, of all entries, this one aside."""
@@ -81,6 +91,21 @@
     reason: str
 
 
+class _Option(msgspec.Struct, frozen=True):
+    """One target for a request, weighed."""
+
+    state: TargetState
+    rank: int
+    seen: bool
+    cold_share: float
+    wait_ms: float
+    """Expected time in the target's queue."""
+    takes_ms: float
+    """Wait and run, as expected."""
+    price_ms: float
+    """What options are compared by."""
+
+
 class Placement:
     """Chooses targets by key, place and load."""
 
@@ -109,6 +134,7 @@
         self._by_region: dict[tuple[str, str], Ranking] = {}
         self._by_domain: dict[tuple[str, str], Ranking] = {}
         self._times = TimeBook()
+        self._warmth = WarmthBook()
         self._sizes = SizeBook()
         self.shares = ShareBook(region, fleet, move_per_s)
         self._weights: dict[str, dict[str, float]] = {}
@@ -131,6 +157,7 @@
         self._by_domain = _rankings(domains, self._by_domain)
         self.shares.renew(catalog.regions, regions)
         self._times.keep_only(catalog.route_names)
+        self._warmth.keep_only(set(catalog.targets))
 
     def pick_service(self, route: Route) -> str:
         """Choose among the services of a route so that their weights hold."""
@@ -247,51 +274,73 @@
     def _quickest(
         self, asked: Asked, candidates: list[Target], reason: str, now: float
     ) -> Chosen | None:
-        times = self._times.of(asked.route, asked.service)
-        best: tuple[float, Target, TargetState, bool] | None = None
-        most = self._most_wait_ms(asked, times, now)
-        first = True
+        options: list[_Option] = []
         for target in candidates:
             if target.name in asked.tried:
                 continue
             state = self._fleet.of(target, now)
             if not state.usable(now) or state.cold(now):
                 continue
-            load = state.load(now)
-            seen = not asked.route.affinity or state.saw(asked.key)
-            warm = seen or (first and reason != "stray")
-            first = False
-            if not warm and load >= COLD_ROOM * target.slots:
-                continue
-            over = load - target.slots + 1
-            takes = times.fast_ms if warm else times.slow_ms
-            wait_ms = max(over, 0) * times.fast_ms / target.slots
-            if wait_ms > most:
-                continue
-            cost = wait_ms + takes
-            if target.domain != self._domain:
-                cost += OTHER_DOMAIN_MS
-            if best is None or cost < best[0]:
-                best = (cost, target, state, warm)
-        if best is None:
+            rank = RANKS - 1 if reason == "stray" else len(options)
+            options.append(self._option(asked, state, rank, now))
+            if len(options) > SECOND:
+                break
+        most_ms = self._most_wait_ms(asked, now)
+        fitting = [o for o in options if o.wait_ms <= most_ms and self._admits(o, now)]
+        if not fitting:
             return None
-        cost, target, state, warm = best
-        return self._take(asked, state, warm, cost, reason, now)
+        best = min(fitting, key=lambda o: o.price_ms)
+        return self._take(asked, best, reason, now)
+
+    def _option(
+        self, asked: Asked, state: TargetState, rank: int, now: float
+    ) -> "_Option":
+        """Weigh one target."""
+        target = state.target
+        times = self._times.of(asked.route, asked.service)
+        seen = not asked.route.affinity or state.saw(asked.key)
+        cold_share = self._warmth.cold_share(target, rank, seen)
+        over = max(state.load(now) - target.slots + 1, 0.0)
+        run_ms = times.run_ms(self._warmth.forgotten_share(target))
+        wait_ms = over * run_ms / target.slots
+        takes_ms = wait_ms + times.run_ms(cold_share)
+        price_ms = takes_ms
+        if rank == 0 and not seen:
+            # It must become warm somewhere: a cold run here is no reason to go on.
+            price_ms = wait_ms + times.fast_ms
+        if target.domain != self._domain:
+            price_ms += OTHER_DOMAIN_MS
+        return _Option(state, rank, seen, cold_share, wait_ms, takes_ms, price_ms)
+
+    def _admits(self, option: "_Option", now: float) -> bool:
+        """Say whether a target may be asked for a key that is likely cold there.
+
+        Only the first two of a key's targets may: all entries agree on them, so
+        that a key costs few cold runs in all. Overflow to whatever has room costs
+        one at each entry and target, and makes a loaded region slower still.
+        """
+        if option.rank == 0 or option.cold_share < LIKELY_COLD:
+            return True
+        state = option.state
+        if self._warmth.forgets(state.target):
+            return False
+        return state.load(now) < COLD_ROOM * state.target.slots
 
-    def _take(
-        self,
-        asked: Asked,
-        state: TargetState,
-        warm: bool,
-        expected_ms: float,
-        reason: str,
-        now: float,
-    ) -> Chosen:
+    def _take(self, asked: Asked, option: "_Option", reason: str, now: float) -> Chosen:
+        state = option.state
         load = state.load(now)
         age_ms = state.load_age_ms(now)
         state.sent(now)
-        state.remember(asked.key)
-        return Chosen(state.target, warm, expected_ms, load, age_ms, reason)
+        return Chosen(
+            state.target,
+            option.rank,
+            option.seen,
+            option.cold_share,
+            option.takes_ms,
+            load,
+            age_ms,
+            reason,
+        )
 
     def _cold(self, asked: Asked, regions: list[str], now: float) -> Chosen | None:
         """Use a cold target within this entry's share of what it bears."""
@@ -312,11 +361,13 @@
                 if per_s and not state.spend_allowance(share, now):
                     continue
                 slow_ms = self._times.of(asked.route, asked.service).slow_ms
-                return self._take(asked, state, False, slow_ms, "cold", now)
+                option = _Option(state, RANKS, False, 1.0, 0.0, slow_ms, slow_ms)
+                return self._take(asked, option, "cold", now)
         return None
 
-    def _most_wait_ms(self, asked: Asked, times: ServiceTimes, now: float) -> float:
+    def _most_wait_ms(self, asked: Asked, now: float) -> float:
         """Return the longest wait at a target that still makes sense."""
+        times = self._times.of(asked.route, asked.service)
         aim = asked.route.target_latency_ms or DEFAULT_LATENCY_MS
         spent = (now - asked.arrived) * 1000
         wait = max(aim - spent - times.fast_ms * 1.2, LEAST_WAIT_SHARE * aim)
@@ -347,10 +398,20 @@
         self._sizes.learn(asked.service, size)
         state = self._fleet.of(chosen.target, now)
         rests = state.answered(took_ms / max(chosen.expected_ms, 1.0), now)
-        if chosen.load <= chosen.target.slots and chosen.target.region == self._region:
-            self._times.of(asked.route, asked.service).learn(took_ms, chosen.warm)
+        if chosen.load < chosen.target.slots:
+            self._learn_run(asked, chosen, took_ms)
+        state.remember(asked.key)
         return rests
 
+    def _learn_run(self, asked: Asked, chosen: Chosen, took_ms: float) -> None:
+        """Learn from the time of a run that had a slot at once."""
+        times = self._times.of(asked.route, asked.service)
+        if asked.route.affinity:
+            cold = times.is_cold(took_ms)
+            self._warmth.learn(chosen.target, chosen.rank, chosen.seen, cold)
+        if chosen.target.region == self._region:
+            times.learn(took_ms)
+
     def ended(self, chosen: Chosen, now: float) -> None:
         """Count a request that ended, however it did."""
         self._fleet.of(chosen.target, now).ended()
--- a/leverdoor/entry/times.py
+++ b/leverdoor/entry/times.py
@@ -1,6 +1,6 @@
 # leverdoor: global traffic steering
 # SPDX-License-Identifier: Apache-2.0
-"""How long requests take at targets, by whether their key was seen, and how large."""
+"""How long warm and cold runs of requests take at targets, and how large they are."""
 
 import msgspec
 
@@ -11,9 +11,13 @@
 FAST_SHARE = 0.4
 SLOW_SHARE = 1.3
 """First guesses, as shares of the target latency."""
-STEP = 0.03
-FAST_QUANTILE = 0.4
-SLOW_QUANTILE = 0.6
+CLUSTER_WEIGHT = 0.05
+"""Weight of one run in the mean of its cluster; chosen, about twenty runs."""
+LEAST_RATIO = 1.5
+"""Least ratio of a cold run's time to a warm one's; closer, they are one cluster.
+
+Chosen: half of the users' ratio of 3.3, far above the spread of one cluster.
+"""
 DEFAULT_LATENCY_MS = 500
 HEAVY_BYTES = 2_500
 LIGHT_BYTES = 1_250
@@ -22,23 +26,28 @@
 
 
 class ServiceTimes(msgspec.Struct):
-    """Times of one route's requests at one service."""
+    """Times of one route's requests at one service: two clusters."""
 
     fast_ms: float
-    """Where the key was seen lately."""
+    """Mean of warm runs."""
     slow_ms: float
+    """Mean of cold runs."""
 
-    def learn(self, took_ms: float, warm: bool) -> None:
-        """Take the time of one answer.
+    def is_cold(self, took_ms: float) -> bool:
+        """Say in which cluster a run's time lies, by ratio."""
+        return took_ms * took_ms > self.fast_ms * self.slow_ms
 
-        Both follow a quantile and not the mean, since what is taken for warm
-        is often cold at first, and what is taken for cold may have been
-        warmed by another entry.
-        """
-        if warm:
-            self.fast_ms = _toward(self.fast_ms, took_ms, FAST_QUANTILE)
+    def learn(self, took_ms: float) -> None:
+        """Take the time of a run that did not wait; it moves the nearer cluster."""
+        if self.is_cold(took_ms):
+            self.slow_ms += CLUSTER_WEIGHT * (took_ms - self.slow_ms)
         else:
-            self.slow_ms = _toward(self.slow_ms, took_ms, SLOW_QUANTILE)
+            self.fast_ms += CLUSTER_WEIGHT * (took_ms - self.fast_ms)
+        self.slow_ms = max(self.slow_ms, LEAST_RATIO * self.fast_ms)
+
+    def run_ms(self, cold_share: float) -> float:
+        """Return the mean time of runs of which a share is cold."""
+        return self.fast_ms + cold_share * (self.slow_ms - self.fast_ms)
 
 
 class TimeBook:
@@ -90,9 +99,3 @@
         """Say whether the bytes of a service are worth saving."""
         known = self._known.get(service)
         return known is not None and known.heavy
-
-
-def _toward(estimate: float, sample: float, quantile: float) -> float:
-    """Move an estimate of a quantile by one sample."""
-    step = STEP * estimate
-    return estimate + step * (quantile if sample > estimate else quantile - 1.0)
--- a/leverdoor/explaining.py
+++ b/leverdoor/explaining.py
@@ -91,7 +91,7 @@
             f"{when}: attempt {f['attempt']} at {f['target']} ({f['region']}) by"
             f" '{f['reason']}', load {f['load']}/{f['slots']} told"
             f" {f['load_age_ms']} ms before, key {f['key']}"
-            f" {'seen' if f['warm'] else 'not seen'} there, expected"
+            f" {'seen' if f['seen'] else 'not seen'} there, expected"
             f" {f['expected_ms']} ms, took {f['took_ms']} ms: {f['outcome']}"
         )
     if e.event == "refused":
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -81,6 +81,15 @@
         self.placement.ended(found, self.now)
         return found.target.name
 
+    def serve(self, key: str, took_ms: float) -> str:
+        """Place a request and answer it; return the target's name."""
+        asked = self.ask(key)
+        found = self.placement.place(asked, self.now)
+        assert isinstance(found, Chosen), found
+        self.placement.ended(found, self.now)
+        self.placement.answered(asked, found, took_ms, 100, self.now)
+        return found.target.name
+
     def fill(self, target: Target, load: int) -> None:
         state = self.fleet.of(target, self.now)
         state.told_by_peer("other", load, self.now)
--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -65,11 +65,51 @@
     desk = Desk(*targets)
     home, second = Ranking(targets).order("k")
     desk.fill(home, SLOTS * 4)
-    assert desk.name("k") == second.name
+    assert desk.serve("k", took_ms=600) == second.name
     desk.fill(second, SLOTS)
     assert desk.name("k") == second.name
 
 
+def test_a_key_is_asked_for_at_its_first_two_targets_only() -> None:
+    """All entries agree on these two; others would run it cold at each entry."""
+    targets = [target(f"t{i}") for i in range(4)]
+    desk = Desk(*targets)
+    first, second, third, _ = Ranking(targets).order("k")
+    desk.fill(first, SLOTS * 4)
+    assert desk.name("k") == second.name
+    desk.fill(second, SLOTS * 4)
+    assert isinstance(desk.place("k"), Unplaced)
+    desk.fleet.of(first, desk.now).unreached(desk.now)
+    assert desk.name("k") == third.name, "one that is out does not count"
+
+
+def test_a_target_that_forgets_its_keys_is_given_no_new_ones() -> None:
+    targets = [target(f"t{i}") for i in range(2)]
+    desk = Desk(*targets)
+    home, second = Ranking(targets).order("k")
+    mine = [f"k{i}" for i in range(60)]
+    mine = [k for k in mine if Ranking(targets).order(k)[0].name == second.name]
+    for _ in range(3):
+        for key in mine[:10]:
+            assert desk.serve(key, took_ms=900) == second.name
+    desk.fill(home, SLOTS * 4)
+    assert isinstance(desk.place("k"), Unplaced)
+
+
+def test_waits_are_reckoned_with_the_runs_that_are_there() -> None:
+    """A queue of cold runs moves more slowly than one of warm runs."""
+    only = target("t")
+    warm, cold = Desk(only), Desk(only)
+    for _ in range(20):
+        warm.serve("k", took_ms=200)
+        cold.serve("k", took_ms=650)
+    for desk in (warm, cold):
+        desk.fill(only, SLOTS + 2)
+    ready, late = warm.place("k"), cold.place("k")
+    assert isinstance(ready, Chosen)
+    assert isinstance(late, Unplaced) or late.expected_ms > ready.expected_ms
+
+
 def test_the_least_urgent_are_refused_first() -> None:
     only = target("t")
     desk = Desk(only)
--- /dev/null
+++ b/tests/test_entry_warmth.py
@@ -0,0 +1,56 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""What run times tell of caches: warm and cold runs, targets that forget."""
+
+from desk import target
+from leverdoor.entry.times import ServiceTimes
+from leverdoor.entry.warmth import RANKS, WarmthBook
+
+
+def test_times_fall_into_two_clusters_whatever_was_expected() -> None:
+    times = ServiceTimes(fast_ms=200.0, slow_ms=650.0)
+    for turn in range(400):
+        times.learn(90.0 if turn % 4 else 320.0)
+    assert 85 < times.fast_ms < 95
+    assert 300 < times.slow_ms < 340
+    assert times.is_cold(250.0)
+    assert not times.is_cold(120.0)
+
+
+def test_one_cluster_alone_moves_the_other_with_it() -> None:
+    times = ServiceTimes(fast_ms=200.0, slow_ms=650.0)
+    for _ in range(400):
+        times.learn(300.0)
+    assert 290 < times.fast_ms < 310
+    assert times.slow_ms > 1.4 * times.fast_ms
+
+
+def test_first_choices_pass_for_warm_and_others_for_cold_until_seen() -> None:
+    book = WarmthBook()
+    one = target("t")
+    assert book.cold_share(one, 0, seen=False) == 0.0
+    assert book.cold_share(one, 1, seen=False) == 1.0
+    assert book.cold_share(one, 1, seen=True) == 0.0
+
+
+def test_the_share_of_cold_runs_follows_what_runs_show() -> None:
+    book = WarmthBook()
+    one = target("t")
+    for _ in range(40):
+        book.learn(one, 0, seen=False, cold=True)
+        book.learn(one, 1, seen=False, cold=False)
+    assert book.cold_share(one, 0, seen=False) > 0.9
+    assert book.cold_share(one, 1, seen=False) < 0.1
+    assert book.cold_share(one, RANKS + 3, seen=False) == 1.0
+
+
+def test_a_target_that_runs_known_keys_cold_forgets() -> None:
+    book = WarmthBook()
+    one, other = target("t"), target("u")
+    for _ in range(20):
+        book.learn(one, 0, seen=True, cold=True)
+        book.learn(other, 0, seen=True, cold=False)
+    assert book.forgets(one)
+    assert not book.forgets(other)
+    book.keep_only({"u"})
+    assert not book.forgets(one)
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -93,7 +93,7 @@
 "detail":"HTTP 503"}
 12.9 n1 {"t":2.5,"event":"attempt_failed","entry":"n1","request_id":"r","route":"x",\
 "service":"s","key":"k","version":"2","target":"i-1","region":"a","attempt":1,\
-"reason":"share","load":3,"slots":2,"load_age_ms":90,"warm":true,"expected_ms":200,\
+"reason":"share","load":3,"slots":2,"load_age_ms":90,"seen":true,"expected_ms":200,\
 "took_ms":1400,"outcome":"ANSWER_LOST"}
 12.9 n1 {"t":2.5,"event":"target_rests","entry":"n1","target":"i-1",\
 "reason":"answer lost","rest_s":1.0}
