A region with few targets begins with its fair part of the keys

Cause: it kept 1.4 times its part of the slots, so that at a start its targets were asked for more than others while others idled, until shares moved (4% a second at most).

--- a/leverdoor/entry/spill.py
+++ b/leverdoor/entry/spill.py
@@ -33,8 +33,6 @@
 UNKNOWN_PRESSURE = 9.0
 LEAST_SHARE = 1e-9
 LEAST_PLACE = 1e-18
-KEPT_X = 1.4
-"""Times its part of the slots that a region with few of them keeps of its keys."""
 
 
 class RegionShares:
@@ -155,12 +153,12 @@
 def first_shares(own: str, slots: Mapping[str, int]) -> dict[str, float]:
     """Return the shares to start from, before any load is known.
 
-    A region with much less than the mean of slots will be short of them when
-    its clients are as many as elsewhere; the rest goes where slots are.
+    A region with less than the mean of slots will be short of them when its
+    clients are as many as elsewhere; what goes beyond goes where slots are.
     """
     mean = sum(slots.values()) / max(len(slots), 1)
     others = sum(v for r, v in slots.items() if r != own)
-    kept = min(1.0, KEPT_X * slots.get(own, 0) / mean) if mean else 1.0
+    kept = min(1.0, slots.get(own, 0) / mean) if mean else 1.0
     if not others:
         kept = 1.0
     found = {own: kept}
--- a/tests/test_entry_spill.py
+++ b/tests/test_entry_spill.py
@@ -7,7 +7,7 @@
 import pytest
 
 from desk import Desk, target
-from leverdoor.entry.spill import KEPT_X, MOVE_PER_S, RegionShares, first_shares
+from leverdoor.entry.spill import MOVE_PER_S, RegionShares, first_shares
 
 
 def pressures(own: float, other: float = 0.2) -> dict[str, float]:
@@ -66,8 +66,8 @@
 def test_first_shares_follow_slots() -> None:
     shares = first_shares("a", {"a": 18, "b": 99, "c": 99})
     part = 18 / 72
-    assert shares["a"] == pytest.approx(KEPT_X * part)
-    assert shares["b"] == shares["c"] == pytest.approx((1 - KEPT_X * part) / 2)
+    assert shares["a"] == pytest.approx(part)
+    assert shares["b"] == shares["c"] == pytest.approx((1 - part) / 2)
     assert first_shares("a", {"a": 9, "b": 0})["a"] == 1.0
     assert first_shares("a", {"a": 0, "b": 9})["b"] == 1.0
 
