Subpackages that show the architecture

55 modules lay flat beside each other, two products' halves mixed. Now: model, membership, storage below; agent and gate (a plain site's control and data path), entry and platform; clients, what logs tell, commands and queries, stand-ins.

--- a/benchmarks/agents.py
+++ b/benchmarks/agents.py
@@ -19,9 +19,9 @@
 import aiohttp
 import msgspec
 
-from leverdoor.api import Status
-from leverdoor.operator import Operator
-from leverdoor.resources import Region, Resource, Service, Tier, Work
+from leverdoor.agent.api import Status
+from leverdoor.client.operator import Operator
+from leverdoor.model.resources import Region, Resource, Service, Tier, Work
 from leverdoor.standins.deployments import Deployment, EntryVm
 from leverdoor.standins.site import Site
 
--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -25,14 +25,21 @@
     run_queue,
     run_simple,
 )
-from leverdoor import ownership
-from leverdoor.holdings import Holdings
-from leverdoor.ownership import Ack, Member, Table, plan
-from leverdoor.peers import Beat, GateState
-from leverdoor.queueing import Job
-from leverdoor.resources import Region, Resource, Service, Target, Work, resource_key
-from leverdoor.scheduler import Dispatch, Forward, Refuse, Scheduler
-from leverdoor.view import DEFAULT_TIER, BlockMap, View
+from leverdoor.gate.holdings import Holdings
+from leverdoor.gate.queueing import Job
+from leverdoor.gate.scheduler import Dispatch, Forward, Refuse, Scheduler
+from leverdoor.membership import ownership
+from leverdoor.membership.ownership import Ack, Member, Table, plan
+from leverdoor.membership.peers import Beat, GateState
+from leverdoor.model.resources import (
+    Region,
+    Resource,
+    Service,
+    Target,
+    Work,
+    resource_key,
+)
+from leverdoor.storage.view import DEFAULT_TIER, BlockMap, View
 
 HOP_S = 0.001
 TICK_S = 0.02
--- a/benchmarks/entry_slopes.py
+++ b/benchmarks/entry_slopes.py
@@ -18,7 +18,7 @@
 from leverdoor.entry.fleet import Fleet
 from leverdoor.entry.placement import Asked, Chosen, Placement
 from leverdoor.entry.roster import SERVING, EntryBeat, Member, Roster
-from leverdoor.resources import Region, Resource, Route, Service, Target, Work
+from leverdoor.model.resources import Region, Resource, Route, Service, Target, Work
 
 RUNS = 7
 REGIONS = ("a", "b", "c")
--- a/benchmarks/experiments.py
+++ b/benchmarks/experiments.py
@@ -16,10 +16,10 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
+from leverdoor.client.load import Load, LoadPlan, LoadResult, Stream, StreamResult
+from leverdoor.client.operator import Operator
 from leverdoor.errors import Run
-from leverdoor.load import Load, LoadPlan, LoadResult, Stream, StreamResult
-from leverdoor.operator import Operator
-from leverdoor.resources import Drain
+from leverdoor.model.resources import Drain
 from leverdoor.standins.deployments import DEPLOYMENTS, build
 from leverdoor.standins.site import Site, configure, target_logs
 
--- a/benchmarks/overhead.py
+++ b/benchmarks/overhead.py
@@ -18,8 +18,8 @@
 
 import aiohttp
 
-from leverdoor.client import Caller
-from leverdoor.operator import Operator
+from leverdoor.client.caller import Caller
+from leverdoor.client.operator import Operator
 from leverdoor.standins.deployments import Deployment, EntryVm, TargetPlan, build
 from leverdoor.standins.site import Site, configure
 
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -26,7 +26,7 @@
 from leverdoor.entry.dialect import TargetLoad
 from leverdoor.entry.fleet import Fleet
 from leverdoor.entry.placement import Asked, Chosen, Placement
-from leverdoor.resources import Region, Resource, Route, Service, Target, Work
+from leverdoor.model.resources import Region, Resource, Route, Service, Target, Work
 
 REGIONS = ("a", "b", "c")
 SLOTS = 9
--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -17,11 +17,11 @@
 from pathlib import Path
 from typing import Any
 
-from leverdoor.client import Caller
+from leverdoor.client.caller import Caller
+from leverdoor.client.load import Load, LoadPlan, Stream
+from leverdoor.client.operator import Operator
 from leverdoor.errors import LeverdoorError
-from leverdoor.load import Load, LoadPlan, Stream
-from leverdoor.operator import Operator
-from leverdoor.resources import Drain, Resource, Target, Tier
+from leverdoor.model.resources import Drain, Resource, Target, Tier
 from leverdoor.standins.deployments import build
 from leverdoor.standins.site import Site, configure, free_slots, target_logs
 
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -19,9 +19,8 @@
 from collections.abc import Callable, Sequence
 from random import Random
 
-from leverdoor.blocks import BlockMap, compile_chunk
 from leverdoor.codec import pack, unpack
-from leverdoor.ownership import (
+from leverdoor.membership.ownership import (
     Ack,
     Member,
     RowSpec,
@@ -30,8 +29,9 @@
     plan,
     serialize_table,
 )
-from leverdoor.peers import Beat, GateState, Gossip, Load, Peers
-from leverdoor.resources import (
+from leverdoor.membership.peers import Beat, GateState, Gossip, Load, Peers
+from leverdoor.model.blocks import BlockMap, compile_chunk
+from leverdoor.model.resources import (
     ClientBlocks,
     Region,
     Resource,
@@ -41,9 +41,9 @@
     resource_key,
     serialize_resource,
 )
-from leverdoor.state import RESOURCES, Delta, State
-from leverdoor.store import Event
-from leverdoor.view import View, ViewCache
+from leverdoor.storage.state import RESOURCES, Delta, State
+from leverdoor.storage.store import Event
+from leverdoor.storage.view import View, ViewCache
 
 REPEATS = 3
 CHUNK = 5_000
@@ -323,10 +323,10 @@
 
 def request() -> None:
     """Processor time of the decisions of one request, without I/O."""
-    from leverdoor.holdings import Holdings
-    from leverdoor.queueing import Job
-    from leverdoor.scheduler import Dispatch, Scheduler
-    from leverdoor.view import DEFAULT_TIER
+    from leverdoor.gate.holdings import Holdings
+    from leverdoor.gate.queueing import Job
+    from leverdoor.gate.scheduler import Dispatch, Scheduler
+    from leverdoor.storage.view import DEFAULT_TIER
 
     points = []
     for targets in (8, 16, 32, 64):
--- a/examples/run.py
+++ b/examples/run.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from leverdoor.client import Caller, Reply
+from leverdoor.client.caller import Caller, Reply
 from leverdoor.standins.deployments import Deployment, build
 from leverdoor.standins.site import Site
 
--- a/leverdoor/api.py
+++ b/leverdoor/agent/api.py
@@ -10,21 +10,21 @@
 from loguru import logger
 from returns.result import Failure, Result
 
+from leverdoor.agent.reports import Reporter
 from leverdoor.answers import json_answer, problem_answer
 from leverdoor.codec import pack, serialize_json
-from leverdoor.configuration import Applied, Configuration
 from leverdoor.errors import Code, ConfigError, LeverdoorError
 from leverdoor.metrics import AgentMetrics
-from leverdoor.reports import Reporter
-from leverdoor.resources import (
+from leverdoor.model.resources import (
     KINDS,
     Resource,
     parse_resource,
     parse_resources,
     resource_key,
 )
-from leverdoor.state import RESOURCES, Delta, State
-from leverdoor.store import Entry, Event
+from leverdoor.storage.configuration import Applied, Configuration
+from leverdoor.storage.state import RESOURCES, Delta, State
+from leverdoor.storage.store import Entry, Event
 
 __all__ = ["Api", "Change", "Item", "ItemList", "Status"]
 
--- a/leverdoor/agent.py
+++ b/leverdoor/agent/daemon.py
@@ -11,24 +11,24 @@
 from aiohttp import web
 from loguru import logger
 
-from leverdoor.api import Api
-from leverdoor.configuration import Configuration
+from leverdoor.agent.api import Api
+from leverdoor.agent.link import AgentLink, GateReport, Hints
+from leverdoor.agent.planning import Planner
+from leverdoor.agent.probing import Prober
+from leverdoor.agent.reports import Reporter
 from leverdoor.daemon import keep_running
 from leverdoor.errors import LeverdoorError
-from leverdoor.etcd import EtcdStore
-from leverdoor.following import PeerFollower, StoreFollower, elected
-from leverdoor.gossip import GossipSocket
-from leverdoor.link import AgentLink, GateReport, Hints
+from leverdoor.membership.gossip import GossipSocket
+from leverdoor.membership.peers import Beat, Gossip, Peers
 from leverdoor.metrics import AgentMetrics
-from leverdoor.peers import Beat, Gossip, Peers
-from leverdoor.planning import Planner
-from leverdoor.probing import Prober
-from leverdoor.reports import Reporter
+from leverdoor.model.targets import Probe
 from leverdoor.settings import AgentSettings
-from leverdoor.state import Delta, State
-from leverdoor.targets import Probe
-from leverdoor.view import ViewCache
-from leverdoor.vmlist import Departures, HttpVmList, VmState
+from leverdoor.storage.configuration import Configuration
+from leverdoor.storage.etcd import EtcdStore
+from leverdoor.storage.following import PeerFollower, StoreFollower, elected
+from leverdoor.storage.state import Delta, State
+from leverdoor.storage.view import ViewCache
+from leverdoor.storage.vmlist import Departures, HttpVmList, VmState
 
 __all__ = ["Agent"]
 
--- a/leverdoor/link.py
+++ b/leverdoor/agent/link.py
@@ -9,11 +9,11 @@
 import zmq.asyncio
 
 from leverdoor.codec import pack, unpack
-from leverdoor.ownership import Ack
-from leverdoor.peers import Beat, GateState, Load
+from leverdoor.membership.ownership import Ack
+from leverdoor.membership.peers import Beat, GateState, Load
+from leverdoor.model.targets import Probe
 from leverdoor.settings import Address
-from leverdoor.state import Delta
-from leverdoor.targets import Probe
+from leverdoor.storage.state import Delta
 
 __all__ = ["AgentLink", "FromAgent", "GateLink", "GateReport", "Hints"]
 
--- a/leverdoor/planning.py
+++ b/leverdoor/agent/planning.py
@@ -9,11 +9,11 @@
 from loguru import logger
 
 from leverdoor.errors import StoreUnavailable, StoreUnknown
-from leverdoor.ownership import Ack, Member, Table, plan, serialize_table
-from leverdoor.peers import GateState, Peers
-from leverdoor.state import TABLES, State
-from leverdoor.store import Store, Write
-from leverdoor.view import View, ViewCache
+from leverdoor.membership.ownership import Ack, Member, Table, plan, serialize_table
+from leverdoor.membership.peers import GateState, Peers
+from leverdoor.storage.state import TABLES, State
+from leverdoor.storage.store import Store, Write
+from leverdoor.storage.view import View, ViewCache
 
 __all__ = ["Planner"]
 
--- a/leverdoor/reports.py
+++ b/leverdoor/agent/reports.py
@@ -7,12 +7,12 @@
 import aiohttp
 import msgspec
 
-from leverdoor.burn import BurnLine, Series, merge_series, summarize
 from leverdoor.errors import Code, LeverdoorError
-from leverdoor.ownership import cap_row
-from leverdoor.peers import Peer, Peers
+from leverdoor.membership.ownership import cap_row
+from leverdoor.membership.peers import Peer, Peers
+from leverdoor.model.burn import BurnLine, Series, merge_series, summarize
 from leverdoor.sessions import new_session
-from leverdoor.view import ViewCache
+from leverdoor.storage.view import ViewCache
 
 __all__ = ["REPORTS", "Report", "Reporter"]
 
--- a/leverdoor/client.py
+++ b/leverdoor/client/caller.py
@@ -13,8 +13,8 @@
 from leverdoor import headers as h
 from leverdoor.codec import parse_json
 from leverdoor.errors import Code, ConfigError, Problem, Refusal, Run
-from leverdoor.front import LookupAnswer, LookupEntry
-from leverdoor.relay import refusal_of
+from leverdoor.gate.front import LookupAnswer, LookupEntry
+from leverdoor.gate.relay import refusal_of
 from leverdoor.sessions import new_session
 
 __all__ = ["Caller", "Reply"]
--- a/leverdoor/load.py
+++ b/leverdoor/client/load.py
@@ -10,7 +10,7 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from leverdoor.client import Caller
+from leverdoor.client.caller import Caller
 from leverdoor.errors import Code, Refusal, Run
 
 __all__ = ["Load", "LoadPlan", "LoadResult", "Stream", "StreamResult"]
--- a/leverdoor/operator.py
+++ b/leverdoor/client/operator.py
@@ -8,13 +8,13 @@
 import aiohttp
 import msgspec
 
-from leverdoor.api import Change, ItemList, Status
+from leverdoor.agent.api import Change, ItemList, Status
+from leverdoor.agent.reports import Report
 from leverdoor.codec import serialize_json
-from leverdoor.configuration import Applied
 from leverdoor.errors import Code, LeverdoorError, Problem, StoreUnknown
-from leverdoor.reports import Report
-from leverdoor.resources import Resource
+from leverdoor.model.resources import Resource
 from leverdoor.sessions import new_session
+from leverdoor.storage.configuration import Applied
 
 __all__ = ["Operator"]
 
--- a/leverdoor/commands/apply.py
+++ b/leverdoor/commands/apply.py
@@ -7,11 +7,11 @@
 
 import click
 
-from leverdoor.configuration import MAX_RESOURCES
+from leverdoor.client.operator import Operator
 from leverdoor.errors import LeverdoorError
-from leverdoor.operator import Operator
-from leverdoor.resources import KINDS, Resource, parse_resources, resource_key
+from leverdoor.model.resources import KINDS, Resource, parse_resources, resource_key
 from leverdoor.settings import Address
+from leverdoor.storage.configuration import MAX_RESOURCES
 from leverdoor.terminal import api_option, run
 
 __all__ = ["apply"]
--- a/leverdoor/commands/daemons.py
+++ b/leverdoor/commands/daemons.py
@@ -50,7 +50,7 @@
     SIGTERM makes it leave: it stops being named by look-ups, serves cached
     answers for their time to live, finishes all in flight, and ends.
     """
-    from leverdoor.gate import Gate
+    from leverdoor.gate.daemon import Gate
 
     setup_logs("gate", vm, log_level)
     run_daemon(
@@ -110,7 +110,7 @@
     seed: int,
 ) -> None:
     """Run the control path of an entry VM."""
-    from leverdoor.agent import Agent
+    from leverdoor.agent.daemon import Agent
 
     setup_logs("agent", vm, log_level)
     run_daemon(
--- a/leverdoor/commands/delete.py
+++ b/leverdoor/commands/delete.py
@@ -6,7 +6,7 @@
 
 import click
 
-from leverdoor.operator import Operator
+from leverdoor.client.operator import Operator
 from leverdoor.settings import Address
 from leverdoor.terminal import api_option, run
 
--- a/leverdoor/commands/drain.py
+++ b/leverdoor/commands/drain.py
@@ -7,10 +7,10 @@
 
 import click
 
+from leverdoor.agent.reports import DrainLine
+from leverdoor.client.operator import Operator
 from leverdoor.errors import Code, LeverdoorError
-from leverdoor.operator import Operator
-from leverdoor.reports import DrainLine
-from leverdoor.resources import Drain
+from leverdoor.model.resources import Drain
 from leverdoor.settings import Address
 from leverdoor.terminal import api_option, run
 
--- a/leverdoor/commands/load.py
+++ b/leverdoor/commands/load.py
@@ -10,9 +10,9 @@
 import click
 import msgspec
 
+from leverdoor.client.load import Load, LoadPlan
 from leverdoor.codec import parse_json
 from leverdoor.errors import LeverdoorError, code_info
-from leverdoor.load import Load, LoadPlan
 from leverdoor.options import ADDRESS
 from leverdoor.settings import Address
 from leverdoor.terminal import output_option, show
--- a/leverdoor/entry/affinity.py
+++ b/leverdoor/entry/affinity.py
@@ -6,7 +6,7 @@
 
 import xxhash
 
-from leverdoor.resources import Target
+from leverdoor.model.resources import Target
 
 __all__ = ["Ranking", "key_place"]
 
--- a/leverdoor/entry/catalog.py
+++ b/leverdoor/entry/catalog.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from typing import TypeVar
 
-from leverdoor.resources import (
+from leverdoor.model.resources import (
     ClientLimits,
     Drain,
     Region,
--- a/leverdoor/entry/client_connection.py
+++ b/leverdoor/entry/client_connection.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from leverdoor.resources import ClientLimits
+from leverdoor.model.resources import ClientLimits
 
 __all__ = ["ClientConnection"]
 
--- a/leverdoor/entry/connections.py
+++ b/leverdoor/entry/connections.py
@@ -14,7 +14,7 @@
     open_connection,
 )
 from leverdoor.entry.rests import RestLimits
-from leverdoor.resources import Target
+from leverdoor.model.resources import Target
 from leverdoor.settings import parse_address
 
 __all__ = ["Connections", "Outgoing"]
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -36,12 +36,12 @@
 )
 from leverdoor.entry.settings import EntrySettings
 from leverdoor.entry.side import Side
-from leverdoor.following import PeerFollower, StoreFollower
-from leverdoor.gossip import GossipSocket
-from leverdoor.resources import Target
+from leverdoor.membership.gossip import GossipSocket
+from leverdoor.model.resources import Target
 from leverdoor.settings import Address
-from leverdoor.state import Delta, State
-from leverdoor.store import LeasingStore
+from leverdoor.storage.following import PeerFollower, StoreFollower
+from leverdoor.storage.state import Delta, State
+from leverdoor.storage.store import LeasingStore
 
 __all__ = ["Entry"]
 
--- a/leverdoor/entry/dialect.py
+++ b/leverdoor/entry/dialect.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
-from leverdoor.resources import Resource
-from leverdoor.store import Entry
+from leverdoor.model.resources import Resource
+from leverdoor.storage.store import Entry
 
 __all__ = ["Configured", "Dialect", "HeaderNames", "TargetLoad", "Translate"]
 
--- a/leverdoor/entry/fleet.py
+++ b/leverdoor/entry/fleet.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable, Mapping
 
 from leverdoor.entry.dialect import TargetLoad
-from leverdoor.resources import Target
+from leverdoor.model.resources import Target
 
 __all__ = ["Allowance", "Fleet", "TargetState"]
 
--- a/leverdoor/entry/forwarding.py
+++ b/leverdoor/entry/forwarding.py
@@ -15,7 +15,7 @@
 from leverdoor.entry.fleet import SLOW_REST_S, Fleet
 from leverdoor.entry.placement import Asked, Chosen, Placement, Unplaced
 from leverdoor.errors import Code, Refusal, Run
-from leverdoor.resources import Work
+from leverdoor.model.resources import Work
 
 __all__ = ["Forwarder", "Incoming"]
 
--- a/leverdoor/entry/front.py
+++ b/leverdoor/entry/front.py
@@ -19,7 +19,7 @@
 from leverdoor.entry.placement import Asked, Placement
 from leverdoor.errors import Code, Refusal, code_info
 from leverdoor.headers import bounded_int, passing
-from leverdoor.resources import Route
+from leverdoor.model.resources import Route
 
 __all__ = ["Front"]
 
--- a/leverdoor/entry/lapses.py
+++ b/leverdoor/entry/lapses.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from leverdoor.resources import Target
+from leverdoor.model.resources import Target
 
 __all__ = ["Lapses", "Outage"]
 
--- a/leverdoor/entry/placement.py
+++ b/leverdoor/entry/placement.py
@@ -15,7 +15,7 @@
 from leverdoor.entry.times import DEFAULT_LATENCY_MS, SizeBook, TimeBook
 from leverdoor.entry.warmth import RANKS, SharedWarmth, WarmthBook
 from leverdoor.errors import Code
-from leverdoor.resources import Route, Target
+from leverdoor.model.resources import Route, Target
 
 __all__ = ["Asked", "Chosen", "Placement", "Unplaced"]
 
--- a/leverdoor/entry/registration.py
+++ b/leverdoor/entry/registration.py
@@ -10,7 +10,7 @@
 from leverdoor.entry.events import Events
 from leverdoor.entry.roster import Member
 from leverdoor.errors import LeverdoorError
-from leverdoor.store import LeasingStore
+from leverdoor.storage.store import LeasingStore
 
 __all__ = ["Registration", "retry_pause_s"]
 
--- a/leverdoor/entry/sharing.py
+++ b/leverdoor/entry/sharing.py
@@ -6,7 +6,7 @@
 
 from leverdoor.entry.fleet import Fleet
 from leverdoor.entry.spill import RegionShares, first_shares
-from leverdoor.resources import Target
+from leverdoor.model.resources import Target
 
 __all__ = ["NO_SLOTS", "ShareBook"]
 
--- a/leverdoor/entry/side.py
+++ b/leverdoor/entry/side.py
@@ -11,9 +11,9 @@
 from leverdoor.codec import pack
 from leverdoor.entry.dialect import Dialect
 from leverdoor.entry.metrics import EntryMetrics
-from leverdoor.following import DEFLATE
 from leverdoor.headers import bounded_int
-from leverdoor.state import State
+from leverdoor.storage.following import DEFLATE
+from leverdoor.storage.state import State
 
 __all__ = ["PULL_PATH", "Side"]
 
--- a/leverdoor/entry/times.py
+++ b/leverdoor/entry/times.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from leverdoor.resources import Route
+from leverdoor.model.resources import Route
 
 __all__ = ["DEFAULT_LATENCY_MS", "ServiceTimes", "SizeBook", "TimeBook"]
 
--- a/leverdoor/entry/warmth.py
+++ b/leverdoor/entry/warmth.py
@@ -19,7 +19,7 @@
 
 import xxhash
 
-from leverdoor.resources import Target
+from leverdoor.model.resources import Target
 
 __all__ = ["RANKS", "SharedWarmth", "WarmthBook"]
 
--- a/leverdoor/gate.py
+++ b/leverdoor/gate/daemon.py
@@ -11,22 +11,22 @@
 from aiohttp import web
 from loguru import logger
 
-from leverdoor.burn import BurnMeter
+from leverdoor.agent.link import GateLink, GateReport, Hints
 from leverdoor.daemon import keep_running
-from leverdoor.dispatch import Dispatcher
-from leverdoor.front import MAX_HEADER_BYTES, Front
-from leverdoor.holdings import Holdings
-from leverdoor.keyed import KeyedServer
-from leverdoor.keys import KeyRing
-from leverdoor.link import GateLink, GateReport, Hints
+from leverdoor.gate.dispatch import Dispatcher
+from leverdoor.gate.front import MAX_HEADER_BYTES, Front
+from leverdoor.gate.holdings import Holdings
+from leverdoor.gate.keyed import KeyedServer
+from leverdoor.gate.keys import KeyRing
+from leverdoor.gate.relay import HopClient
+from leverdoor.gate.scheduler import Scheduler
+from leverdoor.gate.serving import Server
+from leverdoor.membership.peers import GateState
 from leverdoor.metrics import GateMetrics
-from leverdoor.peers import GateState
-from leverdoor.relay import HopClient
-from leverdoor.scheduler import Scheduler
-from leverdoor.serving import Server
+from leverdoor.model.burn import BurnMeter
 from leverdoor.settings import Address, GateSettings
-from leverdoor.state import Delta, State
-from leverdoor.view import ViewCache
+from leverdoor.storage.state import Delta, State
+from leverdoor.storage.view import ViewCache
 
 __all__ = ["Gate"]
 
--- a/leverdoor/dispatch.py
+++ b/leverdoor/gate/dispatch.py
@@ -6,8 +6,8 @@
 import contextlib
 
 from leverdoor.errors import Code
-from leverdoor.queueing import Job
-from leverdoor.scheduler import Decision, Dispatch, Refuse, Scheduler
+from leverdoor.gate.queueing import Job
+from leverdoor.gate.scheduler import Decision, Dispatch, Refuse, Scheduler
 
 __all__ = ["Dispatcher"]
 
--- a/leverdoor/front.py
+++ b/leverdoor/gate/front.py
@@ -12,17 +12,17 @@
 
 from leverdoor import headers as h
 from leverdoor.answers import json_answer, problem_answer
-from leverdoor.burn import BurnMeter
 from leverdoor.errors import Code, Refusal, Run
-from leverdoor.keyed import KeyedServer
-from leverdoor.keys import KeyRing, Outcome
+from leverdoor.gate.keyed import KeyedServer
+from leverdoor.gate.keys import KeyRing, Outcome
+from leverdoor.gate.queueing import Job
+from leverdoor.gate.relay import Body
+from leverdoor.gate.scheduler import MIN_RETRY_MS, Scheduler
+from leverdoor.gate.serving import Inbound, Served, Server, finishing
+from leverdoor.membership.peers import GateState
 from leverdoor.metrics import GateMetrics
-from leverdoor.peers import GateState
-from leverdoor.queueing import Job
-from leverdoor.relay import Body
-from leverdoor.resources import Service, Tier, Work
-from leverdoor.scheduler import MIN_RETRY_MS, Scheduler
-from leverdoor.serving import Inbound, Served, Server, finishing
+from leverdoor.model.burn import BurnMeter
+from leverdoor.model.resources import Service, Tier, Work
 
 __all__ = ["Front", "LookupAnswer", "LookupEntry"]
 
--- a/leverdoor/holdings.py
+++ b/leverdoor/gate/holdings.py
@@ -5,7 +5,7 @@
 import heapq
 from collections.abc import Mapping
 
-from leverdoor.ownership import Ack, Table
+from leverdoor.membership.ownership import Ack, Table
 
 __all__ = ["Holdings", "Units"]
 
--- a/leverdoor/keyed.py
+++ b/leverdoor/gate/keyed.py
@@ -9,11 +9,11 @@
 
 from leverdoor import headers as h
 from leverdoor.errors import Code, Refusal, Run
-from leverdoor.keys import Key, KeyRing, KeyState, Outcome, parse_key
-from leverdoor.peers import Beat
-from leverdoor.relay import Hop, HopClient, refusal_of
-from leverdoor.scheduler import Scheduler
-from leverdoor.serving import Inbound, Served, Server, finishing
+from leverdoor.gate.keys import Key, KeyRing, KeyState, Outcome, parse_key
+from leverdoor.gate.relay import Hop, HopClient, refusal_of
+from leverdoor.gate.scheduler import Scheduler
+from leverdoor.gate.serving import Inbound, Served, Server, finishing
+from leverdoor.membership.peers import Beat
 
 __all__ = ["KeyedServer"]
 
--- a/leverdoor/neighbours.py
+++ b/leverdoor/gate/neighbours.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from leverdoor.peers import Beat, GateState, Peer
-from leverdoor.targets import ASSUMED_MS
+from leverdoor.membership.peers import Beat, GateState, Peer
+from leverdoor.model.targets import ASSUMED_MS
 
 __all__ = ["Neighbour", "Neighbours", "RegionLoad"]
 
--- a/leverdoor/pool.py
+++ b/leverdoor/gate/pool.py
@@ -5,11 +5,11 @@
 from collections.abc import Collection
 from random import Random
 
-from leverdoor.holdings import Holdings
-from leverdoor.ownership import slot_row
-from leverdoor.resources import Target
-from leverdoor.targets import TargetBook
-from leverdoor.view import View
+from leverdoor.gate.holdings import Holdings
+from leverdoor.membership.ownership import slot_row
+from leverdoor.model.resources import Target
+from leverdoor.model.targets import TargetBook
+from leverdoor.storage.view import View
 
 __all__ = ["TargetPool"]
 
--- a/leverdoor/queueing.py
+++ b/leverdoor/gate/queueing.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from leverdoor.resources import Tier
+from leverdoor.model.resources import Tier
 
 __all__ = ["Job", "WaitQueue"]
 
--- a/leverdoor/scheduler.py
+++ b/leverdoor/gate/scheduler.py
@@ -8,16 +8,16 @@
 import msgspec
 
 from leverdoor.errors import Code
-from leverdoor.holdings import Holdings
-from leverdoor.neighbours import Neighbours, RegionLoad
-from leverdoor.ownership import cap_row, slot_row
-from leverdoor.peers import Beat, Load
-from leverdoor.pool import TargetPool
-from leverdoor.queueing import Job, WaitQueue
-from leverdoor.resources import Service, Target, Work
-from leverdoor.shifts import ShiftLimiter, rate_out
-from leverdoor.targets import ASSUMED_MS, TargetBook
-from leverdoor.view import View
+from leverdoor.gate.holdings import Holdings
+from leverdoor.gate.neighbours import Neighbours, RegionLoad
+from leverdoor.gate.pool import TargetPool
+from leverdoor.gate.queueing import Job, WaitQueue
+from leverdoor.gate.shifts import ShiftLimiter, rate_out
+from leverdoor.membership.ownership import cap_row, slot_row
+from leverdoor.membership.peers import Beat, Load
+from leverdoor.model.resources import Service, Target, Work
+from leverdoor.model.targets import ASSUMED_MS, TargetBook
+from leverdoor.storage.view import View
 
 __all__ = ["Decision", "Dispatch", "Forward", "Refuse", "Scheduler"]
 
--- a/leverdoor/serving.py
+++ b/leverdoor/gate/serving.py
@@ -11,12 +11,19 @@
 
 from leverdoor import headers as h
 from leverdoor.budget import RepeatBudget
-from leverdoor.dispatch import Dispatcher
 from leverdoor.errors import Code, Refusal, Run
-from leverdoor.queueing import Job
-from leverdoor.relay import BUFFERED_ANSWER, Answer, Body, Hop, HopClient, refusal_of
-from leverdoor.resources import Service, Work
-from leverdoor.scheduler import Dispatch, Forward, Refuse
+from leverdoor.gate.dispatch import Dispatcher
+from leverdoor.gate.queueing import Job
+from leverdoor.gate.relay import (
+    BUFFERED_ANSWER,
+    Answer,
+    Body,
+    Hop,
+    HopClient,
+    refusal_of,
+)
+from leverdoor.gate.scheduler import Dispatch, Forward, Refuse
+from leverdoor.model.resources import Service, Work
 
 __all__ = ["Inbound", "Served", "Server"]
 
--- a/leverdoor/shifts.py
+++ b/leverdoor/gate/shifts.py
@@ -4,10 +4,10 @@
 
 import math
 
-from leverdoor.holdings import Holdings
-from leverdoor.ownership import cap_row
-from leverdoor.ramp import Ramp
-from leverdoor.view import View
+from leverdoor.gate.holdings import Holdings
+from leverdoor.gate.ramp import Ramp
+from leverdoor.membership.ownership import cap_row
+from leverdoor.storage.view import View
 
 __all__ = ["ShiftLimiter", "rate_out"]
 
--- a/leverdoor/peers.py
+++ b/leverdoor/membership/peers.py
@@ -9,7 +9,7 @@
 import msgspec
 import xxhash
 
-from leverdoor.ownership import Ack
+from leverdoor.membership.ownership import Ack
 
 __all__ = ["Beat", "GateState", "Gossip", "Load", "Peer", "Peers"]
 
--- a/leverdoor/blocks.py
+++ b/leverdoor/model/blocks.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from leverdoor.resources import ClientBlocks
+from leverdoor.model.resources import ClientBlocks
 
 __all__ = ["BlockMap", "Chunk", "compile_chunk", "outline"]
 
--- a/leverdoor/burn.py
+++ b/leverdoor/model/burn.py
@@ -8,7 +8,7 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from leverdoor.resources import ServiceLevel
+from leverdoor.model.resources import ServiceLevel
 
 __all__ = ["BurnLine", "BurnMeter", "Series", "merge_series", "summarize"]
 
--- a/leverdoor/resource_checks.py
+++ b/leverdoor/model/resource_checks.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from leverdoor.errors import Code, ConfigError
-from leverdoor.resources import (
+from leverdoor.model.resources import (
     ClientBlocks,
     Drain,
     Region,
--- a/leverdoor/targets.py
+++ b/leverdoor/model/targets.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from leverdoor.resources import Target
+from leverdoor.model.resources import Target
 
 __all__ = ["Probe", "TargetBook", "TargetHealth"]
 
--- a/leverdoor/platform/formats.py
+++ b/leverdoor/platform/formats.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from leverdoor.entry.dialect import Configured, TargetLoad
-from leverdoor.resources import (
+from leverdoor.model.resources import (
     ClientLimits,
     Drain,
     Region,
@@ -18,7 +18,7 @@
     Target,
     Work,
 )
-from leverdoor.store import Entry
+from leverdoor.storage.store import Entry
 
 __all__ = ["PEERS", "Translator", "parse_load"]
 
--- a/leverdoor/platform/store.py
+++ b/leverdoor/platform/store.py
@@ -11,7 +11,7 @@
 
 from leverdoor.errors import Code, LeverdoorError, StoreUnavailable, StoreUnknown
 from leverdoor.sessions import new_session
-from leverdoor.store import Commit, Entry, Event, LeasingStore, Listing, Write
+from leverdoor.storage.store import Commit, Entry, Event, LeasingStore, Listing, Write
 
 __all__ = ["PlatformStore"]
 
--- a/leverdoor/queries/explain.py
+++ b/leverdoor/queries/explain.py
@@ -8,9 +8,9 @@
 
 import click
 
+from leverdoor.analysis.explaining import explain as explain_request
+from leverdoor.analysis.explaining import parse_log
 from leverdoor.errors import Code, code_info
-from leverdoor.explaining import explain as explain_request
-from leverdoor.explaining import parse_log
 
 __all__ = ["explain"]
 
--- a/leverdoor/queries/lookup.py
+++ b/leverdoor/queries/lookup.py
@@ -8,7 +8,7 @@
 import click
 import msgspec
 
-from leverdoor.client import Caller
+from leverdoor.client.caller import Caller
 from leverdoor.errors import Refusal, code_info
 from leverdoor.options import ADDRESS
 from leverdoor.settings import Address
--- a/leverdoor/queries/report.py
+++ b/leverdoor/queries/report.py
@@ -7,8 +7,8 @@
 import click
 import msgspec
 
-from leverdoor.operator import Operator
-from leverdoor.reports import REPORTS
+from leverdoor.agent.reports import REPORTS
+from leverdoor.client.operator import Operator
 from leverdoor.settings import Address
 from leverdoor.terminal import api_option, output_option, run, show
 
--- a/leverdoor/queries/status.py
+++ b/leverdoor/queries/status.py
@@ -7,7 +7,7 @@
 import click
 import msgspec
 
-from leverdoor.operator import Operator
+from leverdoor.client.operator import Operator
 from leverdoor.settings import Address
 from leverdoor.terminal import api_option, output_option, run, show
 
--- a/leverdoor/standins/cli.py
+++ b/leverdoor/standins/cli.py
@@ -12,7 +12,7 @@
 from leverdoor.standins.kv import KvStandin
 from leverdoor.standins.targets import TargetStandin
 from leverdoor.standins.vms import VmListStandin
-from leverdoor.vmlist import Vm
+from leverdoor.storage.vmlist import Vm
 
 __all__ = ["main"]
 
--- a/leverdoor/standins/deployments.py
+++ b/leverdoor/standins/deployments.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from leverdoor.resources import (
+from leverdoor.model.resources import (
     Region,
     Resource,
     Service,
--- a/leverdoor/standins/kv.py
+++ b/leverdoor/standins/kv.py
@@ -10,8 +10,8 @@
 from leverdoor.answers import json_answer
 from leverdoor.codec import serialize_json
 from leverdoor.errors import Code, LeverdoorError, StoreUnavailable, StoreUnknown
-from leverdoor.etcd import from_base64, key_text, to_base64
-from leverdoor.store import Event, MemoryStore, Write
+from leverdoor.storage.etcd import from_base64, key_text, to_base64
+from leverdoor.storage.store import Event, MemoryStore, Write
 
 __all__ = ["KvStandin", "StoreFaults"]
 
--- a/leverdoor/standins/site.py
+++ b/leverdoor/standins/site.py
@@ -17,8 +17,8 @@
 
 import msgspec
 
-from leverdoor.operator import Operator
-from leverdoor.reports import HeadroomLine
+from leverdoor.agent.reports import HeadroomLine
+from leverdoor.client.operator import Operator
 from leverdoor.standins.deployments import Deployment, EntryVm
 from leverdoor.standins.targets import TargetLog
 
--- a/leverdoor/standins/targets.py
+++ b/leverdoor/standins/targets.py
@@ -11,9 +11,9 @@
 from multidict import CIMultiDict
 
 from leverdoor import headers as h
+from leverdoor.agent.probing import PROBE_PATH, TargetReport
 from leverdoor.answers import json_answer
 from leverdoor.codec import serialize_json
-from leverdoor.probing import PROBE_PATH, TargetReport
 from leverdoor.settings import Address
 
 __all__ = ["Arrival", "TargetFaults", "TargetLog", "TargetStandin"]
--- a/leverdoor/standins/vms.py
+++ b/leverdoor/standins/vms.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from leverdoor.codec import serialize_json
-from leverdoor.vmlist import Vm
+from leverdoor.storage.vmlist import Vm
 
 __all__ = ["VmListStandin"]
 
--- a/leverdoor/configuration.py
+++ b/leverdoor/storage/configuration.py
@@ -17,11 +17,11 @@
     StoreUnavailable,
     StoreUnknown,
 )
-from leverdoor.resource_checks import check_removal, validate
-from leverdoor.resources import Resource, resource_key, serialize_resource
-from leverdoor.state import GUARD, PREFIX, RESOURCES, State
-from leverdoor.store import Entry, Store, Write
-from leverdoor.view import ViewCache, parse_entries
+from leverdoor.model.resource_checks import check_removal, validate
+from leverdoor.model.resources import Resource, resource_key, serialize_resource
+from leverdoor.storage.state import GUARD, PREFIX, RESOURCES, State
+from leverdoor.storage.store import Entry, Store, Write
+from leverdoor.storage.view import ViewCache, parse_entries
 
 __all__ = ["Applied", "Configuration", "Guard"]
 
--- a/leverdoor/etcd.py
+++ b/leverdoor/storage/etcd.py
@@ -11,7 +11,7 @@
 
 from leverdoor.errors import Code, LeverdoorError, StoreUnavailable, StoreUnknown
 from leverdoor.sessions import new_session
-from leverdoor.store import (
+from leverdoor.storage.store import (
     WATCH_SILENCE_S,
     Commit,
     Entry,
--- a/leverdoor/following.py
+++ b/leverdoor/storage/following.py
@@ -14,10 +14,10 @@
 
 from leverdoor.codec import unpack
 from leverdoor.errors import Code, LeverdoorError, StoreUnavailable
-from leverdoor.peers import Peers
+from leverdoor.membership.peers import Peers
 from leverdoor.sessions import new_session
-from leverdoor.state import PREFIX, Delta, State
-from leverdoor.store import Store
+from leverdoor.storage.state import PREFIX, Delta, State
+from leverdoor.storage.store import Store
 
 __all__ = ["DEFLATE", "PeerFollower", "StoreFollower", "elected"]
 
--- a/leverdoor/state.py
+++ b/leverdoor/storage/state.py
@@ -8,7 +8,7 @@
 import msgspec
 from reactivex import Subject
 
-from leverdoor.store import Entry, Event, Listing
+from leverdoor.storage.store import Entry, Event, Listing
 
 __all__ = ["PREFIX", "RESOURCES", "TABLES", "Delta", "State"]
 
--- a/leverdoor/view.py
+++ b/leverdoor/storage/view.py
@@ -7,10 +7,16 @@
 
 from loguru import logger
 
-from leverdoor.blocks import BlockMap, Chunk, compile_chunk, outline
 from leverdoor.errors import LeverdoorError
-from leverdoor.ownership import RowSpec, Table, cap_row, parse_table, slot_row
-from leverdoor.resources import (
+from leverdoor.membership.ownership import (
+    RowSpec,
+    Table,
+    cap_row,
+    parse_table,
+    slot_row,
+)
+from leverdoor.model.blocks import BlockMap, Chunk, compile_chunk, outline
+from leverdoor.model.resources import (
     ClientBlocks,
     Drain,
     Region,
@@ -22,8 +28,8 @@
     Tier,
     parse_resource,
 )
-from leverdoor.state import RESOURCES, TABLES, Delta, State
-from leverdoor.store import Entry
+from leverdoor.storage.state import RESOURCES, TABLES, Delta, State
+from leverdoor.storage.store import Entry
 
 __all__ = ["DEFAULT_TIER", "View", "ViewCache"]
 
--- a/leverdoor/terminal.py
+++ b/leverdoor/terminal.py
@@ -10,8 +10,8 @@
 import click
 import msgspec
 
+from leverdoor.client.operator import Operator
 from leverdoor.errors import LeverdoorError, code_info
-from leverdoor.operator import Operator
 from leverdoor.options import ADDRESS
 from leverdoor.settings import Address
 
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -10,11 +10,11 @@
 
 from aiohttp import web
 
-from leverdoor.agent import Agent
-from leverdoor.client import Caller
-from leverdoor.gate import Gate
-from leverdoor.operator import Operator
-from leverdoor.resources import (
+from leverdoor.agent.daemon import Agent
+from leverdoor.client.caller import Caller
+from leverdoor.client.operator import Operator
+from leverdoor.gate.daemon import Gate
+from leverdoor.model.resources import (
     Region,
     Resource,
     Service,
@@ -29,7 +29,7 @@
 from leverdoor.standins.site import HOST, free_ports
 from leverdoor.standins.targets import TargetStandin
 from leverdoor.standins.vms import VmListStandin
-from leverdoor.vmlist import Vm
+from leverdoor.storage.vmlist import Vm
 
 TIMEOUT_S = 20.0
 
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -7,7 +7,7 @@
 from leverdoor.entry.catalog import Catalog
 from leverdoor.entry.fleet import Fleet
 from leverdoor.entry.placement import Asked, Chosen, Placement, Unplaced
-from leverdoor.resources import Region, Resource, Route, Service, Target, Work
+from leverdoor.model.resources import Region, Resource, Route, Service, Target, Work
 
 REGIONS = [
     Region(name="a", domains=["a1", "a2"]),
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -11,18 +11,18 @@
 from aiohttp.test_utils import TestServer
 from click.testing import CliRunner
 
-from leverdoor.api import Api
+from leverdoor.agent.api import Api
+from leverdoor.agent.reports import REPORTS, Reporter
 from leverdoor.cli import main
-from leverdoor.configuration import Configuration
+from leverdoor.client.operator import Operator
 from leverdoor.errors import Code, LeverdoorError
+from leverdoor.membership.peers import Peers
 from leverdoor.metrics import AgentMetrics
-from leverdoor.operator import Operator
-from leverdoor.peers import Peers
-from leverdoor.reports import REPORTS, Reporter
-from leverdoor.resources import Tier
-from leverdoor.state import PREFIX, Delta, State
-from leverdoor.store import MemoryStore
-from leverdoor.view import ViewCache
+from leverdoor.model.resources import Tier
+from leverdoor.storage.configuration import Configuration
+from leverdoor.storage.state import PREFIX, Delta, State
+from leverdoor.storage.store import MemoryStore
+from leverdoor.storage.view import ViewCache
 
 TIER = {"kind": "tier", "name": "a", "weight": 2}
 
--- a/tests/test_blocks.py
+++ b/tests/test_blocks.py
@@ -8,8 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from leverdoor.blocks import BlockMap, compile_chunk, outline
-from leverdoor.resources import ClientBlocks
+from leverdoor.model.blocks import BlockMap, compile_chunk, outline
+from leverdoor.model.resources import ClientBlocks
 
 
 def made(*chunks: list[tuple[str, str]]) -> BlockMap:
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -2,8 +2,8 @@
 # SPDX-License-Identifier: Apache-2.0
 """Tests of service-level burn."""
 
-from leverdoor.burn import FAST_S, SLOW_S, BurnMeter, merge_series, summarize
-from leverdoor.resources import ServiceLevel
+from leverdoor.model.burn import FAST_S, SLOW_S, BurnMeter, merge_series, summarize
+from leverdoor.model.resources import ServiceLevel
 
 LEVEL = ServiceLevel(name="l", service="s", tier="t", latency_ms=100, objective=0.9)
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -16,11 +16,11 @@
 )
 from returns.result import Failure, Success
 
-from leverdoor.configuration import Configuration
 from leverdoor.errors import Code, StoreUnavailable, StoreUnknown
-from leverdoor.resources import Region, Resource, Service, ShiftCap, Tier, Work
-from leverdoor.state import PREFIX, State
-from leverdoor.store import Commit, Listing, MemoryStore, Store, Write
+from leverdoor.model.resources import Region, Resource, Service, ShiftCap, Tier, Work
+from leverdoor.storage.configuration import Configuration
+from leverdoor.storage.state import PREFIX, State
+from leverdoor.storage.store import Commit, Listing, MemoryStore, Store, Write
 
 
 def region(name: str, *domains: str) -> Region:
--- a/tests/test_entry_catalog.py
+++ b/tests/test_entry_catalog.py
@@ -5,7 +5,7 @@
 import pytest
 
 from leverdoor.entry.catalog import Catalog, entry_host
-from leverdoor.resources import Route, Work
+from leverdoor.model.resources import Route, Work
 
 
 def test_the_longest_prefix_wins() -> None:
--- a/tests/test_entry_lapses.py
+++ b/tests/test_entry_lapses.py
@@ -4,7 +4,7 @@
 
 from desk import target
 from leverdoor.entry.lapses import RECENT_S, Lapses, Outage
-from leverdoor.resources import Target
+from leverdoor.model.resources import Target
 
 
 def named(*targets: Target) -> dict[str, Target]:
--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -9,7 +9,7 @@
 from leverdoor.entry.placement import Chosen, Unplaced
 from leverdoor.entry.warmth import SharedWarmth
 from leverdoor.errors import Code
-from leverdoor.resources import Drain, Resource, Route, Work
+from leverdoor.model.resources import Drain, Resource, Route, Work
 
 
 def test_a_key_stays_with_its_target() -> None:
--- a/tests/test_entry_whole.py
+++ b/tests/test_entry_whole.py
@@ -22,7 +22,7 @@
     EntrySite,
 )
 from leverdoor.standins.metadata import MetadataFaults
-from leverdoor.state import Delta
+from leverdoor.storage.state import Delta
 
 
 async def test_the_whole_path(site: EntrySite) -> None:
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -9,8 +9,8 @@
 import pytest
 from click.testing import CliRunner
 
+from leverdoor.analysis.explaining import explain, parse_log
 from leverdoor.cli import main
-from leverdoor.explaining import explain, parse_log
 from leverdoor.standins.entry_site import EntrySite, Place
 from leverdoor.standins.upstreams import UpstreamStandin
 
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -10,12 +10,12 @@
 
 from bench import CAP, Bench, calling, deployment, running, runs, until
 from leverdoor import headers as h
-from leverdoor.client import Reply
+from leverdoor.agent.probing import PROBE_PATH
+from leverdoor.client.caller import Reply
+from leverdoor.client.operator import Operator
 from leverdoor.errors import Code, Refusal, Run
-from leverdoor.operator import Operator
-from leverdoor.probing import PROBE_PATH
-from leverdoor.relay import Answer
-from leverdoor.resources import (
+from leverdoor.gate.relay import Answer
+from leverdoor.model.resources import (
     Drain,
 )
 from leverdoor.standins.deployments import Deployment, TargetPlan
--- a/tests/test_keyed.py
+++ b/tests/test_keyed.py
@@ -10,7 +10,7 @@
 
 from bench import Bench, calling, deployment, running, runs, until
 from leverdoor import headers as h
-from leverdoor.client import Reply
+from leverdoor.client.caller import Reply
 from leverdoor.errors import Code, Refusal, Run
 from leverdoor.standins.proxy import LinkFault
 
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -13,7 +13,7 @@
 )
 
 from leverdoor.errors import Code, Refusal
-from leverdoor.keys import (
+from leverdoor.gate.keys import (
     KEPT_BODY_BYTES,
     KEY_TTL_S,
     KeyRing,
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -11,16 +11,16 @@
 
 from bench import Bench, calling, until
 from leverdoor import headers as h
-from leverdoor.client import Reply
+from leverdoor.client.caller import Reply
+from leverdoor.client.operator import Operator
 from leverdoor.errors import Code, Refusal
-from leverdoor.gate import Gate
-from leverdoor.operator import Operator
-from leverdoor.pool import TargetPool
-from leverdoor.resources import (
+from leverdoor.gate.daemon import Gate
+from leverdoor.gate.pool import TargetPool
+from leverdoor.model.resources import (
     Drain,
     Target,
 )
-from leverdoor.vmlist import Vm, VmState
+from leverdoor.storage.vmlist import Vm, VmState
 
 
 async def test_a_drained_target_gets_nothing_new(bench: Bench) -> None:
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -2,7 +2,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """Tests of the ownership table."""
 
-from leverdoor.ownership import Ack, Member, RowSpec, Table, plan
+from leverdoor.membership.ownership import Ack, Member, RowSpec, Table, plan
 
 SPECS = {f"t:{i}": RowSpec(6) for i in range(8)} | {"c:x": RowSpec(3, 0)}
 LIVE = [Member(f"vm{i}", f"gate{i}", 1, f"d{i % 2}") for i in range(4)]
--- a/tests/test_ownership_machine.py
+++ b/tests/test_ownership_machine.py
@@ -16,9 +16,9 @@
     run_state_machine_as_test,
 )
 
-from leverdoor import ownership
-from leverdoor.holdings import Holdings
-from leverdoor.ownership import (
+from leverdoor.gate.holdings import Holdings
+from leverdoor.membership import ownership
+from leverdoor.membership.ownership import (
     Ack,
     Member,
     Row,
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,7 +4,7 @@
 
 from random import Random
 
-from leverdoor.peers import (
+from leverdoor.membership.peers import (
     LEAST_SILENCE_S,
     MOST_SILENCE_S,
     RING,
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -11,10 +11,10 @@
 import pytest
 
 from leverdoor.errors import SettingsError
+from leverdoor.model.resources import ClientLimits, Drain, Route, Service, Target, Work
 from leverdoor.platform.formats import Translator, parse_load
 from leverdoor.platform.settings import METRICS_PORT, parse_settings
-from leverdoor.resources import ClientLimits, Drain, Route, Service, Target, Work
-from leverdoor.store import Entry
+from leverdoor.storage.store import Entry
 
 PACKAGE = Path(__file__).parent.parent / "leverdoor"
 NAMES = re.compile(
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -12,7 +12,7 @@
 from leverdoor.errors import Code, LeverdoorError, StoreUnavailable, StoreUnknown
 from leverdoor.platform.store import PlatformStore
 from leverdoor.standins.metadata import MetadataFaults, MetadataStandin
-from leverdoor.store import Write
+from leverdoor.storage.store import Write
 
 
 class Pair:
--- a/tests/test_resources.py
+++ b/tests/test_resources.py
@@ -8,8 +8,8 @@
 from returns.result import Success
 
 from leverdoor.errors import Code, ConfigError
-from leverdoor.resource_checks import validate
-from leverdoor.resources import (
+from leverdoor.model.resource_checks import validate
+from leverdoor.model.resources import (
     Resource,
     parse_resource,
     parse_resources,
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -7,14 +7,15 @@
 import msgspec
 import pytest
 
-from leverdoor.blocks import BlockMap
 from leverdoor.errors import Code
-from leverdoor.holdings import Holdings
-from leverdoor.ownership import Member, Table, plan
-from leverdoor.peers import Beat, GateState, Load
-from leverdoor.queueing import Job, WaitQueue
-from leverdoor.ramp import Ramp
-from leverdoor.resources import (
+from leverdoor.gate.holdings import Holdings
+from leverdoor.gate.queueing import Job, WaitQueue
+from leverdoor.gate.ramp import Ramp
+from leverdoor.gate.scheduler import Dispatch, Forward, Refuse, Scheduler
+from leverdoor.membership.ownership import Member, Table, plan
+from leverdoor.membership.peers import Beat, GateState, Load
+from leverdoor.model.blocks import BlockMap
+from leverdoor.model.resources import (
     Drain,
     Region,
     Resource,
@@ -25,9 +26,8 @@
     Work,
     resource_key,
 )
-from leverdoor.scheduler import Dispatch, Forward, Refuse, Scheduler
-from leverdoor.targets import Probe, TargetHealth
-from leverdoor.view import View
+from leverdoor.model.targets import Probe, TargetHealth
+from leverdoor.storage.view import View
 
 PAID = Tier(name="paid", reserve_percent=50, weight=4)
 FREE = Tier(name="free", weight=1, default=True)
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -15,11 +15,11 @@
 import pytest
 
 from bench import calling
-from leverdoor.client import Caller
+from leverdoor.client.caller import Caller
+from leverdoor.client.load import Load, LoadPlan, LoadResult, Stream
+from leverdoor.client.operator import Operator
 from leverdoor.errors import Code, LeverdoorError, Refusal, Run
-from leverdoor.load import Load, LoadPlan, LoadResult, Stream
-from leverdoor.operator import Operator
-from leverdoor.resources import ClientBlocks, Drain, Tier, resource_key
+from leverdoor.model.resources import ClientBlocks, Drain, Tier, resource_key
 from leverdoor.standins.deployments import Deployment, build
 from leverdoor.standins.site import Site, configure, target_logs
 from leverdoor.standins.targets import TargetLog
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -9,9 +9,9 @@
 from aiohttp.test_utils import TestServer
 
 from leverdoor.errors import Code, LeverdoorError, StoreUnavailable, StoreUnknown
-from leverdoor.etcd import EtcdStore
 from leverdoor.standins.kv import KvStandin
-from leverdoor.store import EVENT_LOG, Event, MemoryStore, Store, Write
+from leverdoor.storage.etcd import EtcdStore
+from leverdoor.storage.store import EVENT_LOG, Event, MemoryStore, Store, Write
 
 
 class Pair:
--- a/tests/test_vmlist.py
+++ b/tests/test_vmlist.py
@@ -9,7 +9,7 @@
 
 from leverdoor.errors import LeverdoorError
 from leverdoor.standins.vms import VmListStandin
-from leverdoor.vmlist import (
+from leverdoor.storage.vmlist import (
     Departures,
     HttpVmList,
     MemoryVmList,
