leverdoor losses: where requests were lost, from logs alone

Each request that was late, refused, failed or left gets one cause of a closed list, by service, region, failure domain and second, as a table, JSON or a plot (matplotlib, an optional extra). Attempts now log the route's latency target, refusals their service.

--- a/leverdoor/analysis/explaining.py
+++ b/leverdoor/analysis/explaining.py
@@ -2,12 +2,11 @@
 # SPDX-License-Identifier: Apache-2.0
 """Explains afterwards what became of a request, from log lines alone."""
 
-from collections.abc import Iterable
-from typing import Any
-
 import msgspec
 
-__all__ = ["Explanation", "LogLine", "explain", "parse_log"]
+from leverdoor.analysis.log_lines import LogLine
+
+__all__ = ["Explanation", "explain"]
 
 BELIEF_AGE_S = 30.0
 """How far back beliefs are looked for before a request's own lines."""
@@ -15,15 +14,6 @@
 _REQUEST_EVENTS = frozenset({"attempt", "attempt_failed", "refused", "client_left"})
 
 
-class LogLine(msgspec.Struct, frozen=True):
-    """One event of a log."""
-
-    at: float
-    entry: str
-    event: str
-    fields: dict[str, Any]
-
-
 class Explanation(msgspec.Struct, frozen=True):
     """A request's way and why it ended as it did."""
 
@@ -36,27 +26,6 @@
     """One sentence."""
 
 
-def parse_log(lines: Iterable[str]) -> list[LogLine]:
-    """Read events from log lines; whatever stands before the JSON is skipped."""
-    found = []
-    for line in lines:
-        start = line.find("{")
-        if start < 0:
-            continue
-        try:
-            fields = msgspec.json.decode(line[start:])
-        except msgspec.DecodeError:
-            continue
-        if not isinstance(fields, dict) or "event" not in fields:
-            continue
-        at = float(fields.get("t", 0.0))
-        rest = {k: v for k, v in fields.items() if k not in ("event", "t", "entry")}
-        found.append(
-            LogLine(at, str(fields.get("entry", "")), str(fields["event"]), rest)
-        )
-    return sorted(found, key=lambda e: e.at)
-
-
 def explain(request_id: str, log: list[LogLine]) -> Explanation | None:
     """Explain one request.
 
--- a/leverdoor/cli.py
+++ b/leverdoor/cli.py
@@ -14,6 +14,7 @@
 from leverdoor.queries.explain import explain
 from leverdoor.queries.get import get
 from leverdoor.queries.lookup import lookup
+from leverdoor.queries.losses import losses
 from leverdoor.queries.report import report
 from leverdoor.queries.status import status
 from leverdoor.queries.watch import watch
@@ -33,7 +34,7 @@
 
 for command in (apply, delete, drain, undrain, load, soak, agent, gate):
     main.add_command(command)
-for query in (get, watch, report, status, lookup, explain):
+for query in (get, watch, report, status, lookup, explain, losses):
     main.add_command(query)
 
 
--- a/leverdoor/entry/events.py
+++ b/leverdoor/entry/events.py
@@ -145,17 +145,24 @@
             seen=chosen.seen,
             cold_share=round(chosen.cold_share, 2),
             expected_ms=round(chosen.expected_ms),
+            latency_target_ms=asked.route.target_latency_ms,
             took_ms=round(took_s * 1000),
             outcome=outcome,
         )
 
     def refused(
-        self, request_id: str, refusal: Refusal, version: str, took_s: float
+        self,
+        request_id: str,
+        service: str,
+        refusal: Refusal,
+        version: str,
+        took_s: float,
     ) -> None:
-        """A request was given up on."""
+        """A request was given up on; its service is "" if it was not routed."""
         self.emit(
             "refused",
             request_id=request_id,
+            service=service,
             code=int(refusal.code),
             name=refusal.code.name,
             run=refusal.run.value,
@@ -165,9 +172,12 @@
             took_ms=round(took_s * 1000),
         )
 
-    def left(self, request_id: str, took_s: float) -> None:
+    def left(self, request_id: str, service: str, took_s: float) -> None:
         """A client left before its answer."""
-        self.emit("client_left", request_id=request_id, took_ms=round(took_s * 1000))
+        took_ms = round(took_s * 1000)
+        self.emit(
+            "client_left", request_id=request_id, service=service, took_ms=took_ms
+        )
 
     # Beliefs.
 
--- a/leverdoor/entry/front.py
+++ b/leverdoor/entry/front.py
@@ -87,13 +87,14 @@
         except Refusal as e:
             outcome = e.code.name
             version = self._catalog().version
-            self._events.refused(request_id, e, version, loop.time() - arrived)
+            took_s = loop.time() - arrived
+            self._events.refused(request_id, service, e, version, took_s)
             return self._refuse(request, e)
         except asyncio.CancelledError:
-            self._events.left(request_id, loop.time() - arrived)
+            self._events.left(request_id, service, loop.time() - arrived)
             raise
         except (ConnectionError, web.RequestPayloadError):
-            self._events.left(request_id, loop.time() - arrived)
+            self._events.left(request_id, service, loop.time() - arrived)
             raise
         except Exception as e:
             # A fault of ours must not pass for word that nothing was run.
--- a/leverdoor/entry/times.py
+++ b/leverdoor/entry/times.py
@@ -6,7 +6,7 @@
 
 from leverdoor.model.resources import Route
 
-__all__ = ["DEFAULT_LATENCY_MS", "ServiceTimes", "SizeBook", "TimeBook"]
+__all__ = ["DEFAULT_LATENCY_MS", "ServiceTimes", "SizeBook", "TimeBook", "first_times"]
 
 FAST_SHARE = 0.4
 SLOW_SHARE = 1.3
@@ -50,6 +50,16 @@
         return self.fast_ms + cold_share * (self.slow_ms - self.fast_ms)
 
 
+def first_times(target_latency_ms: float) -> ServiceTimes:
+    """Return what run times are taken for before any was seen.
+
+    Args:
+      target_latency_ms: the route's, or 0 if it has none.
+    """
+    aim_ms = target_latency_ms or DEFAULT_LATENCY_MS
+    return ServiceTimes(FAST_SHARE * aim_ms, SLOW_SHARE * aim_ms)
+
+
 class TimeBook:
     """Times by route and service."""
 
@@ -61,8 +71,7 @@
         """Return the times of a route's requests at a service."""
         found = self._known.get((route.name, service))
         if found is None:
-            aim = route.target_latency_ms or DEFAULT_LATENCY_MS
-            found = ServiceTimes(FAST_SHARE * aim, SLOW_SHARE * aim)
+            found = first_times(route.target_latency_ms)
             self._known[(route.name, service)] = found
         return found
 
--- a/leverdoor/queries/explain.py
+++ b/leverdoor/queries/explain.py
@@ -9,7 +9,7 @@
 import click
 
 from leverdoor.analysis.explaining import explain as explain_request
-from leverdoor.analysis.explaining import parse_log
+from leverdoor.analysis.log_lines import parse_log
 from leverdoor.errors import Code, code_info
 
 __all__ = ["explain"]
@@ -23,7 +23,10 @@
 
     Without LOGS, or for `-`, standard input is read.
     """
-    found = explain_request(request_id, parse_log(_lines(logs or (sys.stdin,))))
+    log = parse_log(_lines(logs or (sys.stdin,)))
+    if log.bad:
+        click.echo(f"{len(log.bad)} lines are not events of an entry", err=True)
+    found = explain_request(request_id, log.events)
     if found is None:
         click.echo(f"no line of these logs names {request_id}", err=True)
         sys.exit(code_info(Code.NOT_FOUND).exit_status)
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -9,7 +9,8 @@
 import pytest
 from click.testing import CliRunner
 
-from leverdoor.analysis.explaining import explain, parse_log
+from leverdoor.analysis.explaining import explain
+from leverdoor.analysis.log_lines import parse_log
 from leverdoor.cli import main
 from leverdoor.standins.entry_site import EntrySite, Place
 from leverdoor.standins.upstreams import UpstreamStandin
@@ -33,7 +34,7 @@
     logs = [str(e.log) for e in site.entries.values()]
     done = CliRunner().invoke(main, ["explain", request_id, *logs])
     assert done.exit_code == 0, done.output
-    return done.output.splitlines()[-1]
+    return done.stdout.splitlines()[-1]
 
 
 async def test_a_refusal_for_want_of_room(site: EntrySite) -> None:
@@ -83,7 +84,7 @@
     log.write_text("not JSON\n{}\n{broken\n")
     done = CliRunner().invoke(main, ["explain", "1", str(log)])
     assert done.exit_code == 14
-    assert explain("1", parse_log(["x"])) is None
+    assert explain("1", parse_log(["x"]).events) is None
 
 
 RECORDED = """\
@@ -104,7 +105,7 @@
 
 
 def test_the_way_and_the_beliefs_are_told_in_order() -> None:
-    found = explain("r", parse_log(RECORDED.splitlines()))
+    found = explain("r", parse_log(RECORDED.splitlines()).events)
     assert found is not None
     assert [line.split(" ")[0] for line in found.way] == ["+1400", "+1400"]
     assert "load 3/2 told 90 ms before" in found.way[0]
