--- a/benchmarks/entry_slopes.py
+++ b/benchmarks/entry_slopes.py
@@ -16,8 +16,8 @@
 from leverdoor.codec import pack
 from leverdoor.entry.catalog import Catalog
 from leverdoor.entry.fleet import Fleet
-from leverdoor.entry.placement import Asked, Chosen, Placement
-from leverdoor.entry.roster import SERVING, EntryBeat, Member, Roster
+from leverdoor.entry.membership import SERVING, Heartbeat, Member, Membership
+from leverdoor.entry.placement import Placement, PlacementPolicy, PlacementRequest
 from leverdoor.model.resources import Region, Resource, Route, Service, Target, Work
 
 RUNS = 7
@@ -75,16 +75,16 @@
     catalog = Catalog(1, "1", known)
     fleet = Fleet()
     fleet.renew(catalog.targets, 0.0)
-    placement = Placement("a", "a1", fleet, Random(1))
+    placement = PlacementPolicy("a", "a1", fleet, Random(1))
     ranked = median_us(lambda: placement.renew(catalog), 1)
     route = catalog.route("h0", "/0/")
     assert route is not None
     keys = iter(range(10**9))
 
     def decide() -> None:
-        asked = Asked("i", route, "s", f"k{next(keys) % 98}", "1", 0.0, 2.0)
+        asked = PlacementRequest("i", route, "s", f"k{next(keys) % 98}", "1", 0.0, 2.0)
         chosen = placement.place(asked, 0.0)
-        assert isinstance(chosen, Chosen)
+        assert isinstance(chosen, Placement)
         placement.ended(chosen, 0.0)
 
     decided = median_us(decide, 300)
@@ -104,22 +104,24 @@
         region = REGIONS[i % 3]
         return Member(f"e{i}", region, f"{region}1", "f", f"10.0.0.{i}:7", "p", 1)
 
-    roster = Roster(member(0), Random(1))
+    membership = Membership(member(0), Random(1))
     counts = {f"i-{i:08x}": 2 for i in range(20)}
-    beats = [EntryBeat(member(i), 1, SERVING, 5, counts) for i in range(1, entries)]
-    for beat in beats:
-        roster.hear(beat, 0.0)
+    heartbeats = [
+        Heartbeat(member(i), 1, SERVING, 5, counts) for i in range(1, entries)
+    ]
+    for heartbeat in heartbeats:
+        membership.hear(heartbeat, 0.0)
     numbers = iter(range(2, 10**9))
 
     def hear() -> None:
         n = next(numbers)
-        beat = beats[n % len(beats)]
-        roster.hear(EntryBeat(beat.member, n, SERVING, 5, counts), 0.0)
+        heartbeat = heartbeats[n % len(heartbeats)]
+        membership.hear(Heartbeat(heartbeat.member, n, SERVING, 5, counts), 0.0)
 
     heard = median_us(hear, 200)
-    named = median_us(lambda: roster.addresses("a", "a1", SERVING, 0.1), 20)
-    partners = median_us(lambda: roster.partners(), 20)
-    size = len(zlib.compress(pack(beats[0]), 1))
+    named = median_us(lambda: membership.addresses("a", "a1", SERVING, 0.1), 20)
+    partners = median_us(lambda: membership.partners(), 20)
+    size = len(zlib.compress(pack(heartbeats[0]), 1))
     print(f"| {entries} | {heard:.1f} | {named:.0f} | {partners:.0f} | {size} |")
 
 
@@ -129,7 +131,9 @@
     print("|---|---|---|---|---|---|")
     for targets in (48, 330, 1_000, 4_000):
         by_targets(targets)
-    print("\n| entries | take a beat us | name us | partners us | beat bytes |")
+    print(
+        "\n| entries | take a heartbeat us | name us | partners us | heartbeat bytes |"
+    )
     print("|---|---|---|---|---|")
     for entries in (12, 85, 300, 2_500):
         by_entries(entries)
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -23,9 +23,9 @@
 from leverdoor.entry import placement as product
 from leverdoor.entry import spill
 from leverdoor.entry.catalog import Catalog
-from leverdoor.entry.dialect import TargetLoad
 from leverdoor.entry.fleet import Fleet
-from leverdoor.entry.placement import Asked, Chosen, Placement
+from leverdoor.entry.placement import Placement, PlacementPolicy, PlacementRequest
+from leverdoor.entry.wire import TargetLoad
 from leverdoor.model.resources import Region, Resource, Route, Service, Target, Work
 
 REGIONS = ("a", "b", "c")
@@ -38,7 +38,7 @@
 AIM_S = 0.5
 DEADLINE_S = 3.0
 HOP_S = 0.035
-BEAT_S = 0.1
+HEARTBEAT_S = 0.1
 SHARE_S = 0.3
 SWING = 0.55
 PERIOD_S = 36.0
@@ -192,17 +192,17 @@
         self.world = world
         self.fleet = world.fleet if rule.exact else Fleet()
         rng = Random(world.rng.random())
-        self.placement = Placement(
+        self.placement = PlacementPolicy(
             region, region + "1", self.fleet, rng, rule.move_per_s
         )
         self.placement.renew(world.owned if rule.owned else world.catalog)
         self._hears_load = not (rule.exact or rule.owned)
 
-    def serve(self, asked: Asked) -> None:
+    def serve(self, asked: PlacementRequest) -> None:
         """Place a request, and again once if a target sheds it."""
         clock, result = self.world.clock, self.world.result
         decision = self.placement.place(asked, clock.now)
-        if not isinstance(decision, Chosen):
+        if not isinstance(decision, Placement):
             result.refused += 1
             return
         chosen = decision
@@ -230,7 +230,7 @@
         clock.at(clock.now + hop, arrive)
 
     def _end(
-        self, asked: Asked, chosen: Chosen, began: float, load: TargetLoad
+        self, asked: PlacementRequest, chosen: Placement, began: float, load: TargetLoad
     ) -> None:
         now = self.world.clock.now
         self.placement.ended(chosen, now)
@@ -275,7 +275,7 @@
     ]
     route = next(r for r in world.resources if isinstance(r, Route))
 
-    def beat() -> None:
+    def heartbeat() -> None:
         for one in entries:
             counts = one.fleet.in_flight()
             for other in entries:
@@ -292,12 +292,12 @@
                             n, c, world.clock.now
                         ),
                     )
-        world.clock.at(world.clock.now + BEAT_S, beat)
+        world.clock.at(world.clock.now + HEARTBEAT_S, heartbeat)
 
     def shares() -> None:
         for one in entries:
             told = [
-                o.placement.shares.told()
+                o.placement.shares.reported()
                 for o in entries
                 if o is not one and o.region == one.region
             ]
@@ -310,12 +310,12 @@
         wave = 1 + SWING * math.sin(2 * math.pi * (now / PERIOD_S + phase))
         key = f"{region}{world.rng.randrange(KEYS)}"
         world.result.asked += 1
-        asked = Asked("", route, "s", key, "1", now, now + DEADLINE_S)
+        asked = PlacementRequest("", route, "s", key, "1", now, now + DEADLINE_S)
         world.rng.choice([e for e in entries if e.region == region]).serve(asked)
         gap = world.rng.expovariate(plan.rate * wave)
         world.clock.at(now + gap, lambda: arrive(region))
 
-    beat()
+    heartbeat()
     shares()
     for region in REGIONS:
         arrive(region)
--- a/leverdoor/analysis/explaining.py
+++ b/leverdoor/analysis/explaining.py
@@ -58,7 +58,7 @@
     if e.event in ("attempt", "attempt_failed"):
         return (
             f"{when}: attempt {f['attempt']} at {f['target']} ({f['region']}) by"
-            f" '{f['reason']}', load {f['load']}/{f['slots']} told"
+            f" '{f['reason']}', load {f['load']}/{f['slots']} reported"
             f" {f['load_age_ms']} ms before, key {f['key']}"
             f" {'seen' if f['seen'] else 'not seen'} there, expected"
             f" {f['expected_ms']} ms, took {f['took_ms']} ms: {f['outcome']}"
@@ -77,9 +77,10 @@
     when = f"{began - e.at:.1f} s before" if e.at < began else "meanwhile"
     if e.event == "configuration":
         return f"{when}: configuration {f['version']} in force, from {f['source']}"
-    if e.event == "target_rests":
+    if e.event == "target_ejected":
         mine = " (asked)" if f["target"] in targets else ""
-        return f"{when}: {f['target']}{mine} rests {f['rest_s']} s: {f['reason']}"
+        how = f"is ejected for {f['ejected_s']} s: {f['reason']}"
+        return f"{when}: {f['target']}{mine} {how}"
     if e.event == "targets":
         changes = [f"{k} {', '.join(f[k])}" for k in ("came", "gone", "cold") if f[k]]
         return f"{when}: targets {'; '.join(changes)}"
@@ -108,7 +109,7 @@
     f = own[-1].fields
     attempts = [e.fields for e in own if e.event == "attempt_failed"]
     tried = attempts[-1]["target"] if attempts else ""
-    rested = [e for e in before if e.event == "target_rests"]
+    rested = [e for e in before if e.event == "target_ejected"]
     match f["name"]:
         case "QUEUE_FULL":
             return f"No target had room in time: {f['detail']}."
--- a/leverdoor/analysis/losses.py
+++ b/leverdoor/analysis/losses.py
@@ -2,8 +2,8 @@
 # SPDX-License-Identifier: Apache-2.0
 """Where requests were lost: late, refused, failed or left, each with its cause.
 
-Only what entries logged is used. Whether a run was cold is told from its time,
-and not from what the entry believed when it chose the target; how often the two
+Only what entries logged is used. Whether a run was cold follows from its time,
+and not from what the entry expected when it chose the target; how often the two
 differ is part of the report. A request here is one attempt of a client: when a
 client asks again, that is another request with an id of its own.
 """
--- a/leverdoor/entry/side.py
+++ b/leverdoor/entry/admin.py
@@ -9,8 +9,8 @@
 from aiohttp import web
 
 from leverdoor.codec import pack
-from leverdoor.entry.dialect import Dialect
 from leverdoor.entry.metrics import EntryMetrics
+from leverdoor.entry.wire import Wire
 from leverdoor.headers import bounded_int
 from leverdoor.storage.following import DEFLATE
 from leverdoor.storage.state import State
@@ -30,7 +30,7 @@
 
     def __init__(
         self,
-        dialect: Dialect,
+        wire: Wire,
         state: State,
         metrics: EntryMetrics,
         is_ready: Callable[[], bool],
@@ -40,14 +40,14 @@
         """Create it.
 
         Args:
-          dialect: how the surroundings speak.
+          wire: how the surroundings speak.
           state: the copy of the store that other entries may fetch.
           metrics: the entry's figures.
           is_ready: whether the entry serves.
-          addresses: from a client's region and domain, and the time: whom to name.
+          addresses: entries to name, by a client's region and domain and the time.
           ttl_s: how long an answer of the directory may be kept.
         """
-        self._dialect = dialect
+        self._wire = wire
         self._state = state
         self._metrics = metrics
         self._is_ready = is_ready
@@ -60,9 +60,9 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one question."""
         path = request.path
-        if path == self._dialect.resolve_path:
+        if path == self._wire.resolve_path:
             return self._resolve(request)
-        if path == self._dialect.ready_path:
+        if path == self._wire.ready_path:
             return web.Response(status=200 if self._is_ready() else 503)
         if path == PULL_PATH:
             return self._delta(request)
@@ -89,13 +89,13 @@
     def _resolve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Tell a client which entries to use."""
         self._metrics.lookups.inc()
-        _, region, domain = self._dialect.parse_resolve(request.query)
+        _, region, domain = self._wire.parse_resolve(request.query)
         now = asyncio.get_running_loop().time()
         addresses = self._addresses(region, domain, now)
         if not addresses:
             return web.Response(status=503)
         return web.Response(
-            body=self._dialect.serialize_resolve(addresses, self._ttl_s),
+            body=self._wire.serialize_resolve(addresses, self._ttl_s),
             content_type="application/json",
         )
 
--- a/leverdoor/entry/connections.py
+++ b/leverdoor/entry/connections.py
@@ -13,7 +13,7 @@
     TargetConnection,
     open_connection,
 )
-from leverdoor.entry.rests import RestLimits
+from leverdoor.entry.idle_timeouts import IdleTimeouts
 from leverdoor.model.resources import Target
 from leverdoor.settings import parse_address
 
@@ -57,7 +57,7 @@
           tell_cautious: called with a service whose targets forget connections.
         """
         self._tell_cautious = tell_cautious
-        self._rests = RestLimits()
+        self._idle_timeouts = IdleTimeouts()
         self._id_header = id_header
         self._region = region
         self._idle: dict[str, list[TargetConnection]] = {}
@@ -72,7 +72,7 @@
         """
         now = asyncio.get_running_loop().time()
         connection = self._take(target, now)
-        rested_s = 0.0 if connection is None else now - connection.idle_since
+        idle_s = 0.0 if connection is None else now - connection.idle_since
         if connection is None:
             connection = await self._open(target)
         try:
@@ -84,18 +84,18 @@
                 outgoing.method == "HEAD",
             )
         except AnswerLost:
-            self._lost(target.service, rested_s, now)
+            self._lost(target.service, idle_s, now)
             raise
         self._keep(target, connection, reply)
         return reply
 
-    def _lost(self, service: str, rested_s: float, sent_at: float) -> None:
+    def _lost(self, service: str, idle_s: float, sent_at: float) -> None:
         now = asyncio.get_running_loop().time()
-        if self._rests.lost(service, rested_s, now - sent_at, now):
+        if self._idle_timeouts.lost(service, idle_s, now - sent_at, now):
             self._tell_cautious(service)
 
     def _take(self, target: Target, now: float) -> TargetConnection | None:
-        longest_s = self._rests.longest_s(target.service, now)
+        longest_s = self._idle_timeouts.longest_s(target.service, now)
         kept = self._idle.get(target.name, [])
         while kept:
             connection = kept.pop()
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -12,30 +12,30 @@
 
 from leverdoor.budget import RepeatBudget
 from leverdoor.daemon import keep_running
+from leverdoor.entry.admin import Side
 from leverdoor.entry.catalog import EMPTY, Catalog
 from leverdoor.entry.client_connection import ClientConnection
 from leverdoor.entry.connections import Connections
-from leverdoor.entry.dialect import Dialect
 from leverdoor.entry.events import Events
-from leverdoor.entry.finishing import STOP_POLL_S, finish
+from leverdoor.entry.expired_registrations import ExpiredRegistrations, Outage
 from leverdoor.entry.fleet import Fleet
 from leverdoor.entry.forwarding import Forwarder
 from leverdoor.entry.front import Front
-from leverdoor.entry.lapses import Lapses, Outage
-from leverdoor.entry.metrics import EntryMetrics
-from leverdoor.entry.placement import Placement
-from leverdoor.entry.registration import Registration, retry_pause_s
-from leverdoor.entry.roster import (
-    BEAT_S,
+from leverdoor.entry.membership import (
+    HEARTBEAT_S,
     LEAVING,
     SERVING,
     STARTING,
-    EntryBeat,
+    Heartbeat,
     Member,
-    Roster,
+    Membership,
 )
+from leverdoor.entry.metrics import EntryMetrics
+from leverdoor.entry.placement import PlacementPolicy
+from leverdoor.entry.registration import Registration, retry_pause_s
 from leverdoor.entry.settings import EntrySettings
-from leverdoor.entry.side import Side
+from leverdoor.entry.shutdown import STOP_POLL_S, finish
+from leverdoor.entry.wire import Wire
 from leverdoor.membership.gossip import GossipSocket
 from leverdoor.model.resources import Target
 from leverdoor.settings import Address
@@ -45,14 +45,14 @@
 
 __all__ = ["Entry"]
 
-SHARE_BEATS = 2
+SHARE_HEARTBEATS = 2
 """Heartbeats between two moves of the regions' shares: 0.4 s. Chosen."""
 WARM_ROUNDS = 2
-"""Rounds of heartbeats that tell an answer, so that one lost beat does no harm."""
-SWEEP_BEATS = 5
+"""Rounds of heartbeats that tell an answer, so that one lost heartbeat does no harm."""
+SWEEP_HEARTBEATS = 5
 """Heartbeats between two clean-ups of what ages: 1 s. Chosen."""
 NEWS_S = 0.03
-"""Pause before news are told, so that changes in a row are told once."""
+"""Pause before news are sent, so that changes in a row are sent once."""
 LISTEN_ON_S = 2.2
 """How long a leaving entry accepts connections: the life of a cached look-up and 0.2
 s.
@@ -87,13 +87,13 @@
         self,
         settings: EntrySettings,
         store: LeasingStore,
-        dialect: Dialect,
+        wire: Wire,
         events: Events,
     ) -> None:
         """Create an entry; nothing is opened yet."""
         self._settings = settings
         self._store = store
-        self._dialect = dialect
+        self._wire = wire
         self._events = events
         self._stop = asyncio.Event()
         self._life = STARTING
@@ -101,8 +101,8 @@
         self._catalog = EMPTY
         self._source = "store"
         self._outage = Outage()
-        self._lapses = Lapses(settings.leave_s)
-        self._lapsed: list[str] = []
+        self._expired_registrations = ExpiredRegistrations(settings.leave_s)
+        self._expired: list[str] = []
         self._hold_timer: asyncio.TimerHandle | None = None
         self._servers: list[asyncio.Server] = []
         self._news_due = False
@@ -146,7 +146,7 @@
         front = await self._listen(self._client_connection, s.front)
         for address in (s.ready, s.directory, s.pull, s.metrics):
             await self._listen(self._side_server, address)
-        loops = (self._follower.run, self._registration.run, self._beat)
+        loops = (self._follower.run, self._registration.run, self._heartbeat)
         tasks = [asyncio.create_task(keep_running(w.__qualname__, w)) for w in loops]
         try:
             await self._stop.wait()
@@ -173,13 +173,15 @@
         )
         self._state = State()
         self._state.changes.subscribe(self._take_delta)
-        self._roster = Roster(self._member, rng)
+        self._membership = Membership(self._member, rng)
         self._fleet = Fleet()
         move_per_s = s.max_shift * MOVED_SHARE / SHIFT_WINDOW_S
-        self._placement = Placement(s.region, s.domain, self._fleet, rng, move_per_s)
+        self._placement = PlacementPolicy(
+            s.region, s.domain, self._fleet, rng, move_per_s
+        )
         self._placement.sharers = self._sharers
         self._connections = Connections(
-            self._dialect.headers.request_id,
+            self._wire.headers.request_id,
             s.region,
             self._events.connections_forgotten,
         )
@@ -188,7 +190,7 @@
             s.repeat_ratio * REPEAT_SHARE, REPEATS_SAVED, REPEATS_FIRST
         )
         forwarder = Forwarder(
-            self._dialect,
+            self._wire,
             self._placement,
             self._fleet,
             self._connections,
@@ -196,7 +198,7 @@
             self._events,
         )
         self._front = Front(
-            self._dialect,
+            self._wire,
             self._placement,
             forwarder,
             self._events,
@@ -204,18 +206,18 @@
             lambda: self._catalog,
         )
         side = Side(
-            self._dialect,
+            self._wire,
             self._state,
             self._metrics,
             lambda: self._life == SERVING,
-            lambda region, domain, now: self._roster.addresses(
+            lambda region, domain, now: self._membership.addresses(
                 region, domain, self._life, now
             ),
             s.lookup_ttl_s,
         )
         self._front_server = web.Server(self._front.handle, handler_cancellation=True)
         self._side_server = web.Server(side.handle, access_log=None)
-        self._socket = GossipSocket(EntryBeat, self._take_beat)
+        self._socket = GossipSocket(Heartbeat, self._take_heartbeat)
         self._puller = PeerFollower(self._state)
         self._follower = StoreFollower(
             self._store,
@@ -228,12 +230,12 @@
         )
         self._registration = Registration(
             self._store,
-            self._dialect.peer_key(s.name),
+            self._wire.peer_key(s.name),
             self._member,
             self._events,
             rng,
             lambda: retry_pause_s(
-                len(self._roster.everyone()) + 1, self._settings.store_writes_per_s
+                len(self._membership.everyone()) + 1, self._settings.store_writes_per_s
             ),
         )
 
@@ -265,7 +267,7 @@
 
     def _is_elected(self) -> bool:
         now = asyncio.get_running_loop().time()
-        return self._roster.elected(self._settings.watchers, now)
+        return self._membership.elected(self._settings.watchers, now)
 
     def _take_store(self, reachable: bool, why: str) -> None:
         """Record that the store was lost, or answers again."""
@@ -274,40 +276,42 @@
         self._events.store(change, self._state.revision, why)
 
     def _take_delta(self, _: Delta) -> None:
-        """Compile a newer state, and tell others that there is one."""
+        """Compile a newer state, and let others know that there is one."""
         self._compile()
         self._metrics.revision.set(self._state.revision)
         self._spread_news()
         if self._life == STARTING and self._catalog.configured:
             self._life = SERVING
             self._events.process("ready", version=self._catalog.version)
-            self._tell_everyone()
+            self._notify_all()
 
     def _compile(self) -> None:
         """Compile the state; one that can't be read leaves the old in force."""
         loop = asyncio.get_running_loop()
         now = loop.time()
-        said = self._dialect.translate(self._state.entries)
-        self._roster.found(said.peers, now)
+        said = self._wire.translate(self._state.entries)
+        self._membership.found(said.peers, now)
         targets = {t.name: t for t in said.resources if isinstance(t, Target)}
-        held = self._lapses.update(targets, self._outage.recent(now), now)
+        held = self._expired_registrations.update(
+            targets, self._outage.recent(now), now
+        )
         before = self._catalog
         catalog = Catalog(self._state.revision, said.version, [*said.resources, *held])
         self._catalog = catalog
-        self._tell_changes(before, catalog, held)
+        self._log_changes(before, catalog, held)
         self._fleet.renew(catalog.targets, now)
         for name in before.in_service - catalog.in_service:
             self._connections.drop(name)
         self._placement.renew(catalog)
         if self._hold_timer is not None:
             self._hold_timer.cancel()
-        end = self._lapses.next_end
+        end = self._expired_registrations.next_end
         self._hold_timer = None if end is None else loop.call_at(end, self._compile)
 
-    def _tell_changes(
+    def _log_changes(
         self, before: Catalog, catalog: Catalog, held: list[Target]
     ) -> None:
-        """Log what is believed now and was not before."""
+        """Log what differs from the catalogue before."""
         if catalog.version != before.version:
             self._events.configuration(
                 catalog.version,
@@ -323,34 +327,34 @@
             for name, target in catalog.targets.items()
             if target.cold_ms and before.targets.get(name) != target
         ]
-        lapsed = sorted(t.name for t in held)
-        if came or gone or cold or lapsed != self._lapsed:
-            self._events.targets(came, gone, cold, lapsed, catalog.revision)
-        self._lapsed = lapsed
+        expired = sorted(t.name for t in held)
+        if came or gone or cold or expired != self._expired:
+            self._events.targets(came, gone, cold, expired, catalog.revision)
+        self._expired = expired
 
     def _spread_news(self) -> None:
-        """Tell some entries of a newer state soon, once for all that comes by then.
+        """Announce a newer state to some entries soon, once for several changes.
 
-        In a large region a beat in turn would reach the last entries only after
+        In a large region a heartbeat in turn would reach the last entries only after
         seconds; news that each passes on to a few reach all in a few steps.
         """
         if not self._news_due:
             self._news_due = True
-            asyncio.get_running_loop().call_later(NEWS_S, self._tell_some)
+            asyncio.get_running_loop().call_later(NEWS_S, self._notify_some)
 
-    def _tell_some(self) -> None:
+    def _notify_some(self) -> None:
         self._news_due = False
-        self._socket.send_all(self._own_beat(), self._roster.some())
+        self._socket.send_all(self._own_heartbeat(), self._membership.some())
 
-    def _take_beat(self, beat: EntryBeat) -> None:
+    def _take_heartbeat(self, heartbeat: Heartbeat) -> None:
         now = asyncio.get_running_loop().time()
-        if not self._roster.hear(beat, now):
+        if not self._membership.hear(heartbeat, now):
             return
-        self._fleet.hear(beat.member.name, beat.in_flight, now)
-        self._placement.shared_warmth.hear(beat.warm, now)
-        self._outage.heard(beat.outage_ms, now)
-        if beat.revision > self._state.revision:
-            source = self._roster.source(beat, now)
+        self._fleet.hear(heartbeat.member.name, heartbeat.in_flight, now)
+        self._placement.shared_warmth.hear(heartbeat.warm, now)
+        self._outage.heard(heartbeat.outage_ms, now)
+        if heartbeat.revision > self._state.revision:
+            source = self._membership.source(heartbeat, now)
             asyncio.ensure_future(self._pull(source.pull))
 
     async def _pull(self, address: str) -> None:
@@ -363,52 +367,52 @@
 
     def _sharers(self, target: Target) -> int:
         """Count the entries that share a cold target's allowance."""
-        near = self._roster.in_domain(target.domain)
+        near = self._membership.in_domain(target.domain)
         if near:
             return near if self._settings.domain == target.domain else 0
-        near = self._roster.in_region(target.region)
+        near = self._membership.in_region(target.region)
         if near:
             return near if self._settings.region == target.region else 0
-        return max(len(self._roster.everyone()) + 1, 1)
+        return max(len(self._membership.everyone()) + 1, 1)
 
-    # What is told.
+    # Heartbeats.
 
-    def _own_beat(self) -> EntryBeat:
+    def _own_heartbeat(self) -> Heartbeat:
         self._seq += 1
         now = asyncio.get_running_loop().time()
-        span_s = WARM_ROUNDS * self._roster.round_s()
-        return EntryBeat(
+        span_s = WARM_ROUNDS * self._membership.round_s()
+        return Heartbeat(
             self._member,
             self._seq,
             self._life,
             self._state.revision,
             self._fleet.in_flight(),
-            self._placement.shares.told(),
+            self._placement.shares.reported(),
             self._outage.age_ms(now),
             self._placement.shared_warmth.recent(span_s, now),
         )
 
-    def _tell_everyone(self) -> None:
-        self._socket.send_all(self._own_beat(), self._roster.everyone())
+    def _notify_all(self) -> None:
+        self._socket.send_all(self._own_heartbeat(), self._membership.everyone())
 
-    async def _beat(self) -> None:
-        """Tell other entries how this one fares, and look after what ages."""
+    async def _heartbeat(self) -> None:
+        """Send heartbeats, and expire what has grown old."""
         loop = asyncio.get_running_loop()
         turn = 0
         while True:
-            await asyncio.sleep(BEAT_S)
+            await asyncio.sleep(HEARTBEAT_S)
             turn += 1
             now = loop.time()
-            self._socket.send_all(self._own_beat(), self._roster.partners())
-            if turn % SHARE_BEATS == 0:
-                peers = [b.shares for b in self._roster.near(now)]
+            self._socket.send_all(self._own_heartbeat(), self._membership.partners())
+            if turn % SHARE_HEARTBEATS == 0:
+                peers = [b.shares for b in self._membership.near(now)]
                 self._placement.shares.update(peers, now)
-            if turn % SWEEP_BEATS == 0:
+            if turn % SWEEP_HEARTBEATS == 0:
                 self._connections.sweep(now)
-                self._roster.forget(now)
+                self._membership.forget(now)
                 self._metrics.in_flight.set(self._front.active)
-                self._metrics.peers.set(len(self._roster.live(now)))
-                for name, change, silent_s in self._roster.changes(now):
+                self._metrics.peers.set(len(self._membership.live(now)))
+                for name, change, silent_s in self._membership.changes(now):
                     self._events.peer(name, change, silent_s)
                 for service, shares in self._placement.shares.moved().items():
                     self._events.shares(service, shares)
@@ -422,7 +426,7 @@
         self._life = LEAVING
         self._front.leaving = True
         self._events.process("leaving", in_flight=self._front.active)
-        self._tell_everyone()
+        self._notify_all()
         removal = asyncio.create_task(self._registration.end())
         await asyncio.sleep(LISTEN_ON_S)
         front.close()
--- a/leverdoor/entry/events.py
+++ b/leverdoor/entry/events.py
@@ -3,7 +3,7 @@
 """Every event that an entry logs: named here, bounded, never blocking.
 
 A line is one JSON object. Each kind has a budget of lines a second; what is
-left out is counted and told with the next line of the kind.
+left out is counted in the next line of the kind.
 """
 
 import os
@@ -16,7 +16,7 @@
 from leverdoor.errors import Refusal
 
 if TYPE_CHECKING:
-    from leverdoor.entry.placement import Asked, Chosen
+    from leverdoor.entry.placement import Placement, PlacementRequest
 
 __all__ = ["Events", "LineWriter"]
 
@@ -119,8 +119,8 @@
 
     def attempt(
         self,
-        asked: "Asked",
-        chosen: "Chosen",
+        asked: "PlacementRequest",
+        chosen: "Placement",
         attempt: int,
         outcome: str,
         took_s: float,
@@ -202,26 +202,31 @@
         came: list[str],
         gone: list[str],
         cold: list[str],
-        lapsed: list[str],
+        expired: list[str],
         revision: int,
     ) -> None:
         """Targets came, went (by leaving or by an evacuation), or turned cold.
 
-        Those that lapsed have no entry since an outage of the store, and are
-        gone on with for a moment.
+        Those that expired have no entry since an outage of the store, and are
+        used for a moment longer.
         """
         self.emit(
             "targets",
             came=came,
             gone=gone,
             cold=cold,
-            lapsed=lapsed,
+            expired=expired,
             revision=revision,
         )
 
-    def target_rests(self, target: str, reason: str, rest_s: float) -> None:
-        """A target gets nothing for a while."""
-        self.emit("target_rests", target=target, reason=reason, rest_s=round(rest_s, 2))
+    def target_ejected(self, target: str, reason: str, ejected_s: float) -> None:
+        """A target is ejected: it gets nothing for a while."""
+        self.emit(
+            "target_ejected",
+            target=target,
+            reason=reason,
+            ejected_s=round(ejected_s, 2),
+        )
 
     def connections_forgotten(self, service: str) -> None:
         """A service's targets reset idle connections; young ones are used only."""
--- a/leverdoor/entry/lapses.py
+++ b/leverdoor/entry/expired_registrations.py
@@ -1,6 +1,6 @@
 # leverdoor: global traffic steering
 # SPDX-License-Identifier: Apache-2.0
-"""Targets whose entries lapsed while the store was away, and are likely back soon.
+"""Targets whose entries expired while the store was away, and are likely back soon.
 
 A target that can't renew its entry during an outage of the store loses it, and
 writes it again soon after the store is back. Taking all of them out of service
@@ -13,12 +13,12 @@
 
 from leverdoor.model.resources import Target
 
-__all__ = ["Lapses", "Outage"]
+__all__ = ["ExpiredRegistrations", "Outage"]
 
 RECENT_S = 6.0
 """How long after an outage a missing entry may still be due to it."""
 MOST_HOLD_S = 2.0
-"""How long after the store's return entries that lapsed are back."""
+"""How long after the store's return entries that expired are back."""
 HOLD_MARGIN_S = 0.6
 """Time for news of a leaving target to arrive, within the bound on leaving."""
 NEVER_MS = -1
@@ -57,7 +57,7 @@
         return round((now - self._last) * 1000)
 
     def recent(self, now: float) -> bool:
-        """Say whether an entry that is missing now may have lapsed."""
+        """Say whether an entry that is missing now may have expired."""
         if self._lost_here:
             return True
         return self._last is not None and now - self._last <= RECENT_S
@@ -68,8 +68,8 @@
     until: float
 
 
-class Lapses:
-    """Holds targets whose entries lapsed until they are back or taken for gone."""
+class ExpiredRegistrations:
+    """Holds targets whose entries expired until they are back or taken for gone."""
 
     def __init__(self, leave_s: float) -> None:
         """Create it without any target.
--- a/leverdoor/entry/fleet.py
+++ b/leverdoor/entry/fleet.py
@@ -1,18 +1,18 @@
 # leverdoor: global traffic steering
 # SPDX-License-Identifier: Apache-2.0
-"""What one entry believes of each target: load, warmth, health, allowance."""
+"""The state of each target as one entry sees it: load, warmth, health, allowance."""
 
 import math
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 
-from leverdoor.entry.dialect import TargetLoad
+from leverdoor.entry.wire import TargetLoad
 from leverdoor.model.resources import Target
 
 __all__ = ["Allowance", "Fleet", "TargetState"]
 
 FIRST_EJECTION_S = 0.5
-"""First ejection of a target that was not reached, in seconds; it doubles. Chosen."""
+"""First ejection of a target that was not reached, in seconds; it doubles."""
 LONGEST_EJECTION_S = 4.0
 """Longest ejection, in seconds; chosen, the usual length of an outage."""
 LOST_IN_A_ROW = 3
@@ -46,10 +46,10 @@
 """
 SLOW_WEIGHT = 0.15
 """Weight of one answer in that mean: about the last seven. Chosen."""
-SLOW_REST_S = 2.0
+SLOW_EJECTION_S = 2.0
 """How long a slow target is ejected, in seconds; chosen."""
 STILL_SLOW = 2.4
-"""What a target is taken for after such a rest, until it answers well."""
+"""Mean that a target has after such an ejection, until it answers well."""
 SILENCE_S = 1.2
 """Silence of a target with requests after which it gets no more, in seconds.
 
@@ -128,7 +128,7 @@
         self._unseen += weight * (gap - self._unseen)
         self._report = (now, others)
 
-    def told_by_peer(self, peer: str, in_flight: int, now: float) -> None:
+    def reported_by_peer(self, peer: str, in_flight: int, now: float) -> None:
         """Take how many requests another entry has in flight there."""
         if in_flight:
             self._peers[peer] = (now, in_flight)
@@ -152,7 +152,7 @@
         return self.in_flight + others
 
     def load_age_ms(self, now: float) -> int:
-        """Return the age of the newest word of others about it; -1 for none."""
+        """Return the age of the newest report or heartbeat about it; -1 for none."""
         heard = [at for at, _ in self._peers.values()]
         if self._report is not None:
             heard.append(self._report[0])
@@ -202,7 +202,7 @@
         Args:
           took_ratio: its time over the time expected.
           now: monotonic time in seconds.
-        Returns: whether the target is so slow that it rests now.
+        Returns: whether the target is so slow that it is ejected now.
         """
         self._failures = 0
         self._lost = 0
@@ -215,7 +215,7 @@
         Args:
           took_ratio: the time it had over the time expected.
           now: monotonic time in seconds.
-        Returns: whether the target is so slow that it rests now.
+        Returns: whether the target is so slow that it is ejected now.
         """
         return took_ratio > 1.0 and self._judge(took_ratio, now)
 
@@ -223,18 +223,18 @@
         self._slowness += SLOW_WEIGHT * (took_ratio - self._slowness)
         if self._slowness <= SLOW_RATIO:
             return False
-        self.slow_until = now + SLOW_REST_S
+        self.slow_until = now + SLOW_EJECTION_S
         self._slowness = STILL_SLOW
         return True
 
     def slow(self, now: float) -> bool:
-        """Say whether the target rests since it is slow; better than nothing."""
+        """Say whether the target is ejected as slow; it serves if no other can."""
         return now < self.slow_until
 
     def unreached(self, now: float) -> float:
         """Record that the target could not be reached.
 
-        Returns: how long the target rests, in seconds.
+        Returns: how long the target is ejected, in seconds.
         """
         wait = min(
             FIRST_EJECTION_S * 2.0 ** min(self._failures, 10), LONGEST_EJECTION_S
@@ -246,10 +246,10 @@
     def lost(self, now: float) -> float:
         """Record a lost answer; a few may be lost by a target that is well.
 
-        A rest moves its keys to targets that have not seen them, which costs
+        An ejection moves its keys to targets that have not seen them, which costs
         more than another lost answer.
 
-        Returns: how long the target rests, in seconds; 0 for not at all.
+        Returns: how long the target is ejected, in seconds; 0 for not at all.
         """
         self._lost += 1
         if self._lost < LOST_IN_A_ROW:
@@ -324,10 +324,10 @@
         """Take the counts of another entry; what it does not name is none."""
         for name in self._told.get(peer, frozenset()) - counts.keys():
             if name in self._states:
-                self._states[name].told_by_peer(peer, 0, now)
+                self._states[name].reported_by_peer(peer, 0, now)
         for name, count in counts.items():
             if name in self._states:
-                self._states[name].told_by_peer(peer, count, now)
+                self._states[name].reported_by_peer(peer, count, now)
         self._told[peer] = frozenset(counts)
 
     def load(self, targets: Iterable[Target], now: float) -> tuple[float, int]:
--- a/leverdoor/entry/forwarding.py
+++ b/leverdoor/entry/forwarding.py
@@ -10,10 +10,15 @@
 from leverdoor.budget import RepeatBudget
 from leverdoor.entry.connection import AnswerLost, NotSent, Reply
 from leverdoor.entry.connections import Connections, Outgoing
-from leverdoor.entry.dialect import Dialect
 from leverdoor.entry.events import Events
-from leverdoor.entry.fleet import SLOW_REST_S, Fleet
-from leverdoor.entry.placement import Asked, Chosen, Placement, Unplaced
+from leverdoor.entry.fleet import SLOW_EJECTION_S, Fleet
+from leverdoor.entry.placement import (
+    Placement,
+    PlacementPolicy,
+    PlacementRequest,
+    Rejection,
+)
+from leverdoor.entry.wire import Wire
 from leverdoor.errors import Code, Refusal, Run
 from leverdoor.model.resources import Work
 
@@ -31,7 +36,7 @@
 class Incoming(msgspec.Struct):
     """One request as an entry takes it in."""
 
-    asked: Asked
+    asked: PlacementRequest
     method: str
     path: str
     """Path and query, unaltered."""
@@ -52,15 +57,15 @@
 
     def __init__(
         self,
-        dialect: Dialect,
-        placement: Placement,
+        wire: Wire,
+        placement: PlacementPolicy,
         fleet: Fleet,
         connections: Connections,
         budget: RepeatBudget,
         events: Events,
     ) -> None:
         """Create it from the entry's parts."""
-        self._dialect = dialect
+        self._wire = wire
         self._placement = placement
         self._fleet = fleet
         self._connections = connections
@@ -108,7 +113,7 @@
         loop = asyncio.get_running_loop()
         asked = incoming.asked
         decision = self._placement.place(asked, loop.time())
-        if isinstance(decision, Unplaced):
+        if isinstance(decision, Rejection):
             refusal = Refusal(
                 decision.code, decision.reason, retry_after_ms=decision.retry_after_ms
             )
@@ -130,11 +135,11 @@
         return reply
 
     def _learn(
-        self, incoming: Incoming, chosen: Chosen, reply: Reply, took_s: float
+        self, incoming: Incoming, chosen: Placement, reply: Reply, took_s: float
     ) -> None:
         now = asyncio.get_running_loop().time()
         state = self._fleet.of(chosen.target, now)
-        load = self._dialect.parse_load(reply.get(self._dialect.headers.load))
+        load = self._wire.parse_load(reply.get(self._wire.headers.load))
         if load is not None:
             state.reported(load, now)
         if reply.status >= 400:
@@ -143,9 +148,9 @@
         size = len(reply.body) + (len(body) if isinstance(body, bytes) else LONG_BODY)
         asked = incoming.asked
         if self._placement.answered(asked, chosen, took_s * 1000, size, now):
-            self._events.target_rests(chosen.target.name, "slow", SLOW_REST_S)
+            self._events.target_ejected(chosen.target.name, "slow", SLOW_EJECTION_S)
 
-    async def _send(self, incoming: Incoming, chosen: Chosen) -> Reply:
+    async def _send(self, incoming: Incoming, chosen: Placement) -> Reply:
         loop = asyncio.get_running_loop()
         asked = incoming.asked
         began = loop.time()
@@ -165,12 +170,12 @@
             self._overran(chosen, loop.time() - began)
             refusal = Refusal(Code.DEADLINE_PASSED)
             raise _Failed(refusal, placed=True, arrived=True) from None
-        not_run = reply.get(self._dialect.headers.not_run) or reply.status == 421
+        not_run = reply.get(self._wire.headers.not_run) or reply.status == 421
         if not_run and reply.status in NOT_RUN_STATUSES:
             self._turned_away(chosen, reply, loop.time())
         return reply
 
-    def _turned_away(self, chosen: Chosen, reply: Reply, now: float) -> None:
+    def _turned_away(self, chosen: Placement, reply: Reply, now: float) -> None:
         """Take a target's word that it did not run the request."""
         if reply.status == 421:
             self._unreached(chosen, "another instance")
@@ -181,31 +186,31 @@
         )
         raise _Failed(refusal, placed=True, arrived=True)
 
-    def _overran(self, chosen: Chosen, took_s: float) -> None:
+    def _overran(self, chosen: Placement, took_s: float) -> None:
         """Take a request whose time was over as a sign of how slow a target is."""
         now = asyncio.get_running_loop().time()
         ratio = took_s * 1000 / max(chosen.expected_ms, 1.0)
         if self._fleet.of(chosen.target, now).overran(ratio, now):
-            self._events.target_rests(chosen.target.name, "slow", SLOW_REST_S)
+            self._events.target_ejected(chosen.target.name, "slow", SLOW_EJECTION_S)
 
-    def _unreached(self, chosen: Chosen, reason: str) -> None:
+    def _unreached(self, chosen: Placement, reason: str) -> None:
         """Leave a target alone for a while."""
         now = asyncio.get_running_loop().time()
-        rest_s = self._fleet.of(chosen.target, now).unreached(now)
-        self._events.target_rests(chosen.target.name, reason, rest_s)
+        ejected_s = self._fleet.of(chosen.target, now).unreached(now)
+        self._events.target_ejected(chosen.target.name, reason, ejected_s)
 
-    def _lost(self, chosen: Chosen, unreachable: bool) -> None:
+    def _lost(self, chosen: Placement, unreachable: bool) -> None:
         """Leave a target alone that loses one answer after the other."""
         if unreachable:
             self._unreached(chosen, "no acknowledgement")
             return
         now = asyncio.get_running_loop().time()
-        rest_s = self._fleet.of(chosen.target, now).lost(now)
-        if rest_s:
-            self._events.target_rests(chosen.target.name, "answers lost", rest_s)
+        ejected_s = self._fleet.of(chosen.target, now).lost(now)
+        if ejected_s:
+            self._events.target_ejected(chosen.target.name, "answers lost", ejected_s)
 
-    def _outgoing(self, incoming: Incoming, chosen: Chosen, now: float) -> Outgoing:
-        names = self._dialect.headers
+    def _outgoing(self, incoming: Incoming, chosen: Placement, now: float) -> Outgoing:
+        names = self._wire.headers
         asked = incoming.asked
         left_ms = max(int((asked.until - now) * 1000), 1)
         lines = [f"{incoming.method} {incoming.path} HTTP/1.1"]
--- a/leverdoor/entry/front.py
+++ b/leverdoor/entry/front.py
@@ -12,11 +12,11 @@
 from leverdoor.codec import serialize_json
 from leverdoor.entry.catalog import Catalog, entry_host
 from leverdoor.entry.connection import Reply
-from leverdoor.entry.dialect import Dialect
 from leverdoor.entry.events import Events
 from leverdoor.entry.forwarding import Forwarder, Incoming
 from leverdoor.entry.metrics import EntryMetrics
-from leverdoor.entry.placement import Asked, Placement
+from leverdoor.entry.placement import PlacementPolicy, PlacementRequest
+from leverdoor.entry.wire import Wire
 from leverdoor.errors import Code, Refusal, code_info
 from leverdoor.headers import bounded_int, passing
 from leverdoor.model.resources import Route
@@ -37,15 +37,15 @@
 
     def __init__(
         self,
-        dialect: Dialect,
-        placement: Placement,
+        wire: Wire,
+        placement: PlacementPolicy,
         forwarder: Forwarder,
         events: Events,
         metrics: EntryMetrics,
         catalog: Callable[[], Catalog],
     ) -> None:
         """Create it from the entry's parts."""
-        self._dialect = dialect
+        self._wire = wire
         self._placement = placement
         self._forwarder = forwarder
         self._events = events
@@ -78,7 +78,7 @@
         """Get the answer to one request, which may be a refusal."""
         loop = asyncio.get_running_loop()
         arrived = loop.time()
-        request_id = request.headers.get(self._dialect.headers.request_id, "")
+        request_id = request.headers.get(self._wire.headers.request_id, "")
         service = ""
         outcome = "left"
         try:
@@ -128,11 +128,11 @@
         if route is None:
             raise Refusal(Code.NO_ROUTE, f"{host} {path[:100]}")
         until = arrived + self._patience_s(request, route)
-        asked = Asked(
+        asked = PlacementRequest(
             request_id=request_id,
             route=route,
             service=self._placement.pick_service(route),
-            key=request.headers.get(self._dialect.headers.affinity, request_id),
+            key=request.headers.get(self._wire.headers.affinity, request_id),
             version=catalog.version,
             arrived=arrived,
             until=until,
@@ -150,7 +150,7 @@
 
     def _patience_s(self, request: web.BaseRequest, route: Route) -> float:
         """Return how long a request may take here, in seconds."""
-        name = self._dialect.headers.deadline_ms
+        name = self._wire.headers.deadline_ms
         deadline_ms = bounded_int(request.headers, name, DEFAULT_DEADLINE_MS)
         if route.timeout_ms:
             deadline_ms = min(deadline_ms, route.timeout_ms)
@@ -158,7 +158,7 @@
 
     def _passing(self, request: web.BaseRequest) -> list[tuple[str, str]]:
         """Return the headers for the target, Host included."""
-        names = self._dialect.headers
+        names = self._wire.headers
         own = (names.deadline_ms, names.instance, "content-length")
         connection = request.headers.get("Connection", "")
         found = [("Host", request.headers.get("Host", ""))]
@@ -247,9 +247,9 @@
             body=serialize_json(error.problem()),
             content_type="application/json",
         )
-        request_id = request.headers.get(self._dialect.headers.request_id, "")
+        request_id = request.headers.get(self._wire.headers.request_id, "")
         if request_id:
-            response.headers[self._dialect.headers.request_id] = request_id
+            response.headers[self._wire.headers.request_id] = request_id
         if error.retry_after_ms and info.status in (503, 429):
             response.headers["Retry-After"] = f"{error.retry_after_ms / 1000:.3f}"
         self._finish(response)
--- a/leverdoor/entry/roster.py
+++ b/leverdoor/entry/membership.py
@@ -1,6 +1,6 @@
 # leverdoor: global traffic steering
 # SPDX-License-Identifier: Apache-2.0
-"""Which entries there are, which can be named to clients, and what they tell."""
+"""Membership among entries: who is there, who can be named to clients."""
 
 import math
 from collections import Counter
@@ -12,29 +12,29 @@
 
 from leverdoor.codec import unpack
 
-__all__ = ["EntryBeat", "EntryState", "Member", "Roster", "SERVING"]
+__all__ = ["Heartbeat", "EntryState", "Member", "Membership", "SERVING"]
 
 SILENCE_S = 1.6
 """Silence after which an entry of the region is not named: eight heartbeats."""
 FAR_SILENCE_S = 4.0
-"""Entries of other regions send one beat in turn to each, so less often."""
+"""Entries of other regions send one heartbeat in turn to each, so less often."""
 FAR_PARTNERS = 2
 """Entries of other regions that get each heartbeat; chosen, for the bytes."""
 NEWS_NEAR = 5
-"""Entries of the region that are told news at once: five reach 100 in three steps.
+"""Entries of the region that get news at once: five reach 100 in three steps.
 """
 NEWS_FAR = 1
 """The same in other regions."""
 MOST_SILENCE_S = 6.0
 """Longest patience with a silent entry, whatever the number, in seconds."""
-MISSED_BEATS = 4
+MISSED_HEARTBEATS = 4
 """Heartbeats that may be lost before silence counts; chosen."""
-BEAT_S = 0.2
-"""Time between two rounds of beats."""
+HEARTBEAT_S = 0.2
+"""Time between two rounds of heartbeats."""
 FORGET_S = 60.0
 """Silence after which an entry is forgotten, in seconds; chosen."""
 OLD_LIFE_S = 1.2
-"""How late a beat of an entry's former life may come."""
+"""How late a heartbeat of an entry's former life may come."""
 NEAR_PARTNERS = 4
 """Entries of the region that get each heartbeat: all of a region of five."""
 MAX_NAMED = 64
@@ -73,7 +73,7 @@
     """Bandwidth of its machine's link; 0 if it is not known."""
 
 
-class EntryBeat(msgspec.Struct, frozen=True, array_like=True):
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
     """One heartbeat of an entry."""
 
     member: Member
@@ -89,20 +89,20 @@
     warm: list[int] = []
     """Digests of keys lately answered by other targets than their first."""
 
-    def newer(self, other: "EntryBeat") -> bool:
-        """Say whether this beat supersedes another of the same entry."""
+    def newer(self, other: "Heartbeat") -> bool:
+        """Say whether this heartbeat supersedes another of the same entry."""
         mine = (self.member.incarnation, self.seq)
         return mine > (other.member.incarnation, other.seq)
 
 
 class _Known(msgspec.Struct):
     member: Member
-    beat: EntryBeat | None
+    heartbeat: Heartbeat | None
     heard_at: float
     seen_at: float
 
 
-class Roster:
+class Membership:
     """All entries that this one knows of, itself left out."""
 
     def __init__(self, own: Member, rng: Random) -> None:
@@ -144,29 +144,29 @@
         known.seen_at = now
         if member.incarnation > known.member.incarnation:
             known.member = member
-            known.beat = None
+            known.heartbeat = None
 
-    def hear(self, beat: EntryBeat, now: float) -> bool:
+    def hear(self, heartbeat: Heartbeat, now: float) -> bool:
         """Take a heartbeat.
 
         Returns: whether it was news.
         """
-        if beat.member.name == self.own.name:
+        if heartbeat.member.name == self.own.name:
             return False
-        self._find(beat.member, now)
-        known = self._known[beat.member.name]
-        if beat.member.incarnation < known.member.incarnation:
+        self._find(heartbeat.member, now)
+        known = self._known[heartbeat.member.name]
+        if heartbeat.member.incarnation < known.member.incarnation:
             if now - known.heard_at <= OLD_LIFE_S:
                 return False
-            # No beat of the later one for so long: its clock was ahead, or that
+            # No heartbeat of the later one for so long: its clock was ahead, or that
             # of the one that speaks now is behind.
-            known.member = beat.member
-            known.beat = None
-        if known.beat is not None and not beat.newer(known.beat):
+            known.member = heartbeat.member
+            known.heartbeat = None
+        if known.heartbeat is not None and not heartbeat.newer(known.heartbeat):
             return False
-        if known.beat is None or known.beat.state != beat.state:
+        if known.heartbeat is None or known.heartbeat.state != heartbeat.state:
             self._named.clear()
-        known.beat = beat
+        known.heartbeat = heartbeat
         known.heard_at = now
         known.seen_at = now
         return True
@@ -195,24 +195,26 @@
 
     # Questions.
 
-    def live(self, now: float) -> list[EntryBeat]:
-        """Return the latest beats of the entries heard from lately."""
+    def live(self, now: float) -> list[Heartbeat]:
+        """Return the latest heartbeats of the entries heard from lately."""
         return [
-            k.beat
+            k.heartbeat
             for k in self._known.values()
-            if k.beat is not None and now - k.heard_at <= self._patience_s(k)
+            if k.heartbeat is not None and now - k.heard_at <= self._patience_s(k)
         ]
 
     def _patience_s(self, known: _Known) -> float:
-        """Return how long a silence means nothing yet: some beats missed."""
+        """Return how long a silence means nothing yet: some heartbeats missed."""
         region = known.member.region
         if region == self.own.region:
             turns = math.ceil(self.in_region(region) / NEAR_PARTNERS)
-            return max(SILENCE_S, MISSED_BEATS * turns * BEAT_S)
+            return max(SILENCE_S, MISSED_HEARTBEATS * turns * HEARTBEAT_S)
         turns = math.ceil(len(self._known) / FAR_PARTNERS)
-        return min(max(FAR_SILENCE_S, MISSED_BEATS * turns * BEAT_S), MOST_SILENCE_S)
+        return min(
+            max(FAR_SILENCE_S, MISSED_HEARTBEATS * turns * HEARTBEAT_S), MOST_SILENCE_S
+        )
 
-    def near(self, now: float) -> list[EntryBeat]:
+    def near(self, now: float) -> list[Heartbeat]:
         """Return the live ones of this entry's region."""
         return [b for b in self.live(now) if b.member.region == self.own.region]
 
@@ -225,7 +227,7 @@
         return self._regions[region]
 
     def partners(self) -> list[str]:
-        """Choose whom to send a beat to: the region's in turn, a few elsewhere."""
+        """Choose who gets a heartbeat: the region's in turn, a few elsewhere."""
         near = sorted(
             (m for m in self._members() if m.region == self.own.region),
             key=lambda m: m.name,
@@ -239,12 +241,12 @@
         return [m.gossip for m in (*near, *picked)]
 
     def round_s(self) -> float:
-        """Return within which time all entries of the region get a beat, in seconds."""
+        """Return how long a round of heartbeats in the region takes, in seconds."""
         turns = math.ceil(self.in_region(self.own.region) / NEAR_PARTNERS)
-        return turns * BEAT_S
+        return turns * HEARTBEAT_S
 
     def some(self) -> list[str]:
-        """Choose some entries to tell news to at once; they tell others in turn."""
+        """Choose some entries that get news at once; they pass them on in turn."""
         members = self._members()
         near = [m for m in members if m.region == self.own.region]
         far = [m for m in members if m.region != self.own.region]
@@ -259,20 +261,20 @@
     def _members(self) -> list[Member]:
         return [k.member for k in self._known.values()]
 
-    def source(self, beat: EntryBeat, now: float) -> Member:
-        """Choose from whom to fetch a state as new as one that was told.
+    def source(self, heartbeat: Heartbeat, now: float) -> Member:
+        """Choose an entry to fetch a newer state from.
 
         Those with the widest links of the region have it soon, and can give it
-        to many at once; the one that told it may have a narrow one.
+        to many at once; the one that announced it may have a narrow one.
 
         Args:
-          beat: the beat that told of it.
+          heartbeat: the heartbeat that announced it.
           now: monotonic time in seconds.
         """
-        ahead = [b.member for b in self.near(now) if b.revision >= beat.revision]
+        ahead = [b.member for b in self.near(now) if b.revision >= heartbeat.revision]
         widest = max((m.link_mbps for m in ahead), default=0)
-        if beat.member.link_mbps >= widest:
-            return beat.member
+        if heartbeat.member.link_mbps >= widest:
+            return heartbeat.member
         return self._rng.choice([m for m in ahead if m.link_mbps == widest])
 
     def elected(self, watchers: int, now: float) -> bool:
--- a/leverdoor/entry/placement.py
+++ b/leverdoor/entry/placement.py
@@ -17,7 +17,7 @@
 from leverdoor.errors import Code
 from leverdoor.model.resources import Route, Target
 
-__all__ = ["Asked", "Chosen", "Placement", "Unplaced"]
+__all__ = ["PlacementRequest", "Placement", "PlacementPolicy", "Rejection"]
 
 LIKELY_COLD = 0.5
 """Share of cold runs from which on a choice counts as cold; chosen, not measured."""
@@ -43,12 +43,12 @@
 """
 OTHER_DOMAIN_MS = 8.0
 """What a target in another failure domain must be sooner by, in ms; saves bytes."""
-STRAY_EARN = 0.03
+OVERFLOW_EARN = 0.03
 """Part of requests that may leave their key's region at once.
 
 Three times as much lost 0.01 to 0.02 on the new site.
 """
-STRAY_LIMIT = 3.0
+OVERFLOW_LIMIT = 3.0
 """Most such requests saved up; chosen."""
 COLD_SHARE = 0.8
 """Part of a cold target's allowance that is used; the rest is for chance."""
@@ -65,11 +65,11 @@
 """Rank of the further target that a key is kept warm at."""
 MANY_TARGETS = 8
 """Targets of a domain from which on it keeps large requests to itself."""
-TOLD_TARGETS = 3
+LOGGED_TARGETS = 3
 """Targets that the log names when there was no room; chosen."""
 
 
-class Asked(msgspec.Struct):
+class PlacementRequest(msgspec.Struct):
     """A request as placement sees it."""
 
     request_id: str
@@ -84,7 +84,7 @@
     tried: set[str] = msgspec.field(default_factory=set)
 
 
-class Chosen(msgspec.Struct, frozen=True):
+class Placement(msgspec.Struct, frozen=True):
     """Send it to this target; it is counted there already."""
 
     target: Target
@@ -98,11 +98,11 @@
     load: float
     """Requests that it was believed to have, of all entries, this one aside."""
     load_age_ms: int
-    """Age of the newest word of others about the load; -1 if there is none."""
+    """Age of the newest report or heartbeat about the load; -1 if there is none."""
     reason: str
 
 
-class Unplaced(msgspec.Struct, frozen=True):
+class Rejection(msgspec.Struct, frozen=True):
     """Refuse it now; it was not run."""
 
     code: Code
@@ -125,7 +125,7 @@
     """What options are compared by."""
 
 
-class Placement:
+class PlacementPolicy:
     """Chooses targets by key, place and load."""
 
     def __init__(
@@ -158,7 +158,7 @@
         self._sizes = SizeBook()
         self.shares = ShareBook(region, fleet, move_per_s)
         self._weights: dict[str, dict[str, float]] = {}
-        self._stray = STRAY_LIMIT
+        self._overflow = OVERFLOW_LIMIT
         self.sharers: Callable[[Target], int] = lambda _: 1
         """How many entries share a cold target's allowance; 0 if not this one."""
 
@@ -193,9 +193,9 @@
 
     # What is decided.
 
-    def place(self, asked: Asked, now: float) -> Chosen | Unplaced:
+    def place(self, asked: PlacementRequest, now: float) -> Placement | Rejection:
         """Choose a target for a request, or refuse it."""
-        self._stray = min(STRAY_LIMIT, self._stray + STRAY_EARN)
+        self._overflow = min(OVERFLOW_LIMIT, self._overflow + OVERFLOW_EARN)
         regions = self._allowed_regions(asked)
         if not regions:
             return self._refuse(Code.NO_TARGET, "no target may serve it")
@@ -204,9 +204,9 @@
         if found is not None:
             return found
         rest = [r for r in regions if r != first]
-        if rest and self._may_stray(asked, first, now):
+        if rest and self._may_overflow(asked, first, now):
             for region in self._by_room(asked, rest, now):
-                found = self._in_region(asked, region, "stray", now)
+                found = self._in_region(asked, region, "overflow", now)
                 if found is not None:
                     return found
         found = self._cold(asked, [first, *rest], now)
@@ -214,11 +214,11 @@
             return found
         return self._refuse(Code.QUEUE_FULL, self._why_full(asked, first, now))
 
-    def _why_full(self, asked: Asked, first: str, now: float) -> str:
+    def _why_full(self, asked: PlacementRequest, first: str, now: float) -> str:
         """Say for the log what was known when there was no room."""
         ranking = self._by_region[(asked.service, first)]
         loads = []
-        for target in ranking.order(asked.key)[:TOLD_TARGETS]:
+        for target in ranking.order(asked.key)[:LOGGED_TARGETS]:
             state = self._fleet.of(target, now)
             cold = " cold" if state.cold(now) else ""
             rests = "" if state.usable(now) else " rests"
@@ -228,14 +228,14 @@
         return f"{asked.service} in {first}: {', '.join(loads)}"
 
     def _in_region(
-        self, asked: Asked, region: str, reason: str, now: float
-    ) -> Chosen | None:
+        self, asked: PlacementRequest, region: str, reason: str, now: float
+    ) -> Placement | None:
         if region == self._region:
             return self._best(asked, self._near(asked), reason, now)
         ranking = self._by_region[(asked.service, region)]
         return self._best(asked, ranking.order(asked.key)[:CANDIDATES], reason, now)
 
-    def _allowed_regions(self, asked: Asked) -> list[str]:
+    def _allowed_regions(self, asked: PlacementRequest) -> list[str]:
         homes = asked.route.homes
         return [
             region
@@ -244,16 +244,16 @@
             and (not homes or region in homes)
         ]
 
-    def _may_stray(self, asked: Asked, first: str, now: float) -> bool:
+    def _may_overflow(self, asked: PlacementRequest, first: str, now: float) -> bool:
         """Let a few requests leave their key's region at once, before refusing."""
         if self.shares.pressure(asked.service, first, now) >= NO_SLOTS:
             return True
-        if self._stray < 1.0:
+        if self._overflow < 1.0:
             return False
-        self._stray -= 1.0
+        self._overflow -= 1.0
         return True
 
-    def _near(self, asked: Asked) -> list[Target]:
+    def _near(self, asked: PlacementRequest) -> list[Target]:
         """Return this region's targets for a key.
 
         A key has one target in the whole region, so that few runs are cold.
@@ -271,15 +271,17 @@
         rest = [t for t in whole[: 2 * CANDIDATES] if t.domain != self._domain]
         return own.order(asked.key)[:CANDIDATES] + rest[:CANDIDATES]
 
-    def _by_room(self, asked: Asked, regions: list[str], now: float) -> list[str]:
+    def _by_room(
+        self, asked: PlacementRequest, regions: list[str], now: float
+    ) -> list[str]:
         """Order regions by their load, the emptiest first."""
         return sorted(
             regions, key=lambda r: self.shares.pressure(asked.service, r, now)
         )
 
     def _best(
-        self, asked: Asked, candidates: list[Target], reason: str, now: float
-    ) -> Chosen | None:
+        self, asked: PlacementRequest, candidates: list[Target], reason: str, now: float
+    ) -> Placement | None:
         """Choose the candidate that is expected to answer first.
 
         Slow ones serve only when no other can.
@@ -292,8 +294,8 @@
         return found or self._quickest(asked, candidates, reason, now)
 
     def _quickest(
-        self, asked: Asked, candidates: list[Target], reason: str, now: float
-    ) -> Chosen | None:
+        self, asked: PlacementRequest, candidates: list[Target], reason: str, now: float
+    ) -> Placement | None:
         options: list[_Option] = []
         for target in candidates:
             if target.name in asked.tried:
@@ -301,7 +303,7 @@
             state = self._fleet.of(target, now)
             if not state.usable(now) or state.cold(now):
                 continue
-            rank = RANKS - 1 if reason == "stray" else len(options)
+            rank = RANKS - 1 if reason == "overflow" else len(options)
             options.append(self._option(asked, state, rank, now))
             if len(options) > SECOND:
                 break
@@ -313,7 +315,7 @@
         return self._take(asked, best, reason, now)
 
     def _option(
-        self, asked: Asked, state: TargetState, rank: int, now: float
+        self, asked: PlacementRequest, state: TargetState, rank: int, now: float
     ) -> "_Option":
         """Weigh one target."""
         target = state.target
@@ -353,12 +355,14 @@
             return False
         return state.load(now) < COLD_ROOM * state.target.slots
 
-    def _take(self, asked: Asked, option: "_Option", reason: str, now: float) -> Chosen:
+    def _take(
+        self, asked: PlacementRequest, option: "_Option", reason: str, now: float
+    ) -> Placement:
         state = option.state
         load = state.load(now)
         age_ms = state.load_age_ms(now)
         state.sent(now)
-        return Chosen(
+        return Placement(
             state.target,
             option.rank,
             option.seen,
@@ -369,7 +373,9 @@
             reason,
         )
 
-    def _cold(self, asked: Asked, regions: list[str], now: float) -> Chosen | None:
+    def _cold(
+        self, asked: PlacementRequest, regions: list[str], now: float
+    ) -> Placement | None:
         """Use a cold target within this entry's share of what it bears."""
         service = self._catalog.services.get(asked.service)
         per_s = service.warmup_per_s if service is not None else 0.0
@@ -392,7 +398,7 @@
                 return self._take(asked, option, "cold", now)
         return None
 
-    def _most_wait_ms(self, asked: Asked, now: float) -> float:
+    def _most_wait_ms(self, asked: PlacementRequest, now: float) -> float:
         """Return the longest wait at a target that still makes sense."""
         times = self._times.of(asked.route, asked.service)
         aim = asked.route.target_latency_ms or DEFAULT_LATENCY_MS
@@ -403,14 +409,19 @@
         left = (asked.until - now) * 1000 - times.fast_ms
         return min(wait, left)
 
-    def _refuse(self, code: Code, reason: str) -> Unplaced:
+    def _refuse(self, code: Code, reason: str) -> Rejection:
         after = FIRST_RETRY_MS + RETRY_SPREAD_MS * self._rng.random()
-        return Unplaced(code, int(after), reason)
+        return Rejection(code, int(after), reason)
 
     # What came of it.
 
     def answered(
-        self, asked: Asked, chosen: Chosen, took_ms: float, size: int, now: float
+        self,
+        asked: PlacementRequest,
+        chosen: Placement,
+        took_ms: float,
+        size: int,
+        now: float,
     ) -> bool:
         """Learn from a whole answer.
 
@@ -432,7 +443,9 @@
             self.shared_warmth.note(chosen.target, asked.key, now)
         return rests
 
-    def _learn_run(self, asked: Asked, chosen: Chosen, took_ms: float) -> None:
+    def _learn_run(
+        self, asked: PlacementRequest, chosen: Placement, took_ms: float
+    ) -> None:
         """Learn from the time of a run that had a slot at once."""
         times = self._times.of(asked.route, asked.service)
         if asked.route.affinity:
@@ -441,7 +454,7 @@
         if chosen.target.region == self._region:
             times.learn(took_ms)
 
-    def ended(self, chosen: Chosen, now: float) -> None:
+    def ended(self, chosen: Placement, now: float) -> None:
         """Count a request that ended, however it did."""
         self._fleet.of(chosen.target, now).ended()
 
--- a/leverdoor/entry/sharing.py
+++ b/leverdoor/entry/sharing.py
@@ -12,7 +12,7 @@
 
 NO_SLOTS = 9.0
 """Pressure of a region without a usable target."""
-TOLD_MOVE = 0.05
+LOGGED_MOVE = 0.05
 """Change of a share that is worth a line in the log; chosen."""
 
 
@@ -33,7 +33,7 @@
         self._names: list[str] = []
         self._targets: dict[tuple[str, str], list[Target]] = {}
         self._shares: dict[str, RegionShares] = {}
-        self._told: dict[str, dict[str, float]] = {}
+        self._logged: dict[str, dict[str, float]] = {}
 
     def renew(
         self,
@@ -66,21 +66,21 @@
           now: monotonic time in seconds.
         """
         for service in {s for s, _ in self._targets}:
-            told = [p[service] for p in peers if service in p]
-            state = self._of(service, told, now)
+            reported = [p[service] for p in peers if service in p]
+            state = self._of(service, reported, now)
             pressures = {r: self.pressure(service, r, now) for r in state.shares}
-            if not state.begun and not told:
+            if not state.begun and not reported:
                 state.begin_from(first_shares(self._region, self._slots(service)))
-            state.update(pressures, told, now)
+            state.update(pressures, reported, now)
 
     def _of(
-        self, service: str, told: list[dict[str, float]], now: float
+        self, service: str, reported: list[dict[str, float]], now: float
     ) -> RegionShares:
         found = self._shares.get(service)
         if found is None:
             first = first_shares(self._region, self._slots(service))
-            if told:
-                first |= told[0]
+            if reported:
+                first |= reported[0]
             found = RegionShares(self._region, first, now, self._move_per_s)
             self._shares[service] = found
         return found
@@ -91,8 +91,8 @@
             for region in self._names
         }
 
-    def told(self) -> dict[str, dict[str, float]]:
-        """Return the shares in the form that other entries are told."""
+    def reported(self) -> dict[str, dict[str, float]]:
+        """Return the shares as heartbeats carry them."""
         return {
             service: {r: round(v, 4) for r, v in state.shares.items()}
             for service, state in self._shares.items()
@@ -103,11 +103,11 @@
         """Return the shares that moved noticeably since the last call."""
         found = {}
         for service, state in self._shares.items():
-            before = self._told.get(service, {})
+            before = self._logged.get(service, {})
             if _differ(before, state.shares):
-                found[service] = self._told[service] = dict(state.shares)
+                found[service] = self._logged[service] = dict(state.shares)
         return found
 
 
 def _differ(before: Mapping[str, float], after: Mapping[str, float]) -> bool:
-    return any(abs(v - before.get(r, 0.0)) > TOLD_MOVE for r, v in after.items())
+    return any(abs(v - before.get(r, 0.0)) > LOGGED_MOVE for r, v in after.items())
--- a/leverdoor/entry/warmth.py
+++ b/leverdoor/entry/warmth.py
@@ -9,7 +9,7 @@
 keys that it was sent before, and how often the first, second, ... choice for a
 key is cold for an entry that has not sent the key there itself.
 
-Entries also tell each other which keys they had answered by another than the
+Heartbeats also say which keys they had answered by another than the
 key's first target, as short digests in heartbeats: the second entry that needs
 such a target finds the key warm there.
 """
@@ -24,7 +24,7 @@
 __all__ = ["RANKS", "SharedWarmth", "WarmthBook"]
 
 RANKS = 4
-"""Ranks of choices that are told apart; further ones count as the last."""
+"""Ranks of choices with a share each; further ones count as the last."""
 TARGET_WEIGHT = 0.1
 """Weight of one run in a target's share; chosen, about the last ten runs."""
 RANK_WEIGHT = 0.1
@@ -43,8 +43,8 @@
 Chosen: a key of the users' sites is asked for every 0.3 to 4 s in its region.
 """
 REPEAT_AFTER_S = 5.0
-"""Time after which the same answer is told again; a quarter of `KEPT_S`."""
-MOST_TOLD = 64
+"""Time after which the same answer is sent again; a quarter of `KEPT_S`."""
+MOST_SENT = 64
 """Digests in one heartbeat at most: 320 bytes."""
 MOST_KNOWN = 8_192
 """Digests kept; beyond what 65 entries tell in `KEPT_S` on the users' sites."""
@@ -110,11 +110,11 @@
 
     def __init__(self) -> None:
         """Create it knowing nothing."""
-        self._recent: deque[tuple[float, int]] = deque(maxlen=MOST_TOLD)
+        self._recent: deque[tuple[float, int]] = deque(maxlen=MOST_SENT)
         self._known: OrderedDict[int, float] = OrderedDict()
 
     def note(self, target: Target, key: str, now: float) -> None:
-        """Note an answer, to be told to others; what was told lately is not again."""
+        """Note an answer for the next heartbeats, unless it was sent lately."""
         digest = _digest(target, key)
         at = self._known.get(digest)
         if at is None or now - at > REPEAT_AFTER_S:
--- a/leverdoor/entry/dialect.py
+++ b/leverdoor/entry/wire.py
@@ -2,7 +2,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """What an entry needs to know of how its surroundings speak.
 
-The daemon decides; a dialect only names things. The platform's stands in
+The daemon decides; a wire only names things. The platform's stands in
 `leverdoor.platform`.
 """
 
@@ -14,7 +14,7 @@
 from leverdoor.model.resources import Resource
 from leverdoor.storage.store import Entry
 
-__all__ = ["Configured", "Dialect", "HeaderNames", "TargetLoad", "Translate"]
+__all__ = ["Configured", "Wire", "HeaderNames", "TargetLoad", "Translate"]
 
 
 class Configured(msgspec.Struct, frozen=True):
@@ -52,7 +52,7 @@
     load: str
 
 
-class Dialect(msgspec.Struct, frozen=True):
+class Wire(msgspec.Struct, frozen=True):
     """Names, paths and formats of an entry's surroundings."""
 
     headers: HeaderNames
--- a/leverdoor/membership/peers.py
+++ b/leverdoor/membership/peers.py
@@ -205,7 +205,7 @@
         return [p.beat for p in peers if not p.silent(now)]
 
     def partners(self, rng: Random, seeds: Iterable[str]) -> list[str]:
-        """Choose whom to send gossip to: one in the region, one anywhere else.
+        """Choose who gets gossip: one in the region, one anywhere else.
 
         In the region the next one of a few fixed neighbours on a ring of all
         its VMs is taken in turn, so that each gate has some neighbours that it
--- a/leverdoor/model/targets.py
+++ b/leverdoor/model/targets.py
@@ -9,11 +9,11 @@
 __all__ = ["Probe", "TargetBook", "TargetHealth"]
 
 FIRST_EJECTION_S = 0.25
-"""First ejection of a target that was not reached, in seconds; it doubles. Chosen."""
+"""First ejection of a target that was not reached, in seconds; it doubles."""
 LONGEST_EJECTION_S = 10.0
 """Longest ejection, in seconds; chosen."""
 FIRST_SHED_S = 0.1
-"""First pause after a target shed a request, in seconds; it doubles. Chosen."""
+"""First pause after a target shed a request, in seconds; it doubles."""
 LONGEST_SHED_S = 1.0
 """Longest such pause, in seconds; chosen."""
 LATENCY_WEIGHT = 0.2
--- a/leverdoor/platform/formats.py
+++ b/leverdoor/platform/formats.py
@@ -7,7 +7,7 @@
 import msgspec
 from loguru import logger
 
-from leverdoor.entry.dialect import Configured, TargetLoad
+from leverdoor.entry.wire import Configured, TargetLoad
 from leverdoor.model.resources import (
     ClientLimits,
     Drain,
--- a/leverdoor/platform/names.py
+++ b/leverdoor/platform/names.py
@@ -1,15 +1,15 @@
 # leverdoor: global traffic steering
 # SPDX-License-Identifier: Apache-2.0
-"""The platform's headers, paths and bodies, as a dialect of the entry."""
+"""The platform's headers, paths and bodies, as a wire of the entry."""
 
 from collections.abc import Mapping
 
 import msgspec
 
-from leverdoor.entry.dialect import Dialect, HeaderNames
+from leverdoor.entry.wire import HeaderNames, Wire
 from leverdoor.platform.formats import PEERS, Translator, parse_load
 
-__all__ = ["dialect"]
+__all__ = ["wire"]
 
 
 class _Resolved(msgspec.Struct, rename="kebab"):
@@ -17,13 +17,13 @@
     ttl_s: float
 
 
-def dialect(zones: Mapping[str, str]) -> Dialect:
+def wire(zones: Mapping[str, str]) -> Wire:
     """Return how the platform speaks.
 
     Args:
       zones: each zone's region.
     """
-    return Dialect(
+    return Wire(
         headers=HeaderNames(
             request_id="x-request-id",
             deadline_ms="x-deadline-ms",
--- a/leverdoor/platform/program.py
+++ b/leverdoor/platform/program.py
@@ -11,7 +11,7 @@
 from leverdoor.entry.events import Events, LineWriter
 from leverdoor.errors import SettingsError, code_info
 from leverdoor.logs import setup_logs
-from leverdoor.platform.names import dialect
+from leverdoor.platform.names import wire
 from leverdoor.platform.settings import PlatformSettings, parse_settings
 from leverdoor.platform.store import PlatformStore
 from leverdoor.signals import EarlyReload
@@ -56,7 +56,7 @@
     setup_logs("entry", own.name, write=writer.write)
     events = Events(writer, own.name)
     store = PlatformStore(settings.platform.address)
-    entry = Entry(own, store, dialect(own.domains), events)
+    entry = Entry(own, store, wire(own.domains), events)
 
     def reload() -> None:
         try:
--- a/leverdoor/queries/losses.py
+++ b/leverdoor/queries/losses.py
@@ -44,8 +44,7 @@
     """Say where requests were lost, from the LOGS of entries, and why.
 
     Without LOGS, or for `-`, standard input is read. A request is one attempt of
-    a client. Causes are told from what was measured, not from what entries
-    believed.
+    a client. Causes come from measured times, not from what entries expected.
     """
     try:
         report = find_losses(parse_log(_lines(logs or (sys.stdin,))))
@@ -55,10 +54,10 @@
         click.echo(f"error {int(e.code)} {e.code.name}: {e.detail}", err=True)
         sys.exit(code_info(e.code).exit_status)
     show(summarize(report.losses, by), output)
-    _tell_bounds(report)
+    _print_bounds(report)
 
 
-def _tell_bounds(report: LossReport) -> None:
+def _print_bounds(report: LossReport) -> None:
     """Print to standard error what the counts rest on."""
     lost = len(report.losses)
     click.echo(f"{lost} of {report.requests} requests were lost", err=True)
--- a/leverdoor/standins/soak/strikes.py
+++ b/leverdoor/standins/soak/faults.py
@@ -14,7 +14,7 @@
 from leverdoor.standins.soak.site import REGIONS, SERVICES, SoakSite
 from leverdoor.standins.upstreams import UpstreamStandin
 
-__all__ = ["Strikes"]
+__all__ = ["Faults"]
 
 LINK_FAULTS = [f for f in LinkFault if f is not LinkFault.NONE]
 CLOCK_OFFSETS_S = (-3600.0, -2.0, 2.0, 3600.0)
@@ -35,7 +35,7 @@
 """Seconds between two looks while something is awaited."""
 
 
-class Strikes:
+class Faults:
     """What each kind of trouble does."""
 
     def __init__(self, site: SoakSite, record: Record) -> None:
@@ -176,12 +176,14 @@
         store = self._site.store
         store.faults = MetadataFaults(silent=silent, busy=0 if silent else 503)
         await asyncio.sleep(trouble.for_s)
-        lapsed = {k: v.value for k, v in store.items.items() if k.startswith("servers")}
-        for key in lapsed:
+        expired = {
+            k: v.value for k, v in store.items.items() if k.startswith("servers")
+        }
+        for key in expired:
             store.remove(key)
         store.faults = MetadataFaults()
         await asyncio.sleep(trouble.variant)
-        for key, value in lapsed.items():
+        for key, value in expired.items():
             if key.removeprefix("servers/") not in self._site.left:
                 store.put(key, value)
 
--- a/leverdoor/standins/soak/run.py
+++ b/leverdoor/standins/soak/run.py
@@ -12,11 +12,11 @@
 
 from leverdoor.standins.entry_site import SAMPLE_ROUTES, EntryProcess
 from leverdoor.standins.soak.callers import Caller, Prober
+from leverdoor.standins.soak.faults import Faults
 from leverdoor.standins.soak.plan import Trouble, draw_plan
 from leverdoor.standins.soak.promises import breaches
 from leverdoor.standins.soak.record import Leave, Record, Seen
 from leverdoor.standins.soak.site import SoakSite
-from leverdoor.standins.soak.strikes import Strikes
 
 __all__ = ["Soak", "Verdict"]
 
@@ -84,7 +84,7 @@
         tasks = [asyncio.create_task(p.run()) for p in probers]
         tasks += [asyncio.create_task(c.run()) for c in callers]
         try:
-            strikes = Strikes(self._site, self._record)
+            strikes = Faults(self._site, self._record)
             troubles = [self._strike(strikes, t) for t in self._plan]
             await asyncio.gather(*troubles)
             strikes.end_all()
@@ -96,7 +96,7 @@
             done = await asyncio.gather(*tasks, return_exceptions=True)
         self._late += [repr(e) for e in done if isinstance(e, Exception)]
 
-    async def _strike(self, strikes: Strikes, trouble: Trouble) -> None:
+    async def _strike(self, strikes: Faults, trouble: Trouble) -> None:
         await asyncio.sleep(trouble.at_s)
         await strikes.strike(trouble)
 
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -6,7 +6,12 @@
 
 from leverdoor.entry.catalog import Catalog
 from leverdoor.entry.fleet import Fleet
-from leverdoor.entry.placement import Asked, Chosen, Placement, Unplaced
+from leverdoor.entry.placement import (
+    Placement,
+    PlacementPolicy,
+    PlacementRequest,
+    Rejection,
+)
 from leverdoor.model.resources import Region, Resource, Route, Service, Target, Work
 
 REGIONS = [
@@ -51,7 +56,7 @@
     def __init__(self, *resources: Resource, region: str = "a") -> None:
         self.now = 100.0
         self.fleet = Fleet()
-        self.placement = Placement(region, region + "1", self.fleet, Random(1))
+        self.placement = PlacementPolicy(region, region + "1", self.fleet, Random(1))
         self.take(*resources)
         self._numbers = 0
 
@@ -60,9 +65,9 @@
         self.fleet.renew(catalog.targets, self.now)
         self.placement.renew(catalog)
 
-    def ask(self, key: str = "k", route: Route = ROUTE) -> Asked:
+    def ask(self, key: str = "k", route: Route = ROUTE) -> PlacementRequest:
         self._numbers += 1
-        return Asked(
+        return PlacementRequest(
             request_id=str(self._numbers),
             route=route,
             service=self.placement.pick_service(route),
@@ -72,12 +77,12 @@
             until=self.now + 2.0,
         )
 
-    def place(self, key: str = "k", route: Route = ROUTE) -> Chosen | Unplaced:
+    def place(self, key: str = "k", route: Route = ROUTE) -> Placement | Rejection:
         return self.placement.place(self.ask(key, route), self.now)
 
     def name(self, key: str = "k", route: Route = ROUTE) -> str:
         found = self.place(key, route)
-        assert isinstance(found, Chosen), found
+        assert isinstance(found, Placement), found
         self.placement.ended(found, self.now)
         return found.target.name
 
@@ -85,11 +90,11 @@
         """Place a request and answer it; return the target's name."""
         asked = self.ask(key)
         found = self.placement.place(asked, self.now)
-        assert isinstance(found, Chosen), found
+        assert isinstance(found, Placement), found
         self.placement.ended(found, self.now)
         self.placement.answered(asked, found, took_ms, 100, self.now)
         return found.target.name
 
     def fill(self, target: Target, load: int) -> None:
         state = self.fleet.of(target, self.now)
-        state.told_by_peer("other", load, self.now)
+        state.reported_by_peer("other", load, self.now)
--- a/tests/test_entry_connections.py
+++ b/tests/test_entry_connections.py
@@ -7,27 +7,27 @@
 import pytest
 
 from desk import target
-from leverdoor.entry import rests
+from leverdoor.entry import idle_timeouts
 from leverdoor.entry.connection import AnswerLost
 from leverdoor.entry.connections import Connections, Outgoing
-from leverdoor.entry.rests import CAUTIOUS_FOR_S, CAUTIOUS_REST_S, RestLimits
+from leverdoor.entry.idle_timeouts import CAUTIOUS_FOR_S, CAUTIOUS_IDLE_S, IdleTimeouts
 
-LONG_S = 2 * CAUTIOUS_REST_S
+LONG_S = 2 * CAUTIOUS_IDLE_S
 SOON_S = 0.01
 
 
 def test_a_reset_at_once_after_a_rest_shows_forgotten_connections() -> None:
-    limits = RestLimits()
+    limits = IdleTimeouts()
     assert limits.longest_s("s", 0.0) > 1e9
     assert limits.lost("s", LONG_S, SOON_S, 0.0)
     assert not limits.lost("s", LONG_S, SOON_S, 1.0)
-    assert limits.longest_s("s", 2.0) == CAUTIOUS_REST_S
+    assert limits.longest_s("s", 2.0) == CAUTIOUS_IDLE_S
     assert limits.longest_s("other", 2.0) > 1e9
     assert limits.longest_s("s", 1.0 + CAUTIOUS_FOR_S) > 1e9
 
 
 def test_other_lost_answers_do_not() -> None:
-    limits = RestLimits()
+    limits = IdleTimeouts()
     assert not limits.lost("s", 0.0, SOON_S, 0.0)
     assert not limits.lost("s", LONG_S, 1.0, 0.0)
     assert limits.longest_s("s", 0.0) > 1e9
@@ -42,7 +42,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Each connection answers once and is reset by what comes next."""
-    monkeypatch.setattr(rests, "AT_ONCE_S", 30.0)
+    monkeypatch.setattr(idle_timeouts, "AT_ONCE_S", 30.0)
 
     async def serve(r: asyncio.StreamReader, w: asyncio.StreamWriter) -> None:
         head = await r.readuntil(b"\r\n\r\n")
--- a/tests/test_entry_lapses.py
+++ b/tests/test_entry_expired_registrations.py
@@ -3,7 +3,7 @@
 """Targets whose entries lapse while the store is away."""
 
 from desk import target
-from leverdoor.entry.lapses import RECENT_S, Lapses, Outage
+from leverdoor.entry.expired_registrations import RECENT_S, ExpiredRegistrations, Outage
 from leverdoor.model.resources import Target
 
 
@@ -16,7 +16,7 @@
 
 
 def test_what_lapses_in_an_outage_is_held_until_it_is_back() -> None:
-    lapses = Lapses(2.5)
+    lapses = ExpiredRegistrations(2.5)
     assert lapses.update(named(ONE, TWO), False, 0.0) == []
     assert lapses.update({}, True, 1.0) == [ONE, TWO]
     assert lapses.update(named(ONE), True, 1.5) == [TWO]
@@ -25,7 +25,7 @@
 
 
 def test_what_stays_missing_is_taken_for_gone_within_the_bound_on_leaving() -> None:
-    lapses = Lapses(2.5)
+    lapses = ExpiredRegistrations(2.5)
     lapses.update(named(ONE), False, 0.0)
     lapses.update({}, True, 1.0)
     end = lapses.next_end
@@ -35,19 +35,19 @@
 
 
 def test_without_an_outage_a_missing_target_is_gone_at_once() -> None:
-    lapses = Lapses(2.5)
+    lapses = ExpiredRegistrations(2.5)
     lapses.update(named(ONE), False, 0.0)
     assert lapses.update({}, False, 1.0) == []
 
 
 def test_a_target_that_said_it_leaves_is_not_held() -> None:
-    lapses = Lapses(2.5)
+    lapses = ExpiredRegistrations(2.5)
     lapses.update(named(target("one", draining=True)), True, 0.0)
     assert lapses.update({}, True, 1.0) == []
 
 
 def test_a_target_whose_address_another_has_is_not_held() -> None:
-    lapses = Lapses(2.5)
+    lapses = ExpiredRegistrations(2.5)
     lapses.update(named(ONE), True, 0.0)
     assert lapses.update(named(target("next", address=ONE.address)), True, 1.0) == []
 
--- a/tests/test_entry_fleet.py
+++ b/tests/test_entry_fleet.py
@@ -1,15 +1,15 @@
 # leverdoor: global traffic steering
 # SPDX-License-Identifier: Apache-2.0
-"""What is believed of targets: load, health, rests, warm-up, allowance."""
+"""What is believed of targets: load, health, ejection, warm-up, allowance."""
 
 from random import Random
 
 from desk import SLOTS, Desk, target
-from leverdoor.entry.dialect import TargetLoad
 from leverdoor.entry.fleet import PEER_TRUST_S, Allowance, Fleet
+from leverdoor.entry.wire import TargetLoad
 
 
-def test_a_slow_target_rests() -> None:
+def test_a_slow_target_is_ejected() -> None:
     only = target("t")
     state = Fleet().of(only, 0.0)
     rested = [state.answered(6.0, 1.0) for _ in range(10)]
@@ -25,7 +25,7 @@
     assert state.usable(1.0)
 
 
-def test_a_target_rests_after_several_lost_answers_in_a_row_only() -> None:
+def test_a_target_is_ejected_after_several_lost_answers_in_a_row_only() -> None:
     state = Fleet().of(target("t"), 0.0)
     for _ in range(10):
         assert state.lost(1.0) == state.lost(1.0) == 0.0
@@ -46,7 +46,7 @@
 
 def test_a_report_gives_way_to_heartbeats_as_it_ages() -> None:
     state = Fleet().of(target("t"), 0.0)
-    state.told_by_peer("p", 2, 0.0)
+    state.reported_by_peer("p", 2, 0.0)
     state.reported(TargetLoad(6, 0, SLOTS), 0.0)
     loads = [state.load(at) for at in (0.0, 0.1, 0.5)]
     assert loads == sorted(loads, reverse=True)
@@ -61,7 +61,7 @@
     errors = []
     for turn in range(2000):
         now = turn * 0.05
-        state.told_by_peer("p", rng.randint(0, 4), now)
+        state.reported_by_peer("p", rng.randint(0, 4), now)
         state.reported(TargetLoad(rng.randint(0, 4), 0, SLOTS), now)
         errors.append(state.load(now + 0.04) - 2.0)
     assert abs(sum(errors) / len(errors)) < 0.25
@@ -69,8 +69,8 @@
 
 def test_peers_counts_age() -> None:
     state = Fleet().of(target("t"), 0.0)
-    state.told_by_peer("p", 3, 10.0)
-    state.told_by_peer("q", 2, 10.5)
+    state.reported_by_peer("p", 3, 10.0)
+    state.reported_by_peer("q", 2, 10.5)
     assert state.load(10.6) == 5
     assert state.load(10.2 + PEER_TRUST_S) == 2
     assert state.load(10.6 + PEER_TRUST_S) == 0
--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -6,7 +6,7 @@
 
 from desk import ROUTE, SLOTS, Desk, target
 from leverdoor.entry.affinity import Ranking
-from leverdoor.entry.placement import Chosen, Unplaced
+from leverdoor.entry.placement import Placement, Rejection
 from leverdoor.entry.warmth import SharedWarmth
 from leverdoor.errors import Code
 from leverdoor.model.resources import Drain, Resource, Route, Work
@@ -40,7 +40,7 @@
     desk = Desk(only)
     desk.fill(only, SLOTS * 4)
     found = desk.place()
-    assert isinstance(found, Unplaced)
+    assert isinstance(found, Rejection)
     assert found.code is Code.QUEUE_FULL
     assert 0 < found.retry_after_ms <= 500
 
@@ -54,7 +54,7 @@
     for other in targets:
         if other is not home:
             desk.fill(other, SLOTS - 1)
-    assert isinstance(desk.place("k"), Unplaced)
+    assert isinstance(desk.place("k"), Rejection)
     for other in targets:
         if other is not home:
             desk.fill(other, 0)
@@ -79,7 +79,7 @@
     desk.fill(first, SLOTS * 4)
     assert desk.name("k") == second.name
     desk.fill(second, SLOTS * 4)
-    assert isinstance(desk.place("k"), Unplaced)
+    assert isinstance(desk.place("k"), Rejection)
     desk.fleet.of(first, desk.now).unreached(desk.now)
     assert desk.name("k") == third.name, "one that is out does not count"
 
@@ -90,7 +90,7 @@
     home, second = Ranking(targets).order("k")
     desk.fill(home, SLOTS * 4)
     desk.fill(second, SLOTS)
-    assert isinstance(desk.place("k"), Unplaced)
+    assert isinstance(desk.place("k"), Rejection)
     other = SharedWarmth()
     other.note(second, "k", desk.now)
     desk.placement.shared_warmth.hear(other.recent(1.0, desk.now), desk.now)
@@ -107,7 +107,7 @@
         for key in mine[:10]:
             assert desk.serve(key, took_ms=900) == second.name
     desk.fill(home, SLOTS * 4)
-    assert isinstance(desk.place("k"), Unplaced)
+    assert isinstance(desk.place("k"), Rejection)
 
 
 def test_waits_are_reckoned_with_the_runs_that_are_there() -> None:
@@ -120,8 +120,8 @@
     for desk in (warm, cold):
         desk.fill(only, SLOTS + 2)
     ready, late = warm.place("k"), cold.place("k")
-    assert isinstance(ready, Chosen)
-    assert isinstance(late, Unplaced) or late.expected_ms > ready.expected_ms
+    assert isinstance(ready, Placement)
+    assert isinstance(late, Rejection) or late.expected_ms > ready.expected_ms
 
 
 def test_the_least_urgent_are_refused_first() -> None:
@@ -140,7 +140,7 @@
     for route in (urgent, late):
         for load in loads:
             desk.fill(only, load)
-            if isinstance(desk.place("k", route), Unplaced):
+            if isinstance(desk.place("k", route), Rejection):
                 refused_at[route.name] = load
                 break
         desk = Desk(only)
@@ -156,10 +156,10 @@
     desk = Desk(away, at_home)
     assert {desk.name(f"k{i}", home) for i in range(20)} == {"home"}
     desk.fill(at_home, SLOTS * 4)
-    assert isinstance(desk.place("k", home), Unplaced)
+    assert isinstance(desk.place("k", home), Rejection)
     desk.take(away)
     found = desk.place("k", home)
-    assert isinstance(found, Unplaced)
+    assert isinstance(found, Rejection)
     assert found.code is Code.NO_TARGET
 
 
@@ -186,13 +186,13 @@
     asked = desk.ask()
     for _ in range(2):
         found = desk.placement.place(asked, desk.now)
-        assert isinstance(found, Chosen)
+        assert isinstance(found, Placement)
         asked.tried.add(found.target.name)
-    assert isinstance(desk.placement.place(asked, desk.now), Unplaced)
+    assert isinstance(desk.placement.place(asked, desk.now), Rejection)
     assert asked.tried == {"t0", "t1"}
 
 
-def test_a_failed_target_rests_and_comes_back() -> None:
+def test_a_failed_target_is_ejected_and_comes_back() -> None:
     targets = [target("t0"), target("t1")]
     desk = Desk(*targets)
     home = Ranking(targets).order("k")[0]
@@ -202,7 +202,7 @@
     assert desk.name("k") == home.name
 
 
-def test_a_silent_target_rests() -> None:
+def test_a_silent_target_is_ejected() -> None:
     targets = [target("t0"), target("t1")]
     desk = Desk(*targets)
     home = Ranking(targets).order("k")[0]
@@ -231,7 +231,7 @@
     until = desk.now + seconds
     while desk.now < until:
         found = desk.place(f"k{len(got)}")
-        if isinstance(found, Chosen):
+        if isinstance(found, Placement):
             got.append(desk.now)
             desk.placement.ended(found, desk.now)
         desk.now += step
@@ -257,7 +257,7 @@
 def test_who_has_no_share_sends_nothing_to_a_cold_target() -> None:
     desk = Desk(target("t", cold_ms=60_000))
     desk.placement.sharers = lambda _: 0
-    assert isinstance(desk.place(), Unplaced)
+    assert isinstance(desk.place(), Rejection)
 
 
 def test_a_region_without_targets_is_served_elsewhere_at_once() -> None:
@@ -288,7 +288,7 @@
     for i in range(30):
         asked = desk.ask(f"k{i}")
         found = desk.placement.place(asked, desk.now)
-        assert isinstance(found, Chosen)
+        assert isinstance(found, Placement)
         desk.placement.ended(found, desk.now)
         desk.placement.answered(asked, found, 200.0, size, desk.now)
     used = {desk.name(f"k{i}").split("-")[0] for i in range(60)}
--- a/tests/test_entry_spill.py
+++ b/tests/test_entry_spill.py
@@ -81,6 +81,6 @@
     desk.take(target("b0", "b1"), target("a0"), target("a1"), target("c0", "c1"))
     desk.now += 0.3
     desk.placement.shares.update([], desk.now)
-    assert desk.placement.shares.told() == {}
+    assert desk.placement.shares.reported() == {}
     keys = [f"k{i}" for i in range(40)]
     assert all(desk.name(k).startswith("a") for k in keys)
--- a/tests/test_entry_warmth.py
+++ b/tests/test_entry_warmth.py
@@ -4,7 +4,7 @@
 
 from desk import target
 from leverdoor.entry.times import ServiceTimes
-from leverdoor.entry.warmth import KEPT_S, MOST_TOLD, RANKS, SharedWarmth, WarmthBook
+from leverdoor.entry.warmth import KEPT_S, MOST_SENT, RANKS, SharedWarmth, WarmthBook
 
 
 def test_times_fall_into_two_clusters_whatever_was_expected() -> None:
@@ -82,4 +82,4 @@
     mine = SharedWarmth()
     for i in range(500):
         mine.note(target("t"), f"k{i}", 10.0)
-    assert len(mine.recent(1.0, 10.0)) == MOST_TOLD
+    assert len(mine.recent(1.0, 10.0)) == MOST_SENT
--- a/tests/test_entry_whole.py
+++ b/tests/test_entry_whole.py
@@ -90,17 +90,17 @@
     for name in site.targets:
         site.store.remove(f"servers/{name}")
     site.store.faults = MetadataFaults()
-    await until_told("lapsed")
+    await until_told("expired")
     await until_told("gone")
     for entry in entries:
         fields = [
             f
             for e in entry.events()
             if e["event"] == "targets"
-            for f in ("lapsed", "gone")
+            for f in ("expired", "gone")
             if e[f]
         ]
-        assert fields[0] == "lapsed"
+        assert fields[0] == "expired"
 
 
 async def test_a_planned_stop_loses_nothing(site: EntrySite) -> None:
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -88,16 +88,16 @@
 
 
 RECORDED = """\
-12.1 n1 {"t":1.0,"event":"target_rests","entry":"n1","target":"i-1",\
-"reason":"answer lost","rest_s":0.5}
+12.1 n1 {"t":1.0,"event":"target_ejected","entry":"n1","target":"i-1",\
+"reason":"answer lost","ejected_s":0.5}
 12.2 n1 {"t":1.2,"event":"store","entry":"n1","change":"lost","revision":9,\
 "detail":"HTTP 503"}
 12.9 n1 {"t":2.5,"event":"attempt_failed","entry":"n1","request_id":"r","route":"x",\
 "service":"s","key":"k","version":"2","target":"i-1","region":"a","attempt":1,\
 "reason":"share","load":3,"slots":2,"load_age_ms":90,"seen":true,"expected_ms":200,\
 "took_ms":1400,"outcome":"ANSWER_LOST"}
-12.9 n1 {"t":2.5,"event":"target_rests","entry":"n1","target":"i-1",\
-"reason":"answer lost","rest_s":1.0}
+12.9 n1 {"t":2.5,"event":"target_ejected","entry":"n1","target":"i-1",\
+"reason":"answer lost","ejected_s":1.0}
 12.9 n1 {"t":2.5,"event":"refused","entry":"n1","request_id":"r","code":3101,\
 "name":"ANSWER_LOST","run":"maybe","detail":"closed","retry_after_ms":0,\
 "version":"2","took_ms":1400}
@@ -108,7 +108,7 @@
     found = explain("r", parse_log(RECORDED.splitlines()).events)
     assert found is not None
     assert [line.split(" ")[0] for line in found.way] == ["+1400", "+1400"]
-    assert "load 3/2 told 90 ms before" in found.way[0]
-    assert found.beliefs[0].startswith("0.1 s before: i-1 (asked) rests")
+    assert "load 3/2 reported 90 ms before" in found.way[0]
+    assert found.beliefs[0].startswith("0.1 s before: i-1 (asked) is ejected")
     assert "the store lost HTTP 503" in found.beliefs[1]
     assert found.cause.endswith("(closed); i-1 failed 2 requests then.")
