--- a/leverdoor/entry/forwarding.py
+++ b/leverdoor/entry/forwarding.py
@@ -36,7 +36,7 @@
 class Incoming(msgspec.Struct):
     """One request as an entry takes it in."""
 
-    asked: PlacementRequest
+    request: PlacementRequest
     method: str
     path: str
     """Path and query, unaltered."""
@@ -58,7 +58,7 @@
     def __init__(
         self,
         wire: Wire,
-        placement: PlacementPolicy,
+        policy: PlacementPolicy,
         fleet: Fleet,
         connections: Connections,
         budget: RepeatBudget,
@@ -66,7 +66,7 @@
     ) -> None:
         """Create it from the entry's parts."""
         self._wire = wire
-        self._placement = placement
+        self._policy = policy
         self._fleet = fleet
         self._connections = connections
         self._budget = budget
@@ -78,8 +78,8 @@
         Raises:
           Refusal: it was given up on; the code says whether it may have run.
         """
-        asked = incoming.asked
-        self._budget.earn(asked.service)
+        request = incoming.request
+        self._budget.earn(request.service)
         attempt = 0
         lost: Refusal | None = None
         while True:
@@ -95,30 +95,30 @@
 
     def _again(self, incoming: Incoming, attempt: int, failed: "_Failed") -> bool:
         """Say whether another target may be tried."""
-        asked = incoming.asked
-        safe = asked.route.work is Work.LOOKUP or failed.refusal.run is Run.NO
+        request = incoming.request
+        safe = request.route.work is Work.LOOKUP or failed.refusal.run is Run.NO
         if (
             not safe
             or not incoming.replayable
             or failed.refusal.code is Code.DEADLINE_PASSED
         ):
             return False
-        if failed.arrived and attempt >= asked.route.attempts:
+        if failed.arrived and attempt >= request.route.attempts:
             return False
-        if not failed.arrived and attempt >= asked.route.attempts + 2:
+        if not failed.arrived and attempt >= request.route.attempts + 2:
             return False
-        return self._budget.spend(asked.service)
+        return self._budget.spend(request.service)
 
     async def _attempt(self, incoming: Incoming, attempt: int) -> Reply:
         loop = asyncio.get_running_loop()
-        asked = incoming.asked
-        decision = self._placement.place(asked, loop.time())
+        request = incoming.request
+        decision = self._policy.place(request, loop.time())
         if isinstance(decision, Rejection):
             refusal = Refusal(
                 decision.code, decision.reason, retry_after_ms=decision.retry_after_ms
             )
             raise _Failed(refusal, placed=False, arrived=False)
-        asked.tried.add(decision.target.name)
+        request.tried.add(decision.target.name)
         began = loop.time()
         outcome = "cancelled"
         try:
@@ -129,16 +129,16 @@
             raise
         finally:
             now = loop.time()
-            self._placement.ended(decision, now)
-            self._events.attempt(asked, decision, attempt, outcome, now - began)
+            self._policy.ended(decision, now)
+            self._events.attempt(request, decision, attempt, outcome, now - began)
         self._learn(incoming, decision, reply, loop.time() - began)
         return reply
 
     def _learn(
-        self, incoming: Incoming, chosen: Placement, reply: Reply, took_s: float
+        self, incoming: Incoming, placement: Placement, reply: Reply, took_s: float
     ) -> None:
         now = asyncio.get_running_loop().time()
-        state = self._fleet.of(chosen.target, now)
+        state = self._fleet.of(placement.target, now)
         load = self._wire.parse_load(reply.get(self._wire.headers.load))
         if load is not None:
             state.reported(load, now)
@@ -146,91 +146,95 @@
             return
         body = incoming.body
         size = len(reply.body) + (len(body) if isinstance(body, bytes) else LONG_BODY)
-        asked = incoming.asked
-        if self._placement.answered(asked, chosen, took_s * 1000, size, now):
-            self._events.target_ejected(chosen.target.name, "slow", SLOW_EJECTION_S)
+        request = incoming.request
+        if self._policy.answered(request, placement, took_s * 1000, size, now):
+            self._events.target_ejected(placement.target.name, "slow", SLOW_EJECTION_S)
 
-    async def _send(self, incoming: Incoming, chosen: Placement) -> Reply:
+    async def _send(self, incoming: Incoming, placement: Placement) -> Reply:
         loop = asyncio.get_running_loop()
-        asked = incoming.asked
+        request = incoming.request
         began = loop.time()
-        outgoing = self._outgoing(incoming, chosen, began)
+        outgoing = self._outgoing(incoming, placement, began)
         try:
-            async with asyncio.timeout_at(asked.until - ANSWER_MARGIN_S):
-                reply = await self._connections.exchange(chosen.target, outgoing)
+            async with asyncio.timeout_at(request.until - ANSWER_MARGIN_S):
+                reply = await self._connections.exchange(placement.target, outgoing)
         except NotSent as e:
-            self._unreached(chosen, "not reached")
+            self._unreached(placement, "not reached")
             refusal = Refusal(Code.CONNECT_FAILED, str(e), retry_after_ms=RETRY_MS)
             raise _Failed(refusal, placed=True, arrived=False) from None
         except AnswerLost as e:
-            self._lost(chosen, e.unreachable)
+            self._lost(placement, e.unreachable)
             refusal = Refusal(Code.ANSWER_LOST, str(e))
             raise _Failed(refusal, placed=True, arrived=True) from None
         except TimeoutError:
-            self._overran(chosen, loop.time() - began)
+            self._overran(placement, loop.time() - began)
             refusal = Refusal(Code.DEADLINE_PASSED)
             raise _Failed(refusal, placed=True, arrived=True) from None
         not_run = reply.get(self._wire.headers.not_run) or reply.status == 421
         if not_run and reply.status in NOT_RUN_STATUSES:
-            self._turned_away(chosen, reply, loop.time())
+            self._turned_away(placement, reply, loop.time())
         return reply
 
-    def _turned_away(self, chosen: Placement, reply: Reply, now: float) -> None:
+    def _turned_away(self, placement: Placement, reply: Reply, now: float) -> None:
         """Take a target's word that it did not run the request."""
         if reply.status == 421:
-            self._unreached(chosen, "another instance")
+            self._unreached(placement, "another instance")
         else:
-            self._fleet.of(chosen.target, now).refused(now)
+            self._fleet.of(placement.target, now).refused(now)
         refusal = Refusal(
             Code.TARGET_REFUSED, f"status {reply.status}", retry_after_ms=RETRY_MS
         )
         raise _Failed(refusal, placed=True, arrived=True)
 
-    def _overran(self, chosen: Placement, took_s: float) -> None:
+    def _overran(self, placement: Placement, took_s: float) -> None:
         """Take a request whose time was over as a sign of how slow a target is."""
         now = asyncio.get_running_loop().time()
-        ratio = took_s * 1000 / max(chosen.expected_ms, 1.0)
-        if self._fleet.of(chosen.target, now).overran(ratio, now):
-            self._events.target_ejected(chosen.target.name, "slow", SLOW_EJECTION_S)
+        ratio = took_s * 1000 / max(placement.expected_ms, 1.0)
+        if self._fleet.of(placement.target, now).overran(ratio, now):
+            self._events.target_ejected(placement.target.name, "slow", SLOW_EJECTION_S)
 
-    def _unreached(self, chosen: Placement, reason: str) -> None:
+    def _unreached(self, placement: Placement, reason: str) -> None:
         """Leave a target alone for a while."""
         now = asyncio.get_running_loop().time()
-        ejected_s = self._fleet.of(chosen.target, now).unreached(now)
-        self._events.target_ejected(chosen.target.name, reason, ejected_s)
+        ejected_s = self._fleet.of(placement.target, now).unreached(now)
+        self._events.target_ejected(placement.target.name, reason, ejected_s)
 
-    def _lost(self, chosen: Placement, unreachable: bool) -> None:
+    def _lost(self, placement: Placement, unreachable: bool) -> None:
         """Leave a target alone that loses one answer after the other."""
         if unreachable:
-            self._unreached(chosen, "no acknowledgement")
+            self._unreached(placement, "no acknowledgement")
             return
         now = asyncio.get_running_loop().time()
-        ejected_s = self._fleet.of(chosen.target, now).lost(now)
+        ejected_s = self._fleet.of(placement.target, now).lost(now)
         if ejected_s:
-            self._events.target_ejected(chosen.target.name, "answers lost", ejected_s)
+            self._events.target_ejected(
+                placement.target.name, "answers lost", ejected_s
+            )
 
-    def _outgoing(self, incoming: Incoming, chosen: Placement, now: float) -> Outgoing:
+    def _outgoing(
+        self, incoming: Incoming, placement: Placement, now: float
+    ) -> Outgoing:
         names = self._wire.headers
-        asked = incoming.asked
-        left_ms = max(int((asked.until - now) * 1000), 1)
+        request = incoming.request
+        left_ms = max(int((request.until - now) * 1000), 1)
         lines = [f"{incoming.method} {incoming.path} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in incoming.headers]
         lines.append(f"{names.deadline_ms}: {left_ms}")
-        lines.append(f"{names.instance}: {chosen.target.name}")
+        lines.append(f"{names.instance}: {placement.target.name}")
         if isinstance(incoming.body, bytes):
             if incoming.body or incoming.method not in ("GET", "HEAD", "DELETE"):
                 lines.append(f"Content-Length: {len(incoming.body)}")
         elif incoming.chunked:
             lines.append("Transfer-Encoding: chunked")
         head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
-        return Outgoing(asked.request_id, incoming.method, head, incoming.body)
+        return Outgoing(request.request_id, incoming.method, head, incoming.body)
 
 
 class _Failed(Exception):
     """One attempt failed.
 
     Attributes:
-      placed: a target was chosen.
+      placed: a target was placement.
       arrived: the request may have reached it.
     """
 
--- a/leverdoor/entry/front.py
+++ b/leverdoor/entry/front.py
@@ -83,7 +83,7 @@
         outcome = "left"
         try:
             incoming = await self._incoming(request, request_id, arrived)
-            service = incoming.asked.service
+            service = incoming.request.service
             reply = await self._forwarder.serve(incoming)
             outcome = str(reply.status)
             return await self._answer(request, reply)
@@ -128,7 +128,7 @@
         if route is None:
             raise Refusal(Code.NO_ROUTE, f"{host} {path[:100]}")
         until = arrived + self._patience_s(request, route)
-        asked = PlacementRequest(
+        wanted = PlacementRequest(
             request_id=request_id,
             route=route,
             service=self._placement.pick_service(route),
@@ -138,7 +138,7 @@
             until=until,
         )
         incoming = Incoming(
-            asked=asked,
+            request=wanted,
             method=request.method,
             path=path,
             headers=self._passing(request),
@@ -181,7 +181,7 @@
             request.writer.output_size = 0
         read = bytearray()
         try:
-            async with asyncio.timeout_at(incoming.asked.until):
+            async with asyncio.timeout_at(incoming.request.until):
                 while len(read) <= BUFFERED_BODY:
                     chunk = await request.content.readany()
                     if not chunk:
--- a/leverdoor/entry/placement.py
+++ b/leverdoor/entry/placement.py
@@ -193,94 +193,98 @@
 
     # What is decided.
 
-    def place(self, asked: PlacementRequest, now: float) -> Placement | Rejection:
+    def place(self, request: PlacementRequest, now: float) -> Placement | Rejection:
         """Choose a target for a request, or refuse it."""
         self._overflow = min(OVERFLOW_LIMIT, self._overflow + OVERFLOW_EARN)
-        regions = self._allowed_regions(asked)
+        regions = self._allowed_regions(request)
         if not regions:
             return self._refuse(Code.NO_TARGET, "no target may serve it")
-        first = self.shares.region(asked.service, asked.key, regions, now)
-        found = self._in_region(asked, first, "share", now)
+        first = self.shares.region(request.service, request.key, regions, now)
+        found = self._in_region(request, first, "share", now)
         if found is not None:
             return found
         rest = [r for r in regions if r != first]
-        if rest and self._may_overflow(asked, first, now):
-            for region in self._by_room(asked, rest, now):
-                found = self._in_region(asked, region, "overflow", now)
+        if rest and self._may_overflow(request, first, now):
+            for region in self._by_room(request, rest, now):
+                found = self._in_region(request, region, "overflow", now)
                 if found is not None:
                     return found
-        found = self._cold(asked, [first, *rest], now)
+        found = self._cold(request, [first, *rest], now)
         if found is not None:
             return found
-        return self._refuse(Code.QUEUE_FULL, self._why_full(asked, first, now))
+        return self._refuse(Code.QUEUE_FULL, self._why_full(request, first, now))
 
-    def _why_full(self, asked: PlacementRequest, first: str, now: float) -> str:
+    def _why_full(self, request: PlacementRequest, first: str, now: float) -> str:
         """Say for the log what was known when there was no room."""
-        ranking = self._by_region[(asked.service, first)]
+        ranking = self._by_region[(request.service, first)]
         loads = []
-        for target in ranking.order(asked.key)[:LOGGED_TARGETS]:
+        for target in ranking.order(request.key)[:LOGGED_TARGETS]:
             state = self._fleet.of(target, now)
             cold = " cold" if state.cold(now) else ""
             rests = "" if state.usable(now) else " rests"
             age_ms = state.load_age_ms(now)
             load = f"{state.load(now):.1f}/{target.slots}"
             loads.append(f"{target.name} {load} ({age_ms} ms){cold}{rests}")
-        return f"{asked.service} in {first}: {', '.join(loads)}"
+        return f"{request.service} in {first}: {', '.join(loads)}"
 
     def _in_region(
-        self, asked: PlacementRequest, region: str, reason: str, now: float
+        self, request: PlacementRequest, region: str, reason: str, now: float
     ) -> Placement | None:
         if region == self._region:
-            return self._best(asked, self._near(asked), reason, now)
-        ranking = self._by_region[(asked.service, region)]
-        return self._best(asked, ranking.order(asked.key)[:CANDIDATES], reason, now)
+            return self._best(request, self._near(request), reason, now)
+        ranking = self._by_region[(request.service, region)]
+        return self._best(request, ranking.order(request.key)[:CANDIDATES], reason, now)
 
-    def _allowed_regions(self, asked: PlacementRequest) -> list[str]:
-        homes = asked.route.homes
+    def _allowed_regions(self, request: PlacementRequest) -> list[str]:
+        homes = request.route.homes
         return [
             region
             for region in self._catalog.regions
-            if (asked.service, region) in self._by_region
+            if (request.service, region) in self._by_region
             and (not homes or region in homes)
         ]
 
-    def _may_overflow(self, asked: PlacementRequest, first: str, now: float) -> bool:
+    def _may_overflow(self, request: PlacementRequest, first: str, now: float) -> bool:
         """Let a few requests leave their key's region at once, before refusing."""
-        if self.shares.pressure(asked.service, first, now) >= NO_SLOTS:
+        if self.shares.pressure(request.service, first, now) >= NO_SLOTS:
             return True
         if self._overflow < 1.0:
             return False
         self._overflow -= 1.0
         return True
 
-    def _near(self, asked: PlacementRequest) -> list[Target]:
+    def _near(self, request: PlacementRequest) -> list[Target]:
         """Return this region's targets for a key.
 
         A key has one target in the whole region, so that few runs are cold.
         Where requests are large and the own domain has many targets, it has one
         in each domain, so that bytes stay there.
         """
-        region = self._by_region.get((asked.service, self._region))
+        region = self._by_region.get((request.service, self._region))
         if region is None:
             return []
-        whole = region.order(asked.key)
-        own = self._by_domain.get((asked.service, self._domain))
+        whole = region.order(request.key)
+        own = self._by_domain.get((request.service, self._domain))
         many = own is not None and len(own) >= MANY_TARGETS
-        if own is None or not many or not self._sizes.heavy(asked.service):
+        if own is None or not many or not self._sizes.heavy(request.service):
             return whole[:CANDIDATES]
         rest = [t for t in whole[: 2 * CANDIDATES] if t.domain != self._domain]
-        return own.order(asked.key)[:CANDIDATES] + rest[:CANDIDATES]
+        return own.order(request.key)[:CANDIDATES] + rest[:CANDIDATES]
 
     def _by_room(
-        self, asked: PlacementRequest, regions: list[str], now: float
+        self, request: PlacementRequest, regions: list[str], now: float
     ) -> list[str]:
         """Order regions by their load, the emptiest first."""
         return sorted(
-            regions, key=lambda r: self.shares.pressure(asked.service, r, now)
+            regions, key=lambda r: self.shares.pressure(request.service, r, now)
         )
 
     def _best(
-        self, asked: PlacementRequest, candidates: list[Target], reason: str, now: float
+        self,
+        request: PlacementRequest,
+        candidates: list[Target],
+        reason: str,
+        now: float,
     ) -> Placement | None:
         """Choose the candidate that is expected to answer first.
 
@@ -288,39 +292,43 @@
         """
         slow = {t.name for t in candidates if self._fleet.of(t, now).slow(now)}
         if not slow:
-            return self._quickest(asked, candidates, reason, now)
+            return self._quickest(request, candidates, reason, now)
         sound = [t for t in candidates if t.name not in slow]
-        found = self._quickest(asked, sound, reason, now)
-        return found or self._quickest(asked, candidates, reason, now)
+        found = self._quickest(request, sound, reason, now)
+        return found or self._quickest(request, candidates, reason, now)
 
     def _quickest(
-        self, asked: PlacementRequest, candidates: list[Target], reason: str, now: float
+        self,
+        request: PlacementRequest,
+        candidates: list[Target],
+        reason: str,
+        now: float,
     ) -> Placement | None:
         options: list[_Option] = []
         for target in candidates:
-            if target.name in asked.tried:
+            if target.name in request.tried:
                 continue
             state = self._fleet.of(target, now)
             if not state.usable(now) or state.cold(now):
                 continue
             rank = RANKS - 1 if reason == "overflow" else len(options)
-            options.append(self._option(asked, state, rank, now))
+            options.append(self._option(request, state, rank, now))
             if len(options) > SECOND:
                 break
-        most_ms = self._most_wait_ms(asked, now)
+        most_ms = self._most_wait_ms(request, now)
         fitting = [o for o in options if o.wait_ms <= most_ms and self._admits(o, now)]
         if not fitting:
             return None
         best = min(fitting, key=lambda o: o.price_ms)
-        return self._take(asked, best, reason, now)
+        return self._take(request, best, reason, now)
 
     def _option(
-        self, asked: PlacementRequest, state: TargetState, rank: int, now: float
+        self, request: PlacementRequest, state: TargetState, rank: int, now: float
     ) -> "_Option":
         """Weigh one target."""
         target = state.target
-        times = self._times.of(asked.route, asked.service)
-        seen = not asked.route.affinity or self._seen(asked.key, state, now)
+        times = self._times.of(request.route, request.service)
+        seen = not request.route.affinity or self._seen(request.key, state, now)
         cold_share = self._warmth.cold_share(target, rank, seen)
         over = max(state.load(now) - target.slots + 1, 0.0)
         run_ms = times.run_ms(self._warmth.forgotten_share(target))
@@ -356,7 +364,7 @@
         return state.load(now) < COLD_ROOM * state.target.slots
 
     def _take(
-        self, asked: PlacementRequest, option: "_Option", reason: str, now: float
+        self, request: PlacementRequest, option: "_Option", reason: str, now: float
     ) -> Placement:
         state = option.state
         load = state.load(now)
@@ -374,18 +382,18 @@
         )
 
     def _cold(
-        self, asked: PlacementRequest, regions: list[str], now: float
+        self, request: PlacementRequest, regions: list[str], now: float
     ) -> Placement | None:
         """Use a cold target within this entry's share of what it bears."""
-        service = self._catalog.services.get(asked.service)
+        service = self._catalog.services.get(request.service)
         per_s = service.warmup_per_s if service is not None else 0.0
         ordered = sorted(regions, key=lambda r: r != self._region)
         for region in ordered:
-            for target in self._by_region[(asked.service, region)].order(asked.key):
+            for target in self._by_region[(request.service, region)].order(request.key):
                 state = self._fleet.of(target, now)
                 if not state.cold(now) or not state.usable(now):
                     continue
-                if target.name in asked.tried or state.load(now) >= target.slots:
+                if target.name in request.tried or state.load(now) >= target.slots:
                     continue
                 entries = self.sharers(target)
                 if entries < 1:
@@ -393,20 +401,20 @@
                 share = COLD_SHARE * per_s / entries
                 if per_s and not state.spend_allowance(share, now):
                     continue
-                slow_ms = self._times.of(asked.route, asked.service).slow_ms
+                slow_ms = self._times.of(request.route, request.service).slow_ms
                 option = _Option(state, RANKS, False, 1.0, 0.0, slow_ms, slow_ms)
-                return self._take(asked, option, "cold", now)
+                return self._take(request, option, "cold", now)
         return None
 
-    def _most_wait_ms(self, asked: PlacementRequest, now: float) -> float:
+    def _most_wait_ms(self, request: PlacementRequest, now: float) -> float:
         """Return the longest wait at a target that still makes sense."""
-        times = self._times.of(asked.route, asked.service)
-        aim = asked.route.target_latency_ms or DEFAULT_LATENCY_MS
-        spent = (now - asked.arrived) * 1000
+        times = self._times.of(request.route, request.service)
+        aim = request.route.target_latency_ms or DEFAULT_LATENCY_MS
+        spent = (now - request.arrived) * 1000
         wait = max(aim - spent - times.fast_ms * 1.2, LEAST_WAIT_SHARE * aim)
-        if asked.route.priority > URGENT_PRIORITY:
+        if request.route.priority > URGENT_PRIORITY:
             wait *= LESS_URGENT
-        left = (asked.until - now) * 1000 - times.fast_ms
+        left = (request.until - now) * 1000 - times.fast_ms
         return min(wait, left)
 
     def _refuse(self, code: Code, reason: str) -> Rejection:
@@ -417,8 +425,8 @@
 
     def answered(
         self,
-        asked: PlacementRequest,
-        chosen: Placement,
+        request: PlacementRequest,
+        placement: Placement,
         took_ms: float,
         size: int,
         now: float,
@@ -426,37 +434,37 @@
         """Learn from a whole answer.
 
         Args:
-          asked: the request.
-          chosen: where it was sent.
+          request: the request.
+          placement: where it was sent.
           took_ms: how long it took there.
           size: its bytes and its answer's.
           now: monotonic time in seconds.
         Returns: whether the target is so slow that it rests now.
         """
-        self._sizes.learn(asked.service, size)
-        state = self._fleet.of(chosen.target, now)
-        rests = state.answered(took_ms / max(chosen.expected_ms, 1.0), now)
-        if chosen.load < chosen.target.slots:
-            self._learn_run(asked, chosen, took_ms)
-        state.remember(asked.key)
-        if asked.route.affinity and chosen.rank > 0:
-            self.shared_warmth.note(chosen.target, asked.key, now)
+        self._sizes.learn(request.service, size)
+        state = self._fleet.of(placement.target, now)
+        rests = state.answered(took_ms / max(placement.expected_ms, 1.0), now)
+        if placement.load < placement.target.slots:
+            self._learn_run(request, placement, took_ms)
+        state.remember(request.key)
+        if request.route.affinity and placement.rank > 0:
+            self.shared_warmth.note(placement.target, request.key, now)
         return rests
 
     def _learn_run(
-        self, asked: PlacementRequest, chosen: Placement, took_ms: float
+        self, request: PlacementRequest, placement: Placement, took_ms: float
     ) -> None:
         """Learn from the time of a run that had a slot at once."""
-        times = self._times.of(asked.route, asked.service)
-        if asked.route.affinity:
+        times = self._times.of(request.route, request.service)
+        if request.route.affinity:
             cold = times.is_cold(took_ms)
-            self._warmth.learn(chosen.target, chosen.rank, chosen.seen, cold)
-        if chosen.target.region == self._region:
+            self._warmth.learn(placement.target, placement.rank, placement.seen, cold)
+        if placement.target.region == self._region:
             times.learn(took_ms)
 
-    def ended(self, chosen: Placement, now: float) -> None:
+    def ended(self, placement: Placement, now: float) -> None:
         """Count a request that ended, however it did."""
-        self._fleet.of(chosen.target, now).ended()
+        self._fleet.of(placement.target, now).ended()
 
 
 def _rankings(
