--- a/benchmarks/entry_slopes.py
+++ b/benchmarks/entry_slopes.py
@@ -17,7 +17,8 @@
 from leverdoor.entry.catalog import Catalog
 from leverdoor.entry.fleet import Fleet
 from leverdoor.entry.membership import SERVING, Heartbeat, Member, Membership
-from leverdoor.entry.placement import Placement, PlacementPolicy, PlacementRequest
+from leverdoor.entry.placement import PlacementPolicy
+from leverdoor.entry.requests import Placement, PlacementRequest
 from leverdoor.model.resources import Region, Resource, Route, Service, Target, Work
 
 RUNS = 7
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -20,11 +20,12 @@
 
 import msgspec
 
+from leverdoor.entry import choice, spill
 from leverdoor.entry import placement as product
-from leverdoor.entry import spill
 from leverdoor.entry.catalog import Catalog
 from leverdoor.entry.fleet import Fleet
-from leverdoor.entry.placement import Placement, PlacementPolicy, PlacementRequest
+from leverdoor.entry.placement import PlacementPolicy
+from leverdoor.entry.requests import Placement, PlacementRequest
 from leverdoor.entry.wire import TargetLoad
 from leverdoor.model.resources import Region, Resource, Route, Service, Target, Work
 
@@ -248,8 +249,8 @@
 class Rule(msgspec.Struct, frozen=True):
     """The product's constants changed, or what entries tell left out."""
 
-    cold_room: float = product.COLD_ROOM
-    least_wait_share: float = product.LEAST_WAIT_SHARE
+    cold_room: float = choice.COLD_ROOM
+    least_wait_share: float = choice.LEAST_WAIT_SHARE
     move_per_s: float = spill.MOVE_PER_S
     blind: bool = False
     candidates: int = product.CANDIDATES
@@ -260,8 +261,8 @@
 
     def put_in_force(self) -> None:
         product.CANDIDATES = self.candidates
-        product.COLD_ROOM = self.cold_room
-        product.LEAST_WAIT_SHARE = self.least_wait_share
+        choice.COLD_ROOM = self.cold_room
+        choice.LEAST_WAIT_SHARE = self.least_wait_share
 
 
 def run(plan: Plan, seed: int, rule: Rule) -> Result:
--- a/leverdoor/entry/admin.py
+++ b/leverdoor/entry/admin.py
@@ -15,7 +15,7 @@
 from leverdoor.storage.following import DEFLATE
 from leverdoor.storage.state import State
 
-__all__ = ["PULL_PATH", "Side"]
+__all__ = ["PULL_PATH", "AdminServer"]
 
 PULL_PATH = "/v1/internal/state"
 METRICS_PATH = "/metrics"
@@ -25,7 +25,7 @@
 """Level of zlib for states: the fastest; chosen, not measured."""
 
 
-class Side:
+class AdminServer:
     """The handler of questions to one entry."""
 
     def __init__(
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from random import Random
 
 import msgspec
@@ -12,12 +12,12 @@
 
 from leverdoor.budget import RepeatBudget
 from leverdoor.daemon import keep_running
-from leverdoor.entry.admin import Side
-from leverdoor.entry.catalog import EMPTY, Catalog
+from leverdoor.entry.admin import AdminServer
+from leverdoor.entry.catalog import Catalog
+from leverdoor.entry.catalog_keeper import CatalogKeeper
 from leverdoor.entry.client_connection import ClientConnection
 from leverdoor.entry.connections import Connections
 from leverdoor.entry.events import Events
-from leverdoor.entry.expired_registrations import ExpiredRegistrations, Outage
 from leverdoor.entry.fleet import Fleet
 from leverdoor.entry.forwarding import Forwarder
 from leverdoor.entry.front import Front
@@ -98,12 +98,6 @@
         self._stop = asyncio.Event()
         self._life = STARTING
         self._seq = 0
-        self._catalog = EMPTY
-        self._source = "store"
-        self._outage = Outage()
-        self._expired_registrations = ExpiredRegistrations(settings.leave_s)
-        self._expired: list[str] = []
-        self._hold_timer: asyncio.TimerHandle | None = None
         self._servers: list[asyncio.Server] = []
         self._news_due = False
 
@@ -145,7 +139,7 @@
         await self._socket.open(s.gossip)
         front = await self._listen(self._client_connection, s.front)
         for address in (s.ready, s.directory, s.pull, s.metrics):
-            await self._listen(self._side_server, address)
+            await self._listen(self._admin_server, address)
         loops = (self._follower.run, self._registration.run, self._heartbeat)
         tasks = [asyncio.create_task(keep_running(w.__qualname__, w)) for w in loops]
         try:
@@ -159,8 +153,15 @@
         self._events.process("end")
 
     def _build(self) -> None:
+        """Create all parts; nothing is opened yet."""
+        rng = Random(self._settings.seed or None)
+        self._build_state(rng)
+        self._build_data_path(rng)
+        self._build_control_path(rng)
+
+    def _build_state(self, rng: Random) -> None:
+        """Create what is known: the store's state, other entries, targets."""
         s = self._settings
-        rng = Random(s.seed or None)
         self._member = Member(
             s.name,
             s.region,
@@ -173,8 +174,16 @@
         )
         self._state = State()
         self._state.changes.subscribe(self._take_delta)
+        self._keeper = CatalogKeeper(
+            self._wire, self._state, self._events, s.leave_s, self._take_catalog
+        )
         self._membership = Membership(self._member, rng)
         self._fleet = Fleet()
+        self._metrics = EntryMetrics()
+
+    def _build_data_path(self, rng: Random) -> None:
+        """Create what serves requests."""
+        s = self._settings
         move_per_s = s.max_shift * MOVED_SHARE / SHIFT_WINDOW_S
         self._placement = PlacementPolicy(
             s.region, s.domain, self._fleet, rng, move_per_s
@@ -185,7 +194,6 @@
             s.region,
             self._events.connections_forgotten,
         )
-        self._metrics = EntryMetrics()
         self._budget = RepeatBudget(
             s.repeat_ratio * REPEAT_SHARE, REPEATS_SAVED, REPEATS_FIRST
         )
@@ -203,9 +211,13 @@
             forwarder,
             self._events,
             self._metrics,
-            lambda: self._catalog,
+            lambda: self._keeper.catalog,
         )
-        side = Side(
+        self._front_server = web.Server(self._front.handle, handler_cancellation=True)
+
+    def _build_control_path(self, rng: Random) -> None:
+        """Create what follows the store and speaks with other entries."""
+        admin = AdminServer(
             self._wire,
             self._state,
             self._metrics,
@@ -213,10 +225,9 @@
             lambda region, domain, now: self._membership.addresses(
                 region, domain, self._life, now
             ),
-            s.lookup_ttl_s,
+            self._settings.lookup_ttl_s,
         )
-        self._front_server = web.Server(self._front.handle, handler_cancellation=True)
-        self._side_server = web.Server(side.handle, access_log=None)
+        self._admin_server = web.Server(admin.handle, access_log=None)
         self._socket = GossipSocket(Heartbeat, self._take_heartbeat)
         self._puller = PeerFollower(self._state)
         self._follower = StoreFollower(
@@ -230,18 +241,21 @@
         )
         self._registration = Registration(
             self._store,
-            self._wire.peer_key(s.name),
+            self._wire.peer_key(self._settings.name),
             self._member,
             self._events,
             rng,
-            lambda: retry_pause_s(
-                len(self._membership.everyone()) + 1, self._settings.store_writes_per_s
-            ),
+            self._registration_pause_s,
         )
 
+    def _registration_pause_s(self) -> float:
+        """Return the pause after a failed registration, in seconds."""
+        entries = len(self._membership.everyone()) + 1
+        return retry_pause_s(entries, self._settings.store_writes_per_s)
+
     def _client_connection(self) -> ClientConnection:
         loop = asyncio.get_running_loop()
-        limits = self._catalog.limits
+        limits = self._keeper.catalog.limits
         return ClientConnection(self._front_server, loop, limits, self._front.busy)
 
     async def _listen(
@@ -257,7 +271,7 @@
         for listener in self._servers:
             listener.close()
         await self._front_server.shutdown(STOP_POLL_S)
-        await self._side_server.shutdown(STOP_POLL_S)
+        await self._admin_server.shutdown(STOP_POLL_S)
         self._connections.close()
         self._socket.close()
         await self._puller.close()
@@ -271,66 +285,30 @@
 
     def _take_store(self, reachable: bool, why: str) -> None:
         """Record that the store was lost, or answers again."""
-        self._outage.take(reachable, asyncio.get_running_loop().time())
+        self._keeper.outage.take(reachable, asyncio.get_running_loop().time())
         change = "answers" if reachable else "lost"
         self._events.store(change, self._state.revision, why)
 
     def _take_delta(self, _: Delta) -> None:
         """Compile a newer state, and let others know that there is one."""
-        self._compile()
+        self._keeper.compile()
         self._metrics.revision.set(self._state.revision)
         self._spread_news()
-        if self._life == STARTING and self._catalog.configured:
+        if self._life == STARTING and self._keeper.catalog.configured:
             self._life = SERVING
-            self._events.process("ready", version=self._catalog.version)
+            self._events.process("ready", version=self._keeper.catalog.version)
             self._notify_all()
 
-    def _compile(self) -> None:
-        """Compile the state; one that can't be read leaves the old in force."""
-        loop = asyncio.get_running_loop()
-        now = loop.time()
-        said = self._wire.translate(self._state.entries)
-        self._membership.found(said.peers, now)
-        targets = {t.name: t for t in said.resources if isinstance(t, Target)}
-        held = self._expired_registrations.update(
-            targets, self._outage.recent(now), now
-        )
-        before = self._catalog
-        catalog = Catalog(self._state.revision, said.version, [*said.resources, *held])
-        self._catalog = catalog
-        self._log_changes(before, catalog, held)
+    def _take_catalog(
+        self, before: Catalog, catalog: Catalog, peers: Mapping[str, bytes]
+    ) -> None:
+        """Put a newer catalogue in force in all parts."""
+        now = asyncio.get_running_loop().time()
+        self._membership.found(peers, now)
         self._fleet.renew(catalog.targets, now)
         for name in before.in_service - catalog.in_service:
             self._connections.drop(name)
         self._placement.renew(catalog)
-        if self._hold_timer is not None:
-            self._hold_timer.cancel()
-        end = self._expired_registrations.next_end
-        self._hold_timer = None if end is None else loop.call_at(end, self._compile)
-
-    def _log_changes(
-        self, before: Catalog, catalog: Catalog, held: list[Target]
-    ) -> None:
-        """Log what differs from the catalogue before."""
-        if catalog.version != before.version:
-            self._events.configuration(
-                catalog.version,
-                catalog.revision,
-                catalog.route_count,
-                len(catalog.targets),
-                self._source,
-            )
-        came = sorted(catalog.in_service - before.in_service)
-        gone = sorted(before.in_service - catalog.in_service)
-        cold = [
-            name
-            for name, target in catalog.targets.items()
-            if target.cold_ms and before.targets.get(name) != target
-        ]
-        expired = sorted(t.name for t in held)
-        if came or gone or cold or expired != self._expired:
-            self._events.targets(came, gone, cold, expired, catalog.revision)
-        self._expired = expired
 
     def _spread_news(self) -> None:
         """Announce a newer state to some entries soon, once for several changes.
@@ -352,7 +330,7 @@
             return
         self._fleet.hear(heartbeat.member.name, heartbeat.in_flight, now)
         self._placement.shared_warmth.hear(heartbeat.warm, now)
-        self._outage.heard(heartbeat.outage_ms, now)
+        self._keeper.outage.heard(heartbeat.outage_ms, now)
         if heartbeat.revision > self._state.revision:
             source = self._membership.source(heartbeat, now)
             asyncio.ensure_future(self._pull(source.pull))
@@ -361,9 +339,9 @@
         """Fetch what another entry has and this one lacks, one at a time."""
         if self._puller.busy:
             return
-        self._source = address
+        self._keeper.source = address
         await self._puller.pull(address)
-        self._source = "store"
+        self._keeper.source = "store"
 
     def _sharers(self, target: Target) -> int:
         """Count the entries that share a cold target's allowance."""
@@ -388,7 +366,7 @@
             self._state.revision,
             self._fleet.in_flight(),
             self._placement.shares.reported(),
-            self._outage.age_ms(now),
+            self._keeper.outage.age_ms(now),
             self._placement.shared_warmth.recent(span_s, now),
         )
 
--- a/leverdoor/entry/forwarding.py
+++ b/leverdoor/entry/forwarding.py
@@ -12,12 +12,8 @@
 from leverdoor.entry.connections import Connections, Outgoing
 from leverdoor.entry.events import Events
 from leverdoor.entry.fleet import SLOW_EJECTION_S, Fleet
-from leverdoor.entry.placement import (
-    Placement,
-    PlacementPolicy,
-    PlacementRequest,
-    Rejection,
-)
+from leverdoor.entry.placement import PlacementPolicy
+from leverdoor.entry.requests import Placement, PlacementRequest, Rejection
 from leverdoor.entry.wire import Wire
 from leverdoor.errors import Code, Refusal, Run
 from leverdoor.model.resources import Work
--- a/leverdoor/entry/front.py
+++ b/leverdoor/entry/front.py
@@ -15,7 +15,8 @@
 from leverdoor.entry.events import Events
 from leverdoor.entry.forwarding import Forwarder, Incoming
 from leverdoor.entry.metrics import EntryMetrics
-from leverdoor.entry.placement import PlacementPolicy, PlacementRequest
+from leverdoor.entry.placement import PlacementPolicy
+from leverdoor.entry.requests import PlacementRequest
 from leverdoor.entry.wire import Wire
 from leverdoor.errors import Code, Refusal, code_info
 from leverdoor.headers import bounded_int, passing
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -6,12 +6,8 @@
 
 from leverdoor.entry.catalog import Catalog
 from leverdoor.entry.fleet import Fleet
-from leverdoor.entry.placement import (
-    Placement,
-    PlacementPolicy,
-    PlacementRequest,
-    Rejection,
-)
+from leverdoor.entry.placement import PlacementPolicy
+from leverdoor.entry.requests import Placement, PlacementRequest, Rejection
 from leverdoor.model.resources import Region, Resource, Route, Service, Target, Work
 
 REGIONS = [
--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -6,7 +6,7 @@
 
 from desk import ROUTE, SLOTS, Desk, target
 from leverdoor.entry.affinity import Ranking
-from leverdoor.entry.placement import Placement, Rejection
+from leverdoor.entry.requests import Placement, Rejection
 from leverdoor.entry.warmth import SharedWarmth
 from leverdoor.errors import Code
 from leverdoor.model.resources import Drain, Resource, Route, Work
