--- a/tests/test_entry_fleet.py
+++ b/tests/test_entry_fleet.py
@@ -4,6 +4,9 @@
 
 from random import Random
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from desk import SLOTS, Desk, target
 from leverdoor.entry.fleet import PEER_TRUST_S, Allowance, Fleet
 from leverdoor.entry.wire import TargetLoad
@@ -99,3 +102,31 @@
     state = desk.fleet.of(target("t"), desk.now)
     assert state.cold(desk.now)
     assert not state.cold(desk.now + 3.1)
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["report", "peer", "send", "end", "wait"]),
+            st.integers(0, 12),
+        ),
+        max_size=60,
+    )
+)
+def test_a_load_is_never_less_than_the_own_requests(
+    steps: list[tuple[str, int]],
+) -> None:
+    state = Fleet().of(target("t"), 0.0)
+    now = 0.0
+    for step, number in steps:
+        if step == "report":
+            state.reported(TargetLoad(number, number // 3, SLOTS), now)
+        elif step == "peer":
+            state.reported_by_peer(f"p{number % 3}", number, now)
+        elif step == "send":
+            state.sent(now)
+        elif step == "end" and state.in_flight:
+            state.ended()
+        now += number * 0.05
+        assert state.load(now) >= state.in_flight
