--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -20,12 +20,12 @@
 
 import msgspec
 
-from leverdoor.entry import choice, spill
-from leverdoor.entry import placement as product
+from leverdoor.entry import spill
 from leverdoor.entry.catalog import Catalog
 from leverdoor.entry.fleet import Fleet
 from leverdoor.entry.placement import PlacementPolicy
 from leverdoor.entry.requests import Placement, PlacementRequest
+from leverdoor.entry.tuning import PRODUCTION, Tuning
 from leverdoor.entry.wire import TargetLoad
 from leverdoor.model.resources import Region, Resource, Route, Service, Target, Work
 
@@ -194,7 +194,7 @@
         self.fleet = world.fleet if rule.exact else Fleet()
         rng = Random(world.rng.random())
         self.placement = PlacementPolicy(
-            region, region + "1", self.fleet, rng, rule.move_per_s
+            region, region + "1", self.fleet, rng, rule.move_per_s, rule.tuning
         )
         self.placement.renew(world.owned if rule.owned else world.catalog)
         self._hears_load = not (rule.exact or rule.owned)
@@ -249,25 +249,28 @@
 class Rule(msgspec.Struct, frozen=True):
     """The product's constants changed, or what entries tell left out."""
 
-    cold_room: float = choice.COLD_ROOM
-    least_wait_share: float = choice.LEAST_WAIT_SHARE
+    cold_room: float = PRODUCTION.cold_room
+    least_wait_share: float = PRODUCTION.least_wait_share
     move_per_s: float = spill.MOVE_PER_S
     blind: bool = False
-    candidates: int = product.CANDIDATES
+    targets: int = PRODUCTION.targets_a_key
     exact: bool = False
     """All entries see one count without delay: the best that ownership could do."""
     owned: bool = False
     """Each entry owns an equal part of its region's slots and hears nothing."""
 
-    def put_in_force(self) -> None:
-        product.CANDIDATES = self.candidates
-        choice.COLD_ROOM = self.cold_room
-        choice.LEAST_WAIT_SHARE = self.least_wait_share
+    @property
+    def tuning(self) -> Tuning:
+        """What the product's decisions take."""
+        return Tuning(
+            targets_a_key=self.targets,
+            cold_room=self.cold_room,
+            least_wait_share=self.least_wait_share,
+        )
 
 
 def run(plan: Plan, seed: int, rule: Rule) -> Result:
     """Play one run under a rule."""
-    rule.put_in_force()
     world = World(plan, seed)
     entries = [
         Entry(world, region, f"{region}-{i}", rule)
@@ -374,9 +377,9 @@
     "shares never move": Rule(move_per_s=0.0),
     "exact counts": Rule(exact=True),
     "slots owned by a region's entries": Rule(owned=True),
-    "one target a key": Rule(candidates=1),
-    "two targets a key": Rule(candidates=2),
-    "two targets a key, unseen or not": Rule(candidates=2, cold_room=99.0),
+    "one target a key": Rule(targets=1),
+    "six targets a key": Rule(targets=6),
+    "six targets a key, unseen or not": Rule(targets=6, cold_room=99.0),
 }
 
 
--- a/leverdoor/entry/choice.py
+++ b/leverdoor/entry/choice.py
@@ -7,6 +7,7 @@
 from leverdoor.entry.fleet import Fleet, TargetState
 from leverdoor.entry.requests import Placement, PlacementRequest
 from leverdoor.entry.times import DEFAULT_LATENCY_MS, TimeBook
+from leverdoor.entry.tuning import Tuning
 from leverdoor.entry.warmth import RANKS, SharedWarmth, WarmthBook
 from leverdoor.model.resources import Target
 
@@ -14,30 +15,10 @@
 
 LIKELY_COLD = 0.5
 """Share of cold runs from which on a choice counts as cold; chosen, not measured."""
-COLD_ROOM = 0.5
-"""Load over slots up to which a key's second target may be asked for it cold.
-
-A cold run takes about three times as long: where targets are busy, it makes all
-of them slower.
-"""
-LEAST_WAIT_SHARE = 0.8
-"""Longest wait that is always accepted, as a share of the target latency.
-
-Measured on the new site (scale-1, load estimated without bias): 0.3 gives 0.756,
-0.8 gives 0.767. A request that is refused comes back to the same load, and its
-second refusal earns nothing; one that waits is late at worst.
-"""
 URGENT_PRIORITY = 1
 """Greatest priority number that counts as urgent; smaller is more urgent."""
-LESS_URGENT = 0.7
-"""Part of the longest wait that is left to less urgent routes.
-
-With 1.0 for it and for `LEAST_WAIT_SHARE` scale-1 gave 0.763 in place of 0.784.
-"""
 OTHER_DOMAIN_MS = 8.0
 """What a target in another failure domain must be sooner by, in ms; saves bytes."""
-SECOND = 1
-"""Rank of the further target that a key is kept warm at."""
 
 
 class Option(msgspec.Struct, frozen=True):
@@ -58,14 +39,16 @@
 class TargetChooser:
     """Weighs targets for requests, and learns from their answers."""
 
-    def __init__(self, region: str, domain: str, fleet: Fleet) -> None:
+    def __init__(self, region: str, domain: str, fleet: Fleet, tuning: Tuning) -> None:
         """Create it.
 
         Args:
           region: this entry's region.
           domain: this entry's failure domain.
           fleet: the states of targets.
+          tuning: what is weighed.
         """
+        self._tuning = tuning
         self._region = region
         self._domain = domain
         self._fleet = fleet
@@ -102,7 +85,7 @@
                 continue
             rank = RANKS - 1 if reason == "overflow" else len(options)
             options.append(self._option(request, state, rank, now))
-            if len(options) > SECOND:
+            if len(options) >= self._tuning.targets_a_key:
                 break
         most_ms = self._most_wait_ms(request, now)
         fitting = [o for o in options if o.wait_ms <= most_ms and self._admits(o, now)]
@@ -149,16 +132,19 @@
         state = option.state
         if self._warmth.forgets(state.target):
             return False
-        return state.load(now) < COLD_ROOM * state.target.slots
+        return state.load(now) < self._tuning.cold_room * state.target.slots
 
     def _most_wait_ms(self, request: PlacementRequest, now: float) -> float:
         """Return the longest wait at a target that still makes sense."""
         times = self._times.of(request.route, request.service)
         aim = request.route.target_latency_ms or DEFAULT_LATENCY_MS
         spent = (now - request.arrived) * 1000
-        wait = max(aim - spent - times.fast_ms * 1.2, LEAST_WAIT_SHARE * aim)
+        least_ms = self._tuning.least_wait_share * aim
+        wait = max(
+            aim - spent - times.fast_ms * 1.2, self._tuning.least_wait_share * aim
+        )
         if request.route.priority > URGENT_PRIORITY:
-            wait *= LESS_URGENT
+            wait *= self._tuning.less_urgent
         left = (request.until - now) * 1000 - times.fast_ms
         return min(wait, left)
 
@@ -186,7 +172,7 @@
     ) -> None:
         """Learn from the time of a run that had a slot at once."""
         times = self._times.of(request.route, request.service)
-        if request.route.affinity:
+        if request.route.affinity and self._tuning.learns_warmth:
             cold = times.is_cold(took_ms)
             self._warmth.learn(placement.target, placement.rank, placement.seen, cold)
         if placement.target.region == self._region:
--- a/leverdoor/entry/placement.py
+++ b/leverdoor/entry/placement.py
@@ -13,17 +13,13 @@
 from leverdoor.entry.sharing import NO_SLOTS, ShareBook
 from leverdoor.entry.spill import MOVE_PER_S
 from leverdoor.entry.times import SizeBook
+from leverdoor.entry.tuning import PRODUCTION, Tuning
 from leverdoor.entry.warmth import SharedWarmth
 from leverdoor.errors import Code
 from leverdoor.model.resources import Route, Target
 
 __all__ = ["PlacementPolicy"]
 
-OVERFLOW_EARN = 0.03
-"""Part of requests that may leave their key's region at once.
-
-Three times as much lost 0.01 to 0.02 on the new site.
-"""
 OVERFLOW_LIMIT = 3.0
 """Most such requests saved up; chosen."""
 COLD_SHARE = 0.8
@@ -53,6 +49,7 @@
         fleet: Fleet,
         rng: Random,
         move_per_s: float = MOVE_PER_S,
+        tuning: Tuning = PRODUCTION,
     ) -> None:
         """Create it.
 
@@ -62,7 +59,9 @@
           fleet: what is believed of targets.
           rng: where all chance comes from.
           move_per_s: most of a service's keys that change region in a second.
+          tuning: what is weighed.
         """
+        self._tuning = tuning
         self._region = region
         self._domain = domain
         self._fleet = fleet
@@ -70,9 +69,9 @@
         self._catalog = EMPTY
         self._by_region: dict[tuple[str, str], Ranking] = {}
         self._by_domain: dict[tuple[str, str], Ranking] = {}
-        self._chooser = TargetChooser(region, domain, fleet)
+        self._chooser = TargetChooser(region, domain, fleet, tuning)
         self._sizes = SizeBook()
-        self.shares = ShareBook(region, fleet, move_per_s)
+        self.shares = ShareBook(region, fleet, move_per_s, tuning)
         self._weights: dict[str, dict[str, float]] = {}
         self._overflow = OVERFLOW_LIMIT
         self.sharers: Callable[[Target], int] = lambda _: 1
@@ -115,7 +114,9 @@
 
     def place(self, request: PlacementRequest, now: float) -> Placement | Rejection:
         """Choose a target for a request, or refuse it."""
-        self._overflow = min(OVERFLOW_LIMIT, self._overflow + OVERFLOW_EARN)
+        self._overflow = min(
+            OVERFLOW_LIMIT, self._overflow + self._tuning.overflow_earn
+        )
         regions = self._allowed_regions(request)
         if not regions:
             return self._refuse(Code.NO_TARGET, "no target may serve it")
@@ -210,7 +211,11 @@
 
         Slow ones serve only when no other can.
         """
-        slow = {t.name for t in candidates if self._fleet.of(t, now).slow(now)}
+        slow = {
+            t.name
+            for t in candidates
+            if self._tuning.avoids_slow and self._fleet.of(t, now).slow(now)
+        }
         sound = [t for t in candidates if t.name not in slow]
         found = self._chooser.quickest(request, sound, reason, now)
         if found is None and slow:
--- a/leverdoor/entry/sharing.py
+++ b/leverdoor/entry/sharing.py
@@ -6,6 +6,7 @@
 
 from leverdoor.entry.fleet import Fleet
 from leverdoor.entry.spill import RegionShares, first_shares
+from leverdoor.entry.tuning import Tuning
 from leverdoor.model.resources import Target
 
 __all__ = ["NO_SLOTS", "ShareBook"]
@@ -19,14 +20,18 @@
 class ShareBook:
     """Shares by service, and the pressure that moves them."""
 
-    def __init__(self, region: str, fleet: Fleet, move_per_s: float) -> None:
+    def __init__(
+        self, region: str, fleet: Fleet, move_per_s: float, tuning: Tuning
+    ) -> None:
         """Create it without any service.
 
         Args:
           region: this entry's region.
           fleet: what is believed of targets.
           move_per_s: most of a service's keys that change region in a second.
+          tuning: what is weighed.
         """
+        self._tuning = tuning
         self._region = region
         self._fleet = fleet
         self._move_per_s = move_per_s
@@ -81,7 +86,9 @@
             first = first_shares(self._region, self._slots(service))
             if reported:
                 first |= reported[0]
-            found = RegionShares(self._region, first, now, self._move_per_s)
+            found = RegionShares(
+                self._region, first, now, self._move_per_s, self._tuning
+            )
             self._shares[service] = found
         return found
 
--- a/leverdoor/entry/spill.py
+++ b/leverdoor/entry/spill.py
@@ -14,19 +14,12 @@
 from collections.abc import Iterable, Mapping
 
 from leverdoor.entry.affinity import key_place
+from leverdoor.entry.tuning import PRODUCTION, Tuning
 
 __all__ = ["RegionShares", "first_shares"]
 
 MOVE_PER_S = 0.04
 """Most of a service's keys that change region in a second, where no bound is set."""
-HIGH_PRESSURE = 0.9
-"""Load over slots from which on a region gives keys away.
-
-Measured on the new site (scale-1): with 0.9 and 0.75 for 0.75 and 0.60 0.775 for 0.767;
-the lower ones were found with loads that were estimated a third too high.
-"""
-LOW_PRESSURE = 0.75
-"""Load over slots up to which a region takes its keys back; see above."""
 MARGIN = 0.1
 """Least difference of load over slots for which keys are given away; chosen."""
 IMBALANCE = 0.25
@@ -52,6 +45,7 @@
         first: Mapping[str, float],
         now: float,
         move_per_s: float = MOVE_PER_S,
+        tuning: Tuning = PRODUCTION,
     ) -> None:
         """Create it.
 
@@ -60,7 +54,9 @@
           first: shares to start from, which add up to one.
           now: monotonic time in seconds.
           move_per_s: most that a share moves in a second.
+          tuning: from which load on keys move.
         """
+        self._tuning = tuning
         self.own = own
         self.begun = False
         """Whether there was any load yet; before, nothing is learnt from it."""
@@ -137,13 +133,13 @@
         if not others:
             return None
         least = min(others, key=lambda r: others[r])
-        if own > HIGH_PRESSURE and others[least] + MARGIN < own:
+        if own > self._tuning.high_pressure and others[least] + MARGIN < own:
             return self.own, least
         used = [r for r in others if self.shares[r] > LEAST_SHARE]
         if not used:
             return None
         most = max(used, key=lambda r: others[r])
-        if own < LOW_PRESSURE:
+        if own < self._tuning.low_pressure:
             return most, self.own
         if others[most] - others[least] > IMBALANCE:
             return most, least
