--- a/leverdoor/entry/forwarding.py
+++ b/leverdoor/entry/forwarding.py
@@ -13,10 +13,10 @@
 from leverdoor.entry.events import Events
 from leverdoor.entry.fleet import SLOW_EJECTION_S, Fleet
 from leverdoor.entry.placement import PlacementPolicy
+from leverdoor.entry.repeats import may_repeat
 from leverdoor.entry.requests import Placement, PlacementRequest, Rejection
 from leverdoor.entry.wire import Wire
 from leverdoor.errors import Code, Refusal, Run
-from leverdoor.model.resources import Work
 
 __all__ = ["Forwarder", "Incoming"]
 
@@ -91,19 +91,15 @@
 
     def _again(self, incoming: Incoming, attempt: int, failed: "_Failed") -> bool:
         """Say whether another target may be tried."""
-        request = incoming.request
-        safe = request.route.work is Work.LOOKUP or failed.refusal.run is Run.NO
-        if (
-            not safe
-            or not incoming.replayable
-            or failed.refusal.code is Code.DEADLINE_PASSED
-        ):
-            return False
-        if failed.arrived and attempt >= request.route.attempts:
-            return False
-        if not failed.arrived and attempt >= request.route.attempts + 2:
-            return False
-        return self._budget.spend(request.service)
+        route = incoming.request.route
+        may = may_repeat(
+            route,
+            attempt,
+            failed.refusal,
+            arrived=failed.arrived,
+            replayable=incoming.replayable,
+        )
+        return may and self._budget.spend(incoming.request.service)
 
     async def _attempt(self, incoming: Incoming, attempt: int) -> Reply:
         loop = asyncio.get_running_loop()
--- /dev/null
+++ b/tests/test_entry_repeats.py
@@ -0,0 +1,48 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Which failed requests may be sent again."""
+
+import pytest
+
+from leverdoor.entry.repeats import may_repeat
+from leverdoor.errors import Code, Refusal
+from leverdoor.model.resources import Route, Work
+
+
+def route(work: Work, attempts: int = 2) -> Route:
+    return Route(
+        name="r",
+        host="h",
+        prefix="/",
+        work=work,
+        services={"s": 1.0},
+        attempts=attempts,
+    )
+
+
+@pytest.mark.parametrize(
+    ("work", "code", "attempt", "arrived", "replayable", "expected"),
+    [
+        (Work.LOOKUP, Code.ANSWER_LOST, 1, True, True, True),
+        (Work.LOOKUP, Code.ANSWER_LOST, 2, True, True, False),
+        (Work.LOOKUP, Code.ANSWER_LOST, 1, True, False, False),
+        (Work.LOOKUP, Code.DEADLINE_PASSED, 1, True, True, False),
+        (Work.ONCE, Code.ANSWER_LOST, 1, True, True, False),
+        (Work.ONCE, Code.TARGET_REFUSED, 1, True, True, True),
+        (Work.ONCE, Code.CONNECT_FAILED, 3, False, True, True),
+        (Work.ONCE, Code.CONNECT_FAILED, 4, False, True, False),
+    ],
+)
+def test_only_what_is_safe_is_repeated_and_not_too_often(
+    work: Work,
+    code: Code,
+    attempt: int,
+    arrived: bool,
+    replayable: bool,
+    expected: bool,
+) -> None:
+    refusal = Refusal(code)
+    found = may_repeat(
+        route(work), attempt, refusal, arrived=arrived, replayable=replayable
+    )
+    assert found is expected
