--- a/leverdoor/cli.py
+++ b/leverdoor/cli.py
@@ -9,6 +9,7 @@
 from leverdoor.commands.daemons import agent, gate
 from leverdoor.commands.delete import delete
 from leverdoor.commands.drain import drain, undrain
+from leverdoor.commands.experiment import experiment
 from leverdoor.commands.load import load
 from leverdoor.commands.soak import soak
 from leverdoor.queries.explain import explain
@@ -32,7 +33,7 @@
     """
 
 
-for command in (apply, delete, drain, undrain, load, soak, agent, gate):
+for command in (apply, delete, drain, undrain, load, experiment, soak, agent, gate):
     main.add_command(command)
 for query in (get, watch, report, status, lookup, explain, losses):
     main.add_command(query)
--- /dev/null
+++ b/leverdoor/emulator/entries.py
@@ -0,0 +1,293 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Emulated entries: the product's own decisions, heartbeats and budgets."""
+
+from collections.abc import Callable
+from random import Random
+
+import msgspec
+
+from leverdoor.budget import RepeatBudget
+from leverdoor.codec import pack
+from leverdoor.emulator.clock import Clock
+from leverdoor.emulator.plan import Experiment
+from leverdoor.emulator.targets import EmulatedTarget, Outcome, Run
+from leverdoor.entry.catalog import Catalog
+from leverdoor.entry.daemon import (
+    MOVED_SHARE,
+    REPEAT_SHARE,
+    REPEATS_FIRST,
+    REPEATS_SAVED,
+    SHARE_HEARTBEATS,
+    SHIFT_WINDOW_S,
+    WARM_ROUNDS,
+)
+from leverdoor.entry.fleet import Fleet
+from leverdoor.entry.membership import (
+    SERVING,
+    Heartbeat,
+    Member,
+    Membership,
+)
+from leverdoor.entry.placement import PlacementPolicy
+from leverdoor.entry.repeats import may_repeat
+from leverdoor.entry.requests import Placement, PlacementRequest, Rejection
+from leverdoor.entry.wire import TargetLoad
+from leverdoor.errors import Code, Refusal
+
+__all__ = ["EmulatedEntry", "Reply", "Work"]
+
+
+class Work(msgspec.Struct, frozen=True):
+    """A client's request as an entry takes it."""
+
+    request: PlacementRequest
+    work_s: float
+    """Time of a cold run."""
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """What a client gets."""
+
+    refusal: Refusal | None
+    """None for an answer."""
+
+
+class EmulatedEntry:
+    """One entry."""
+
+    def __init__(
+        self,
+        member: Member,
+        experiment: Experiment,
+        clock: Clock,
+        rng: Random,
+        targets: dict[str, EmulatedTarget],
+    ) -> None:
+        """Create it as a process that has just started."""
+        self.member = member
+        self._experiment = experiment
+        self._clock = clock
+        self._rng = rng
+        self._targets = targets
+        self._seq = 0
+        self._rounds = 0
+        self.repeats = 0
+        self.heartbeat_bytes = 0
+        self.start()
+
+    def start(self) -> None:
+        """Forget everything, as a new process."""
+        site = self._experiment.site
+        self.member = msgspec.structs.replace(
+            self.member, incarnation=self.member.incarnation + 1
+        )
+        self._seq = 0
+        self.fleet = Fleet()
+        self._membership = Membership(self.member, self._rng)
+        self._budget = RepeatBudget(
+            site.repeat_ratio * REPEAT_SHARE, REPEATS_SAVED, REPEATS_FIRST
+        )
+        self._policy = PlacementPolicy(
+            self.member.region,
+            self.member.domain,
+            self.fleet,
+            self._rng,
+            site.max_shift * MOVED_SHARE / SHIFT_WINDOW_S,
+            self._experiment.tuning,
+        )
+
+    def renew(self, catalog: Catalog, members: list[Member]) -> None:
+        """Take what the store tells."""
+        self.fleet.renew(catalog.targets, self._clock.now)
+        self._policy.renew(catalog)
+        written = {m.name: pack(m) for m in members}
+        self._membership.found(written, self._clock.now)
+
+    # Heartbeats.
+
+    def beat(self, send: Callable[[Heartbeat, list[str]], None]) -> None:
+        """Send heartbeats and move the regions' shares, as the daemon does."""
+        now = self._clock.now
+        self._rounds += 1
+        heartbeat = self._heartbeat(now)
+        partners = self._membership.partners()
+        self.heartbeat_bytes += len(pack(heartbeat)) * len(partners)
+        send(heartbeat, partners)
+        if self._rounds % SHARE_HEARTBEATS == 0:
+            peers = [b.shares for b in self._membership.near(now)]
+            self._policy.shares.update(peers, now)
+
+    def _heartbeat(self, now: float) -> Heartbeat:
+        self._seq += 1
+        counts = self.fleet.in_flight() if self._experiment.shares_load else {}
+        span_s = WARM_ROUNDS * self._membership.round_s()
+        warm = self._policy.shared_warmth.recent(span_s, now)
+        return Heartbeat(
+            self.member,
+            self._seq,
+            SERVING,
+            1,
+            counts,
+            self._policy.shares.reported(),
+            warm=warm if self._experiment.shares_warmth else [],
+        )
+
+    def hear(self, heartbeat: Heartbeat) -> None:
+        """Take another entry's heartbeat."""
+        now = self._clock.now
+        if not self._membership.hear(heartbeat, now):
+            return
+        self.fleet.hear(heartbeat.member.name, heartbeat.in_flight, now)
+        self._policy.shared_warmth.hear(heartbeat.warm, now)
+
+    # Requests.
+
+    def serve(self, work: Work, reply: Callable[[Reply], None]) -> None:
+        """Serve a request; the reply comes when it ends."""
+        self._budget.earn(work.request.service)
+        self._attempt(work, 1, None, reply)
+
+    def _attempt(
+        self,
+        work: Work,
+        attempt: int,
+        lost: Refusal | None,
+        reply: Callable[[Reply], None],
+    ) -> None:
+        decision = self._policy.place(work.request, self._clock.now)
+        if isinstance(decision, Rejection):
+            refusal = Refusal(
+                decision.code, decision.reason, retry_after_ms=decision.retry_after_ms
+            )
+            reply(Reply(lost or refusal))
+            return
+        work.request.tried.add(decision.target.name)
+        sending = _Sending(self, work, attempt, lost, decision, reply)
+        sending.start()
+
+    def again(
+        self,
+        work: Work,
+        attempt: int,
+        refusal: Refusal,
+        lost: Refusal | None,
+        arrived: bool,
+        reply: Callable[[Reply], None],
+    ) -> None:
+        """Try another target, or give up."""
+        route = work.request.route
+        may = may_repeat(route, attempt, refusal, arrived=arrived, replayable=True)
+        if may and self._budget.spend(work.request.service):
+            self.repeats += 1
+            self._attempt(work, attempt + 1, lost, reply)
+            return
+        reply(Reply(lost or refusal))
+
+    def delay_s(self, placement: Placement) -> float:
+        """Return the time one way to a target, in seconds."""
+        site = self._experiment.site
+        if placement.target.region != self.member.region:
+            return site.region_ms / 1000
+        near = placement.target.domain == self.member.domain
+        return 0.0 if near else site.domain_ms / 1000
+
+    def emulated(self, placement: Placement) -> EmulatedTarget:
+        """Return the target of a placement."""
+        return self._targets[placement.target.name]
+
+    @property
+    def clock(self) -> Clock:
+        """The clock of the run."""
+        return self._clock
+
+    @property
+    def policy(self) -> PlacementPolicy:
+        """The product's decisions."""
+        return self._policy
+
+    @property
+    def hears_load(self) -> bool:
+        """Whether targets report their load."""
+        return self._experiment.reports_load
+
+
+class _Sending:
+    """One attempt on its way to a target and back."""
+
+    def __init__(
+        self,
+        entry: EmulatedEntry,
+        work: Work,
+        attempt: int,
+        lost: Refusal | None,
+        placement: Placement,
+        reply: Callable[[Reply], None],
+    ) -> None:
+        self._entry = entry
+        self._work = work
+        self._attempt = attempt
+        self._lost = lost
+        self._placement = placement
+        self._reply = reply
+        self._policy = entry.policy
+        self._fleet = entry.fleet
+        self._began = entry.clock.now
+        self._over = False
+
+    def start(self) -> None:
+        """Send it, and give it up at its time."""
+        clock = self._entry.clock
+        run = Run(self._work.request.key, self._work.work_s, self._done)
+        delay_s = self._entry.delay_s(self._placement)
+        target = self._entry.emulated(self._placement)
+        clock.after(delay_s, lambda: target.take(run))
+        clock.at(self._work.request.until, self._give_up)
+
+    def _done(self, outcome: Outcome, load: TargetLoad | None) -> None:
+        delay_s = self._entry.delay_s(self._placement)
+        self._entry.clock.after(delay_s, lambda: self._ended(outcome, load))
+
+    def _ended(self, outcome: Outcome, load: TargetLoad | None) -> None:
+        if self._over:
+            return
+        self._over = True
+        now = self._entry.clock.now
+        state = self._fleet.of(self._placement.target, now)
+        self._policy.ended(self._placement, now)
+        if outcome is Outcome.ANSWERED:
+            if load is not None and self._entry.hears_load:
+                state.reported(load, now)
+            took_ms = (now - self._began) * 1000
+            self._policy.answered(self._work.request, self._placement, took_ms, 0, now)
+            self._reply(Reply(None))
+            return
+        self._failed(outcome, now)
+
+    def _failed(self, outcome: Outcome, now: float) -> None:
+        state = self._fleet.of(self._placement.target, now)
+        lost = self._lost
+        if outcome is Outcome.SHED:
+            state.refused(now)
+            refusal = Refusal(Code.TARGET_REFUSED)
+        elif outcome is Outcome.UNREACHED:
+            state.unreached(now)
+            refusal = Refusal(Code.CONNECT_FAILED)
+        else:
+            state.lost(now)
+            refusal = lost = Refusal(Code.ANSWER_LOST)
+        arrived = outcome is not Outcome.UNREACHED
+        self._entry.again(
+            self._work, self._attempt, refusal, lost, arrived, self._reply
+        )
+
+    def _give_up(self) -> None:
+        if self._over:
+            return
+        self._over = True
+        now = self._entry.clock.now
+        self._policy.ended(self._placement, now)
+        state = self._fleet.of(self._placement.target, now)
+        took_ms = (now - self._began) * 1000
+        state.overran(took_ms / max(self._placement.expected_ms, 1.0), now)
+        self._reply(Reply(self._lost or Refusal(Code.DEADLINE_PASSED)))
--- /dev/null
+++ b/leverdoor/emulator/targets.py
@@ -0,0 +1,121 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Emulated targets: slots, a queue, a cache of keys, and what can befall them."""
+
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from enum import Enum, auto
+from random import Random
+
+import msgspec
+
+from leverdoor.emulator.clock import Clock
+from leverdoor.emulator.plan import Service
+from leverdoor.entry.wire import TargetLoad
+from leverdoor.model.resources import Target
+
+__all__ = ["EmulatedTarget", "Outcome", "Run"]
+
+
+class Outcome(Enum):
+    """How a run at a target ended."""
+
+    ANSWERED = auto()
+    SHED = auto()
+    """Turned away; it did not run."""
+    LOST = auto()
+    """It ran, and its answer was lost."""
+    UNREACHED = auto()
+    """The target is down."""
+
+
+class Run(msgspec.Struct):
+    """One request as a target sees it."""
+
+    key: str
+    work_s: float
+    """Time of a cold run."""
+    done: Callable[[Outcome, TargetLoad | None], None]
+
+
+class EmulatedTarget:
+    """One target."""
+
+    def __init__(
+        self, target: Target, service: Service, clock: Clock, rng: Random
+    ) -> None:
+        """Create it, empty and cold-cached."""
+        self.target = target
+        self._service = service
+        self._clock = clock
+        self._rng = rng
+        self._running: list[Run] = []
+        self._queue: deque[Run] = deque()
+        self._warm: OrderedDict[str, None] = OrderedDict()
+        self.sheds = 0.0
+        """Share of the requests that it turns away whatever its load."""
+        self.loses = 0.0
+        """Share of the answers that it loses."""
+        self.slow_x = 1.0
+        self.cold_runs = 0
+        self.runs = 0
+        self._down = False
+
+    @property
+    def load(self) -> TargetLoad:
+        """What it reports."""
+        return TargetLoad(len(self._running), len(self._queue), self.target.slots)
+
+    def take(self, run: Run) -> None:
+        """Run a request, queue it, or turn it away."""
+        if self._down:
+            run.done(Outcome.UNREACHED, None)
+            return
+        full = len(self._running) >= self.target.slots
+        if self._rng.random() < self.sheds or (
+            full and len(self._queue) >= self._service.queue
+        ):
+            run.done(Outcome.SHED, self.load)
+            return
+        if full:
+            self._queue.append(run)
+            return
+        self._start(run)
+
+    def crash(self) -> None:
+        """Go down; what runs is lost, what waits was not run but nothing says so."""
+        self._down = True
+        self._warm.clear()
+        ended = [*self._running, *self._queue]
+        self._running.clear()
+        self._queue.clear()
+        for run in ended:
+            run.done(Outcome.LOST, None)
+
+    def restart(self) -> None:
+        """Come back with an empty cache."""
+        self._down = False
+
+    def _start(self, run: Run) -> None:
+        self._running.append(run)
+        self.runs += 1
+        takes_s = run.work_s * self.slow_x
+        if run.key in self._warm:
+            takes_s *= self._service.warm_x
+            self._warm.move_to_end(run.key)
+        else:
+            self.cold_runs += 1
+            self._warm[run.key] = None
+            if len(self._warm) > self._service.keeps:
+                self._warm.popitem(last=False)
+        self._clock.after(takes_s, lambda: self._end(run))
+
+    def _end(self, run: Run) -> None:
+        if run not in self._running:
+            return
+        self._running.remove(run)
+        lost = self._rng.random() < self.loses
+        load = self.load
+        if self._queue:
+            self._start(self._queue.popleft())
+        run.done(Outcome.LOST if lost else Outcome.ANSWERED, None if lost else load)
