--- a/leverdoor/emulator/entries.py
+++ b/leverdoor/emulator/entries.py
@@ -63,8 +63,19 @@
         clock: Clock,
         rng: Random,
         targets: dict[str, EmulatedTarget],
+        fleet: Fleet | None = None,
     ) -> None:
-        """Create it as a process that has just started."""
+        """Create it as a process that has just started.
+
+        Args:
+          member: the entry.
+          experiment: what is played.
+          clock: the run's.
+          rng: where all chance of this entry comes from.
+          targets: all targets, by name.
+          fleet: one that all entries share; None for one of its own.
+        """
+        self._shared_fleet = fleet
         self.member = member
         self._experiment = experiment
         self._clock = clock
@@ -83,7 +94,7 @@
             self.member, incarnation=self.member.incarnation + 1
         )
         self._seq = 0
-        self.fleet = Fleet()
+        self.fleet = self._shared_fleet or Fleet()
         self._membership = Membership(self.member, self._rng)
         self._budget = RepeatBudget(
             site.repeat_ratio * REPEAT_SHARE, REPEATS_SAVED, REPEATS_FIRST
@@ -120,7 +131,8 @@
 
     def _heartbeat(self, now: float) -> Heartbeat:
         self._seq += 1
-        counts = self.fleet.in_flight() if self._experiment.shares_load else {}
+        tells = self._experiment.shares_load and self._shared_fleet is None
+        counts = self.fleet.in_flight() if tells else {}
         span_s = WARM_ROUNDS * self._membership.round_s()
         warm = self._policy.shared_warmth.recent(span_s, now)
         return Heartbeat(
@@ -209,7 +221,7 @@
     @property
     def hears_load(self) -> bool:
         """Whether targets report their load."""
-        return self._experiment.reports_load
+        return self._experiment.reports_load and self._shared_fleet is None
 
 
 class _Sending:
--- /dev/null
+++ b/leverdoor/emulator/exact.py
@@ -0,0 +1,45 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Exact knowledge of loads and caches: a bound on what better knowledge could give.
+
+All entries share one fleet, so that each sees at once what every other has sent, and
+whether a target keeps a key is asked of the target itself. Decisions stay the
+product's own.
+"""
+
+from collections.abc import Mapping
+
+from leverdoor.emulator.targets import EmulatedTarget
+from leverdoor.entry.fleet import Fleet, TargetState
+from leverdoor.model.resources import Target
+
+__all__ = ["ExactFleet"]
+
+
+class _ExactState(TargetState):
+    """A target whose cache is known."""
+
+    def __init__(self, target: Target, now: float, emulated: EmulatedTarget) -> None:
+        super().__init__(target, now)
+        self._emulated = emulated
+
+    def saw(self, key: str) -> bool:
+        """Say whether the target keeps a key."""
+        return self._emulated.keeps(key)
+
+
+class ExactFleet(Fleet):
+    """The states of all targets, one for all entries."""
+
+    def __init__(self, targets: Mapping[str, EmulatedTarget]) -> None:
+        """Create it for some emulated targets."""
+        super().__init__()
+        self._emulated = targets
+
+    def renew(self, targets: Mapping[str, Target], now: float) -> list[str]:
+        """Take the targets of a new configuration."""
+        for name, target in targets.items():
+            if name not in self._states:
+                emulated = self._emulated[name]
+                self._states[name] = _ExactState(target, now, emulated)
+        return super().renew(targets, now)
--- a/leverdoor/emulator/plan.py
+++ b/leverdoor/emulator/plan.py
@@ -147,6 +147,8 @@
     """Whether heartbeats count requests in flight."""
     reports_load: bool = True
     """Whether targets report their load with answers."""
+    knows_all: bool = False
+    """Whether entries know loads and caches exactly and at once: a bound."""
 
 
 def read_experiment(path: Path) -> Experiment:
--- a/leverdoor/emulator/series.py
+++ b/leverdoor/emulator/series.py
@@ -85,6 +85,10 @@
     return change
 
 
+def _exact(experiment: Experiment) -> Experiment:
+    return msgspec.structs.replace(_tuned(targets_a_key=6)(experiment), knows_all=True)
+
+
 ABLATIONS: dict[str, Callable[[Experiment], Experiment]] = {
     "no second target for a key": _tuned(targets_a_key=1),
     "six targets for a key": _tuned(targets_a_key=6),
@@ -100,6 +104,7 @@
     "slow targets are not avoided": _tuned(avoids_slow=False),
     "no repeats": _without_repeats,
     "urgency makes no difference": _tuned(less_urgent=1.0),
+    "exact loads and caches, six targets (a bound)": _exact,
 }
 """Each mechanism that can be switched off, by what it is without it."""
 
--- a/leverdoor/emulator/targets.py
+++ b/leverdoor/emulator/targets.py
@@ -66,6 +66,10 @@
         """What it reports."""
         return TargetLoad(len(self._running), len(self._queue), self.target.slots)
 
+    def keeps(self, key: str) -> bool:
+        """Say whether a key is warm."""
+        return key in self._warm
+
     def take(self, run: Run) -> None:
         """Run a request, queue it, or turn it away."""
         if self._down:
--- a/leverdoor/emulator/world.py
+++ b/leverdoor/emulator/world.py
@@ -7,6 +7,7 @@
 
 from leverdoor.emulator.clock import Clock
 from leverdoor.emulator.entries import EmulatedEntry, Reply, Work
+from leverdoor.emulator.exact import ExactFleet
 from leverdoor.emulator.plan import Experiment, Load, Trouble, TroubleKind
 from leverdoor.emulator.results import Result
 from leverdoor.emulator.targets import EmulatedTarget, Outcome, Run
@@ -116,6 +117,7 @@
 
     def _make_entries(self) -> list[EmulatedEntry]:
         found = []
+        shared = ExactFleet(self._targets) if self.experiment.knows_all else None
         number = 0
         for region, count in self.experiment.site.entries.items():
             for i in range(count):
@@ -126,7 +128,7 @@
                 member = Member(name, region, domain, address, address, address, 0)
                 rng = self._rng(name)
                 entry = EmulatedEntry(
-                    member, self.experiment, self.clock, rng, self._targets
+                    member, self.experiment, self.clock, rng, self._targets, shared
                 )
                 found.append(entry)
         return found
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -152,6 +152,13 @@
     assert play(ABLATIONS[name](short), 1).owed > 0
 
 
+def test_exact_knowledge_is_shared_by_all_entries() -> None:
+    known = msgspec.structs.replace(SMALL, knows_all=True)
+    result = play(known, 1)
+    assert result.credit > 0.8
+    assert sum(result.outcomes.values()) == sum(play(SMALL, 1).outcomes.values())
+
+
 def test_sizes_are_scaled() -> None:
     assert scaled(SMALL, Vary.ENTRIES, 2).site.entries == {"a": 4, "b": 4}
     assert scaled(SMALL, Vary.RATE, 0.5).load[0].rate == 20.0
