--- a/leverdoor/emulator/world.py
+++ b/leverdoor/emulator/world.py
@@ -5,28 +5,23 @@
 import math
 from random import Random
 
+from leverdoor.emulator.clients import Clients, load_route
 from leverdoor.emulator.clock import Clock
-from leverdoor.emulator.entries import EmulatedEntry, Reply, Work
+from leverdoor.emulator.entries import EmulatedEntry
 from leverdoor.emulator.exact import ExactFleet
-from leverdoor.emulator.plan import Experiment, Load, Trouble, TroubleKind
+from leverdoor.emulator.plan import Experiment, Trouble
 from leverdoor.emulator.results import Result
 from leverdoor.emulator.targets import EmulatedTarget, Outcome, Run
+from leverdoor.emulator.troubles import PlannedTrouble
 from leverdoor.entry.catalog import Catalog
 from leverdoor.entry.membership import HEARTBEAT_S, Heartbeat, Member
-from leverdoor.entry.requests import PlacementRequest
-from leverdoor.model.resources import Region, Resource, Route, Service, Target
+from leverdoor.model.resources import Region, Resource, Service, Target
 from leverdoor.model.resources import Work as WorkClass
 
-__all__ = ["play"]
+__all__ = ["World", "play"]
 
-CLIENT_MS = 3.0
-"""One way between a client and its entry, in ms; as on the utility's site."""
 RESTART_S = 1.0
 """How long an entry that ends is away, in seconds; chosen."""
-LEAST_RETRY_S = 0.02
-"""Least pause before a client comes back, in seconds; chosen."""
-RETRY_SHARE = 1 / 3
-"""Part of the time left that a client is willing to wait before it comes back."""
 
 
 def play(experiment: Experiment, seed: int) -> Result:
@@ -35,15 +30,16 @@
     Each part draws from a generator of its own, so that a change of policy does not
     reshuffle the load or the troubles.
     """
-    world = _World(experiment, seed)
+    world = World(experiment, seed)
     world.run()
     return world.result
 
 
-class _World:
+class World:
     """Everything of one run."""
 
     def __init__(self, experiment: Experiment, seed: int) -> None:
+        """Create it, before its first event."""
         self.experiment = experiment
         self.seed = seed
         self.clock = Clock()
@@ -55,23 +51,23 @@
         self._away: set[str] = set()
         """Names of the entries that are not running."""
         self._burst_x = 1.0
-        self._heartbeat_rng = self._rng("heartbeats")
+        self._heartbeat_rng = self.generator("heartbeats")
 
-    def _rng(self, part: str) -> Random:
+    def generator(self, part: str) -> Random:
         """Return the generator of one part."""
         return Random(f"{self.seed}/{part}")
 
     def run(self) -> None:
         """Play it to its end."""
         self._tell_store()
-        rng = self._rng("phases")
+        rng = self.generator("phases")
         for entry in self._entries:
             self.clock.at(rng.random() * HEARTBEAT_S, lambda e=entry: self._beat(e))  # type: ignore[misc]
         for load in self.experiment.load:
             for place, region in enumerate(self.experiment.site.entries):
-                _Clients(self, load, region, place).start()
+                Clients(self, load, region, place).start()
         for number, trouble in enumerate(self.experiment.trouble):
-            _Strike(self, trouble, self._rng(f"trouble {number}")).plan()
+            PlannedTrouble(self, trouble, self.generator(f"trouble {number}")).plan()
         self.clock.run(self.experiment.seconds)
         self.result.cold_runs = sum(t.cold_runs for t in self._targets.values())
         self.result.runs = sum(t.runs for t in self._targets.values())
@@ -93,7 +89,7 @@
                         address="10.0.0.1:80",
                         slots=service.slots,
                     )
-                    rng = self._rng(target.name)
+                    rng = self.generator(target.name)
                     emulated = EmulatedTarget(target, service, self.clock, rng)
                     found[target.name] = emulated
         return found
@@ -111,7 +107,7 @@
             Service(name=s.name, work=WorkClass.ONCE, warmup_per_s=s.warmup_per_s)
             for s in self.experiment.service
         ]
-        found += [_route(load) for load in self.experiment.load]
+        found += [load_route(load) for load in self.experiment.load]
         found += [t.target for t in self._targets.values()]
         return found
 
@@ -126,7 +122,7 @@
                 name = f"{region}-{i}"
                 domain = self._domain(region, i)
                 member = Member(name, region, domain, address, address, address, 0)
-                rng = self._rng(name)
+                rng = self.generator(name)
                 entry = EmulatedEntry(
                     member, self.experiment, self.clock, rng, self._targets, shared
                 )
@@ -209,194 +205,5 @@
         self._away.discard(entry.member.name)
 
 
-class _Clients:
-    """The clients of one route in one region."""
-
-    def __init__(self, world: _World, load: Load, region: str, place: int) -> None:
-        self._world = world
-        self._load = load
-        self._region = region
-        self._phase = place / len(world.experiment.site.entries)
-        self._route = _route(load)
-        self._rng = world._rng(f"clients {load.name} {region}")
-        self._work_rng = world._rng(f"work {load.name} {region}")
-        self._entry_rng = world._rng(f"directory {load.name} {region}")
-        self._number = 0
-
-    def start(self) -> None:
-        """Let the first request come."""
-        self._world.clock.after(self._gap_s(), self._arrive)
-
-    def _gap_s(self) -> float:
-        load = self._load
-        turn = 2 * math.pi * (self._world.clock.now / load.period_s + self._phase)
-        rate = load.rate * (1 + load.swing * math.sin(turn)) * self._world.burst_x
-        return self._rng.expovariate(max(rate, 1e-6))
-
-    def _arrive(self) -> None:
-        load = self._load
-        self._number += 1
-        key = f"{self._region}-{load.name}-{self._rng.randrange(load.keys)}"
-        spread = math.exp(load.spread * self._work_rng.gauss(0.0, 1.0))
-        work_s = load.work_ms / 1000 * spread
-        _Call(self, key, work_s).send()
-        for service in load.calls:
-            self._world.call(service, key, work_s, self._work_rng)
-        self._world.clock.after(self._gap_s(), self._arrive)
-
-    @property
-    def world(self) -> _World:
-        """The run."""
-        return self._world
-
-    @property
-    def load(self) -> Load:
-        """What they ask for."""
-        return self._load
-
-    @property
-    def route(self) -> Route:
-        """The route of their requests."""
-        return self._route
-
-    def entry(self) -> EmulatedEntry | None:
-        """Choose an entry."""
-        return self._world.entry_for(self._region, self._entry_rng)
-
-
-class _Call:
-    """One request of a client, with its retries."""
-
-    def __init__(self, clients: _Clients, key: str, work_s: float) -> None:
-        self._clients = clients
-        self._key = key
-        self._work_s = work_s
-        self._began = clients.world.clock.now
-        self._tries = 0
-
-    def send(self) -> None:
-        """Send it to an entry."""
-        world = self._clients.world
-        entry = self._clients.entry()
-        if entry is None:
-            self._end("failed", 0.0)
-            return
-        self._tries += 1
-        arrives = world.clock.now + CLIENT_MS / 1000
-        load = self._clients.load
-        until = self._began + load.deadline_ms / 1000
-        if load.timeout_ms:
-            until = min(until, arrives + load.timeout_ms / 1000)
-        request = PlacementRequest(
-            request_id="",
-            route=self._clients.route,
-            service=load.service,
-            key=self._key,
-            version="1",
-            arrived=arrives,
-            until=until,
-        )
-        work = Work(request, self._work_s)
-        world.clock.at(arrives, lambda: entry.serve(work, self._replied))
-
-    def _replied(self, reply: Reply) -> None:
-        self._clients.world.clock.after(CLIENT_MS / 1000, lambda: self._take(reply))
-
-    def _take(self, reply: Reply) -> None:
-        world = self._clients.world
-        load = self._clients.load
-        took_ms = (world.clock.now - self._began) * 1000
-        if reply.refusal is None:
-            in_time = took_ms <= load.target_latency_ms
-            earned = load.worth * (1.0 if in_time else load.late_worth)
-            self._end("in_time" if in_time else "late", earned)
-            return
-        if reply.refusal.retry_after_ms:
-            world.result.refusals += 1
-        left_s = load.deadline_ms / 1000 - took_ms / 1000
-        if self._tries <= load.client_retries and left_s > LEAST_RETRY_S:
-            wait_s = reply.refusal.retry_after_ms / 1000
-            wait_s = max(LEAST_RETRY_S, min(wait_s, left_s * RETRY_SHARE))
-            if reply.refusal.retry_after_ms:
-                world.clock.after(wait_s, self.send)
-                return
-        self._end("refused" if reply.refusal.retry_after_ms else "failed", 0.0)
-
-    def _end(self, outcome: str, earned: float) -> None:
-        world = self._clients.world
-        took_ms = (world.clock.now - self._began) * 1000
-        worth = self._clients.load.worth
-        world.result.record(self._began, outcome, worth, earned, took_ms)
-
-
-class _Strike:
-    """One trouble, from its beginning to its end."""
-
-    def __init__(self, world: _World, trouble: Trouble, rng: Random) -> None:
-        self._world = world
-        self._trouble = trouble
-        self._rng = rng
-
-    def plan(self) -> None:
-        """Let it happen at its time."""
-        self._world.clock.at(self._trouble.at, self._begin)
-
-    def _begin(self) -> None:
-        trouble = self._trouble
-        if trouble.kind is TroubleKind.BURST:
-            self._world.burst_x = max(trouble.x, 1e-3)
-        elif trouble.kind is TroubleKind.RESTART:
-            self._world.restart_entries(trouble, self._rng)
-        else:
-            for target in self._world.struck_targets(trouble, self._rng):
-                self._strike(target)
-                after = trouble.for_s
-                self._world.clock.after(after, lambda t=target: self._heal(t))  # type: ignore[misc]
-            return
-        self._world.clock.after(trouble.for_s, self._end)
-
-    def _strike(self, target: EmulatedTarget) -> None:
-        trouble = self._trouble
-        match trouble.kind:
-            case TroubleKind.SHED:
-                target.sheds = trouble.x
-            case TroubleKind.SLOW:
-                target.slow_x = max(trouble.x, 1e-3)
-            case TroubleKind.LOSE:
-                target.loses = trouble.x
-            case _:
-                target.crash()
-
-    def _heal(self, target: EmulatedTarget) -> None:
-        match self._trouble.kind:
-            case TroubleKind.SHED:
-                target.sheds = 0.0
-            case TroubleKind.SLOW:
-                target.slow_x = 1.0
-            case TroubleKind.LOSE:
-                target.loses = 0.0
-            case _:
-                target.restart()
-
-    def _end(self) -> None:
-        if self._trouble.kind is TroubleKind.BURST:
-            self._world.burst_x = 1.0
-
-
-def _route(load: Load) -> Route:
-    return Route(
-        name=load.name,
-        host="emulated",
-        prefix=f"/{load.name}/",
-        work=load.work,
-        services={load.service: 1.0},
-        timeout_ms=load.timeout_ms,
-        target_latency_ms=load.target_latency_ms,
-        priority=load.priority,
-        attempts=load.attempts,
-        affinity=True,
-    )
-
-
 def _ignore(_: Outcome, __: object) -> None:
     """Leave a call's answer to its caller, which is not emulated."""
