--- a/leverdoor/analysis/explaining.py
+++ b/leverdoor/analysis/explaining.py
@@ -72,7 +72,7 @@
 
 
 def _belief(e: LogLine, began: float, targets: set[str]) -> str:
-    """Say what an event made the entry believe, if it can bear on a request."""
+    """Return what an event made the entry believe, if it can bear on a request."""
     f = e.fields
     when = f"{began - e.at:.1f} s before" if e.at < began else "meanwhile"
     if e.event == "configuration":
--- a/leverdoor/analysis/losses.py
+++ b/leverdoor/analysis/losses.py
@@ -354,7 +354,7 @@
     places: dict[str, _Place],
     times: dict[tuple[str, str], ServiceTimes],
 ) -> Cause:
-    """Say why an answer came late."""
+    """Return why an answer came late."""
     if len(request.attempts) > 1:
         return Cause.REPEATED
     known = times.get((last.route, last.service))
--- a/leverdoor/emulator/exact.py
+++ b/leverdoor/emulator/exact.py
@@ -24,7 +24,7 @@
         self._emulated = emulated
 
     def saw(self, key: str) -> bool:
-        """Say whether the target keeps a key."""
+        """Return whether the target keeps a key."""
         return self._emulated.keeps(key)
 
 
--- a/leverdoor/emulator/results.py
+++ b/leverdoor/emulator/results.py
@@ -89,7 +89,7 @@
 
     @property
     def certain(self) -> bool:
-        """Say whether the interval leaves zero out."""
+        """Return whether the interval leaves zero out."""
         return abs(self.difference) > self.half_width
 
 
--- a/leverdoor/emulator/targets.py
+++ b/leverdoor/emulator/targets.py
@@ -67,7 +67,7 @@
         return TargetLoad(len(self._running), len(self._queue), self.target.slots)
 
     def keeps(self, key: str) -> bool:
-        """Say whether a key is warm."""
+        """Return whether a key is warm."""
         return key in self._warm
 
     def take(self, run: Run) -> None:
--- a/leverdoor/entry/affinity.py
+++ b/leverdoor/entry/affinity.py
@@ -53,7 +53,7 @@
         return -math.log(place) / target.slots
 
     def same(self, targets: list[Target]) -> bool:
-        """Say whether a list holds the same targets with the same weights."""
+        """Return whether a list holds the same targets with the same weights."""
         mine = [(t.name, t.slots) for t in self._targets]
         if mine != [(t.name, t.slots) for t in targets]:
             return False
--- a/leverdoor/entry/catalog.py
+++ b/leverdoor/entry/catalog.py
@@ -62,7 +62,7 @@
 
     @property
     def configured(self) -> bool:
-        """Say whether a configuration is known at all."""
+        """Return whether a configuration is known at all."""
         return self.version != ""
 
     @property
--- a/leverdoor/entry/choice.py
+++ b/leverdoor/entry/choice.py
@@ -116,14 +116,14 @@
         return Option(state, rank, seen, cold_share, wait_ms, takes_ms, price_ms)
 
     def _seen(self, key: str, state: TargetState, now: float) -> bool:
-        """Say whether this entry or another had an answer for a key from a target."""
+        """Return whether any entry had an answer for a key from a target."""
         if state.saw(key):
             return True
         since = state.cold_until
         return self.shared_warmth.warm(state.target, key, since, now)
 
     def _admits(self, option: Option, now: float) -> bool:
-        """Say whether a target may be asked for a key that is likely cold there.
+        """Return whether a target may be asked for a key that is likely cold there.
 
         Only the first two of a key's targets may: all entries agree on them, so
         that a key costs few cold runs in all. Overflow to whatever has room costs
--- a/leverdoor/entry/connection.py
+++ b/leverdoor/entry/connection.py
@@ -223,7 +223,7 @@
 
     @property
     def closed(self) -> bool:
-        """Say whether the connection is of no more use."""
+        """Return whether the connection is of no more use."""
         return not self.usable or self._transport is None
 
     def close(self) -> None:
--- a/leverdoor/entry/expired_registrations.py
+++ b/leverdoor/entry/expired_registrations.py
@@ -57,7 +57,7 @@
         return round((now - self._last) * 1000)
 
     def recent(self, now: float) -> bool:
-        """Say whether an entry that is missing now may have expired."""
+        """Return whether an entry that is missing now may have expired."""
         if self._lost_here:
             return True
         return self._last is not None and now - self._last <= RECENT_S
--- a/leverdoor/entry/fleet.py
+++ b/leverdoor/entry/fleet.py
@@ -180,11 +180,11 @@
             self._keys.popitem(last=False)
 
     def saw(self, key: str) -> bool:
-        """Say whether the target has lately seen a key from here."""
+        """Return whether the target has lately seen a key from here."""
         return key in self._keys
 
     def cold(self, now: float) -> bool:
-        """Say whether the target is in its warm-up."""
+        """Return whether the target is in its warm-up."""
         return now < self.cold_until
 
     def spend_allowance(self, per_s: float, now: float) -> bool:
@@ -228,7 +228,7 @@
         return True
 
     def slow(self, now: float) -> bool:
-        """Say whether the target is ejected as slow; it serves if no other can."""
+        """Return whether the target is ejected as slow; it serves if no other can."""
         return now < self.slow_until
 
     def unreached(self, now: float) -> float:
@@ -272,11 +272,11 @@
         self.in_flight -= 1
 
     def silent(self, now: float) -> bool:
-        """Say whether several requests are there and none was answered lately."""
+        """Return whether several requests are there and none was answered lately."""
         return self.in_flight >= SILENT_REQUESTS and now - self._last_answer > SILENCE_S
 
     def usable(self, now: float) -> bool:
-        """Say whether new requests may go there, its warm-up aside."""
+        """Return whether new requests may go there, its warm-up aside."""
         return now >= self.out_until and not self.silent(now)
 
 
--- a/leverdoor/entry/forwarding.py
+++ b/leverdoor/entry/forwarding.py
@@ -44,7 +44,7 @@
 
     @property
     def replayable(self) -> bool:
-        """Say whether it can be sent to another target."""
+        """Return whether it can be sent to another target."""
         return isinstance(self.body, bytes) or not self.started
 
 
@@ -90,7 +90,7 @@
                 raise lost or e.refusal from None
 
     def _again(self, incoming: Incoming, attempt: int, failed: "_Failed") -> bool:
-        """Say whether another target may be tried."""
+        """Return whether another target may be tried."""
         route = incoming.request.route
         may = may_repeat(
             route,
--- a/leverdoor/entry/membership.py
+++ b/leverdoor/entry/membership.py
@@ -90,7 +90,7 @@
     """Digests of keys lately answered by other targets than their first."""
 
     def newer(self, other: "Heartbeat") -> bool:
-        """Say whether this heartbeat supersedes another of the same entry."""
+        """Return whether this heartbeat supersedes another of the same entry."""
         mine = (self.member.incarnation, self.seq)
         return mine > (other.member.incarnation, other.seq)
 
@@ -278,7 +278,7 @@
         return self._rng.choice([m for m in ahead if m.link_mbps == widest])
 
     def elected(self, watchers: int, now: float) -> bool:
-        """Say whether this entry is one of its region's followers of the store.
+        """Return whether this entry is one of its region's followers of the store.
 
         They pass all news on, so those with the widest links come first.
         """
--- a/leverdoor/entry/placement.py
+++ b/leverdoor/entry/placement.py
@@ -136,7 +136,7 @@
         return self._refuse(Code.QUEUE_FULL, self._why_full(request, first, now))
 
     def _why_full(self, request: PlacementRequest, first: str, now: float) -> str:
-        """Say for the log what was known when there was no room."""
+        """Return, for the log, the loads that left no room."""
         ranking = self._by_region[(request.service, first)]
         loads = []
         for target in ranking.order(request.key)[:LOGGED_TARGETS]:
--- a/leverdoor/entry/repeats.py
+++ b/leverdoor/entry/repeats.py
@@ -14,7 +14,7 @@
 def may_repeat(
     route: Route, attempt: int, refusal: Refusal, *, arrived: bool, replayable: bool
 ) -> bool:
-    """Say whether another target may be tried, the budget of repeats aside.
+    """Return whether another target may be tried, the budget of repeats aside.
 
     Args:
       route: the request's.
--- a/leverdoor/entry/times.py
+++ b/leverdoor/entry/times.py
@@ -45,7 +45,7 @@
     """Mean of cold runs."""
 
     def is_cold(self, took_ms: float) -> bool:
-        """Say in which cluster a run's time lies, by ratio."""
+        """Return whether a run's time lies in the slow cluster."""
         return took_ms * took_ms > self.fast_ms * self.slow_ms
 
     def learn(self, took_ms: float) -> None:
@@ -116,6 +116,6 @@
             known.heavy = known.mean > bound
 
     def heavy(self, service: str) -> bool:
-        """Say whether the bytes of a service are worth saving."""
+        """Return whether the bytes of a service are worth saving."""
         known = self._known.get(service)
         return known is not None and known.heavy
--- a/leverdoor/entry/warmth.py
+++ b/leverdoor/entry/warmth.py
@@ -68,7 +68,7 @@
         return self._targets.get(target.name, 0.0)
 
     def forgets(self, target: Target) -> bool:
-        """Say whether a target is asked for more keys than it keeps."""
+        """Return whether a target is asked for more keys than it keeps."""
         return self.forgotten_share(target) > FORGETS
 
     def cold_share(self, target: Target, rank: int, seen: bool) -> float:
@@ -131,7 +131,7 @@
             self._remember(digest, now)
 
     def warm(self, target: Target, key: str, since: float, now: float) -> bool:
-        """Say whether an entry had an answer for a key from a target.
+        """Return whether an entry had an answer for a key from a target.
 
         Args:
           target: which one.
--- a/leverdoor/gate/front.py
+++ b/leverdoor/gate/front.py
@@ -311,7 +311,7 @@
         return web.Response(text="ok\n")
 
     async def _readyz(self, request: web.Request) -> web.StreamResponse:
-        """Say whether this gate serves; it does not while it has no configuration."""
+        """Return whether this gate serves; not while it has no configuration."""
         if self.state is GateState.SERVING:
             return web.Response(text="ready\n")
         code = Code.LEAVING if self.state is GateState.LEAVING else Code.NOT_READY
--- a/leverdoor/gate/keyed.py
+++ b/leverdoor/gate/keyed.py
@@ -131,7 +131,7 @@
         return await self._collect(Served(self._server, inbound, answer, None, 0.0))
 
     def _is_gone(self, key: Key, issuer: Beat | None) -> bool:
-        """Say whether the process that issued a key is proved to be gone."""
+        """Return whether the process that issued a key is proved to be gone."""
         if self._ring.replaced(key):
             return True
         if issuer is None or issuer.relay != key.relay:
--- a/leverdoor/gate/keys.py
+++ b/leverdoor/gate/keys.py
@@ -119,7 +119,7 @@
         return serialize_key(msgspec.structs.replace(key, mac=self._mac(key)))
 
     def mine(self, key: Key) -> bool:
-        """Say whether this process issued a key."""
+        """Return whether this process issued a key."""
         return (key.vm, key.relay, key.incarnation) == (
             self._vm,
             self._relay,
@@ -127,7 +127,7 @@
         )
 
     def replaced(self, key: Key) -> bool:
-        """Say whether an earlier process at this one's address issued a key."""
+        """Return whether an earlier process at this one's address issued a key."""
         same = (key.vm, key.relay) == (self._vm, self._relay)
         return same and key.incarnation < self.incarnation
 
--- a/leverdoor/gate/pool.py
+++ b/leverdoor/gate/pool.py
@@ -51,11 +51,11 @@
         return found
 
     def in_service(self, target: Target) -> bool:
-        """Say whether a target is neither drained nor on a VM that leaves."""
+        """Return whether a target is neither drained nor on a VM that leaves."""
         return target.vm not in self.leaving_vms and not self.view.drained(target)
 
     def open(self, target: Target, now: float) -> bool:
-        """Say whether a target takes new work now."""
+        """Return whether a target takes new work now."""
         return self.in_service(target) and self.health.of(target, now).usable(now)
 
     def room(self, target: Target, now: float) -> int:
@@ -117,7 +117,7 @@
         return 1000 * max(min(pauses, default=0.0), 0.0)
 
     def any_in_service(self, service: str) -> bool:
-        """Say whether any region has a target in service, out for a moment or not."""
+        """Return whether any region has a target in service, ejected or not."""
         return any(
             self.in_service(t)
             for region in {*self.view.regions, self._region}
--- a/leverdoor/gate/relay.py
+++ b/leverdoor/gate/relay.py
@@ -51,7 +51,7 @@
 
     @property
     def replayable(self) -> bool:
-        """Say whether the body can be sent again."""
+        """Return whether the body can be sent again."""
         return self.whole is not None or not self.touched
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -108,7 +108,7 @@
 
     @property
     def delimited(self) -> bool:
-        """Say whether the end of the body can be told from a cut."""
+        """Return whether the end of the body can be told from a cut."""
         head = self._response.headers
         bodyless = self.status in (204, 304) or self._response.method == "HEAD"
         return bodyless or "Content-Length" in head or "Transfer-Encoding" in head
--- a/leverdoor/gate/scheduler.py
+++ b/leverdoor/gate/scheduler.py
@@ -101,7 +101,7 @@
         return self.pool.health
 
     def vm_leaving(self, vm: str) -> bool:
-        """Say whether a VM leaves by the platform's word or by a drain."""
+        """Return whether a VM leaves by the platform's word or by a drain."""
         return vm in self.pool.leaving_vms or self.view.vm_drained(vm)
 
     def usable_gates(self, now: float) -> list[Beat]:
@@ -303,7 +303,7 @@
         return sorted(names, key=lambda r: (self.view.distance_ms(job.home, r), r))
 
     def _should_spill(self, job: Job, region: str, now: float) -> bool:
-        """Say whether leaving a region beats waiting in it."""
+        """Return whether leaving a region beats waiting in it."""
         if region != job.home:
             return True
         load = self._region_load(job.service, region, now)
--- a/leverdoor/gate/serving.py
+++ b/leverdoor/gate/serving.py
@@ -53,7 +53,7 @@
 
     @property
     def once(self) -> bool:
-        """Say whether a repeat could do harm."""
+        """Return whether a repeat could do harm."""
         return self.service.work is not Work.LOOKUP or bool(self.key)
 
 
@@ -173,7 +173,7 @@
                 )
 
     def _again(self, inbound: Inbound, refusal: Refusal) -> bool:
-        """Say whether another attempt is safe and worth it."""
+        """Return whether another attempt is safe and worth it."""
         if inbound.job.forwarded or not inbound.body.replayable:
             return False
         if refusal.run is Run.NO:
--- a/leverdoor/membership/peers.py
+++ b/leverdoor/membership/peers.py
@@ -75,7 +75,7 @@
     draining: dict[str, int] = {}
 
     def newer(self, other: "Beat") -> bool:
-        """Say whether this beat supersedes another of the same VM."""
+        """Return whether this beat supersedes another of the same VM."""
         return (self.agent, self.seq) > (other.agent, other.seq)
 
     @property
@@ -108,7 +108,7 @@
         self.heard_at = now
 
     def silent(self, now: float) -> bool:
-        """Say whether beats have stayed away for too long."""
+        """Return whether beats have stayed away for too long."""
         patience = max(LEAST_SILENCE_S, min(GAPS_MISSED * self.gap_s, MOST_SILENCE_S))
         return now - self.heard_at > patience
 
--- a/leverdoor/model/resources.py
+++ b/leverdoor/model/resources.py
@@ -123,7 +123,7 @@
     vm: str = ""
 
     def covers(self, target: Target) -> bool:
-        """Say whether a target is drained by this."""
+        """Return whether a target is drained by this."""
         return (
             (self.region != "" and self.region == target.region)
             or (self.domain != "" and self.domain == target.domain)
--- a/leverdoor/model/targets.py
+++ b/leverdoor/model/targets.py
@@ -76,7 +76,7 @@
             self.failed(probe.taken_at)
 
     def usable(self, now: float) -> bool:
-        """Say whether new work may go to the target."""
+        """Return whether new work may go to the target."""
         return not self.leaving and now >= self.out_until
 
     def allowance(self, held: int, warmup_s: float, now: float) -> int:
--- a/leverdoor/standins/entry_site.py
+++ b/leverdoor/standins/entry_site.py
@@ -136,7 +136,7 @@
 
     @property
     def running(self) -> bool:
-        """Say whether the process runs."""
+        """Return whether the process runs."""
         return self._process is not None and self._process.returncode is None
 
     def send(self, number: signal.Signals) -> None:
@@ -151,7 +151,7 @@
             return await self._process.wait()
 
     def told_anything(self) -> bool:
-        """Say whether the process has logged a line in this life."""
+        """Return whether the process has logged a line in this life."""
         return self.log.stat().st_size > self._log_before
 
     def events(self) -> list[dict[str, object]]:
--- a/leverdoor/standins/site.py
+++ b/leverdoor/standins/site.py
@@ -241,7 +241,7 @@
 
 
 def _is_free(port: int) -> bool:
-    """Say whether a port is free for TCP and for UDP."""
+    """Return whether a port is free for TCP and for UDP."""
     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
         with socket.socket(type=kind) as s:
             try:
--- a/leverdoor/standins/soak/run.py
+++ b/leverdoor/standins/soak/run.py
@@ -139,7 +139,7 @@
         return any(p.entry == name and p.version == newest for p in self._record.probes)
 
     async def _names(self, entry: EntryProcess) -> bool:
-        """Say whether an entry names all entries of its failure domain."""
+        """Return whether an entry names all entries of its failure domain."""
         named = set(await self._site.resolve(entry))
         return named >= {
             e.ports["frontend"]
--- a/leverdoor/storage/following.py
+++ b/leverdoor/storage/following.py
@@ -156,7 +156,7 @@
 
     @property
     def busy(self) -> bool:
-        """Say whether a fetch is under way."""
+        """Return whether a fetch is under way."""
         return self._pulling
 
     async def pull(self, api: str) -> bool:
--- a/leverdoor/storage/state.py
+++ b/leverdoor/storage/state.py
@@ -110,7 +110,7 @@
         self._log_after = oldest
 
     def can_follow(self, since: int) -> bool:
-        """Say whether every change after a revision is still held."""
+        """Return whether every change after a revision is still held."""
         return self._log_after <= since <= self.revision
 
     def delta(self, since: int) -> Delta:
--- a/leverdoor/storage/view.py
+++ b/leverdoor/storage/view.py
@@ -88,11 +88,11 @@
         return self._tier_of.get(caller, self.default_tier)
 
     def drained(self, target: Target) -> bool:
-        """Say whether a drain covers a target."""
+        """Return whether a drain covers a target."""
         return target.name in self._drained
 
     def vm_drained(self, vm: str) -> bool:
-        """Say whether a drain covers a VM."""
+        """Return whether a drain covers a VM."""
         return vm in self._drained_vms
 
     def specs(self, region: str) -> dict[str, RowSpec]:
