--- a/leverdoor/client/caller.py
+++ b/leverdoor/client/caller.py
@@ -139,13 +139,7 @@
             left_ms = int((deadline - loop.time()) * 1000)
             if left_ms <= 0:
                 break
-            head = {
-                h.CALLER: self._name,
-                h.REQUEST_ID: request_id,
-                h.DEADLINE: str(left_ms),
-            }
-            if key:
-                head[h.KEY] = key
+            head = self._headers(request_id, left_ms, key)
             url = f"http://{entry}/s/{service}/{path}"
             try:
                 return await self._send(method, url, head, body, left_ms, attempt)
@@ -155,11 +149,7 @@
                     ran = Run.MAYBE
                 if e.code in _FINAL:
                     break
-            wait_s = (last.retry_after_ms or DEFAULT_WAIT_MS) / 1000
-            longer_s = wait_s * 2 ** (attempt - 1) * self._rng.random()
-            wait_s = max(wait_s, min(longer_s, (deadline - loop.time()) / 2))
-            if last.code is Code.CONNECT_FAILED:
-                wait_s = 0.0
+            wait_s = self._pause_s(last, attempt, deadline - loop.time())
             if loop.time() + wait_s >= deadline:
                 break
             await asyncio.sleep(wait_s)
@@ -167,6 +157,29 @@
             raise Refusal(Code.ANSWER_LOST, f"an earlier attempt may have run: {last}")
         raise last
 
+    def _headers(self, request_id: str, left_ms: int, key: str) -> dict[str, str]:
+        """Return the headers of an attempt; a key only if there is one."""
+        head = {
+            h.CALLER: self._name,
+            h.REQUEST_ID: request_id,
+            h.DEADLINE: str(left_ms),
+        }
+        if key:
+            head[h.KEY] = key
+        return head
+
+    def _pause_s(self, last: Refusal, attempt: int, left_s: float) -> float:
+        """Return how long to wait before the next attempt, in seconds.
+
+        At least the time that the refusal names; longer at random, the later the
+        attempt, but not past half of the time left.
+        """
+        if last.code is Code.CONNECT_FAILED:
+            return 0.0
+        wait_s = (last.retry_after_ms or DEFAULT_WAIT_MS) / 1000
+        longer_s = wait_s * 2 ** (attempt - 1) * self._rng.random()
+        return max(wait_s, min(longer_s, left_s / 2))
+
     def _choose(
         self, entries: Sequence[LookupEntry], tried: list[str], keyed: bool
     ) -> str:
