--- a/leverdoor/client/caller.py
+++ b/leverdoor/client/caller.py
@@ -177,7 +177,7 @@
         if last.code is Code.CONNECT_FAILED:
             return 0.0
         wait_s = (last.retry_after_ms or DEFAULT_WAIT_MS) / 1000
-        longer_s = wait_s * 2 ** (attempt - 1) * self._rng.random()
+        longer_s = wait_s * 2.0 ** (attempt - 1) * self._rng.random()
         return max(wait_s, min(longer_s, left_s / 2))
 
     def _choose(
