The command line needs no optional library

Cause: the emulator's results used numpy, which only the development requirements name; make run from a clean clone failed (exit 2). Latencies are in hdrhistogram now, which is a dependency, and a test holds it.

--- a/leverdoor/emulator/results.py
+++ b/leverdoor/emulator/results.py
@@ -6,12 +6,17 @@
 import statistics
 from collections import Counter
 from collections.abc import Sequence
+from typing import Any
 
 import msgspec
-import numpy as np
+from hdrh.histogram import HdrHistogram
 
 __all__ = ["Comparison", "Result", "compare"]
 
+MAX_MS = 600_000
+"""Largest latency that the histogram holds, in ms: ten minutes."""
+DIGITS = 2
+"""Significant digits of a latency."""
 STUDENT_95 = (12.71, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26, 2.23)
 """Two-sided 95% points of Student's distribution for 1 to 10 degrees of freedom."""
 NORMAL_95 = 1.96
@@ -33,9 +38,18 @@
         self.cold_runs = 0
         self.runs = 0
         self.heartbeat_bytes = 0
-        self.by_second = np.zeros((2, math.ceil(seconds) + 1))
+        self.by_second = [[0.0, 0.0] for _ in range(math.ceil(seconds) + 1)]
         """Worth owed and earned, by the second of the request."""
-        self._latencies_ms: list[float] = []
+        self._latency = HdrHistogram(1, MAX_MS, DIGITS)
+
+    def __getstate__(self) -> dict[str, Any]:
+        """Return what another process needs; the histogram in its own coding."""
+        return self.__dict__ | {"_latency": self._latency.encode()}
+
+    def __setstate__(self, state: dict[str, Any]) -> None:
+        """Take what another process sent."""
+        self.__dict__.update(state)
+        self._latency = HdrHistogram.decode(state["_latency"])
 
     def record(
         self, asked_at: float, outcome: str, worth: float, earned: float, took_ms: float
@@ -44,17 +58,15 @@
         self.owed += worth
         self.earned += earned
         self.outcomes[outcome] += 1
-        second = min(int(asked_at), self.by_second.shape[1] - 1)
-        self.by_second[0, second] += worth
-        self.by_second[1, second] += earned
+        second = min(int(asked_at), len(self.by_second) - 1)
+        self.by_second[second][0] += worth
+        self.by_second[second][1] += earned
         if outcome in ("in_time", "late"):
-            self._latencies_ms.append(took_ms)
+            self._latency.record_value(max(1, min(int(took_ms), MAX_MS)))
 
     def latency_ms(self, percent: float) -> int:
         """Return a percentile of the answered requests' latency, in ms."""
-        if not self._latencies_ms:
-            return 0
-        return round(float(np.percentile(self._latencies_ms, percent)))
+        return int(self._latency.get_value_at_percentile(percent))
 
     @property
     def credit(self) -> float:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -3,6 +3,8 @@
 """The emulator: experiments, targets, and what must hold in emulated runs."""
 
 import json
+import subprocess
+import sys
 from collections import Counter
 from pathlib import Path
 from random import Random
@@ -135,7 +137,7 @@
 def test_a_policy_does_not_reshuffle_the_load() -> None:
     changed = ablations(SMALL)["no second target for a key"]
     base, other = play(SMALL, 1), play(changed, 1)
-    assert list(base.by_second[0]) == list(other.by_second[0])
+    assert [owed for owed, _ in base.by_second] == [owed for owed, _ in other.by_second]
 
 
 def test_every_request_ends_once() -> None:
@@ -269,3 +271,12 @@
     asked = len(runs) + result.refusals
     assert result.repeats <= one.site.repeat_ratio * asked + 4 * entries * 3
     assert 0 <= result.earned <= result.owed
+
+
+def test_the_command_line_needs_no_optional_library() -> None:
+    """Agents, gates and `make run` have only what requirements.txt names."""
+    code = (
+        "import leverdoor.cli, sys; print({'numpy', 'matplotlib'} & set(sys.modules))"
+    )
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
+    assert done.stdout.strip() == "set()", done.stderr
