Entries know each other through digests: fresh at any number of entries

Cause: heartbeats went directly, four near and two far a round, so the age of what an entry knows grew with their number: at 195 entries a near entry's count was 3.0 s old (p99), 60% of far entries passed for silent, a dead one stayed named for 13.6 s, and the patience was stretched to fit.

Now an entry tells the two aggregators of its failure domain (widest links); they exchange digests within the region and with other regions, and return one digest of all.

Failed on the way: an aggregator passed over without being told (two that pass each other over never meet again), far partners in turn only (some without news for a second), probing only those heard last.

--- a/benchmarks/entry_slopes.py
+++ b/benchmarks/entry_slopes.py
@@ -15,8 +15,11 @@
 
 from leverdoor.codec import pack
 from leverdoor.entry.catalog import Catalog
+from leverdoor.entry.digests import Heartbeat
+from leverdoor.entry.exchange import Exchange, Report
 from leverdoor.entry.fleet import Fleet
-from leverdoor.entry.membership import SERVING, Heartbeat, Member, Membership
+from leverdoor.entry.member import SERVING, Member
+from leverdoor.entry.membership import Membership
 from leverdoor.entry.placement import PlacementPolicy
 from leverdoor.entry.requests import Placement, PlacementRequest
 from leverdoor.model.resources import Region, Resource, Route, Service, Target, Work
@@ -103,27 +106,31 @@
 
     def member(i: int) -> Member:
         region = REGIONS[i % 3]
-        return Member(f"e{i}", region, f"{region}1", "f", f"10.0.0.{i}:7", "p", 1)
+        domain = f"{region}{i // 3 % 3}"
+        return Member(f"e{i}", region, domain, "f", f"10.0.0.{i}:7", "p", 1)
 
     membership = Membership(member(0), Random(1))
-    counts = {f"i-{i:08x}": 2 for i in range(20)}
+    exchange = Exchange(membership)
+    exchange.lists.renew({r: [f"i-{r}{i:07x}" for i in range(180)] for r in REGIONS})
+    counts = {f"i-a{i:07x}": 2 for i in range(20)}
     heartbeats = [
         Heartbeat(member(i), 1, SERVING, 5, counts) for i in range(1, entries)
     ]
     for heartbeat in heartbeats:
-        membership.hear(heartbeat, 0.0)
+        exchange.take(heartbeat, 5, 0.0)
     numbers = iter(range(2, 10**9))
 
     def hear() -> None:
         n = next(numbers)
         heartbeat = heartbeats[n % len(heartbeats)]
-        membership.hear(Heartbeat(heartbeat.member, n, SERVING, 5, counts), 0.0)
+        exchange.take(Heartbeat(heartbeat.member, n, SERVING, 5, counts), 5, 0.0)
 
+    report = Report(SERVING, 5, counts, {}, -1, [])
     heard = median_us(hear, 200)
     named = median_us(lambda: membership.addresses("a", "a1", SERVING, 0.1), 20)
-    partners = median_us(lambda: membership.partners(), 20)
+    played = median_us(lambda: exchange.round(report, 0.1), 20)
     size = len(zlib.compress(pack(heartbeats[0]), 1))
-    print(f"| {entries} | {heard:.1f} | {named:.0f} | {partners:.0f} | {size} |")
+    print(f"| {entries} | {heard:.1f} | {named:.0f} | {played:.0f} | {size} |")
 
 
 def main() -> None:
@@ -133,7 +140,7 @@
     for targets in (48, 330, 1_000, 4_000):
         by_targets(targets)
     print(
-        "\n| entries | take a heartbeat us | name us | partners us | heartbeat bytes |"
+        "\n| entries | take a heartbeat us | name us | aggregator's round us | heartbeat bytes |"
     )
     print("|---|---|---|---|---|")
     for entries in (12, 85, 300, 2_500):
--- a/leverdoor/emulator/entries.py
+++ b/leverdoor/emulator/entries.py
@@ -15,20 +15,20 @@
 from leverdoor.entry.catalog import Catalog
 from leverdoor.entry.daemon import (
     MOVED_SHARE,
+    OTHERS,
     REPEAT_SHARE,
     REPEATS_FIRST,
     REPEATS_SAVED,
     SHARE_HEARTBEATS,
     SHIFT_WINDOW_S,
-    WARM_ROUNDS,
+    WARM_TOLD_S,
+    names_by_region,
 )
+from leverdoor.entry.digests import Message
+from leverdoor.entry.exchange import Exchange, Heard, Report
 from leverdoor.entry.fleet import Fleet
-from leverdoor.entry.membership import (
-    SERVING,
-    Heartbeat,
-    Member,
-    Membership,
-)
+from leverdoor.entry.member import SERVING, Member
+from leverdoor.entry.membership import Membership
 from leverdoor.entry.placement import PlacementPolicy
 from leverdoor.entry.repeats import may_repeat
 from leverdoor.entry.requests import Placement, PlacementRequest, Rejection
@@ -81,7 +81,6 @@
         self._clock = clock
         self._rng = rng
         self._targets = targets
-        self._seq = 0
         self._rounds = 0
         self.repeats = 0
         self.heartbeat_bytes = 0
@@ -93,9 +92,9 @@
         self.member = msgspec.structs.replace(
             self.member, incarnation=self.member.incarnation + 1
         )
-        self._seq = 0
         self.fleet = self._shared_fleet or Fleet()
         self._membership = Membership(self.member, self._rng)
+        self._exchange = Exchange(self._membership)
         self._budget = RepeatBudget(
             site.repeat_ratio * REPEAT_SHARE, REPEATS_SAVED, REPEATS_FIRST
         )
@@ -112,46 +111,46 @@
         """Take what the store tells."""
         self.fleet.renew(catalog.targets, self._clock.now)
         self._policy.renew(catalog)
+        self._exchange.lists.renew(names_by_region(catalog.targets.values()))
         written = {m.name: pack(m) for m in members}
         self._membership.found(written, self._clock.now)
 
     # Heartbeats.
 
-    def beat(self, send: Callable[[Heartbeat, list[str]], None]) -> None:
-        """Send heartbeats and move the regions' shares, as the daemon does."""
+    def beat(self, send: Callable[[Message, list[str]], None]) -> None:
+        """Send heartbeats and digests, move the regions' shares, as the daemon does."""
         now = self._clock.now
         self._rounds += 1
-        heartbeat = self._heartbeat(now)
-        partners = self._membership.partners()
-        self.heartbeat_bytes += len(pack(heartbeat)) * len(partners)
-        send(heartbeat, partners)
+        sendings, heard = self._exchange.round(self._report(now), now)
+        for sending in sendings:
+            size = len(pack(sending.message))
+            self.heartbeat_bytes += size * len(sending.to)
+            send(sending.message, sending.to)
+        self._take_heard(heard)
         if self._rounds % SHARE_HEARTBEATS == 0:
-            peers = [b.shares for b in self._membership.near(now)]
-            self._policy.shares.update(peers, now)
+            self._policy.shares.update([self._exchange.region_shares()], now)
 
-    def _heartbeat(self, now: float) -> Heartbeat:
-        self._seq += 1
+    def _report(self, now: float) -> Report:
         tells = self._experiment.shares_load and self._shared_fleet is None
-        counts = self.fleet.in_flight() if tells else {}
-        span_s = WARM_ROUNDS * self._membership.round_s()
-        warm = self._policy.shared_warmth.recent(span_s, now)
-        return Heartbeat(
-            self.member,
-            self._seq,
+        warm = self._policy.shared_warmth.recent(WARM_TOLD_S, now)
+        return Report(
             SERVING,
             1,
-            counts,
+            self.fleet.in_flight() if tells else {},
             self._policy.shares.reported(),
-            warm=warm if self._experiment.shares_warmth else [],
+            -1,
+            warm if self._experiment.shares_warmth else [],
         )
 
-    def hear(self, heartbeat: Heartbeat) -> None:
-        """Take another entry's heartbeat."""
+    def hear(self, message: Message) -> None:
+        """Take another entry's message."""
+        self._take_heard(self._exchange.take(message, 1, self._clock.now))
+
+    def _take_heard(self, heard: Heard) -> None:
         now = self._clock.now
-        if not self._membership.hear(heartbeat, now):
-            return
-        self.fleet.hear(heartbeat.member.name, heartbeat.in_flight, now)
-        self._policy.shared_warmth.hear(heartbeat.warm, now)
+        if heard.others is not None and self._shared_fleet is None:
+            self.fleet.hear(OTHERS, heard.others, now)
+        self._policy.shared_warmth.hear(heard.warm, now)
 
     # Requests.
 
--- a/leverdoor/emulator/world.py
+++ b/leverdoor/emulator/world.py
@@ -14,7 +14,9 @@
 from leverdoor.emulator.targets import EmulatedTarget, Outcome, Run
 from leverdoor.emulator.troubles import PlannedTrouble
 from leverdoor.entry.catalog import Catalog
-from leverdoor.entry.membership import HEARTBEAT_S, Heartbeat, Member
+from leverdoor.entry.digests import Message
+from leverdoor.entry.member import Member
+from leverdoor.entry.membership import HEARTBEAT_S
 from leverdoor.model.resources import Region, Resource, Service, Target
 from leverdoor.model.resources import Work as WorkClass
 
@@ -138,10 +140,10 @@
 
     def _beat(self, entry: EmulatedEntry) -> None:
         if entry.member.name not in self._away:
-            entry.beat(lambda beat, to: self._send(entry, beat, to))
+            entry.beat(lambda message, to: self._send(entry, message, to))
         self.clock.after(HEARTBEAT_S, lambda: self._beat(entry))
 
-    def _send(self, entry: EmulatedEntry, heartbeat: Heartbeat, to: list[str]) -> None:
+    def _send(self, entry: EmulatedEntry, message: Message, to: list[str]) -> None:
         site = self.experiment.site
         for address in to:
             other = self._by_address[address]
@@ -151,12 +153,12 @@
             delay_ms = site.domain_ms if near else site.region_ms
             self.clock.after(
                 delay_ms / 1000,
-                lambda o=other: self._deliver(o, heartbeat),  # type: ignore[misc]
+                lambda o=other: self._deliver(o, message),  # type: ignore[misc]
             )
 
-    def _deliver(self, entry: EmulatedEntry, heartbeat: Heartbeat) -> None:
+    def _deliver(self, entry: EmulatedEntry, message: Message) -> None:
         if entry.member.name not in self._away:
-            entry.hear(heartbeat)
+            entry.hear(message)
 
     # What clients see.
 
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from random import Random
 
 import msgspec
@@ -17,19 +17,14 @@
 from leverdoor.entry.catalog_keeper import CatalogKeeper
 from leverdoor.entry.client_connection import ClientConnection
 from leverdoor.entry.connections import Connections
+from leverdoor.entry.digests import Message
 from leverdoor.entry.events import Events
+from leverdoor.entry.exchange import Exchange, Heard, Report, Sending
 from leverdoor.entry.fleet import Fleet
 from leverdoor.entry.forwarding import Forwarder
 from leverdoor.entry.front import Front
-from leverdoor.entry.membership import (
-    HEARTBEAT_S,
-    LEAVING,
-    SERVING,
-    STARTING,
-    Heartbeat,
-    Member,
-    Membership,
-)
+from leverdoor.entry.member import LEAVING, SERVING, STARTING, Member
+from leverdoor.entry.membership import HEARTBEAT_S, Membership
 from leverdoor.entry.metrics import EntryMetrics
 from leverdoor.entry.placement import PlacementPolicy
 from leverdoor.entry.registration import Registration, retry_pause_s
@@ -43,12 +38,12 @@
 from leverdoor.storage.state import Delta, State
 from leverdoor.storage.store import LeasingStore
 
-__all__ = ["Entry"]
+__all__ = ["Entry", "names_by_region"]
 
 SHARE_HEARTBEATS = 2
 """Heartbeats between two moves of the regions' shares: 0.4 s. Chosen."""
-WARM_ROUNDS = 2
-"""Rounds of heartbeats that tell an answer, so that one lost heartbeat does no harm."""
+WARM_TOLD_S = 0.5
+"""How long heartbeats tell a warm key: two or three of them, one may be lost."""
 SWEEP_HEARTBEATS = 5
 """Heartbeats between two clean-ups of what ages: 1 s. Chosen."""
 NEWS_S = 0.03
@@ -78,6 +73,8 @@
 """Repeats saved up by an entry for a service at most; 48 of a slack of 64 at 12."""
 REPEATS_FIRST = 2.0
 """Repeats that an entry starts with, for a service; chosen."""
+OTHERS = "others"
+"""Under this name the fleet keeps the sums of all other entries' requests."""
 
 
 class Entry:
@@ -97,7 +94,6 @@
         self._events = events
         self._stop = asyncio.Event()
         self._life = STARTING
-        self._seq = 0
         self._servers: list[asyncio.Server] = []
         self._news_due = False
 
@@ -178,6 +174,7 @@
             self._wire, self._state, self._events, s.leave_s, self._take_catalog
         )
         self._membership = Membership(self._member, rng)
+        self._exchange = Exchange(self._membership)
         self._fleet = Fleet()
         self._metrics = EntryMetrics()
 
@@ -228,7 +225,7 @@
             self._settings.lookup_ttl_s,
         )
         self._admin_server = web.Server(admin.handle, access_log=None)
-        self._socket = GossipSocket(Heartbeat, self._take_heartbeat)
+        self._socket = GossipSocket(Message, self._take_message)
         self._puller = PeerFollower(self._state)
         self._follower = StoreFollower(
             self._store,
@@ -297,7 +294,7 @@
         if self._life == STARTING and self._keeper.catalog.configured:
             self._life = SERVING
             self._events.process("ready", version=self._keeper.catalog.version)
-            self._notify_all()
+            self._announce()
 
     def _take_catalog(
         self, before: Catalog, catalog: Catalog, peers: Mapping[str, bytes]
@@ -309,31 +306,39 @@
         for name in before.in_service - catalog.in_service:
             self._connections.drop(name)
         self._placement.renew(catalog)
+        self._exchange.lists.renew(names_by_region(catalog.targets.values()))
 
     def _spread_news(self) -> None:
-        """Announce a newer state to some entries soon, once for several changes.
+        """Announce a newer state soon, once for several changes.
 
-        In a large region a heartbeat in turn would reach the last entries only after
-        seconds; news that each passes on to a few reach all in a few steps.
+        Aggregators pass it on at once; with the next digests alone the last entries
+        would have it after three rounds.
         """
         if not self._news_due:
             self._news_due = True
-            asyncio.get_running_loop().call_later(NEWS_S, self._notify_some)
+            asyncio.get_running_loop().call_later(NEWS_S, self._send_news)
 
-    def _notify_some(self) -> None:
+    def _send_news(self) -> None:
         self._news_due = False
-        self._socket.send_all(self._own_heartbeat(), self._membership.some())
+        now = asyncio.get_running_loop().time()
+        self._send(self._exchange.news(self._state.revision, now))
+
+    def _send(self, sendings: list[Sending]) -> None:
+        for sending in sendings:
+            self._socket.send_all(sending.message, sending.to)
 
-    def _take_heartbeat(self, heartbeat: Heartbeat) -> None:
+    def _take_message(self, message: Message) -> None:
         now = asyncio.get_running_loop().time()
-        if not self._membership.hear(heartbeat, now):
-            return
-        self._fleet.hear(heartbeat.member.name, heartbeat.in_flight, now)
-        self._placement.shared_warmth.hear(heartbeat.warm, now)
-        self._keeper.outage.heard(heartbeat.outage_ms, now)
-        if heartbeat.revision > self._state.revision:
-            source = self._membership.source(heartbeat, now)
-            asyncio.ensure_future(self._pull(source.pull))
+        self._take_heard(self._exchange.take(message, self._state.revision, now), now)
+
+    def _take_heard(self, heard: Heard, now: float) -> None:
+        """Let the other parts know what a message or a round told."""
+        if heard.others is not None:
+            self._fleet.hear(OTHERS, heard.others, now)
+        self._placement.shared_warmth.hear(heard.warm, now)
+        self._keeper.outage.heard(heard.outage_ms, now)
+        if heard.source:
+            asyncio.ensure_future(self._pull(heard.source))
 
     async def _pull(self, address: str) -> None:
         """Fetch what another entry has and this one lacks, one at a time."""
@@ -355,45 +360,49 @@
 
     # Heartbeats.
 
-    def _own_heartbeat(self) -> Heartbeat:
-        self._seq += 1
+    def _report(self) -> Report:
         now = asyncio.get_running_loop().time()
-        span_s = WARM_ROUNDS * self._membership.round_s()
-        return Heartbeat(
-            self._member,
-            self._seq,
+        return Report(
             self._life,
             self._state.revision,
             self._fleet.in_flight(),
             self._placement.shares.reported(),
             self._keeper.outage.age_ms(now),
-            self._placement.shared_warmth.recent(span_s, now),
+            self._placement.shared_warmth.recent(WARM_TOLD_S, now),
         )
 
-    def _notify_all(self) -> None:
-        self._socket.send_all(self._own_heartbeat(), self._membership.everyone())
+    def _announce(self) -> None:
+        """Tell a state that changed without waiting for the next round."""
+        now = asyncio.get_running_loop().time()
+        self._send(self._exchange.announce(self._report(), now))
 
     async def _heartbeat(self) -> None:
-        """Send heartbeats, and expire what has grown old."""
+        """Send heartbeats and digests, and expire what has grown old."""
         loop = asyncio.get_running_loop()
         turn = 0
         while True:
             await asyncio.sleep(HEARTBEAT_S)
             turn += 1
             now = loop.time()
-            self._socket.send_all(self._own_heartbeat(), self._membership.partners())
+            sendings, heard = self._exchange.round(self._report(), now)
+            self._send(sendings)
+            self._take_heard(heard, now)
             if turn % SHARE_HEARTBEATS == 0:
-                peers = [b.shares for b in self._membership.near(now)]
-                self._placement.shares.update(peers, now)
+                self._placement.shares.update([self._exchange.region_shares()], now)
             if turn % SWEEP_HEARTBEATS == 0:
-                self._connections.sweep(now)
-                self._membership.forget(now)
-                self._metrics.in_flight.set(self._front.active)
-                self._metrics.peers.set(len(self._membership.live(now)))
-                for name, change, silent_s in self._membership.changes(now):
-                    self._events.peer(name, change, silent_s)
-                for service, shares in self._placement.shares.moved().items():
-                    self._events.shares(service, shares)
+                self._sweep(now)
+
+    def _sweep(self, now: float) -> None:
+        """Drop what has grown old, and report what changed."""
+        self._connections.sweep(now)
+        self._membership.forget(now)
+        self._exchange.forget(now)
+        self._metrics.in_flight.set(self._front.active)
+        self._metrics.peers.set(len(self._membership.live(now)))
+        for name, change, silent_s in self._membership.changes(now):
+            self._events.peer(name, change, silent_s)
+        for service, shares in self._placement.shares.moved().items():
+            self._events.shares(service, shares)
 
     # Leaving.
 
@@ -404,7 +413,7 @@
         self._life = LEAVING
         self._front.leaving = True
         self._events.process("leaving", in_flight=self._front.active)
-        self._notify_all()
+        self._send(self._exchange.say_goodbye(self._report()))
         removal = asyncio.create_task(self._registration.end())
         await asyncio.sleep(LISTEN_ON_S)
         front.close()
@@ -412,3 +421,11 @@
         await finish(self._front, self._front_server, last)
         removal.cancel()
         self._events.process("drained", in_flight=self._front.active)
+
+
+def names_by_region(targets: Iterable[Target]) -> dict[str, list[str]]:
+    """Return the names of targets, by their region."""
+    found: dict[str, list[str]] = {}
+    for target in targets:
+        found.setdefault(target.region, []).append(target.name)
+    return found
--- a/leverdoor/entry/registration.py
+++ b/leverdoor/entry/registration.py
@@ -8,7 +8,7 @@
 
 from leverdoor.codec import pack
 from leverdoor.entry.events import Events
-from leverdoor.entry.membership import Member
+from leverdoor.entry.member import Member
 from leverdoor.errors import LeverdoorError
 from leverdoor.storage.store import LeasingStore
 
--- a/leverdoor/membership/gossip.py
+++ b/leverdoor/membership/gossip.py
@@ -24,14 +24,14 @@
 class GossipSocket(asyncio.DatagramProtocol, Generic[M]):
     """One UDP socket; messages are compressed MessagePack."""
 
-    def __init__(self, kind: type[M], take: Callable[[M], None]) -> None:
+    def __init__(self, kind: Any, take: Callable[[M], None]) -> None:
         """Create it.
 
         Args:
-          kind: the type of the messages.
+          kind: the type of the messages, or a union of tagged ones.
           take: called with each message received.
         """
-        self._kind: Any = kind
+        self._kind = kind
         self._take = take
         self._transport: asyncio.DatagramTransport | None = None
         self.sent_bytes = 0
--- a/tests/test_entry_membership.py
+++ b/tests/test_entry_membership.py
@@ -5,19 +5,21 @@
 from random import Random
 
 import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from leverdoor.codec import pack
+from leverdoor.entry.member import LEAVING, SERVING, STARTING, Member, member_id
 from leverdoor.entry.membership import (
-    FAR_PARTNERS,
-    LEAVING,
-    NEAR_PARTNERS,
+    AGGREGATOR_RETRY_S,
+    AGGREGATOR_SILENCE_S,
+    AGGREGATORS,
+    FAR_SILENCE_S,
     OLD_LIFE_S,
-    SERVING,
     SILENCE_S,
-    STARTING,
-    Heartbeat,
-    Member,
+    MemberRow,
     Membership,
+    Sighting,
 )
 
 
@@ -29,10 +31,18 @@
     )
 
 
-def heartbeat(
-    name: str, seq: int = 1, state: int = SERVING, incarnation: int = 1
-) -> Heartbeat:
-    return Heartbeat(member(name, incarnation), seq, state, 1)
+def hear(
+    r: Membership,
+    name: str,
+    now: float,
+    state: int = SERVING,
+    incarnation: int = 1,
+    link_mbps: int = 0,
+) -> bool:
+    """Let a heartbeat of an entry arrive."""
+    described = msgspec.structs.replace(member(name, incarnation), link_mbps=link_mbps)
+    r.introduce(described, now)
+    return r.sight(Sighting(MemberRow(member_id(name), incarnation, state), now), now)
 
 
 def membership(own: str = "a1-0") -> Membership:
@@ -44,41 +54,40 @@
     r.found({"x": pack(member("a1-1")), "bad": b"\xff"}, 0.0)
     assert r.everyone() == ["g/a1-1"]
     assert r.addresses("a", "a1", SERVING, 0.0) == ["f/a1-0"]
-    r.hear(heartbeat("a1-1"), 0.1)
+    hear(r, "a1-1", 0.1)
     assert r.addresses("a", "a1", SERVING, 0.2) == ["f/a1-0", "f/a1-1"]
 
 
 def test_a_silent_entry_is_not_named() -> None:
     r = membership()
-    r.hear(heartbeat("a1-1"), 0.0)
+    hear(r, "a1-1", 0.0)
     late = SILENCE_S + 0.1
     assert r.addresses("a", "a1", SERVING, late) == ["f/a1-0"]
 
 
 def test_a_leaving_or_starting_entry_is_not_named() -> None:
     r = membership()
-    r.hear(heartbeat("a1-1", state=LEAVING), 0.0)
-    r.hear(heartbeat("a1-2", state=STARTING), 0.0)
+    hear(r, "a1-1", 0.0, LEAVING)
+    hear(r, "a1-2", 0.0, STARTING)
     assert r.addresses("a", "a1", SERVING, 0.0) == ["f/a1-0"]
     assert r.addresses("a", "a1", LEAVING, 0.0) == ["f/a1-0"]
-    r.hear(heartbeat("a1-3"), 0.0)
+    hear(r, "a1-3", 0.0)
     assert r.addresses("a", "a1", LEAVING, 0.0) == ["f/a1-3"]
 
 
 def test_an_old_life_says_nothing_about_a_new_one() -> None:
     r = membership()
-    r.hear(heartbeat("a1-1", 5, incarnation=2), 0.0)
-    assert not r.hear(heartbeat("a1-1", 9, LEAVING, incarnation=1), 0.1)
-    assert not r.hear(heartbeat("a1-1", 5, LEAVING, incarnation=2), 0.1)
+    hear(r, "a1-1", 0.0, incarnation=2)
+    assert not hear(r, "a1-1", 0.1, LEAVING, incarnation=1)
     assert r.addresses("a", "a1", SERVING, 0.1) == ["f/a1-0", "f/a1-1"]
 
 
 def test_an_entry_whose_clock_was_set_back_is_heard_again() -> None:
     """Its new life has the lower incarnation; the old one speaks no more."""
     r = membership()
-    r.hear(heartbeat("a1-1", seq=40, incarnation=9), 0.0)
-    assert not r.hear(heartbeat("a1-1", seq=1, incarnation=3), 0.2)
-    r.hear(heartbeat("a1-1", seq=8, incarnation=3), OLD_LIFE_S + 0.1)
+    hear(r, "a1-1", 0.0, incarnation=9)
+    assert not hear(r, "a1-1", 0.2, incarnation=3)
+    hear(r, "a1-1", OLD_LIFE_S + 0.1, incarnation=3)
     now = OLD_LIFE_S + 0.2
     assert r.addresses("a", "a1", SERVING, now) == ["f/a1-0", "f/a1-1"]
     r.found({"x": pack(member("a1-1", 9))}, now)
@@ -88,31 +97,31 @@
 def test_a_domain_with_one_entry_is_helped_by_its_region() -> None:
     r = membership()
     for name in ("a2-0", "a2-1", "b1-0"):
-        r.hear(heartbeat(name), 0.0)
+        hear(r, name, 0.0)
     assert r.addresses("a", "a1", SERVING, 0.0) == ["f/a1-0", "f/a2-0", "f/a2-1"]
     assert r.addresses("a", "a2", SERVING, 0.0) == ["f/a2-0", "f/a2-1"]
 
 
 def test_another_region_is_named_only_when_the_clients_has_none() -> None:
     r = membership()
-    r.hear(heartbeat("b1-0"), 0.0)
+    hear(r, "b1-0", 0.0)
     assert r.addresses("b", "b1", SERVING, 0.0) == ["f/b1-0"]
     assert r.addresses("b", "b1", SERVING, 9.0) == ["f/a1-0"]
 
 
 def test_followers_are_few_and_replaced() -> None:
     names = [f"a1-{i}" for i in range(5)]
-    rosters = {n: membership(n) for n in names}
-    for r in rosters.values():
+    views = {n: membership(n) for n in names}
+    for r in views.values():
         for n in names:
-            r.hear(heartbeat(n), 0.0)
-    elected = [n for n, r in rosters.items() if r.elected(2, 0.0)]
+            hear(r, n, 0.0)
+    elected = [n for n, r in views.items() if r.elected(2, 0.0)]
     assert len(elected) == 2
-    for n, r in rosters.items():
+    for n, r in views.items():
         for other in names:
             if other not in elected and other != n:
-                r.hear(heartbeat(other, 2), 5.0)
-    again = [n for n, r in rosters.items() if n not in elected and r.elected(2, 5.0)]
+                hear(r, other, 5.0)
+    again = [n for n, r in views.items() if n not in elected and r.elected(2, 5.0)]
     assert len(again) == 2
 
 
@@ -120,74 +129,151 @@
     assert membership().elected(2, 0.0)
 
 
-def wide_beat(name: str, revision: int, link_mbps: int) -> Heartbeat:
-    wide = msgspec.structs.replace(member(name), link_mbps=link_mbps)
-    return Heartbeat(wide, 1, SERVING, revision)
+def links(n: int) -> list[Member]:
+    """Entries of one failure domain, three of them with wide links."""
+    return [
+        msgspec.structs.replace(member(f"a1-{i}"), link_mbps=200 if i < 3 else 20)
+        for i in range(n)
+    ]
 
 
-def test_a_newer_state_is_fetched_from_a_wide_link_that_has_it() -> None:
-    r = membership()
-    told = wide_beat("a1-1", 9, 10)
-    r.hear(told, 0.0)
-    assert r.source(told, 0.0).name == "a1-1"
-    r.hear(wide_beat("a1-2", 8, 200), 0.0)
-    assert r.source(told, 0.0).name == "a1-1"
-    r.hear(wide_beat("a1-3", 9, 200), 0.0)
-    r.hear(wide_beat("b1-0", 9, 500), 0.0)
-    assert r.source(told, 0.0).name == "a1-3"
+def heard_by_all(members: list[Member], now: float) -> list[Membership]:
+    views = [Membership(m, Random(m.name)) for m in members]
+    for r in views:
+        for m in members:
+            hear(r, m.name, now, link_mbps=m.link_mbps)
+    return views
 
 
 def test_followers_have_the_widest_links() -> None:
-    rosters = [membership(f"a1-{i}") for i in range(6)]
-    links = [10, 200, 10, 200, 200, 10]
-    for r, link_mbps in zip(rosters, links, strict=True):
-        r.own = msgspec.structs.replace(r.own, link_mbps=link_mbps)
-        for i, other_mbps in enumerate(links):
-            r.hear(wide_beat(f"a1-{i}", 1, other_mbps), 0.0)
-    chosen = [r.own.link_mbps for r in rosters if r.elected(2, 0.0)]
+    views = heard_by_all(links(6), 0.0)
+    chosen = [r.own.link_mbps for r in views if r.elected(2, 0.0)]
     assert chosen == [200, 200]
 
 
-def test_a_large_region_is_told_to_few() -> None:
+def test_all_entries_see_the_same_aggregators_with_the_widest_links() -> None:
+    views = heard_by_all(links(20), 0.0)
+    chosen = {tuple(m.name for m in r.aggregators("a1", 0.0)) for r in views}
+    assert len(chosen) == 1
+    names = next(iter(chosen))
+    assert len(names) == AGGREGATORS
+    assert set(names) < {"a1-0", "a1-1", "a1-2"}
+    assert sum(r.is_aggregator(0.0) for r in views) == AGGREGATORS
+
+
+def test_an_aggregator_that_is_quiet_is_passed_over_before_it_counts_as_silent() -> (
+    None
+):
+    members = links(20)
+    r = Membership(members[9], Random(1))
+    for m in members:
+        hear(r, m.name, 0.0, link_mbps=m.link_mbps)
+    first, second = (m.name for m in r.aggregators("a1", 0.0))
+    late = AGGREGATOR_SILENCE_S + 0.1
+    r.digest_came(second, late)
+    assert late < SILENCE_S
+    chosen = [m.name for m in r.aggregators("a1", late)]
+    assert first not in chosen
+    assert second in chosen
+    assert len(chosen) == AGGREGATORS
+    assert first in [m.name for m in r.to_tell("a1", late)], "it must hear of it"
+    r.digest_came(first, late + 0.1)
+    assert [m.name for m in r.aggregators("a1", late + 0.1)] == [first, second]
+
+
+def test_an_aggregator_that_never_spoke_is_tried_again() -> None:
+    members = links(2)
+    r = Membership(members[1], Random(1))
+    for now in (0.0, AGGREGATOR_SILENCE_S + 0.1, AGGREGATOR_RETRY_S + 0.1):
+        hear(r, "a1-0", now, link_mbps=200)
+        r.aggregators("a1", now)
+    now = AGGREGATOR_RETRY_S + 0.1
+    assert "a1-0" in [m.name for m in r.aggregators("a1", now)]
+
+
+def test_a_domain_that_is_cut_off_is_tried_until_it_is_heard() -> None:
     r = membership()
-    for i in range(1, 40):
-        r.hear(heartbeat(f"a1-{i}"), 0.0)
-        r.hear(heartbeat(f"b1-{i}"), 0.0)
-    partners = r.partners()
-    assert len(partners) == NEAR_PARTNERS + FAR_PARTNERS
-    assert sum(p.startswith("g/b") for p in partners) == 2
+    for i in range(5):
+        hear(r, f"b1-{i}", 0.0)
+    late = FAR_SILENCE_S + 1.0
+    assert r.aggregators("b1", late) == []
+    assert 0 < len(r.to_tell("b1", late)) <= 2 * AGGREGATORS + 1
+
+
+def test_far_entries_are_given_more_time_than_near_ones() -> None:
+    r = membership()
+    hear(r, "a1-1", 0.0)
+    hear(r, "b1-1", 0.0)
+    later = SILENCE_S + 0.1
+    assert [m.name for m in r.live(later)] == ["b1-1"]
+    assert r.live(FAR_SILENCE_S + 0.1) == []
+
 
+def test_the_silence_that_counts_does_not_grow_with_the_number_of_entries() -> None:
+    """At 195 entries it was 13.6 s in a region when it followed their number."""
+    members = [member(f"a1-{i}") for i in range(195)]
+    r = Membership(members[0], Random(1))
+    for m in members:
+        hear(r, m.name, 0.0)
+    assert r.addresses("a", "a1", SERVING, SILENCE_S + 0.2) == ["f/a1-0"]
 
-def test_who_is_found_and_lost_is_told_once() -> None:
+
+def test_who_is_found_and_lost_is_logged_once() -> None:
     r = membership()
-    r.hear(heartbeat("a1-1"), 0.0)
+    hear(r, "a1-1", 0.0)
     assert r.changes(0.1) == [("a1-1", "heard", 0.0)]
     assert r.changes(0.2) == []
     assert r.changes(5.0) == [("a1-1", "silent", 5.0)]
     assert r.changes(6.0) == []
 
 
-def test_all_of_a_large_region_are_told_in_turn() -> None:
-    r = membership()
-    names = {f"a1-{i}" for i in range(1, 26)}
-    for name in names:
-        r.hear(heartbeat(name), 0.0)
-    told = {p for _ in range(7) for p in r.partners()}
-    assert told == {f"g/{n}" for n in names}
+SIGHTINGS = st.lists(
+    st.builds(
+        Sighting,
+        st.builds(
+            MemberRow,
+            st.just(member_id("a1-1")),
+            st.integers(1, 3),
+            st.sampled_from([STARTING, SERVING, LEAVING]),
+        ),
+        st.floats(0.0, 1.0).map(lambda at: round(at, 2)),
+    ),
+    min_size=1,
+    max_size=8,
+)
 
 
-def test_news_reach_a_large_region_in_a_few_steps() -> None:
-    names = [f"a1-{i}" for i in range(100)]
-    rosters = {f"g/{n}": membership(n) for n in names}
-    for r in rosters.values():
-        for n in names:
-            r.hear(heartbeat(n), 0.0)
-    told = newly = {"g/a1-0"}
-    steps = 0
-    while newly:
-        heard = {p for one in sorted(newly) for p in rosters[one].some()}
-        newly = heard - told
-        told = told | heard
-        steps += 1
-    assert len(told) >= 97
-    assert steps <= 7
+@settings(derandomize=True, deadline=None)
+@given(SIGHTINGS, st.randoms(use_true_random=False))
+def test_order_and_repeats_of_what_is_told_do_not_matter(
+    sightings: list[Sighting], shuffle: Random
+) -> None:
+    """The newest life wins, with its last state and its newest heartbeat."""
+    other = sightings + sightings[: len(sightings) // 2]
+    shuffle.shuffle(other)
+    found = []
+    for told in (sightings, other):
+        r = membership()
+        r.introduce(member("a1-1"), 0.0)
+        for one in told:
+            r.sight(one, 1.0)
+        found.append(r.sightings("a1"))
+    assert found[0] == found[1]
+    newest = max(s.row.incarnation for s in sightings)
+    of_life = [s for s in sightings if s.row.incarnation == newest]
+    row = MemberRow(member_id("a1-1"), newest, max(s.row.state for s in of_life))
+    assert found[0] == [Sighting(row, max(s.at for s in of_life))]
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(st.integers(1, 4), max_size=12))
+def test_an_old_life_never_comes_back_while_a_later_one_speaks(
+    incarnations: list[int],
+) -> None:
+    r = membership()
+    now = 0.0
+    for incarnation in incarnations:
+        now += 0.2
+        hear(r, "a1-1", now, incarnation=5)
+        hear(r, "a1-1", now, LEAVING, incarnation=incarnation)
+        assert "f/a1-1" in r.addresses("a", "a1", SERVING, now)
