--- a/leverdoor/entry/choice.py
+++ b/leverdoor/entry/choice.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from leverdoor.entry.fleet import Fleet, TargetState
+from leverdoor.entry.fleet import Fleet, RunTimes, TargetState
 from leverdoor.entry.requests import Placement, PlacementRequest
 from leverdoor.entry.times import DEFAULT_LATENCY_MS, TimeBook
 from leverdoor.entry.tuning import Tuning
@@ -148,6 +148,11 @@
         left = (request.until - now) * 1000 - times.fast_ms
         return min(wait, left)
 
+    def run_times(self, request: PlacementRequest) -> RunTimes:
+        """Return how long runs of such requests take."""
+        times = self._times.of(request.route, request.service)
+        return RunTimes(times.fast_ms / 1000, times.slow_ms / 1000)
+
     def warm_up_option(self, request: PlacementRequest, state: TargetState) -> Option:
         """Return the option of a target in its warm-up, where all runs are cold."""
         slow_ms = self._times.of(request.route, request.service).slow_ms
--- a/leverdoor/entry/fleet.py
+++ b/leverdoor/entry/fleet.py
@@ -6,10 +6,12 @@
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 
+import msgspec
+
 from leverdoor.entry.wire import TargetLoad
 from leverdoor.model.resources import Target
 
-__all__ = ["Allowance", "Fleet", "TargetState"]
+__all__ = ["Allowance", "Fleet", "RunTimes", "TargetState"]
 
 FIRST_EJECTION_S = 0.5
 """First ejection of a target that was not reached, in seconds; it doubles."""
@@ -22,10 +24,10 @@
 difference on the new site.
 """
 REPORT_DECAY_S = 0.15
-"""Time in which a target's own report of its load loses most of its meaning.
+"""Least time in which a target's report of its load loses most of its meaning.
 
-About one warm run (0.1 to 0.2 s on the users' sites): after that the requests
-that were reported are done, and others have come.
+It is one warm run where runs take longer: after that the requests that were
+reported are done, and others have come.
 """
 UNSEEN_MEMORY_S = 1.0
 """Time over which load that no heartbeat accounts for is averaged.
@@ -51,14 +53,24 @@
 STILL_SLOW = 2.4
 """Mean that a target has after such an ejection, until it answers well."""
 SILENCE_S = 1.2
-"""Silence of a target with requests after which it gets no more, in seconds.
+"""Least silence of a target with requests after which it gets no more, in seconds."""
+SILENT_RUNS = 2.0
+"""Cold runs that such a silence lasts at least.
 
-Chosen: twice the longest cold run of the users' sites.
+Guards against taking a target for dead while it runs its first requests cold: these
+take 3.5 s where a warm run takes 1.1 s.
 """
 SILENT_REQUESTS = 3
 """Requests that must be there for silence to count; chosen."""
 
 
+class RunTimes(msgspec.Struct, frozen=True):
+    """How long requests of one kind run at a target, in seconds."""
+
+    warm_s: float
+    cold_s: float
+
+
 class Allowance:
     """A rate of requests, spent one at a time; it saves up only one."""
 
@@ -105,6 +117,7 @@
         self._keys: OrderedDict[str, None] = OrderedDict()
         self._slowness = 1.0
         self._last_answer = now
+        self._times = RunTimes(0.0, 0.0)
         self._allowance: Allowance | None = None
 
     def renew(self, target: Target, now: float) -> None:
@@ -147,7 +160,8 @@
         others = max(self._in_flight_of_peers(now) + self._unseen, 0.0)
         if self._report is not None:
             at, reported = self._report
-            weight = math.exp(-max(now - at, 0.0) / REPORT_DECAY_S)
+            decay_s = max(REPORT_DECAY_S, self._times.warm_s)
+            weight = math.exp(-max(now - at, 0.0) / decay_s)
             others += weight * (reported - others)
         return self.in_flight + others
 
@@ -261,8 +275,15 @@
         slots = self.target.slots
         self._report = (now, max(slots * 2 - self.in_flight, 0))
 
-    def sent(self, now: float) -> None:
-        """Count a request that goes to the target."""
+    def sent(self, now: float, times: RunTimes | None = None) -> None:
+        """Count a request that goes to the target.
+
+        Args:
+          now: monotonic time in seconds.
+          times: how long such requests run; None if nothing is known of it.
+        """
+        if times is not None:
+            self._times = times
         if self.in_flight == 0:
             self._last_answer = now
         self.in_flight += 1
@@ -273,7 +294,8 @@
 
     def silent(self, now: float) -> bool:
         """Return whether several requests are there and none was answered lately."""
-        return self.in_flight >= SILENT_REQUESTS and now - self._last_answer > SILENCE_S
+        silence_s = max(SILENCE_S, SILENT_RUNS * self._times.cold_s)
+        return self.in_flight >= SILENT_REQUESTS and now - self._last_answer > silence_s
 
     def usable(self, now: float) -> bool:
         """Return whether new requests may go there, its warm-up aside."""
--- a/leverdoor/entry/placement.py
+++ b/leverdoor/entry/placement.py
@@ -220,14 +220,16 @@
         found = self._chooser.quickest(request, sound, reason, now)
         if found is None and slow:
             found = self._chooser.quickest(request, candidates, reason, now)
-        return None if found is None else self._take(found, reason, now)
+        return None if found is None else self._take(request, found, reason, now)
 
-    def _take(self, option: Option, reason: str, now: float) -> Placement:
+    def _take(
+        self, request: PlacementRequest, option: Option, reason: str, now: float
+    ) -> Placement:
         """Count a request at its target."""
         state = option.state
         load = state.load(now)
         age_ms = state.load_age_ms(now)
-        state.sent(now)
+        state.sent(now, self._chooser.run_times(request))
         return Placement(
             state.target,
             option.rank,
@@ -260,7 +262,7 @@
                 if per_s and not state.spend_allowance(share, now):
                     continue
                 option = self._chooser.warm_up_option(request, state)
-                return self._take(option, "cold", now)
+                return self._take(request, option, "cold", now)
         return None
 
     def _refuse(self, code: Code, reason: str) -> Rejection:
--- a/tests/test_entry_fleet.py
+++ b/tests/test_entry_fleet.py
@@ -8,7 +8,14 @@
 from hypothesis import strategies as st
 
 from desk import SLOTS, Desk, target
-from leverdoor.entry.fleet import PEER_TRUST_S, Allowance, Fleet
+from leverdoor.entry.fleet import (
+    PEER_TRUST_S,
+    SILENT_REQUESTS,
+    SILENT_RUNS,
+    Allowance,
+    Fleet,
+    RunTimes,
+)
 from leverdoor.entry.wire import TargetLoad
 
 
@@ -130,3 +137,21 @@
             state.ended()
         now += number * 0.05
         assert state.load(now) >= state.in_flight
+
+
+def test_a_target_that_runs_cold_requests_is_not_taken_for_silent() -> None:
+    """Cold runs of 3.5 s outlast the least silence three times."""
+    state = Fleet().of(target("t"), 0.0)
+    for _ in range(SILENT_REQUESTS):
+        state.sent(0.0, RunTimes(1.1, 3.5))
+    assert not state.silent(3.6)
+    assert state.silent(SILENT_RUNS * 3.5 + 0.1)
+
+
+def test_a_report_counts_for_as_long_as_a_run_takes() -> None:
+    """After 0.3 s most of the requests that it told of still run."""
+    state = Fleet().of(target("t"), 0.0)
+    state.sent(0.0, RunTimes(1.1, 3.5))
+    state.ended()
+    state.reported(TargetLoad(4, 0, SLOTS), 1.0)
+    assert state.load(1.3) > 3.0
