--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -30,7 +30,7 @@
 from leverdoor.gate.scheduler import Dispatch, Forward, Refuse, Scheduler
 from leverdoor.membership import ownership
 from leverdoor.membership.ownership import Ack, Member, Table, plan
-from leverdoor.membership.peers import Beat, GateState
+from leverdoor.membership.peers import GateState, Heartbeat
 from leverdoor.model.resources import (
     Region,
     Resource,
@@ -127,7 +127,7 @@
     def hint(i: int) -> None:
         gate = gates[i]
         gate.seq += 1
-        beat = Beat(
+        heartbeat = Heartbeat(
             f"vm{i}",
             "r",
             f"d{i % 2}",
@@ -143,11 +143,11 @@
         )
         for j in range(setup.gates):
             if j != i:
-                clock.at(clock.now + HOP_S, lambda j=j: heard(j, beat))
+                clock.at(clock.now + HOP_S, lambda j=j: heard(j, heartbeat))
         clock.at(clock.now + setup.hint_s, lambda: hint(i))
 
-    def heard(j: int, beat: Beat) -> None:
-        gates[j].scheduler.neighbours.hear([beat], clock.now)
+    def heard(j: int, heartbeat: Heartbeat) -> None:
+        gates[j].scheduler.neighbours.hear([heartbeat], clock.now)
         poll(j)
 
     def tick(i: int) -> None:
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -29,7 +29,7 @@
     plan,
     serialize_table,
 )
-from leverdoor.membership.peers import Beat, GateState, Gossip, Load, Peers
+from leverdoor.membership.peers import GateState, Gossip, Heartbeat, Load, Peers
 from leverdoor.model.blocks import BlockMap, compile_chunk
 from leverdoor.model.resources import (
     ClientBlocks,
@@ -139,9 +139,9 @@
     return found
 
 
-def beat(i: int, region: str = "r", seq: int = 1) -> Beat:
+def heartbeat(i: int, region: str = "r", seq: int = 1) -> Heartbeat:
     loads = {s: Load(60, 20, 3, 21.5) for s in ("call-records", "disputes", "records")}
-    return Beat(
+    return Heartbeat(
         vm=f"vm{i:04}",
         region=region,
         domain=f"{region}-{i % 2}",
@@ -180,8 +180,8 @@
         kept = (state, ViewCache(state))
     else:
         peers = Peers("vm", "r")
-        raw = [pack(beat(i, f"r{i % 28}")) for i in range(size)]
-        peers.merge((unpack(b, Beat) for b in raw), 0.0)
+        raw = [pack(heartbeat(i, f"r{i % 28}")) for i in range(size)]
+        peers.merge((unpack(b, Heartbeat) for b in raw), 0.0)
         kept = peers
     gc.collect()
     used = rss_kb() - before
@@ -268,7 +268,7 @@
     points, sent = [], []
     for peers_known in (90, 625, 1_250, 2_500):
         peers = Peers("vm0000", "r0")
-        peers.merge((beat(i, f"r{i % 28}") for i in range(peers_known)), 0.0)
+        peers.merge((heartbeat(i, f"r{i % 28}") for i in range(peers_known)), 0.0)
         rng = Random(1)
         data = zlib.compress(pack(peers.message(rng, 0.0)), 1)
         sent.append((peers_known, len(data)))
@@ -283,16 +283,18 @@
     fit("composing one gossip round, by peers known", "ms", points)
     fit("one gossip message, by peers known", "bytes", sent)
     raw = [
-        zlib.compress(pack(Gossip([beat(i, seq=n + 1) for i in range(n, n + 6)])), 1)
+        zlib.compress(
+            pack(Gossip([heartbeat(i, seq=n + 1) for i in range(n, n + 6)])), 1
+        )
         for n in range(500)
     ]
 
     known = Peers("vm", "r")
-    known.merge((beat(i, seq=0) for i in range(2_500)), 0.0)
+    known.merge((heartbeat(i, seq=0) for i in range(2_500)), 0.0)
 
     def take(data: Sequence[bytes]) -> None:
         for d in data:
-            known.merge(unpack(zlib.decompress(d), Gossip).beats, 0.0)
+            known.merge(unpack(zlib.decompress(d), Gossip).heartbeats, 0.0)
 
     taken = [(n, cpu(lambda n=n: take(raw[:n])) * 1000) for n in (125, 250, 375, 500)]  # type: ignore[misc]
     fit("taking a gossip message", "ms", taken)
--- a/leverdoor/agent/daemon.py
+++ b/leverdoor/agent/daemon.py
@@ -19,7 +19,7 @@
 from leverdoor.daemon import keep_running
 from leverdoor.errors import LeverdoorError
 from leverdoor.membership.gossip import GossipSocket
-from leverdoor.membership.peers import Beat, Gossip, Peers
+from leverdoor.membership.peers import Gossip, Heartbeat, Peers
 from leverdoor.metrics import AgentMetrics
 from leverdoor.model.targets import Probe
 from leverdoor.settings import AgentSettings
@@ -59,7 +59,7 @@
         self._gates: dict[bytes, float] = {}
         self._report: GateReport | None = None
         self._report_at = 0.0
-        self._news: dict[str, Beat] = {}
+        self._news: dict[str, Heartbeat] = {}
 
     def stop(self) -> None:
         """Ask the agent to end; its gate goes on serving."""
@@ -130,7 +130,7 @@
         self._socket = GossipSocket(Gossip, self._take_gossip)
         await self._socket.open(s.gossip)
         self._state.changes.subscribe(self._push_delta)
-        self._beat()
+        self._heartbeat()
 
     async def _close(self) -> None:
         self._socket.close()
@@ -149,12 +149,12 @@
 
     # Membership.
 
-    def _beat(self) -> Beat:
+    def _heartbeat(self) -> Heartbeat:
         """Renew this VM's own heartbeat."""
         s = self._settings
         now = self._now()
         self._seq += 1
-        beat = Beat(
+        heartbeat = Heartbeat(
             vm=s.vm,
             region=s.region,
             domain=s.domain,
@@ -168,8 +168,8 @@
         )
         r = self._report
         if r is not None and now - self._report_at <= GATE_SILENCE_S:
-            beat = msgspec.structs.replace(
-                beat,
+            heartbeat = msgspec.structs.replace(
+                heartbeat,
                 gate=r.gate,
                 relay=r.relay,
                 incarnation=r.incarnation,
@@ -180,15 +180,15 @@
                 caps=r.caps,
                 draining=r.draining,
             )
-        self._peers.merge([beat], now)
-        return beat
+        self._peers.merge([heartbeat], now)
+        return heartbeat
 
     async def _gossip_loop(self) -> None:
         interval = self._settings.gossip_interval_ms / 1000
         seeds = [str(a) for a in self._settings.seeds if a != self._settings.gossip]
         while True:
             now = self._now()
-            self._beat()
+            self._heartbeat()
             if self._seq % MEASURE_BEATS == 0:
                 self._peers.forget(now)
             message = self._peers.message(self._rng, now)
@@ -208,9 +208,9 @@
         m.gossip_bytes.labels("received").set(self._socket.received_bytes)
 
     def _take_gossip(self, gossip: Gossip) -> None:
-        news = self._peers.merge(gossip.beats, self._now())
-        for beat in news:
-            self._news[beat.vm] = beat
+        news = self._peers.merge(gossip.heartbeats, self._now())
+        for heartbeat in news:
+            self._news[heartbeat.vm] = heartbeat
         ahead = [b for b in news if b.revision > self._state.revision]
         if ahead:
             best = max(ahead, key=lambda b: b.revision)
@@ -222,15 +222,15 @@
     def leaving_vms(self) -> frozenset[str]:
         """VMs that leave, by this agent's readings and its region's watchers'."""
         found = set(self._leaving_vms)
-        for beat in self._peers.live_near(self._now()):
-            found |= set(beat.leaving_vms)
+        for heartbeat in self._peers.live_near(self._now()):
+            found |= set(heartbeat.leaving_vms)
         return frozenset(found)
 
     def departed(self) -> frozenset[str]:
         """Identities of processes that are proved to be gone."""
         found = set(self._departed)
-        for beat in self._peers.live_near(self._now()):
-            found |= set(beat.departed)
+        for heartbeat in self._peers.live_near(self._now()):
+            found |= set(heartbeat.departed)
         return frozenset(found)
 
     async def _list_loop(self) -> None:
@@ -298,7 +298,7 @@
             return
         now = self._now()
         hints = Hints(
-            beats=list(self._news.values()),
+            heartbeats=list(self._news.values()),
             leaving_vms=sorted(self.leaving_vms()),
             probes=self._probes,
             incarnation_floor=self._floor(self._report),
--- a/leverdoor/agent/planning.py
+++ b/leverdoor/agent/planning.py
@@ -87,10 +87,12 @@
         Nothing is computed again while nothing that it rests on has changed.
         """
         now = asyncio.get_running_loop().time()
-        beats = self._peers.live_near(now)
-        live = [Member(b.vm, b.gate, b.incarnation, b.domain) for b in beats if b.gate]
-        stopping = {b.vm for b in beats if b.state is GateState.LEAVING}
-        drained = {b.vm for b in beats if self._cache.view.vm_drained(b.vm)}
+        heartbeats = self._peers.live_near(now)
+        live = [
+            Member(b.vm, b.gate, b.incarnation, b.domain) for b in heartbeats if b.gate
+        ]
+        stopping = {b.vm for b in heartbeats if b.state is GateState.LEAVING}
+        drained = {b.vm for b in heartbeats if self._cache.view.vm_drained(b.vm)}
         leaving = self._leaving() | stopping | drained
         gone = self._gone()
         table = self._cache.table(self._region)
--- a/leverdoor/agent/reports.py
+++ b/leverdoor/agent/reports.py
@@ -117,20 +117,20 @@
 
     def in_force(self, revision: int) -> tuple[int, int]:
         """Count the serving entries that have a revision in force, and all."""
-        gates = [p.beat for p in self._live() if p.beat.gate]
+        gates = [p.heartbeat for p in self._live() if p.heartbeat.gate]
         return sum(b.gate_revision >= revision for b in gates), len(gates)
 
     def _entries(self) -> list[EntryLine]:
         now = asyncio.get_running_loop().time()
         return [
             EntryLine(
-                p.beat.vm,
-                p.beat.region,
-                p.beat.domain,
-                p.beat.state.value,
-                p.beat.gate,
-                p.beat.gate_revision,
-                sum(load.held for load in p.beat.loads.values()),
+                p.heartbeat.vm,
+                p.heartbeat.region,
+                p.heartbeat.domain,
+                p.heartbeat.state.value,
+                p.heartbeat.gate,
+                p.heartbeat.gate_revision,
+                sum(load.held for load in p.heartbeat.loads.values()),
                 int((now - p.heard_at) * 1000),
             )
             for p in self._live()
@@ -140,9 +140,9 @@
         lines = []
         for (service, region), targets in sorted(self._cache.view.by_place.items()):
             loads = [
-                p.beat.loads[service]
+                p.heartbeat.loads[service]
                 for p in self._live()
-                if p.beat.region == region and service in p.beat.loads
+                if p.heartbeat.region == region and service in p.heartbeat.loads
             ]
             lines.append(
                 HeadroomLine(
@@ -161,7 +161,7 @@
         for cap in sorted(self._cache.view.caps.values(), key=lambda c: c.name):
             row = cap_row(cap.service, cap.region)
             held = self._cache.table(cap.region).rows.get(row)
-            free = sum(p.beat.caps.get(row, 0) for p in self._live())
+            free = sum(p.heartbeat.caps.get(row, 0) for p in self._live())
             units = sum(held.held.values()) if held else 0
             lines.append(ShiftLine(cap.service, cap.region, cap.units, units, free))
         return lines
@@ -170,7 +170,7 @@
         view = self._cache.view
         in_flight: dict[str, int] = {}
         for p in self._live():
-            for target, n in p.beat.draining.items():
+            for target, n in p.heartbeat.draining.items():
                 in_flight[target] = in_flight.get(target, 0) + n
         lines = []
         for drain in sorted(view.drains.values(), key=lambda d: d.name):
@@ -181,9 +181,9 @@
 
     async def _burn(self) -> tuple[list[BurnLine], list[str]]:
         """Ask every live gate and merge what they count."""
-        beats = [p.beat for p in self._live() if p.beat.relay]
-        parts = await asyncio.gather(*(self._series(b.relay) for b in beats))
-        missing = [b.vm for b, p in zip(beats, parts, strict=True) if p is None]
+        heartbeats = [p.heartbeat for p in self._live() if p.heartbeat.relay]
+        parts = await asyncio.gather(*(self._series(b.relay) for b in heartbeats))
+        missing = [b.vm for b, p in zip(heartbeats, parts, strict=True) if p is None]
         merged = merge_series(s for p in parts if p for s in p)
         return summarize(merged, self._cache.view.levels.values()), missing
 
--- a/leverdoor/commands/experiment.py
+++ b/leverdoor/commands/experiment.py
@@ -159,7 +159,7 @@
     ):
         entries = sum(size.site.entries.values())
         sent = sum(r.heartbeat_bytes for r in results) / len(results)
-        beats = round(sent / entries / size.seconds)
-        row = {vary: number, "entries": entries, "heartbeat_B_s": beats}
+        heartbeats = round(sent / entries / size.seconds)
+        row = {vary: number, "entries": entries, "heartbeat_B_s": heartbeats}
         rows.append(row | _mean_row(results))
     show(rows, output)
--- a/leverdoor/emulator/entries.py
+++ b/leverdoor/emulator/entries.py
@@ -117,7 +117,7 @@
 
     # Heartbeats.
 
-    def beat(self, send: Callable[[Message, list[str]], None]) -> None:
+    def round(self, send: Callable[[Message, list[str]], None]) -> None:
         """Send heartbeats and digests, move the regions' shares, as the daemon does."""
         now = self._clock.now
         self._rounds += 1
--- a/leverdoor/emulator/world.py
+++ b/leverdoor/emulator/world.py
@@ -64,7 +64,8 @@
         self._tell_store()
         rng = self.generator("phases")
         for entry in self._entries:
-            self.clock.at(rng.random() * HEARTBEAT_S, lambda e=entry: self._beat(e))  # type: ignore[misc]
+            first = rng.random() * HEARTBEAT_S
+            self.clock.at(first, lambda e=entry: self._round(e))  # type: ignore[misc]
         for load in self.experiment.load:
             for place, region in enumerate(self.experiment.site.entries):
                 Clients(self, load, region, place).start()
@@ -138,10 +139,10 @@
 
     # Heartbeats.
 
-    def _beat(self, entry: EmulatedEntry) -> None:
+    def _round(self, entry: EmulatedEntry) -> None:
         if entry.member.name not in self._away:
-            entry.beat(lambda message, to: self._send(entry, message, to))
-        self.clock.after(HEARTBEAT_S, lambda: self._beat(entry))
+            entry.round(lambda message, to: self._send(entry, message, to))
+        self.clock.after(HEARTBEAT_S, lambda: self._round(entry))
 
     def _send(self, entry: EmulatedEntry, message: Message, to: list[str]) -> None:
         site = self.experiment.site
--- a/leverdoor/entry/digests.py
+++ b/leverdoor/entry/digests.py
@@ -205,9 +205,9 @@
         data = bytes(min(max(counts.get(n, 0), 0), MOST_COUNTED) for n in names)
         return RegionCounts(region, key, data)
 
-    def parse(self, told: RegionCounts) -> dict[str, int] | None:
+    def parse(self, loads: RegionCounts) -> dict[str, int] | None:
         """Parse counts; None if they refer to a list that is not known here."""
-        names = self._recent.get((told.region, told.hash))
-        if names is None or len(names) != len(told.counts):
+        names = self._recent.get((loads.region, loads.hash))
+        if names is None or len(names) != len(loads.counts):
             return None
-        return {n: c for n, c in zip(names, told.counts, strict=True) if c}
+        return {n: c for n, c in zip(names, loads.counts, strict=True) if c}
--- a/leverdoor/entry/exchange.py
+++ b/leverdoor/entry/exchange.py
@@ -76,7 +76,7 @@
 PART_TRUST_S = 2.5
 """Age up to which the counts of another domain or region are summed, as a target's
 load by its own report would be."""
-TOLD_KEPT = 32
+OWN_COUNTS_KEPT = 32
 """Own heartbeats whose counts are kept, to subtract them from what comes back."""
 KEPT_ROWS = 512
 """Serialized rows kept by hash; some for each of the aim's 56 failure domains."""
@@ -134,7 +134,7 @@
         self._turn = member_id(self._own.name) % 1_000
         """Counts rounds; entries start at different places in their rotations."""
         self._seq = 0
-        self._told: OrderedDict[int, dict[str, int]] = OrderedDict()
+        self._own_counts: OrderedDict[int, dict[str, int]] = OrderedDict()
         self._heartbeats: dict[str, tuple[float, Heartbeat]] = {}
         self._member_shares: dict[str, Shares] = {}
         self._domains: dict[str, _Part] = {}
@@ -248,8 +248,8 @@
 
     def _parse_counts(self, digest: Digest) -> dict[str, int]:
         found: dict[str, int] = {}
-        for told in digest.loads:
-            found.update(self.lists.parse(told) or {})
+        for loads in digest.loads:
+            found.update(self.lists.parse(loads) or {})
         return found
 
     def _take_total(self, digest: Digest, now: float) -> dict[str, int] | None:
@@ -259,14 +259,14 @@
         if self._membership.is_aggregator(now):
             self._fellow_round = (now, digest.turn)
             return None
-        for told in digest.loads:
-            counts = self.lists.parse(told)
+        for loads in digest.loads:
+            counts = self.lists.parse(loads)
             if counts is not None:
-                self._totals[told.region] = self._without_own(counts, digest)
+                self._totals[loads.region] = self._without_own(counts, digest)
         return _merged(self._totals.values())
 
     def _without_own(self, counts: dict[str, int], digest: Digest) -> dict[str, int]:
-        own = self._told.get(self._own_seq(digest), {})
+        own = self._own_counts.get(self._own_seq(digest), {})
         return {n: c - own.get(n, 0) for n, c in counts.items() if c > own.get(n, 0)}
 
     def _own_seq(self, digest: Digest) -> int:
@@ -298,9 +298,9 @@
     def heartbeat(self, report: Report) -> Heartbeat:
         """Return the next heartbeat."""
         self._seq += 1
-        self._told[self._seq % 256] = report.in_flight
-        while len(self._told) > TOLD_KEPT:
-            self._told.popitem(last=False)
+        self._own_counts[self._seq % 256] = report.in_flight
+        while len(self._own_counts) > OWN_COUNTS_KEPT:
+            self._own_counts.popitem(last=False)
         return Heartbeat(
             self._own,
             self._seq,
@@ -522,8 +522,8 @@
         rows = serialize_rows(s.row for s in sightings)
         key = rows_hash(rows)
         ages = serialize_ages(now - s.at for s in sightings)
-        told = rows if self._tells_rows(domain, key, now) else b""
-        return DomainView(domain, key, told, ages, seqs)
+        sent_rows = rows if self._tells_rows(domain, key, now) else b""
+        return DomainView(domain, key, sent_rows, ages, seqs)
 
     def _seq_of(self, row: MemberRow) -> int:
         name = self._membership.name(row.id)
@@ -588,8 +588,8 @@
         return self._digested[1]
 
     def _domain_shares(self, report: Report) -> tuple[int, Shares]:
-        told = [(1, s) for s in self._member_shares.values()]
-        return _mean([(1, report.shares), *told])
+        members = [(1, s) for s in self._member_shares.values()]
+        return _mean([(1, report.shares), *members])
 
     def _region_shares(self, report: Report) -> tuple[int, Shares]:
         domains = [(p.entries, p.shares) for p in self._domains.values()]
--- a/leverdoor/entry/joining.py
+++ b/leverdoor/entry/joining.py
@@ -22,7 +22,7 @@
 
 TRIES = 3
 """Groups of peers asked for the state, one after the other."""
-ASKED = 2
+PEERS_AT_ONCE = 2
 """Peers asked at once; one may be dead."""
 TRY_S = 0.25
 """Longest wait for one group, in seconds; an answer takes some 10 ms within a region.
@@ -103,10 +103,10 @@
         if rank is not None and rank < watchers:
             return
         for _ in range(TRIES):
-            asked = self._choose()
-            if not asked or self._has_state.is_set():
+            peers = self._choose()
+            if not peers or self._has_state.is_set():
                 break
-            if await self._puller.pull_any(asked, TRY_S):
+            if await self._puller.pull_any(peers, TRY_S):
                 break
         if not self._has_state.is_set():
             await self._wait(self._patience_s(watchers))
@@ -119,9 +119,9 @@
         """Choose peers to ask: of the own domain while there are some, by chance."""
         live, silent = self._membership.in_own_domain(0.0)
         near = [*live, *silent]
-        if len(near) < ASKED:
+        if len(near) < PEERS_AT_ONCE:
             near = self._membership.in_own_region()
-        chosen = self._rng.sample(near, min(ASKED, len(near)))
+        chosen = self._rng.sample(near, min(PEERS_AT_ONCE, len(near)))
         return [member.pull for member in chosen]
 
     def _patience_s(self, watchers: int) -> float:
--- a/leverdoor/gate/front.py
+++ b/leverdoor/gate/front.py
@@ -134,10 +134,10 @@
         ):
             held = own.held if own else 0
             found.append(LookupEntry(self.address, self._region, held + 1))
-        for beat in self._scheduler.usable_gates(now):
-            load = beat.loads.get(service.name)
+        for heartbeat in self._scheduler.usable_gates(now):
+            load = heartbeat.loads.get(service.name)
             held = load.held if load else 0
-            found.append(LookupEntry(beat.gate, beat.region, held + 1))
+            found.append(LookupEntry(heartbeat.gate, heartbeat.region, held + 1))
         view = self._scheduler.view
         found.sort(key=lambda e: (view.distance_ms(home, e.region), -e.weight))
         return found[:MAX_ENTRIES]
--- a/leverdoor/gate/neighbours.py
+++ b/leverdoor/gate/neighbours.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from leverdoor.membership.peers import Beat, GateState, Peer
+from leverdoor.membership.peers import GateState, Heartbeat, Peer
 from leverdoor.model.targets import ASSUMED_MS
 
 __all__ = ["Neighbour", "Neighbours", "RegionLoad"]
@@ -37,19 +37,19 @@
     out_until: float = 0.0
 
     @property
-    def beat(self) -> Beat:
-        """The latest beat."""
-        return self.peer.beat
+    def heartbeat(self) -> Heartbeat:
+        """The latest heartbeat."""
+        return self.peer.heartbeat
 
     def refresh(self) -> None:
-        """Start from the latest beat again."""
-        self.free = {s: v.free - v.waiting for s, v in self.beat.loads.items()}
+        """Start from the latest heartbeat again."""
+        self.free = {s: v.free - v.waiting for s, v in self.heartbeat.loads.items()}
         self.sent = {}
-        self.caps = dict(self.beat.caps)
+        self.caps = dict(self.heartbeat.caps)
 
     def wait_ms(self, service: str) -> float | None:
         """Estimate the wait of one more request there; None if it holds nothing."""
-        load = self.beat.loads.get(service)
+        load = self.heartbeat.loads.get(service)
         if load is None or not load.held:
             return None
         queued = load.waiting - load.free + self.sent.get(service, 0) + 1
@@ -63,7 +63,7 @@
         """Create an empty book.
 
         Args:
-          vm: this VM, whose own beats are left out.
+          vm: this VM, whose own heartbeats are left out.
           leaving: says whether a VM leaves.
           rng: where all chance comes from.
         """
@@ -72,26 +72,26 @@
         self._rng = rng
         self._known: dict[str, Neighbour] = {}
 
-    def hear(self, beats: Iterable[Beat], now: float) -> None:
+    def hear(self, heartbeats: Iterable[Heartbeat], now: float) -> None:
         """Take hints that are newer than those known."""
-        for beat in beats:
-            if beat.vm == self._vm or not beat.gate:
+        for heartbeat in heartbeats:
+            if heartbeat.vm == self._vm or not heartbeat.gate:
                 continue
-            n = self._known.get(beat.vm)
+            n = self._known.get(heartbeat.vm)
             if n is None:
-                n = self._known[beat.vm] = Neighbour(Peer(beat, now))
-            elif beat.newer(n.beat):
-                if beat.incarnation != n.beat.incarnation:
+                n = self._known[heartbeat.vm] = Neighbour(Peer(heartbeat, now))
+            elif heartbeat.newer(n.heartbeat):
+                if heartbeat.incarnation != n.heartbeat.incarnation:
                     n.out_until = 0.0
-                n.peer.hear(beat, now)
+                n.peer.hear(heartbeat, now)
             else:
                 continue
             n.refresh()
 
-    def get(self, vm: str) -> Beat | None:
-        """Return the latest beat of a VM, however old."""
+    def get(self, vm: str) -> Heartbeat | None:
+        """Return the latest heartbeat of a VM, however old."""
         found = self._known.get(vm)
-        return found.beat if found else None
+        return found.heartbeat if found else None
 
     def lost(self, vm: str, now: float) -> None:
         """Leave a gate alone for a while after a failed connection."""
@@ -108,19 +108,19 @@
         return [
             n
             for n in self._known.values()
-            if region in ("", n.beat.region)
-            and n.beat.state is GateState.SERVING
+            if region in ("", n.heartbeat.region)
+            and n.heartbeat.state is GateState.SERVING
             and now >= n.out_until
             and not n.peer.silent(now)
-            and not self._leaving(n.beat.vm)
+            and not self._leaving(n.heartbeat.vm)
         ]
 
     def load(self, service: str, region: str, now: float) -> RegionLoad:
         """Add up what the gates of a region say."""
         loads = [
-            n.beat.loads[service]
+            n.heartbeat.loads[service]
             for n in self.usable(now, region)
-            if service in n.beat.loads
+            if service in n.heartbeat.loads
         ]
         return RegionLoad(
             sum(v.held for v in loads),
--- a/leverdoor/gate/scheduler.py
+++ b/leverdoor/gate/scheduler.py
@@ -14,7 +14,7 @@
 from leverdoor.gate.queueing import Job, WaitQueue
 from leverdoor.gate.shifts import ShiftLimiter, rate_out
 from leverdoor.membership.ownership import cap_row, slot_row
-from leverdoor.membership.peers import Beat, Load
+from leverdoor.membership.peers import Heartbeat, Load
 from leverdoor.model.resources import Service, Target, Work
 from leverdoor.model.targets import ASSUMED_MS, TargetBook
 from leverdoor.storage.view import View
@@ -104,9 +104,9 @@
         """Return whether a VM leaves by the platform's word or by a drain."""
         return vm in self.pool.leaving_vms or self.view.vm_drained(vm)
 
-    def usable_gates(self, now: float) -> list[Beat]:
-        """Beats of the other gates that can be used now."""
-        return [n.beat for n in self.neighbours.usable(now)]
+    def usable_gates(self, now: float) -> list[Heartbeat]:
+        """Heartbeats of the other gates that can be used now."""
+        return [n.heartbeat for n in self.neighbours.usable(now)]
 
     def loads(self, now: float) -> dict[str, Load]:
         """Return this gate's own room for each service."""
@@ -182,7 +182,7 @@
         )
         if found is None:
             return None
-        return Forward(found.beat.vm, found.beat.relay, self.region)
+        return Forward(found.heartbeat.vm, found.heartbeat.relay, self.region)
 
     def evictable(self, job: Job) -> Job | None:
         """Return a waiting job that should make way for one of a higher tier."""
@@ -303,7 +303,7 @@
         return sorted(names, key=lambda r: (self.view.distance_ms(job.home, r), r))
 
     def _should_spill(self, job: Job, region: str, now: float) -> bool:
-        """Return whether leaving a region beats waiting in it."""
+        """Return whether leaving a region heartbeats waiting in it."""
         if region != job.home:
             return True
         load = self._region_load(job.service, region, now)
@@ -365,7 +365,7 @@
         found = self.neighbours.with_room(job.service, region, cap, now)
         if found is None:
             return None
-        return Forward(found.beat.vm, found.beat.relay, region)
+        return Forward(found.heartbeat.vm, found.heartbeat.relay, region)
 
     def _refuse(self, code: Code, job: Job, now: float) -> Refuse:
         """Refuse with when to come back, spread so callers don't return together."""
--- a/leverdoor/membership/peers.py
+++ b/leverdoor/membership/peers.py
@@ -11,7 +11,7 @@
 
 from leverdoor.membership.ownership import Ack
 
-__all__ = ["Beat", "GateState", "Gossip", "Load", "Peer", "Peers"]
+__all__ = ["Heartbeat", "GateState", "Gossip", "Load", "Peer", "Peers"]
 
 LEAST_SILENCE_S = 1.5
 """Least silence after which a peer passes for gone, in seconds; chosen."""
@@ -51,7 +51,7 @@
     mean_ms: float = 0.0
 
 
-class Beat(msgspec.Struct, frozen=True, array_like=True):
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
     """One VM's heartbeat: its agent, its gate, and how loaded the gate is."""
 
     vm: str
@@ -74,8 +74,8 @@
     leaving_vms: list[str] = []
     draining: dict[str, int] = {}
 
-    def newer(self, other: "Beat") -> bool:
-        """Return whether this beat supersedes another of the same VM."""
+    def newer(self, other: "Heartbeat") -> bool:
+        """Return whether this heartbeat supersedes another of the same VM."""
         return (self.agent, self.seq) > (other.agent, other.seq)
 
     @property
@@ -85,30 +85,30 @@
 
 
 class Gossip(msgspec.Struct, frozen=True, array_like=True):
-    """One gossip message: the sender's own beat first, then others."""
+    """One gossip message: the sender's own heartbeat first, then others."""
 
-    beats: list[Beat]
+    heartbeats: list[Heartbeat]
 
 
 class Peer(msgspec.Struct):
-    """The latest beat of a VM, when it arrived here, and how often they do.
+    """The latest heartbeat of a VM, when it arrived here, and how often they do.
 
     In a large fleet most peers are heard through others and seldom, so how
     long a silence means anything depends on how often a peer was heard.
     """
 
-    beat: Beat
+    heartbeat: Heartbeat
     heard_at: float
     gap_s: float = 0.0
 
-    def hear(self, beat: Beat, now: float) -> None:
-        """Take a newer beat."""
+    def hear(self, heartbeat: Heartbeat, now: float) -> None:
+        """Take a newer heartbeat."""
         self.gap_s += GAP_WEIGHT * (now - self.heard_at - self.gap_s)
-        self.beat = beat
+        self.heartbeat = heartbeat
         self.heard_at = now
 
     def silent(self, now: float) -> bool:
-        """Return whether beats have stayed away for too long."""
+        """Return whether heartbeats have stayed away for too long."""
         patience = max(LEAST_SILENCE_S, min(GAPS_MISSED * self.gap_s, MOST_SILENCE_S))
         return now - self.heard_at > patience
 
@@ -132,22 +132,22 @@
         self._ring: list[str] = []
         self.known: dict[str, Peer] = {}
 
-    def merge(self, beats: Iterable[Beat], now: float) -> list[Beat]:
-        """Take beats that are newer than those known.
+    def merge(self, heartbeats: Iterable[Heartbeat], now: float) -> list[Heartbeat]:
+        """Take heartbeats that are newer than those known.
 
-        Returns: the beats that were news.
+        Returns: the heartbeats that were news.
         """
         news = []
-        for beat in beats:
-            have = self.known.get(beat.vm)
+        for heartbeat in heartbeats:
+            have = self.known.get(heartbeat.vm)
             if have is None:
-                self.known[beat.vm] = Peer(beat, now)
+                self.known[heartbeat.vm] = Peer(heartbeat, now)
                 self._changed = True
-            elif beat.newer(have.beat):
-                have.hear(beat, now)
+            elif heartbeat.newer(have.heartbeat):
+                have.hear(heartbeat, now)
             else:
                 continue
-            news.append(beat)
+            news.append(heartbeat)
         return news
 
     def forget(self, now: float) -> None:
@@ -162,7 +162,9 @@
         if not self._changed:
             return
         self._changed = False
-        others = [p.beat for p in self.known.values() if p.beat.vm != self._vm]
+        others = [
+            p.heartbeat for p in self.known.values() if p.heartbeat.vm != self._vm
+        ]
         self._near = [b.vm for b in others if b.region == self._region]
         self._far = [b.vm for b in others if b.region != self._region]
         mine = _place(self._vm)
@@ -172,37 +174,41 @@
     def live(self, now: float) -> list[Peer]:
         """VMs heard from lately, in the order of their names."""
         found = [p for p in self.known.values() if not p.silent(now)]
-        return sorted(found, key=lambda p: p.beat.vm)
+        return sorted(found, key=lambda p: p.heartbeat.vm)
 
-    def live_near(self, now: float) -> list[Beat]:
-        """Beats of this region's live VMs, this one's included, by name."""
+    def live_near(self, now: float) -> list[Heartbeat]:
+        """Heartbeats of this region's live VMs, this one's included, by name."""
         self._arrange()
         names = sorted([*self._near, *([self._vm] if self._vm in self.known else [])])
         peers = [self.known[vm] for vm in names]
-        return [p.beat for p in peers if not p.silent(now)]
+        return [p.heartbeat for p in peers if not p.silent(now)]
 
     def acks(self) -> dict[str, Ack]:
         """The latest acknowledgement of each gate process of the region."""
         self._arrange()
         peers = [self.known.get(vm) for vm in (*self._near, self._vm)]
-        return {p.beat.identity: p.beat.ack for p in peers if p and p.beat.gate}
+        return {
+            p.heartbeat.identity: p.heartbeat.ack
+            for p in peers
+            if p and p.heartbeat.gate
+        }
 
     def message(self, rng: Random, now: float) -> Gossip:
-        """Compose a gossip message: own beat, and a sample of live others."""
+        """Compose a gossip message: own heartbeat, and a sample of live others."""
         self._arrange()
         own = self.known.get(self._vm)
         quota = round(MESSAGE_BEATS * SAME_REGION_BIAS)
         picked = self._sample(self._near, quota, rng, now)
         picked += self._sample(self._far, MESSAGE_BEATS - len(picked), rng, now)
-        return Gossip(([own.beat] if own else []) + picked)
+        return Gossip(([own.heartbeat] if own else []) + picked)
 
     def _sample(
         self, names: list[str], count: int, rng: Random, now: float
-    ) -> list[Beat]:
+    ) -> list[Heartbeat]:
         """Draw live peers; a silent one that is drawn is left out."""
         drawn = rng.sample(names, min(len(names), count))
         peers = [self.known[vm] for vm in drawn]
-        return [p.beat for p in peers if not p.silent(now)]
+        return [p.heartbeat for p in peers if not p.silent(now)]
 
     def partners(self, rng: Random, seeds: Iterable[str]) -> list[str]:
         """Choose who gets gossip: one in the region, one anywhere else.
@@ -219,7 +225,7 @@
             chosen.append(self._ring[self._turn % len(self._ring)])
         if self._far:
             chosen.append(rng.choice(self._far))
-        addresses = {self.known[vm].beat.gossip for vm in chosen}
+        addresses = {self.known[vm].heartbeat.gossip for vm in chosen}
         extra = list(seeds)
         others = len(self._near) + len(self._far)
         if extra and rng.random() < 1 / (1 + others):
--- a/tests/test_keyed.py
+++ b/tests/test_keyed.py
@@ -106,8 +106,8 @@
     peers = bench.gates["vm01"]._scheduler
 
     def known() -> bool:
-        beat = peers.neighbours.get("vm00")
-        return beat is not None and beat.incarnation > old
+        heartbeat = peers.neighbours.get("vm00")
+        return heartbeat is not None and heartbeat.incarnation > old
 
     await until(known)
     for vm in ("vm00", "vm01"):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,39 +8,39 @@
     LEAST_SILENCE_S,
     MOST_SILENCE_S,
     RING,
-    Beat,
+    Heartbeat,
     Peers,
 )
 
 
-def beat(vm: str, seq: int = 1, region: str = "r0", agent: int = 1) -> Beat:
-    return Beat(vm, region, f"{region}-0", f"{vm}:1", f"{vm}:2", agent, seq)
+def heartbeat(vm: str, seq: int = 1, region: str = "r0", agent: int = 1) -> Heartbeat:
+    return Heartbeat(vm, region, f"{region}-0", f"{vm}:1", f"{vm}:2", agent, seq)
 
 
 def fleet(size: int, regions: int) -> list[Peers]:
     """Agents that know everybody, as after a while."""
-    beats = [beat(f"vm{i}", 1, f"r{i % regions}") for i in range(size)]
+    heartbeats = [heartbeat(f"vm{i}", 1, f"r{i % regions}") for i in range(size)]
     found = []
-    for b in beats:
+    for b in heartbeats:
         peers = Peers(b.vm, b.region)
-        peers.merge(beats, 0.0)
+        peers.merge(heartbeats, 0.0)
         found.append(peers)
     return found
 
 
-def test_older_beats_are_ignored() -> None:
+def test_older_heartbeats_are_ignored() -> None:
     peers = Peers("vm0", "r0")
-    assert peers.merge([beat("vm1", 5)], 0.0)
-    assert not peers.merge([beat("vm1", 5), beat("vm1", 4)], 1.0)
-    assert peers.merge([beat("vm1", 1, agent=2)], 1.0)
-    assert not peers.merge([beat("vm1", 9, agent=1)], 2.0)
+    assert peers.merge([heartbeat("vm1", 5)], 0.0)
+    assert not peers.merge([heartbeat("vm1", 5), heartbeat("vm1", 4)], 1.0)
+    assert peers.merge([heartbeat("vm1", 1, agent=2)], 1.0)
+    assert not peers.merge([heartbeat("vm1", 9, agent=1)], 2.0)
 
 
 def test_silence_counts_by_how_often_a_peer_was_heard() -> None:
     often, seldom = Peers("vm0", "r0"), Peers("vm0", "r0")
     for i in range(40):
-        often.merge([beat("vm1", i)], i * 0.2)
-        seldom.merge([beat("vm1", i)], i * 2.0)
+        often.merge([heartbeat("vm1", i)], i * 0.2)
+        seldom.merge([heartbeat("vm1", i)], i * 2.0)
     assert often.live(39 * 0.2 + LEAST_SILENCE_S)
     assert not often.live(39 * 0.2 + LEAST_SILENCE_S + 0.01)
     assert seldom.live(39 * 2.0 + 3 * LEAST_SILENCE_S)
@@ -64,7 +64,7 @@
     rng = Random(1)
     for _ in range(20):
         regions = {
-            agent.known[name.split(":")[0]].beat.region
+            agent.known[name.split(":")[0]].heartbeat.region
             for name in agent.partners(rng, [])
         }
         assert len(regions) == 2
@@ -75,17 +75,17 @@
     """An agent that hears of a newer revision takes it and tells it on."""
     agents = {f"{a._vm}:1": a for a in fleet(200, 8)}
     rng = Random(2)
-    next(iter(agents.values())).merge([Beat(*_place("vm0", "r0"), 99)], 0.0)
+    next(iter(agents.values())).merge([Heartbeat(*_place("vm0", "r0"), 99)], 0.0)
     for _ in range(14):
         for agent in list(agents.values()):
             message = agent.message(rng, 0.0)
             for to in agent.partners(rng, []):
                 peer = agents[to]
-                newest = max(b.revision for b in message.beats)
-                own = peer.known[peer._vm].beat
+                newest = max(b.revision for b in message.heartbeats)
+                own = peer.known[peer._vm].heartbeat
                 if newest > own.revision:
-                    peer.merge([Beat(*_place(own.vm, own.region), newest)], 0.0)
-    assert all(a.known[a._vm].beat.revision == 99 for a in agents.values())
+                    peer.merge([Heartbeat(*_place(own.vm, own.region), newest)], 0.0)
+    assert all(a.known[a._vm].heartbeat.revision == 99 for a in agents.values())
 
 
 def _place(vm: str, region: str) -> tuple[str, str, str, str, str, int, int]:
@@ -98,8 +98,8 @@
 
 def test_the_long_silent_are_forgotten() -> None:
     peers = Peers("vm0", "r0")
-    peers.merge([beat("vm0"), beat("vm1")], 0.0)
-    peers.merge([beat("vm0", 2)], 100.0)
+    peers.merge([heartbeat("vm0"), heartbeat("vm1")], 0.0)
+    peers.merge([heartbeat("vm0", 2)], 100.0)
     peers.forget(100.0)
     assert list(peers.known) == ["vm0"]
     assert [b.vm for b in peers.live_near(100.0)] == ["vm0"]
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -13,7 +13,7 @@
 from leverdoor.gate.ramp import Ramp
 from leverdoor.gate.scheduler import Dispatch, Forward, Refuse, Scheduler
 from leverdoor.membership.ownership import Member, Table, plan
-from leverdoor.membership.peers import Beat, GateState, Load
+from leverdoor.membership.peers import GateState, Heartbeat, Load
 from leverdoor.model.blocks import BlockMap
 from leverdoor.model.resources import (
     Drain,
@@ -73,8 +73,8 @@
     return Job("s", tier, home, 0.0, deadline, bulk=bulk)
 
 
-def neighbour(region: str, free: int, seq: int = 1, caps: int = 0) -> Beat:
-    return Beat(
+def neighbour(region: str, free: int, seq: int = 1, caps: int = 0) -> Heartbeat:
+    return Heartbeat(
         f"vm-{region}",
         region,
         "d",
