--- a/leverdoor/standins/soak/faults.py
+++ b/leverdoor/standins/soak/faults.py
@@ -209,7 +209,7 @@
             return None
         name = names[int(trouble.pick * len(names))]
         if leaves:
-            self._site.left.add(name)
+            self._site.left[name] = _now()
         return name
 
     async def _crash(self, trouble: Trouble) -> None:
--- a/leverdoor/standins/soak/site.py
+++ b/leverdoor/standins/soak/site.py
@@ -48,8 +48,8 @@
         ]
         super().__init__(places, targets)
         self.proxies: dict[str, LoopbackProxy] = {}
-        self.left: set[str] = set()
-        """Targets that have left or are about to."""
+        self.left: dict[str, float] = {}
+        """Targets that have left or are about to, and since when (loop time, s)."""
         self.routed = 0
         """The newest version of the configuration."""
         self._behind: dict[str, str] = {}
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -6,6 +6,7 @@
 
 from leverdoor.standins.soak.promises import breaches
 from leverdoor.standins.soak.record import Attempt, Leave, Probe, Record, Seen
+from leverdoor.standins.soak.run import LEAVE_S, note_leaves
 
 
 def attempt(request_id: str = "r", **more: object) -> Attempt:
@@ -102,3 +103,10 @@
     struck = [("n", 0.0, 0.5)]
     record = Record(attempts=[cut], runs=[run()], stops=stops, unplanned=struck)
     assert breaches(record) == []
+
+
+def test_a_target_that_just_left_may_be_used_up_to_the_bound_on_leaving() -> None:
+    """Seed 211636890: its registration went six seconds after an outage and the site
+    was well 0.3 s later, while the entries held it as expired for 1.9 s."""
+    leaves = note_leaves({"late": 10.0, "early": 1.0}, settled_at=10.3)
+    assert leaves == [Leave("late", 10.0 + LEAVE_S), Leave("early", 10.3)]
