--- a/leverdoor/emulator/entries.py
+++ b/leverdoor/emulator/entries.py
@@ -12,21 +12,19 @@
 from leverdoor.emulator.clock import Clock
 from leverdoor.emulator.plan import Experiment
 from leverdoor.emulator.targets import EmulatedTarget, Outcome, Run
-from leverdoor.entry.catalog import Catalog
-from leverdoor.entry.daemon import (
+from leverdoor.entry.bounds import (
     MOVED_SHARE,
-    OTHERS,
     REPEAT_SHARE,
     REPEATS_FIRST,
     REPEATS_SAVED,
-    SHARE_HEARTBEATS,
+    SHARE_ROUNDS,
     SHIFT_WINDOW_S,
     WARM_TOLD_S,
-    names_by_region,
 )
+from leverdoor.entry.catalog import Catalog
 from leverdoor.entry.digests import Message
 from leverdoor.entry.exchange import Exchange, Heard, Report
-from leverdoor.entry.fleet import Fleet
+from leverdoor.entry.fleet import OTHERS, Fleet
 from leverdoor.entry.member import SERVING, Member
 from leverdoor.entry.membership import Membership
 from leverdoor.entry.placement import PlacementPolicy
@@ -111,7 +109,7 @@
         """Take what the store tells."""
         self.fleet.renew(catalog.targets, self._clock.now)
         self._policy.renew(catalog)
-        self._exchange.lists.renew(names_by_region(catalog.targets.values()))
+        self._exchange.lists.renew(catalog.names_by_region)
         written = {m.name: pack(m) for m in members}
         self._membership.found(written, self._clock.now)
 
@@ -127,7 +125,7 @@
             self.heartbeat_bytes += size * len(sending.to)
             send(sending.message, sending.to)
         self._take_heard(heard)
-        if self._rounds % SHARE_HEARTBEATS == 0:
+        if self._rounds % SHARE_ROUNDS == 0:
             self._policy.shares.update([self._exchange.region_shares()], now)
 
     def _report(self, now: float) -> Report:
--- a/leverdoor/entry/catalog.py
+++ b/leverdoor/entry/catalog.py
@@ -75,6 +75,14 @@
         """The names of the routes in force."""
         return {route.name for routes in self._routes.values() for route in routes}
 
+    @property
+    def names_by_region(self) -> dict[str, list[str]]:
+        """The names of all targets, by their region."""
+        found: dict[str, list[str]] = {}
+        for target in self.targets.values():
+            found.setdefault(target.region, []).append(target.name)
+        return found
+
     def route(self, host: str, path: str) -> Route | None:
         """Return the route of a host with the longest prefix of a path."""
         for route in self._routes.get(host, ()):
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from random import Random
 
 import msgspec
@@ -13,50 +13,44 @@
 from leverdoor.budget import RepeatBudget
 from leverdoor.daemon import keep_running
 from leverdoor.entry.admin import AdminServer
+from leverdoor.entry.bounds import (
+    MOVED_SHARE,
+    REPEAT_SHARE,
+    REPEATS_FIRST,
+    REPEATS_SAVED,
+    SHARE_ROUNDS,
+    SHIFT_WINDOW_S,
+    WARM_TOLD_S,
+)
 from leverdoor.entry.catalog import Catalog
 from leverdoor.entry.catalog_keeper import CatalogKeeper
 from leverdoor.entry.client_connection import ClientConnection
 from leverdoor.entry.connections import Connections
-from leverdoor.entry.digests import Message
 from leverdoor.entry.events import Events
-from leverdoor.entry.exchange import Exchange, Heard, Report, Sending
-from leverdoor.entry.fleet import Fleet
+from leverdoor.entry.exchange import Exchange, Heard, Report
+from leverdoor.entry.fleet import OTHERS, Fleet
 from leverdoor.entry.forwarding import Forwarder
 from leverdoor.entry.front import Front
 from leverdoor.entry.joining import Joining
 from leverdoor.entry.member import LEAVING, SERVING, STARTING, Member
 from leverdoor.entry.membership import HEARTBEAT_S, Membership
 from leverdoor.entry.metrics import EntryMetrics
+from leverdoor.entry.peer_link import PeerLink
 from leverdoor.entry.placement import PlacementPolicy
 from leverdoor.entry.registration import Registration, retry_pause_s
 from leverdoor.entry.settings import EntrySettings
 from leverdoor.entry.shutdown import STOP_POLL_S, finish
 from leverdoor.entry.wire import Wire
-from leverdoor.membership.gossip import GossipSocket
 from leverdoor.model.resources import Target
 from leverdoor.settings import Address
-from leverdoor.storage.following import PeerFollower, StoreFollower
+from leverdoor.storage.following import StoreFollower
 from leverdoor.storage.state import Delta, State
 from leverdoor.storage.store import LeasingStore
 
-__all__ = ["Entry", "names_by_region"]
+__all__ = ["Entry"]
 
-SHARE_HEARTBEATS = 2
-"""Heartbeats between two moves of the regions' shares: 0.4 s. Chosen."""
-WARM_TOLD_S = 0.5
-"""How long heartbeats tell a warm key: two or three of them, one may be lost."""
 SWEEP_HEARTBEATS = 5
 """Heartbeats between two clean-ups of what ages: 1 s. Chosen."""
-NEWS_S = 0.03
-"""Pause before news are sent, so that changes in a row are sent once."""
-BUSY_NEWS_S = 0.15
-"""Least time between two news, in seconds.
-
-Taking a change costs an entry 1.9 ms with 541 targets and 195 entries, and a fetch
-from a peer about as much; followers that hear of the same changes at different
-moments would have all entries do that up to thirty times a second. Over the three
-steps to the last entry it adds 0.45 s at most, of a bound of 2.5 s.
-"""
 LISTEN_ON_S = 2.2
 """How long a leaving entry accepts connections: the life of a cached look-up and 0.2
 s.
@@ -68,22 +62,6 @@
 STORE_BACKOFF_S = 1.0
 """Longest pause between calls to a store that is away; it is heard within 2 s."""
 RELOADABLE = ("grace_s", "repeat_ratio", "watchers", "store_writes_per_s")
-REPEAT_SHARE = 0.5
-"""Part of the bound on repeats that is planned with.
-
-The rest is for entries that start with saved repeats and for calls of repeated
-requests. 0.75 made no difference (scale-1 0.787 beside 0.789).
-"""
-SHIFT_WINDOW_S = 2.0
-"""Window of the bound on shifts, in seconds; the setting speaks of two seconds."""
-MOVED_SHARE = 0.53
-"""Part of the bound on shifts that is planned with; the rest is for chance."""
-REPEATS_SAVED = 4.0
-"""Repeats saved up by an entry for a service at most; 48 of a slack of 64 at 12."""
-REPEATS_FIRST = 2.0
-"""Repeats that an entry starts with, for a service; chosen."""
-OTHERS = "others"
-"""Under this name the fleet keeps the sums of all other entries' requests."""
 
 
 class Entry:
@@ -104,8 +82,6 @@
         self._stop = asyncio.Event()
         self._life = STARTING
         self._servers: list[asyncio.Server] = []
-        self._news_due = False
-        self._news_at = 0.0
         self._peers_read = asyncio.Event()
 
     def stop(self) -> None:
@@ -143,7 +119,7 @@
             pull=str(s.pull),
             metrics=str(s.metrics),
         )
-        await self._socket.open(s.gossip)
+        await self._peers.open(s.gossip)
         front = await self._listen(self._client_connection, s.front)
         for address in (s.ready, s.directory, s.pull, s.metrics):
             await self._listen(self._admin_server, address)
@@ -236,14 +212,15 @@
             self._settings.lookup_ttl_s,
         )
         self._admin_server = web.Server(admin.handle, access_log=None)
-        self._socket = GossipSocket(Message, self._take_message)
-        self._puller = PeerFollower(self._state)
+        self._peers = PeerLink(
+            self._exchange, self._state, self._keeper, self._report, self._take_heard
+        )
         self._joining = Joining(
             self._store,
             self._wire.peer_key(""),
             self._membership,
             self._state,
-            self._puller,
+            self._peers.puller,
             self._events,
             rng,
         )
@@ -304,8 +281,7 @@
         await self._front_server.shutdown(STOP_POLL_S)
         await self._admin_server.shutdown(STOP_POLL_S)
         self._connections.close()
-        self._socket.close()
-        await self._puller.close()
+        await self._peers.close()
         await self._store.close()
 
     # What is known.
@@ -326,11 +302,11 @@
         """Compile a newer state, and let others know that there is one."""
         self._keeper.compile()
         self._metrics.revision.set(self._state.revision)
-        self._spread_news()
+        self._peers.spread_news()
         if self._life == STARTING and self._keeper.catalog.configured:
             self._life = SERVING
             self._events.process("ready", version=self._keeper.catalog.version)
-            self._announce()
+            self._peers.announce()
 
     def _take_catalog(
         self, before: Catalog, catalog: Catalog, peers: Mapping[str, bytes]
@@ -342,50 +318,14 @@
         for name in before.in_service - catalog.in_service:
             self._connections.drop(name)
         self._placement.renew(catalog)
-        self._exchange.lists.renew(names_by_region(catalog.targets.values()))
-
-    def _spread_news(self) -> None:
-        """Announce a newer state soon, once for several changes.
-
-        Aggregators pass it on at once; with the next digests alone the last entries
-        would have it after three rounds.
-        """
-        if not self._news_due:
-            self._news_due = True
-            loop = asyncio.get_running_loop()
-            at = max(loop.time() + NEWS_S, self._news_at + BUSY_NEWS_S)
-            loop.call_at(at, self._send_news)
-
-    def _send_news(self) -> None:
-        self._news_due = False
-        now = asyncio.get_running_loop().time()
-        self._news_at = now
-        self._send(self._exchange.news(self._state.revision, now))
-
-    def _send(self, sendings: list[Sending]) -> None:
-        for sending in sendings:
-            self._socket.send_all(sending.message, sending.to)
-
-    def _take_message(self, message: Message) -> None:
-        now = asyncio.get_running_loop().time()
-        self._take_heard(self._exchange.take(message, self._state.revision, now), now)
+        self._exchange.lists.renew(catalog.names_by_region)
 
     def _take_heard(self, heard: Heard, now: float) -> None:
-        """Let the other parts know what a message or a round told."""
+        """Let the other parts know what others told."""
         if heard.others is not None:
             self._fleet.hear(OTHERS, heard.others, now)
         self._placement.shared_warmth.hear(heard.warm, now)
         self._keeper.outage.heard(heard.outage_ms, now)
-        if heard.source:
-            asyncio.ensure_future(self._pull(heard.source))
-
-    async def _pull(self, address: str) -> None:
-        """Fetch what another entry has and this one lacks, one at a time."""
-        if self._puller.busy:
-            return
-        self._keeper.source = address
-        await self._puller.pull(address)
-        self._keeper.source = "store"
 
     def _sharers(self, target: Target) -> int:
         """Count the entries that share a cold target's allowance."""
@@ -410,11 +350,6 @@
             self._placement.shared_warmth.recent(WARM_TOLD_S, now),
         )
 
-    def _announce(self) -> None:
-        """Tell a state that changed without waiting for the next round."""
-        now = asyncio.get_running_loop().time()
-        self._send(self._exchange.announce(self._report(), now))
-
     async def _heartbeat(self) -> None:
         """Send heartbeats and digests, and expire what has grown old."""
         loop = asyncio.get_running_loop()
@@ -423,10 +358,8 @@
             await asyncio.sleep(HEARTBEAT_S)
             turn += 1
             now = loop.time()
-            sendings, heard = self._exchange.round(self._report(), now)
-            self._send(sendings)
-            self._take_heard(heard, now)
-            if turn % SHARE_HEARTBEATS == 0:
+            self._peers.round(now)
+            if turn % SHARE_ROUNDS == 0:
                 self._placement.shares.update([self._exchange.region_shares()], now)
             if turn % SWEEP_HEARTBEATS == 0:
                 self._sweep(now)
@@ -452,7 +385,7 @@
         self._life = LEAVING
         self._front.leaving = True
         self._events.process("leaving", in_flight=self._front.active)
-        self._send(self._exchange.say_goodbye(self._report()))
+        self._peers.say_goodbye()
         removal = asyncio.create_task(self._registration.end())
         await asyncio.sleep(LISTEN_ON_S)
         front.close()
@@ -460,11 +393,3 @@
         await finish(self._front, self._front_server, last)
         removal.cancel()
         self._events.process("drained", in_flight=self._front.active)
-
-
-def names_by_region(targets: Iterable[Target]) -> dict[str, list[str]]:
-    """Return the names of targets, by their region."""
-    found: dict[str, list[str]] = {}
-    for target in targets:
-        found.setdefault(target.region, []).append(target.name)
-    return found
--- a/leverdoor/entry/fleet.py
+++ b/leverdoor/entry/fleet.py
@@ -11,7 +11,7 @@
 from leverdoor.entry.wire import TargetLoad
 from leverdoor.model.resources import Target
 
-__all__ = ["Allowance", "Fleet", "RunTimes", "TargetState"]
+__all__ = ["OTHERS", "Allowance", "Fleet", "RunTimes", "TargetState"]
 
 FIRST_EJECTION_S = 0.5
 """First ejection of a target that was not reached, in seconds; it doubles."""
@@ -63,6 +63,9 @@
 SILENT_REQUESTS = 3
 """Requests that must be there for silence to count; chosen."""
 
+OTHERS = "others"
+"""Under this name the fleet keeps the sums of all other entries' requests."""
+
 
 class RunTimes(msgspec.Struct, frozen=True):
     """How long requests of one kind run at a target, in seconds."""
--- /dev/null
+++ b/leverdoor/entry/peer_link.py
@@ -0,0 +1,125 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Speaks with the other entries: datagrams in and out, and fetches of newer states."""
+
+import asyncio
+from collections.abc import Callable
+from typing import TypeAlias
+
+from leverdoor.entry.catalog_keeper import CatalogKeeper
+from leverdoor.entry.digests import Message
+from leverdoor.entry.exchange import Exchange, Heard, Report, Sending
+from leverdoor.membership.gossip import GossipSocket
+from leverdoor.settings import Address
+from leverdoor.storage.following import PeerFollower
+from leverdoor.storage.state import State
+
+__all__ = ["PeerLink", "TakeHeard"]
+
+NEWS_S = 0.03
+"""Pause before news are sent, so that changes in a row are sent once."""
+BUSY_NEWS_S = 0.15
+"""Least time between two news, in seconds.
+
+Taking a change costs an entry 1.9 ms with 541 targets and 195 entries, and a fetch
+from a peer about as much; followers that hear of the same changes at different
+moments would have all entries do that up to thirty times a second. Over the three
+steps to the last entry it adds 0.45 s at most, of a bound of 2.5 s.
+"""
+
+TakeHeard: TypeAlias = Callable[[Heard, float], None]
+"""Called with what others told, and the monotonic time in seconds."""
+
+
+class PeerLink:
+    """The datagram socket, and the client that fetches states from peers."""
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        state: State,
+        keeper: CatalogKeeper,
+        report: Callable[[], Report],
+        take: TakeHeard,
+    ) -> None:
+        """Create it; nothing is opened yet.
+
+        Args:
+          exchange: decides what to tell whom, and what is learned.
+          state: the copy of the store in force here.
+          keeper: is told where a newer state came from.
+          report: returns how this entry fares.
+          take: lets the other parts know what was heard.
+        """
+        self._exchange = exchange
+        self._state = state
+        self._keeper = keeper
+        self._report = report
+        self._take = take
+        self._socket = GossipSocket(Message, self._take_message)
+        self.puller = PeerFollower(state)
+        self._news_due = False
+        self._news_at = 0.0
+
+    async def open(self, listen: Address) -> None:
+        """Bind the address that datagrams reach."""
+        await self._socket.open(listen)
+
+    async def close(self) -> None:
+        """Close the socket and the connections to peers."""
+        self._socket.close()
+        await self.puller.close()
+
+    def round(self, now: float) -> None:
+        """Send the heartbeats and digests of a round."""
+        sendings, heard = self._exchange.round(self._report(), now)
+        self._send(sendings)
+        self._take_heard(heard, now)
+
+    def announce(self) -> None:
+        """Tell a state that changed without waiting for the next round."""
+        now = asyncio.get_running_loop().time()
+        self._send(self._exchange.announce(self._report(), now))
+
+    def say_goodbye(self) -> None:
+        """Tell the whole region that this entry leaves."""
+        self._send(self._exchange.say_goodbye(self._report()))
+
+    def spread_news(self) -> None:
+        """Announce a newer state soon, once for several changes.
+
+        Aggregators pass it on at once; with the next digests alone the last entries
+        would have it after three rounds.
+        """
+        if not self._news_due:
+            self._news_due = True
+            loop = asyncio.get_running_loop()
+            at = max(loop.time() + NEWS_S, self._news_at + BUSY_NEWS_S)
+            loop.call_at(at, self._send_news)
+
+    def _send_news(self) -> None:
+        self._news_due = False
+        now = asyncio.get_running_loop().time()
+        self._news_at = now
+        self._send(self._exchange.news(self._state.revision, now))
+
+    def _send(self, sendings: list[Sending]) -> None:
+        for sending in sendings:
+            self._socket.send_all(sending.message, sending.to)
+
+    def _take_message(self, message: Message) -> None:
+        now = asyncio.get_running_loop().time()
+        self._take_heard(self._exchange.take(message, self._state.revision, now), now)
+
+    def _take_heard(self, heard: Heard, now: float) -> None:
+        self._take(heard, now)
+        if heard.source:
+            asyncio.ensure_future(self._pull(heard.source))
+
+    async def _pull(self, address: str) -> None:
+        """Fetch what another entry has and this one lacks, one at a time."""
+        if self.puller.busy:
+            return
+        self._keeper.source = address
+        await self.puller.pull(address)
+        self._keeper.source = "store"
