--- a/leverdoor/entry/digests.py
+++ b/leverdoor/entry/digests.py
@@ -202,8 +202,10 @@
     def serialize(self, region: str, counts: Mapping[str, int]) -> RegionCounts:
         """Serialize the counts at a region's targets."""
         key, names = self._newest[region]
-        data = bytes(min(max(counts.get(n, 0), 0), MOST_COUNTED) for n in names)
-        return RegionCounts(region, key, data)
+        data = [counts.get(name, 0) for name in names]
+        if data and not 0 <= min(data) <= max(data) <= MOST_COUNTED:
+            data = [min(max(count, 0), MOST_COUNTED) for count in data]
+        return RegionCounts(region, key, bytes(data))
 
     def parse(self, loads: RegionCounts) -> dict[str, int] | None:
         """Parse counts; None if they refer to a list that is not known here."""
--- a/leverdoor/entry/exchange.py
+++ b/leverdoor/entry/exchange.py
@@ -188,7 +188,9 @@
 
     def _without_own(self, counts: dict[str, int], digest: Digest) -> dict[str, int]:
         own = self._own_counts.get(self._views.own_seq(digest.views), {})
-        return {n: c - own.get(n, 0) for n, c in counts.items() if c > own.get(n, 0)}
+        for name in own.keys() & counts.keys():
+            counts[name] = max(counts[name] - own[name], 0)
+        return counts
 
     # What this entry tells.
 
@@ -249,8 +251,8 @@
     def _digests(self, report: Report, now: float) -> list[Sending]:
         """Return an aggregator's digests of a round."""
         domain = self._merger.of_domain(report.in_flight, now)
-        region = self._merger.of_region(report.in_flight, now)
-        total = self._merger.of_all(report.in_flight, now)
+        region = self._merger.with_domains(domain, now)
+        total = self._merger.with_regions(region, now)
         near = self._membership.domains(self._own.region)
         views = [self._view(name, report, now) for name in near]
         without_seqs = [msgspec.structs.replace(v, seqs=b"") for v in views]
--- a/leverdoor/entry/fleet.py
+++ b/leverdoor/entry/fleet.py
@@ -347,12 +347,14 @@
 
     def hear(self, peer: str, counts: Mapping[str, int], now: float) -> None:
         """Take the counts of another entry; what it does not name is none."""
+        states = self._states
         for name in self._told.get(peer, frozenset()) - counts.keys():
-            if name in self._states:
-                self._states[name].reported_by_peer(peer, 0, now)
+            if name in states:
+                states[name].reported_by_peer(peer, 0, now)
         for name, count in counts.items():
-            if name in self._states:
-                self._states[name].reported_by_peer(peer, count, now)
+            state = states.get(name)
+            if state is not None:
+                state.reported_by_peer(peer, count, now)
         self._told[peer] = frozenset(counts)
 
     def load(self, targets: Iterable[Target], now: float) -> tuple[float, int]:
--- a/leverdoor/entry/merging.py
+++ b/leverdoor/entry/merging.py
@@ -115,17 +115,18 @@
         """
         return merged([own, *self._of_neighbours(now)])
 
-    def of_region(self, own: Mapping[str, int], now: float) -> dict[str, int]:
-        """Return the requests of the own region; see `of_domain`."""
-        return merged([self.of_domain(own, now), *_counts(self._domains, now)])
+    def with_domains(self, domain: Mapping[str, int], now: float) -> dict[str, int]:
+        """Return the requests of the region, from those of the own failure domain."""
+        return merged([domain, *_counts(self._domains, now)])
 
-    def of_all(self, own: Mapping[str, int], now: float) -> dict[str, int]:
-        """Return the requests of all entries; see `of_domain`."""
-        return merged([self.of_region(own, now), *_counts(self._regions, now)])
+    def with_regions(self, region: Mapping[str, int], now: float) -> dict[str, int]:
+        """Return the requests of all entries, from those of the own region."""
+        return merged([region, *_counts(self._regions, now)])
 
     def of_others(self, now: float) -> dict[str, int]:
         """Return the requests of all entries but this one."""
-        return self.of_all({}, now)
+        region = self.with_domains(self.of_domain({}, now), now)
+        return self.with_regions(region, now)
 
     def _of_neighbours(self, now: float) -> list[dict[str, int]]:
         return [
@@ -149,10 +150,14 @@
 
 def merged(counts: Iterable[Mapping[str, int]]) -> dict[str, int]:
     """Return the sums of several counts."""
-    total: Counter[str] = Counter()
+    total: dict[str, int] = {}
     for one in counts:
-        total.update(one)
-    return dict(total)
+        if not total:
+            total = dict(one)
+            continue
+        for name, count in one.items():
+            total[name] = total.get(name, 0) + count
+    return total
 
 
 def _fresh(parts: dict[str, _Part], now: float) -> dict[str, _Part]:
--- a/tests/test_entry_digests.py
+++ b/tests/test_entry_digests.py
@@ -84,6 +84,7 @@
     lists.renew({"a": ["t"]})
     told = lists.serialize("a", {"t": 1_000})
     assert lists.parse(told) == {"t": MOST_COUNTED}
+    assert lists.parse(lists.serialize("a", {"t": -1})) == {}
 
 
 def test_counts_of_a_recent_list_are_understood_and_of_others_not() -> None:
