--- a/benchmarks/knowledge.py
+++ b/benchmarks/knowledge.py
@@ -33,7 +33,8 @@
     measure,
 )
 from leverdoor.entry.member import SERVING, Member, member_id
-from leverdoor.entry.membership import MemberRow, Membership, Sighting
+from leverdoor.entry.membership import Membership
+from leverdoor.entry.sightings import MemberRow, Sighting
 
 RELAYED = 16
 """Items of others in one datagram of the relaying design: about 1,200 bytes."""
--- a/leverdoor/entry/digests.py
+++ b/leverdoor/entry/digests.py
@@ -17,7 +17,7 @@
 import xxhash
 
 from leverdoor.entry.member import EntryState, Member
-from leverdoor.entry.membership import MemberRow
+from leverdoor.entry.sightings import MemberRow
 
 __all__ = [
     "AGE_STEP_S",
--- a/leverdoor/entry/exchange.py
+++ b/leverdoor/entry/exchange.py
@@ -32,13 +32,10 @@
     serialize_ids,
 )
 from leverdoor.entry.member import EntryState, member_id
-from leverdoor.entry.membership import (
-    MemberRow,
-    Membership,
-    Sighting,
-)
+from leverdoor.entry.membership import Membership
 from leverdoor.entry.merging import MeanShares, Merger, merged
 from leverdoor.entry.partners import Partners, in_turn
+from leverdoor.entry.sightings import MemberRow, Sighting
 from leverdoor.entry.views import Views
 from leverdoor.entry.warm_news import WarmNews
 
--- a/leverdoor/entry/membership.py
+++ b/leverdoor/entry/membership.py
@@ -23,8 +23,9 @@
     link_rank,
     member_id,
 )
+from leverdoor.entry.sightings import NEVER, Known, MemberRow, Sighting
 
-__all__ = ["HEARTBEAT_S", "NEVER", "MemberRow", "Membership", "Sighting"]
+__all__ = ["HEARTBEAT_S", "Membership"]
 
 HEARTBEAT_S = 0.2
 """Time between two rounds of heartbeats and of digests, in seconds."""
@@ -57,39 +58,6 @@
 """How long a choice of entries to name is used again."""
 MOST_PLACES = 256
 """Choices kept at once; more than the failure domains of the aim."""
-NEVER = -1e9
-"""Stands, in seconds, for the time of something that did not happen yet."""
-
-
-class MemberRow(msgspec.Struct, frozen=True, array_like=True):
-    """One life of an entry and its state, as heartbeats and digests tell it."""
-
-    id: int
-    """See `member_id`."""
-    incarnation: int
-    state: EntryState
-
-
-class Sighting(msgspec.Struct, frozen=True):
-    """When a life of an entry last sent a heartbeat that somebody heard."""
-
-    row: MemberRow
-    at: float
-    """Monotonic time here, in seconds."""
-
-
-class _Known(msgspec.Struct):
-    member: Member
-    rank: tuple[int, int]
-    state: EntryState = STARTING
-    heard_at: float = NEVER
-    """When its newest known heartbeat was heard, by whomever."""
-    seen_at: float = NEVER
-    """When it was last heard of, also in the store."""
-    digest_at: float = NEVER
-    """When a digest of its own last came here."""
-    chosen_at: float = NEVER
-    """Since when it is expected to send digests."""
 
 
 class Membership:
@@ -104,10 +72,10 @@
         """
         self.own = own
         self._rng = rng
-        self._self = _Known(own, link_rank(own))
-        self._known: dict[str, _Known] = {}
+        self._self = Known(own, link_rank(own))
+        self._known: dict[str, Known] = {}
         self._names: dict[int, str] = {}
-        self._domains: dict[str, dict[str, _Known]] = {own.domain: {}}
+        self._domains: dict[str, dict[str, Known]] = {own.domain: {}}
         self._regions: dict[str, set[str]] = {own.region: {own.domain}}
         """The failure domains of each region."""
         self._logged: set[str] = set()
@@ -132,20 +100,20 @@
             return
         known = self._known.get(member.name)
         if known is None:
-            self._add(_Known(member, link_rank(member), seen_at=now))
+            self._add(Known(member, link_rank(member), seen_at=now))
             return
         known.seen_at = max(known.seen_at, now)
         if member.incarnation > known.member.incarnation:
             self._replace(known, member)
 
-    def _add(self, known: _Known) -> None:
+    def _add(self, known: Known) -> None:
         member = known.member
         self._known[member.name] = known
         self._names[member_id(member.name)] = member.name
         self._domains.setdefault(member.domain, {})[member.name] = known
         self._regions.setdefault(member.region, set()).add(member.domain)
 
-    def _replace(self, known: _Known, member: Member) -> None:
+    def _replace(self, known: Known, member: Member) -> None:
         """Let a member's other life begin, not heard from yet."""
         known.member = member
         known.state = STARTING
@@ -170,7 +138,7 @@
         known.seen_at = max(known.seen_at, now)
         return True
 
-    def _is_current(self, known: _Known, sighting: Sighting) -> bool:
+    def _is_current(self, known: Known, sighting: Sighting) -> bool:
         """Return whether a sighting is of the present life, or begins a newer one.
 
         A life with a lower incarnation follows one with a higher where a clock was
@@ -226,7 +194,7 @@
         """Return the entries heard from lately."""
         return [k.member for k in self._known.values() if self._is_live(k, now)]
 
-    def _is_live(self, known: _Known, now: float) -> bool:
+    def _is_live(self, known: Known, now: float) -> bool:
         near = known.member.region == self.own.region
         return now - known.heard_at <= (SILENCE_S if near else FAR_SILENCE_S)
 
@@ -330,7 +298,7 @@
         told = first + [m for m in chosen if m not in first]
         return [m for m in told if m.name != self.own.name]
 
-    def _candidates(self, domain: str, now: float) -> list[_Known]:
+    def _candidates(self, domain: str, now: float) -> list[Known]:
         """Return the live entries of a failure domain, the widest links first."""
         found = [
             k
@@ -354,7 +322,7 @@
         tried = [*known[:AGGREGATORS], *lately[:AGGREGATORS], *chance]
         return list({k.member.name: k.member for k in tried}.values())
 
-    def _speaks(self, known: _Known, now: float) -> bool:
+    def _speaks(self, known: Known, now: float) -> bool:
         """Return whether digests come from an entry, or may still come.
 
         Those of other regions come from each aggregator in turn, too seldom to tell.
--- a/leverdoor/entry/partners.py
+++ b/leverdoor/entry/partners.py
@@ -5,7 +5,8 @@
 from typing import TypeVar
 
 from leverdoor.entry.member import Member
-from leverdoor.entry.membership import HEARTBEAT_S, NEVER, Membership
+from leverdoor.entry.membership import HEARTBEAT_S, Membership
+from leverdoor.entry.sightings import NEVER
 
 __all__ = ["Partners", "in_turn"]
 
--- a/leverdoor/entry/views.py
+++ b/leverdoor/entry/views.py
@@ -19,7 +19,8 @@
     serialize_rows,
 )
 from leverdoor.entry.member import EntryState, member_id
-from leverdoor.entry.membership import MemberRow, Membership, Sighting
+from leverdoor.entry.membership import Membership
+from leverdoor.entry.sightings import MemberRow, Sighting
 
 __all__ = ["Views"]
 
--- a/tests/test_entry_digests.py
+++ b/tests/test_entry_digests.py
@@ -26,7 +26,7 @@
     serialize_rows,
 )
 from leverdoor.entry.member import SERVING, Member
-from leverdoor.entry.membership import MemberRow
+from leverdoor.entry.sightings import MemberRow
 
 ROWS = st.builds(
     MemberRow,
--- a/tests/test_entry_membership.py
+++ b/tests/test_entry_membership.py
@@ -17,10 +17,9 @@
     FAR_SILENCE_S,
     OLD_LIFE_S,
     SILENCE_S,
-    MemberRow,
     Membership,
-    Sighting,
 )
+from leverdoor.entry.sightings import MemberRow, Sighting
 
 
 def member(name: str, incarnation: int = 1) -> Member:
