Counts that no digest renews grow old: found by reading

Cause: while an entry's list of targets differs from its aggregators', digests tell it no counts, and the last ones were handed on as new each round. The test fails without it.

--- a/leverdoor/entry/exchange.py
+++ b/leverdoor/entry/exchange.py
@@ -33,7 +33,7 @@
 )
 from leverdoor.entry.member import EntryState, member_id
 from leverdoor.entry.membership import Membership
-from leverdoor.entry.merging import MeanShares, Merger, merged
+from leverdoor.entry.merging import PART_TRUST_S, MeanShares, Merger, merged
 from leverdoor.entry.partners import Partners, in_turn
 from leverdoor.entry.sightings import MemberRow, Sighting
 from leverdoor.entry.views import Views
@@ -96,8 +96,9 @@
         self._views = Views(membership)
         self._warm_news = WarmNews()
         self._partners = Partners(membership)
-        self._totals: dict[str, dict[str, int]] = {}
-        """By region, the requests of all others at its targets, from digests."""
+        self._totals: dict[str, tuple[float, dict[str, int]]] = {}
+        """By region, the requests of all others at its targets, and when a digest told
+        them; digests that mean a list of targets not known here tell nothing."""
         self._region_shares: Shares = {}
         self._last_digest: dict[tuple[str, DigestScope], tuple[int, int]] = {}
         """By sender and scope, its incarnation and round."""
@@ -180,8 +181,10 @@
         for loads in digest.loads:
             counts = self.lists.parse(loads)
             if counts is not None:
-                self._totals[loads.region] = self._without_own(counts, digest)
-        return merged(self._totals.values())
+                others = self._without_own(counts, digest)
+                self._totals[loads.region] = (now, others)
+        fresh = [c for at, c in self._totals.values() if now - at <= PART_TRUST_S]
+        return merged(fresh)
 
     def _without_own(self, counts: dict[str, int], digest: Digest) -> dict[str, int]:
         own = self._own_counts.get(self._views.own_seq(digest.views), {})
--- a/leverdoor/entry/merging.py
+++ b/leverdoor/entry/merging.py
@@ -13,7 +13,7 @@
 
 from leverdoor.entry.digests import Heartbeat, Shares
 
-__all__ = ["MeanShares", "Merger", "merged"]
+__all__ = ["PART_TRUST_S", "MeanShares", "Merger", "merged"]
 
 HEARTBEAT_TRUST_S = 1.0
 """Age up to which an entry's own counts are summed; five heartbeats."""
--- a/tests/test_entry_exchange.py
+++ b/tests/test_entry_exchange.py
@@ -111,6 +111,22 @@
     assert s.others("a2-3") == {}
 
 
+def test_counts_are_not_kept_for_long_while_lists_of_targets_differ() -> None:
+    """An entry whose state lags understands no digest; what it knew grows old."""
+    s = Entries(site(["a1"], 6))
+    s.report("a1-4", in_flight={"ta1": 7})
+    s.round(6)
+    assert s.others("a1-3") == {"ta1": 7}
+    s.exchanges["a1-3"].lists.renew({"a": ["other"], "b": ["other"]})
+    for name in s.exchanges:
+        if name != "a1-3":
+            s.exchanges[name].lists.renew({"a": ["ta1", "new"], "b": ["tb1", "new"]})
+    s.round(3)
+    assert s.others("a1-3") == {"ta1": 7}, "a change takes a moment to reach all"
+    s.round(12)
+    assert s.others("a1-3") == {}
+
+
 def test_an_ordinary_entry_sends_to_the_two_aggregators_only() -> None:
     s = Entries(site(["a1", "a2", "b1"], 20))
     s.round(5)
