Aggregators keep a region's counts while lists of targets differ: found by reading

Cause: counts of a digest whose list of targets is not known here were dropped, so that at each change of a target the load of other domains passed for none for a moment. The test fails without it.

--- a/leverdoor/entry/exchange.py
+++ b/leverdoor/entry/exchange.py
@@ -165,11 +165,10 @@
         self._last_digest[place] = (digest.incarnation, digest.turn)
         return True
 
-    def _parse_counts(self, digest: Digest) -> dict[str, int]:
-        found: dict[str, int] = {}
-        for loads in digest.loads:
-            found.update(self.lists.parse(loads) or {})
-        return found
+    def _parse_counts(self, digest: Digest) -> dict[str, dict[str, int]]:
+        """Return the counts of a digest by region, as far as their lists are known."""
+        parsed = {loads.region: self.lists.parse(loads) for loads in digest.loads}
+        return {r: counts for r, counts in parsed.items() if counts is not None}
 
     def _take_total(self, digest: Digest, now: float) -> dict[str, int] | None:
         """Return what others have, once the digest's sums are less one's own."""
--- a/leverdoor/entry/merging.py
+++ b/leverdoor/entry/merging.py
@@ -8,10 +8,12 @@
 
 from collections import Counter
 from collections.abc import Iterable, Mapping
+from typing import TypeAlias
 
 import msgspec
 
 from leverdoor.entry.digests import Heartbeat, Shares
+from leverdoor.entry.sightings import NEVER
 
 __all__ = ["PART_TRUST_S", "MeanShares", "Merger", "merged"]
 
@@ -32,14 +34,23 @@
 
 NO_SHARES = MeanShares(0, {})
 
+Counts: TypeAlias = dict[str, int]
+"""Requests at each target, by its name."""
+
 
 class _Part(msgspec.Struct):
     """What a failure domain or region told as a whole."""
 
-    at: float
-    counts: dict[str, int]
+    at: float = NEVER
+    counts: dict[str, tuple[float, Counts]] = {}
+    """By the targets' region, the sums and when they were told."""
     shares: MeanShares = NO_SHARES
 
+    def take(self, counts: Mapping[str, Counts], now: float) -> None:
+        """Take sums by region; those of other regions stay, and grow old."""
+        self.at = now
+        self.counts |= {region: (now, sums) for region, sums in counts.items()}
+
 
 class Merger:
     """What was told of requests and shares, by entry, failure domain and region."""
@@ -81,17 +92,30 @@
             self._shares[name] = heartbeat.shares
 
     def take_domain(
-        self, domain: str, counts: dict[str, int], shares: MeanShares, now: float
+        self,
+        domain: str,
+        counts: Mapping[str, Counts],
+        shares: MeanShares,
+        now: float,
     ) -> None:
-        """Take the sums of another failure domain; empty shares were left out."""
-        before = self._domains.get(domain)
-        if not shares.shares and before is not None:
-            shares = before.shares
-        self._domains[domain] = _Part(now, counts, shares)
+        """Take the sums of another failure domain.
 
-    def take_region(self, region: str, counts: dict[str, int], now: float) -> None:
-        """Take the sums of another region."""
-        self._regions[region] = _Part(now, counts)
+        Args:
+          domain: which one.
+          counts: its requests by the targets' region, as far as they were understood.
+          shares: the mean of its entries' shares; empty ones were left out.
+          now: monotonic time in seconds.
+        """
+        part = self._domains.setdefault(domain, _Part())
+        part.take(counts, now)
+        if shares.shares:
+            part.shares = shares
+
+    def take_region(
+        self, region: str, counts: Mapping[str, Counts], now: float
+    ) -> None:
+        """Take the sums of another region, by the targets' region."""
+        self._regions.setdefault(region, _Part()).take(counts, now)
 
     def forget(self, now: float) -> None:
         """Drop what those that are gone told."""
@@ -164,8 +188,13 @@
     return {n: p for n, p in parts.items() if now - p.at <= PART_TRUST_S}
 
 
-def _counts(parts: dict[str, _Part], now: float) -> list[dict[str, int]]:
-    return [p.counts for p in _fresh(parts, now).values()]
+def _counts(parts: dict[str, _Part], now: float) -> list[Counts]:
+    return [
+        counts
+        for part in parts.values()
+        for at, counts in part.counts.values()
+        if now - at <= PART_TRUST_S
+    ]
 
 
 def _mean(parts: Iterable[MeanShares]) -> MeanShares:
--- a/tests/test_entry_exchange.py
+++ b/tests/test_entry_exchange.py
@@ -127,6 +127,21 @@
     assert s.others("a1-3") == {}
 
 
+def test_an_aggregator_keeps_counts_while_lists_of_targets_differ() -> None:
+    """For a moment; without, the load of a region would pass for none at a change."""
+    s = Entries(site(["a1", "a2"], 4))
+    s.report("a2-3", in_flight={"ta1": 7})
+    s.round(6)
+    assert s.others("a1-0") == {"ta1": 7}
+    for name in s.exchanges:
+        if name.startswith("a2"):
+            s.exchanges[name].lists.renew({"a": ["ta1", "new"], "b": ["tb1", "new"]})
+    s.round(4)
+    assert s.others("a1-0") == {"ta1": 7}
+    s.round(12)
+    assert s.others("a1-0") == {}
+
+
 def test_an_ordinary_entry_sends_to_the_two_aggregators_only() -> None:
     s = Entries(site(["a1", "a2", "b1"], 20))
     s.round(5)
