--- a/leverdoor/entry/connection.py
+++ b/leverdoor/entry/connection.py
@@ -25,7 +25,7 @@
 UNACKNOWLEDGED_MS = 1_500
 """Time without acknowledgement after which a target passes for dead, in ms.
 
-500 made no difference on the new site (scale-1 0.788 beside 0.789).
+500 made no difference to worth (0.788 beside 0.789, 12 entries under high load).
 """
 PROBE_IDLE_S = 1
 """Idle seconds before keep-alive probes; the least that the kernel takes."""
--- a/leverdoor/entry/fleet.py
+++ b/leverdoor/entry/fleet.py
@@ -21,7 +21,7 @@
 """Lost answers in a row that eject a target.
 
 One ejected targets that were well 90 times a second (incident f170); 2 made no
-difference on the new site.
+difference to worth at 12 entries.
 """
 REPORT_DECAY_S = 0.15
 """Least time in which a target's report of its load loses most of its meaning.
@@ -39,12 +39,12 @@
 REMEMBERED_KEYS = 256
 """Keys remembered for each target; five times what the users' targets keep.
 
-40 made no difference on the new site.
+40 made no difference to worth at 12 entries.
 """
 SLOW_RATIO = 3.0
 """Mean of measured over expected time from which on a target is ejected as slow.
 
-2.2 made no difference on the new site.
+2.2 made no difference to worth at 12 entries.
 """
 SLOW_WEIGHT = 0.15
 """Weight of one answer in that mean: about the last seven. Chosen."""
--- a/leverdoor/platform/__main__.py
+++ b/leverdoor/platform/__main__.py
@@ -4,7 +4,7 @@
 
 import sys
 
-from leverdoor.certificates import read_no_certificates
+from leverdoor.entry.certificates import read_no_certificates
 from leverdoor.signals import EarlyReload
 
 
--- a/tests/test_certificates.py
+++ b/tests/test_certificates.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from leverdoor.certificates import DEFAULT_PLACES, read_no_certificates
+from leverdoor.entry.certificates import DEFAULT_PLACES, read_no_certificates
 
 
 def unset(monkeypatch: pytest.MonkeyPatch, name: str) -> None:
