--- a/benchmarks/entry_slopes.py
+++ b/benchmarks/entry_slopes.py
@@ -14,14 +14,14 @@
 from random import Random
 
 from leverdoor.codec import pack
-from leverdoor.entry.catalog import Catalog
-from leverdoor.entry.digests import Heartbeat
-from leverdoor.entry.exchange import Exchange, Report
-from leverdoor.entry.fleet import Fleet
-from leverdoor.entry.member import SERVING, Member
-from leverdoor.entry.membership import Membership
-from leverdoor.entry.placement import PlacementPolicy
-from leverdoor.entry.requests import Placement, PlacementRequest
+from leverdoor.entry.configuration.catalog import Catalog
+from leverdoor.entry.membership.digests import Heartbeat
+from leverdoor.entry.membership.exchange import Exchange, Report
+from leverdoor.entry.membership.member import SERVING, Member
+from leverdoor.entry.membership.members import Membership
+from leverdoor.entry.placement.fleet import Fleet
+from leverdoor.entry.placement.policy import PlacementPolicy
+from leverdoor.entry.requests.placement_request import Placement, PlacementRequest
 from leverdoor.model.resources import Region, Resource, Route, Service, Target, Work
 
 RUNS = 7
--- a/benchmarks/knowledge.py
+++ b/benchmarks/knowledge.py
@@ -32,9 +32,9 @@
     Outgoing,
     measure,
 )
-from leverdoor.entry.member import SERVING, Member, member_id
-from leverdoor.entry.membership import Membership
-from leverdoor.entry.sightings import MemberRow, Sighting
+from leverdoor.entry.membership.member import SERVING, Member, member_id
+from leverdoor.entry.membership.members import Membership
+from leverdoor.entry.membership.sightings import MemberRow, Sighting
 
 RELAYED = 16
 """Items of others in one datagram of the relaying design: about 1,200 bytes."""
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -21,11 +21,11 @@
 import msgspec
 
 from leverdoor.entry import spill
-from leverdoor.entry.catalog import Catalog
-from leverdoor.entry.fleet import Fleet
-from leverdoor.entry.placement import PlacementPolicy
-from leverdoor.entry.requests import Placement, PlacementRequest
-from leverdoor.entry.tuning import PRODUCTION, Tuning
+from leverdoor.entry.configuration.catalog import Catalog
+from leverdoor.entry.placement.fleet import Fleet
+from leverdoor.entry.placement.policy import PlacementPolicy
+from leverdoor.entry.placement.tuning import PRODUCTION, Tuning
+from leverdoor.entry.requests.placement_request import Placement, PlacementRequest
 from leverdoor.entry.wire import TargetLoad
 from leverdoor.model.resources import Region, Resource, Route, Service, Target, Work
 
--- a/leverdoor/analysis/losses.py
+++ b/leverdoor/analysis/losses.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from leverdoor.analysis.log_lines import BadLine, Log, LogLine
-from leverdoor.entry.times import ServiceTimes, first_times
+from leverdoor.entry.placement.times import ServiceTimes, first_times
 from leverdoor.errors import Code, LeverdoorError
 
 __all__ = ["Cause", "Kind", "Loss", "LossReport", "find_losses", "summarize"]
--- a/leverdoor/emulator/entries.py
+++ b/leverdoor/emulator/entries.py
@@ -21,15 +21,19 @@
     SHIFT_WINDOW_S,
     WARM_TOLD_S,
 )
-from leverdoor.entry.catalog import Catalog
-from leverdoor.entry.digests import Message
-from leverdoor.entry.exchange import Exchange, Heard, Report
-from leverdoor.entry.fleet import OTHERS, Fleet
-from leverdoor.entry.member import SERVING, Member
-from leverdoor.entry.membership import Membership
-from leverdoor.entry.placement import PlacementPolicy
-from leverdoor.entry.repeats import may_repeat
-from leverdoor.entry.requests import Placement, PlacementRequest, Rejection
+from leverdoor.entry.configuration.catalog import Catalog
+from leverdoor.entry.membership.digests import Message
+from leverdoor.entry.membership.exchange import Exchange, Heard, Report
+from leverdoor.entry.membership.member import SERVING, Member
+from leverdoor.entry.membership.members import Membership
+from leverdoor.entry.placement.fleet import OTHERS, Fleet
+from leverdoor.entry.placement.policy import PlacementPolicy
+from leverdoor.entry.requests.placement_request import (
+    Placement,
+    PlacementRequest,
+    Rejection,
+)
+from leverdoor.entry.requests.repeats import may_repeat
 from leverdoor.entry.wire import TargetLoad
 from leverdoor.errors import Code, Refusal
 
--- a/leverdoor/emulator/exact.py
+++ b/leverdoor/emulator/exact.py
@@ -10,7 +10,7 @@
 from collections.abc import Mapping
 
 from leverdoor.emulator.targets import EmulatedTarget
-from leverdoor.entry.fleet import Fleet, TargetState
+from leverdoor.entry.placement.fleet import Fleet, TargetState
 from leverdoor.model.resources import Target
 
 __all__ = ["ExactFleet"]
--- a/leverdoor/emulator/knowledge.py
+++ b/leverdoor/emulator/knowledge.py
@@ -18,10 +18,10 @@
 import msgspec
 
 from leverdoor.codec import pack
-from leverdoor.entry.digests import Message
-from leverdoor.entry.exchange import Exchange, Report
-from leverdoor.entry.member import SERVING, Member
-from leverdoor.entry.membership import HEARTBEAT_S, Membership
+from leverdoor.entry.membership.digests import Message
+from leverdoor.entry.membership.exchange import Exchange, Report
+from leverdoor.entry.membership.member import SERVING, Member
+from leverdoor.entry.membership.members import HEARTBEAT_S, Membership
 
 __all__ = ["Figures", "KnowledgeSite", "MakeNode", "Node", "Outgoing", "measure"]
 
--- a/leverdoor/emulator/plan.py
+++ b/leverdoor/emulator/plan.py
@@ -9,7 +9,7 @@
 import msgspec
 from msgspec import Meta
 
-from leverdoor.entry.tuning import PRODUCTION, Tuning
+from leverdoor.entry.placement.tuning import PRODUCTION, Tuning
 from leverdoor.errors import Code, ConfigError
 from leverdoor.model.resources import Work
 
--- a/leverdoor/emulator/series.py
+++ b/leverdoor/emulator/series.py
@@ -11,7 +11,7 @@
 from leverdoor.emulator.plan import Experiment
 from leverdoor.emulator.results import Result
 from leverdoor.emulator.world import play
-from leverdoor.entry.tuning import Tuning
+from leverdoor.entry.placement.tuning import Tuning
 
 __all__ = ["ABLATIONS", "Vary", "ablations", "play_all", "scaled"]
 
--- a/leverdoor/emulator/world.py
+++ b/leverdoor/emulator/world.py
@@ -13,10 +13,10 @@
 from leverdoor.emulator.results import Result
 from leverdoor.emulator.targets import EmulatedTarget, Outcome, Run
 from leverdoor.emulator.troubles import PlannedTrouble
-from leverdoor.entry.catalog import Catalog
-from leverdoor.entry.digests import Message
-from leverdoor.entry.member import Member
-from leverdoor.entry.membership import HEARTBEAT_S
+from leverdoor.entry.configuration.catalog import Catalog
+from leverdoor.entry.membership.digests import Message
+from leverdoor.entry.membership.member import Member
+from leverdoor.entry.membership.members import HEARTBEAT_S
 from leverdoor.model.resources import Region, Resource, Service, Target
 from leverdoor.model.resources import Work as WorkClass
 
--- a/leverdoor/entry/catalog_keeper.py
+++ b/leverdoor/entry/configuration/catalog_keeper.py
@@ -6,9 +6,12 @@
 from collections.abc import Callable, Mapping
 from typing import TypeAlias
 
-from leverdoor.entry.catalog import EMPTY, Catalog
+from leverdoor.entry.configuration.catalog import EMPTY, Catalog
+from leverdoor.entry.configuration.expired_registrations import (
+    ExpiredRegistrations,
+    Outage,
+)
 from leverdoor.entry.events import Events
-from leverdoor.entry.expired_registrations import ExpiredRegistrations, Outage
 from leverdoor.entry.wire import Wire
 from leverdoor.model.resources import Target
 from leverdoor.storage.state import State
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -22,22 +22,22 @@
     SHIFT_WINDOW_S,
     WARM_TOLD_S,
 )
-from leverdoor.entry.catalog import Catalog
-from leverdoor.entry.catalog_keeper import CatalogKeeper
-from leverdoor.entry.client_connection import ClientConnection
-from leverdoor.entry.connections import Connections
+from leverdoor.entry.configuration.catalog import Catalog
+from leverdoor.entry.configuration.catalog_keeper import CatalogKeeper
 from leverdoor.entry.events import Events
-from leverdoor.entry.exchange import Exchange, Heard, Report
-from leverdoor.entry.fleet import OTHERS, Fleet
-from leverdoor.entry.forwarding import Forwarder
-from leverdoor.entry.front import Front
-from leverdoor.entry.joining import Joining
-from leverdoor.entry.member import LEAVING, SERVING, STARTING, Member
-from leverdoor.entry.membership import HEARTBEAT_S, Membership
+from leverdoor.entry.membership.exchange import Exchange, Heard, Report
+from leverdoor.entry.membership.joining import Joining
+from leverdoor.entry.membership.member import LEAVING, SERVING, STARTING, Member
+from leverdoor.entry.membership.members import HEARTBEAT_S, Membership
+from leverdoor.entry.membership.peer_link import PeerLink
+from leverdoor.entry.membership.registration import Registration, retry_pause_s
 from leverdoor.entry.metrics import EntryMetrics
-from leverdoor.entry.peer_link import PeerLink
-from leverdoor.entry.placement import PlacementPolicy
-from leverdoor.entry.registration import Registration, retry_pause_s
+from leverdoor.entry.placement.fleet import OTHERS, Fleet
+from leverdoor.entry.placement.policy import PlacementPolicy
+from leverdoor.entry.requests.client_connection import ClientConnection
+from leverdoor.entry.requests.connections import Connections
+from leverdoor.entry.requests.forwarding import Forwarder
+from leverdoor.entry.requests.front import Front
 from leverdoor.entry.settings import EntrySettings
 from leverdoor.entry.shutdown import STOP_POLL_S, finish
 from leverdoor.entry.wire import Wire
--- a/leverdoor/entry/exchange.py
+++ b/leverdoor/entry/membership/exchange.py
@@ -18,7 +18,7 @@
 
 import msgspec
 
-from leverdoor.entry.digests import (
+from leverdoor.entry.membership.digests import (
     Digest,
     DigestScope,
     DomainView,
@@ -31,13 +31,13 @@
     parse_ids,
     serialize_ids,
 )
-from leverdoor.entry.member import EntryState, member_id
-from leverdoor.entry.membership import Membership
-from leverdoor.entry.merging import PART_TRUST_S, MeanShares, Merger, merged
-from leverdoor.entry.partners import Partners, in_turn
-from leverdoor.entry.sightings import MemberRow, Sighting
-from leverdoor.entry.views import Views
-from leverdoor.entry.warm_news import WarmNews
+from leverdoor.entry.membership.member import EntryState, member_id
+from leverdoor.entry.membership.members import Membership
+from leverdoor.entry.membership.merging import PART_TRUST_S, MeanShares, Merger, merged
+from leverdoor.entry.membership.partners import Partners, in_turn
+from leverdoor.entry.membership.sightings import MemberRow, Sighting
+from leverdoor.entry.membership.views import Views
+from leverdoor.entry.membership.warm_news import WarmNews
 
 __all__ = ["Exchange", "Heard", "Report", "Sending"]
 
--- a/leverdoor/entry/joining.py
+++ b/leverdoor/entry/membership/joining.py
@@ -12,7 +12,7 @@
 from random import Random
 
 from leverdoor.entry.events import Events
-from leverdoor.entry.membership import Membership
+from leverdoor.entry.membership.members import Membership
 from leverdoor.errors import LeverdoorError
 from leverdoor.storage.following import PeerFollower
 from leverdoor.storage.state import State
--- a/leverdoor/entry/membership.py
+++ b/leverdoor/entry/membership/members.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from leverdoor.codec import unpack
-from leverdoor.entry.member import (
+from leverdoor.entry.membership.member import (
     LEAVING,
     SERVING,
     STARTING,
@@ -23,7 +23,7 @@
     link_rank,
     member_id,
 )
-from leverdoor.entry.sightings import NEVER, Known, MemberRow, Sighting
+from leverdoor.entry.membership.sightings import NEVER, Known, MemberRow, Sighting
 
 __all__ = ["HEARTBEAT_S", "Membership"]
 
--- a/leverdoor/entry/merging.py
+++ b/leverdoor/entry/membership/merging.py
@@ -12,8 +12,8 @@
 
 import msgspec
 
-from leverdoor.entry.digests import Heartbeat, Shares
-from leverdoor.entry.sightings import NEVER
+from leverdoor.entry.membership.digests import Heartbeat, Shares
+from leverdoor.entry.membership.sightings import NEVER
 
 __all__ = ["PART_TRUST_S", "MeanShares", "Merger", "merged"]
 
--- a/leverdoor/entry/partners.py
+++ b/leverdoor/entry/membership/partners.py
@@ -4,9 +4,9 @@
 
 from typing import TypeVar
 
-from leverdoor.entry.member import Member
-from leverdoor.entry.membership import HEARTBEAT_S, Membership
-from leverdoor.entry.sightings import NEVER
+from leverdoor.entry.membership.member import Member
+from leverdoor.entry.membership.members import HEARTBEAT_S, Membership
+from leverdoor.entry.membership.sightings import NEVER
 
 __all__ = ["Partners", "in_turn"]
 
--- a/leverdoor/entry/peer_link.py
+++ b/leverdoor/entry/membership/peer_link.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable
 from typing import TypeAlias
 
-from leverdoor.entry.catalog_keeper import CatalogKeeper
-from leverdoor.entry.digests import Message
-from leverdoor.entry.exchange import Exchange, Heard, Report, Sending
+from leverdoor.entry.configuration.catalog_keeper import CatalogKeeper
+from leverdoor.entry.membership.digests import Message
+from leverdoor.entry.membership.exchange import Exchange, Heard, Report, Sending
 from leverdoor.membership.gossip import GossipSocket
 from leverdoor.settings import Address
 from leverdoor.storage.following import PeerFollower
--- a/leverdoor/entry/registration.py
+++ b/leverdoor/entry/membership/registration.py
@@ -10,7 +10,7 @@
 
 from leverdoor.codec import pack, unpack
 from leverdoor.entry.events import Events
-from leverdoor.entry.member import Member
+from leverdoor.entry.membership.member import Member
 from leverdoor.errors import LeverdoorError
 from leverdoor.storage.store import Entry, LeasingStore
 
--- a/leverdoor/entry/sightings.py
+++ b/leverdoor/entry/membership/sightings.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from leverdoor.entry.member import STARTING, EntryState, Member
+from leverdoor.entry.membership.member import STARTING, EntryState, Member
 
 __all__ = ["NEVER", "Known", "MemberRow", "Sighting"]
 
--- a/leverdoor/entry/views.py
+++ b/leverdoor/entry/membership/views.py
@@ -9,7 +9,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
-from leverdoor.entry.digests import (
+from leverdoor.entry.membership.digests import (
     AGE_STEP_S,
     OLDEST_STEPS,
     DomainView,
@@ -18,9 +18,9 @@
     serialize_ages,
     serialize_rows,
 )
-from leverdoor.entry.member import EntryState, member_id
-from leverdoor.entry.membership import Membership
-from leverdoor.entry.sightings import MemberRow, Sighting
+from leverdoor.entry.membership.member import EntryState, member_id
+from leverdoor.entry.membership.members import Membership
+from leverdoor.entry.membership.sightings import MemberRow, Sighting
 
 __all__ = ["Views"]
 
--- a/leverdoor/entry/sharing.py
+++ b/leverdoor/entry/placement/sharing.py
@@ -4,9 +4,9 @@
 
 from collections.abc import Iterable, Mapping
 
-from leverdoor.entry.fleet import Fleet
-from leverdoor.entry.spill import RegionShares, first_shares
-from leverdoor.entry.tuning import Tuning
+from leverdoor.entry.placement.fleet import Fleet
+from leverdoor.entry.placement.spill import RegionShares, first_shares
+from leverdoor.entry.placement.tuning import Tuning
 from leverdoor.model.resources import Target
 
 __all__ = ["NO_SLOTS", "ShareBook"]
--- a/leverdoor/entry/spill.py
+++ b/leverdoor/entry/placement/spill.py
@@ -13,8 +13,8 @@
 import math
 from collections.abc import Iterable, Mapping
 
-from leverdoor.entry.affinity import key_place
-from leverdoor.entry.tuning import PRODUCTION, Tuning
+from leverdoor.entry.placement.affinity import key_place
+from leverdoor.entry.placement.tuning import PRODUCTION, Tuning
 
 __all__ = ["RegionShares", "first_shares"]
 
--- a/leverdoor/entry/connections.py
+++ b/leverdoor/entry/requests/connections.py
@@ -7,13 +7,13 @@
 
 import msgspec
 
-from leverdoor.entry.connection import (
+from leverdoor.entry.requests.connection import (
     AnswerLost,
     Reply,
     TargetConnection,
     open_connection,
 )
-from leverdoor.entry.idle_timeouts import IdleTimeouts
+from leverdoor.entry.requests.idle_timeouts import IdleTimeouts
 from leverdoor.model.resources import Target
 from leverdoor.settings import parse_address
 
--- a/leverdoor/entry/forwarding.py
+++ b/leverdoor/entry/requests/forwarding.py
@@ -8,13 +8,17 @@
 import msgspec
 
 from leverdoor.budget import RepeatBudget
-from leverdoor.entry.connection import AnswerLost, NotSent, Reply
-from leverdoor.entry.connections import Connections, Outgoing
 from leverdoor.entry.events import Events
-from leverdoor.entry.fleet import SLOW_EJECTION_S, Fleet
-from leverdoor.entry.placement import PlacementPolicy
-from leverdoor.entry.repeats import may_repeat
-from leverdoor.entry.requests import Placement, PlacementRequest, Rejection
+from leverdoor.entry.placement.fleet import SLOW_EJECTION_S, Fleet
+from leverdoor.entry.placement.policy import PlacementPolicy
+from leverdoor.entry.requests.connection import AnswerLost, NotSent, Reply
+from leverdoor.entry.requests.connections import Connections, Outgoing
+from leverdoor.entry.requests.placement_request import (
+    Placement,
+    PlacementRequest,
+    Rejection,
+)
+from leverdoor.entry.requests.repeats import may_repeat
 from leverdoor.entry.wire import Wire
 from leverdoor.errors import Code, Refusal, Run
 
--- a/leverdoor/entry/front.py
+++ b/leverdoor/entry/requests/front.py
@@ -10,13 +10,13 @@
 from multidict import CIMultiDict
 
 from leverdoor.codec import serialize_json
-from leverdoor.entry.catalog import Catalog, entry_host
-from leverdoor.entry.connection import Reply
+from leverdoor.entry.configuration.catalog import Catalog, entry_host
 from leverdoor.entry.events import Events
-from leverdoor.entry.forwarding import Forwarder, Incoming
 from leverdoor.entry.metrics import EntryMetrics
-from leverdoor.entry.placement import PlacementPolicy
-from leverdoor.entry.requests import PlacementRequest
+from leverdoor.entry.placement.policy import PlacementPolicy
+from leverdoor.entry.requests.connection import Reply
+from leverdoor.entry.requests.forwarding import Forwarder, Incoming
+from leverdoor.entry.requests.placement_request import PlacementRequest
 from leverdoor.entry.wire import Wire
 from leverdoor.errors import Code, Refusal, code_info
 from leverdoor.headers import bounded_int, passing
--- a/leverdoor/entry/shutdown.py
+++ b/leverdoor/entry/shutdown.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from leverdoor.entry.front import Front
+from leverdoor.entry.requests.front import Front
 
 __all__ = ["STOP_POLL_S", "finish"]
 
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -4,10 +4,14 @@
 
 from random import Random
 
-from leverdoor.entry.catalog import Catalog
-from leverdoor.entry.fleet import Fleet
-from leverdoor.entry.placement import PlacementPolicy
-from leverdoor.entry.requests import Placement, PlacementRequest, Rejection
+from leverdoor.entry.configuration.catalog import Catalog
+from leverdoor.entry.placement.fleet import Fleet
+from leverdoor.entry.placement.policy import PlacementPolicy
+from leverdoor.entry.requests.placement_request import (
+    Placement,
+    PlacementRequest,
+    Rejection,
+)
 from leverdoor.model.resources import Region, Resource, Route, Service, Target, Work
 
 REGIONS = [
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -30,7 +30,7 @@
 from leverdoor.emulator.series import ABLATIONS, Vary, ablations, play_all, scaled
 from leverdoor.emulator.targets import EmulatedTarget, Outcome, Run
 from leverdoor.emulator.world import play
-from leverdoor.entry.tuning import PRODUCTION
+from leverdoor.entry.placement.tuning import PRODUCTION
 from leverdoor.entry.wire import TargetLoad
 from leverdoor.errors import Code, ConfigError
 from leverdoor.model.resources import Target
--- a/tests/test_entry_catalog.py
+++ b/tests/test_entry_catalog.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from leverdoor.entry.catalog import Catalog, entry_host
+from leverdoor.entry.configuration.catalog import Catalog, entry_host
 from leverdoor.model.resources import Route, Work
 
 
--- a/tests/test_entry_connection.py
+++ b/tests/test_entry_connection.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from leverdoor.entry.connection import (
+from leverdoor.entry.requests.connection import (
     AnswerLost,
     NotSent,
     Reply,
--- a/tests/test_entry_digests.py
+++ b/tests/test_entry_digests.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from leverdoor.codec import pack, unpack
-from leverdoor.entry.digests import (
+from leverdoor.entry.membership.digests import (
     AGE_STEP_S,
     KEPT_LISTS,
     MOST_COUNTED,
@@ -25,8 +25,8 @@
     serialize_ids,
     serialize_rows,
 )
-from leverdoor.entry.member import SERVING, Member
-from leverdoor.entry.sightings import MemberRow
+from leverdoor.entry.membership.member import SERVING, Member
+from leverdoor.entry.membership.sightings import MemberRow
 
 ROWS = st.builds(
     MemberRow,
--- a/tests/test_entry_expired_registrations.py
+++ b/tests/test_entry_expired_registrations.py
@@ -3,7 +3,11 @@
 """Targets whose entries lapse while the store is away."""
 
 from desk import target
-from leverdoor.entry.expired_registrations import RECENT_S, ExpiredRegistrations, Outage
+from leverdoor.entry.configuration.expired_registrations import (
+    RECENT_S,
+    ExpiredRegistrations,
+    Outage,
+)
 from leverdoor.model.resources import Target
 
 
--- a/tests/test_entry_fleet.py
+++ b/tests/test_entry_fleet.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from desk import SLOTS, Desk, target
-from leverdoor.entry.fleet import (
+from leverdoor.entry.placement.fleet import (
     PEER_TRUST_S,
     SILENT_REQUESTS,
     SILENT_RUNS,
--- a/tests/test_entry_joining.py
+++ b/tests/test_entry_joining.py
@@ -8,9 +8,9 @@
 
 from leverdoor.codec import pack
 from leverdoor.entry.events import Events, LineWriter
-from leverdoor.entry.joining import ALONE_S, SETTLE_S, Joining
-from leverdoor.entry.member import Member
-from leverdoor.entry.membership import Membership
+from leverdoor.entry.membership.joining import ALONE_S, SETTLE_S, Joining
+from leverdoor.entry.membership.member import Member
+from leverdoor.entry.membership.members import Membership
 from leverdoor.errors import StoreUnavailable
 from leverdoor.storage.following import PeerFollower
 from leverdoor.storage.state import Delta, State
--- a/tests/test_entry_membership.py
+++ b/tests/test_entry_membership.py
@@ -9,8 +9,14 @@
 from hypothesis import strategies as st
 
 from leverdoor.codec import pack
-from leverdoor.entry.member import LEAVING, SERVING, STARTING, Member, member_id
-from leverdoor.entry.membership import (
+from leverdoor.entry.membership.member import (
+    LEAVING,
+    SERVING,
+    STARTING,
+    Member,
+    member_id,
+)
+from leverdoor.entry.membership.members import (
     AGGREGATOR_RETRY_S,
     AGGREGATOR_SILENCE_S,
     AGGREGATORS,
@@ -19,7 +25,7 @@
     SILENCE_S,
     Membership,
 )
-from leverdoor.entry.sightings import MemberRow, Sighting
+from leverdoor.entry.membership.sightings import MemberRow, Sighting
 
 
 def member(name: str, incarnation: int = 1) -> Member:
--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -5,9 +5,9 @@
 import pytest
 
 from desk import ROUTE, SLOTS, Desk, target
-from leverdoor.entry.affinity import Ranking
-from leverdoor.entry.requests import Placement, Rejection
-from leverdoor.entry.warmth import SharedWarmth
+from leverdoor.entry.placement.affinity import Ranking
+from leverdoor.entry.placement.warmth import SharedWarmth
+from leverdoor.entry.requests.placement_request import Placement, Rejection
 from leverdoor.errors import Code
 from leverdoor.model.resources import Drain, Resource, Route, Work
 
--- a/tests/test_entry_registration.py
+++ b/tests/test_entry_registration.py
@@ -11,8 +11,8 @@
 
 from leverdoor.codec import pack
 from leverdoor.entry.events import Events, LineWriter
-from leverdoor.entry.member import Member
-from leverdoor.entry.registration import (
+from leverdoor.entry.membership.member import Member
+from leverdoor.entry.membership.registration import (
     CALLS,
     RETRY_S,
     Registration,
--- a/tests/test_entry_repeats.py
+++ b/tests/test_entry_repeats.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from leverdoor.entry.repeats import may_repeat
+from leverdoor.entry.requests.repeats import may_repeat
 from leverdoor.errors import Code, Refusal
 from leverdoor.model.resources import Route, Work
 
--- a/tests/test_entry_spill.py
+++ b/tests/test_entry_spill.py
@@ -7,7 +7,7 @@
 import pytest
 
 from desk import Desk, target
-from leverdoor.entry.spill import MOVE_PER_S, RegionShares, first_shares
+from leverdoor.entry.placement.spill import MOVE_PER_S, RegionShares, first_shares
 
 
 def pressures(own: float, other: float = 0.2) -> dict[str, float]:
--- a/tests/test_entry_warmth.py
+++ b/tests/test_entry_warmth.py
@@ -3,8 +3,14 @@
 """What run times tell of caches: warm and cold runs, targets that forget."""
 
 from desk import target
-from leverdoor.entry.times import ServiceTimes
-from leverdoor.entry.warmth import KEPT_S, MOST_SENT, RANKS, SharedWarmth, WarmthBook
+from leverdoor.entry.placement.times import ServiceTimes
+from leverdoor.entry.placement.warmth import (
+    KEPT_S,
+    MOST_SENT,
+    RANKS,
+    SharedWarmth,
+    WarmthBook,
+)
 
 
 def test_times_fall_into_two_clusters_whatever_was_expected() -> None:
