--- /dev/null
+++ b/benchmarks/quotas.py
@@ -0,0 +1,43 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Do quotas hold over all entries, and what is refused within them?
+
+    python benchmarks/quotas.py --entries 74 --workspaces 79 --loss 0.05 --hot 7.5
+
+Prints one line: the greatest use of a window over its bound (above 1 the quota was
+broken), the share of requests within their limit that were refused, in all and in
+trouble, and the bytes of heartbeats and digests.
+"""
+
+import click
+
+from leverdoor.emulator.quotas import QuotaPlan, play_quotas
+
+
+@click.command()
+@click.option("--entries", default=74, help="How many entries.")
+@click.option("--workspaces", default=79, help="How many workspaces.")
+@click.option("--loss", default=0.0, help="Share of datagrams that are lost.")
+@click.option("--cut", default=0.0, help="Share of entries that are cut off.")
+@click.option("--hot", default=1.0, help="Times its usual that the largest asks for.")
+@click.option("--restart", is_flag=True, help="All entries are killed in trouble.")
+@click.option("--per-entry", default=14.0, help="Requests a second at an entry.")
+@click.option("--seed", default=1, help="Where all chance comes from.")
+def main(
+    entries: int,
+    workspaces: int,
+    loss: float,
+    cut: float,
+    hot: float,
+    restart: bool,
+    per_entry: float,
+    seed: int,
+) -> None:
+    """Print one line of figures by name."""
+    plan = QuotaPlan(entries, workspaces, 3, loss, cut, hot, restart, per_entry, seed)
+    told = f"entries={entries} workspaces={workspaces} loss={loss} cut={cut} hot={hot}"
+    print(f"{told} restart={restart} seed={seed} {play_quotas(plan).line()}")
+
+
+if __name__ == "__main__":
+    main()
--- a/leverdoor/emulator/knowledge.py
+++ b/leverdoor/emulator/knowledge.py
@@ -157,6 +157,8 @@
         self.dead: set[str] = set()
         self.cut = ""
         """The region that is cut off, if any."""
+        self.isolated: set[str] = set()
+        """Entries that are cut off from all others."""
         self._loss = loss
         self._rng = Random(seed)
         self._order = count()
@@ -183,9 +185,15 @@
             call()
         self.now = until
 
+    def restart(self, name: str, node: Node) -> None:
+        """Let an entry's next life begin, in place of the one that was killed."""
+        self.nodes[name] = node
+        first = self._rng.random() * HEARTBEAT_S
+        self._at(self.now + first, lambda: self._round(node))
+
     def _round(self, node: Node) -> None:
         own = node.membership.own
-        if own.name in self.dead:
+        if own.name in self.dead or self.nodes[own.name] is not node:
             return
         for message, to in node.round(self.now):
             size = len(zlib.compress(pack(message), 1)) + HEADERS
@@ -201,6 +209,8 @@
         near = own.region == to.region
         if not near and self.cut in (own.region, to.region):
             return
+        if not self.isolated.isdisjoint((own.name, to.name)):
+            return
         self._at(
             self.now + (NEAR_S if near else FAR_S), lambda: self._arrive(message, to)
         )
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -46,6 +46,7 @@
 from leverdoor.storage.following import StoreFollower
 from leverdoor.storage.state import Delta, State
 from leverdoor.storage.store import LeasingStore
+from leverdoor.workspaces.quota import Quotas
 
 __all__ = ["Entry"]
 
@@ -178,6 +179,9 @@
             s.region,
             self._events.connections_forgotten,
         )
+        self._quotas = Quotas(
+            s.quotas, rng, asyncio.get_running_loop().time(), first_start=s.first_start
+        )
         self._budget = RepeatBudget(
             s.repeat_ratio * REPEAT_SHARE, REPEATS_SAVED, REPEATS_FIRST
         )
@@ -188,6 +192,7 @@
             self._connections,
             self._budget,
             self._events,
+            self._quotas,
         )
         self._front = Front(
             self._wire,
@@ -196,6 +201,7 @@
             self._events,
             self._metrics,
             lambda: self._keeper.catalog,
+            self._quotas,
         )
         self._front_server = web.Server(self._front.handle, handler_cancellation=True)
 
@@ -319,6 +325,8 @@
             self._connections.drop(name)
         self._placement.renew(catalog)
         self._exchange.lists.renew(catalog.names_by_region)
+        workspaces = catalog.workspaces.by_name.values()
+        self._exchange.use.renew(self._quotas.plans(workspaces))
 
     def _take_heard(self, heard: Heard, now: float) -> None:
         """Let the other parts know what others told."""
@@ -326,6 +334,8 @@
             self._fleet.hear(OTHERS, heard.others, now)
         self._placement.shared_warmth.hear(heard.warm, now)
         self._keeper.outage.heard(heard.outage_ms, now)
+        if heard.use is not None:
+            self._quotas.hear(heard.use, now)
 
     def _sharers(self, target: Target) -> int:
         """Count the entries that share a cold target's allowance."""
@@ -348,6 +358,8 @@
             self._placement.shares.reported(),
             self._keeper.outage.age_ms(now),
             self._placement.shared_warmth.recent(WARM_TOLD_S, now),
+            self._quotas.report(now),
+            self._quotas.lived_s(now),
         )
 
     async def _heartbeat(self) -> None:
@@ -358,6 +370,7 @@
             await asyncio.sleep(HEARTBEAT_S)
             turn += 1
             now = loop.time()
+            self._quotas.entries = len(self._membership.everyone()) + 1
             self._peers.round(now)
             if turn % SHARE_ROUNDS == 0:
                 self._placement.shares.update([self._exchange.region_shares()], now)
--- a/leverdoor/entry/membership/digests.py
+++ b/leverdoor/entry/membership/digests.py
@@ -73,6 +73,10 @@
     """How long ago the store was known to be away; -1 if not in recent times."""
     warm: bytes = b""
     """Digests of keys lately answered by other targets than their first."""
+    use: bytes = b""
+    """Requests of workspaces in the window of their quotas."""
+    lived_ms: int = 0
+    """For how long this life has counted that use."""
 
 
 class DomainView(msgspec.Struct, frozen=True, array_like=True):
@@ -129,6 +133,14 @@
     shares: Shares = {}
     outage_ms: int = -1
     warm: bytes = b""
+    use: bytes = b""
+    """Of workspaces with a quota, by the entries whose requests are counted."""
+    use_age_ms: int = 0
+    """Of the oldest word in that use."""
+    covered_ms: int = 0
+    """For how long anyone of them has counted that use."""
+    silent: int = 0
+    """How many of them are silent, and may serve where nobody hears them."""
 
 
 class News(msgspec.Struct, frozen=True, array_like=True, tag="n"):
--- a/leverdoor/entry/membership/exchange.py
+++ b/leverdoor/entry/membership/exchange.py
@@ -36,8 +36,11 @@
 from leverdoor.entry.membership.merging import PART_TRUST_S, MeanShares, Merger, merged
 from leverdoor.entry.membership.partners import Partners, in_turn
 from leverdoor.entry.membership.sightings import MemberRow, Sighting
+from leverdoor.entry.membership.use import Use
+from leverdoor.entry.membership.use_exchange import ToldUse, UseExchange
 from leverdoor.entry.membership.views import Views
 from leverdoor.entry.membership.warm_news import WarmNews
+from leverdoor.workspaces.quota import OthersUse
 
 __all__ = ["Exchange", "Heard", "Report", "Sending"]
 
@@ -60,6 +63,9 @@
     shares: Shares
     outage_ms: int
     warm: list[int]
+    use: Use = {}
+    """Own requests of workspaces in the window of their quotas."""
+    lived_s: float = 0.0
 
 
 class Sending(msgspec.Struct, frozen=True):
@@ -78,6 +84,15 @@
     outage_ms: int = -1
     source: str = ""
     """Where a newer state can be fetched; empty if there is none."""
+    use: OthersUse | None = None
+    """Requests of workspaces by all other entries; None if not told."""
+
+
+class _OwnCounts(msgspec.Struct, frozen=True):
+    """What one of the own heartbeats counted."""
+
+    in_flight: dict[str, int]
+    use: Use
 
 
 class Exchange:
@@ -91,8 +106,9 @@
         self._turn = member_id(self._own.name) % 1_000
         """Counts rounds; entries start at different places in their rotations."""
         self._seq = 0
-        self._own_counts: OrderedDict[int, dict[str, int]] = OrderedDict()
+        self._own_counts: OrderedDict[int, _OwnCounts] = OrderedDict()
         self._merger = Merger(self._own.domain)
+        self.use = UseExchange(membership)
         self._views = Views(membership)
         self._warm_news = WarmNews()
         self._partners = Partners(membership)
@@ -130,6 +146,7 @@
         if known is None or known.incarnation != heard.member.incarnation:
             return Heard()
         self._merger.take_heartbeat(heard, now)
+        self.use.take_heartbeat(heard, now)
         warm = parse_ids(heard.warm)
         self._warm_news.take_from_domain(warm, now)
         source = heard.member.pull if heard.revision > revision else ""
@@ -150,10 +167,15 @@
             counts = self._parse_counts(digest)
             self._merger.take_domain(sender.domain, counts, shares, now)
             self._warm_news.take_from_region(warm, now)
+            self.use.take_part(digest, sender, now)
         elif digest.scope == DigestScope.REGION and sender.region != self._own.region:
             self._merger.take_region(sender.region, self._parse_counts(digest), now)
+            self.use.take_part(digest, sender, now)
         elif digest.scope == DigestScope.ALL and sender.domain == self._own.domain:
             others = self._take_total(digest, now)
+            if others is not None:
+                use = self.use.parse_total(digest, self._counted(digest).use)
+                return Heard(others, warm, digest.outage_ms, source, use)
         return Heard(others, warm, digest.outage_ms, source)
 
     def _is_next(self, digest: Digest) -> bool:
@@ -186,17 +208,22 @@
         return merged(fresh)
 
     def _without_own(self, counts: dict[str, int], digest: Digest) -> dict[str, int]:
-        own = self._own_counts.get(self._views.own_seq(digest.views), {})
+        own = self._counted(digest).in_flight
         for name in own.keys() & counts.keys():
             counts[name] = max(counts[name] - own[name], 0)
         return counts
 
+    def _counted(self, digest: Digest) -> "_OwnCounts":
+        """Return the own counts that a digest of everything holds."""
+        seq = self._views.own_seq(digest.views)
+        return self._own_counts.get(seq, _OwnCounts({}, {}))
+
     # What this entry tells.
 
     def heartbeat(self, report: Report) -> Heartbeat:
         """Return the next heartbeat."""
         self._seq += 1
-        self._own_counts[self._seq % 256] = report.in_flight
+        self._own_counts[self._seq % 256] = _OwnCounts(report.in_flight, report.use)
         while len(self._own_counts) > OWN_COUNTS_KEPT:
             self._own_counts.popitem(last=False)
         return Heartbeat(
@@ -208,6 +235,8 @@
             report.shares if self._seq % SHARE_ROUNDS == 1 else {},
             report.outage_ms,
             serialize_ids(report.warm),
+            self.use.serialize(report.use),
+            round(report.lived_s * 1000),
         )
 
     def announce(self, report: Report, now: float) -> list[Sending]:
@@ -234,9 +263,13 @@
         self._turn += 1
         sendings = self.announce(report, now)
         if not self._membership.is_aggregator(now):
+            self.use.merge_no_more()
             return sendings, Heard()
         self._region_shares = self._merger.region_shares(report.shares).shares
-        heard = Heard(others=self._merger.of_others(now))
+        heard = Heard(
+            others=self._merger.of_others(now),
+            use=self.use.of_others(report.lived_s, now),
+        )
         return sendings + self._digests(report, now), heard
 
     def region_shares(self) -> Shares:
@@ -246,18 +279,20 @@
     def forget(self, now: float) -> None:
         """Drop what entries that are gone told."""
         self._merger.forget(now)
+        self.use.forget(now)
 
     def _digests(self, report: Report, now: float) -> list[Sending]:
         """Return an aggregator's digests of a round."""
         domain = self._merger.of_domain(report.in_flight, now)
         region = self._merger.with_domains(domain, now)
         total = self._merger.with_regions(region, now)
+        use = self.use.tell(report.use, report.lived_s, now)
         near = self._membership.domains(self._own.region)
         views = [self._view(name, report, now) for name in near]
         without_seqs = [msgspec.structs.replace(v, seqs=b"") for v in views]
         sendings = [
             Sending(
-                self._domain_digest(report, domain, without_seqs, now),
+                self._domain_digest(report, domain, without_seqs, use, now),
                 [m.gossip for m in self._partners.near(now)],
             ),
             Sending(
@@ -266,11 +301,12 @@
                     DigestScope.REGION,
                     without_seqs,
                     self._counts(region, self.lists.regions()),
+                    use,
                 ),
                 [m.gossip for m in self._partners.far(self._turn, now)],
             ),
             Sending(
-                self._total_digest(report, total, views, now),
+                self._total_digest(report, total, views, use, now),
                 [m.gossip for m in self._partners.audience(self._turn, now)],
             ),
         ]
@@ -281,6 +317,7 @@
         report: Report,
         counts: dict[str, int],
         views: list[DomainView],
+        use: ToldUse,
         now: float,
     ) -> Digest:
         mean = self._merger.domain_shares(report.shares)
@@ -290,11 +327,17 @@
             DigestScope.DOMAIN,
             views,
             self._counts(counts, self.lists.regions()),
+            use,
         )
         return self._with_shares(digest, mean, warm)
 
     def _total_digest(
-        self, report: Report, counts: dict[str, int], near: list[DomainView], now: float
+        self,
+        report: Report,
+        counts: dict[str, int],
+        near: list[DomainView],
+        use: ToldUse,
+        now: float,
     ) -> Digest:
         far = [
             domain
@@ -308,7 +351,11 @@
         others = [r for r in self.lists.regions() if r != self._own.region]
         regions = [self._own.region, *in_turn(others, FAR_REGIONS, self._turn)]
         digest = self._digest(
-            report, DigestScope.ALL, near + far_views, self._counts(counts, regions)
+            report,
+            DigestScope.ALL,
+            near + far_views,
+            self._counts(counts, regions),
+            use,
         )
         mean = self._merger.region_shares(report.shares)
         warm = self._warm_news.for_domain(report.warm, now)
@@ -330,6 +377,7 @@
         scope: DigestScope,
         views: list[DomainView],
         loads: list[RegionCounts],
+        use: ToldUse,
     ) -> Digest:
         return Digest(
             self._own.name,
@@ -341,6 +389,10 @@
             views,
             loads,
             outage_ms=report.outage_ms,
+            use=use.by_scope[scope],
+            use_age_ms=use.age_ms,
+            silent=use.silent[scope],
+            covered_ms=use.covered_ms,
         )
 
     def _view(self, domain: str, report: Report, now: float) -> DomainView:
--- /dev/null
+++ b/leverdoor/entry/membership/use.py
@@ -0,0 +1,99 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""How messages tell the use of workspaces: pairs of place and count, if it matters.
+
+A place refers to the sorted names of the workspaces that have a quota; both sides
+need the same list, which a hash of it shows.
+"""
+
+import struct
+from collections import OrderedDict
+from collections.abc import Mapping
+from itertools import chain
+
+import xxhash
+
+__all__ = ["Use", "UseLists", "summed"]
+
+Use = dict[str, int]
+"""Requests in the window of quotas, by workspace."""
+
+HASH = struct.Struct("<I")
+PAIR = struct.Struct("<HH")
+"""Place of a workspace and its requests."""
+MOST_COUNTED = 65_535
+"""Greatest count, and greatest place, that a pair tells."""
+MOST_TOLD = 2_000
+"""Pairs of a message at most, those with the greatest part of their quota: 8 kB."""
+KEPT_LISTS = 4
+"""Lists kept for messages of entries that have not yet, or already, a change."""
+
+
+class UseLists:
+    """The names of the workspaces with quotas, in the order in which use is told."""
+
+    def __init__(self) -> None:
+        """Create it without any workspace."""
+        self._planned: Mapping[str, float] = {}
+        self._hash = 0
+        self._places: dict[str, int] = {}
+        self._recent: OrderedDict[int, tuple[str, ...]] = OrderedDict()
+
+    def renew(self, planned: Mapping[str, float]) -> None:
+        """Take the workspaces with quotas of a new configuration.
+
+        Args:
+          planned: for each, the requests of a window that are planned with.
+        """
+        names = tuple(sorted(planned))
+        self._planned = planned
+        self._hash = xxhash.xxh32_intdigest("\n".join(names).encode())
+        self._places = {name: i for i, name in enumerate(names[:MOST_COUNTED])}
+        self._recent[self._hash] = names
+        self._recent.move_to_end(self._hash)
+        while len(self._recent) > KEPT_LISTS:
+            self._recent.popitem(last=False)
+
+    def serialize(self, use: Mapping[str, int], least_part: float = 0.0) -> bytes:
+        """Serialize the use of workspaces.
+
+        Args:
+          use: requests by workspace.
+          least_part: of a quota, below which its use is not told.
+        """
+        if not self._places:
+            return b""
+        told = [
+            (place, min(use[name], MOST_COUNTED))
+            for name, place in self._places.items()
+            if use.get(name, 0) > least_part * self._planned[name]
+        ]
+        if len(told) > MOST_TOLD:
+            told = self._tightest(told)
+        pairs = b"".join(PAIR.pack(place, count) for place, count in told)
+        return HASH.pack(self._hash) + pairs
+
+    def _tightest(self, told: list[tuple[int, int]]) -> list[tuple[int, int]]:
+        names = self._recent[self._hash]
+        told.sort(key=lambda pair: -pair[1] / self._planned[names[pair[0]]])
+        return told[:MOST_TOLD]
+
+    def parse(self, data: bytes) -> Use | None:
+        """Parse the use of workspaces; None if it refers to an unknown list."""
+        if len(data) < HASH.size:
+            return {}
+        names = self._recent.get(HASH.unpack_from(data)[0])
+        if names is None:
+            return None
+        rest = data[HASH.size :]
+        whole = len(rest) - len(rest) % PAIR.size
+        pairs = PAIR.iter_unpack(rest[:whole])
+        return {names[place]: count for place, count in pairs if place < len(names)}
+
+
+def summed(*parts: Mapping[str, int]) -> Use:
+    """Return the sums of several uses."""
+    total: Use = {}
+    for name, count in chain.from_iterable(part.items() for part in parts):
+        total[name] = total.get(name, 0) + count
+    return total
--- /dev/null
+++ b/leverdoor/entry/membership/use_exchange.py
@@ -0,0 +1,167 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""What heartbeats and digests tell of the use of workspaces, and what is learned."""
+
+from collections.abc import Mapping
+
+import msgspec
+
+from leverdoor.entry.membership.digests import Digest, DigestScope, Heartbeat
+from leverdoor.entry.membership.member import LEAVING, Member
+from leverdoor.entry.membership.members import Membership
+from leverdoor.entry.membership.use import Use, UseLists
+from leverdoor.entry.membership.use_merging import Told, UseMerger
+from leverdoor.workspaces.quota import HOLD_S, LEAST_TOLD, OthersUse
+
+__all__ = ["ToldUse", "UseExchange"]
+
+LEAST_PART_TOLD = 0.05
+"""Part of a quota that all failure domains together may leave out of their digests."""
+
+
+class ToldUse(msgspec.Struct, frozen=True):
+    """What the digests of a round tell, by whose requests they count."""
+
+    by_scope: dict[DigestScope, bytes]
+    silent: dict[DigestScope, int]
+    age_ms: int
+    covered_ms: int
+
+
+class UseExchange:
+    """The use of workspaces as this entry tells it, and as it hears it."""
+
+    def __init__(self, membership: Membership) -> None:
+        """Create it around what is known of the entries."""
+        self._membership = membership
+        self._own = membership.own
+        self._lists = UseLists()
+        self._merger = UseMerger()
+        self._merges = False
+        """Whether this entry has known all sums since it last became an aggregator."""
+
+    def renew(self, planned: Mapping[str, float]) -> None:
+        """Take the workspaces with quotas of a new configuration.
+
+        Args:
+          planned: for each, the requests of a window that are planned with.
+        """
+        self._lists.renew(planned)
+        self._merger.planned = planned
+
+    def forget(self, now: float) -> None:
+        """Drop what counts no longer."""
+        self._merger.forget(now)
+
+    def serialize(self, use: Use) -> bytes:
+        """Serialize the own use for a heartbeat."""
+        return self._lists.serialize(use)
+
+    def take_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
+        """Take the word of an entry, if it is of the own failure domain."""
+        member = heartbeat.member
+        use = self._lists.parse(heartbeat.use)
+        if use is None or member.domain != self._own.domain:
+            return
+        told = Told(
+            now,
+            use,
+            heartbeat.lived_ms / 1000,
+            incarnation=member.incarnation,
+            leaves=heartbeat.state == LEAVING,
+        )
+        self._merger.take_entry(member.name, told)
+
+    def take_part(self, digest: Digest, sender: Member, now: float) -> None:
+        """Take the sums of another failure domain or region."""
+        use = self._lists.parse(digest.use)
+        if use is None:
+            return
+        covered_s = digest.covered_ms / 1000
+        if digest.scope == DigestScope.DOMAIN:
+            entries = self._membership.in_domain(sender.domain)
+            told = Told(now, use, covered_s, entries, digest.silent)
+            self._merger.take_domain(sender.domain, told)
+        else:
+            entries = self._membership.in_region(sender.region)
+            told = Told(now, use, covered_s, entries, digest.silent)
+            self._merger.take_region(sender.region, told)
+
+    def parse_total(self, digest: Digest, own: Use) -> OthersUse | None:
+        """Return the use of all others; None if the digest's list is not known.
+
+        Args:
+          digest: an aggregator's sums of all entries.
+          own: the own use that is counted in it.
+        """
+        use = self._lists.parse(digest.use)
+        if use is None:
+            return None
+        for name in own.keys() & use.keys():
+            use[name] = max(use[name] - own[name], 0)
+        age_s = digest.use_age_ms / 1000
+        covered_s = digest.covered_ms / 1000
+        return OthersUse(use, age_s, covered_s, LEAST_TOLD, digest.silent)
+
+    def of_others(self, lived_s: float, now: float) -> OthersUse | None:
+        """Return the use of all others as an aggregator knows it.
+
+        Returns: None while it has not heard of all failure domains and regions: it
+          may just have taken the role.
+        """
+        if not self._merges:
+            self._merges = self._merger.knows(self._near(), self._far(), now)
+        if not self._merges:
+            return None
+        sums = self._merger.sums({}, self._unheard(lived_s), now)
+        age_s = self._merger.age_s(now)
+        covered_s = self._merger.covered_s(lived_s, now)
+        return OthersUse(sums.total, age_s, covered_s, 0.0, sums.silent[-1])
+
+    def merge_no_more(self) -> None:
+        """Note that this entry is no aggregator now."""
+        self._merges = False
+
+    def _unheard(self, lived_s: float) -> int:
+        """Count the entries of the own domain that were never heard in this life.
+
+        After a restart of all, some may be back behind a cut. They are counted for
+        as long as silent ones are.
+        """
+        if lived_s > HOLD_S:
+            return 0
+        domain = self._own.domain
+        heard = len(self._membership.sightings(domain))
+        return max(self._membership.in_domain(domain) - 1 - heard, 0)
+
+    def _near(self) -> set[str]:
+        """Return the region's other failure domains that were ever heard from."""
+        return {
+            domain
+            for domain in self._membership.domains(self._own.region)
+            if domain != self._own.domain and self._membership.sightings(domain)
+        }
+
+    def _far(self) -> set[str]:
+        """Return the other regions that were ever heard from."""
+        return {
+            region
+            for region in self._membership.other_regions()
+            for domain in self._membership.domains(region)
+            if self._membership.sightings(domain)
+        }
+
+    def tell(self, own: Use, lived_s: float, now: float) -> ToldUse:
+        """Return what an aggregator's digests of a round tell."""
+        sums = self._merger.sums(own, self._unheard(lived_s), now)
+        part = LEAST_PART_TOLD / len(self._membership.all_domains())
+        by_scope = {
+            DigestScope.DOMAIN: self._lists.serialize(sums.domain, part),
+            DigestScope.REGION: self._lists.serialize(sums.region, part),
+            DigestScope.ALL: self._lists.serialize(sums.total, LEAST_TOLD),
+        }
+        scopes = (DigestScope.DOMAIN, DigestScope.REGION, DigestScope.ALL)
+        silent = dict(zip(scopes, sums.silent, strict=True))
+        age_ms = round(self._merger.age_s(now) * 1000)
+        covered_ms = round(self._merger.covered_s(lived_s, now) * 1000)
+        return ToldUse(by_scope, silent, age_ms, covered_ms)
--- /dev/null
+++ b/leverdoor/entry/membership/use_merging.py
@@ -0,0 +1,182 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Sums of the use of workspaces that entries tell; pure.
+
+Counts of requests in flight are forgotten when an entry falls silent. Use is not: who
+is silent may be cut off and still serve, and what a former life took still counts
+until the window has passed.
+"""
+
+import math
+from collections.abc import Mapping
+
+import msgspec
+
+from leverdoor.entry.membership.use import Use, summed
+from leverdoor.workspaces.quota import EVEN_PART, HOLD_S, stretch
+
+__all__ = ["Told", "UseMerger", "UseSums"]
+
+FRESH_S = 0.7
+"""Age up to which the word of an entry or a failure domain is taken as it is: three
+rounds of heartbeats or digests. To reserve too early only costs some room."""
+FAR_FRESH_S = 1.2
+"""The same for another region, of which digests tell within 0.79 s (p99)."""
+FORMER_S = 5.0
+"""How long the use of a former life counts: the window of quotas."""
+
+
+class Told(msgspec.Struct):
+    """What was told at a time, by one entry or of many."""
+
+    at: float
+    use: Use
+    covered_s: float
+    """For how long it had been counted."""
+    entries: int = 1
+    """How many entries it is the use of."""
+    silent: int = 0
+    """How many of them were silent."""
+    incarnation: int = 0
+    leaves: bool = False
+    reserved: Use | None = None
+    """What they may take since they are silent; None while they are not."""
+
+
+class UseSums(msgspec.Struct, frozen=True):
+    """The use of workspaces by the own failure domain, its region, and all."""
+
+    domain: Use
+    region: Use
+    total: Use
+    silent: tuple[int, int, int]
+    """Entries of the domain, of the region and of all that are silent: they may take
+    part of each quota whatever their use was."""
+
+
+class UseMerger:
+    """The use of workspaces by entry, failure domain and region."""
+
+    def __init__(self) -> None:
+        """Create it knowing nothing."""
+        self.planned: Mapping[str, float] = {}
+        """For each workspace with a quota, the requests of a window it plans with."""
+        self._entries: dict[str, Told] = {}
+        self._former: list[Told] = []
+        """What lives that are over had told last."""
+        self._domains: dict[str, Told] = {}
+        self._regions: dict[str, Told] = {}
+        self._total: Use = {}
+        """Of the last round."""
+
+    def take_entry(self, name: str, told: Told) -> None:
+        """Take the word of an entry of the own failure domain."""
+        before = self._entries.get(name)
+        if before is not None and before.incarnation != told.incarnation:
+            self._former.append(before)
+        self._entries[name] = told
+
+    def take_domain(self, domain: str, told: Told) -> None:
+        """Take the sums of another failure domain of the region."""
+        self._domains[domain] = told
+
+    def take_region(self, region: str, told: Told) -> None:
+        """Take the sums of another region."""
+        self._regions[region] = told
+
+    def knows(self, domains: set[str], regions: set[str], now: float) -> bool:
+        """Return whether all of some failure domains and regions told lately."""
+        near = _fresh(self._domains, FRESH_S, now)
+        far = _fresh(self._regions, FAR_FRESH_S, now)
+        return domains <= near.keys() and regions <= far.keys()
+
+    def forget(self, now: float) -> None:
+        """Drop what counts no longer."""
+        self._former = [t for t in self._former if now - t.at <= FORMER_S]
+        self._entries = {
+            name: told
+            for name, told in self._entries.items()
+            if now - told.at <= HOLD_S
+        }
+
+    def sums(self, own: Mapping[str, int], unheard: int, now: float) -> UseSums:
+        """Return the sums that an aggregator tells.
+
+        Args:
+          own: the use of this entry.
+          unheard: how many entries of the domain were never heard, and may serve.
+          now: monotonic time in seconds.
+        """
+        former = [t.use for t in self._former if now - t.at <= FORMER_S]
+        domain = summed(own, *former, *self._held(self._entries, FRESH_S, now))
+        region = summed(domain, *self._held(self._domains, FRESH_S, now))
+        self._total = summed(region, *self._held(self._regions, FAR_FRESH_S, now))
+        near = unheard + _silent(self._entries, FRESH_S, now)
+        with_domains = near + _silent(self._domains, FRESH_S, now)
+        with_regions = with_domains + _silent(self._regions, FAR_FRESH_S, now)
+        silent = (near, with_domains, with_regions)
+        return UseSums(domain, region, self._total, silent)
+
+    def covered_s(self, lived_s: float, now: float) -> float:
+        """Return for how long use has been counted by anyone, in seconds.
+
+        Args:
+          lived_s: for how long this entry has counted.
+          now: monotonic time in seconds.
+        """
+        known = (self._entries, self._domains, self._regions)
+        told = [t for of_kind in known for t in of_kind.values()]
+        return max([lived_s, *(t.covered_s + now - t.at for t in told)])
+
+    def age_s(self, now: float) -> float:
+        """Return the age of the oldest word that is taken as it is, in seconds."""
+        fresh = [
+            *_fresh(self._entries, FRESH_S, now).values(),
+            *_fresh(self._domains, FRESH_S, now).values(),
+            *_fresh(self._regions, FAR_FRESH_S, now).values(),
+        ]
+        return max((now - told.at for told in fresh), default=0.0)
+
+    def _held(self, parts: Mapping[str, Told], fresh_s: float, now: float) -> list[Use]:
+        return [self._use(told, fresh_s, now) for told in parts.values()]
+
+    def _use(self, told: Told, fresh_s: float, now: float) -> Use:
+        """Return a use as it was told, and more while its tellers are silent."""
+        age_s = now - told.at
+        if age_s <= fresh_s:
+            return told.use
+        if told.leaves:
+            return told.use if age_s <= FORMER_S else {}
+        if age_s > HOLD_S:
+            return {}
+        if told.reserved is None:
+            told.reserved = self._reserve(told.use)
+        return told.reserved
+
+    def _reserve(self, use: Use) -> Use:
+        """Return what tellers of a use may take by it while they hear nobody.
+
+        The rest of what they may take goes by their number.
+        """
+        found = {}
+        for name, count in use.items():
+            total = max(self._total.get(name, 0), count)
+            times = stretch(self.planned.get(name, 0.0), total)
+            found[name] = math.ceil((1 - EVEN_PART) * count * times)
+        return found
+
+
+def _fresh(told: Mapping[str, Told], fresh_s: float, now: float) -> dict[str, Told]:
+    return {name: one for name, one in told.items() if now - one.at <= fresh_s}
+
+
+def _silent(told: Mapping[str, Told], fresh_s: float, now: float) -> int:
+    """Count the entries that are silent, and still may serve."""
+    found = 0
+    for one in told.values():
+        age_s = now - one.at
+        if age_s <= fresh_s:
+            found += one.silent
+        elif age_s <= HOLD_S and not one.leaves:
+            found += one.entries
+    return found
--- a/leverdoor/entry/requests/forwarding.py
+++ b/leverdoor/entry/requests/forwarding.py
@@ -21,6 +21,7 @@
 from leverdoor.entry.requests.repeats import may_repeat
 from leverdoor.entry.wire import Wire
 from leverdoor.errors import Code, Refusal, Run
+from leverdoor.workspaces.quota import Quotas
 
 __all__ = ["Forwarder", "Incoming"]
 
@@ -63,6 +64,7 @@
         connections: Connections,
         budget: RepeatBudget,
         events: Events,
+        quotas: Quotas,
     ) -> None:
         """Create it from the entry's parts."""
         self._wire = wire
@@ -71,6 +73,7 @@
         self._connections = connections
         self._budget = budget
         self._events = events
+        self._quotas = quotas
 
     async def serve(self, incoming: Incoming) -> Reply:
         """Get a whole answer of a target.
@@ -103,7 +106,12 @@
             arrived=failed.arrived,
             replayable=incoming.replayable,
         )
-        return may and self._budget.spend(incoming.request.service)
+        if not may or not self._budget.spend(incoming.request.service):
+            return False
+        workspace = incoming.request.workspace
+        if workspace is not None and failed.refusal.run is not Run.NO:
+            self._quotas.again(workspace, asyncio.get_running_loop().time())
+        return True
 
     async def _attempt(self, incoming: Incoming, attempt: int) -> Reply:
         loop = asyncio.get_running_loop()
--- a/leverdoor/entry/requests/front.py
+++ b/leverdoor/entry/requests/front.py
@@ -18,9 +18,10 @@
 from leverdoor.entry.requests.forwarding import Forwarder, Incoming
 from leverdoor.entry.requests.placement_request import PlacementRequest
 from leverdoor.entry.wire import Wire
-from leverdoor.errors import Code, Refusal, code_info
+from leverdoor.errors import Code, Refusal, Run, code_info
 from leverdoor.headers import bounded_int, passing
 from leverdoor.model.resources import Route, Workspace
+from leverdoor.workspaces.quota import Quotas
 
 __all__ = ["Front"]
 
@@ -44,6 +45,7 @@
         events: Events,
         metrics: EntryMetrics,
         catalog: Callable[[], Catalog],
+        quotas: Quotas,
     ) -> None:
         """Create it from the entry's parts."""
         self._wire = wire
@@ -52,6 +54,7 @@
         self._events = events
         self._metrics = metrics
         self._catalog = catalog
+        self._quotas = quotas
         self.busy: set[object] = set()
         """The connections on which a request is being served."""
         self.leaving = False
@@ -82,14 +85,19 @@
         request_id = request.headers.get(self._wire.headers.request_id, "")
         service = ""
         outcome = "left"
+        incoming: Incoming | None = None
         try:
-            incoming = await self._incoming(request, request_id, arrived)
+            incoming = self._incoming(request, request_id, arrived)
             service = incoming.request.service
+            if request.body_exists:
+                await self._take_body(request, incoming)
             reply = await self._forwarder.serve(incoming)
             outcome = str(reply.status)
             return await self._answer(request, reply)
         except Refusal as e:
             outcome = e.code.name
+            if incoming is not None and e.run is Run.NO:
+                self._refund(incoming.request)
             version = self._catalog().version
             took_s = loop.time() - arrived
             self._events.refused(request_id, service, e, version, took_s)
@@ -110,13 +118,13 @@
 
     # In.
 
-    async def _incoming(
+    def _incoming(
         self, request: web.BaseRequest, request_id: str, arrived: float
     ) -> Incoming:
-        """Route a request and take in its body.
+        """Route a request, and count it for its workspace.
 
         Raises:
-          Refusal: it can't be routed, or is not acceptable.
+          Refusal: it can't be routed, is not acceptable, or beyond a quota.
         """
         catalog = self._catalog()
         if not catalog.configured:
@@ -141,16 +149,20 @@
             until=until,
             workspace=workspace,
         )
-        incoming = Incoming(
+        if workspace is not None:
+            self._quotas.admit(workspace, arrived)
+        return Incoming(
             request=wanted,
             method=request.method,
             path=path,
             headers=self._passing(request, workspace),
             body=b"",
         )
-        if request.body_exists:
-            await self._take_body(request, incoming, catalog.limits.body_bytes)
-        return incoming
+
+    def _refund(self, request: PlacementRequest) -> None:
+        """Take back what was counted for a request that no target ran."""
+        if request.workspace is not None:
+            self._quotas.refund(request.workspace, request.arrived)
 
     def _patience_s(self, request: web.BaseRequest, route: Route) -> float:
         """Return how long a request may take here, in seconds."""
@@ -187,10 +199,9 @@
             found.append((names.workspace, workspace.name))
         return found
 
-    async def _take_body(
-        self, request: web.BaseRequest, incoming: Incoming, most: int
-    ) -> None:
+    async def _take_body(self, request: web.BaseRequest, incoming: Incoming) -> None:
         """Read a body whole if it is small, and else prepare to stream it."""
+        most = self._catalog().limits.body_bytes
         length = request.content_length
         if length is not None and length > most:
             raise Refusal(Code.BODY_TOO_LARGE)
--- a/leverdoor/entry/settings.py
+++ b/leverdoor/entry/settings.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from leverdoor.settings import Address
+from leverdoor.workspaces.quota import QuotaBounds
 
 __all__ = ["EntrySettings"]
 
@@ -43,4 +44,8 @@
     """Bandwidth of the machine's link; 0 if it is not known."""
     store_writes_per_s: float = 400.0
     """Writing calls that the store takes in a second, of all entries together."""
+    quotas: QuotaBounds = QuotaBounds()
+    """How far the use of a workspace's quota may go beyond it."""
+    first_start: bool = False
+    """No entry ran before: there is no use of quotas that is not known."""
     seed: int = 0
--- a/leverdoor/platform/settings.py
+++ b/leverdoor/platform/settings.py
@@ -7,6 +7,7 @@
 from leverdoor.entry.settings import EntrySettings
 from leverdoor.errors import SettingsError
 from leverdoor.settings import Address, parse_address
+from leverdoor.workspaces.quota import QuotaBounds
 
 __all__ = ["METRICS_PORT", "PlatformSettings", "parse_settings"]
 
@@ -36,6 +37,9 @@
         "repeat_ratio": "retry-budget-ratio",
         "ttl_max_s": "ttl_max_s",
         "max_shift": "max-shift",
+        "quota_window_s": "quota-window-s",
+        "quota_overshoot": "quota-overshoot",
+        "quota_slack": "quota-slack",
     },
 ):
     grace_s: float = 6.0
@@ -43,6 +47,12 @@
     repeat_ratio: float = 0.2
     ttl_max_s: float = 5.0
     max_shift: float = 0.15
+    quota_window_s: float = 5.0
+    quota_overshoot: float = 0.1
+    quota_slack: float = 20.0
+
+    def quotas(self) -> QuotaBounds:
+        return QuotaBounds(self.quota_window_s, self.quota_overshoot, self.quota_slack)
 
 
 class _Limits(_Names):
@@ -65,6 +75,7 @@
     listen_addresses: _Listen
     internal_port_range: list[int]
     platform: _Store
+    bootstrap: bool = False
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
@@ -89,6 +100,8 @@
             repeat_ratio=self.bounds.repeat_ratio,
             max_shift=self.bounds.max_shift,
             store_writes_per_s=self.platform.writes_per_s,
+            quotas=self.bounds.quotas(),
+            first_start=self.bootstrap,
             link_mbps=round(self.limits.link_bandwidth_mbps),
         )
 
--- /dev/null
+++ b/leverdoor/workspaces/usage.py
@@ -0,0 +1,75 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""How many requests of each workspace an entry took in the last seconds."""
+
+from collections import deque
+
+import msgspec
+
+__all__ = ["UsageWindow"]
+
+SLICE_S = 0.1
+"""Resolution in seconds; a window counts up to one slice too much, never less."""
+
+
+class _Slice(msgspec.Struct):
+    """The requests of one slice of time."""
+
+    number: int
+    count: int
+
+
+class UsageWindow:
+    """Requests by workspace, in a window that slides in steps of a slice."""
+
+    def __init__(self, window_s: float) -> None:
+        """Create it without any request.
+
+        Args:
+          window_s: how long a request counts, in seconds.
+        """
+        self._kept = int(window_s / SLICE_S) + 1
+        self._slices: dict[str, deque[_Slice]] = {}
+
+    def add(self, name: str, now: float) -> None:
+        """Count a request of a workspace."""
+        number = int(now / SLICE_S)
+        slices = self._slices.setdefault(name, deque())
+        if slices and slices[-1].number == number:
+            slices[-1].count += 1
+        else:
+            slices.append(_Slice(number, 1))
+
+    def take_back(self, name: str, at: float) -> None:
+        """Take back a request that was counted at a time, if that is still kept."""
+        number = int(at / SLICE_S)
+        for one in reversed(self._slices.get(name, ())):
+            if one.number == number:
+                one.count -= 1
+                return
+
+    def within(self, name: str, span_s: float, now: float) -> int:
+        """Return a workspace's requests of the last seconds, at most the window's."""
+        slices = self._slices.get(name)
+        if not slices:
+            return 0
+        self._expire(slices, now)
+        oldest = int((now - span_s) / SLICE_S)
+        return sum(s.count for s in slices if s.number >= oldest)
+
+    def totals(self, now: float) -> dict[str, int]:
+        """Return the requests of all workspaces that had any in the window."""
+        found = {}
+        for name, slices in list(self._slices.items()):
+            self._expire(slices, now)
+            total = sum(s.count for s in slices)
+            if total > 0:
+                found[name] = total
+            elif not slices:
+                del self._slices[name]
+        return found
+
+    def _expire(self, slices: deque[_Slice], now: float) -> None:
+        first = int(now / SLICE_S) - self._kept
+        while slices and slices[0].number < first:
+            slices.popleft()
