--- a/leverdoor/standins/entry_site.py
+++ b/leverdoor/standins/entry_site.py
@@ -246,6 +246,10 @@
         path.write_bytes(serialize_json(settings))
         return EntryProcess(name, place, path, ports)
 
+    def region(self, zone: str) -> str:
+        """Return the region of a zone."""
+        return self._zones[zone]
+
     def _host(self) -> str:
         """Return a loopback address that no other entry on this machine has.
 
--- a/leverdoor/standins/soak/callers.py
+++ b/leverdoor/standins/soak/callers.py
@@ -14,6 +14,7 @@
 from leverdoor.standins.entry_site import EntryProcess
 from leverdoor.standins.soak.record import Attempt, Probe, Record
 from leverdoor.standins.soak.site import SoakSite, mark_path
+from leverdoor.standins.soak.workspaces import FREE, WORKSPACES, SoakWorkspace
 
 __all__ = ["Caller", "Prober"]
 
@@ -68,6 +69,8 @@
         request_id = f"{self._number:08x}{self._count:08x}"
         once = self._rng.random() < ONCE_SHARE
         large = self._rng.random() < LARGE_SHARE
+        parts = [w.part for w in WORKSPACES]
+        workspace = self._rng.choices(WORKSPACES, parts)[0]
         size = LARGE_BODY if large else self._rng.randrange(2_000)
         body = self._rng.randbytes(size) if once else b""
         call = _Call(
@@ -76,8 +79,11 @@
             method="POST" if once else "GET",
             path="/file/x" if once else "/look/x",
             body=body,
+            workspace=workspace,
             headers={
                 "Host": "records.example",
+                "X-Credential": workspace.key,
+                "X-Tenant": "somebody-else",
                 "X-Request-Id": request_id,
                 "X-Deadline-Ms": str(DEADLINE_MS),
                 "X-Affinity-Key": str(self._rng.randrange(KEYS)),
@@ -102,6 +108,7 @@
         method: str,
         path: str,
         body: bytes,
+        workspace: SoakWorkspace,
         headers: dict[str, str],
     ) -> None:
         self._entry = entry
@@ -109,6 +116,7 @@
         self._method = method
         self._path = path
         self._body = body
+        self._workspace = workspace.name
         self._headers = headers
         self._digest = hashlib.sha256(body).hexdigest()
         self._began = asyncio.get_running_loop().time()
@@ -124,6 +132,7 @@
             sent_at=self._began,
             ended_at=asyncio.get_running_loop().time(),
             status=status,
+            workspace=self._workspace,
             **more,
         )
 
@@ -192,6 +201,7 @@
         request_id = f"probe-{self._entry.name}-{self._count}-{loop.time()}"
         headers = {
             "Host": "records.example",
+            "X-Credential": FREE.key,
             "X-Request-Id": request_id,
             "X-Deadline-Ms": str(DEADLINE_MS),
         }
@@ -218,6 +228,7 @@
                     own=True,
                     stamped=status == 200,
                     left=True,
+                    workspace=FREE.name,
                 )
             )
         if status != 200 or life != self._entry.lives:
--- a/leverdoor/standins/soak/promises.py
+++ b/leverdoor/standins/soak/promises.py
@@ -6,6 +6,8 @@
 from collections.abc import Iterator
 
 from leverdoor.standins.soak.record import Attempt, Record, Seen
+from leverdoor.standins.soak.workspaces import WORKSPACES, workspace_named
+from leverdoor.workspaces.quota import QuotaBounds
 
 __all__ = ["breaches"]
 
@@ -26,6 +28,8 @@
     found = list(_answers(record, ran))
     found += _runs(record, sent)
     found += _counts(sent, ran)
+    found += _workspaces(record, sent)
+    found += _quotas(record)
     found += _leaves(record)
     found += _reverts(record)
     found += _stops(record, ran)
@@ -74,6 +78,37 @@
             yield f"BUDGET {request_id}: run {len(runs)} times"
 
 
+def _workspaces(record: Record, sent: dict[str, Attempt]) -> Iterator[str]:
+    """Targets learn whose a request is, never the key, and stand at home."""
+    for run in record.runs:
+        a = sent.get(run.request_id)
+        if a is None:
+            continue
+        if run.keyed:
+            yield f"UNASKED {run.request_id}: the key was passed on"
+        if run.workspace != a.workspace:
+            yield f"UNASKED {run.request_id}: run as {run.workspace or 'nobody'}"
+        known = workspace_named(a.workspace)
+        if known is not None and known.homes and run.region not in known.homes:
+            yield f"HOME {run.request_id}: run in {run.region}"
+
+
+def _quotas(record: Record) -> Iterator[str]:
+    """In no window more requests of a workspace run than the bound allows."""
+    window_s = QuotaBounds().window_s
+    for workspace in WORKSPACES:
+        bound = workspace.bound()
+        times = sorted(r.at for r in record.runs if r.workspace == workspace.name)
+        first = 0
+        most = 0
+        for last, at in enumerate(times):
+            while times[first] <= at - window_s:
+                first += 1
+            most = max(most, last - first + 1)
+        if bound and most > bound:
+            yield f"QUOTA {workspace.name}: {most} in a window, {bound:.0f} allowed"
+
+
 def _leaves(record: Record) -> Iterator[str]:
     """What left gets nothing new."""
     left = {leave.target: leave.at for leave in record.leaves}
--- a/leverdoor/standins/soak/record.py
+++ b/leverdoor/standins/soak/record.py
@@ -29,6 +29,8 @@
     """A connection was there; without one nothing can have been sent."""
     left: bool = False
     """The caller gave up before there was an answer."""
+    workspace: str = ""
+    """Whose key the caller sent."""
 
 
 class Seen(msgspec.Struct, frozen=True):
@@ -41,6 +43,12 @@
     digest: str
     deadline_ms: int
     at: float
+    region: str = ""
+    """Of the target."""
+    workspace: str = ""
+    """Whose request it was, as the entry said."""
+    keyed: bool = False
+    """A workspace's key came along."""
 
 
 class Leave(msgspec.Struct, frozen=True):
--- a/leverdoor/standins/soak/run.py
+++ b/leverdoor/standins/soak/run.py
@@ -177,6 +177,9 @@
                     digest=r.digest,
                     deadline_ms=r.deadline_ms,
                     at=r.at,
+                    region=self._site.region(target.zone),
+                    workspace=r.workspace,
+                    keyed=r.keyed,
                 )
                 for r in target.runs
             ]
--- a/leverdoor/standins/soak/site.py
+++ b/leverdoor/standins/soak/site.py
@@ -14,6 +14,7 @@
 )
 from leverdoor.standins.proxy import LinkFault, LoopbackProxy
 from leverdoor.standins.soak.skewed import CLOCK
+from leverdoor.standins.soak.workspaces import WORKSPACES
 from leverdoor.standins.upstreams import UpstreamStandin
 
 __all__ = ["SoakSite", "mark_path"]
@@ -110,6 +111,7 @@
             "name": f"mark-{version}",
             "path-prefix": mark_path(version),
         }
+        tenants = tenants or [w.tenant() for w in WORKSPACES]
         revision = super().configure([*routes, mark], limits, tenants)
         self.routed = version
         return revision
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -21,6 +21,7 @@
         "status": 200,
         "own": True,
         "stamped": True,
+        "workspace": "free",
     }
     return Attempt(request_id=request_id, **(fields | more))  # type: ignore[arg-type]
 
@@ -33,6 +34,8 @@
         "digest": "d",
         "deadline_ms": 2000,
         "at": 1.5,
+        "region": "b",
+        "workspace": "free",
     }
     return Seen(request_id=request_id, **(fields | more))  # type: ignore[arg-type]
 
@@ -51,6 +54,22 @@
 @pytest.mark.parametrize(
     ("word", "record"),
     [
+        ("UNASKED", Record(attempts=[attempt()], runs=[run(keyed=True)])),
+        ("UNASKED", Record(attempts=[attempt()], runs=[run(workspace="small")])),
+        (
+            "HOME",
+            Record(
+                attempts=[attempt(workspace="homed")],
+                runs=[run(workspace="homed", region="b")],
+            ),
+        ),
+        (
+            "QUOTA",
+            Record(
+                attempts=[attempt(f"r{i}", workspace="small") for i in range(90)],
+                runs=[run(f"r{i}", workspace="small") for i in range(90)],
+            ),
+        ),
         ("MIXED", Record(attempts=[attempt(own=False)], runs=[run()])),
         ("MIXED", Record(attempts=[attempt()])),
         ("MIXED", Record(attempts=[attempt(status=502)], runs=[run()])),
