--- a/leverdoor/model/resource_checks.py
+++ b/leverdoor/model/resource_checks.py
@@ -18,6 +18,7 @@
     ShiftCap,
     Target,
     Tier,
+    Workspace,
     resource_key,
 )
 
@@ -98,6 +99,8 @@
             _need(after, f"tier/{resource.tier}", owner, "tier")
         case Route():
             _check_route(resource, after, owner)
+        case Workspace():
+            _check_workspace(resource, after, owner)
         case ClientBlocks():
             _check_blocks(resource, after, owner)
         case _:
@@ -179,6 +182,23 @@
             raise _contradiction(owner, "prefix", f"route/{other.name} has it too")
 
 
+def _check_workspace(
+    workspace: Workspace, after: Mapping[str, Resource], owner: str
+) -> None:
+    for region in workspace.homes:
+        _need(after, f"region/{region}", owner, "homes")
+    keys = set(workspace.key_digests)
+    for other in after.values():
+        if (
+            isinstance(other, Workspace)
+            and other.name != workspace.name
+            and not keys.isdisjoint(other.key_digests)
+        ):
+            raise _contradiction(
+                owner, "key_digests", f"workspace/{other.name} has a key of it too"
+            )
+
+
 def _check_blocks(
     blocks: ClientBlocks, after: Mapping[str, Resource], owner: str
 ) -> None:
--- a/tests/test_resources.py
+++ b/tests/test_resources.py
@@ -48,7 +48,16 @@
         "services": {"s": 1},
         "homes": ["r"],
     },
+    {
+        "kind": "workspace",
+        "name": "w1",
+        "key_digests": ["0" * 64],
+        "rate_per_s": 5,
+        "burst": 5,
+        "homes": ["r"],
+    },
 ]
+WORKSPACE = BASE[-1]
 
 
 def base() -> dict[str, Resource]:
@@ -97,6 +106,10 @@
     return {**BASE[5], **fields}
 
 
+def workspace(**fields: object) -> dict[str, object]:
+    return {**WORKSPACE, **fields}
+
+
 def changed(at: int, **fields: object) -> dict[str, object]:
     return {**BASE[at], **fields}
 
@@ -145,6 +158,8 @@
     (route(homes=["none"]), Code.DANGLING_REFERENCE, "homes"),
     (route(services={"s": 0}), Code.CONTRADICTION, "services"),
     (route(name="r2"), Code.CONTRADICTION, "prefix"),
+    (workspace(homes=["none"]), Code.DANGLING_REFERENCE, "homes"),
+    (workspace(name="w2"), Code.CONTRADICTION, "key_digests"),
 ]
 
 
