--- a/leverdoor/emulator/quotas.py
+++ b/leverdoor/emulator/quotas.py
@@ -112,7 +112,7 @@
 
     def round(self, now: float) -> list[Outgoing]:
         """Return what it sends in a round."""
-        self.quotas.entries = len(self.membership.everyone()) + 1
+        self.quotas.entries = self.membership.count
         use = self.quotas.report(now)
         lived_s = self.quotas.lived_s(now)
         report = Report(SERVING, 1, {}, {}, -1, [], use, lived_s)
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -320,6 +320,7 @@
         """Put a newer catalogue in force in all parts."""
         now = asyncio.get_running_loop().time()
         self._membership.found(peers, now)
+        self._quotas.entries = self._membership.count
         self._fleet.renew(catalog.targets, now)
         for name in before.in_service - catalog.in_service:
             self._connections.drop(name)
@@ -335,6 +336,7 @@
         self._placement.shared_warmth.hear(heard.warm, now)
         self._keeper.outage.heard(heard.outage_ms, now)
         if heard.use is not None:
+            self._quotas.entries = self._membership.count
             self._quotas.hear(heard.use, now)
 
     def _sharers(self, target: Target) -> int:
@@ -370,7 +372,7 @@
             await asyncio.sleep(HEARTBEAT_S)
             turn += 1
             now = loop.time()
-            self._quotas.entries = len(self._membership.everyone()) + 1
+            self._quotas.entries = self._membership.count
             self._peers.round(now)
             if turn % SHARE_ROUNDS == 0:
                 self._placement.shares.update([self._exchange.region_shares()], now)
--- a/leverdoor/entry/membership/members.py
+++ b/leverdoor/entry/membership/members.py
@@ -247,6 +247,11 @@
         """Count the entries of a region known within the last minute."""
         return sum(self.in_domain(d) for d in self.domains(region))
 
+    @property
+    def count(self) -> int:
+        """How many entries are known, this one included."""
+        return len(self._known) + 1
+
     def everyone(self) -> list[str]:
         """Return the heartbeat addresses of all entries."""
         return [k.member.gossip for k in self._known.values()]
--- a/leverdoor/entry/membership/use_exchange.py
+++ b/leverdoor/entry/membership/use_exchange.py
@@ -10,7 +10,7 @@
 from leverdoor.entry.membership.member import LEAVING, Member
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.membership.use import Use, UseLists
-from leverdoor.entry.membership.use_merging import Told, UseMerger
+from leverdoor.entry.membership.use_merging import FRESH_S, Told, UseMerger
 from leverdoor.workspaces.quota import HOLD_S, OthersUse
 
 __all__ = ["ToldUse", "UseExchange"]
@@ -21,6 +21,8 @@
 LEAST_TOLD = 20
 """Percentage of a quota below which digests of all entries leave out its use, where
 there are many workspaces: there is room enough, and the use is taken for this much."""
+UNTOLD_PARTS = 2
+"""Even parts of a quota that a silent entry may take whose use is not known."""
 
 
 class ToldUse(msgspec.Struct, frozen=True):
@@ -118,7 +120,7 @@
             self._merges = self._merger.knows(self._near(), self._far(), now)
         if not self._merges:
             return None
-        sums = self._merger.sums({}, self._unheard(lived_s), now)
+        sums = self._merger.sums({}, self._unheard(lived_s, now), now)
         age_s = self._merger.age_s(now)
         covered_s = self._merger.covered_s(lived_s, now)
         return OthersUse(sums.total, age_s, covered_s, 0.0, sums.silent[-1])
@@ -127,17 +129,25 @@
         """Note that this entry is no aggregator now."""
         self._merges = False
 
-    def _unheard(self, lived_s: float) -> int:
-        """Count the entries of the own domain that were never heard in this life.
+    def _unheard(self, lived_s: float, now: float) -> int:
+        """Count what silent entries of the own domain may take that told nothing here.
 
-        After a restart of all, some may be back behind a cut. They are counted for
-        as long as silent ones are.
+        In even parts of a quota. After a restart of all, some may be back behind a
+        cut, and take one. Others were last heard by an aggregator that is gone: they
+        have as much again by their use, which is taken for the mean.
         """
-        if lived_s > HOLD_S:
-            return 0
         domain = self._own.domain
-        heard = len(self._membership.sightings(domain))
-        return max(self._membership.in_domain(domain) - 1 - heard, 0)
+        sightings = self._membership.sightings(domain)
+        never = self._membership.in_domain(domain) - 1 - len(sightings)
+        never = max(never, 0) if lived_s <= HOLD_S else 0
+        untold = [
+            s
+            for s in sightings
+            if FRESH_S < now - s.at <= HOLD_S
+            and s.row.state != LEAVING
+            and not self._merger.told(self._membership.name(s.row.id))
+        ]
+        return never + len(untold) * UNTOLD_PARTS
 
     def _near(self) -> set[str]:
         """Return the region's other failure domains that were ever heard from."""
@@ -158,7 +168,7 @@
 
     def tell(self, own: Use, lived_s: float, now: float) -> ToldUse:
         """Return what an aggregator's digests of a round tell."""
-        sums = self._merger.sums(own, self._unheard(lived_s), now)
+        sums = self._merger.sums(own, self._unheard(lived_s, now), now)
         part = LEAST_PART_TOLD // len(self._membership.all_domains())
         by_scope = {
             DigestScope.DOMAIN: self._lists.serialize(sums.domain, part),
--- a/leverdoor/entry/membership/use_merging.py
+++ b/leverdoor/entry/membership/use_merging.py
@@ -8,6 +8,7 @@
 """
 
 import math
+from collections import deque
 from collections.abc import Mapping
 
 import msgspec
@@ -15,13 +16,15 @@
 from leverdoor.entry.membership.use import Use, summed
 from leverdoor.workspaces.quota import EVEN_PART, HOLD_S, stretch
 
-__all__ = ["Told", "UseMerger", "UseSums"]
+__all__ = ["FRESH_S", "Told", "UseMerger", "UseSums"]
 
 FRESH_S = 0.7
 """Age up to which the word of an entry or a failure domain is taken as it is: three
 rounds of heartbeats or digests. To reserve too early only costs some room."""
 FAR_FRESH_S = 1.2
 """The same for another region, of which digests tell within 0.79 s (p99)."""
+KEPT_TOTALS = 16
+"""Sums of all that are kept: two a round, for longer than `FAR_FRESH_S`."""
 FORMER_S = 5.0
 """How long the use of a former life counts: the window of quotas."""
 
@@ -66,8 +69,8 @@
         """What lives that are over had told last."""
         self._domains: dict[str, Told] = {}
         self._regions: dict[str, Told] = {}
-        self._total: Use = {}
-        """Of the last round."""
+        self._totals: deque[tuple[float, Use]] = deque(maxlen=KEPT_TOTALS)
+        """When sums of all were made, and these."""
 
     def take_entry(self, name: str, told: Told) -> None:
         """Take the word of an entry of the own failure domain."""
@@ -84,6 +87,10 @@
         """Take the sums of another region."""
         self._regions[region] = told
 
+    def told(self, name: str) -> bool:
+        """Return whether an entry of the own failure domain told its use here."""
+        return name in self._entries
+
     def knows(self, domains: set[str], regions: set[str], now: float) -> bool:
         """Return whether all of some failure domains and regions told lately."""
         near = _fresh(self._domains, FRESH_S, now)
@@ -110,12 +117,13 @@
         former = [t.use for t in self._former if now - t.at <= FORMER_S]
         domain = summed(own, *former, *self._held(self._entries, FRESH_S, now))
         region = summed(domain, *self._held(self._domains, FRESH_S, now))
-        self._total = summed(region, *self._held(self._regions, FAR_FRESH_S, now))
+        total = summed(region, *self._held(self._regions, FAR_FRESH_S, now))
+        self._totals.append((now, total))
         near = unheard + _silent(self._entries, FRESH_S, now)
         with_domains = near + _silent(self._domains, FRESH_S, now)
         with_regions = with_domains + _silent(self._regions, FAR_FRESH_S, now)
         silent = (near, with_domains, with_regions)
-        return UseSums(domain, region, self._total, silent)
+        return UseSums(domain, region, total, silent)
 
     def covered_s(self, lived_s: float, now: float) -> float:
         """Return for how long use has been counted by anyone, in seconds.
@@ -150,17 +158,19 @@
         if age_s > HOLD_S:
             return {}
         if told.reserved is None:
-            told.reserved = self._reserve(told.use)
+            told.reserved = self._reserve(told)
         return told.reserved
 
-    def _reserve(self, use: Use) -> Use:
+    def _reserve(self, told: Told) -> Use:
         """Return what tellers of a use may take by it while they hear nobody.
 
-        The rest of what they may take goes by their number.
+        It goes by the total of the time when they were last heard: so do they
+        themselves. The rest of what they may take goes by their number.
         """
+        then = next((total for at, total in self._totals if at >= told.at), {})
         found = {}
-        for name, count in use.items():
-            total = max(self._total.get(name, 0), count)
+        for name, count in told.use.items():
+            total = max(then.get(name, 0), count)
             times = stretch(self.planned.get(name, 0.0), total)
             found[name] = math.ceil((1 - EVEN_PART) * count * times)
         return found
--- a/leverdoor/workspaces/quota.py
+++ b/leverdoor/workspaces/quota.py
@@ -34,7 +34,7 @@
     "stretch",
 ]
 
-PLANNED_SPARE = 0.4
+PLANNED_SPARE = 0.3
 """Part of the spare between a limit and its bound that is planned with.
 
 The rest is for entries that take the same room before they hear of each other.
@@ -55,8 +55,8 @@
 EVEN_PART = 0.5
 """Part of a quota that is dealt evenly where entries don't know of each other; the
 rest goes by their use, which may be about to change."""
-TAKEN_AT_ONCE = 0.5
-"""Part of its room that an entry takes before it hears how much the others took.
+TAKEN_AT_ONCE = 0.35
+"""Part of a quota that all entries take before they hear how much the others took.
 
 A cut is noticed after up to 1.2 s; until then each side takes the other's room too.
 """
@@ -172,9 +172,10 @@
         used = others + before + PRIOR_USE * live
         by_use = (before + PRIOR_USE) / used
         part = EVEN_PART / live + (1 - EVEN_PART) * by_use
+        room = self.free
         if live > 1:
-            part *= TAKEN_AT_ONCE
-        return self.expired + max(self.free * part, self._free_requests())
+            room = min(room, TAKEN_AT_ONCE * self.planned)
+        return self.expired + max(room * part, self._free_requests())
 
     def _free_requests(self) -> float:
         steps = self.free / self.expected
@@ -299,7 +300,8 @@
         others: float = self._others.use.get(name, 0)
         if name not in self._others.use:
             others = self._others.least_told * planned
-        others += EVEN_PART * planned * self._others.silent / self.entries
+        silent = min(self._others.silent, self.entries - 1)
+        others += EVEN_PART * planned * silent / self.entries
         used = max(own + others, LEAST_EXPECTED * planned)
         unseen_s = UNSEEN_S + (now - self._heard_at if self.entries > 1 else 0.0)
         return Room(
@@ -309,7 +311,7 @@
             recent=self._usage.within(name, unseen_s, now),
             entries=self.entries,
             expected=used * UNSEEN_S / bounds.window_s,
-            silent=min(self._others.silent, self.entries - 1),
+            silent=silent,
             expired=self._usage.expired(name, unseen_s, now),
         )
 
