--- a/benchmarks/entry_slopes.py
+++ b/benchmarks/entry_slopes.py
@@ -16,9 +16,10 @@
 from leverdoor.codec import pack
 from leverdoor.entry.configuration.catalog import Catalog
 from leverdoor.entry.membership.digests import Heartbeat
-from leverdoor.entry.membership.exchange import Exchange, Report
+from leverdoor.entry.membership.exchange import Exchange
 from leverdoor.entry.membership.member import SERVING, Member
 from leverdoor.entry.membership.members import Membership
+from leverdoor.entry.membership.report import Report
 from leverdoor.entry.placement.fleet import Fleet
 from leverdoor.entry.placement.policy import PlacementPolicy
 from leverdoor.entry.requests.placement_request import Placement, PlacementRequest
--- a/leverdoor/emulator/entries.py
+++ b/leverdoor/emulator/entries.py
@@ -23,9 +23,10 @@
 )
 from leverdoor.entry.configuration.catalog import Catalog
 from leverdoor.entry.membership.digests import Message
-from leverdoor.entry.membership.exchange import Exchange, Heard, Report
+from leverdoor.entry.membership.exchange import Exchange
 from leverdoor.entry.membership.member import SERVING, Member
 from leverdoor.entry.membership.members import Membership
+from leverdoor.entry.membership.report import Heard, Report
 from leverdoor.entry.placement.fleet import OTHERS, Fleet
 from leverdoor.entry.placement.policy import PlacementPolicy
 from leverdoor.entry.requests.placement_request import (
--- a/leverdoor/emulator/knowledge.py
+++ b/leverdoor/emulator/knowledge.py
@@ -19,9 +19,10 @@
 
 from leverdoor.codec import pack
 from leverdoor.entry.membership.digests import Message
-from leverdoor.entry.membership.exchange import Exchange, Report
+from leverdoor.entry.membership.exchange import Exchange
 from leverdoor.entry.membership.member import SERVING, Member
 from leverdoor.entry.membership.members import HEARTBEAT_S, Membership
+from leverdoor.entry.membership.report import Report
 
 __all__ = ["Figures", "KnowledgeSite", "MakeNode", "Node", "Outgoing", "measure"]
 
--- a/leverdoor/emulator/quotas.py
+++ b/leverdoor/emulator/quotas.py
@@ -16,12 +16,14 @@
 
 from leverdoor.emulator.knowledge import KnowledgeSite, Outgoing
 from leverdoor.entry.membership.digests import Message
-from leverdoor.entry.membership.exchange import Exchange, Heard, Report
+from leverdoor.entry.membership.exchange import Exchange
 from leverdoor.entry.membership.member import SERVING, Member
 from leverdoor.entry.membership.members import Membership
+from leverdoor.entry.membership.report import Heard, Report
 from leverdoor.errors import Refusal
 from leverdoor.model.resources import Workspace
-from leverdoor.workspaces.quota import QuotaBounds, Quotas
+from leverdoor.workspaces.quota import Quotas
+from leverdoor.workspaces.room import QuotaBounds
 
 __all__ = ["QuotaFigures", "QuotaPlan", "play_quotas"]
 
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable, Mapping
 from random import Random
 
-import msgspec
 from aiohttp import web
 
 from leverdoor.budget import RepeatBudget
@@ -25,12 +24,13 @@
 from leverdoor.entry.configuration.catalog import Catalog
 from leverdoor.entry.configuration.catalog_keeper import CatalogKeeper
 from leverdoor.entry.events import Events
-from leverdoor.entry.membership.exchange import Exchange, Heard, Report
+from leverdoor.entry.membership.exchange import Exchange
 from leverdoor.entry.membership.joining import Joining
 from leverdoor.entry.membership.member import LEAVING, SERVING, STARTING, Member
 from leverdoor.entry.membership.members import HEARTBEAT_S, Membership
 from leverdoor.entry.membership.peer_link import PeerLink
 from leverdoor.entry.membership.registration import Registration, retry_pause_s
+from leverdoor.entry.membership.report import Heard, Report
 from leverdoor.entry.metrics import EntryMetrics
 from leverdoor.entry.placement.fleet import OTHERS, Fleet
 from leverdoor.entry.placement.policy import PlacementPolicy
@@ -38,7 +38,7 @@
 from leverdoor.entry.requests.connections import Connections
 from leverdoor.entry.requests.forwarding import Forwarder
 from leverdoor.entry.requests.front import Front
-from leverdoor.entry.settings import EntrySettings
+from leverdoor.entry.settings import EntrySettings, reload_settings
 from leverdoor.entry.shutdown import STOP_POLL_S, finish
 from leverdoor.entry.wire import Wire
 from leverdoor.model.resources import Target
@@ -62,7 +62,6 @@
 """Connections that wait to be accepted; chosen, a second of new ones at a burst."""
 STORE_BACKOFF_S = 1.0
 """Longest pause between calls to a store that is away; it is heard within 2 s."""
-RELOADABLE = ("grace_s", "repeat_ratio", "watchers", "store_writes_per_s")
 
 
 class Entry:
@@ -91,21 +90,12 @@
 
     def reload(self, settings: EntrySettings) -> None:
         """Take settings that changed; addresses and places stay as they are."""
-        changed = [
-            name
-            for name in RELOADABLE
-            if getattr(settings, name) != getattr(self._settings, name)
-        ]
-        fixed = [
-            name
-            for name in settings.__struct_fields__
-            if name not in RELOADABLE
-            and getattr(settings, name) != getattr(self._settings, name)
-        ]
-        taken = {name: getattr(settings, name) for name in changed}
-        self._settings = msgspec.structs.replace(self._settings, **taken)
+        taken = reload_settings(self._settings, settings)
+        self._settings = taken.settings
         self._budget.ratio = self._settings.repeat_ratio * REPEAT_SHARE
-        self._events.process("reload", changed=changed, left_as_they_are=fixed)
+        self._events.process(
+            "reload", changed=taken.changed, left_as_they_are=taken.left
+        )
 
     async def run(self) -> None:
         """Serve until stopped and everything in flight has ended."""
--- a/leverdoor/entry/membership/exchange.py
+++ b/leverdoor/entry/membership/exchange.py
@@ -31,18 +31,18 @@
     parse_ids,
     serialize_ids,
 )
-from leverdoor.entry.membership.member import EntryState, member_id
+from leverdoor.entry.membership.member import member_id
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.membership.merging import PART_TRUST_S, MeanShares, Merger, merged
 from leverdoor.entry.membership.partners import Partners, in_turn
+from leverdoor.entry.membership.report import Heard, Report, Sending
 from leverdoor.entry.membership.sightings import MemberRow, Sighting
 from leverdoor.entry.membership.use import Use
 from leverdoor.entry.membership.use_exchange import ToldUse, UseExchange
 from leverdoor.entry.membership.views import Views
 from leverdoor.entry.membership.warm_news import WarmNews
-from leverdoor.workspaces.quota import OthersUse
 
-__all__ = ["Exchange", "Heard", "Report", "Sending"]
+__all__ = ["Exchange"]
 
 SHARE_ROUNDS = 5
 """Rounds between two tellings of the regions' shares, which move in seconds."""
@@ -54,40 +54,6 @@
 """Own heartbeats whose counts are kept, to subtract them from what comes back."""
 
 
-class Report(msgspec.Struct, frozen=True):
-    """How this entry fares, as its heartbeats tell it."""
-
-    state: EntryState
-    revision: int
-    in_flight: dict[str, int]
-    shares: Shares
-    outage_ms: int
-    warm: list[int]
-    use: Use = {}
-    """Own requests of workspaces in the window of their quotas."""
-    lived_s: float = 0.0
-
-
-class Sending(msgspec.Struct, frozen=True):
-    """A message, and the addresses that get it."""
-
-    message: Message
-    to: list[str]
-
-
-class Heard(msgspec.Struct, frozen=True):
-    """What a message or a round tells the other parts of this entry."""
-
-    others: dict[str, int] | None = None
-    """Requests that all other entries have at each target; None if not told."""
-    warm: list[int] = []
-    outage_ms: int = -1
-    source: str = ""
-    """Where a newer state can be fetched; empty if there is none."""
-    use: OthersUse | None = None
-    """Requests of workspaces by all other entries; None if not told."""
-
-
 class _OwnCounts(msgspec.Struct, frozen=True):
     """What one of the own heartbeats counted."""
 
--- a/leverdoor/entry/membership/peer_link.py
+++ b/leverdoor/entry/membership/peer_link.py
@@ -8,7 +8,8 @@
 
 from leverdoor.entry.configuration.catalog_keeper import CatalogKeeper
 from leverdoor.entry.membership.digests import Message
-from leverdoor.entry.membership.exchange import Exchange, Heard, Report, Sending
+from leverdoor.entry.membership.exchange import Exchange
+from leverdoor.entry.membership.report import Heard, Report, Sending
 from leverdoor.membership.gossip import GossipSocket
 from leverdoor.settings import Address
 from leverdoor.storage.following import PeerFollower
--- a/leverdoor/entry/membership/use_exchange.py
+++ b/leverdoor/entry/membership/use_exchange.py
@@ -11,7 +11,8 @@
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.membership.use import Use, UseLists
 from leverdoor.entry.membership.use_merging import FRESH_S, Told, UseMerger
-from leverdoor.workspaces.quota import HOLD_S, OthersUse
+from leverdoor.workspaces.quota import HOLD_S
+from leverdoor.workspaces.room import OthersUse
 
 __all__ = ["ToldUse", "UseExchange"]
 
--- a/leverdoor/entry/membership/use_merging.py
+++ b/leverdoor/entry/membership/use_merging.py
@@ -14,7 +14,8 @@
 import msgspec
 
 from leverdoor.entry.membership.use import Use, summed
-from leverdoor.workspaces.quota import EVEN_PART, HOLD_S, stretch
+from leverdoor.workspaces.quota import HOLD_S
+from leverdoor.workspaces.room import EVEN_PART, stretch
 
 __all__ = ["FRESH_S", "Told", "UseMerger", "UseSums"]
 
--- a/leverdoor/entry/settings.py
+++ b/leverdoor/entry/settings.py
@@ -5,9 +5,11 @@
 import msgspec
 
 from leverdoor.settings import Address
-from leverdoor.workspaces.quota import QuotaBounds
+from leverdoor.workspaces.room import QuotaBounds
 
-__all__ = ["EntrySettings"]
+__all__ = ["EntrySettings", "Reloaded", "reload_settings"]
+
+RELOADABLE = ("grace_s", "repeat_ratio", "watchers", "store_writes_per_s")
 
 
 class EntrySettings(msgspec.Struct, frozen=True):
@@ -49,3 +51,26 @@
     first_start: bool = False
     """No entry ran before: there is no use of quotas that is not known."""
     seed: int = 0
+
+
+class Reloaded(msgspec.Struct, frozen=True):
+    """Settings after a change of their file."""
+
+    settings: EntrySettings
+    changed: list[str]
+    """Fields that were taken."""
+    left: list[str]
+    """Fields that differ and only a new start takes: addresses and places."""
+
+
+def reload_settings(before: EntrySettings, after: EntrySettings) -> Reloaded:
+    """Take what may change while an entry runs."""
+    differ = [
+        name
+        for name in after.__struct_fields__
+        if getattr(after, name) != getattr(before, name)
+    ]
+    changed = [name for name in differ if name in RELOADABLE]
+    taken = {name: getattr(after, name) for name in changed}
+    left = [name for name in differ if name not in RELOADABLE]
+    return Reloaded(msgspec.structs.replace(before, **taken), changed, left)
--- a/tests/test_entry_exchange.py
+++ b/tests/test_entry_exchange.py
@@ -8,9 +8,10 @@
 import msgspec
 
 from leverdoor.entry.membership.digests import Digest, DigestScope, Heartbeat, News
-from leverdoor.entry.membership.exchange import Exchange, Heard, Report, Sending
+from leverdoor.entry.membership.exchange import Exchange
 from leverdoor.entry.membership.member import LEAVING, SERVING, Member
 from leverdoor.entry.membership.members import HEARTBEAT_S, Membership
+from leverdoor.entry.membership.report import Heard, Report, Sending
 
 TARGETS = {"a": ["ta1", "ta2"], "b": ["tb1"]}
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -24,16 +24,8 @@
 from leverdoor.errors import Code, Refusal
 from leverdoor.model.resources import Workspace
 from leverdoor.standins.entry_site import SAMPLE_ROUTES, EntrySite
-from leverdoor.workspaces.quota import (
-    EVEN_PART,
-    HOLD_S,
-    ISOLATED_S,
-    OthersUse,
-    QuotaBounds,
-    Quotas,
-    Room,
-    stretch,
-)
+from leverdoor.workspaces.quota import HOLD_S, ISOLATED_S, Quotas
+from leverdoor.workspaces.room import EVEN_PART, OthersUse, QuotaBounds, Room, stretch
 
 BOUNDS = QuotaBounds(window_s=5.0, overshoot=0.1, slack=20.0)
 WARD = Workspace(name="ward", rate_per_s=10.0, burst=10.0)
