--- a/leverdoor/entry/configuration/catalog_keeper.py
+++ b/leverdoor/entry/configuration/catalog_keeper.py
@@ -7,6 +7,7 @@
 from typing import TypeAlias
 
 from leverdoor.entry.configuration.catalog import EMPTY, Catalog
+from leverdoor.entry.configuration.confirmation import Confirmation
 from leverdoor.entry.configuration.expired_registrations import (
     ExpiredRegistrations,
     Outage,
@@ -54,9 +55,14 @@
         self._hold_timer: asyncio.TimerHandle | None = None
         self.catalog = EMPTY
         self.outage = Outage()
+        self.confirmation = Confirmation()
         self.source = "store"
         """Where the state comes from, for the log: the store or a peer's address."""
 
+    def store_answered(self) -> None:
+        """Note that the store has just confirmed the configuration here."""
+        self.confirmation.answered(asyncio.get_running_loop().time())
+
     def compile(self) -> None:
         """Compile the state, and again when the next expired target is given up."""
         loop = asyncio.get_running_loop()
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -192,6 +192,7 @@
             self._metrics,
             lambda: self._keeper.catalog,
             self._quotas,
+            lambda now: self._keeper.confirmation.holds(s.confirm_within_s, now),
         )
         self._front_server = web.Server(self._front.handle, handler_cancellation=True)
 
@@ -228,6 +229,7 @@
             prefix="",
             longest_backoff_s=STORE_BACKOFF_S,
             tell=self._take_store,
+            answered=self._keeper.store_answered,
         )
         self._registration = Registration(
             self._store,
@@ -325,6 +327,7 @@
             self._fleet.hear(OTHERS, heard.others, now)
         self._placement.shared_warmth.hear(heard.warm, now)
         self._keeper.outage.heard(heard.outage_ms, now)
+        self._keeper.confirmation.heard(heard.confirmed_ms, now)
         if heard.use is not None:
             self._quotas.entries = self._membership.count
             self._quotas.hear(heard.use, now)
@@ -352,6 +355,7 @@
             self._placement.shared_warmth.recent(WARM_TOLD_S, now),
             self._quotas.report(now),
             self._quotas.lived_s(now),
+            self._keeper.confirmation.age_ms(now),
         )
 
     async def _heartbeat(self) -> None:
--- a/leverdoor/entry/membership/digests.py
+++ b/leverdoor/entry/membership/digests.py
@@ -77,6 +77,8 @@
     """Requests of workspaces in the window of their quotas."""
     lived_ms: int = 0
     """For how long this life has counted that use."""
+    confirmed_ms: int = -1
+    """How long ago the store answered anyone that is heard; -1 if it never did."""
 
 
 class DomainView(msgspec.Struct, frozen=True, array_like=True):
@@ -141,6 +143,8 @@
     """For how long anyone of them has counted that use."""
     silent: int = 0
     """How many of them are silent, and may serve where nobody hears them."""
+    confirmed_ms: int = -1
+    """As in heartbeats."""
 
 
 class News(msgspec.Struct, frozen=True, array_like=True, tag="n"):
--- a/leverdoor/entry/membership/exchange.py
+++ b/leverdoor/entry/membership/exchange.py
@@ -116,7 +116,12 @@
         warm = parse_ids(heard.warm)
         self._warm_news.take_from_domain(warm, now)
         source = heard.member.pull if heard.revision > revision else ""
-        return Heard(warm=warm, outage_ms=heard.outage_ms, source=source)
+        return Heard(
+            warm=warm,
+            outage_ms=heard.outage_ms,
+            source=source,
+            confirmed_ms=heard.confirmed_ms,
+        )
 
     def _take_digest(self, digest: Digest, revision: int, now: float) -> Heard:
         self._membership.digest_came(digest.sender, now)
@@ -139,10 +144,10 @@
             self.use.take_part(digest, sender, now)
         elif digest.scope == DigestScope.ALL and sender.domain == self._own.domain:
             others = self._take_total(digest, now)
-            if others is not None:
-                use = self.use.parse_total(digest, self._counted(digest).use)
-                return Heard(others, warm, digest.outage_ms, source, use)
-        return Heard(others, warm, digest.outage_ms, source)
+        use = None
+        if others is not None:
+            use = self.use.parse_total(digest, self._counted(digest).use)
+        return Heard(others, warm, digest.outage_ms, source, digest.confirmed_ms, use)
 
     def _is_next(self, digest: Digest) -> bool:
         """Return whether a digest is newer than the last one of its sender."""
@@ -203,6 +208,7 @@
             serialize_ids(report.warm),
             self.use.serialize(report.use),
             round(report.lived_s * 1000),
+            report.confirmed_ms,
         )
 
     def announce(self, report: Report, now: float) -> list[Sending]:
@@ -358,6 +364,7 @@
             use=use.by_scope[scope],
             use_age_ms=use.age_ms,
             silent=use.silent[scope],
+            confirmed_ms=report.confirmed_ms,
             covered_ms=use.covered_ms,
         )
 
--- a/leverdoor/entry/membership/report.py
+++ b/leverdoor/entry/membership/report.py
@@ -24,6 +24,8 @@
     use: Use = {}
     """Own requests of workspaces in the window of their quotas."""
     lived_s: float = 0.0
+    confirmed_ms: int = -1
+    """How long ago the store answered anyone that is heard; -1 if it never did."""
 
 
 class Sending(msgspec.Struct, frozen=True):
@@ -42,5 +44,6 @@
     outage_ms: int = -1
     source: str = ""
     """Where a newer state can be fetched; empty if there is none."""
+    confirmed_ms: int = -1
     use: OthersUse | None = None
     """Requests of workspaces by all other entries; None if not told."""
--- a/leverdoor/entry/requests/front.py
+++ b/leverdoor/entry/requests/front.py
@@ -31,6 +31,8 @@
 """Time of a request that names none, in ms; chosen."""
 LEAVE_EARLY_S = 0.02
 """Taken off the deadline for the way back to the client; chosen."""
+UNCONFIRMED_MS = 500
+"""When to come back where keys can't be confirmed, to another entry; in ms, chosen."""
 REPLY_HEADERS_DROPPED = frozenset({"content-length", "date", "server"})
 
 
@@ -46,8 +48,14 @@
         metrics: EntryMetrics,
         catalog: Callable[[], Catalog],
         quotas: Quotas,
+        confirmed: Callable[[float], bool],
     ) -> None:
-        """Create it from the entry's parts."""
+        """Create it from the entry's parts.
+
+        Args:
+          confirmed: returns whether keys can be known to hold at a time.
+        """
+        self._confirmed = confirmed
         self._wire = wire
         self._placement = placement
         self._forwarder = forwarder
@@ -146,6 +154,8 @@
             raise Refusal(Code.NO_ROUTE, f"{host} {path[:100]}")
         key = request.headers.get(self._wire.headers.workspace_key, "")
         workspace = catalog.workspaces.identify(key, anonymous=route.anonymous)
+        if workspace is not None and not self._confirmed(arrived):
+            raise Refusal(Code.WORKSPACE_KEY_UNCONFIRMED, retry_after_ms=UNCONFIRMED_MS)
         until = arrived + self._patience_s(request, route)
         wanted = PlacementRequest(
             request_id=request_id,
--- a/leverdoor/entry/settings.py
+++ b/leverdoor/entry/settings.py
@@ -48,6 +48,9 @@
     """Writing calls that the store takes in a second, of all entries together."""
     quotas: QuotaBounds = QuotaBounds()
     """How far the use of a workspace's quota may go beyond it."""
+    confirm_within_s: float = 0.0
+    """Age of the store's newest answer to anyone heard from which on keys are refused,
+    since they may have been taken away; 0 for never."""
     first_start: bool = False
     """No entry ran before: there is no use of quotas that is not known."""
     seed: int = 0
--- a/leverdoor/errors.py
+++ b/leverdoor/errors.py
@@ -64,6 +64,7 @@
     WORKSPACE_KEY_UNKNOWN = 3018
     NO_COMMON_HOME = 3019
     QUOTA_EXCEEDED = 3020
+    WORKSPACE_KEY_UNCONFIRMED = 3021
     ANSWER_LOST = 3101
     ISSUER_GONE = 3102
     DEADLINE_PASSED = 3103
@@ -161,6 +162,9 @@
     Code.QUOTA_EXCEEDED: CodeInfo(
         429, Run.NO, 49, "The workspace has used up its quota. Come back as told."
     ),
+    Code.WORKSPACE_KEY_UNCONFIRMED: CodeInfo(
+        503, Run.NO, 58, "Whether the key still holds can't be known here now."
+    ),
     Code.ANSWER_LOST: CodeInfo(
         502, Run.MAYBE, 50, "The request went out and its answer was lost."
     ),
--- a/leverdoor/platform/settings.py
+++ b/leverdoor/platform/settings.py
@@ -40,6 +40,8 @@
         "quota_window_s": "quota-window-s",
         "quota_overshoot": "quota-overshoot",
         "quota_slack": "quota-slack",
+        "strict_revocation": "strict-revocation",
+        "revocation_ms": "revocation-ms",
     },
 ):
     grace_s: float = 6.0
@@ -50,6 +52,8 @@
     quota_window_s: float = 5.0
     quota_overshoot: float = 0.1
     quota_slack: float = 20.0
+    strict_revocation: bool = False
+    revocation_ms: float = 5_000.0
 
     def quotas(self) -> QuotaBounds:
         return QuotaBounds(self.quota_window_s, self.quota_overshoot, self.quota_slack)
@@ -101,6 +105,11 @@
             max_shift=self.bounds.max_shift,
             store_writes_per_s=self.platform.writes_per_s,
             quotas=self.bounds.quotas(),
+            confirm_within_s=(
+                self.bounds.revocation_ms / 1000
+                if self.bounds.strict_revocation
+                else 0.0
+            ),
             first_start=self.bootstrap,
             link_mbps=round(self.limits.link_bandwidth_mbps),
         )
--- a/leverdoor/storage/following.py
+++ b/leverdoor/storage/following.py
@@ -68,6 +68,7 @@
         prefix: str = PREFIX,
         longest_backoff_s: float = LONGEST_BACKOFF_S,
         tell: Callable[[bool, str], None] | None = None,
+        answered: Callable[[], None] = lambda: None,
     ) -> None:
         """Create it.
 
@@ -79,7 +80,9 @@
           prefix: what to follow of the store.
           longest_backoff_s: longest pause between calls that fail, in seconds.
           tell: called when the store is lost or answers again, and why.
+          answered: called at each answer of the store.
         """
+        self._answered = answered
         self._tell = tell or _log
         self._prefix = prefix
         self._longest_backoff_s = longest_backoff_s
@@ -126,6 +129,8 @@
             await watch.aclose()  # type: ignore[attr-defined]
 
     def _set_reachable(self, reachable: bool, why: str) -> None:
+        if reachable:
+            self._answered()
         if reachable != self.reachable:
             self.reachable = reachable
             self._tell(reachable, why)
--- /dev/null
+++ b/tests/test_entry_confirmation.py
@@ -0,0 +1,68 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Whether an entry can know that a key still holds."""
+
+import asyncio
+import json
+
+from entry_bench import PLACES, targets, until_in_force
+from leverdoor.codec import serialize_json
+from leverdoor.entry.configuration.confirmation import Confirmation
+from leverdoor.standins.entry_site import SAMPLE_ROUTES, EntrySite
+from leverdoor.standins.metadata import MetadataFaults
+
+
+def test_the_newest_answer_of_anyone_counts() -> None:
+    c = Confirmation()
+    assert c.age_ms(10.0) == -1
+    assert c.holds(0.0, 10.0)
+    assert not c.holds(5.0, 10.0)
+    c.heard(2_000, 10.0)
+    assert c.holds(5.0, 12.9)
+    assert not c.holds(5.0, 13.1)
+    c.heard(4_000, 10.5)
+    c.heard(-1, 10.5)
+    assert c.age_ms(10.5) == 2_500
+    c.answered(11.0)
+    assert c.age_ms(11.2) == 200
+
+
+async def keys_hold(strict: bool) -> list[int]:
+    """Return the answers to requests while the store is silent for all."""
+    site = EntrySite(PLACES, targets())
+    bounds = {"strict-revocation": strict, "revocation-ms": 2_500}
+    made = site._entry
+
+    def with_bounds(*args: object) -> object:
+        entry = made(*args)  # type: ignore[arg-type]
+        settings = json.loads(entry.settings.read_bytes())
+        entry.settings.write_bytes(serialize_json({**settings, "bounds": bounds}))
+        return entry
+
+    site._entry = with_bounds  # type: ignore[method-assign, assignment]
+    tenants: list[dict[str, object]] = [{"name": "ward", "api-keys": ["k"]}]
+    await site.start(SAMPLE_ROUTES)
+    try:
+        site.configure(SAMPLE_ROUTES, tenants=tenants)
+        await until_in_force(site, "/look/x", 401)
+        entry = site.entries["n1"]
+        headers = {"X-Credential": "k"}
+        found = [(await site.request(entry, "GET", "/look/x", None, headers)).status]
+        site.store.faults = MetadataFaults(silent=True)
+        for _ in range(100):
+            answer = await site.request(entry, "GET", "/look/x", None, headers)
+            if answer.status != 200:
+                break
+            await asyncio.sleep(0.05)
+        found.append(answer.status)
+        return found
+    finally:
+        await site.stop()
+
+
+async def test_a_key_that_cannot_be_confirmed_is_refused_where_that_is_asked() -> None:
+    assert await keys_hold(strict=True) == [200, 503]
+
+
+async def test_else_the_last_word_on_keys_holds() -> None:
+    assert await keys_hold(strict=False) == [200, 200]
