--- a/leverdoor/entry/requests/front.py
+++ b/leverdoor/entry/requests/front.py
@@ -55,7 +55,6 @@
         Args:
           confirmed: returns whether keys can be known to hold at a time.
         """
-        self._confirmed = confirmed
         self._wire = wire
         self._placement = placement
         self._forwarder = forwarder
@@ -63,6 +62,7 @@
         self._metrics = metrics
         self._catalog = catalog
         self._quotas = quotas
+        self._confirmed = confirmed
         self.busy: set[object] = set()
         """The connections on which a request is being served."""
         self.leaving = False
@@ -111,12 +111,8 @@
             outcome = e.code.name
             if workspace is not None and counted and e.run is Run.NO:
                 self._quotas.refund(workspace, arrived)
-            name = workspace.name if workspace is not None else ""
-            version = self._catalog().version
             took_s = loop.time() - arrived
-            self._events.refused(request_id, service, name, e, version, took_s)
-            if e.code is Code.QUOTA_EXCEEDED:
-                self._metrics.quota_refusal(name)
+            self._note_refusal(request_id, service, workspace, e, took_s)
             return self._refuse(request, e)
         except asyncio.CancelledError:
             self._events.left(request_id, service, loop.time() - arrived)
@@ -132,6 +128,21 @@
         finally:
             self._metrics.request(service, outcome, loop.time() - arrived)
 
+    def _note_refusal(
+        self,
+        request_id: str,
+        service: str,
+        workspace: Workspace | None,
+        error: Refusal,
+        took_s: float,
+    ) -> None:
+        """Log a refusal, and count it for its workspace if that is its cause."""
+        name = workspace.name if workspace is not None else ""
+        version = self._catalog().version
+        self._events.refused(request_id, service, name, error, version, took_s)
+        if error.code is Code.QUOTA_EXCEEDED:
+            self._metrics.quota_refusal(name)
+
     # In.
 
     def _incoming(
