--- a/leverdoor/entry/membership/exchange.py
+++ b/leverdoor/entry/membership/exchange.py
@@ -38,7 +38,7 @@
 from leverdoor.entry.membership.report import Heard, Report, Sending
 from leverdoor.entry.membership.sightings import MemberRow, Sighting
 from leverdoor.entry.membership.use import Use
-from leverdoor.entry.membership.use_exchange import ToldUse, UseExchange
+from leverdoor.entry.membership.use_exchange import UseExchange, UseSummary
 from leverdoor.entry.membership.views import Views
 from leverdoor.entry.membership.warm_news import WarmNews
 
@@ -289,7 +289,7 @@
         report: Report,
         counts: dict[str, int],
         views: list[DomainView],
-        use: ToldUse,
+        use: UseSummary,
         now: float,
     ) -> Digest:
         mean = self._merger.domain_shares(report.shares)
@@ -308,7 +308,7 @@
         report: Report,
         counts: dict[str, int],
         near: list[DomainView],
-        use: ToldUse,
+        use: UseSummary,
         now: float,
     ) -> Digest:
         far = [
@@ -349,7 +349,7 @@
         scope: DigestScope,
         views: list[DomainView],
         loads: list[RegionCounts],
-        use: ToldUse,
+        use: UseSummary,
     ) -> Digest:
         return Digest(
             self._own.name,
--- a/leverdoor/entry/membership/use.py
+++ b/leverdoor/entry/membership/use.py
@@ -24,9 +24,9 @@
 """Place of a workspace and its requests."""
 MOST_COUNTED = 65_535
 """Greatest count, and greatest place, that a pair tells."""
-FEW_TOLD = 300
+FEW_PAIRS = 300
 """Pairs up to which all are told: 1.2 kB, a packet."""
-MOST_TOLD = 2_000
+MOST_PAIRS = 2_000
 """Pairs of a message at most, those with the greatest part of their quota: 8 kB."""
 KEPT_LISTS = 4
 """Lists kept for messages of entries that have not yet, or already, a change."""
@@ -67,25 +67,25 @@
         """
         if not self._places:
             return b""
-        if len(use) <= FEW_TOLD:
+        if len(use) <= FEW_PAIRS:
             least_percent = 0
         least_part = least_percent / 100
-        told = [
+        pairs = [
             (self._places[name], min(count, MOST_COUNTED))
             for name, count in use.items()
             if name in self._places and count > least_part * self._planned[name]
         ]
-        if len(told) > MOST_TOLD:
-            told = self._tightest(told)
-        pairs = b"".join(PAIR.pack(place, count) for place, count in told)
-        return HEAD.pack(self._hash, least_percent) + pairs
+        if len(pairs) > MOST_PAIRS:
+            pairs = self._tightest(pairs)
+        data = b"".join(PAIR.pack(place, count) for place, count in pairs)
+        return HEAD.pack(self._hash, least_percent) + data
 
-    def _tightest(self, told: list[tuple[int, int]]) -> list[tuple[int, int]]:
+    def _tightest(self, pairs: list[tuple[int, int]]) -> list[tuple[int, int]]:
         names = self._recent[self._hash]
-        told.sort(key=lambda pair: -pair[1] / self._planned[names[pair[0]]])
-        return told[:MOST_TOLD]
+        pairs.sort(key=lambda pair: -pair[1] / self._planned[names[pair[0]]])
+        return pairs[:MOST_PAIRS]
 
-    def least_told(self, data: bytes) -> float:
+    def least_reported(self, data: bytes) -> float:
         """Return the part of a quota below which a message leaves out its use."""
         if len(data) < HEAD.size:
             return 0.0
--- a/leverdoor/entry/membership/use_exchange.py
+++ b/leverdoor/entry/membership/use_exchange.py
@@ -10,23 +10,23 @@
 from leverdoor.entry.membership.member import LEAVING, Member
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.membership.use import Use, UseLists
-from leverdoor.entry.membership.use_merging import FRESH_S, Told, UseMerger
+from leverdoor.entry.membership.use_merging import FRESH_S, UseMerger, UseReport
 from leverdoor.workspaces.quota import HOLD_S
 from leverdoor.workspaces.room import OthersUse
 
-__all__ = ["ToldUse", "UseExchange"]
+__all__ = ["UseSummary", "UseExchange"]
 
-LEAST_PART_TOLD = 6
+LEAST_PART_REPORTED = 6
 """Percentage of a quota that all failure domains together may leave out of their
 digests, where there are many workspaces."""
-LEAST_TOLD = 20
+LEAST_REPORTED = 20
 """Percentage of a quota below which digests of all entries leave out its use, where
 there are many workspaces: there is room enough, and the use is taken for this much."""
-UNTOLD_PARTS = 2
+UNREPORTED_PARTS = 2
 """Even parts of a quota that a silent entry may take whose use is not known."""
 
 
-class ToldUse(msgspec.Struct, frozen=True):
+class UseSummary(msgspec.Struct, frozen=True):
     """What the digests of a round tell, by whose requests they count."""
 
     by_scope: dict[DigestScope, bytes]
@@ -70,14 +70,14 @@
         use = self._lists.parse(heartbeat.use)
         if use is None or member.domain != self._own.domain:
             return
-        told = Told(
+        report = UseReport(
             now,
             use,
             heartbeat.lived_ms / 1000,
             incarnation=member.incarnation,
             leaves=heartbeat.state == LEAVING,
         )
-        self._merger.take_entry(member.name, told)
+        self._merger.take_entry(member.name, report)
 
     def take_part(self, digest: Digest, sender: Member, now: float) -> None:
         """Take the sums of another failure domain or region."""
@@ -87,12 +87,12 @@
         covered_s = digest.covered_ms / 1000
         if digest.scope == DigestScope.DOMAIN:
             entries = self._membership.in_domain(sender.domain)
-            told = Told(now, use, covered_s, entries, digest.silent)
-            self._merger.take_domain(sender.domain, told)
+            report = UseReport(now, use, covered_s, entries, digest.silent)
+            self._merger.take_domain(sender.domain, report)
         else:
             entries = self._membership.in_region(sender.region)
-            told = Told(now, use, covered_s, entries, digest.silent)
-            self._merger.take_region(sender.region, told)
+            report = UseReport(now, use, covered_s, entries, digest.silent)
+            self._merger.take_region(sender.region, report)
 
     def parse_total(self, digest: Digest, own: Use) -> OthersUse | None:
         """Return the use of all others; None if the digest's list is not known.
@@ -108,8 +108,8 @@
             use[name] = max(use[name] - own[name], 0)
         age_s = digest.use_age_ms / 1000
         covered_s = digest.covered_ms / 1000
-        least_told = self._lists.least_told(digest.use)
-        return OthersUse(use, age_s, covered_s, least_told, digest.silent)
+        least_reported = self._lists.least_reported(digest.use)
+        return OthersUse(use, age_s, covered_s, least_reported, digest.silent)
 
     def of_others(self, lived_s: float, now: float) -> OthersUse | None:
         """Return the use of all others as an aggregator knows it.
@@ -141,14 +141,14 @@
         sightings = self._membership.sightings(domain)
         never = self._membership.in_domain(domain) - 1 - len(sightings)
         never = max(never, 0) if lived_s <= HOLD_S else 0
-        untold = [
+        unreported = [
             s
             for s in sightings
             if FRESH_S < now - s.at <= HOLD_S
             and s.row.state != LEAVING
-            and not self._merger.told(self._membership.name(s.row.id))
+            and not self._merger.has_report(self._membership.name(s.row.id))
         ]
-        return never + len(untold) * UNTOLD_PARTS
+        return never + len(unreported) * UNREPORTED_PARTS
 
     def _near(self) -> set[str]:
         """Return the region's other failure domains that were ever heard from."""
@@ -167,17 +167,17 @@
             if self._membership.sightings(domain)
         }
 
-    def tell(self, own: Use, lived_s: float, now: float) -> ToldUse:
+    def tell(self, own: Use, lived_s: float, now: float) -> UseSummary:
         """Return what an aggregator's digests of a round tell."""
         sums = self._merger.sums(own, self._unheard(lived_s, now), now)
-        part = LEAST_PART_TOLD // len(self._membership.all_domains())
+        part = LEAST_PART_REPORTED // len(self._membership.all_domains())
         by_scope = {
             DigestScope.DOMAIN: self._lists.serialize(sums.domain, part),
             DigestScope.REGION: self._lists.serialize(sums.region, part),
-            DigestScope.ALL: self._lists.serialize(sums.total, LEAST_TOLD),
+            DigestScope.ALL: self._lists.serialize(sums.total, LEAST_REPORTED),
         }
         scopes = (DigestScope.DOMAIN, DigestScope.REGION, DigestScope.ALL)
         silent = dict(zip(scopes, sums.silent, strict=True))
         age_ms = round(self._merger.age_s(now) * 1000)
         covered_ms = round(self._merger.covered_s(lived_s, now) * 1000)
-        return ToldUse(by_scope, silent, age_ms, covered_ms)
+        return UseSummary(by_scope, silent, age_ms, covered_ms)
--- a/leverdoor/entry/membership/use_merging.py
+++ b/leverdoor/entry/membership/use_merging.py
@@ -17,7 +17,7 @@
 from leverdoor.workspaces.quota import HOLD_S
 from leverdoor.workspaces.room import EVEN_PART, stretch
 
-__all__ = ["FRESH_S", "Told", "UseMerger", "UseSums"]
+__all__ = ["FRESH_S", "UseReport", "UseMerger", "UseSums"]
 
 FRESH_S = 0.7
 """Age up to which the word of an entry or a failure domain is taken as it is: three
@@ -30,7 +30,7 @@
 """How long the use of a former life counts: the window of quotas."""
 
 
-class Told(msgspec.Struct):
+class UseReport(msgspec.Struct):
     """What was told at a time, by one entry or of many."""
 
     at: float
@@ -65,30 +65,30 @@
         """Create it knowing nothing."""
         self.planned: Mapping[str, float] = {}
         """For each workspace with a quota, the requests of a window it plans with."""
-        self._entries: dict[str, Told] = {}
-        self._former: list[Told] = []
+        self._entries: dict[str, UseReport] = {}
+        self._former: list[UseReport] = []
         """What lives that are over had told last."""
-        self._domains: dict[str, Told] = {}
-        self._regions: dict[str, Told] = {}
+        self._domains: dict[str, UseReport] = {}
+        self._regions: dict[str, UseReport] = {}
         self._totals: deque[tuple[float, Use]] = deque(maxlen=KEPT_TOTALS)
         """When sums of all were made, and these."""
 
-    def take_entry(self, name: str, told: Told) -> None:
+    def take_entry(self, name: str, report: UseReport) -> None:
         """Take the word of an entry of the own failure domain."""
         before = self._entries.get(name)
-        if before is not None and before.incarnation != told.incarnation:
+        if before is not None and before.incarnation != report.incarnation:
             self._former.append(before)
-        self._entries[name] = told
+        self._entries[name] = report
 
-    def take_domain(self, domain: str, told: Told) -> None:
+    def take_domain(self, domain: str, report: UseReport) -> None:
         """Take the sums of another failure domain of the region."""
-        self._domains[domain] = told
+        self._domains[domain] = report
 
-    def take_region(self, region: str, told: Told) -> None:
+    def take_region(self, region: str, report: UseReport) -> None:
         """Take the sums of another region."""
-        self._regions[region] = told
+        self._regions[region] = report
 
-    def told(self, name: str) -> bool:
+    def has_report(self, name: str) -> bool:
         """Return whether an entry of the own failure domain told its use here."""
         return name in self._entries
 
@@ -102,9 +102,9 @@
         """Drop what counts no longer."""
         self._former = [t for t in self._former if now - t.at <= FORMER_S]
         self._entries = {
-            name: told
-            for name, told in self._entries.items()
-            if now - told.at <= HOLD_S
+            name: report
+            for name, report in self._entries.items()
+            if now - report.at <= HOLD_S
         }
 
     def sums(self, own: Mapping[str, int], unheard: int, now: float) -> UseSums:
@@ -134,8 +134,8 @@
           now: monotonic time in seconds.
         """
         known = (self._entries, self._domains, self._regions)
-        told = [t for of_kind in known for t in of_kind.values()]
-        return max([lived_s, *(t.covered_s + now - t.at for t in told)])
+        reports = [t for of_kind in known for t in of_kind.values()]
+        return max([lived_s, *(t.covered_s + now - t.at for t in reports)])
 
     def age_s(self, now: float) -> float:
         """Return the age of the oldest word that is taken as it is, in seconds."""
@@ -144,47 +144,51 @@
             *_fresh(self._domains, FRESH_S, now).values(),
             *_fresh(self._regions, FAR_FRESH_S, now).values(),
         ]
-        return max((now - told.at for told in fresh), default=0.0)
+        return max((now - report.at for report in fresh), default=0.0)
 
-    def _held(self, parts: Mapping[str, Told], fresh_s: float, now: float) -> list[Use]:
-        return [self._use(told, fresh_s, now) for told in parts.values()]
+    def _held(
+        self, parts: Mapping[str, UseReport], fresh_s: float, now: float
+    ) -> list[Use]:
+        return [self._use(report, fresh_s, now) for report in parts.values()]
 
-    def _use(self, told: Told, fresh_s: float, now: float) -> Use:
+    def _use(self, report: UseReport, fresh_s: float, now: float) -> Use:
         """Return a use as it was told, and more while its tellers are silent."""
-        age_s = now - told.at
+        age_s = now - report.at
         if age_s <= fresh_s:
-            return told.use
-        if told.leaves:
-            return told.use if age_s <= FORMER_S else {}
+            return report.use
+        if report.leaves:
+            return report.use if age_s <= FORMER_S else {}
         if age_s > HOLD_S:
             return {}
-        if told.reserved is None:
-            told.reserved = self._reserve(told)
-        return told.reserved
+        if report.reserved is None:
+            report.reserved = self._reserve(report)
+        return report.reserved
 
-    def _reserve(self, told: Told) -> Use:
+    def _reserve(self, report: UseReport) -> Use:
         """Return what tellers of a use may take by it while they hear nobody.
 
         It goes by the total of the time when they were last heard: so do they
         themselves. The rest of what they may take goes by their number.
         """
-        then = next((total for at, total in self._totals if at >= told.at), {})
+        then = next((total for at, total in self._totals if at >= report.at), {})
         found = {}
-        for name, count in told.use.items():
+        for name, count in report.use.items():
             total = max(then.get(name, 0), count)
             times = stretch(self.planned.get(name, 0.0), total)
             found[name] = math.ceil((1 - EVEN_PART) * count * times)
         return found
 
 
-def _fresh(told: Mapping[str, Told], fresh_s: float, now: float) -> dict[str, Told]:
-    return {name: one for name, one in told.items() if now - one.at <= fresh_s}
+def _fresh(
+    report: Mapping[str, UseReport], fresh_s: float, now: float
+) -> dict[str, UseReport]:
+    return {name: one for name, one in report.items() if now - one.at <= fresh_s}
 
 
-def _silent(told: Mapping[str, Told], fresh_s: float, now: float) -> int:
+def _silent(report: Mapping[str, UseReport], fresh_s: float, now: float) -> int:
     """Count the entries that are silent, and still may serve."""
     found = 0
-    for one in told.values():
+    for one in report.values():
         age_s = now - one.at
         if age_s <= fresh_s:
             found += one.silent
--- a/leverdoor/workspaces/quota.py
+++ b/leverdoor/workspaces/quota.py
@@ -76,7 +76,7 @@
         """Whether anything was heard in this life."""
         self.entries = 1
         """How many entries there are, this one included."""
-        self._told: dict[str, int] = {}
+        self._reported: dict[str, int] = {}
         """Own use as last told to others."""
         self._kept: dict[str, int] = {}
         """The same at the time when the others were last heard."""
@@ -93,14 +93,14 @@
             return
         self._others = others
         self._heard_at = now - others.age_s
-        self._kept = self._told
+        self._kept = self._reported
         self._heard = True
         self._covered_from = min(self._covered_from, now - others.covered_s)
 
     def report(self, now: float) -> dict[str, int]:
         """Return the own use by workspace, to be told to the others."""
-        self._told = self._usage.totals(now)
-        return self._told
+        self._reported = self._usage.totals(now)
+        return self._reported
 
     def lived_s(self, now: float) -> float:
         """Return for how long this entry has counted, in seconds."""
@@ -153,7 +153,7 @@
         own = self._usage.within(name, bounds.window_s, now)
         others: float = self._others.use.get(name, 0)
         if name not in self._others.use:
-            others = self._others.least_told * planned
+            others = self._others.least_reported * planned
         silent = min(self._others.silent, self.entries - 1)
         others += EVEN_PART * planned * silent / self.entries
         used = max(own + others, LEAST_EXPECTED * planned)
@@ -189,8 +189,8 @@
         even = room.planned / self.entries
         if not self._heard:
             return EVEN_PART * even
-        told = self._kept.get(workspace.name, 0)
-        by_use = told * stretch(room.planned, room.others + told)
+        reported = self._kept.get(workspace.name, 0)
+        by_use = reported * stretch(room.planned, room.others + reported)
         return max(even, EVEN_PART * even + (1 - EVEN_PART) * by_use)
 
     def _refusal(self, workspace: Workspace, room: Room, now: float) -> Refusal:
--- a/leverdoor/workspaces/room.py
+++ b/leverdoor/workspaces/room.py
@@ -95,7 +95,7 @@
     """How long ago the oldest word in it was told, in seconds."""
     covered_s: float
     """For how long anyone has counted, in seconds."""
-    least_told: float
+    least_reported: float
     """Part of a quota below which a use may be left out."""
     silent: int = 0
     """How many others are silent: for each an even part is reserved besides."""
--- a/tests/test_entry_use.py
+++ b/tests/test_entry_use.py
@@ -5,11 +5,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from leverdoor.entry.membership.use import FEW_TOLD, UseLists, summed
-from leverdoor.entry.membership.use_merging import Told, UseMerger
+from leverdoor.entry.membership.use import FEW_PAIRS, UseLists, summed
+from leverdoor.entry.membership.use_merging import UseMerger, UseReport
 from leverdoor.workspaces.quota import HOLD_S
 
-NAMES = [f"w{i}" for i in range(FEW_TOLD + 50)]
+NAMES = [f"w{i}" for i in range(FEW_PAIRS + 50)]
 
 
 def lists(names: list[str]) -> UseLists:
@@ -43,10 +43,10 @@
     use = dict.fromkeys(NAMES, 1) | {"w7": 90}
     data = sender.serialize(use, 20)
     assert sender.parse(data) == {"w7": 90}
-    assert sender.least_told(data) == 0.2
+    assert sender.least_reported(data) == 0.2
     few = sender.serialize({"w1": 1}, 20)
     assert sender.parse(few) == {"w1": 1}
-    assert sender.least_told(few) == 0.0
+    assert sender.least_reported(few) == 0.0
 
 
 def test_sums() -> None:
@@ -61,9 +61,9 @@
 
 def test_sums_by_domain_region_and_all() -> None:
     m = merger()
-    m.take_entry("e1", Told(10.0, {"w": 2}, 5.0))
-    m.take_domain("d2", Told(10.0, {"w": 3}, 5.0, entries=4))
-    m.take_region("r2", Told(10.0, {"w": 4}, 5.0, entries=9))
+    m.take_entry("e1", UseReport(10.0, {"w": 2}, 5.0))
+    m.take_domain("d2", UseReport(10.0, {"w": 3}, 5.0, entries=4))
+    m.take_region("r2", UseReport(10.0, {"w": 4}, 5.0, entries=9))
     sums = m.sums({"w": 1}, 0, 10.1)
     assert (sums.domain, sums.region, sums.total) == ({"w": 3}, {"w": 6}, {"w": 10})
     assert sums.silent == (0, 0, 0)
@@ -73,7 +73,7 @@
 def test_a_silent_entry_keeps_its_part_of_a_quota() -> None:
     """It may serve behind a cut: half by its use, half by the number of entries."""
     m = merger()
-    m.take_entry("e1", Told(10.0, {"w": 10}, 5.0))
+    m.take_entry("e1", UseReport(10.0, {"w": 10}, 5.0))
     assert m.sums({"w": 15}, 0, 10.1).total == {"w": 25}
     later = m.sums({"w": 15}, 0, 13.0)
     assert later.total == {"w": 15 + 20}
@@ -85,16 +85,16 @@
 
 def test_the_use_of_a_former_life_counts_until_the_window_has_passed() -> None:
     m = merger()
-    m.take_entry("e1", Told(10.0, {"w": 10}, 5.0, incarnation=1))
-    m.take_entry("e1", Told(11.0, {"w": 1}, 0.2, incarnation=2))
+    m.take_entry("e1", UseReport(10.0, {"w": 10}, 5.0, incarnation=1))
+    m.take_entry("e1", UseReport(11.0, {"w": 1}, 0.2, incarnation=2))
     assert m.sums({}, 0, 11.0).total == {"w": 11}
-    m.take_entry("e1", Told(16.0, {"w": 1}, 5.0, incarnation=2))
+    m.take_entry("e1", UseReport(16.0, {"w": 1}, 5.0, incarnation=2))
     assert m.sums({}, 0, 16.0).total == {"w": 1}
 
 
 def test_one_that_left_reserves_nothing() -> None:
     m = merger()
-    m.take_entry("e1", Told(10.0, {"w": 10}, 5.0, leaves=True))
+    m.take_entry("e1", UseReport(10.0, {"w": 10}, 5.0, leaves=True))
     assert m.sums({}, 0, 12.0).total == {"w": 10}
     assert m.sums({}, 0, 16.0).total == {}
 
@@ -102,8 +102,8 @@
 def test_all_parts_are_known_before_sums_are_trusted() -> None:
     m = merger()
     assert not m.knows({"d2"}, {"r2"}, 10.0)
-    m.take_domain("d2", Told(10.0, {}, 5.0))
-    m.take_region("r2", Told(10.0, {}, 5.0))
+    m.take_domain("d2", UseReport(10.0, {}, 5.0))
+    m.take_region("r2", UseReport(10.0, {}, 5.0))
     assert m.knows({"d2"}, {"r2"}, 10.2)
     assert not m.knows({"d2"}, {"r2"}, 20.0)
     assert m.age_s(10.5) == 0.5
