--- a/examples/entries.py
+++ b/examples/entries.py
@@ -26,6 +26,11 @@
 LOOKUPS = 150
 KEYS = 12
 CONCURRENT = 20
+QUOTA_REQUESTS = 60
+WORKSPACES: list[dict[str, object]] = [
+    {"name": "police", "api-keys": ["key-of-police"], "priority": 0},
+    {"name": "ward", "api-keys": ["key-of-ward"], "rate-per-s": 4, "burst": 4},
+]
 UPLOAD = bytes(4 * 1024 * 1024)
 
 
@@ -82,6 +87,23 @@
     say(f"stopped     {first.name} while it answered: status {status}")
     left = site.entries["entry-a2"]
     say(f"directory   for zone a2 now: {', '.join(await site.resolve(left))}")
+    await use_workspaces(site, left)
+
+
+async def use_workspaces(site: EntrySite, entry: EntryProcess) -> None:
+    """Let two workspaces ask, one of which has a small quota."""
+    site.configure(SAMPLE_ROUTES, tenants=WORKSPACES)
+    while (await site.request(entry, "GET", "/look/x")).status != 401:
+        await asyncio.sleep(0.01)
+    say("configured  two workspaces: requests without a key are answered 401")
+    for workspace in WORKSPACES:
+        key = {"X-Credential": str(workspace["api-keys"][0])}  # type: ignore[index]
+        answers = [
+            await site.request(entry, "GET", "/look/x", None, key)
+            for _ in range(QUOTA_REQUESTS)
+        ]
+        statuses = Counter(str(a.status) for a in answers)
+        say(f"looked up   {QUOTA_REQUESTS} as {workspace['name']}: {dict(statuses)}")
 
 
 async def main() -> None:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -115,6 +115,16 @@
     assert admitted(quotas, 200, 100.0 + HOLD_S + 10.0) <= 1
 
 
+def test_more_silent_entries_than_known_ones_reserve_no_more_than_a_quota() -> None:
+    """An entry that has just started knows of few others at first."""
+    quotas = Quotas(BOUNDS, Random(1), 100.0, first_start=True)
+    quotas.entries = 3
+    quotas.hear(OthersUse({}, 0.0, 5.0, 0.0, silent=1), 100.0)
+    quotas.entries = 1
+    quotas.hear(OthersUse({}, 0.0, 5.0, 0.0, silent=50), 100.0)
+    assert admitted(quotas, 10, 100.1) == 10
+
+
 def test_sides_of_a_cut_stay_within_a_quota_together() -> None:
     for used in (10, 40, 73):
         times = stretch(73.0, used)
