--- a/leverdoor/entry/membership/digests.py
+++ b/leverdoor/entry/membership/digests.py
@@ -138,7 +138,7 @@
     use: bytes = b""
     """Of workspaces with a quota, by the entries whose requests are counted."""
     use_age_ms: int = 0
-    """Of the oldest word in that use."""
+    """Of the oldest report in that use."""
     covered_ms: int = 0
     """For how long anyone of them has counted that use."""
     silent: int = 0
--- a/leverdoor/entry/membership/use_exchange.py
+++ b/leverdoor/entry/membership/use_exchange.py
@@ -65,7 +65,7 @@
         return self._lists.serialize(use)
 
     def take_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
-        """Take the word of an entry, if it is of the own failure domain."""
+        """Take the report of an entry, if it is of the own failure domain."""
         member = heartbeat.member
         use = self._lists.parse(heartbeat.use)
         if use is None or member.domain != self._own.domain:
--- a/leverdoor/entry/membership/use_merging.py
+++ b/leverdoor/entry/membership/use_merging.py
@@ -20,7 +20,7 @@
 __all__ = ["FRESH_S", "UseReport", "UseMerger", "UseSums"]
 
 FRESH_S = 0.7
-"""Age up to which the word of an entry or a failure domain is taken as it is: three
+"""Age up to which the report of an entry or a failure domain is taken as it is: three
 rounds of heartbeats or digests. To reserve too early only costs some room."""
 FAR_FRESH_S = 1.2
 """The same for another region, of which digests tell within 0.79 s (p99)."""
@@ -74,7 +74,7 @@
         """When sums of all were made, and these."""
 
     def take_entry(self, name: str, report: UseReport) -> None:
-        """Take the word of an entry of the own failure domain."""
+        """Take the report of an entry of the own failure domain."""
         before = self._entries.get(name)
         if before is not None and before.incarnation != report.incarnation:
             self._former.append(before)
@@ -138,7 +138,7 @@
         return max([lived_s, *(t.covered_s + now - t.at for t in reports)])
 
     def age_s(self, now: float) -> float:
-        """Return the age of the oldest word that is taken as it is, in seconds."""
+        """Return the age of the oldest report that is taken as it is, in seconds."""
         fresh = [
             *_fresh(self._entries, FRESH_S, now).values(),
             *_fresh(self._domains, FRESH_S, now).values(),
--- a/leverdoor/workspaces/room.py
+++ b/leverdoor/workspaces/room.py
@@ -94,7 +94,7 @@
     use: Mapping[str, int]
     """Requests in the window by workspace."""
     age_s: float
-    """How long ago the oldest word in it was told, in seconds."""
+    """Age of the oldest report in it, in seconds."""
     covered_s: float
     """For how long anyone has counted, in seconds."""
     least_reported: float
