--- a/benchmarks/quotas.py
+++ b/benchmarks/quotas.py
@@ -21,7 +21,7 @@
 @click.option("--cut", default=0.0, help="Share of entries that are cut off.")
 @click.option("--hot", default=1.0, help="Times its usual that the largest asks for.")
 @click.option("--hot-rank", default=0, help="Which one by size, in place of it.")
-@click.option("--restart", is_flag=True, help="All entries are killed in trouble.")
+@click.option("--killed", default=0.0, help="Share of entries killed in trouble.")
 @click.option("--per-entry", default=14.0, help="Requests a second at an entry.")
 @click.option("--seed", default=1, help="Where all chance comes from.")
 def main(
@@ -31,7 +31,7 @@
     cut: float,
     hot: float,
     hot_rank: int,
-    restart: bool,
+    killed: float,
     per_entry: float,
     seed: int,
 ) -> None:
@@ -44,12 +44,12 @@
         cut,
         hot,
         hot_rank,
-        restart,
+        killed,
         per_entry,
         seed,
     )
     given = f"entries={entries} workspaces={workspaces} loss={loss} cut={cut}"
-    trouble = f"hot={hot} hot_rank={hot_rank} restart={restart}"
+    trouble = f"hot={hot} hot_rank={hot_rank} killed={killed}"
     print(f"{given} {trouble} seed={seed} {play_quotas(plan).line()}")
 
 
--- a/leverdoor/emulator/quotas.py
+++ b/leverdoor/emulator/quotas.py
@@ -55,8 +55,8 @@
     """How many times its usual one workspace asks for during trouble."""
     hot_rank: int = 0
     """Which one, by size: 0 is the largest."""
-    restart: bool = False
-    """All entries are killed in the middle of trouble."""
+    killed: float = 0.0
+    """Share of the entries that are killed in the middle of trouble."""
     per_entry: float = 14.0
     """Requests a second at an entry; on the users' busiest days 8 to 16."""
     seed: int = 1
@@ -165,29 +165,33 @@
         self.site.isolated = set(cut)
         self._hot = self._workspaces[self.plan.hot_rank].name
         hot = {self._hot: self.plan.hot}
-        if self.plan.restart:
+        if self.plan.killed:
             self._serve(QUIET_S + TROUBLE_S / 2, hot)
-            self._restart()
+            self._kill(hot)
         self._serve(end, hot)
         self.site.isolated = set()
         self._serve(end + AFTER_S, {})
         return self._figures(end + AFTER_S)
 
-    def _restart(self) -> None:
-        """Kill all entries; they come back with nothing but each other's names."""
-        self.site.dead = set(self._names)
-        self.site.run(self.site.now + DOWN_S)
+    def _kill(self, hot: dict[str, float]) -> None:
+        """Kill entries; they come back with nothing but the others' names."""
+        count = round(self.plan.killed * self.plan.entries)
+        killed = self._rng.sample(self._names, count)
+        self.site.dead = set(killed)
+        self._serve(self.site.now + DOWN_S, hot)
         self.site.dead = set()
         members = [n.membership.own for n in self.site.nodes.values()]
-        for member in members:
-            own = msgspec.structs.replace(member, incarnation=member.incarnation + 1)
-            node = _QuotaNode(own, self._workspaces, Random(f"{own.name} again"))
+        for name in killed:
+            before = self.site.nodes[name].membership.own
+            own = msgspec.structs.replace(before, incarnation=before.incarnation + 1)
+            node = _QuotaNode(own, self._workspaces, Random(f"{name} again"))
             node.quotas = Quotas(
-                self._bounds, Random(own.name), self.site.now, first_start=False
+                self._bounds, Random(name), self.site.now, first_start=False
             )
             for other in members:
                 node.membership.introduce(other, self.site.now)
-            self.site.restart(own.name, node)
+            node.quotas.entries = node.membership.count
+            self.site.restart(name, node)
 
     def _serve(self, until: float, hot: dict[str, float]) -> None:
         rates = [_usual(w) * hot.get(w.name, 1.0) for w in self._workspaces]
@@ -203,7 +207,10 @@
             self._arrive(workspace, now)
 
     def _arrive(self, workspace: Workspace, now: float) -> None:
-        node = self.site.nodes[self._rng.choice(self._names)]
+        name = self._rng.choice(self._names)
+        if name in self.site.dead:
+            return
+        node = self.site.nodes[name]
         assert isinstance(node, _QuotaNode)
         second = (workspace.name, int(now))
         self._within[second] += self._limiters[workspace.name].within(now)
--- a/leverdoor/entry/membership/digests.py
+++ b/leverdoor/entry/membership/digests.py
@@ -75,8 +75,6 @@
     """Digests of keys lately answered by other targets than their first."""
     use: bytes = b""
     """Requests of workspaces in the window of their quotas."""
-    lived_ms: int = 0
-    """For how long this life has counted that use."""
     confirmed_ms: int = -1
     """How long ago the store answered anyone that is heard; -1 if it never did."""
 
@@ -139,8 +137,9 @@
     """Of workspaces with a quota, by the entries whose requests are counted."""
     use_age_ms: int = 0
     """Of the oldest report in that use."""
-    covered_ms: int = 0
-    """For how long anyone of them has counted that use."""
+    merged_ms: int = 0
+    """For how long the sender has merged all use; before, lives may have ended whose
+    use it does not know."""
     silent: int = 0
     """How many of them are silent, and may serve where nobody hears them."""
     confirmed_ms: int = -1
--- a/leverdoor/entry/membership/exchange.py
+++ b/leverdoor/entry/membership/exchange.py
@@ -207,7 +207,6 @@
             report.outage_ms,
             serialize_ids(report.warm),
             self.use.serialize(report.use),
-            round(report.lived_s * 1000),
             report.confirmed_ms,
         )
 
@@ -365,7 +364,7 @@
             use_age_ms=use.age_ms,
             silent=use.silent[scope],
             confirmed_ms=report.confirmed_ms,
-            covered_ms=use.covered_ms,
+            merged_ms=use.merged_ms,
         )
 
     def _view(self, domain: str, report: Report, now: float) -> DomainView:
--- a/leverdoor/entry/membership/use_exchange.py
+++ b/leverdoor/entry/membership/use_exchange.py
@@ -32,7 +32,7 @@
     by_scope: dict[DigestScope, bytes]
     silent: dict[DigestScope, int]
     age_ms: int
-    covered_ms: int
+    merged_ms: int
 
 
 class UseExchange:
@@ -44,8 +44,8 @@
         self._own = membership.own
         self._lists = UseLists()
         self._merger = UseMerger()
-        self._merges = False
-        """Whether this entry has known all sums since it last became an aggregator."""
+        self._merges_since: float | None = None
+        """Since when it knows all sums, as an aggregator; None while it does not."""
 
     def renew(self, planned: Mapping[str, float]) -> None:
         """Take the workspaces with quotas of a new configuration.
@@ -73,7 +73,6 @@
         report = UseReport(
             now,
             use,
-            heartbeat.lived_ms / 1000,
             incarnation=member.incarnation,
             leaves=heartbeat.state == LEAVING,
         )
@@ -84,14 +83,14 @@
         use = self._lists.parse(digest.use)
         if use is None:
             return
-        covered_s = digest.covered_ms / 1000
+        merged_s = digest.merged_ms / 1000
         if digest.scope == DigestScope.DOMAIN:
             entries = self._membership.in_domain(sender.domain)
-            report = UseReport(now, use, covered_s, entries, digest.silent)
+            report = UseReport(now, use, merged_s, entries, digest.silent)
             self._merger.take_domain(sender.domain, report)
         else:
             entries = self._membership.in_region(sender.region)
-            report = UseReport(now, use, covered_s, entries, digest.silent)
+            report = UseReport(now, use, merged_s, entries, digest.silent)
             self._merger.take_region(sender.region, report)
 
     def parse_total(self, digest: Digest, own: Use) -> OthersUse | None:
@@ -107,9 +106,9 @@
         for name in own.keys() & use.keys():
             use[name] = max(use[name] - own[name], 0)
         age_s = digest.use_age_ms / 1000
-        covered_s = digest.covered_ms / 1000
+        merged_s = digest.merged_ms / 1000
         least_reported = self._lists.least_reported(digest.use)
-        return OthersUse(use, age_s, covered_s, least_reported, digest.silent)
+        return OthersUse(use, age_s, merged_s, least_reported, digest.silent)
 
     def of_others(self, lived_s: float, now: float) -> OthersUse | None:
         """Return the use of all others as an aggregator knows it.
@@ -117,18 +116,18 @@
         Returns: None while it has not heard of all failure domains and regions: it
           may just have taken the role.
         """
-        if not self._merges:
-            self._merges = self._merger.knows(self._near(), self._far(), now)
-        if not self._merges:
-            return None
+        if self._merges_since is None:
+            if not self._merger.knows(self._near(), self._far(), now):
+                return None
+            self._merges_since = now
         sums = self._merger.sums({}, self._unheard(lived_s, now), now)
         age_s = self._merger.age_s(now)
-        covered_s = self._merger.covered_s(lived_s, now)
-        return OthersUse(sums.total, age_s, covered_s, 0.0, sums.silent[-1])
+        merged_s = now - self._merges_since
+        return OthersUse(sums.total, age_s, merged_s, 0.0, sums.silent[-1])
 
     def merge_no_more(self) -> None:
         """Note that this entry is no aggregator now."""
-        self._merges = False
+        self._merges_since = None
 
     def _unheard(self, lived_s: float, now: float) -> int:
         """Count what silent entries of the own domain may take that told nothing here.
@@ -179,5 +178,6 @@
         scopes = (DigestScope.DOMAIN, DigestScope.REGION, DigestScope.ALL)
         silent = dict(zip(scopes, sums.silent, strict=True))
         age_ms = round(self._merger.age_s(now) * 1000)
-        covered_ms = round(self._merger.covered_s(lived_s, now) * 1000)
-        return UseSummary(by_scope, silent, age_ms, covered_ms)
+        since = now if self._merges_since is None else self._merges_since
+        merged_ms = round((now - since) * 1000)
+        return UseSummary(by_scope, silent, age_ms, merged_ms)
--- a/leverdoor/entry/membership/use_merging.py
+++ b/leverdoor/entry/membership/use_merging.py
@@ -27,7 +27,7 @@
 KEPT_TOTALS = 16
 """Sums of all that are kept: two a round, for longer than `FAR_FRESH_S`."""
 FORMER_S = 5.0
-"""How long the use of a former life counts: the window of quotas."""
+"""How long the use of a former life counts, in seconds: the window of quotas."""
 
 
 class UseReport(msgspec.Struct):
@@ -35,14 +35,17 @@
 
     at: float
     use: Use
-    covered_s: float
-    """For how long it had been counted."""
+    merged_s: float = FORMER_S
+    """For how long its teller has merged what it tells; what lives that are over took
+    before may be missing."""
     entries: int = 1
     """How many entries it is the use of."""
     silent: int = 0
     """How many of them were silent."""
     incarnation: int = 0
     leaves: bool = False
+    older: "UseReport | None" = None
+    """What a teller that had merged for long told last, and this one does not."""
     reserved: Use | None = None
     """What they may take since they are silent; None while they are not."""
 
@@ -82,11 +85,11 @@
 
     def take_domain(self, domain: str, report: UseReport) -> None:
         """Take the sums of another failure domain of the region."""
-        self._domains[domain] = report
+        _take_part(self._domains, domain, report, FRESH_S)
 
     def take_region(self, region: str, report: UseReport) -> None:
         """Take the sums of another region."""
-        self._regions[region] = report
+        _take_part(self._regions, region, report, FAR_FRESH_S)
 
     def has_report(self, name: str) -> bool:
         """Return whether an entry of the own failure domain told its use here."""
@@ -126,17 +129,6 @@
         silent = (near, with_domains, with_regions)
         return UseSums(domain, region, total, silent)
 
-    def covered_s(self, lived_s: float, now: float) -> float:
-        """Return for how long use has been counted by anyone, in seconds.
-
-        Args:
-          lived_s: for how long this entry has counted.
-          now: monotonic time in seconds.
-        """
-        known = (self._entries, self._domains, self._regions)
-        reports = [t for of_kind in known for t in of_kind.values()]
-        return max([lived_s, *(t.covered_s + now - t.at for t in reports)])
-
     def age_s(self, now: float) -> float:
         """Return the age of the oldest report that is taken as it is, in seconds."""
         fresh = [
@@ -149,7 +141,9 @@
     def _held(
         self, parts: Mapping[str, UseReport], fresh_s: float, now: float
     ) -> list[Use]:
-        return [self._use(report, fresh_s, now) for report in parts.values()]
+        found = [self._use(report, fresh_s, now) for report in parts.values()]
+        older = [r.older for r in parts.values() if r.older is not None]
+        return found + [o.use for o in older if now - o.at <= FORMER_S]
 
     def _use(self, report: UseReport, fresh_s: float, now: float) -> Use:
         """Return a use as it was told, and more while its tellers are silent."""
@@ -195,3 +189,27 @@
         elif age_s <= HOLD_S and not one.leaves:
             found += one.entries
     return found
+
+
+def _without(report: UseReport, use: Use) -> UseReport:
+    """Return a report without what a later one tells as well."""
+    rest = {name: count - use.get(name, 0) for name, count in report.use.items()}
+    return UseReport(report.at, {n: count for n, count in rest.items() if count > 0})
+
+
+def _take_part(
+    parts: dict[str, UseReport], name: str, report: UseReport, fresh_s: float
+) -> None:
+    """Take the sums of a part, from one of its two aggregators.
+
+    One that has not merged for as long as requests count may not know of lives that
+    are over: after a kill of both aggregators and others, what these took would be
+    forgotten. The last sums of one that knew are kept beside it for that time.
+    """
+    before = parts.get(name)
+    if before is not None and report.merged_s < FORMER_S:
+        knew = before.merged_s >= FORMER_S
+        if knew and report.at - before.at <= fresh_s:
+            return
+        report.older = _without(before, report.use) if knew else before.older
+    parts[name] = report
--- a/leverdoor/workspaces/room.py
+++ b/leverdoor/workspaces/room.py
@@ -96,7 +96,7 @@
     age_s: float
     """Age of the oldest report in it, in seconds."""
     covered_s: float
-    """For how long anyone has counted, in seconds."""
+    """For how long nothing of it can be missing, in seconds."""
     least_reported: float
     """Part of a quota below which a use may be left out."""
     silent: int = 0
