--- a/leverdoor/workspaces/quota.py
+++ b/leverdoor/workspaces/quota.py
@@ -106,11 +106,6 @@
         """Return for how long this entry has counted, in seconds."""
         return now - self._began
 
-    def used(self, name: str, now: float) -> float:
-        """Return a workspace's use by all entries in the window, as known here."""
-        own = self._usage.within(name, self._bounds.window_s, now)
-        return own + self._others.use.get(name, 0)
-
     # What is decided.
 
     def admit(self, workspace: Workspace, now: float) -> None:
