--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -20,8 +20,8 @@
 
 import msgspec
 
-from leverdoor.entry import spill
 from leverdoor.entry.configuration.catalog import Catalog
+from leverdoor.entry.placement import spill
 from leverdoor.entry.placement.fleet import Fleet
 from leverdoor.entry.placement.policy import PlacementPolicy
 from leverdoor.entry.placement.tuning import PRODUCTION, Tuning
--- a/leverdoor/entry/configuration/catalog.py
+++ b/leverdoor/entry/configuration/catalog.py
@@ -13,7 +13,9 @@
     Route,
     Service,
     Target,
+    Workspace,
 )
+from leverdoor.workspaces.directory import WorkspaceDirectory
 
 __all__ = ["Catalog", "EMPTY", "entry_host"]
 
@@ -50,6 +52,7 @@
         self.services = {s.name: s for s in _of(known, Service)}
         self.targets = {t.name: t for t in _of(known, Target)}
         self.limits = next(iter(_of(known, ClientLimits)), DEFAULT_LIMITS)
+        self.workspaces = WorkspaceDirectory(_of(known, Workspace))
         drains = _of(known, Drain)
         self._routes = _by_host(_of(known, Route))
         self.by_service: dict[str, list[Target]] = {}
@@ -75,6 +78,17 @@
         """The names of the routes in force."""
         return {route.name for routes in self._routes.values() for route in routes}
 
+    def homeless(self) -> list[tuple[str, str]]:
+        """Return the routes and workspaces that no region is a home of both of."""
+        routes = [r for routes in self._routes.values() for r in routes if r.homes]
+        workspaces = [w for w in self.workspaces.by_name.values() if w.homes]
+        return [
+            (route.name, workspace.name)
+            for route in routes
+            for workspace in workspaces
+            if not set(route.homes) & set(workspace.homes)
+        ]
+
     @property
     def names_by_region(self) -> dict[str, list[str]]:
         """The names of all targets, by their region."""
--- a/leverdoor/entry/configuration/catalog_keeper.py
+++ b/leverdoor/entry/configuration/catalog_keeper.py
@@ -18,6 +18,9 @@
 
 __all__ = ["CatalogKeeper", "TakeCatalog"]
 
+LOGGED_PAIRS = 8
+"""Routes and workspaces without a common home that one line names; chosen."""
+
 TakeCatalog: TypeAlias = Callable[[Catalog, Catalog, Mapping[str, bytes]], None]
 """Called with the catalogue before, the new one, and other entries' registrations."""
 
@@ -82,6 +85,9 @@
                 len(catalog.targets),
                 self.source,
             )
+            homeless = catalog.homeless()
+            if homeless:
+                self._events.homeless(len(homeless), homeless[:LOGGED_PAIRS])
         came = sorted(catalog.in_service - before.in_service)
         gone = sorted(before.in_service - catalog.in_service)
         cold = [
--- a/leverdoor/entry/events.py
+++ b/leverdoor/entry/events.py
@@ -219,6 +219,10 @@
             revision=revision,
         )
 
+    def homeless(self, count: int, pairs: list[tuple[str, str]]) -> None:
+        """A configuration has routes and workspaces without a common home."""
+        self.emit("homeless", count=count, pairs=pairs)
+
     def target_ejected(self, target: str, reason: str, ejected_s: float) -> None:
         """A target is ejected: it gets nothing for a while."""
         self.emit(
--- a/leverdoor/entry/placement/choice.py
+++ b/leverdoor/entry/placement/choice.py
@@ -143,7 +143,7 @@
         spent = (now - request.arrived) * 1000
         least_ms = self._tuning.least_wait_share * aim
         wait = max(aim - spent - times.fast_ms * SPREAD_X, least_ms)
-        if request.route.priority > URGENT_PRIORITY:
+        if request.priority > URGENT_PRIORITY:
             wait *= self._tuning.less_urgent
         left = (request.until - now) * 1000 - times.fast_ms
         return min(wait, left)
--- a/leverdoor/entry/placement/policy.py
+++ b/leverdoor/entry/placement/policy.py
@@ -123,7 +123,7 @@
         )
         regions = self._allowed_regions(request)
         if not regions:
-            return self._refuse(Code.NO_TARGET, "no target may serve it")
+            return self._nowhere(request)
         first = self.shares.region(request.service, request.key, regions, now)
         found = self._in_region(request, first, "share", now)
         if found is not None:
@@ -139,6 +139,12 @@
             return found
         return self._refuse(Code.QUEUE_FULL, self._why_full(request, first, now))
 
+    def _nowhere(self, request: PlacementRequest) -> Rejection:
+        """Refuse what no region may serve, or none can."""
+        if not any(request.may_run_in(region) for region in self._catalog.regions):
+            return self._refuse(Code.NO_COMMON_HOME, f"of route {request.route.name}")
+        return self._refuse(Code.NO_TARGET, "no target may serve it")
+
     def _why_full(self, request: PlacementRequest, first: str, now: float) -> str:
         """Return, for the log, the loads that left no room."""
         ranking = self._by_region[(request.service, first)]
@@ -161,12 +167,11 @@
         return self._best(request, ranking.order(request.key)[:CANDIDATES], reason, now)
 
     def _allowed_regions(self, request: PlacementRequest) -> list[str]:
-        homes = request.route.homes
         return [
             region
             for region in self._catalog.regions
             if (request.service, region) in self._by_region
-            and (not homes or region in homes)
+            and request.may_run_in(region)
         ]
 
     def _may_overflow(self, request: PlacementRequest, first: str, now: float) -> bool:
--- a/leverdoor/entry/requests/front.py
+++ b/leverdoor/entry/requests/front.py
@@ -20,7 +20,7 @@
 from leverdoor.entry.wire import Wire
 from leverdoor.errors import Code, Refusal, code_info
 from leverdoor.headers import bounded_int, passing
-from leverdoor.model.resources import Route
+from leverdoor.model.resources import Route, Workspace
 
 __all__ = ["Front"]
 
@@ -128,6 +128,8 @@
         route = catalog.route(host, path.partition("?")[0])
         if route is None:
             raise Refusal(Code.NO_ROUTE, f"{host} {path[:100]}")
+        key = request.headers.get(self._wire.headers.workspace_key, "")
+        workspace = catalog.workspaces.identify(key, anonymous=route.anonymous)
         until = arrived + self._patience_s(request, route)
         wanted = PlacementRequest(
             request_id=request_id,
@@ -137,12 +139,13 @@
             version=catalog.version,
             arrived=arrived,
             until=until,
+            workspace=workspace,
         )
         incoming = Incoming(
             request=wanted,
             method=request.method,
             path=path,
-            headers=self._passing(request),
+            headers=self._passing(request, workspace),
             body=b"",
         )
         if request.body_exists:
@@ -157,10 +160,22 @@
             deadline_ms = min(deadline_ms, route.timeout_ms)
         return max(deadline_ms / 1000 - LEAVE_EARLY_S, 0.001)
 
-    def _passing(self, request: web.BaseRequest) -> list[tuple[str, str]]:
-        """Return the headers for the target, Host included."""
+    def _passing(
+        self, request: web.BaseRequest, workspace: Workspace | None
+    ) -> list[tuple[str, str]]:
+        """Return the headers for the target, Host included.
+
+        The workspace's key stays here, and its name is ours to say: a target takes
+        it for who asks, whatever the client sent.
+        """
         names = self._wire.headers
-        own = (names.deadline_ms, names.instance, "content-length")
+        own = (
+            names.deadline_ms,
+            names.instance,
+            names.workspace_key,
+            names.workspace,
+            "content-length",
+        )
         connection = request.headers.get("Connection", "")
         found = [("Host", request.headers.get("Host", ""))]
         found += [
@@ -168,6 +183,8 @@
             for name, value in passing(request.headers.items(), connection)
             if name.lower() not in own
         ]
+        if workspace is not None:
+            found.append((names.workspace, workspace.name))
         return found
 
     async def _take_body(
--- a/leverdoor/entry/requests/placement_request.py
+++ b/leverdoor/entry/requests/placement_request.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from leverdoor.errors import Code
-from leverdoor.model.resources import Route, Target
+from leverdoor.model.resources import Route, Target, Workspace
 
 __all__ = ["Placement", "PlacementRequest", "Rejection"]
 
@@ -22,8 +22,28 @@
     arrived: float
     until: float
     """Loop time at which it is given up, in seconds."""
+    workspace: Workspace | None = None
+    """Whose request it is; None without workspaces, or without a key."""
     tried: set[str] = msgspec.field(default_factory=set)
 
+    @property
+    def priority(self) -> int:
+        """Return its rank, 0 for the most urgent; the workspace's goes first."""
+        if self.workspace is None or self.workspace.priority is None:
+            return self.route.priority
+        return self.workspace.priority
+
+    def may_run_in(self, region: str) -> bool:
+        """Return whether a region is a home of its route and of its workspace."""
+        return at_home(self.route.homes, region) and (
+            self.workspace is None or at_home(self.workspace.homes, region)
+        )
+
+
+def at_home(homes: list[str], region: str) -> bool:
+    """Return whether a region is among homes, of which none means all."""
+    return not homes or region in homes
+
 
 class Placement(msgspec.Struct, frozen=True):
     """Send it to this target; it is counted there already."""
--- a/leverdoor/entry/wire.py
+++ b/leverdoor/entry/wire.py
@@ -50,6 +50,10 @@
     not_run: str
     """From targets: the request was not run."""
     load: str
+    workspace_key: str
+    """From clients: the key that tells whose request it is."""
+    workspace: str
+    """Towards targets: the name of the workspace that holds the key."""
 
 
 class Wire(msgspec.Struct, frozen=True):
--- a/leverdoor/errors.py
+++ b/leverdoor/errors.py
@@ -60,6 +60,10 @@
     NO_ROUTE = 3014
     BODY_TOO_LARGE = 3015
     TARGET_REFUSED = 3016
+    WORKSPACE_KEY_MISSING = 3017
+    WORKSPACE_KEY_UNKNOWN = 3018
+    NO_COMMON_HOME = 3019
+    QUOTA_EXCEEDED = 3020
     ANSWER_LOST = 3101
     ISSUER_GONE = 3102
     DEADLINE_PASSED = 3103
@@ -147,6 +151,16 @@
     Code.TARGET_REFUSED: CodeInfo(
         503, Run.NO, 45, "The target said that it did not run the request."
     ),
+    Code.WORKSPACE_KEY_MISSING: CodeInfo(
+        401, Run.NO, 46, "The route needs the key of a workspace; none was sent."
+    ),
+    Code.WORKSPACE_KEY_UNKNOWN: CodeInfo(401, Run.NO, 47, "No workspace has this key."),
+    Code.NO_COMMON_HOME: CodeInfo(
+        503, Run.NO, 48, "No region is a home of both the route and the workspace."
+    ),
+    Code.QUOTA_EXCEEDED: CodeInfo(
+        429, Run.NO, 49, "The workspace has used up its quota. Come back as told."
+    ),
     Code.ANSWER_LOST: CodeInfo(
         502, Run.MAYBE, 50, "The request went out and its answer was lost."
     ),
--- a/leverdoor/model/resources.py
+++ b/leverdoor/model/resources.py
@@ -24,6 +24,7 @@
     "Target",
     "Tier",
     "Work",
+    "Workspace",
     "parse_resource",
     "parse_resources",
     "resource_key",
@@ -34,6 +35,7 @@
 Positive: TypeAlias = Annotated[int, Meta(ge=1, le=86_400_000)]
 Millis: TypeAlias = Annotated[int, Meta(ge=0, le=86_400_000)]
 Percent: TypeAlias = Annotated[int, Meta(ge=0, le=100)]
+Digest: TypeAlias = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
 Share: TypeAlias = Annotated[float, Meta(gt=0.0, lt=1.0)]
 
 
@@ -161,6 +163,23 @@
     """Targets are faster at things that they have lately seen."""
     homes: list[Name] = []
     """Regions that may serve it; empty for all."""
+    anonymous: bool = False
+    """Requests need no key, also where workspaces are configured."""
+
+
+class Workspace(_Base, frozen=True, tag="workspace"):
+    """Whom requests belong to, by their keys, and what all of them may take."""
+
+    key_digests: list[Digest] = []
+    """SHA-256 of each key; the keys themselves are kept nowhere."""
+    rate_per_s: Annotated[float, Meta(ge=0.0)] = 0.0
+    """Requests a second, at all entries together; 0 for no bound."""
+    burst: Annotated[float, Meta(ge=0.0)] = 0.0
+    """Requests beyond the rate that may come at once."""
+    priority: Annotated[int, Meta(ge=0, le=1_000)] | None = None
+    """Goes before the rank of the route; the route's holds if there is none."""
+    homes: list[Name] = []
+    """Regions that may serve its requests; empty for all."""
 
 
 class ClientLimits(_Base, frozen=True, tag="clientlimits"):
@@ -188,6 +207,7 @@
     | Drain
     | ServiceLevel
     | Route
+    | Workspace
     | ClientLimits
     | ClientBlocks
 )
@@ -200,6 +220,7 @@
     Drain,
     ServiceLevel,
     Route,
+    Workspace,
     ClientLimits,
     ClientBlocks,
 )
--- a/leverdoor/platform/formats.py
+++ b/leverdoor/platform/formats.py
@@ -17,8 +17,10 @@
     Service,
     Target,
     Work,
+    Workspace,
 )
 from leverdoor.storage.store import Entry
+from leverdoor.workspaces.keys import key_digest
 
 __all__ = ["PEERS", "Translator", "parse_load"]
 
@@ -48,6 +50,7 @@
     max_attempts: int = 1
     session_affinity: bool = False
     home_regions: list[str] = []
+    allow_anonymous: bool = False
 
     def resource(self) -> Route:
         weights = {self.service: 1.0} if self.service else {}
@@ -65,6 +68,26 @@
             attempts=max(self.max_attempts, 1),
             affinity=self.session_affinity,
             homes=self.home_regions,
+            anonymous=self.allow_anonymous,
+        )
+
+
+class _Tenant(msgspec.Struct, rename="kebab"):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    home_regions: list[str] = []
+
+    def resource(self) -> Workspace:
+        return Workspace(
+            name=self.name,
+            key_digests=[key_digest(key) for key in self.api_keys],
+            rate_per_s=self.rate_per_s,
+            burst=self.burst,
+            priority=self.priority,
+            homes=self.home_regions,
         )
 
 
@@ -105,10 +128,12 @@
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
 
     def resources(self) -> list[Resource]:
         found: list[Resource] = [r.resource() for r in self.routes]
         found += [s.resource() for s in self.services]
+        found += [t.resource() for t in self.tenants]
         found.append(self.limits.resource())
         return found
 
--- a/leverdoor/platform/names.py
+++ b/leverdoor/platform/names.py
@@ -32,6 +32,8 @@
             stamp="x-server-stamp",
             not_run="x-not-executed",
             load="x-server-load",
+            workspace_key="x-credential",
+            workspace="x-tenant",
         ),
         ready_path="/api/readiness",
         resolve_path="/api/resolve",
--- a/leverdoor/standins/entry_site.py
+++ b/leverdoor/standins/entry_site.py
@@ -261,6 +261,7 @@
         self,
         routes: list[dict[str, object]],
         limits: Mapping[str, int] | None = None,
+        tenants: list[dict[str, object]] | None = None,
     ) -> int:
         """Write a configuration; returns the store's revision."""
         self._version += 1
@@ -270,6 +271,7 @@
             "routes": routes,
             "services": [{"name": s, "warmup-per-s": 11.0} for s in services],
             "limits": {"max-body-bytes": 64 * 1024 * 1024, **(limits or {})},
+            "tenants": tenants or [],
         }
         return self.store.put("op/config", serialize_json(config))
 
--- a/leverdoor/standins/upstreams.py
+++ b/leverdoor/standins/upstreams.py
@@ -28,6 +28,10 @@
     at: float = 0.0
     """When it began, in seconds of the loop's clock."""
     ended: bool = False
+    workspace: str = ""
+    """Whose request it was, as the entry said."""
+    keyed: bool = False
+    """A workspace's key came along, which it must not."""
 
 
 class UpstreamStandin:
@@ -125,6 +129,8 @@
             hashlib.sha256(body).hexdigest(),
             int(request.headers.get("X-Deadline-Ms", "0")),
             asyncio.get_running_loop().time(),
+            workspace=request.headers.get("X-Tenant", ""),
+            keyed="X-Credential" in request.headers,
         )
         self.runs.append(run)
         self._running += 1
--- a/tests/test_entry_connections.py
+++ b/tests/test_entry_connections.py
@@ -7,7 +7,7 @@
 import pytest
 
 from desk import target
-from leverdoor.entry import idle_timeouts
+from leverdoor.entry.requests import idle_timeouts
 from leverdoor.entry.requests.connection import AnswerLost
 from leverdoor.entry.requests.connections import Connections, Outgoing
 from leverdoor.entry.requests.idle_timeouts import (
