Sight: which requests are the same, and whether a target ended

Logs could not tell the hypotheses apart: a request that comes again has another id, and a lost answer looks the same whether its target ended or not. Attempts and refusals now log a fingerprint of what targets get of a request (method, host, path, workspace, body). A target that closes a connection without an answer is looked at by a new connection, one at a time, and the event target_checked says what that found. Nothing is decided by either yet.

--- a/leverdoor/entry/data_plane.py
+++ b/leverdoor/entry/data_plane.py
@@ -29,6 +29,7 @@
 from leverdoor.entry.placement.policy import PlacementPolicy
 from leverdoor.entry.requests.client_connection import ClientConnection
 from leverdoor.entry.requests.connections import Connections
+from leverdoor.entry.requests.ended_targets import EndedTargets
 from leverdoor.entry.requests.forwarding import Forwarder
 from leverdoor.entry.requests.handler import EntryHandler
 from leverdoor.entry.requests.intake import Intake
@@ -92,6 +93,7 @@
             outcomes,
             self._budget,
             self.quotas,
+            EndedTargets(self.connections, events),
             events,
         )
         return EntryHandler(
--- a/leverdoor/entry/events.py
+++ b/leverdoor/entry/events.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from leverdoor.errors import Refusal
+from leverdoor.quarantine.fingerprint import fingerprint_text
 
 if TYPE_CHECKING:
     from leverdoor.entry.placement.placement_request import Placement, PlacementRequest
@@ -158,6 +159,7 @@
             route=request.route.name,
             service=request.service,
             key=request.key,
+            fingerprint=fingerprint_text(request.fingerprint),
             version=request.version,
             target=placement.target.name,
             region=placement.target.region,
@@ -180,19 +182,22 @@
         request_id: str,
         service: str,
         workspace: str,
+        fingerprint: int,
         refusal: Refusal,
         version: str,
         took_s: float,
     ) -> None:
         """A request was given up on.
 
-        Its service is "" if it was not routed, its workspace if it has none.
+        Its service is "" if it was not routed, its workspace if it has none, its
+        fingerprint if its body was not read.
         """
         self.emit(
             "refused",
             request_id=request_id,
             service=service,
             workspace=workspace,
+            fingerprint=fingerprint_text(fingerprint),
             code=int(refusal.code),
             name=refusal.code.name,
             run=refusal.run.value,
@@ -259,6 +264,23 @@
             ejected_s=round(ejected_s, 2),
         )
 
+    def target_checked(
+        self, target: str, service: str, found: str, lost: int, took_s: float
+    ) -> None:
+        """A target closed connections without an answer, and was then looked at.
+
+        It is "ended" if connections to it are refused, "serves" if it takes them,
+        "silent" if neither; `lost` is how many answers of this entry went with it.
+        """
+        self.emit(
+            "target_checked",
+            target=target,
+            service=service,
+            found=found,
+            lost=lost,
+            took_ms=round(took_s * 1000),
+        )
+
     def connections_forgotten(self, service: str) -> None:
         """A service's targets reset idle connections; only young ones are used."""
         self.emit("connections_forgotten", service=service)
--- a/leverdoor/entry/requests/bodies.py
+++ b/leverdoor/entry/requests/bodies.py
@@ -8,26 +8,37 @@
 import asyncio
 from collections.abc import AsyncIterator
 
+import msgspec
 from aiohttp import web
 
 from leverdoor.entry.requests.entry_request import BUFFERED_BODY_BYTES, EntryRequest
 from leverdoor.errors import Code, Refusal
 
-__all__ = ["take_body"]
+__all__ = ["BodyStart", "take_body"]
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
 
 
+class BodyStart(msgspec.Struct, frozen=True):
+    """What was read of a body before any of it was sent on."""
+
+    data: bytes = b""
+    """All of a short body, as much as is kept of any of a long one."""
+    length: int = 0
+    """Of the whole body in bytes; -1 if it is not known."""
+
+
 async def take_body(
     request: web.BaseRequest, taken: EntryRequest, most_bytes: int
-) -> None:
+) -> BodyStart:
     """Read a body whole if it is short, and else prepare to stream it.
 
     Args:
       request: the client's.
       taken: gets the body, and the headers that frame it.
       most_bytes: longest body that is accepted.
+    Returns: what was read of it, by which the request is known when it comes again.
     Raises:
       Refusal: the body is too long, too slow or malformed.
     """
@@ -40,11 +51,12 @@
     first, ended = await _read_first(request, taken.placement_request.until)
     if ended:
         taken.body = first
-        return
+        return BodyStart(first, len(first))
     if length is not None:
         taken.headers.append(("Content-Length", str(length)))
     taken.chunked = length is None
     taken.body = _stream(request, taken, first, most_bytes)
+    return BodyStart(first[:BUFFERED_BODY_BYTES], -1 if length is None else length)
 
 
 async def _read_first(request: web.BaseRequest, until: float) -> tuple[bytes, bool]:
--- a/leverdoor/entry/requests/connection.py
+++ b/leverdoor/entry/requests/connection.py
@@ -22,7 +22,16 @@
 
 
 class NotSent(Exception):
-    """Not one byte of the request was sent."""
+    """Not one byte of the request was sent.
+
+    Attributes:
+      refused: the target's VM answered that nothing listens there.
+    """
+
+    def __init__(self, why: str, refused: bool = False) -> None:
+        """Create it with its reason."""
+        super().__init__(why)
+        self.refused = refused
 
 
 class AnswerLost(Exception):
@@ -30,12 +39,16 @@
 
     Attributes:
       unreachable: the target did not even acknowledge what was sent.
+      closed: the target, or the kernel of its VM, ended the connection.
     """
 
-    def __init__(self, why: str, unreachable: bool = False) -> None:
+    def __init__(
+        self, why: str, unreachable: bool = False, closed: bool = False
+    ) -> None:
         """Create it with its reason."""
         super().__init__(why)
         self.unreachable = unreachable
+        self.closed = closed
 
 
 class _Pending:
@@ -96,20 +109,21 @@
         """End an answer that has no length; anything else is cut short."""
         if self._pending is not None:
             self._parser.end()
-        self._fail("closed by the target")
+        self._fail("closed by the target", closed=True)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request that was on the connection."""
-        self._fail(f"connection lost: {exc!r}", isinstance(exc, TimeoutError))
+        unreachable = isinstance(exc, TimeoutError)
+        self._fail(f"connection lost: {exc!r}", unreachable, closed=not unreachable)
 
-    def _fail(self, why: str, unreachable: bool = False) -> None:
+    def _fail(self, why: str, unreachable: bool = False, closed: bool = False) -> None:
         """Close the connection; its request, if there is one, has lost its answer."""
         self.usable = False
         self._writable.set()
         pending = self._pending
         if pending is not None and not pending.answer.done():
-            pending.answer.set_exception(AnswerLost(why, unreachable))
+            pending.answer.set_exception(AnswerLost(why, unreachable, closed))
         self.close()
 
     def _take_reply(self, reply: TargetReply, keeps: bool) -> None:
@@ -228,5 +242,6 @@
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(TargetConnection, host, port)
     except (OSError, TimeoutError) as e:
-        raise NotSent(f"no connection: {e!r}") from None
+        refused = isinstance(e, ConnectionRefusedError)
+        raise NotSent(f"no connection: {e!r}", refused) from None
     return connection
--- a/leverdoor/entry/requests/connections.py
+++ b/leverdoor/entry/requests/connections.py
@@ -9,9 +9,11 @@
 
 import asyncio
 from collections.abc import Callable
+from enum import StrEnum
 
 from leverdoor.entry.requests.connection import (
     AnswerLost,
+    NotSent,
     TargetConnection,
     open_connection,
 )
@@ -21,7 +23,7 @@
 from leverdoor.model.resources import Target
 from leverdoor.settings import parse_address
 
-__all__ = ["Connections"]
+__all__ = ["Connections", "TargetCheck"]
 
 CONNECT_TIMEOUT_S = 0.4
 """Longest time to connect within the region, in seconds.
@@ -54,6 +56,17 @@
 """
 
 
+class TargetCheck(StrEnum):
+    """What a new connection to a target showed."""
+
+    ENDED = "ended"
+    """It was refused: the VM is there, the target's process is not."""
+    SERVES = "serves"
+    """It was taken."""
+    SILENT = "silent"
+    """There was no answer."""
+
+
 class Connections:
     """Kept connections by target; at most one request on each."""
 
@@ -98,9 +111,18 @@
         except AnswerLost:
             self._lost(target.service, idle_s, now)
             raise
-        self._keep(target, connection, reply)
+        self._keep(target, connection, reply.get("keep-alive"))
         return reply
 
+    async def check(self, target: Target) -> TargetCheck:
+        """Find out by a new connection whether a target still serves; keep that."""
+        try:
+            connection = await self._open(target)
+        except NotSent as e:
+            return TargetCheck.ENDED if e.refused else TargetCheck.SILENT
+        self._keep(target, connection, "")
+        return TargetCheck.SERVES
+
     def _lost(self, service: str, idle_s: float, sent_at: float) -> None:
         """Learn from a lost answer whether targets forget idle connections."""
         now = asyncio.get_running_loop().time()
@@ -130,9 +152,15 @@
         return await open_connection(address.host, address.port, timeout_s)
 
     def _keep(
-        self, target: Target, connection: TargetConnection, reply: TargetReply
+        self, target: Target, connection: TargetConnection, keep_alive: str
     ) -> None:
-        """Keep a connection for the next request, if it can be used again."""
+        """Keep a connection for the next request, if it can be used again.
+
+        Args:
+          target: whose it is.
+          connection: nothing is under way on it.
+          keep_alive: the Keep-Alive header of its last answer; "" for none.
+        """
         if connection.closed:
             return
         kept = self._idle.setdefault(target.name, [])
@@ -140,7 +168,7 @@
             connection.close()
             return
         connection.idle_since = asyncio.get_running_loop().time()
-        connection.idle_limit_s = _idle_limit_s(reply.get("keep-alive"))
+        connection.idle_limit_s = _idle_limit_s(keep_alive)
         kept.append(connection)
 
     def sweep(self, now: float) -> None:
--- a/leverdoor/entry/requests/forwarding.py
+++ b/leverdoor/entry/requests/forwarding.py
@@ -17,6 +17,7 @@
 from leverdoor.entry.requests.connection import AnswerLost, NotSent
 from leverdoor.entry.requests.connections import Connections
 from leverdoor.entry.requests.deadlines import give_up_on_target_at
+from leverdoor.entry.requests.ended_targets import EndedTargets, LostRun
 from leverdoor.entry.requests.entry_request import EntryRequest
 from leverdoor.entry.requests.outcomes import Outcomes
 from leverdoor.entry.requests.outgoing import outgoing
@@ -42,6 +43,7 @@
         outcomes: Outcomes,
         budget: RetryBudget,
         quotas: Quotas,
+        ended_targets: EndedTargets,
         events: Events,
     ) -> None:
         """Create it from the entry's parts."""
@@ -51,6 +53,7 @@
         self._outcomes = outcomes
         self._budget = budget
         self._quotas = quotas
+        self._ended_targets = ended_targets
         self._events = events
 
     async def serve(self, request: EntryRequest) -> TargetReply:
@@ -140,6 +143,10 @@
             raise _AttemptFailed(refusal, arrived=False) from None
         except AnswerLost as e:
             self._outcomes.lost(placement, e.unreachable)
+            if e.closed:
+                fingerprint = request.placement_request.fingerprint
+                run = LostRun(fingerprint, began, loop.time())
+                self._ended_targets.check(placement.target, run)
             raise _AttemptFailed(Refusal(Code.ANSWER_LOST, str(e))) from None
         except TimeoutError:
             self._outcomes.overran(placement, loop.time() - began)
--- a/leverdoor/entry/requests/handler.py
+++ b/leverdoor/entry/requests/handler.py
@@ -19,13 +19,15 @@
 from leverdoor.entry.configuration.catalog import Catalog
 from leverdoor.entry.events import Events
 from leverdoor.entry.metrics import EntryMetrics
-from leverdoor.entry.requests.bodies import take_body
+from leverdoor.entry.requests.bodies import BodyStart, take_body
+from leverdoor.entry.requests.entry_request import EntryRequest
 from leverdoor.entry.requests.forwarding import Forwarder
 from leverdoor.entry.requests.intake import Intake
 from leverdoor.entry.requests.responses import close_after, refusal_response, relayed
 from leverdoor.entry.wire import Wire
 from leverdoor.errors import Code, Refusal, Run
 from leverdoor.model.resources import Workspace
+from leverdoor.quarantine.fingerprint import request_fingerprint
 from leverdoor.workspaces.quota import Quotas
 
 __all__ = ["EntryHandler"]
@@ -40,6 +42,8 @@
     service: str = ""
     """The service it was routed to; "" before that."""
     workspace: Workspace | None = None
+    fingerprint: int = 0
+    """0 until its body was read."""
     admitted: bool = False
     """It is counted in its workspace's quota."""
     outcome: str = "left"
@@ -128,8 +132,12 @@
         progress.service = taken.placement_request.service
         progress.workspace = taken.placement_request.workspace
         self._admit(progress)
+        start = BodyStart()
         if request.body_exists:
-            await take_body(request, taken, self._catalog().limits.body_bytes)
+            most_bytes = self._catalog().limits.body_bytes
+            start = await take_body(request, taken, most_bytes)
+        progress.fingerprint = _fingerprint(request, taken, start)
+        taken.placement_request.fingerprint = progress.fingerprint
         reply = await self._forwarder.serve(taken)
         progress.outcome = str(reply.status)
         return relayed(reply)
@@ -155,8 +163,29 @@
         name = workspace.name if workspace is not None else ""
         version = self._catalog().version
         self._events.refused(
-            progress.request_id, progress.service, name, error, version, took_s
+            progress.request_id,
+            progress.service,
+            name,
+            progress.fingerprint,
+            error,
+            version,
+            took_s,
         )
         if error.code is Code.QUOTA_EXCEEDED:
             self._metrics.quota_refusal(name)
         return refusal_response(error, progress.request_id, self._request_id_header)
+
+
+def _fingerprint(
+    request: web.BaseRequest, taken: EntryRequest, start: BodyStart
+) -> int:
+    """Return the fingerprint of a request whose body was read, or begun."""
+    workspace = taken.placement_request.workspace
+    return request_fingerprint(
+        taken.method,
+        request.headers.get("Host", ""),
+        taken.path,
+        workspace.name if workspace is not None else "",
+        start.data,
+        start.length,
+    )
--- a/tests/interface_table.py
+++ b/tests/interface_table.py
@@ -184,6 +184,7 @@
             "attempt",
             "cold_share",
             "expected_ms",
+            "fingerprint",
             "key",
             "latency_target_ms",
             "load",
@@ -208,6 +209,7 @@
             "attempt",
             "cold_share",
             "expected_ms",
+            "fingerprint",
             "key",
             "latency_target_ms",
             "load",
@@ -237,6 +239,7 @@
         (
             "code",
             "detail",
+            "fingerprint",
             "name",
             "request_id",
             "retry_after_ms",
@@ -249,6 +252,7 @@
     ),
     ("shares", ("service", "shares")),
     ("store", ("change", "detail", "revision")),
+    ("target_checked", ("found", "lost", "service", "target", "took_ms")),
     ("target_ejected", ("ejected_s", "reason", "target")),
     ("targets", ("came", "cold", "expired", "gone", "revision")),
 ]
--- a/tests/test_entry_connections.py
+++ b/tests/test_entry_connections.py
@@ -9,7 +9,7 @@
 from desk import target
 from leverdoor.entry.requests import idle_timeouts
 from leverdoor.entry.requests.connection import AnswerLost
-from leverdoor.entry.requests.connections import Connections
+from leverdoor.entry.requests.connections import Connections, TargetCheck
 from leverdoor.entry.requests.idle_timeouts import (
     LIMITED_FOR_S,
     LIMITED_IDLE_S,
@@ -74,3 +74,24 @@
     assert connections.opened == 3
     connections.close()
     server.close()
+
+
+async def test_a_check_tells_a_target_that_ended_from_one_that_serves() -> None:
+    """The connection that shows that it serves is kept for the next request."""
+
+    async def serve(r: asyncio.StreamReader, w: asyncio.StreamWriter) -> None:
+        await r.readuntil(b"\r\n\r\n")
+        w.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    connections = Connections("x-id", "a", lambda _: None)
+    one = target("one", address=address)
+    assert await connections.check(one) is TargetCheck.SERVES
+    reply = await connections.exchange(one, outgoing("first"))
+    assert reply.status == 200
+    assert connections.opened == 1
+    connections.close()
+    server.close()
+    await server.wait_closed()
+    assert await connections.check(one) is TargetCheck.ENDED
