--- a/leverdoor/quarantine/fingerprint.py
+++ b/leverdoor/quarantine/fingerprint.py
@@ -2,9 +2,11 @@
 # SPDX-License-Identifier: Apache-2.0
 """How a request is known again when it is sent once more: by what targets get of it.
 
-Each attempt of a client has an id of its own, so a request that comes again has another.
-What stays is the method, the host, the path, whose it is and the body. The affinity key
-is left out: harmless requests share it, and a client may change it. Owns no state.
+Each attempt of a client has an id of its own, so a request that comes again has a new
+one. What stays is the method, the host, the path, whose it is and the body. The
+affinity key is left out: harmless requests share it, and a client may change it.
+
+Owns no state.
 """
 
 from hashlib import blake2b
--- a/leverdoor/standins/entry_site.py
+++ b/leverdoor/standins/entry_site.py
@@ -14,6 +14,7 @@
 import sys
 import tempfile
 from collections.abc import Mapping
+from functools import partial
 from itertools import count
 from pathlib import Path
 
@@ -27,7 +28,7 @@
 from leverdoor.standins.metadata import MetadataStandin
 from leverdoor.standins.upstreams import UpstreamStandin
 
-__all__ = ["Answer", "EntryProcess", "EntrySite", "Place", "SAMPLE_ROUTES"]
+__all__ = ["Answer", "EntryProcess", "EntrySite", "Place", "RESTART_S", "SAMPLE_ROUTES"]
 
 HOST = "127.0.0.1"
 FIRST_PORT = 8_381
@@ -37,6 +38,8 @@
 """Seconds between two looks while something is awaited."""
 TURNS = 3_000
 """Looks before a wait is given up: a minute."""
+RESTART_S = 0.3
+"""Time from a target's crash to its next start, in seconds."""
 STOP_S = 10.0
 """Longest time that a process may take to end, in seconds."""
 
@@ -189,6 +192,7 @@
         self._folder = tempfile.TemporaryDirectory()
         self._numbers = count(1)
         self._version = 0
+        self._crashes: set[asyncio.Task[None]] = set()
         self._session: aiohttp.ClientSession | None = None
 
     async def start(self, routes: list[dict[str, object]] | None = None) -> None:
@@ -213,6 +217,9 @@
                 await entry.ended()
         if self._session is not None:
             await self._session.close()
+        for task in list(self._crashes):
+            task.cancel()
+        await asyncio.gather(*self._crashes, return_exceptions=True)
         for runner in self._runners.values():
             await runner.cleanup()
         self._folder.cleanup()
@@ -289,6 +296,7 @@
     async def add_target(self, target: UpstreamStandin) -> None:
         """Start a target and let it write itself."""
         self.targets[target.name] = target
+        target.crash = partial(self.crash_target, target.name)
         served = await self._serve(target.name, target.app())
         address = await self._link(f"target/{target.name}", served)
         self._addresses[target.name] = address
@@ -305,6 +313,33 @@
         await self._runners.pop(name).cleanup()
         self.store.remove(f"servers/{name}")
 
+    def crash_target(self, name: str) -> None:
+        """End a target as when its process crashes: its VM refuses connections.
+
+        Its registration stays for a moment; then it is back under another name.
+        """
+        task = asyncio.ensure_future(self._crash(name))
+        self._crashes.add(task)
+        task.add_done_callback(self._crashes.discard)
+
+    async def _crash(self, name: str) -> None:
+        if name not in self._runners:
+            return
+        runner = self._runners.pop(name)
+        for listener in list(runner.sites):
+            await listener.stop()
+        for connection in list(runner.server.connections if runner.server else ()):
+            connection.force_close()
+        await runner.cleanup()
+        await asyncio.sleep(RESTART_S)
+        self.store.remove(f"servers/{name}")
+        before = self.targets[name]
+        after = UpstreamStandin(
+            f"{name}+", before.service, before.zone, before.slots, before.work_s
+        )
+        after.crash_path = before.crash_path
+        await self.add_target(after)
+
     # What clients do.
 
     async def ready(self, entry: EntryProcess) -> None:
--- a/leverdoor/standins/upstreams.py
+++ b/leverdoor/standins/upstreams.py
@@ -9,6 +9,7 @@
 import asyncio
 import hashlib
 from collections import OrderedDict
+from collections.abc import Callable
 
 import msgspec
 from aiohttp import web
@@ -62,6 +63,8 @@
         self.cold_ms = 0
         self.empty = False
         """Answers have no body and no type."""
+        self.crash: Callable[[], None] | None = None
+        """Ends the target as when its process crashes; set by the site."""
         self.answer_well()
         self.runs: list[UpstreamRun] = []
         self._running = 0
@@ -75,6 +78,8 @@
         """How many times as long as usual a request takes."""
         self.lose_every = 0
         """Each so many-th run's connection is reset in place of an answer."""
+        self.crash_path = ""
+        """Path of the requests that end the target as it begins to run them."""
         self.repeat_every = 0
         """Each so many-th answer is followed by a second one."""
 
@@ -134,6 +139,8 @@
         self.runs.append(run)
         self._running += 1
         try:
+            if run.path == self.crash_path and self.crash is not None:
+                self.crash()
             await asyncio.sleep(self._work_s(request.headers.get("X-Affinity-Key", "")))
         finally:
             self._running -= 1
