Requests that end their targets are held back, at all entries

Cause: what an entry learned of a request ended with its last attempt, and entries told each other of targets and workspaces only; so a request under which each target ends was sent to target after target, by all of them.

Change: a request has a fingerprint; a target that closed a connection without an answer and refuses the next one has ended, and all that this entry had there is noted. Entries exchange these notes, and each judges by one rule: three runs, one after the other, that ended with their targets, and none that ended well. Ends at which a request was that is held back already say nothing against others; runs that overlap count once; where targets keep ending by themselves, or two requests cannot be told apart, five are needed. Any run that ends well voids all before it, everywhere. What is held back is refused at once with 503 QUARANTINED and the time left; it stands in the store without a lease, so that it outlasts a restart of all entries, and an operator can remove it.

Ruled out: counting lost answers alone (targets that lose answers and serve on took 90 a second once), counting ends by fingerprint alone (a victim that was retried beside the cause had three), the affinity key as identity (harmless requests share it), leases for the records (an outage in which they lapse would release the request).

--- a/leverdoor/analysis/explaining.py
+++ b/leverdoor/analysis/explaining.py
@@ -97,6 +97,12 @@
         return f"{when}: the store {f['change']} {f['detail']}".rstrip()
     if e.event == "peer":
         return f"{when}: entry {f['peer']} {f['change']}"
+    if e.event == "target_checked":
+        lost = f"{f['lost']} lost answers"
+        return f"{when}: {f['target']} was looked at after {lost}: {f['found']}"
+    if e.event == "quarantine":
+        why = f"by {f['source']}, {f['ends']} ends of targets known here"
+        return f"{when}: request {f['fingerprint']} {f['change']} {why}"
     if e.event == "process":
         return f"{when}: process {f['change']}"
     return ""
@@ -138,6 +144,11 @@
             others = sum(e.fields["target"] == tried for e in rested)
             more = f"; {tried} failed {others} requests then" if others > 1 else ""
             return f"{tried} took it and its answer was lost ({f['detail']}){more}."
+        case "QUARANTINED":
+            return (
+                f"Targets end when they run it ({f['detail']});"
+                f" all attempts at it have fingerprint {f['fingerprint']}."
+            )
         case "DEADLINE_PASSED":
             return _deadline_cause(attempts[-1] if attempts else {})
         case _:
--- a/leverdoor/analysis/losses.py
+++ b/leverdoor/analysis/losses.py
@@ -73,6 +73,7 @@
     NOT_ROUTED = "not routed"
     KEY_REFUSED = "key missing or unknown"
     OVER_QUOTA = "over quota"
+    QUARANTINED = "held back"
     CLIENT_LEFT = "client left"
 
 
@@ -88,6 +89,7 @@
     Code.WORKSPACE_KEY_UNKNOWN: Cause.KEY_REFUSED,
     Code.NO_COMMON_HOME: Cause.NO_TARGET,
     Code.QUOTA_EXCEEDED: Cause.OVER_QUOTA,
+    Code.QUARANTINED: Cause.QUARANTINED,
 }
 """Causes by the code of a refusal; any other means that it was not routed."""
 
--- a/leverdoor/entry/configuration/catalog_keeper.py
+++ b/leverdoor/entry/configuration/catalog_keeper.py
@@ -9,7 +9,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import TypeAlias
 
 from leverdoor.entry.configuration.catalog import EMPTY, Catalog
@@ -17,7 +17,7 @@
 from leverdoor.entry.configuration.expired_registrations import ExpiredRegistrations
 from leverdoor.entry.configuration.outage import Outage
 from leverdoor.entry.events import Events
-from leverdoor.entry.wire import Wire
+from leverdoor.entry.wire import Configured, Wire
 from leverdoor.model.resources import Target
 from leverdoor.storage.state import State
 
@@ -29,8 +29,8 @@
 Chosen: enough to find the mistake; more would make the line long for no gain.
 """
 
-PutInForce: TypeAlias = Callable[[Catalog, Catalog, Mapping[str, bytes]], None]
-"""Called with the catalogue before, the new one, and other entries' registrations."""
+PutInForce: TypeAlias = Callable[[Catalog, Catalog, Configured], None]
+"""Called with the catalogue before, the new one, and what it was compiled from."""
 
 
 class CatalogKeeper:
@@ -88,7 +88,7 @@
         if self.catalog.version != before.version:
             self._log_configuration()
         self._log_targets(before, held)
-        self._put_in_force(before, self.catalog, configured.peers)
+        self._put_in_force(before, self.catalog, configured)
         if self._hold_timer is not None:
             self._hold_timer.cancel()
         end = self._registrations.next_end
--- a/leverdoor/entry/control_plane.py
+++ b/leverdoor/entry/control_plane.py
@@ -112,7 +112,7 @@
         return StoreFollower(
             self._context.store,
             self._state,
-            self._is_elected,
+            self.follows_store,
             self._context.rng,
             prefix="",
             longest_backoff_s=STORE_BACKOFF_S,
@@ -148,7 +148,7 @@
         writes_per_s = self._settings.store_writes_per_s
         return retry_pause_s(self._membership.count, writes_per_s)
 
-    def _is_elected(self) -> bool:
+    def follows_store(self) -> bool:
         """Return whether this entry follows the store now."""
         now = asyncio.get_running_loop().time()
         if now < self._joining.settled_at:
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -9,7 +9,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from random import Random
 
 from aiohttp import web
@@ -28,9 +28,10 @@
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.membership.naming import Naming
 from leverdoor.entry.metrics import EntryMetrics
+from leverdoor.entry.quarantine_records import QuarantineRecords
 from leverdoor.entry.settings import EntrySettings, reload_settings
 from leverdoor.entry.shutdown import STOP_POLL_S, finish
-from leverdoor.entry.wire import Wire
+from leverdoor.entry.wire import Configured, Wire
 from leverdoor.lifecycle import keep_running
 from leverdoor.settings import Address
 from leverdoor.storage.state import Delta, State
@@ -114,7 +115,12 @@
         front = await self._listen(self._data.create_connection, s.front)
         for address in (s.ready, s.directory, s.pull, s.metrics):
             await self._listen(self._admin_server, address)
-        loops = (self._join_and_follow, self._register, self._heartbeat)
+        loops = (
+            self._join_and_follow,
+            self._register,
+            self._heartbeat,
+            self._keep_records,
+        )
         tasks = [asyncio.create_task(keep_running(w.__qualname__, w)) for w in loops]
         try:
             await self._stop.wait()
@@ -150,6 +156,15 @@
             self._status,
             self._take_update,
         )
+        self._records = QuarantineRecords(
+            self._data.quarantine,
+            self._store,
+            self._wire,
+            s.name,
+            self._events,
+            rng,
+            self._control.follows_store,
+        )
         self._admin_server = web.Server(self._create_admin().handle, access_log=None)
 
     def _create_admin(self) -> AdminServer:
@@ -190,6 +205,9 @@
     async def _register(self) -> None:
         await self._control.register()
 
+    async def _keep_records(self) -> None:
+        await self._records.run()
+
     async def _heartbeat(self) -> None:
         """Send heartbeats and digests, and expire what has grown old."""
         loop = asyncio.get_running_loop()
@@ -199,6 +217,7 @@
             turn += 1
             now = loop.time()
             self._data.count_entries()
+            self._data.judge_requests(now)
             self._control.peers.round(now)
             if turn % SHARE_UPDATE_ROUNDS == 0:
                 shares = self._control.exchange.region_shares()
@@ -231,11 +250,12 @@
             self._control.peers.announce()
 
     def _take_catalog(
-        self, before: Catalog, catalog: Catalog, registrations: Mapping[str, bytes]
+        self, before: Catalog, catalog: Catalog, configured: Configured
     ) -> None:
         """Put a newer catalogue in force in all parts."""
         now = asyncio.get_running_loop().time()
-        self._membership.add_registered(registrations, now)
+        self._membership.add_registered(configured.peers, now)
+        self._records.take(configured.held, now)
         self._data.renew(before, catalog, now)
         exchange = self._control.exchange
         exchange.lists.renew(catalog.names_by_region)
@@ -261,6 +281,7 @@
             self._data.quotas.report(now),
             self._data.quotas.lived_s(now),
             self._keeper.confirmation.age_ms(now),
+            self._data.quarantine.notices(now),
         )
 
     # Leaving.
--- a/leverdoor/entry/data_plane.py
+++ b/leverdoor/entry/data_plane.py
@@ -3,8 +3,9 @@
 """The parts of an entry that serve requests, and how they are connected.
 
 Owns the loads and run times of targets (fleet), the regions' shares of keys
-(placement), connections to targets, the use of quotas, and the retry budget. All of it
-is lost with the process and learned again from answers and other entries. Relies on the
+(placement), connections to targets, the use of quotas, the retry budget, and which
+requests are held back. All of it is lost with the process and learned again from
+answers and other entries; what is held back also from the store. Relies on the
 catalogue in force (`configuration`) and on the entries known (`membership`).
 """
 
@@ -36,6 +37,9 @@
 from leverdoor.entry.requests.outcomes import Outcomes
 from leverdoor.entry.settings import EntrySettings
 from leverdoor.entry.warm_up import count_sharers
+from leverdoor.model.resources import Target
+from leverdoor.quarantine.crashes import LostRun, target_id
+from leverdoor.quarantine.quarantine import Quarantine
 from leverdoor.retry_budget import RetryBudget
 from leverdoor.workspaces.quota import Quotas
 
@@ -68,6 +72,8 @@
         self.quotas = Quotas(s.quotas, context.rng, now, first_start=s.first_start)
         ratio = s.repeat_ratio * RETRY_SHARE
         self._budget = RetryBudget(ratio, RETRIES_SAVED, RETRIES_FIRST)
+        self.quarantine = Quarantine()
+        self._metrics = metrics
         self.handler = self._create_handler(metrics)
         self.server = web.Server(self.handler.handle, handler_cancellation=True)
 
@@ -93,11 +99,19 @@
             outcomes,
             self._budget,
             self.quotas,
-            EndedTargets(self.connections, events),
+            self.quarantine,
+            EndedTargets(self.connections, events, self._take_end),
             events,
         )
         return EntryHandler(
-            wire, intake, forwarder, self.quotas, events, metrics, self._catalog
+            wire,
+            intake,
+            forwarder,
+            self.quotas,
+            self.quarantine,
+            events,
+            metrics,
+            self._catalog,
         )
 
     def _catalog(self) -> Catalog:
@@ -107,6 +121,27 @@
         longest_s = self._context.settings.confirm_within_s
         return self._keeper.confirmation.holds(longest_s, now)
 
+    def _take_end(self, target: Target, runs: list[LostRun]) -> None:
+        """Take a target that ended, and the runs of this entry that ended with it.
+
+        One that had left service ended as planned, which says nothing of its requests:
+        long ones are cut at each target of a release in turn.
+        """
+        now = asyncio.get_running_loop().time()
+        self._metrics.targets_ended.labels(target.service).inc()
+        ejected_s = self.fleet.of(target, now).unreached(now)
+        self._context.events.target_ejected(target.name, "ended", ejected_s)
+        if target.name not in self._catalog().in_service:
+            return
+        for run in runs:
+            self.quarantine.crashed(target_id(target.name), run, now)
+
+    def judge_requests(self, now: float) -> None:
+        """Hold back the requests that count as causes of ended targets by now."""
+        for change in self.quarantine.judge(now):
+            self._context.events.quarantine(change)
+        self._metrics.quarantined.set(len(self.quarantine.holds))
+
     def create_connection(self) -> ClientConnection:
         """Create the protocol of a client's connection, with the limits in force."""
         loop = asyncio.get_running_loop()
@@ -126,7 +161,8 @@
         self.placement.renew(catalog)
 
     def receive(self, update: PeerUpdate, now: float) -> None:
-        """Take loads, warm keys and use of quotas that other entries reported."""
+        """Take what other entries reported of targets, keys, quotas and requests."""
+        self.quarantine.receive(update.notices, now)
         if update.others is not None:
             self.fleet.receive(OTHERS, update.others, now)
         self.placement.shared_warmth.receive(update.warm, now)
--- a/leverdoor/entry/events.py
+++ b/leverdoor/entry/events.py
@@ -22,6 +22,7 @@
 
 if TYPE_CHECKING:
     from leverdoor.entry.placement.placement_request import Placement, PlacementRequest
+    from leverdoor.quarantine.quarantine import Change
 
 __all__ = ["Events", "LineWriter"]
 
@@ -281,6 +282,16 @@
             took_ms=round(took_s * 1000),
         )
 
+    def quarantine(self, change: "Change") -> None:
+        """A request is held back, or released; `ends` are those known here."""
+        self.emit(
+            "quarantine",
+            change=change.change,
+            fingerprint=fingerprint_text(change.fingerprint),
+            source=change.source,
+            ends=change.ends,
+        )
+
     def connections_forgotten(self, service: str) -> None:
         """A service's targets reset idle connections; only young ones are used."""
         self.emit("connections_forgotten", service=service)
--- a/leverdoor/entry/exchange/exchange.py
+++ b/leverdoor/entry/exchange/exchange.py
@@ -29,6 +29,7 @@
     EntryHeartbeat,
     Message,
     News,
+    QuarantineNews,
     Shares,
 )
 from leverdoor.entry.exchange.recipients import Recipients
@@ -46,6 +47,7 @@
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.membership.peer_record import LastSeen
 from leverdoor.entry.membership.roles import Roles
+from leverdoor.quarantine.notices import parse_notices, serialize_notices
 
 __all__ = ["Exchange"]
 
@@ -110,6 +112,8 @@
             return PeerUpdate(
                 source=message.pull if message.revision > revision else ""
             )
+        if isinstance(message, QuarantineNews):
+            return PeerUpdate(notices=parse_notices(message.notices))
         if isinstance(message, EntryHeartbeat):
             return self._take_heartbeat(message, revision, now)
         return self._take_digest(message, revision, now)
@@ -249,13 +253,17 @@
         They go to the aggregators of the own failure domain; from an aggregator, to
         its whole failure domain and to the other aggregators.
         """
-        to = self._recipients.aggregators(now)
-        if self._roles.is_aggregator(now):
-            live, silent = self._membership.own_domain_by_liveness(now)
-            to = [m.gossip for m in (*live, *silent)]
-            to += [m.gossip for m in self._recipients.near(now)]
-            to += [m.gossip for m in self._recipients.far(self._turn, now)]
-        return [Sending(News(revision, self._own.pull), to)]
+        return [Sending(News(revision, self._own.pull), self._news_recipients(now))]
+
+    def _news_recipients(self, now: float) -> list[str]:
+        """Return the addresses that get news from this entry first."""
+        if not self._roles.is_aggregator(now):
+            return self._recipients.aggregators(now)
+        live, silent = self._membership.own_domain_by_liveness(now)
+        to = [m.gossip for m in (*live, *silent)]
+        to += [m.gossip for m in self._recipients.near(now)]
+        to += [m.gossip for m in self._recipients.far(self._turn, now)]
+        return to
 
     def round(
         self, status: EntryStatus, now: float
@@ -263,6 +271,8 @@
         """Return what to send this round and, of an aggregator, the sums of others."""
         self._turn += 1
         sendings = self.announce(status, now)
+        if status.notices:
+            sendings.append(self._quarantine_news(status, now))
         if not self._roles.is_aggregator(now):
             self.use.stop_merging()
             return sendings, PeerUpdate()
@@ -273,6 +283,14 @@
         )
         return sendings + self._digests(status, now), update
 
+    def _quarantine_news(self, status: EntryStatus, now: float) -> Sending:
+        """Return what to tell of requests that end targets, and to whom.
+
+        It goes the way of news of the state; whoever it is new to passes it on.
+        """
+        message = QuarantineNews(self._own.name, serialize_notices(status.notices))
+        return Sending(message, self._news_recipients(now))
+
     def _digests(self, status: EntryStatus, now: float) -> list[Sending]:
         """Return an aggregator's digests of a round, with their recipients."""
         use = self.use.summary(status.use, status.uptime_s, now)
--- a/leverdoor/entry/exchange/exchange_types.py
+++ b/leverdoor/entry/exchange/exchange_types.py
@@ -11,6 +11,7 @@
 from leverdoor.entry.exchange.messages import Message, Shares
 from leverdoor.entry.exchange.use_lists import Use
 from leverdoor.entry.membership.member import EntryState
+from leverdoor.quarantine.notices import Notice
 from leverdoor.workspaces.others_use import OthersUse
 
 __all__ = ["PeerUpdate", "EntryStatus", "Sending"]
@@ -35,6 +36,8 @@
     """Since the start of this process."""
     confirmed_ms: int = -1
     """How long ago the store answered any entry; -1 if it never did."""
+    notices: list[Notice] = []
+    """What to tell of requests that end targets."""
 
 
 class Sending(msgspec.Struct, frozen=True):
@@ -56,3 +59,5 @@
     confirmed_ms: int = -1
     use: OthersUse | None = None
     """Requests of workspaces by all other entries; None if there is no new sum."""
+    notices: list[Notice] = []
+    """What another entry told of requests that end targets."""
--- a/leverdoor/entry/exchange/messages.py
+++ b/leverdoor/entry/exchange/messages.py
@@ -3,9 +3,10 @@
 """Messages among entries: heartbeats, digests that merge heartbeats, and news.
 
 Owns no state. The structs are encoded by the position of their fields and by the tag
-of their class (`h`, `d`, `n`): a new field goes to the end, with a default, so that
-entries of two releases understand each other. Counts at targets, rows of entries and
-use of quotas are packed into bytes by `target_counts`, `encoding` and `use_lists`.
+of their class (`h`, `d`, `n`, `q`): a new field goes to the end, with a default, so
+that entries of two releases understand each other. Counts at targets, rows of entries
+and use of quotas are packed into bytes by `target_counts`, `encoding` and `use_lists`,
+what is known of requests by `quarantine.notices`.
 """
 
 from enum import IntEnum
@@ -22,6 +23,7 @@
     "EntryHeartbeat",
     "Message",
     "News",
+    "QuarantineNews",
     "RegionCounts",
     "Shares",
 ]
@@ -129,4 +131,15 @@
     """Where it can be fetched, by HTTP."""
 
 
-Message: TypeAlias = EntryHeartbeat | Digest | News
+class QuarantineNews(msgspec.Struct, frozen=True, array_like=True, tag="q"):
+    """What is known of requests that end targets; sent only if there is something.
+
+    A message of its own, since nearly all rounds have none.
+    """
+
+    sender: str
+    notices: bytes
+    """See `quarantine.notices`."""
+
+
+Message: TypeAlias = EntryHeartbeat | Digest | News | QuarantineNews
--- a/leverdoor/entry/metrics.py
+++ b/leverdoor/entry/metrics.py
@@ -57,6 +57,23 @@
             ["workspace"],
             registry=self.registry,
         )
+        self.quarantine_refusals = Counter(
+            "leverdoor_entry_quarantine_refusals",
+            "Requests held back, since targets end when they run them.",
+            ["service"],
+            registry=self.registry,
+        )
+        self.quarantined = Gauge(
+            "leverdoor_entry_quarantined",
+            "Requests that are held back.",
+            registry=self.registry,
+        )
+        self.targets_ended = Counter(
+            "leverdoor_entry_targets_ended",
+            "Targets that ended while they ran requests of this entry.",
+            ["service"],
+            registry=self.registry,
+        )
         self._workspaces: set[str] = set()
         """Those that have a label of their own."""
 
--- /dev/null
+++ b/leverdoor/entry/quarantine_records.py
@@ -0,0 +1,188 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Keeps what is held back in the store, so that it outlasts a restart of all entries.
+
+The followers of the store write what is missing there and remove what is over; two that
+do so at once do no harm, since each write has a condition. Entries that start get the
+records with the state. A record that is gone, by whomever, releases its request.
+
+Owns the records as they were last read; lost with the process. Relies on `Quarantine`
+for what is held back, and on the copy of the store for what is written.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable, Mapping
+from random import Random
+
+import msgspec
+
+from leverdoor.entry.events import Events
+from leverdoor.entry.wire import Wire
+from leverdoor.errors import LeverdoorError
+from leverdoor.quarantine.fingerprint import fingerprint_text
+from leverdoor.quarantine.quarantine import HOLD_S, Hold, Quarantine
+from leverdoor.quarantine.records import (
+    hold_of,
+    parse_record,
+    record_of,
+    serialize_record,
+)
+from leverdoor.storage.store import KeyValue, LeasingStore, Write
+
+__all__ = ["QuarantineRecords"]
+
+LOOK_S = 0.5
+"""Mean pause between two looks at what is to be written, in seconds.
+
+Chosen: with the 0.6 s until a request is held back a record is there within two
+seconds, half of the operator's bound. Greater: a restart of all entries in between
+forgets more. Smaller: two followers write the same record more often.
+"""
+MOST_WRITES = 8
+"""Records written or removed in one look; chosen: bounds the calls of the store."""
+REMOVED_AFTER_S = 5.0
+"""Time after the end of a hold in which its record is removed, in seconds.
+
+Chosen: longer than wall clocks of VMs differ, so that no entry takes a record that is
+over at one clock and not at its own for a removal.
+"""
+
+
+class QuarantineRecords:
+    """The records of what is held back, between the store and one entry."""
+
+    def __init__(
+        self,
+        quarantine: Quarantine,
+        store: LeasingStore,
+        wire: Wire,
+        entry: str,
+        events: Events,
+        rng: Random,
+        writes: Callable[[], bool],
+    ) -> None:
+        """Create it.
+
+        Args:
+          quarantine: what is held back here.
+          store: the platform's service.
+          wire: names the records' keys.
+          entry: this entry's name.
+          events: the log.
+          rng: spreads the looks of several followers.
+          writes: returns whether this entry writes records now.
+        """
+        self._quarantine = quarantine
+        self._store = store
+        self._wire = wire
+        self._entry = entry
+        self._events = events
+        self._rng = rng
+        self._writes = writes
+        self._read: dict[int, KeyValue] = {}
+        """By fingerprint, as the store has them."""
+
+    def take(self, records: Mapping[str, KeyValue], now: float) -> None:
+        """Take all records of the store, by the text of their fingerprint.
+
+        Args:
+          records: as the copy of the store has them.
+          now: monotonic time in seconds.
+        """
+        found = {}
+        for text, entry in records.items():
+            before = self._read.get(_fingerprint(text))
+            if before is not None and before.revision == entry.revision:
+                found[_fingerprint(text)] = before
+            elif self._take(text, entry, now):
+                found[_fingerprint(text)] = entry
+        gone = self._read.keys() - found.keys()
+        self._read = found
+        for fingerprint in gone:
+            self._quarantine.take_removed(fingerprint, now)
+
+    def _take(self, text: str, entry: KeyValue, now: float) -> bool:
+        """Take one record; return whether it can be read."""
+        try:
+            record = parse_record(entry.value)
+        except msgspec.MsgspecError as e:
+            self._events.process("record not readable", key=entry.key, error=str(e))
+            return False
+        fingerprint = _fingerprint(text)
+        hold = hold_of(record, fingerprint, now, time.time())
+        if fingerprint:
+            self._quarantine.take_stored(hold, now)
+        return fingerprint != 0
+
+    async def run(self) -> None:
+        """Write what is missing and remove what is over, until cancelled."""
+        while True:
+            await asyncio.sleep(LOOK_S * (0.5 + self._rng.random()))
+            if not self._writes():
+                continue
+            now = asyncio.get_running_loop().time()
+            for write in self.due(now, time.time())[:MOST_WRITES]:
+                await self._commit(write)
+
+    def due(self, now: float, wall_s: float) -> list[Write]:
+        """Return what is to be written and removed.
+
+        Args:
+          now: monotonic time in seconds.
+          wall_s: seconds since the epoch.
+        """
+        held = self._quarantine.holds
+        added = [
+            self._written(hold, 0, now, wall_s)
+            for fingerprint, hold in held.items()
+            if fingerprint not in self._read
+        ]
+        return added + [
+            self._changed(fingerprint, entry, now, wall_s)
+            for fingerprint, entry in self._read.items()
+            if self._is_over(fingerprint, entry, now, wall_s)
+        ]
+
+    def _is_over(
+        self, fingerprint: int, entry: KeyValue, now: float, wall_s: float
+    ) -> bool:
+        """Return whether a record's time is over, or a run showed it to be wrong."""
+        record = parse_record(entry.value)
+        age_s = wall_s - record.held_at_ms / 1000
+        hold = hold_of(record, fingerprint, now, wall_s)
+        return age_s > HOLD_S + REMOVED_AFTER_S or self._quarantine.is_void(hold)
+
+    def _changed(
+        self, fingerprint: int, entry: KeyValue, now: float, wall_s: float
+    ) -> Write:
+        """Return the write that replaces a record that is over, or removes it.
+
+        A request that is held back once more has a record that is over.
+        """
+        hold = self._quarantine.holds.get(fingerprint)
+        if hold is None:
+            return Write(self._key(fingerprint), None, entry.revision)
+        return self._written(hold, entry.revision, now, wall_s)
+
+    def _written(self, hold: Hold, expect: int, now: float, wall_s: float) -> Write:
+        record = record_of(hold, self._entry, now, wall_s)
+        return Write(self._key(hold.fingerprint), serialize_record(record), expect)
+
+    def _key(self, fingerprint: int) -> str:
+        return self._wire.held_key(fingerprint_text(fingerprint))
+
+    async def _commit(self, write: Write) -> None:
+        """Write or remove one record; one that failed is due again."""
+        try:
+            await self._store.commit([write])
+        except LeverdoorError as e:
+            self._events.process("record not written", key=write.key, error=str(e))
+
+
+def _fingerprint(text: str) -> int:
+    """Return the fingerprint of its text; 0 if it is none."""
+    try:
+        return int(text, 16)
+    except ValueError:
+        return 0
--- a/leverdoor/entry/requests/ended_targets.py
+++ b/leverdoor/entry/requests/ended_targets.py
@@ -10,33 +10,34 @@
 """
 
 import asyncio
-
-import msgspec
+from collections.abc import Callable
+from typing import TypeAlias
 
 from leverdoor.entry.events import Events
-from leverdoor.entry.requests.connections import Connections
+from leverdoor.entry.requests.connections import Connections, TargetCheck
 from leverdoor.model.resources import Target
+from leverdoor.quarantine.crashes import LostRun
 
-__all__ = ["EndedTargets", "LostRun"]
-
+__all__ = ["EndedTargets", "TakeEnd"]
 
-class LostRun(msgspec.Struct, frozen=True):
-    """One run of a request whose answer was lost; loop times in seconds."""
-
-    fingerprint: int
-    began: float
-    """When it was sent."""
-    ended: float
-    """When its connection was closed."""
+TakeEnd: TypeAlias = Callable[[Target, list[LostRun]], None]
+"""Called with a target that ended, and the runs of this entry that ended with it."""
 
 
 class EndedTargets:
     """Looks at targets that closed connections without an answer."""
 
-    def __init__(self, connections: Connections, events: Events) -> None:
-        """Create it without any check under way."""
+    def __init__(self, connections: Connections, events: Events, take: TakeEnd) -> None:
+        """Create it without any check under way.
+
+        Args:
+          connections: makes the checks.
+          events: the log.
+          take: gets each target that ended.
+        """
         self._connections = connections
         self._events = events
+        self._take = take
         self._lost: dict[str, list[LostRun]] = {}
         """By target, the runs that wait for its check."""
         self._checks: set[asyncio.Task[None]] = set()
@@ -63,3 +64,5 @@
         self._events.target_checked(
             target.name, target.service, found.value, len(runs), took_s
         )
+        if found is TargetCheck.ENDED:
+            self._take(target, runs)
--- a/leverdoor/entry/requests/forwarding.py
+++ b/leverdoor/entry/requests/forwarding.py
@@ -17,7 +17,7 @@
 from leverdoor.entry.requests.connection import AnswerLost, NotSent
 from leverdoor.entry.requests.connections import Connections
 from leverdoor.entry.requests.deadlines import give_up_on_target_at
-from leverdoor.entry.requests.ended_targets import EndedTargets, LostRun
+from leverdoor.entry.requests.ended_targets import EndedTargets
 from leverdoor.entry.requests.entry_request import EntryRequest
 from leverdoor.entry.requests.outcomes import Outcomes
 from leverdoor.entry.requests.outgoing import outgoing
@@ -26,6 +26,8 @@
 from leverdoor.entry.requests.retry_after import NOT_RUN_MS
 from leverdoor.entry.wire import Wire
 from leverdoor.errors import Code, Refusal, Rejection, Run
+from leverdoor.quarantine.crashes import LostRun
+from leverdoor.quarantine.quarantine import Quarantine
 from leverdoor.retry_budget import RetryBudget
 from leverdoor.workspaces.quota import Quotas
 
@@ -43,6 +45,7 @@
         outcomes: Outcomes,
         budget: RetryBudget,
         quotas: Quotas,
+        quarantine: Quarantine,
         ended_targets: EndedTargets,
         events: Events,
     ) -> None:
@@ -53,6 +56,7 @@
         self._outcomes = outcomes
         self._budget = budget
         self._quotas = quotas
+        self._quarantine = quarantine
         self._ended_targets = ended_targets
         self._events = events
 
@@ -89,11 +93,16 @@
             arrived=failed.arrived,
             replayable=request.replayable,
         )
-        if not may or not self._budget.spend(placement_request.service):
+        now = asyncio.get_running_loop().time()
+        if not may or not self._quarantine.may_retry(
+            placement_request.fingerprint, now
+        ):
+            return False
+        if not self._budget.spend(placement_request.service):
             return False
         workspace = placement_request.workspace
         if workspace is not None and failed.refusal.run is not Run.NO:
-            self._quotas.count_retry(workspace, asyncio.get_running_loop().time())
+            self._quotas.count_retry(workspace, now)
         return True
 
     async def _attempt(self, request: EntryRequest, attempt: int) -> TargetReply:
@@ -122,6 +131,7 @@
             self._policy.ended(placement, now)
             self._events.attempt(placement_request, placement, attempt, outcome, took_s)
         self._outcomes.answered(request, placement, reply, loop.time() - began)
+        self._quarantine.answered(placement_request.fingerprint, loop.time())
         return reply
 
     async def _send(self, request: EntryRequest, placement: Placement) -> TargetReply:
--- a/leverdoor/entry/requests/handler.py
+++ b/leverdoor/entry/requests/handler.py
@@ -3,8 +3,9 @@
 """The path of one request at an entry, step by step, and its log line and metric.
 
 A request is taken in (`intake`: route, workspace, deadline), admitted (its workspace's
-quota), read (`bodies`), forwarded (`forwarding`: placed, sent, retried) and answered
-(`responses`). Every refusal of these steps is logged here.
+quota), read (`bodies`), refused if targets are known to end under it (`quarantine`),
+forwarded (`forwarding`: placed, sent, retried) and answered (`responses`). Every
+refusal of these steps is logged here.
 
 Owns which connections have a request in flight; lost with the process.
 """
@@ -28,6 +29,8 @@
 from leverdoor.errors import Code, Refusal, Run
 from leverdoor.model.resources import Workspace
 from leverdoor.quarantine.fingerprint import request_fingerprint
+from leverdoor.quarantine.quarantine import Quarantine
+from leverdoor.quarantine.refusal import held_refusal
 from leverdoor.workspaces.quota import Quotas
 
 __all__ = ["EntryHandler"]
@@ -59,6 +62,7 @@
         intake: Intake,
         forwarder: Forwarder,
         quotas: Quotas,
+        quarantine: Quarantine,
         events: Events,
         metrics: EntryMetrics,
         catalog: Callable[[], Catalog],
@@ -68,6 +72,7 @@
         self._intake = intake
         self._forwarder = forwarder
         self._quotas = quotas
+        self._quarantine = quarantine
         self._events = events
         self._metrics = metrics
         self._catalog = catalog
@@ -138,10 +143,22 @@
             start = await take_body(request, taken, most_bytes)
         progress.fingerprint = _fingerprint(request, taken, start)
         taken.placement_request.fingerprint = progress.fingerprint
+        self._check_held(progress)
         reply = await self._forwarder.serve(taken)
         progress.outcome = str(reply.status)
         return relayed(reply)
 
+    def _check_held(self, progress: _Progress) -> None:
+        """Check that no target is known to end under a request.
+
+        Raises:
+          Refusal: it is held back.
+        """
+        now = asyncio.get_running_loop().time()
+        hold = self._quarantine.hold(progress.fingerprint, now)
+        if hold is not None:
+            raise held_refusal(hold, now)
+
     def _admit(self, progress: _Progress) -> None:
         """Count a request in the quota of its workspace, if it has one.
 
@@ -173,6 +190,8 @@
         )
         if error.code is Code.QUOTA_EXCEEDED:
             self._metrics.quota_refusal(name)
+        if error.code is Code.QUARANTINED:
+            self._metrics.quarantine_refusals.labels(progress.service).inc()
         return refusal_response(error, progress.request_id, self._request_id_header)
 
 
--- a/leverdoor/entry/wire.py
+++ b/leverdoor/entry/wire.py
@@ -32,6 +32,8 @@
     resources: list[Resource]
     peers: dict[str, bytes]
     """Registrations of other entries, by the entry's name."""
+    held: dict[str, KeyValue] = {}
+    """Records of requests that are held back, by the text of their fingerprint."""
 
 
 Translate: TypeAlias = Callable[[Mapping[str, KeyValue]], Configured]
@@ -93,3 +95,5 @@
     translate: Translate
     peer_key: Callable[[str], str]
     """From an entry's name: the key of its registration in the store."""
+    held_key: Callable[[str], str]
+    """From the text of a fingerprint: the key of its record in the store."""
--- a/leverdoor/errors.py
+++ b/leverdoor/errors.py
@@ -72,6 +72,7 @@
     NO_COMMON_HOME = 3019
     QUOTA_EXCEEDED = 3020
     WORKSPACE_KEY_UNCONFIRMED = 3021
+    QUARANTINED = 3022
     ANSWER_LOST = 3101
     ISSUER_GONE = 3102
     DEADLINE_PASSED = 3103
@@ -177,6 +178,9 @@
     Code.WORKSPACE_KEY_UNCONFIRMED: CodeInfo(
         503, Run.NO, 58, "Whether the key still holds can't be known here now."
     ),
+    Code.QUARANTINED: CodeInfo(
+        503, Run.NO, 59, "Targets end when they run this request; it is held back."
+    ),
     Code.ANSWER_LOST: CodeInfo(
         502, Run.MAYBE, 50, "The request went out and its answer was lost."
     ),
--- a/leverdoor/platform/formats.py
+++ b/leverdoor/platform/formats.py
@@ -16,7 +16,7 @@
 from leverdoor.platform.documents import Config, Server
 from leverdoor.storage.store import KeyValue
 
-__all__ = ["PEERS", "Translator", "parse_load"]
+__all__ = ["HELD", "PEERS", "Translator", "parse_load"]
 
 CONFIG = "op/config"
 """The key of the operator's configuration."""
@@ -26,6 +26,8 @@
 """Below it targets register, each under its name."""
 PEERS = "leverdoor/entries/"
 """Below it entries register, each under its name."""
+HELD = "leverdoor/quarantine/"
+"""Below it stand the requests that are held back, each under its fingerprint."""
 LOAD_FIGURES = 3
 """Figures of a target's load: running, waiting, slots."""
 
@@ -58,6 +60,7 @@
             self._take_config(config)
         resources = [*self._regions, *self._config_resources]
         peers: dict[str, bytes] = {}
+        held: dict[str, KeyValue] = {}
         targets: dict[str, tuple[int, Target]] = {}
         for key, entry in entries.items():
             if key.startswith(SERVERS):
@@ -69,9 +72,11 @@
                 resources.append(Drain(name=zone, domain=zone))
             elif key.startswith(PEERS):
                 peers[key.removeprefix(PEERS)] = entry.value
+            elif key.startswith(HELD):
+                held[key.removeprefix(HELD)] = entry
         self._targets = targets
         resources += [target for _, target in targets.values()]
-        return Configured(self._config.version, resources, peers)
+        return Configured(self._config.version, resources, peers, held)
 
     def _take_config(self, entry: KeyValue) -> None:
         """Read a new configuration; one that can't be read leaves the last in force."""
--- a/leverdoor/platform/names.py
+++ b/leverdoor/platform/names.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from leverdoor.entry.wire import HeaderNames, Lookup, Wire
-from leverdoor.platform.formats import PEERS, Translator, parse_load
+from leverdoor.platform.formats import HELD, PEERS, Translator, parse_load
 
 __all__ = ["wire"]
 
@@ -47,6 +47,7 @@
         parse_load=parse_load,
         translate=Translator(zones),
         peer_key=lambda name: PEERS + name,
+        held_key=lambda fingerprint: HELD + fingerprint,
     )
 
 
--- a/tests/interface_table.py
+++ b/tests/interface_table.py
@@ -130,7 +130,10 @@
     "leverdoor_entry_revision": ("gauge", (), ()),
     "leverdoor_entry_in_flight": ("gauge", (), ()),
     "leverdoor_entry_live_peers": ("gauge", (), ()),
+    "leverdoor_entry_quarantine_refusals": ("counter", ("service",), ()),
+    "leverdoor_entry_quarantined": ("gauge", (), ()),
     "leverdoor_entry_quota_refusals": ("counter", ("workspace",), ()),
+    "leverdoor_entry_targets_ended": ("counter", ("service",), ()),
 }
 """The same of the entry."""
 
@@ -234,6 +237,7 @@
     ("homeless", ("count", "pairs")),
     ("peer", ("change", "peer", "silent_s")),
     ("process", ("**", "change")),
+    ("quarantine", ("change", "ends", "fingerprint", "source")),
     (
         "refused",
         (
@@ -266,6 +270,8 @@
     ("no peer has the state", ("waited_s",)),
     ("peers not read", ("error",)),
     ("ready", ("version",)),
+    ("record not readable", ("error", "key")),
+    ("record not written", ("error", "key")),
     ("registered", ("lease",)),
     ("registration adopted", ("lease",)),
     ("registration failed", ("error",)),
@@ -530,6 +536,7 @@
     (3019, "NO_COMMON_HOME", 503, "no", 48),
     (3020, "QUOTA_EXCEEDED", 429, "no", 49),
     (3021, "WORKSPACE_KEY_UNCONFIRMED", 503, "no", 58),
+    (3022, "QUARANTINED", 503, "no", 59),
     (3101, "ANSWER_LOST", 502, "maybe", 50),
     (3102, "ISSUER_GONE", 410, "maybe", 51),
     (3103, "DEADLINE_PASSED", 504, "maybe", 52),
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,306 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Which requests are held back, on a fake clock: the cause, and nobody beside it."""
+
+from itertools import count
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from leverdoor.quarantine.crashes import (
+    MEMORY_S,
+    MOST_CRASHES,
+    MOST_RUNS,
+    SAME_END_S,
+    CrashBook,
+    LostRun,
+    separate,
+    target_id,
+)
+from leverdoor.quarantine.notices import (
+    Notice,
+    NoticeKind,
+    parse_notices,
+    serialize_notices,
+)
+from leverdoor.quarantine.outbox import MOST_SENT, RESENT_S
+from leverdoor.quarantine.quarantine import HOLD_S, JUDGE_AFTER_S, Quarantine
+from leverdoor.quarantine.verdict import ENOUGH, ENOUGH_AMONG_MANY, is_cause
+
+CAUSE = 0xCA05E
+VICTIM = 0x71C
+TARGETS = count(1)
+STEP_S = 0.2
+
+
+class Entries:
+    """Some entries' quarantines, which hear each other at once."""
+
+    def __init__(self, number: int = 2) -> None:
+        self.now = 1000.0
+        self.all = [Quarantine() for _ in range(number)]
+        self.silent: set[int] = set()
+
+    def crash(self, *fingerprints: int, at: int = 0, ran_s: float = 0.1) -> None:
+        """Let a target end while it runs some requests of one entry."""
+        self.now += ran_s
+        target = next(TARGETS)
+        for fingerprint in fingerprints:
+            run = LostRun(fingerprint, self.now - ran_s, self.now)
+            self.all[at].crashed(target, run, self.now)
+
+    def round(self, rounds: int = 1) -> None:
+        for _ in range(rounds):
+            self.now += STEP_S
+            for i, one in enumerate(self.all):
+                one.judge(self.now)
+                notices = one.notices(self.now)
+                assert len(serialize_notices(notices)) <= 19 * MOST_SENT
+                for j, other in enumerate(self.all):
+                    if i != j and not self.silent & {i, j}:
+                        other.receive(notices, self.now)
+
+    def held(self, fingerprint: int) -> list[bool]:
+        return [one.hold(fingerprint, self.now) is not None for one in self.all]
+
+
+SETTLED = round(JUDGE_AFTER_S / STEP_S) + 2
+"""Rounds after which what is known is judged, here and at others."""
+
+
+def test_the_third_end_is_enough_wherever_each_was_seen() -> None:
+    s = Entries(3)
+    for at in range(2):
+        s.crash(CAUSE, at=at)
+        s.round(SETTLED)
+    assert s.held(CAUSE) == [False, False, False]
+    s.crash(CAUSE, at=2)
+    s.round(SETTLED)
+    assert s.held(CAUSE) == [True, True, True]
+
+
+def test_who_was_there_beside_the_cause_is_not_held_back() -> None:
+    """A request that was retried at the targets that the cause came to as well."""
+    s = Entries()
+    s.crash(CAUSE, at=1)
+    for _ in range(ENOUGH):
+        s.crash(VICTIM, at=0)
+        # The other entry reports the same ends, a moment later.
+        run = LostRun(CAUSE, s.now - 0.08, s.now)
+        target = next(TARGETS) - 1
+        s.all[1].crashed(target, run, s.now)
+    s.round(SETTLED)
+    assert s.held(CAUSE) == [True, True]
+    assert s.held(VICTIM) == [False, False]
+
+
+def test_two_that_were_always_there_together_are_not_told_apart_at_once() -> None:
+    s = Entries()
+    for _ in range(ENOUGH):
+        s.crash(CAUSE, VICTIM)
+    s.round(SETTLED)
+    assert s.held(CAUSE) == s.held(VICTIM) == [False, False]
+    s.all[1].answered(VICTIM, s.now)
+    s.round(SETTLED)
+    assert s.held(CAUSE) == [True, True]
+    assert s.held(VICTIM) == [False, False]
+
+
+def test_targets_that_end_at_one_moment_count_once() -> None:
+    """As in a domain that loses power, to a request that many callers send."""
+    s = Entries()
+    s.now += 0.1
+    for _ in range(ENOUGH_AMONG_MANY):
+        run = LostRun(VICTIM, s.now - 0.1, s.now)
+        s.all[0].crashed(next(TARGETS), run, s.now)
+    s.round(SETTLED)
+    assert s.held(VICTIM) == [False, False]
+
+
+def test_while_many_targets_end_by_themselves_more_is_needed() -> None:
+    s = Entries(1)
+    for i in range(ENOUGH_AMONG_MANY - 1):
+        s.crash(VICTIM, 10_000 + i)
+        for j in range(6):
+            s.crash(20_000 + 10 * i + j)
+    s.round(SETTLED)
+    assert s.held(VICTIM) == [False]
+    s.crash(VICTIM)
+    s.round(SETTLED)
+    assert s.held(VICTIM) == [True]
+
+
+def test_many_targets_that_end_at_one_moment_do_not_hide_the_cause() -> None:
+    s = Entries(1)
+    s.crash(CAUSE)
+    s.now += 0.1
+    for i in range(50):
+        run = LostRun(20_000 + i, s.now - 0.1, s.now + 0.0005 * i)
+        s.all[0].crashed(next(TARGETS), run, s.now)
+    for _ in range(ENOUGH - 1):
+        s.crash(CAUSE)
+    s.round(SETTLED)
+    assert s.held(CAUSE) == [True]
+
+
+def test_a_run_that_ends_well_voids_all_before() -> None:
+    s = Entries(3)
+    for at in range(ENOUGH):
+        s.crash(VICTIM, at=at)
+    s.all[0].answered(VICTIM, s.now)
+    s.round(SETTLED)
+    assert s.held(VICTIM) == [False, False, False]
+    s.crash(VICTIM)
+    s.round(SETTLED)
+    assert s.held(VICTIM) == [False, False, False]
+
+
+def test_a_run_that_ends_well_releases_what_is_held_back() -> None:
+    s = Entries(3)
+    for _ in range(ENOUGH):
+        s.crash(VICTIM)
+    s.round(SETTLED)
+    assert s.held(VICTIM) == [True, True, True]
+    s.all[2].answered(VICTIM, s.now)
+    s.round(2)
+    assert s.held(VICTIM) == [False, False, False]
+
+
+def test_an_entry_that_was_cut_off_does_not_turn_others_callers_away() -> None:
+    """What it held back meanwhile was answered elsewhere."""
+    s = Entries(3)
+    s.silent = {0}
+    for _ in range(ENOUGH):
+        s.crash(VICTIM, at=0)
+    s.round(SETTLED)
+    assert s.held(VICTIM) == [True, False, False]
+    s.all[1].answered(VICTIM, s.now)
+    s.silent = set()
+    s.round(10)
+    assert s.held(VICTIM) == [False, False, False]
+
+
+def test_what_is_held_back_reaches_an_entry_that_was_cut_off() -> None:
+    s = Entries(3)
+    s.silent = {2}
+    for _ in range(ENOUGH):
+        s.crash(CAUSE)
+    s.round(30)
+    assert s.held(CAUSE) == [True, True, False]
+    s.silent = set()
+    s.round(10)
+    assert s.held(CAUSE) == [True, True, True]
+
+
+def test_a_hold_ends_and_three_more_ends_renew_it() -> None:
+    s = Entries(1)
+    for _ in range(ENOUGH):
+        s.crash(CAUSE)
+    s.round(SETTLED)
+    hold = s.all[0].hold(CAUSE, s.now)
+    assert hold is not None
+    s.now = hold.until
+    assert s.held(CAUSE) == [False]
+    assert MEMORY_S <= HOLD_S
+    s.crash(CAUSE)
+    s.round(SETTLED)
+    assert s.held(CAUSE) == [False]
+    for _ in range(ENOUGH - 1):
+        s.crash(CAUSE)
+    s.round(SETTLED)
+    assert s.held(CAUSE) == [True]
+
+
+def test_what_is_known_of_a_request_outlasts_a_full_table() -> None:
+    """An event that ends hundreds of targets, each with all that it runs."""
+    s = Entries(1)
+    for _ in range(ENOUGH - 1):
+        s.crash(CAUSE)
+    for i in range(2 * MOST_CRASHES):
+        s.crash(*range(100 * i + 1_000_000, 100 * i + 1_000_100), ran_s=0.001)
+    assert len(s.all[0]._book) <= MOST_CRASHES
+    s.now += 1.0
+    for _ in range(ENOUGH_AMONG_MANY - ENOUGH + 1):
+        s.crash(CAUSE)
+    s.round(SETTLED)
+    assert s.held(CAUSE) == [True]
+
+
+def test_one_end_that_is_reported_twice_counts_once() -> None:
+    book = CrashBook()
+    assert book.add(1, LostRun(CAUSE, 0.0, 0.1))
+    assert not book.add(1, LostRun(CAUSE, 0.0, 0.1 + SAME_END_S))
+    assert book.add(1, LostRun(CAUSE, 2.0, 2.1))
+    for i in range(2 * MOST_RUNS):
+        book.add(2, LostRun(i, 0.0, 0.1))
+    assert len(book._crashes[-1].runs) == MOST_RUNS
+
+
+def test_runs_that_overlap_count_once() -> None:
+    one = LostRun(1, 0.0, 1.0)
+    assert separate([one, LostRun(1, 0.1, 1.0), LostRun(1, 0.9, 1.0)]) == 1
+    assert separate([one, LostRun(1, 0.99, 1.1)]) == 2
+    assert separate([LostRun(1, i, i + 1.0) for i in range(4)]) == 4
+
+
+def test_others_explain_ends_only_if_they_are_held_back() -> None:
+    book = CrashBook()
+    for i in range(ENOUGH):
+        book.add(i, LostRun(CAUSE, i, i + 0.1))
+        book.add(i, LostRun(VICTIM, i, i + 0.1))
+    assert not is_cause(book, VICTIM, set())
+    assert not is_cause(book, VICTIM, {CAUSE})
+    book.clear(VICTIM, 0.1)
+    assert is_cause(book, CAUSE, set())
+
+
+notices = st.builds(
+    Notice,
+    st.sampled_from(NoticeKind),
+    st.integers(1, (1 << 64) - 1),
+    st.integers(0, (1 << 32) - 1),
+    st.integers(0, (1 << 32) - 1),
+    st.integers(0, (1 << 16) - 1),
+)
+
+
+@given(st.lists(notices, max_size=5), st.binary(max_size=18))
+def test_notices_are_read_as_written(some: list[Notice], cut: bytes) -> None:
+    assert parse_notices(serialize_notices(some) + cut) == some
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_are_read(data: bytes) -> None:
+    Quarantine().receive(parse_notices(data), 1000.0)
+
+
+events = st.lists(
+    st.tuples(
+        st.sampled_from(["crash", "answer", "round"]),
+        st.integers(0, 2),
+        st.integers(1, 4),
+    ),
+    max_size=60,
+)
+
+
+@settings(max_examples=60, deadline=None)
+@given(events)
+def test_entries_agree_once_nothing_happens(some: list[tuple[str, int, int]]) -> None:
+    """Whatever ended and was answered, at whichever entry, all hold back the same."""
+    s = Entries(3)
+    for what, at, fingerprint in some:
+        if what == "crash":
+            s.crash(fingerprint, at=at)
+        elif what == "answer":
+            s.now += 0.01
+            s.all[at].answered(fingerprint, s.now)
+        else:
+            s.round()
+    s.round(SETTLED + round(RESENT_S / STEP_S))
+    for fingerprint in range(1, 5):
+        assert len(set(s.held(fingerprint))) == 1, fingerprint
+
+
+def test_targets_have_ids_of_32_bits() -> None:
+    assert 0 < target_id("i-1") < 1 << 32
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -44,6 +44,7 @@
     WorkClass,
     Workspace,
 )
+from leverdoor.quarantine.notices import Notice, NoticeKind, serialize_notices
 from leverdoor.storage.configuration import Applied, Guard
 from leverdoor.storage.state import Delta
 from leverdoor.storage.store import Event, KeyValue
@@ -118,6 +119,12 @@
     silent=2,
     confirmed_ms=250,
 )
+NOTICES = [
+    Notice(NoticeKind.CRASH, 0x0102030405060708, 1_500, 0xFEDCBA98, 63),
+    Notice(NoticeKind.HELD, 0xFFFFFFFFFFFFFFFE, 70_000, span=25),
+    Notice(NoticeKind.RELEASED, 1, 0),
+]
+QUARANTINE_NEWS = messages.QuarantineNews("n1", serialize_notices(NOTICES))
 NEWS = messages.News(revision=70_000, pull="10.0.0.1:7947")
 
 DELTA = Delta(
@@ -214,6 +221,7 @@
     "entry heartbeat": Sample(ENTRY_HEARTBEAT, messages.Message),
     "digest": Sample(DIGEST, messages.Message),
     "news": Sample(NEWS, messages.Message),
+    "quarantine news": Sample(QUARANTINE_NEWS, messages.Message),
     "delta": Sample(DELTA, Delta),
     "stored entry": Sample(ENTRY, KeyValue),
     "gate report": Sample(GATE_REPORT, GateReport),
