The verdict weighs both errors: an end speaks against one request, and a try settles doubt

Change: an end speaks against the one of its requests that was there at the most ends; the third end holds a request back in any case, and where another request or another reason fits as well, one entry for all runs it once more after 5 s and after 15 s more; a run that ends well releases it everywhere. Records say how many tries are left.

--- a/leverdoor/analysis/explaining.py
+++ b/leverdoor/analysis/explaining.py
@@ -100,6 +100,8 @@
     if e.event == "target_checked":
         lost = f"{f['lost']} lost answers"
         return f"{when}: {f['target']} was looked at after {lost}: {f['found']}"
+    if e.event == "quarantine_try":
+        return f"{when}: request {f['fingerprint']} was run once more, as a try"
     if e.event == "quarantine":
         why = f"by {f['source']}, {f['ends']} ends of targets known here"
         return f"{when}: request {f['fingerprint']} {f['change']} {why}"
--- a/leverdoor/entry/data_plane.py
+++ b/leverdoor/entry/data_plane.py
@@ -36,6 +36,7 @@
 from leverdoor.entry.requests.intake import Intake
 from leverdoor.entry.requests.outcomes import Outcomes
 from leverdoor.entry.settings import EntrySettings
+from leverdoor.entry.trying import tries_for_all
 from leverdoor.entry.warm_up import count_sharers
 from leverdoor.model.resources import Target
 from leverdoor.quarantine.crashes import LostRun, target_id
@@ -109,6 +110,7 @@
             forwarder,
             self.quotas,
             self.quarantine,
+            lambda fingerprint: tries_for_all(self._membership, fingerprint),
             events,
             metrics,
             self._catalog,
--- a/leverdoor/entry/events.py
+++ b/leverdoor/entry/events.py
@@ -22,7 +22,7 @@
 
 if TYPE_CHECKING:
     from leverdoor.entry.placement.placement_request import Placement, PlacementRequest
-    from leverdoor.quarantine.quarantine import Change
+    from leverdoor.quarantine.quarantine import Change, Hold
 
 __all__ = ["Events", "LineWriter"]
 
@@ -283,13 +283,25 @@
         )
 
     def quarantine(self, change: "Change") -> None:
-        """A request is held back, or released; `ends` are those known here."""
+        """A request is held back, or released; `ends` are those known here.
+
+        `tries` is how often it is still run, since it may be harmless.
+        """
         self.emit(
             "quarantine",
             change=change.change,
             fingerprint=fingerprint_text(change.fingerprint),
             source=change.source,
             ends=change.ends,
+            tries=change.tries,
+        )
+
+    def tried(self, hold: "Hold") -> None:
+        """A request that is held back is run once more, since it may be harmless."""
+        self.emit(
+            "quarantine_try",
+            fingerprint=fingerprint_text(hold.fingerprint),
+            tries_left=hold.tries - 1,
         )
 
     def connections_forgotten(self, service: str) -> None:
--- a/leverdoor/entry/membership/members.py
+++ b/leverdoor/entry/membership/members.py
@@ -195,6 +195,10 @@
         record = self._records.get(name)
         return record.member if record is not None else None
 
+    def names(self) -> list[str]:
+        """Return the names of all other entries that are known."""
+        return list(self._records)
+
     def name(self, identity: int) -> str:
         """Return the name of a `member_id`; empty if it is not known."""
         return self._names.get(identity, "")
--- a/leverdoor/entry/quarantine_records.py
+++ b/leverdoor/entry/quarantine_records.py
@@ -147,18 +147,25 @@
     def _is_over(
         self, fingerprint: int, entry: KeyValue, now: float, wall_s: float
     ) -> bool:
-        """Return whether a record's time is over, or a run showed it to be wrong."""
+        """Return whether a record's time is over, or what it says is not true.
+
+        A run showed the request to be harmless, or it was tried since.
+        """
         record = parse_record(entry.value)
-        age_s = wall_s - record.held_at_ms / 1000
-        hold = hold_of(record, fingerprint, now, wall_s)
-        return age_s > HOLD_S + REMOVED_AFTER_S or self._quarantine.is_void(hold)
+        if wall_s - record.held_at_ms / 1000 > HOLD_S + REMOVED_AFTER_S:
+            return True
+        held = self._quarantine.holds.get(fingerprint)
+        if held is not None and held.tries < record.tries:
+            return True
+        return self._quarantine.is_void(hold_of(record, fingerprint, now, wall_s))
 
     def _changed(
         self, fingerprint: int, entry: KeyValue, now: float, wall_s: float
     ) -> Write:
         """Return the write that replaces a record that is over, or removes it.
 
-        A request that is held back once more has a record that is over.
+        A request that is held back once more has a record that is over, one that was
+        tried a record with a try too many.
         """
         hold = self._quarantine.holds.get(fingerprint)
         if hold is None:
--- a/leverdoor/entry/requests/handler.py
+++ b/leverdoor/entry/requests/handler.py
@@ -63,16 +63,31 @@
         forwarder: Forwarder,
         quotas: Quotas,
         quarantine: Quarantine,
+        tries: Callable[[int], bool],
         events: Events,
         metrics: EntryMetrics,
         catalog: Callable[[], Catalog],
     ) -> None:
-        """Create it from the entry's parts."""
+        """Create it from the entry's parts.
+
+        Args:
+          wire: the names of headers.
+          intake: takes requests in.
+          forwarder: gets their answers.
+          quotas: the use of workspaces.
+          quarantine: what is held back.
+          tries: returns whether this entry tries a request, by its fingerprint, for
+            all entries.
+          events: the log.
+          metrics: counts requests.
+          catalog: returns the catalogue in force.
+        """
         self._request_id_header = wire.headers.request_id
         self._intake = intake
         self._forwarder = forwarder
         self._quotas = quotas
         self._quarantine = quarantine
+        self._tries = tries
         self._events = events
         self._metrics = metrics
         self._catalog = catalog
@@ -156,8 +171,12 @@
         """
         now = asyncio.get_running_loop().time()
         hold = self._quarantine.hold(progress.fingerprint, now)
-        if hold is not None:
-            raise held_refusal(hold, now)
+        if hold is None:
+            return
+        if self._tries(hold.fingerprint) and self._quarantine.try_once_more(hold, now):
+            self._events.tried(hold)
+            return
+        raise held_refusal(hold, now)
 
     def _admit(self, progress: _Progress) -> None:
         """Count a request in the quota of its workspace, if it has one.
--- a/leverdoor/quarantine/crashes.py
+++ b/leverdoor/quarantine/crashes.py
@@ -4,8 +4,7 @@
 
 A target that ends takes all that it runs with it, and one of these runs may be the
 cause. Which one shows only when it comes again: the cause is there each time, others by
-chance. So the evidence against a request is in how many ends it was present, less those
-that a request explains which is held back already.
+chance. So an end speaks against the one of its requests that was there at the most.
 
 Owns the ends of the last ten minutes, at most `MOST_CRASHES`; lost with the process.
 Relies on its caller for the time, and for reporting ends that other entries saw.
@@ -164,24 +163,30 @@
         """Return whether a request was present at any end."""
         return fingerprint in self._by_fingerprint
 
-    def crashes(self, fingerprint: int, explained_by: set[int]) -> list[Crash]:
-        """Return the ends with a request, without those that others explain.
+    def crashes(self, fingerprint: int) -> list[Crash]:
+        """Return the ends at which a request was present."""
+        return list(self._by_fingerprint.get(fingerprint, ()))
 
-        Args:
-          fingerprint: the request's.
-          explained_by: requests that are held to be the cause where they were.
-        """
-        others = explained_by - {fingerprint}
+    def count(self, fingerprint: int) -> int:
+        """Return how many runs of a request ended so, one after the other."""
         found = self._by_fingerprint.get(fingerprint, ())
-        return [c for c in found if others.isdisjoint(c.runs)]
-
-    def between(self, first: float, last: float, explained_by: set[int]) -> list[float]:
-        """Return the times of a span's ends that no request explains."""
-        return [
-            c.at
-            for c in self._crashes
-            if first <= c.at <= last and explained_by.isdisjoint(c.runs)
-        ]
+        return separate(c.runs[fingerprint] for c in found)
+
+    def attributed(self, fingerprint: int) -> list[Crash]:
+        """Return the ends at which no request was present that was so more often."""
+        counts: dict[int, int] = {}
+        own = self.count(fingerprint)
+        return [c for c in self.crashes(fingerprint) if self._most(c, counts) <= own]
+
+    def _most(self, crash: Crash, counts: dict[int, int]) -> int:
+        """Return the greatest count of an end's requests; counts are kept."""
+        for fingerprint in crash.runs.keys() - counts.keys():
+            counts[fingerprint] = self.count(fingerprint)
+        return max(counts[f] for f in crash.runs)
+
+    def times(self, first: float, last: float) -> list[float]:
+        """Return the times of all ends within a span of time."""
+        return [c.at for c in self._crashes if first <= c.at <= last]
 
     def clear(self, fingerprint: int, until: float) -> bool:
         """Drop a request's runs that ended until a time; return if there were any."""
--- a/leverdoor/quarantine/notices.py
+++ b/leverdoor/quarantine/notices.py
@@ -47,7 +47,7 @@
     age_ms: int
     """Since the target ended, the request was held back, or its run ended well."""
     target: int = 0
-    """Hash of the target's name, for `CRASH`."""
+    """Of `CRASH`: hash of the target's name. Of `HELD`: how often it may be tried."""
     span: int = 0
     """Of `CRASH`: the length of the run in ms. Of `HELD`: the time from the first end
     that counts to when it was held back, in units of `HELD_SPAN_S`."""
--- a/leverdoor/quarantine/outbox.py
+++ b/leverdoor/quarantine/outbox.py
@@ -71,7 +71,8 @@
 
     def add(self, news: News, now: float) -> None:
         """Tell news from now on, unless the same are being told."""
-        key = (news.kind, news.fingerprint, news.target)
+        target = news.target if news.kind is NoticeKind.CRASH else 0
+        key = (news.kind, news.fingerprint, target)
         since, before = self._news.get(key, (NEVER, news))
         if now - since <= RESENT_S and before.at >= news.at:
             return
@@ -113,10 +114,9 @@
         return [*held[start:], *held[:start]][:TOLD_IN_TURN]
 
 
-def _weight(news: News, book: CrashBook) -> tuple[bool, int]:
-    """Return how much news matter: those of ends by how often their request was there.
+def _weight(news: News, book: CrashBook) -> tuple[int, int]:
+    """Return how much news matter: first by kind, then by the ends of their request.
 
-    Those of what is held back or released matter more.
+    Releases matter most: a harmless request is refused for as long as one is late.
     """
-    ends = len(book.crashes(news.fingerprint, set()))
-    return news.kind is not NoticeKind.CRASH, ends
+    return news.kind, len(book.crashes(news.fingerprint))
--- a/leverdoor/quarantine/quarantine.py
+++ b/leverdoor/quarantine/quarantine.py
@@ -5,7 +5,8 @@
 Each entry reports the ends of targets that it sees and takes those that others report
 (`CrashBook`); each judges by the same rule (verdict.py) and says what it holds back, so
 that all do. Any run that comes to an end shows that a request is harmless: whatever
-counted against it before is void, here and at all entries.
+counted against it before is void, here and at all entries. A request that may be
+harmless is run once more soon, by one entry for all.
 
 Owns the requests held back, which were released, and which ran to an end lately. All
 of it is lost with the process; what is held back is also kept in the store (records.py)
@@ -20,12 +21,21 @@
 
 import msgspec
 
-from leverdoor.quarantine.crashes import MEMORY_S, CrashBook, LostRun, separate
+from leverdoor.quarantine.crashes import MEMORY_S, CrashBook, LostRun
 from leverdoor.quarantine.notices import HELD_SPAN_S, Notice, NoticeKind
 from leverdoor.quarantine.outbox import NEVER, News, Outbox
-from leverdoor.quarantine.verdict import ENOUGH, is_cause
-
-__all__ = ["HOLD_S", "MOST_HELD", "Change", "Hold", "Quarantine", "Source"]
+from leverdoor.quarantine.verdict import ENOUGH, Verdict, judge_request
+
+__all__ = [
+    "HOLD_S",
+    "MOST_HELD",
+    "MOST_TRIES",
+    "TRY_AFTER_S",
+    "Change",
+    "Hold",
+    "Quarantine",
+    "Source",
+]
 
 HOLD_S = 600.0
 """How long a request is held back, in seconds.
@@ -40,6 +50,21 @@
 benchmarks/knowledge.py). Greater: more targets end meanwhile. Smaller: a request that
 was there by chance is judged before it is known that another was there each time.
 """
+TRY_AFTER_S = 5.0
+"""Time after which a request that may be harmless is run once more, in seconds.
+
+Chosen: beyond the operator's bound of 4 s in which all learn of an end. Greater:
+harmless requests are refused for longer. Smaller: it meets the same trouble.
+"""
+NEXT_TRY_X = 3.0
+"""Times that wait until the next try; chosen: trouble of a few seconds is over."""
+MOST_TRIES = 2
+"""Such tries of one request.
+
+Two of the three sends that the operator allows after the third end; one is left for
+entries that are cut off from each other. Greater: none is left. Smaller: a harmless
+request whose one try meets another end of a target stays held back.
+"""
 MOST_HELD = 256
 """Requests held back at most; the one that was first goes first.
 
@@ -54,9 +79,9 @@
 MOST_RELEASED = 1_024
 """Releases kept, as `MOST_ANSWERED` are; these came from other entries or the store."""
 
-Source: TypeAlias = Literal["crashes", "peer", "store", "answer", "explained"]
+Source: TypeAlias = Literal["crashes", "peer", "store", "answer"]
 """Why a request is held back (by the ends of targets, another entry, the store), or
-released (by an answer, another entry, the store, since another request explains it)."""
+released (by an answer, another entry, the store)."""
 
 
 class Hold(msgspec.Struct, frozen=True):
@@ -67,10 +92,14 @@
     """When the first target ended that counts against it."""
     at: float
     """When it was held back."""
+    tries: int = 0
+    """How often it may still be tried, since it may be harmless."""
+    try_at: float = 0.0
+    """When it may be tried next."""
 
     @property
     def until(self) -> float:
-        """When it is tried again."""
+        """When the hold ends."""
         return self.at + HOLD_S
 
 
@@ -82,6 +111,8 @@
     source: Source
     ends: int
     """Ends of targets known here at which it was present."""
+    tries: int = 0
+    """How often it may still be tried, if it is held back."""
 
 
 class Quarantine:
@@ -95,7 +126,7 @@
         self._released: OrderedDict[int, float] = OrderedDict()
         """Until when nothing counts against a request."""
         self._suspects: dict[int, float] = {}
-        """Requests to be judged, with the end of their newest lost run."""
+        """Requests to be judged soon, with the end of their newest lost run."""
         self._outbox = Outbox()
         self._changes: list[Change] = []
 
@@ -111,6 +142,16 @@
         found = self._holds.get(fingerprint)
         return found if found is not None and now < found.until else None
 
+    def try_once_more(self, hold: Hold, now: float) -> bool:
+        """Return whether a request that is held back is run now, as a try.
+
+        Only one entry for all may call this, so that one target ends at most.
+        """
+        if not hold.tries or now < hold.try_at:
+            return False
+        self._holds[hold.fingerprint] = _tried(hold, now)
+        return True
+
     def may_retry(self, fingerprint: int, now: float) -> bool:
         """Return whether a request whose answer was lost may go to another target."""
         held = self.hold(fingerprint, now) is not None
@@ -138,10 +179,13 @@
             return
         if now - run.ended > MEMORY_S or not self._book.add(target, run):
             return
-        if len(self._book.crashes(run.fingerprint, set())) >= ENOUGH:
+        if len(self._book.crashes(run.fingerprint)) >= ENOUGH:
             self._suspects[run.fingerprint] = max(
                 run.ended, self._suspects.get(run.fingerprint, NEVER)
             )
+        hold = self._holds.get(run.fingerprint)
+        if hold is not None and hold.tries and run.began >= hold.try_at:
+            self._holds[run.fingerprint] = _tried(hold, now)
         length_ms = round((run.ended - run.began) * 1000)
         kind = NoticeKind.CRASH
         self._outbox.add(News(kind, run.fingerprint, run.ended, target, length_ms), now)
@@ -156,31 +200,25 @@
     def judge(self, now: float) -> list[Change]:
         """Hold back what counts as the cause of ends by now.
 
-        Those that were there most often go first, since they explain what the
-        others were there for by chance.
-
         Returns: what was held back or released since the last call.
         """
         self._forget(now)
         ready = [f for f, at in self._suspects.items() if now - at >= JUDGE_AFTER_S]
-        for fingerprint in sorted(ready, key=self._count, reverse=True):
+        for fingerprint in ready:
+            del self._suspects[fingerprint]
             self._judge(fingerprint, now)
         changes, self._changes = self._changes, []
         return changes
 
     def _judge(self, fingerprint: int, now: float) -> None:
-        held = set(self._holds)
-        crashes = self._book.crashes(fingerprint, held)
-        if fingerprint in held or len(crashes) < ENOUGH:
-            self._suspects.pop(fingerprint, None)
-        elif is_cause(self._book, fingerprint, held):
-            first = min(c.runs[fingerprint].ended for c in crashes)
-            self._hold(Hold(fingerprint, first, now), "crashes", now)
-
-    def _count(self, fingerprint: int) -> int:
-        """Return at how many ends a request was present, one after the other."""
-        crashes = self._book.crashes(fingerprint, set())
-        return separate(c.runs[fingerprint] for c in crashes)
+        verdict = judge_request(self._book, fingerprint)
+        if verdict is Verdict.HARMLESS or fingerprint in self._holds:
+            return
+        crashes = self._book.attributed(fingerprint)
+        first = min(c.runs[fingerprint].ended for c in crashes)
+        tries = MOST_TRIES if verdict is Verdict.UNSURE else 0
+        hold = Hold(fingerprint, first, now, tries, now + TRY_AFTER_S)
+        self._hold(hold, "crashes", now)
 
     def _hold(self, hold: Hold, source: Source, now: float) -> None:
         """Hold a request back, unless it is already or what counts is void."""
@@ -196,19 +234,6 @@
         self._suspects.pop(fingerprint, None)
         self._log("held", fingerprint, source)
         self._outbox.add(_held_news(hold), now)
-        self._reconsider(fingerprint, now)
-
-    def _reconsider(self, cause: int, now: float) -> None:
-        """Release those that were held back for ends which a request explains.
-
-        Only if it was there more often than they: two that explain each other would
-        otherwise both be released.
-        """
-        for fingerprint in self._holds.keys() - {cause}:
-            known = self._book.crashes(fingerprint, set())
-            left = self._book.crashes(fingerprint, {cause})
-            if len(left) < ENOUGH <= len(known) < self._count(cause):
-                self._release(fingerprint, now, "explained", now)
 
     def _release(
         self, fingerprint: int, until: float, source: Source, now: float
@@ -218,7 +243,7 @@
             return
         _note(self._released, fingerprint, until, MOST_RELEASED)
         self._book.clear(fingerprint, until)
-        if len(self._book.crashes(fingerprint, set())) < ENOUGH:
+        if len(self._book.crashes(fingerprint)) < ENOUGH:
             self._suspects.pop(fingerprint, None)
         hold = self._holds.get(fingerprint)
         if hold is not None and hold.first <= until:
@@ -233,8 +258,10 @@
     def _log(
         self, change: Literal["held", "released"], fingerprint: int, source: Source
     ) -> None:
-        ends = len(self._book.crashes(fingerprint, set()))
-        self._changes.append(Change(change, fingerprint, source, ends))
+        ends = len(self._book.crashes(fingerprint))
+        hold = self._holds.get(fingerprint)
+        tries = hold.tries if hold is not None else 0
+        self._changes.append(Change(change, fingerprint, source, ends, tries))
 
     def _forget(self, now: float) -> None:
         """Drop what does not count any more."""
@@ -257,13 +284,15 @@
                 run = LostRun(notice.fingerprint, at - notice.span / 1000, at)
                 self.crashed(notice.target, run, now)
             elif notice.kind is NoticeKind.HELD:
-                hold = Hold(notice.fingerprint, at - notice.span * HELD_SPAN_S, at)
-                self._hold(hold, "peer", now)
+                self._hold(_held_hold(notice, at), "peer", now)
             elif self._is_newer(notice.fingerprint, at):
                 self._release(notice.fingerprint, at, "peer", now)
 
     def _is_newer(self, fingerprint: int, at: float) -> bool:
         """Return whether a release adds to what is known; ages are off by a little."""
+        hold = self._holds.get(fingerprint)
+        if hold is not None and hold.first <= at:
+            return True
         return at > self._released.get(fingerprint, NEVER) + JUDGE_AFTER_S
 
     # The store.
@@ -292,6 +321,21 @@
         times.popitem(last=False)
 
 
+def _tried(hold: Hold, now: float) -> Hold:
+    """Return a hold after a try."""
+    try_at = now + NEXT_TRY_X * TRY_AFTER_S
+    return msgspec.structs.replace(hold, tries=hold.tries - 1, try_at=try_at)
+
+
 def _held_news(hold: Hold) -> News:
+    """Return what to tell of a hold; its tries go in place of a target."""
     span = math.floor((hold.at - hold.first) / HELD_SPAN_S)
-    return News(NoticeKind.HELD, hold.fingerprint, hold.at, span=span)
+    kind = NoticeKind.HELD
+    return News(kind, hold.fingerprint, hold.at, target=hold.tries, span=span)
+
+
+def _held_hold(notice: Notice, at: float) -> Hold:
+    """Return the hold that another entry told of; `at` is when it began."""
+    first = at - notice.span * HELD_SPAN_S
+    tries = min(notice.target, MOST_TRIES)
+    return Hold(notice.fingerprint, first, at, tries, at + TRY_AFTER_S)
--- a/leverdoor/quarantine/records.py
+++ b/leverdoor/quarantine/records.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from leverdoor.codec import serialize_json
-from leverdoor.quarantine.quarantine import HOLD_S, Hold
+from leverdoor.quarantine.quarantine import HOLD_S, TRY_AFTER_S, Hold
 
 __all__ = ["Record", "hold_of", "parse_record", "record_of", "serialize_record"]
 
@@ -24,6 +24,8 @@
     """From the first end that counts to when it was held back, in seconds."""
     entry: str
     """Which entry wrote it."""
+    tries: int = 0
+    """How often it may still be tried, since it may be harmless."""
 
 
 def parse_record(data: bytes) -> Record:
@@ -50,7 +52,7 @@
       wall_s: seconds since the epoch at that time.
     """
     held_at_ms = round((wall_s - (now - hold.at)) * 1000)
-    return Record(held_at_ms, round(hold.at - hold.first, 3), entry)
+    return Record(held_at_ms, round(hold.at - hold.first, 3), entry, hold.tries)
 
 
 def hold_of(record: Record, fingerprint: int, now: float, wall_s: float) -> Hold:
@@ -64,4 +66,5 @@
     """
     age_s = min(max(wall_s - record.held_at_ms / 1000, 0.0), HOLD_S)
     at = now - age_s
-    return Hold(fingerprint, at - max(record.first_s, 0.0), at)
+    first = at - max(record.first_s, 0.0)
+    return Hold(fingerprint, first, at, record.tries, at + TRY_AFTER_S)
--- a/leverdoor/quarantine/refusal.py
+++ b/leverdoor/quarantine/refusal.py
@@ -7,20 +7,28 @@
 
 __all__ = ["held_refusal"]
 
+LEAST_RETRY_AFTER_S = 1.0
+"""Least time after which a request that may be tried should come back, in seconds.
+
+Chosen: its try may be under way at another entry. Greater: a harmless one waits longer.
+Smaller: it comes back before the try has ended.
+"""
+
 
 def held_refusal(hold: Hold, now: float) -> Refusal:
     """Return the refusal of a request that is held back.
 
-    It may come back when the hold is over, and not before: no entry would run it.
+    It may come back when the hold is over, or when it is tried once more, and not
+    before: no entry would run it.
 
     Args:
       hold: how it is held back.
       now: monotonic time in seconds.
     """
-    age_s = now - hold.at
-    left_s = hold.until - now
+    until = hold.try_at if hold.tries else hold.until
+    left_s = max(until - now, LEAST_RETRY_AFTER_S)
     detail = (
-        f"targets ended under it from {now - hold.first:.1f} s ago on;"
-        f" held back {age_s:.1f} s ago, for {left_s:.0f} s more"
+        f"targets ended under it from {now - hold.first:.1f} s ago on; held back"
+        f" {now - hold.at:.1f} s ago, for {left_s:.1f} s more, {hold.tries} tries left"
     )
     return Refusal(Code.QUARANTINED, detail, retry_after_ms=round(left_s * 1000))
