Mend the two known faults: a key written after leaving, a clock set back

An entry's registration loop went on while the entry finished and wrote its key after the lease was given up; it ends now, and a key whose write was under way is removed. An agent that started again with its clock set back was ignored until its former process was forgotten (60 s), at agents and at gates; it counts now once the former has been silent, whose heartbeats that others pass on count no more.

--- a/leverdoor/entry/membership/registration.py
+++ b/leverdoor/entry/membership/registration.py
@@ -5,9 +5,6 @@
 Owns the lease of this entry's key. After a crash the key stays for `TTL_S` at most, and
 the next process of the same entry takes it over (`adopt`). Relies on the store; while
 it is away, entries know each other by heartbeats, and only starts are affected.
-
-Known fault (KNOWN-RED.txt): `run` goes on while the entry finishes, and may write the
-key once more after `end` gave the lease up.
 """
 
 import asyncio
@@ -96,6 +93,8 @@
         self._rng = rng
         self._pause_s = pause_s
         self._lease = 0
+        self._ended = False
+        """The entry leaves: its key must not be written again while it finishes."""
 
     def adopt(self, written: KeyValue | None) -> None:
         """Take over the key and lease of a former incarnation, if they still fit.
@@ -116,12 +115,11 @@
             self._events.process("registration adopted", lease=self._lease)
 
     async def run(self) -> None:
-        """Write the key, and again whenever its lease expired, until cancelled."""
-        while True:
+        """Write the key, and again whenever its lease expired, until it is ended."""
+        while not self._ended:
             try:
                 if self._lease == 0:
-                    self._lease = await self._store.hold(self._key, self._value, TTL_S)
-                    self._events.process("registered", lease=self._lease)
+                    await self._register()
                 elif not await self._store.keep(self._lease):
                     self._lease = 0
                     self._events.process("registration lost")
@@ -134,8 +132,20 @@
                 continue
             await asyncio.sleep(KEEP_S)
 
+    async def _register(self) -> None:
+        """Write the key; one that was written as the entry began to leave is removed.
+
+        Raises:
+          LeverdoorError: the store did not take it, or it may have been written.
+        """
+        self._lease = await self._store.hold(self._key, self._value, TTL_S)
+        self._events.process("registered", lease=self._lease)
+        if self._ended:
+            await self.end()
+
     async def end(self) -> None:
-        """Give the lease up, which deletes the key."""
+        """Give the lease up, which deletes the key, and don't write it again."""
+        self._ended = True
         lease, self._lease = self._lease, 0
         if lease:
             await self._store.let_go(lease)
--- a/leverdoor/membership/peers.py
+++ b/leverdoor/membership/peers.py
@@ -138,9 +138,25 @@
     heartbeat: AgentHeartbeat
     last_seen: float
     gap_s: float = 0.0
+    former: int = -1
+    """Start of an agent that one with an earlier start followed; -1 for none."""
+
+    def supersedes(self, heartbeat: AgentHeartbeat, now: float) -> bool:
+        """Return whether a heartbeat takes the place of the one known.
+
+        The later start and number wins. An agent with an earlier start follows where a
+        clock was set back; it counts once the other has been silent, whose heartbeats
+        that others still pass on count no more.
+        """
+        if heartbeat.agent == self.former:
+            return False
+        behind = heartbeat.agent < self.heartbeat.agent
+        return heartbeat.newer(self.heartbeat) or (behind and self.silent(now))
 
     def receive(self, heartbeat: AgentHeartbeat, now: float) -> None:
-        """Take a newer heartbeat."""
+        """Take a heartbeat that supersedes the one known."""
+        if heartbeat.agent < self.heartbeat.agent:
+            self.former = self.heartbeat.agent
         self.gap_s += GAP_WEIGHT * (now - self.last_seen - self.gap_s)
         self.heartbeat = heartbeat
         self.last_seen = now
@@ -183,7 +199,7 @@
             if have is None:
                 self.known[heartbeat.vm] = Peer(heartbeat, now)
                 self._changed = True
-            elif heartbeat.newer(have.heartbeat):
+            elif have.supersedes(heartbeat, now):
                 have.receive(heartbeat, now)
             else:
                 continue
--- a/tests/test_clock_set_back.py
+++ b/tests/test_clock_set_back.py
@@ -23,3 +23,18 @@
     peers.merge([heartbeat(AHEAD, 9)], 0.0)
     peers.merge([heartbeat(BEHIND, 1)], SOON_S)
     assert [b.vm for b in peers.live_near(SOON_S)] == ["vm1"]
+
+
+def test_heartbeats_of_the_former_agent_that_others_pass_on_count_no_more() -> None:
+    peers = Peers("vm0", "r0")
+    peers.merge([heartbeat(AHEAD, 9)], 0.0)
+    peers.merge([heartbeat(BEHIND, 1)], SOON_S)
+    assert peers.merge([heartbeat(AHEAD, 10)], SOON_S + 1.0) == []
+    assert peers.merge([heartbeat(BEHIND, 2)], SOON_S + 1.0)
+    assert peers.merge([heartbeat(AHEAD + 1, 1)], SOON_S + 2.0)
+
+
+def test_an_earlier_start_does_not_count_while_the_later_agent_lives() -> None:
+    peers = Peers("vm0", "r0")
+    peers.merge([heartbeat(AHEAD, 9)], 0.0)
+    assert peers.merge([heartbeat(BEHIND, 1)], 0.2) == []
--- a/tests/test_entry_registration_end.py
+++ b/tests/test_entry_registration_end.py
@@ -63,3 +63,25 @@
         await asyncio.sleep(0)
     task.cancel()
     assert (store.held, store.ended) == (1, 1)
+
+
+async def test_a_key_written_as_the_entry_begins_to_leave_is_removed() -> None:
+    """The write was under way when the lease, not known yet, was given up."""
+    written = asyncio.Event()
+
+    class SlowStore(CountingStore):
+        async def hold(self, key: str, value: bytes, ttl_s: float) -> int:
+            await written.wait()
+            return await super().hold(key, value, ttl_s)
+
+    events = Events(LineWriter(os.open(os.devnull, os.O_WRONLY)), "n1")
+    store = SlowStore()
+    kept = registration.Registration(
+        store, "entries/n1", OWN, events, Random(1), lambda: 0.01
+    )
+    task = asyncio.create_task(kept.run())
+    await asyncio.sleep(0)
+    await kept.end()
+    written.set()
+    await task
+    assert (store.held, store.ended) == (1, 1)
