Records are removed by how long they were seen; the soak sends fatal requests

A record's end goes by how long the process has seen it now.

The soak has requests that end each target that runs them (--fatal N); it judges how often they are sent on, and that no other request is held back.

--- a/leverdoor/commands/soak.py
+++ b/leverdoor/commands/soak.py
@@ -21,17 +21,26 @@
 @click.option("--count", type=click.IntRange(1, 10_000), default=1, help="Seeds.")
 @click.option("--seconds", type=click.FloatRange(1.0, 3_600.0), default=15.0)
 @click.option("--troubles", type=click.IntRange(0, 1_000), default=20)
+@click.option("--fatal", type=click.IntRange(0, 10), default=0, help="Requests.")
 @click.option("--logs", type=click.Path(path_type=Path), help="Keep logs of failures.")
 def soak(
-    seed: int | None, count: int, seconds: float, troubles: int, logs: Path | None
+    seed: int | None,
+    count: int,
+    seconds: float,
+    troubles: int,
+    fatal: int,
+    logs: Path | None,
 ) -> None:
-    """Play soaks one after the other; a line of JSON for each."""
+    """Play soaks one after the other; a line of JSON for each.
+
+    With --fatal, so many requests come that end each target that runs them.
+    """
     from leverdoor.standins.soak.run import Soak
 
     first = time.time_ns() % 1_000_000_007 if seed is None else seed
     broken = 0
     for number in range(first, first + count):
-        verdict = asyncio.run(Soak(number, seconds, troubles).run(logs))
+        verdict = asyncio.run(Soak(number, seconds, troubles, fatal=fatal).run(logs))
         broken += bool(verdict.breaches)
         click.echo(msgspec.json.encode(verdict).decode())
     sys.exit(BROKEN if broken else 0)
--- a/leverdoor/entry/quarantine_records.py
+++ b/leverdoor/entry/quarantine_records.py
@@ -44,8 +44,8 @@
 REMOVED_AFTER_S = 5.0
 """Time after the end of a hold in which its record is removed, in seconds.
 
-Chosen: longer than wall clocks of VMs differ, so that no entry takes a record that is
-over at one clock and not at its own for a removal.
+Chosen: beyond the moments by which entries differ on when it was held back. Greater:
+records stay for longer. Smaller: the first to remove it releases it at the others.
 """
 
 
@@ -82,6 +82,8 @@
         self._writes = writes
         self._read: dict[int, KeyValue] = {}
         """By fingerprint, as the store has them."""
+        self._seen: dict[int, float] = {}
+        """Since when each is known as it is, monotonic time in seconds."""
 
     def take(self, records: Mapping[str, KeyValue], now: float) -> None:
         """Take all records of the store, by the text of their fingerprint.
@@ -92,28 +94,32 @@
         """
         found = {}
         for text, entry in records.items():
-            before = self._read.get(_fingerprint(text))
+            fingerprint = _fingerprint(text)
+            before = self._read.get(fingerprint)
             if before is not None and before.revision == entry.revision:
-                found[_fingerprint(text)] = before
-            elif self._take(text, entry, now):
-                found[_fingerprint(text)] = entry
+                found[fingerprint] = before
+            elif self._take(fingerprint, entry, now):
+                found[fingerprint] = entry
+                self._seen[fingerprint] = now
         gone = self._read.keys() - found.keys()
         self._read = found
         for fingerprint in gone:
+            del self._seen[fingerprint]
             self._quarantine.take_removed(fingerprint, now)
 
-    def _take(self, text: str, entry: KeyValue, now: float) -> bool:
+    def _take(self, fingerprint: int, entry: KeyValue, now: float) -> bool:
         """Take one record; return whether it can be read."""
         try:
             record = parse_record(entry.value)
         except msgspec.MsgspecError as e:
             self._events.process("record not readable", key=entry.key, error=str(e))
             return False
-        fingerprint = _fingerprint(text)
+        if not fingerprint:
+            self._events.process("record not readable", key=entry.key, error="key")
+            return False
         hold = hold_of(record, fingerprint, now, time.time())
-        if fingerprint:
-            self._quarantine.take_stored(hold, now)
-        return fingerprint != 0
+        self._quarantine.take_stored(hold, now)
+        return True
 
     async def run(self) -> None:
         """Write what is missing and remove what is over, until cancelled."""
@@ -149,13 +155,15 @@
     ) -> bool:
         """Return whether a record's time is over, or what it says is not true.
 
-        A run showed the request to be harmless, or it was tried since.
+        Its time goes by how long this process has seen it: a wall clock that is ahead
+        would remove it, and so release the request at all entries.
         """
+        seen_s = now - self._seen[fingerprint]
         record = parse_record(entry.value)
-        if wall_s - record.held_at_ms / 1000 > HOLD_S + REMOVED_AFTER_S:
-            return True
-        held = self._quarantine.holds.get(fingerprint)
-        if held is not None and held.tries < record.tries:
+        hold = self._quarantine.holds.get(fingerprint)
+        if hold is not None:
+            return hold.tries < record.tries or seen_s > HOLD_S
+        if seen_s > HOLD_S + REMOVED_AFTER_S:
             return True
         return self._quarantine.is_void(hold_of(record, fingerprint, now, wall_s))
 
--- a/leverdoor/standins/entry_site.py
+++ b/leverdoor/standins/entry_site.py
@@ -192,6 +192,8 @@
         self._folder = tempfile.TemporaryDirectory()
         self._numbers = count(1)
         self._version = 0
+        self.crash_paths: set[str] = set()
+        """Paths of requests that end each target that begins to run them."""
         self._crashes: set[asyncio.Task[None]] = set()
         self._session: aiohttp.ClientSession | None = None
 
@@ -297,6 +299,7 @@
         """Start a target and let it write itself."""
         self.targets[target.name] = target
         target.crash = partial(self.crash_target, target.name)
+        target.crash_paths = self.crash_paths
         served = await self._serve(target.name, target.app())
         address = await self._link(f"target/{target.name}", served)
         self._addresses[target.name] = address
@@ -326,6 +329,7 @@
         if name not in self._runners:
             return
         runner = self._runners.pop(name)
+        await self._refuse_connections(name)
         for listener in list(runner.sites):
             await listener.stop()
         for connection in list(runner.server.connections if runner.server else ()):
@@ -337,9 +341,11 @@
         after = UpstreamStandin(
             f"{name}+", before.service, before.zone, before.slots, before.work_s
         )
-        after.crash_path = before.crash_path
         await self.add_target(after)
 
+    async def _refuse_connections(self, name: str) -> None:
+        """Let nothing in between take connections for a target that crashed."""
+
     # What clients do.
 
     async def ready(self, entry: EntryProcess) -> None:
--- a/leverdoor/standins/soak/callers.py
+++ b/leverdoor/standins/soak/callers.py
@@ -12,6 +12,7 @@
 from random import Random
 
 import aiohttp
+import msgspec
 from yarl import URL
 
 from leverdoor.sessions import new_session
@@ -20,7 +21,7 @@
 from leverdoor.standins.soak.site import SoakSite, mark_path
 from leverdoor.standins.soak.workspaces import FREE, WORKSPACES, SoakWorkspace
 
-__all__ = ["SoakCaller", "SoakProber"]
+__all__ = ["SoakCaller", "SoakProber", "refusal_name"]
 
 DEADLINE_MS = 5_000
 """Deadline of a request in ms."""
@@ -132,7 +133,7 @@
         self._digest = hashlib.sha256(body).hexdigest()
         self._began = now_s()
 
-    def _attempt(self, status: int, **more: bool) -> Attempt:
+    def _attempt(self, status: int, code: str = "", **more: bool) -> Attempt:
         return Attempt(
             request_id=self._headers["X-Request-Id"],
             entry=self._entry.name,
@@ -144,6 +145,7 @@
             ended_at=now_s(),
             status=status,
             workspace=self._workspace,
+            code=code,
             **more,
         )
 
@@ -173,7 +175,8 @@
             body = await answer.read()
             stamped = "X-Server-Stamp" in answer.headers
             own = stamped and self._is_own(body, answer.headers.get("X-Request-Id"))
-            return self._attempt(answer.status, own=own, stamped=stamped)
+            code = "" if stamped else refusal_name(body)
+            return self._attempt(answer.status, code, own=own, stamped=stamped)
 
     def _is_own(self, body: bytes, answered_id: str | None) -> bool:
         try:
@@ -186,6 +189,20 @@
         )
 
 
+def refusal_name(body: bytes) -> str:
+    """Return the name of the code that a refusal's body has; "" if it has none."""
+    try:
+        return msgspec.json.decode(body, type=_Refused).name
+    except msgspec.MsgspecError:
+        return ""
+
+
+class _Refused(msgspec.Struct):
+    """The body of a refusal."""
+
+    name: str = ""
+
+
 class SoakProber:
     """Requests from one entry the routes that only the newest versions have."""
 
--- /dev/null
+++ b/leverdoor/standins/soak/fatal.py
@@ -0,0 +1,99 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Requests of a soak that end each target that runs them, and come again and again.
+
+State: the count of requests of one caller; what is seen goes to the record. Relies on
+the site for targets that end as their process does.
+"""
+
+import asyncio
+from random import Random
+
+import aiohttp
+from yarl import URL
+
+from leverdoor.sessions import new_session
+from leverdoor.standins.entry_site import EntryProcess
+from leverdoor.standins.soak.callers import NO_BODY_DIGEST, refusal_name
+from leverdoor.standins.soak.record import Attempt, Record, now_s
+from leverdoor.standins.soak.site import SoakSite
+from leverdoor.standins.soak.workspaces import FREE
+
+__all__ = ["FatalCaller", "fatal_path"]
+
+DEADLINE_MS = 3_000
+"""Deadline of such a request in ms."""
+COPIES = 3
+"""Attempts that come at the same time, at different entries."""
+PAUSE_S = 1.0
+"""Mean pause between such bursts, in seconds."""
+
+
+def fatal_path(number: int) -> str:
+    """Return the path of a fatal request."""
+    return f"/look/fatal-{number}"
+
+
+class FatalCaller:
+    """Sends one fatal request in bursts, to any entries."""
+
+    def __init__(self, site: SoakSite, record: Record, number: int, seed: int) -> None:
+        """Create it; `run` calls until cancelled.
+
+        Args:
+          site: the deployment.
+          record: where to note what is seen.
+          number: the request's.
+          seed: of the soak.
+        """
+        self._site = site
+        self._record = record
+        self._path = fatal_path(number)
+        self._rng = Random(f"fatal/{seed}/{number}")
+        self._count = 0
+
+    async def run(self) -> None:
+        """Call until cancelled."""
+        self._site.crash_paths.add(self._path)
+        self._record.fatal.append(self._path)
+        async with new_session(2 * DEADLINE_MS / 1000) as session:
+            while True:
+                await asyncio.sleep(self._rng.uniform(0.5, 1.5) * PAUSE_S)
+                entries = self._rng.sample(list(self._site.entries.values()), COPIES)
+                await asyncio.gather(*(self._call(session, e) for e in entries))
+
+    async def _call(self, session: aiohttp.ClientSession, entry: EntryProcess) -> None:
+        self._count += 1
+        request_id = f"{self._path.rpartition('/')[2]}-{self._count}"
+        headers = {
+            "Host": "records.example",
+            "X-Credential": FREE.key,
+            "X-Request-Id": request_id,
+            "X-Deadline-Ms": str(DEADLINE_MS),
+            "X-Affinity-Key": "1",
+        }
+        url = URL(f"http://{self._site.front(entry)}{self._path}", encoded=True)
+        began = now_s()
+        status, code = 0, ""
+        try:
+            async with session.get(url, headers=headers) as answer:
+                status, code = answer.status, refusal_name(await answer.read())
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            status = 0
+        finally:
+            self._record.attempts.append(
+                Attempt(
+                    request_id=request_id,
+                    entry=entry.name,
+                    path=self._path,
+                    once=False,
+                    digest=NO_BODY_DIGEST,
+                    deadline_ms=DEADLINE_MS,
+                    sent_at=began,
+                    ended_at=now_s(),
+                    status=status,
+                    left=True,
+                    workspace=FREE.name,
+                    code=code,
+                )
+            )
--- a/leverdoor/standins/soak/promises.py
+++ b/leverdoor/standins/soak/promises.py
@@ -19,6 +19,12 @@
 SERVICE_OF = {"/look/": "look", "/file/": "file", "/mark-": "look"}
 MOST_ATTEMPTS = 2
 """`max-attempts` of the sample routes."""
+ENOUGH_ENDS = 3
+"""Targets that may end before a request is to be known as the cause."""
+KNOWN_S = 4.0
+"""Seconds within which all entries are to know it then."""
+MOST_MORE = 3
+"""Times that it may be sent on after that."""
 QUIET_S = 4.0
 """Seconds before a planned stop without another disturbance, for it to count."""
 
@@ -37,6 +43,8 @@
     found += _leaves(record)
     found += _reverts(record)
     found += _stops(record, ran)
+    found += _fatal(record)
+    found += _harmless(record)
     return found
 
 
@@ -153,3 +161,44 @@
             cut = a.entry == entry and a.status == 0 and a.connected and not a.left
             if cut and began <= a.ended_at <= ended and ran.get(a.request_id):
                 yield f"LOST {a.request_id}: cut by the planned stop of {entry}"
+
+
+def _fatal(record: Record) -> Iterator[str]:
+    """A request that ends its targets is sent on a few times at most.
+
+    Times after the third end and the time within which all entries are to know of it,
+    by entries that ran undisturbed for as long: one that has just been started knows
+    what the others and the store tell it.
+    """
+    entry = {a.request_id: a.entry for a in record.attempts}
+    for path in record.fatal:
+        runs = sorted((r for r in record.runs if r.path == path), key=lambda r: r.at)
+        if len(runs) < ENOUGH_ENDS:
+            continue
+        known_at = runs[ENOUGH_ENDS - 1].at + KNOWN_S
+        late = [
+            r
+            for r in runs
+            if r.at > known_at and not _disturbed(record, entry[r.request_id], r.at)
+        ]
+        if len(late) > MOST_MORE:
+            yield f"BUDGET {path}: sent {len(late)} times more, {len(runs)} ended"
+
+
+def _disturbed(record: Record, entry: str, at: float) -> bool:
+    """Return whether an entry was disturbed or stopped shortly before a time."""
+    return any(
+        name == entry and began <= at and ended >= at - KNOWN_S
+        for name, began, ended in (*record.unplanned, *record.stops)
+    )
+
+
+def _harmless(record: Record) -> Iterator[str]:
+    """No request is held back but those that end targets."""
+    held = Counter(
+        a.path
+        for a in record.attempts
+        if a.code == "QUARANTINED" and a.path not in record.fatal
+    )
+    for path, count in held.items():
+        yield f"HELD {path}: {count} harmless requests were turned away"
--- a/leverdoor/standins/soak/record.py
+++ b/leverdoor/standins/soak/record.py
@@ -37,6 +37,8 @@
     """The caller gave up before there was an answer."""
     workspace: str = ""
     """Whose key the caller sent."""
+    code: str = ""
+    """Name of the code of a refusal; "" for none."""
 
 
 class RecordedRun(msgspec.Struct, frozen=True):
@@ -82,6 +84,8 @@
     runs: list[RecordedRun] = []
     leaves: list[Leave] = []
     probes: list[Probe] = []
+    fatal: list[str] = []
+    """Paths of requests that end each target that runs them."""
     stops: list[tuple[str, float, float]] = []
     """Planned stops: entry, when it was signalled, when it had ended."""
     unplanned: list[tuple[str, float, float]] = []
--- a/leverdoor/standins/soak/site.py
+++ b/leverdoor/standins/soak/site.py
@@ -17,6 +17,7 @@
     Place,
 )
 from leverdoor.standins.proxy import LinkFault, LoopbackProxy
+from leverdoor.standins.soak.record import now_s
 from leverdoor.standins.soak.skewed import CLOCK
 from leverdoor.standins.soak.workspaces import WORKSPACES
 from leverdoor.standins.upstreams import UpstreamStandin
@@ -145,6 +146,14 @@
         target.cold_ms = 500
         await self.add_target(target)
 
+    def crash_target(self, name: str) -> None:
+        """End a target as when its process crashes; it is back under another name."""
+        self.left.setdefault(name, now_s())
+        super().crash_target(name)
+
+    async def _refuse_connections(self, name: str) -> None:
+        await self.proxies[f"target/{name}"].close()
+
     async def reuse_address(self, name: str) -> None:
         """End a target; its address goes to a new one of another service."""
         old = self.targets[name]
