Gates hold back requests that end their targets, too

The same cause on plain sites: a gate knew nothing of a request beyond its last attempt, and gates told each other nothing of requests. A gate now looks at a target that lost an answer, judges by the entries' rule and tells eight other gates a round, which pass on what is new to them.

Ran: tests of gates, keyed requests, sites, interface, pages.

--- a/benchmarks/emulated_quarantine.py
+++ b/benchmarks/emulated_quarantine.py
@@ -23,10 +23,10 @@
 from leverdoor.entry.membership.member import SERVING, Member
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.membership.roles import Roles
-from leverdoor.entry.trying import tries_for_all
 from leverdoor.quarantine.crashes import LostRun, target_id
 from leverdoor.quarantine.quarantine import Quarantine
 from leverdoor.quarantine.records import Record, hold_of, record_of
+from leverdoor.quarantine.trying import tries_for_all
 
 __all__ = ["QuarantineFigures", "QuarantinePlan", "play_quarantine"]
 
@@ -314,7 +314,7 @@
         """Return whether an entry runs a request that is held back once more."""
         node = self._node(name)
         hold = node.quarantine.hold(fingerprint, self.now)
-        if hold is None or not tries_for_all(node.membership, fingerprint):
+        if hold is None or not _tries_for_all(node, fingerprint):
             return False
         return node.quarantine.try_once_more(hold, self.now)
 
@@ -434,6 +434,11 @@
         return figures
 
 
+def _tries_for_all(node: _Node, fingerprint: int) -> bool:
+    others = node.membership.names()
+    return tries_for_all(node.membership.own.name, others, fingerprint)
+
+
 def _make(own: Member, _: dict[str, list[str]], rng: Random) -> _Node:
     return _Node(own, rng)
 
--- a/leverdoor/entry/data_plane.py
+++ b/leverdoor/entry/data_plane.py
@@ -30,17 +30,17 @@
 from leverdoor.entry.placement.policy import PlacementPolicy
 from leverdoor.entry.requests.client_connection import ClientConnection
 from leverdoor.entry.requests.connections import Connections
-from leverdoor.entry.requests.ended_targets import EndedTargets
 from leverdoor.entry.requests.forwarding import Forwarder
 from leverdoor.entry.requests.handler import EntryHandler
 from leverdoor.entry.requests.intake import Intake
 from leverdoor.entry.requests.outcomes import Outcomes
 from leverdoor.entry.settings import EntrySettings
-from leverdoor.entry.trying import tries_for_all
 from leverdoor.entry.warm_up import count_sharers
 from leverdoor.model.resources import Target
 from leverdoor.quarantine.crashes import LostRun, target_id
+from leverdoor.quarantine.ended_targets import EndedTargets, TargetCheck
 from leverdoor.quarantine.quarantine import Quarantine
+from leverdoor.quarantine.trying import tries_for_all
 from leverdoor.retry_budget import RetryBudget
 from leverdoor.workspaces.quota import Quotas
 
@@ -101,7 +101,7 @@
             self._budget,
             self.quotas,
             self.quarantine,
-            EndedTargets(self.connections, events, self._take_end),
+            EndedTargets(self.connections.check, self._take_checked),
             events,
         )
         return EntryHandler(
@@ -110,7 +110,7 @@
             forwarder,
             self.quotas,
             self.quarantine,
-            lambda fingerprint: tries_for_all(self._membership, fingerprint),
+            self._tries,
             events,
             metrics,
             self._catalog,
@@ -123,16 +123,30 @@
         longest_s = self._context.settings.confirm_within_s
         return self._keeper.confirmation.holds(longest_s, now)
 
-    def _take_end(self, target: Target, runs: list[LostRun]) -> None:
-        """Take a target that ended, and the runs of this entry that ended with it.
+    def _tries(self, fingerprint: int) -> bool:
+        """Return whether this entry tries a request that is held back, for all."""
+        own = self._membership.own.name
+        return tries_for_all(own, self._membership.names(), fingerprint)
 
-        One that had left service ended as planned, which says nothing of its requests:
-        long ones are cut at each target of a release in turn.
+    def _take_checked(
+        self, target: Target, found: TargetCheck, runs: list[LostRun], took_s: float
+    ) -> None:
+        """Take what was found of a target that lost the answers of some runs.
+
+        They are noted if it ended. One that had left service ended as planned, which
+        says nothing of its requests: long ones are cut at each target of a release in
+        turn.
         """
+        events = self._context.events
+        events.target_checked(
+            target.name, target.service, found.value, len(runs), took_s
+        )
+        if found is not TargetCheck.ENDED:
+            return
         now = asyncio.get_running_loop().time()
         self._metrics.targets_ended.labels(target.service).inc()
         ejected_s = self.fleet.of(target, now).unreached(now)
-        self._context.events.target_ejected(target.name, "ended", ejected_s)
+        events.target_ejected(target.name, "ended", ejected_s)
         if target.name not in self._catalog().in_service:
             return
         for run in runs:
--- a/leverdoor/entry/requests/connections.py
+++ b/leverdoor/entry/requests/connections.py
@@ -9,7 +9,6 @@
 
 import asyncio
 from collections.abc import Callable
-from enum import StrEnum
 
 from leverdoor.entry.requests.connection import (
     AnswerLost,
@@ -21,9 +20,10 @@
 from leverdoor.entry.requests.outgoing import Outgoing
 from leverdoor.entry.requests.replies import TargetReply
 from leverdoor.model.resources import Target
+from leverdoor.quarantine.ended_targets import TargetCheck
 from leverdoor.settings import parse_address
 
-__all__ = ["Connections", "TargetCheck"]
+__all__ = ["Connections"]
 
 CONNECT_TIMEOUT_S = 0.4
 """Longest time to connect within the region, in seconds.
@@ -56,17 +56,6 @@
 """
 
 
-class TargetCheck(StrEnum):
-    """What a new connection to a target showed."""
-
-    ENDED = "ended"
-    """It was refused: the VM is there, the target's process is not."""
-    SERVES = "serves"
-    """It was taken."""
-    SILENT = "silent"
-    """There was no answer."""
-
-
 class Connections:
     """Kept connections by target; at most one request on each."""
 
--- a/leverdoor/entry/requests/forwarding.py
+++ b/leverdoor/entry/requests/forwarding.py
@@ -17,7 +17,6 @@
 from leverdoor.entry.requests.connection import AnswerLost, NotSent
 from leverdoor.entry.requests.connections import Connections
 from leverdoor.entry.requests.deadlines import give_up_on_target_at
-from leverdoor.entry.requests.ended_targets import EndedTargets
 from leverdoor.entry.requests.entry_request import EntryRequest
 from leverdoor.entry.requests.outcomes import Outcomes
 from leverdoor.entry.requests.outgoing import outgoing
@@ -27,6 +26,7 @@
 from leverdoor.entry.wire import Wire
 from leverdoor.errors import Code, Refusal, Rejection, Run
 from leverdoor.quarantine.crashes import LostRun
+from leverdoor.quarantine.ended_targets import EndedTargets
 from leverdoor.quarantine.quarantine import Quarantine
 from leverdoor.retry_budget import RetryBudget
 from leverdoor.workspaces.quota import Quotas
--- a/leverdoor/gate/daemon.py
+++ b/leverdoor/gate/daemon.py
@@ -22,6 +22,7 @@
 from leverdoor.gate.holdings import Holdings
 from leverdoor.gate.keyed import KeyedServer
 from leverdoor.gate.keys import KeyRing
+from leverdoor.gate.quarantining import GateQuarantine
 from leverdoor.gate.relay import HopClient
 from leverdoor.gate.scheduler import Scheduler
 from leverdoor.gate.serving import Server
@@ -68,7 +69,12 @@
         await self._listen(self._handler.relay_app(), s.relay)
         await self._listen(self._handler.caller_app(), s.listen)
         logger.info("gate up", listen=str(s.listen), relay=str(s.relay))
-        loops = (self._dispatcher.run, self._report, self._receive)
+        loops = (
+            self._dispatcher.run,
+            self._report,
+            self._receive,
+            self._quarantine.run,
+        )
         tasks = [asyncio.create_task(keep_running(w.__qualname__, w)) for w in loops]
         try:
             await self._stop.wait()
@@ -80,6 +86,7 @@
             for runner in self._runners:
                 await runner.cleanup()
             await self._client.close()
+            await self._quarantine.close()
             self._link.close()
         logger.info("gate down")
 
@@ -95,14 +102,17 @@
         )
         self._dispatcher = Dispatcher(self._scheduler)
         self._client = HopClient()
-        self._server = Server(self._dispatcher, self._client)
+        self._metrics = GateMetrics()
+        self._quarantine = GateQuarantine(
+            s.vm, self._scheduler.neighbours, self._metrics, rng
+        )
+        self._server = Server(self._dispatcher, self._client, self._quarantine)
         self._ring = KeyRing(
             s.vm, s.relay_address, self._incarnation, secrets.token_bytes(32), now
         )
         self._keyed = KeyedServer(
             self._ring, self._server, self._scheduler, self._client
         )
-        self._metrics = GateMetrics()
         self._handler = GateHandler(
             s.region,
             s.lookup_ttl_ms,
@@ -110,6 +120,7 @@
             self._server,
             self._keyed,
             self._ring,
+            self._quarantine,
             BurnMeter(),
             self._metrics,
         )
--- a/leverdoor/gate/handler.py
+++ b/leverdoor/gate/handler.py
@@ -25,6 +25,7 @@
 from leverdoor.gate.keyed import KeyedServer
 from leverdoor.gate.keys import KeyRing, Outcome
 from leverdoor.gate.lookups import LookupAnswer, named_entries
+from leverdoor.gate.quarantining import NOTICES_PATH, GateQuarantine
 from leverdoor.gate.refusals import LEAVING_RETRY_MS, NOT_READY_RETRY_MS
 from leverdoor.gate.requests import GateRequest, Origin
 from leverdoor.gate.scheduler import Scheduler
@@ -51,6 +52,7 @@
         server: Server,
         keyed: KeyedServer,
         ring: KeyRing,
+        quarantine: GateQuarantine,
         burn: BurnMeter,
         metrics: GateMetrics,
     ) -> None:
@@ -65,6 +67,7 @@
         self._server = server
         self._keyed = keyed
         self._ring = ring
+        self._quarantine = quarantine
         self._burn = burn
         self._metrics = metrics
 
@@ -87,6 +90,7 @@
         """Return the application that other gates and agents talk to."""
         app = web.Application(client_max_size=0)
         app.router.add_get("/v1/burn", self._burn_series)
+        app.router.add_post(NOTICES_PATH, self._take_notices)
         app.router.add_route(
             "*", "/s/{service}/{tail:.*}", self._from_gate, expect_handler=leave_expect
         )
@@ -121,6 +125,12 @@
             return ""
         return self._ring.issue(secrets.token_bytes(8), now)
 
+    # What other gates tell.
+
+    async def _take_notices(self, request: web.Request) -> web.StreamResponse:
+        self._quarantine.receive(await request.read())
+        return web.Response()
+
     # Requests.
 
     async def _from_caller(self, request: web.Request) -> web.StreamResponse:
--- a/leverdoor/gate/intake.py
+++ b/leverdoor/gate/intake.py
@@ -18,6 +18,7 @@
 from leverdoor.gate.relay import Body
 from leverdoor.gate.requests import GateRequest, Origin
 from leverdoor.model.resources import Service, WorkClass
+from leverdoor.quarantine.fingerprint import request_fingerprint
 from leverdoor.storage.view import View
 
 __all__ = ["caller_origin", "gate_origin", "leave_expect", "read_request"]
@@ -71,19 +72,32 @@
     if needs_key and not key and not origin.forwarded:
         raise Refusal(Code.KEY_REQUIRED)
     connection = request.headers.get("Connection", "")
+    body = await _read_body(request, service)
+    tail = request.raw_path.split("/", 3)[3]
     return GateRequest(
         request_id=origin.request_id,
         service=service,
         method=request.method,
-        tail=request.raw_path.split("/", 3)[3],
+        tail=tail,
         headers=h.passing(request.headers.items(), connection),
-        body=await _read_body(request, service),
+        body=body,
         queued=queued,
         caller=origin.caller,
         key=key,
+        fingerprint=_fingerprint(request.method, service, tail, origin.caller, body),
     )
 
 
+def _fingerprint(
+    method: str, service: Service, tail: str, caller: str, body: Body
+) -> int:
+    """Return the fingerprint of a request; 0 if its body is streamed."""
+    if body.whole is None:
+        return 0
+    size = len(body.whole)
+    return request_fingerprint(method, service.name, tail, caller, body.whole, size)
+
+
 def _queued(
     request: web.Request, service: Service, origin: Origin, arrived: float
 ) -> QueuedRequest:
--- a/leverdoor/gate/neighbours.py
+++ b/leverdoor/gate/neighbours.py
@@ -111,6 +111,10 @@
                 continue
             n.refresh()
 
+    def vms(self) -> list[str]:
+        """Return the VMs of all other gates that are known."""
+        return list(self._known)
+
     def get(self, vm: str) -> AgentHeartbeat | None:
         """Return the latest heartbeat of a VM, however old."""
         found = self._known.get(vm)
--- a/leverdoor/gate/requests.py
+++ b/leverdoor/gate/requests.py
@@ -42,6 +42,8 @@
     queued: QueuedRequest
     caller: str
     key: str = ""
+    fingerprint: int = 0
+    """By which it is known when it comes again; 0 with a body that is streamed."""
 
     @property
     def once(self) -> bool:
--- a/leverdoor/gate/serving.py
+++ b/leverdoor/gate/serving.py
@@ -16,6 +16,7 @@
 from leverdoor.errors import Code, Refusal, Rejection, Run
 from leverdoor.gate.dispatch import Dispatcher
 from leverdoor.gate.placement import Dispatch, Forward
+from leverdoor.gate.quarantining import GateQuarantine
 from leverdoor.gate.relay import BUFFERED_ANSWER, Answer, HopClient, refusal_of
 from leverdoor.gate.requests import GateRequest, gate_hop, target_hop
 from leverdoor.gate.retries import RetryRule
@@ -99,13 +100,17 @@
 class Server:
     """Serves requests of one gate."""
 
-    def __init__(self, dispatcher: Dispatcher, client: HopClient) -> None:
+    def __init__(
+        self, dispatcher: Dispatcher, client: HopClient, quarantine: GateQuarantine
+    ) -> None:
         """Create it.
 
         Args:
           dispatcher: where requests are placed.
           client: how they are sent on.
+          quarantine: which are held back.
         """
+        self._quarantine = quarantine
         self._dispatcher = dispatcher
         self._client = client
         self._retries = RetryRule()
@@ -116,6 +121,7 @@
         Raises:
           Refusal: it was given up; the code says whether it may have run.
         """
+        self._quarantine.check(inbound.fingerprint)
         self._retries.count()
         attempt = 0
         lost: Refusal | None = None
@@ -129,7 +135,7 @@
             except Refusal as e:
                 if e.run is not Run.NO:
                     lost = e
-                if not self._retries.allows(inbound, e, attempt):
+                if not self._may_retry(inbound, e, attempt):
                     raise lost or e from None
                 logger.info(
                     "again",
@@ -138,6 +144,13 @@
                     attempt=attempt,
                 )
 
+    def _may_retry(self, inbound: GateRequest, refusal: Refusal, attempt: int) -> bool:
+        """Return whether another attempt follows; never of what is held back."""
+        held = refusal.code is Code.QUARANTINED
+        if held or not self._quarantine.may_retry(inbound.fingerprint):
+            return False
+        return self._retries.allows(inbound, refusal, attempt)
+
     async def _send(self, inbound: GateRequest, made: Dispatch | Forward) -> Served:
         if isinstance(made, Dispatch):
             return await self._to_target(inbound, made)
@@ -155,6 +168,8 @@
             inbound.queued.tried.add(made.target.address)
             if e.code is not Code.DEADLINE_PASSED:
                 health.failed(loop.time())
+            if e.code is Code.ANSWER_LOST:
+                self._quarantine.lost(made.target, inbound.fingerprint, began)
             self._return(inbound, made, began, False, e.run is not Run.NO)
             raise
         except BaseException:
@@ -194,6 +209,8 @@
         self, inbound: GateRequest, made: Dispatch, began: float, whole: bool
     ) -> None:
         """Give back the units of a dispatch whose answer has ended."""
+        if whole:
+            self._quarantine.answered(inbound.fingerprint)
         self._return(inbound, made, began, whole, not whole)
 
     def _return(
--- a/leverdoor/metrics.py
+++ b/leverdoor/metrics.py
@@ -65,6 +65,12 @@
             "leverdoor_waiting", "Requests that wait.", registry=self.registry
         )
 
+        self.quarantined = Gauge(
+            "leverdoor_quarantined",
+            "Requests that are held back.",
+            registry=self.registry,
+        )
+
     def served(self, service: str, tier: str, took_s: float, ok: bool) -> None:
         """Count a finished request."""
         self._requests.labels(service, tier, str(ok).lower()).observe(took_s)
--- a/leverdoor/entry/requests/ended_targets.py
+++ b/leverdoor/quarantine/ended_targets.py
@@ -6,37 +6,44 @@
 running, or may be well. The answer itself doesn't tell; a new connection does at once.
 
 Owns the checks under way and the lost runs that wait for them; lost with the process.
-Relies on `connections` for the check.
+Relies on its caller to make the check and to log what it found.
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from enum import StrEnum
 from typing import TypeAlias
 
-from leverdoor.entry.events import Events
-from leverdoor.entry.requests.connections import Connections, TargetCheck
 from leverdoor.model.resources import Target
 from leverdoor.quarantine.crashes import LostRun
 
-__all__ = ["EndedTargets", "TakeEnd"]
+__all__ = ["CheckTarget", "EndedTargets", "TakeChecked", "TargetCheck"]
 
-TakeEnd: TypeAlias = Callable[[Target, list[LostRun]], None]
-"""Called with a target that ended, and the runs of this entry that ended with it."""
+
+class TargetCheck(StrEnum):
+    """What a new connection to a target showed."""
+
+    ENDED = "ended"
+    """It was refused: the VM is there, the target's process is not."""
+    SERVES = "serves"
+    """It was taken."""
+    SILENT = "silent"
+    """There was no answer."""
+
+
+CheckTarget: TypeAlias = Callable[[Target], Awaitable[TargetCheck]]
+"""Opens a new connection to a target."""
+TakeChecked: TypeAlias = Callable[[Target, TargetCheck, list[LostRun], float], None]
+"""Called with a target, what the check found, the runs of this process whose answers it
+lost, and how long the check took, in seconds."""
 
 
 class EndedTargets:
     """Looks at targets that closed connections without an answer."""
 
-    def __init__(self, connections: Connections, events: Events, take: TakeEnd) -> None:
-        """Create it without any check under way.
-
-        Args:
-          connections: makes the checks.
-          events: the log.
-          take: gets each target that ended.
-        """
-        self._connections = connections
-        self._events = events
+    def __init__(self, check: CheckTarget, take: TakeChecked) -> None:
+        """Create it without any check under way."""
+        self._check_target = check
         self._take = take
         self._lost: dict[str, list[LostRun]] = {}
         """By target, the runs that wait for its check."""
@@ -57,12 +64,7 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         try:
-            found = await self._connections.check(target)
+            found = await self._check_target(target)
         finally:
             runs = self._lost.pop(target.name)
-        took_s = loop.time() - began
-        self._events.target_checked(
-            target.name, target.service, found.value, len(runs), took_s
-        )
-        if found is TargetCheck.ENDED:
-            self._take(target, runs)
+        self._take(target, found, runs, loop.time() - began)
--- a/tests/interface_table.py
+++ b/tests/interface_table.py
@@ -114,6 +114,7 @@
         ("service", "tier", "answered"),
         (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0, inf),
     ),
+    "leverdoor_quarantined": ("gauge", (), ()),
     "leverdoor_refusals": ("counter", ("code",), ()),
     "leverdoor_revision": ("gauge", (), ()),
     "leverdoor_waiting": ("gauge", (), ()),
@@ -157,6 +158,7 @@
     ("gate drained", "info", ()),
     ("gate joined", "info", ("gate",)),
     ("gate leaving", "info", ("active",)),
+    ("gate not told", "info", ("error", "relay")),
     ("gate ready", "info", ("revision",)),
     ("gate up", "info", ("listen", "relay")),
     ("issuer refused", "info", ("request_id",)),
@@ -166,6 +168,8 @@
     ("process gone with its VM", "warning", ("identity",)),
     ("pull failed", "info", ("error",)),
     ("pull failed", "info", ("error", "peer")),
+    ("quarantine", "info", ("change", "ends", "fingerprint", "source", "tries")),
+    ("quarantine try", "info", ("fingerprint",)),
     ("refused", "info", ("code", "detail", "request_id", "service")),
     ("refused", "warning", ("code", "detail", "request_id", "service")),
     ("request failed", "exception", ("request_id",)),
@@ -175,6 +179,7 @@
     ("table not written", "info", ("error",)),
     ("table refused", "info", ("revision", "version")),
     ("table written", "info", ("revision", "version")),
+    ("target checked", "info", ("found", "target")),
     ("target not taken", "error", ("error", "key")),
     ("the store is behind what was accepted", "error", ("held", "store")),
 ]
@@ -626,6 +631,7 @@
     ("*", "/s/{service}/{tail}"),
     ("GET", "/v1/burn"),
     ("HEAD", "/v1/burn"),
+    ("POST", "/v1/internal/notices"),
 ]
 """The same of the gate, for other gates and agents."""
 
@@ -641,6 +647,7 @@
     "/s",
     "/v1/apply",
     "/v1/burn",
+    "/v1/internal/notices",
     "/v1/internal/state",
     "/v1/lookup",
     "/v1/reports",
--- a/tests/test_entry_connections.py
+++ b/tests/test_entry_connections.py
@@ -9,13 +9,14 @@
 from desk import target
 from leverdoor.entry.requests import idle_timeouts
 from leverdoor.entry.requests.connection import AnswerLost
-from leverdoor.entry.requests.connections import Connections, TargetCheck
+from leverdoor.entry.requests.connections import Connections
 from leverdoor.entry.requests.idle_timeouts import (
     LIMITED_FOR_S,
     LIMITED_IDLE_S,
     IdleTimeouts,
 )
 from leverdoor.entry.requests.outgoing import Outgoing
+from leverdoor.quarantine.ended_targets import TargetCheck
 
 LONG_S = 2 * LIMITED_IDLE_S
 SOON_S = 0.01
