--- a/benchmarks/emulated_quarantine.py
+++ b/benchmarks/emulated_quarantine.py
@@ -16,19 +16,13 @@
 
 import msgspec
 
-from emulated_exchange import KnowledgeSite, Outgoing
-from leverdoor.entry.exchange.exchange import Exchange
-from leverdoor.entry.exchange.exchange_types import EntryStatus
-from leverdoor.entry.exchange.messages import Message
-from leverdoor.entry.membership.member import SERVING, Member
-from leverdoor.entry.membership.members import Membership
-from leverdoor.entry.membership.roles import Roles
+from emulated_exchange import KnowledgeSite
+from leverdoor.entry.membership.member import Member
 from leverdoor.quarantine.crashes import LostRun, target_id
-from leverdoor.quarantine.quarantine import Quarantine
-from leverdoor.quarantine.records import Record, hold_of, record_of
-from leverdoor.quarantine.trying import tries_for_all
+from quarantine_node import EmulatedRecords, QuarantineNode
+from quarantine_plan import QuarantineFigures, QuarantinePlan
 
-__all__ = ["QuarantineFigures", "QuarantinePlan", "play_quarantine"]
+__all__ = ["play_quarantine"]
 
 QUIET_S = 6.0
 """Time before the first trouble, in seconds."""
@@ -76,87 +70,6 @@
 """Time between two looks of a follower at what the store lacks, in seconds."""
 SPREAD_S = 0.8
 """Time until all entries have what the store has, in seconds."""
-WALL_S = 1.7e9
-"""Seconds since the epoch at the start of the run."""
-
-
-class QuarantinePlan(msgspec.Struct, frozen=True):
-    """What is played."""
-
-    entries: int
-    fatal: int = 1
-    """Requests that end each target that runs them."""
-    loss: float = 0.0
-    """Share of the datagrams that are lost."""
-    cut: bool = False
-    """A region is cut off from the others for five seconds."""
-    killed: bool = False
-    """All entries are killed in the middle."""
-    at_once: float = 0.0
-    """Share of the targets that end at one moment."""
-    cascade: float = 0.0
-    """Targets that end by themselves each second for a while, as a share of all."""
-    per_entry: float = 14.0
-    """Attempts a second at an entry; on busy days 8 to 16."""
-    count_only: bool = False
-    """Weighed: hold back whatever was lost three times, without any other rule."""
-    seed: int = 1
-
-
-class QuarantineFigures(msgspec.Struct):
-    """What one run shows."""
-
-    most_sent_late: int = 0
-    """Sends of a fatal request to targets later than 4 s after the third ended under
-    it, of the one with the most; three are allowed."""
-    most_ended: int = 0
-    """Targets that ended under one fatal request, at most."""
-    harmless_refused: int = 0
-    """Attempts of harmless requests that were turned away."""
-    harmless_held: int = 0
-    """Harmless requests that any entry held back."""
-    harmless: int = 0
-    """Attempts of harmless requests."""
-    harmless_lost: int = 0
-    """Harmless runs that ended with their targets."""
-    kb_per_s: float = 0.0
-    """Bytes sent by an entry, on average, with the headers of IP and UDP."""
-    busiest_kb_per_s: float = 0.0
-    """The same for the entry that sends most."""
-
-    def line(self) -> str:
-        """Return the figures by name on one line."""
-        found = []
-        for name in self.__struct_fields__:
-            value = getattr(self, name)
-            text = f"{value:.2f}" if isinstance(value, float) else str(value)
-            found.append(f"{name}={text}")
-        return " ".join(found)
-
-
-class _Node:
-    """One entry as far as held requests go."""
-
-    def __init__(self, own: Member, rng: Random) -> None:
-        self.membership = Membership(own)
-        self.exchange = Exchange(self.membership, Roles(self.membership, rng))
-        self.quarantine = Quarantine()
-        self.held: set[int] = set()
-        """All that were ever held back here."""
-
-    def round(self, now: float) -> list[Outgoing]:
-        """Judge, and return what it sends in a round."""
-        self.quarantine.judge(now)
-        self.held |= self.quarantine.holds.keys()
-        notices = self.quarantine.notices(now)
-        status = EntryStatus(SERVING, 1, {}, {}, -1, [], notices=notices)
-        sendings, _ = self.exchange.round(status, now)
-        self.exchange.forget(now)
-        return [(s.message, s.to) for s in sendings]
-
-    def take(self, message: Message, now: float) -> None:
-        """Take a message."""
-        self.quarantine.receive(self.exchange.take(message, 1, now).notices, now)
 
 
 class _Run(msgspec.Struct):
@@ -191,7 +104,7 @@
         self._harmless = count(FIRST_HARMLESS + POPULAR)
         self._ends: defaultdict[int, list[float]] = defaultdict(list)
         self._sent: defaultdict[int, list[float]] = defaultdict(list)
-        self._records: dict[int, Record] = {}
+        self._records = EmulatedRecords()
         self._lost: Counter[int] = Counter()
         """For the rule that only counts: lost runs by fingerprint."""
 
@@ -299,7 +212,9 @@
         harmless = fingerprint >= FIRST_HARMLESS
         self.figures.harmless += harmless
         run = _Run(fingerprint, name, self.now, 1, tries, [])
-        if self._holds(name, fingerprint) and not self._tries(name, fingerprint):
+        if self._holds(name, fingerprint) and not self._node(name).tries(
+            fingerprint, self.now
+        ):
             self.figures.harmless_refused += harmless
             self._try_again(run)
             return
@@ -310,14 +225,6 @@
             return self._lost[fingerprint] >= ENOUGH
         return self._node(name).quarantine.hold(fingerprint, self.now) is not None
 
-    def _tries(self, name: str, fingerprint: int) -> bool:
-        """Return whether an entry runs a request that is held back once more."""
-        node = self._node(name)
-        hold = node.quarantine.hold(fingerprint, self.now)
-        if hold is None or not _tries_for_all(node, fingerprint):
-            return False
-        return node.quarantine.try_once_more(hold, self.now)
-
     def _send(self, run: _Run) -> None:
         """Run a request at the first target of its key that was not tried."""
         order = self._in_order(run.fingerprint % KEYS)
@@ -354,9 +261,9 @@
             self._lost[run.fingerprint] = 0
             self._node(run.entry).quarantine.answered(run.fingerprint, self.now)
 
-    def _node(self, name: str) -> _Node:
+    def _node(self, name: str) -> QuarantineNode:
         node = self.site.nodes[name]
-        assert isinstance(node, _Node)
+        assert isinstance(node, QuarantineNode)
         return node
 
     # Entries and the store.
@@ -365,36 +272,18 @@
         self.site.cut = region
 
     def _write_records(self) -> None:
-        """Let the first entry write what it holds back, and others read it."""
+        """Let two followers write what they hold back; all read it a moment later."""
         for name in self._names[:2]:
             if name in self.site.dead:
                 continue
-            self._remove_void(self._node(name).quarantine)
-            for fingerprint, hold in self._node(name).quarantine.holds.items():
-                if fingerprint not in self._records:
-                    record = record_of(hold, name, self.now, WALL_S + self.now)
-                    self._records[fingerprint] = record
-                    self._after(SPREAD_S, lambda f=fingerprint: self._read(f))  # type: ignore[misc]
+            for fingerprint in self._records.write(self._node(name), self.now):
+                self._after(SPREAD_S, lambda f=fingerprint: self._read(f))  # type: ignore[misc]
         self._after(LOOK_S, self._write_records)
 
-    def _remove_void(self, quarantine: Quarantine) -> None:
-        """Remove the records of requests that were answered since."""
-        for fingerprint, record in list(self._records.items()):
-            hold = hold_of(record, fingerprint, self.now, WALL_S + self.now)
-            if quarantine.is_void(hold):
-                del self._records[fingerprint]
-
     def _read(self, fingerprint: int) -> None:
-        if fingerprint not in self._records:
-            return
         for name in self._names:
             if name not in self.site.dead:
-                self._take(self._node(name), fingerprint)
-
-    def _take(self, node: _Node, fingerprint: int) -> None:
-        record = self._records[fingerprint]
-        hold = hold_of(record, fingerprint, self.now, WALL_S + self.now)
-        node.quarantine.take_stored(hold, self.now)
+                self._records.read(self._node(name), fingerprint, self.now)
 
     def _kill_all(self) -> None:
         self.site.dead = set(self._names)
@@ -408,12 +297,11 @@
         members = [n.membership.own for n in self.site.nodes.values()]
         for before in members:
             own = msgspec.structs.replace(before, incarnation=before.incarnation + 1)
-            node = _Node(own, Random(f"{own.name} again"))
+            node = QuarantineNode(own, Random(f"{own.name} again"))
             node.held = self._node(own.name).held
             for other in members:
                 node.membership.introduce(other, self.now)
-            for fingerprint in self._records:
-                self._take(node, fingerprint)
+            self._records.read_all(node, self.now)
             self.site.restart(own.name, node)
 
     def _figures(self) -> QuarantineFigures:
@@ -434,13 +322,8 @@
         return figures
 
 
-def _tries_for_all(node: _Node, fingerprint: int) -> bool:
-    others = node.membership.names()
-    return tries_for_all(node.membership.own.name, others, fingerprint)
-
-
-def _make(own: Member, _: dict[str, list[str]], rng: Random) -> _Node:
-    return _Node(own, rng)
+def _make(own: Member, _: dict[str, list[str]], rng: Random) -> QuarantineNode:
+    return QuarantineNode(own, rng)
 
 
 def play_quarantine(plan: QuarantinePlan) -> QuarantineFigures:
--- a/benchmarks/mixed_versions.py
+++ b/benchmarks/mixed_versions.py
@@ -30,7 +30,7 @@
 from leverdoor.client.load import Load, LoadPlan, LoadResult, Stream
 from leverdoor.errors import Run
 from leverdoor.standins.deployments import build
-from leverdoor.standins.entry_site import EntryProcess, Place
+from leverdoor.standins.entry_process import EntryProcess, Place
 from leverdoor.standins.site import Site, configure, target_logs
 from leverdoor.standins.soak.run import Soak
 from leverdoor.standins.soak.site import SoakSite
--- a/benchmarks/quarantine.py
+++ b/benchmarks/quarantine.py
@@ -10,7 +10,8 @@
 
 import click
 
-from emulated_quarantine import QuarantinePlan, play_quarantine
+from emulated_quarantine import play_quarantine
+from quarantine_plan import QuarantinePlan
 
 
 @click.command()
--- a/examples/entries.py
+++ b/examples/entries.py
@@ -8,13 +8,8 @@
 import time
 from collections import Counter
 
-from leverdoor.standins.entry_site import (
-    SAMPLE_ROUTES,
-    Answer,
-    EntryProcess,
-    EntrySite,
-    Place,
-)
+from leverdoor.standins.entry_process import EntryProcess, Place
+from leverdoor.standins.entry_site import SAMPLE_ROUTES, Answer, EntrySite
 from leverdoor.standins.upstreams import UpstreamStandin
 
 PLACES = {
--- a/leverdoor/standins/entry_site.py
+++ b/leverdoor/standins/entry_site.py
@@ -11,7 +11,6 @@
 import json
 import os
 import signal
-import sys
 import tempfile
 from collections.abc import Mapping
 from functools import partial
@@ -25,10 +24,11 @@
 
 from leverdoor.codec import serialize_json
 from leverdoor.sessions import new_session
+from leverdoor.standins.entry_process import EntryProcess, Place
 from leverdoor.standins.metadata import MetadataStandin
 from leverdoor.standins.upstreams import UpstreamStandin
 
-__all__ = ["Answer", "EntryProcess", "EntrySite", "Place", "RESTART_S", "SAMPLE_ROUTES"]
+__all__ = ["Answer", "EntrySite", "RESTART_S", "SAMPLE_ROUTES"]
 
 HOST = "127.0.0.1"
 FIRST_PORT = 8_381
@@ -40,8 +40,6 @@
 """Looks before a wait is given up: a minute."""
 RESTART_S = 0.3
 """Time from a target's crash to its next start, in seconds."""
-STOP_S = 10.0
-"""Longest time that a process may take to end, in seconds."""
 
 SAMPLE_ROUTES: list[dict[str, object]] = [
     {
@@ -83,13 +81,6 @@
 ]
 
 
-class Place(msgspec.Struct, frozen=True):
-    """Where an entry or a target stands."""
-
-    zone: str
-    region: str
-
-
 class Answer(msgspec.Struct, frozen=True):
     """What a client got; status 0 when the connection ended without an answer."""
 
@@ -100,76 +91,6 @@
     """Their names are found in any case."""
 
 
-class EntryProcess:
-    """One entry as a process."""
-
-    def __init__(
-        self, name: str, place: Place, settings: Path, ports: dict[str, str]
-    ) -> None:
-        """Create it; `start` runs it.
-
-        Args:
-          name: its name.
-          place: where it stands.
-          settings: its settings file.
-          ports: by purpose, where it listens.
-        """
-        self.name = name
-        self.place = place
-        self.settings = settings
-        self.ports = ports
-        self.log = settings.with_suffix(".log")
-        self.program = "leverdoor.platform"
-        self.python = [sys.executable]
-        """Command that runs it; another checkout's Python runs that version."""
-        self.environment: dict[str, str] = {}
-        self.incarnation = 0
-        """How often it was started."""
-        self._log_before = 0
-        self._process: asyncio.subprocess.Process | None = None
-
-    async def start(self) -> None:
-        """Start the process."""
-        self.incarnation += 1
-        self._log_before = self.log.stat().st_size if self.log.exists() else 0
-        with self.log.open("ab") as log:
-            self._process = await asyncio.create_subprocess_exec(
-                *self.python,
-                "-m",
-                self.program,
-                env=os.environ
-                | {"LEVERDOOR_SETTINGS": str(self.settings)}
-                | self.environment,
-                stdout=log,
-                stderr=log,
-            )
-
-    @property
-    def running(self) -> bool:
-        """Return whether the process runs."""
-        return self._process is not None and self._process.returncode is None
-
-    def send(self, number: signal.Signals) -> None:
-        """Send a signal to the process."""
-        if self._process is not None and self.running:
-            self._process.send_signal(number)
-
-    async def ended(self) -> int:
-        """Wait for the end of the process, and return its status."""
-        assert self._process is not None
-        async with asyncio.timeout(STOP_S):
-            return await self._process.wait()
-
-    def has_logged(self) -> bool:
-        """Return whether the process has logged a line since its last start."""
-        return self.log.stat().st_size > self._log_before
-
-    def events(self) -> list[dict[str, object]]:
-        """Return what the process has logged."""
-        lines = self.log.read_bytes().splitlines()
-        return [json.loads(line) for line in lines if line.startswith(b"{")]
-
-
 class EntrySite:
     """A deployment: the store and the targets here, the entries as processes."""
 
--- a/leverdoor/standins/soak/callers.py
+++ b/leverdoor/standins/soak/callers.py
@@ -16,7 +16,7 @@
 from yarl import URL
 
 from leverdoor.sessions import new_session
-from leverdoor.standins.entry_site import EntryProcess
+from leverdoor.standins.entry_process import EntryProcess
 from leverdoor.standins.soak.record import Attempt, Probe, Record, now_s
 from leverdoor.standins.soak.site import SoakSite, mark_path
 from leverdoor.standins.soak.workspaces import FREE, WORKSPACES, SoakWorkspace
--- a/leverdoor/standins/soak/entry_faults.py
+++ b/leverdoor/standins/soak/entry_faults.py
@@ -9,7 +9,7 @@
 import asyncio
 import signal
 
-from leverdoor.standins.entry_site import EntryProcess
+from leverdoor.standins.entry_process import EntryProcess
 from leverdoor.standins.soak.plan import PlannedFault
 from leverdoor.standins.soak.record import Record, now_s
 from leverdoor.standins.soak.site import SoakSite
--- a/leverdoor/standins/soak/fatal.py
+++ b/leverdoor/standins/soak/fatal.py
@@ -13,7 +13,7 @@
 from yarl import URL
 
 from leverdoor.sessions import new_session
-from leverdoor.standins.entry_site import EntryProcess
+from leverdoor.standins.entry_process import EntryProcess
 from leverdoor.standins.soak.callers import NO_BODY_DIGEST, refusal_name
 from leverdoor.standins.soak.record import Attempt, Record, now_s
 from leverdoor.standins.soak.site import SoakSite
--- a/leverdoor/standins/soak/run.py
+++ b/leverdoor/standins/soak/run.py
@@ -14,7 +14,8 @@
 
 import msgspec
 
-from leverdoor.standins.entry_site import SAMPLE_ROUTES, EntryProcess
+from leverdoor.standins.entry_process import EntryProcess
+from leverdoor.standins.entry_site import SAMPLE_ROUTES
 from leverdoor.standins.soak.callers import SoakCaller, SoakProber
 from leverdoor.standins.soak.fatal import FatalCaller
 from leverdoor.standins.soak.faults import SoakFaults
--- a/leverdoor/standins/soak/site.py
+++ b/leverdoor/standins/soak/site.py
@@ -10,12 +10,8 @@
 from collections.abc import Mapping
 from pathlib import Path
 
-from leverdoor.standins.entry_site import (
-    SAMPLE_ROUTES,
-    EntryProcess,
-    EntrySite,
-    Place,
-)
+from leverdoor.standins.entry_process import EntryProcess, Place
+from leverdoor.standins.entry_site import SAMPLE_ROUTES, EntrySite
 from leverdoor.standins.proxy import LinkFault, LoopbackProxy
 from leverdoor.standins.soak.record import now_s
 from leverdoor.standins.soak.skewed import CLOCK
--- a/tests/entry_bench.py
+++ b/tests/entry_bench.py
@@ -6,11 +6,8 @@
 import json
 from collections import Counter
 
-from leverdoor.standins.entry_site import (
-    Answer,
-    EntrySite,
-    Place,
-)
+from leverdoor.standins.entry_process import Place
+from leverdoor.standins.entry_site import Answer, EntrySite
 from leverdoor.standins.upstreams import UpstreamStandin
 
 PLACES = {
--- a/tests/test_entry_clients.py
+++ b/tests/test_entry_clients.py
@@ -15,10 +15,7 @@
     runs,
     until_in_force,
 )
-from leverdoor.standins.entry_site import (
-    SAMPLE_ROUTES,
-    EntrySite,
-)
+from leverdoor.standins.entry_site import SAMPLE_ROUTES, EntrySite
 from leverdoor.standins.upstreams import UpstreamStandin
 
 
--- a/tests/test_entry_troubles.py
+++ b/tests/test_entry_troubles.py
@@ -11,12 +11,8 @@
 from entry_bench import (
     check_promises,
 )
-from leverdoor.standins.entry_site import (
-    SAMPLE_ROUTES,
-    Answer,
-    EntryProcess,
-    EntrySite,
-)
+from leverdoor.standins.entry_process import EntryProcess
+from leverdoor.standins.entry_site import SAMPLE_ROUTES, Answer, EntrySite
 from leverdoor.standins.metadata import MetadataFaults
 
 
--- a/tests/test_entry_whole.py
+++ b/tests/test_entry_whole.py
@@ -16,11 +16,7 @@
 from leverdoor.codec import pack, unpack
 from leverdoor.platform.settings import METRICS_PORT
 from leverdoor.sessions import new_session
-from leverdoor.standins.entry_site import (
-    SAMPLE_ROUTES,
-    Answer,
-    EntrySite,
-)
+from leverdoor.standins.entry_site import SAMPLE_ROUTES, Answer, EntrySite
 from leverdoor.standins.metadata import MetadataFaults
 from leverdoor.storage.state import Delta
 
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -12,7 +12,8 @@
 from leverdoor.analysis.explaining import explain
 from leverdoor.analysis.log_lines import parse_log
 from leverdoor.cli import main
-from leverdoor.standins.entry_site import EntrySite, Place
+from leverdoor.standins.entry_process import Place
+from leverdoor.standins.entry_site import EntrySite
 from leverdoor.standins.upstreams import UpstreamStandin
 
 
--- a/tests/test_quarantine_site.py
+++ b/tests/test_quarantine_site.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from emulated_quarantine import QuarantinePlan, play_quarantine
+from emulated_quarantine import play_quarantine
+from quarantine_plan import QuarantinePlan
 
 MOST_MORE = 3
 """Sends of a fatal request later than 4 s after the third target ended under it."""
--- a/tests/test_wire_bytes.py
+++ b/tests/test_wire_bytes.py
@@ -59,7 +59,8 @@
 from leverdoor.platform.store import PlatformStore
 from leverdoor.settings import Address
 from leverdoor.standins.deployments import Deployment, TargetPlan
-from leverdoor.standins.entry_site import EntrySite, Place
+from leverdoor.standins.entry_process import Place
+from leverdoor.standins.entry_site import EntrySite
 from leverdoor.storage.configuration import Configuration, Guard
 from leverdoor.storage.etcd import EtcdStore
 from leverdoor.storage.state import GUARD, PREFIX, RESOURCES, TABLES, Delta, State
