--- a/leverdoor/quarantine/crashes.py
+++ b/leverdoor/quarantine/crashes.py
@@ -42,7 +42,7 @@
 end is overlooked. Smaller: one end counts twice.
 """
 MOST_CRASHES = 256
-"""Ends kept; with `MOST_RUNS` each, 2 MB.
+"""Ends kept; with `MOST_RUNS` each, 4.0 MB (tracemalloc).
 
 Chosen: the 750 targets of a large site that lose a third at once. Of more, those are
 dropped that say least (`CrashBook._drop_one`).
--- a/leverdoor/quarantine/quarantine.py
+++ b/leverdoor/quarantine/quarantine.py
@@ -71,7 +71,7 @@
 Chosen: each ends targets, so there are few; this bounds memory and keys of the store.
 """
 MOST_ANSWERED = 4_096
-"""Requests kept that ran to an end; 0.6 MB.
+"""Requests kept that ran to an end; 0.6 MB (tracemalloc).
 
 Chosen: those of some minutes at 16 a second and entry. Greater: more memory. Smaller: a
 report that comes late counts against a request that was run meanwhile.
