Red test: a harmless look-up is held back beside a cause that ends all targets at once

Cause: ends are counted by moments, so that one event counts once. Where that gives two requests the same count, the one that was at more ends does not come before the other; a popular look-up at three of six ends passes for a rival of the cause, and is held back until one entry has tried it.

--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -373,3 +373,32 @@
 
 def test_targets_have_ids_of_32_bits() -> None:
     assert 0 < target_id("i-1") < 1 << 32
+
+
+def test_beside_a_cause_that_ends_all_targets_at_once_nobody_is_held_back() -> None:
+    """Six harmless look-ups were refused for 2.3 s.
+
+    A fatal request came to three entries at a time; with second attempts all six
+    targets ended within 74 ms. A popular look-up ran at three of them, one after the
+    other. By moments both were at three ends, so the look-up counted as a rival of the
+    cause, which was at all six. Soak 820020 with one fatal request: quarantine held
+    ends 6 tries 0 for the cause, ends 3 tries 2 for the look-up.
+    """
+    s = Entries()
+    runs = (
+        (1, 0.046, 0.072),
+        (2, 0.058, 0.087),
+        (3, 0.060, 0.090),
+        (4, 0.087, 0.131),
+        (5, 0.090, 0.134),
+        (6, 0.072, 0.146),
+    )
+    for target, began, end in runs:
+        run = LostRun(CAUSE, s.now + began, s.now + end)
+        s.all[0].crashed(target, run, s.now + end)
+    for target, began, end in ((2, 0.058, 0.087), (4, 0.087, 0.116), (6, 0.120, 0.161)):
+        s.all[1].crashed(target, LostRun(VICTIM, s.now + began, s.now + end), s.now)
+    s.now += 0.2
+    s.round(SETTLED)
+    assert s.held(CAUSE) == [True, True]
+    assert s.held(VICTIM) == [False, False]
