Records of held requests are brought into range when they are read

Found while reading the change. A record that another program wrote, with a fingerprint of more than 64 bits, a negative or great number of tries, or a span or time beyond all bounds, was taken as it was; the next round could not pack it into a notice and raised, so no entry that read it sent heartbeats while it stood.

A fingerprint is taken only as entries write it; tries and span are clamped, since a later release may have more.

--- a/leverdoor/entry/quarantine_records.py
+++ b/leverdoor/entry/quarantine_records.py
@@ -20,7 +20,7 @@
 from leverdoor.entry.events import Events
 from leverdoor.entry.wire import Wire
 from leverdoor.errors import LeverdoorError
-from leverdoor.quarantine.fingerprint import fingerprint_text
+from leverdoor.quarantine.fingerprint import FINGERPRINT_BYTES, fingerprint_text
 from leverdoor.quarantine.quarantine import HOLD_S, Hold, Quarantine
 from leverdoor.quarantine.records import (
     hold_of,
@@ -196,8 +196,10 @@
 
 
 def _fingerprint(text: str) -> int:
-    """Return the fingerprint of its text; 0 if it is none."""
+    """Return the fingerprint of its text; 0 if it is none, or written otherwise."""
     try:
-        return int(text, 16)
+        fingerprint = int(text, 16)
     except ValueError:
         return 0
+    fits = 0 < fingerprint < 1 << (8 * FINGERPRINT_BYTES)
+    return fingerprint if fits and fingerprint_text(fingerprint) == text else 0
--- a/leverdoor/quarantine/records.py
+++ b/leverdoor/quarantine/records.py
@@ -4,21 +4,29 @@
 
 A record has no lease: one that ran out while the store is away would release the
 request. Its age is told by wall clocks, the only ones that outlast a process; a clock
-that is off by seconds shifts the end of a hold by as much. Owns no state.
+that is off by seconds shifts the end of a hold by as much. Any program may write to the
+store, so figures are brought into range here: what is taken must fit a notice. Owns no
+state.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from leverdoor.codec import serialize_json
-from leverdoor.quarantine.quarantine import HOLD_S, TRY_AFTER_S, Hold
+from leverdoor.quarantine.crashes import MEMORY_S
+from leverdoor.quarantine.quarantine import HOLD_S, MOST_TRIES, TRY_AFTER_S, Hold
 
 __all__ = ["Record", "hold_of", "parse_record", "record_of", "serialize_record"]
 
+MOST_MS = (1 << 53) - 1
+"""Greatest time of a record, in milliseconds; the greatest whole number of JSON."""
+
 
 class Record(msgspec.Struct, frozen=True):
     """One request that is held back; operators may read and remove it."""
 
-    held_at_ms: int
+    held_at_ms: Annotated[int, msgspec.Meta(ge=0, le=MOST_MS)]
     """Milliseconds since the epoch."""
     first_s: float
     """From the first end that counts to when it was held back, in seconds."""
@@ -56,7 +64,7 @@
 
 
 def hold_of(record: Record, fingerprint: int, now: float, wall_s: float) -> Hold:
-    """Return the hold of a record; its age is between none and all of `HOLD_S`.
+    """Return the hold of a record; its figures are brought into range.
 
     Args:
       record: as the store has it.
@@ -66,5 +74,6 @@
     """
     age_s = min(max(wall_s - record.held_at_ms / 1000, 0.0), HOLD_S)
     at = now - age_s
-    first = at - max(record.first_s, 0.0)
-    return Hold(fingerprint, first, at, record.tries, at + TRY_AFTER_S)
+    first = at - min(max(record.first_s, 0.0), MEMORY_S)
+    tries = min(max(record.tries, 0), MOST_TRIES)
+    return Hold(fingerprint, first, at, tries, at + TRY_AFTER_S)
--- a/tests/test_quarantine_records.py
+++ b/tests/test_quarantine_records.py
@@ -7,6 +7,8 @@
 from random import Random
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from leverdoor.entry.events import Events, LineWriter
 from leverdoor.entry.quarantine_records import REMOVED_AFTER_S, QuarantineRecords
@@ -14,6 +16,7 @@
 from leverdoor.platform.names import wire
 from leverdoor.quarantine.crashes import LostRun
 from leverdoor.quarantine.fingerprint import fingerprint_text
+from leverdoor.quarantine.notices import serialize_notices
 from leverdoor.quarantine.quarantine import (
     HOLD_S,
     JUDGE_AFTER_S,
@@ -193,3 +196,56 @@
     assert held_refusal(
         Hold(CAUSE, 990.0, 1000.0, 1, 1005.0), 1004.9
     ).retry_after_ms == (1_000)
+
+
+def take_and_tell(text: str, value: bytes) -> Entry:
+    """Have an entry read a record that another program wrote, and tell the others."""
+    one = Entry({})
+    one.records.take({text: KeyValue(KEY, value, 1)}, one.now)
+    one.records.due(one.now, WALL_S)
+    one.quarantine.judge(one.now)
+    serialize_notices(one.quarantine.notices(one.now))
+    return one
+
+
+GOOD = b'{"held_at_ms":1700000000000,"first_s":2.0,"entry":"n1","tries":1}'
+
+
+@pytest.mark.parametrize(
+    ("text", "value"),
+    [
+        ("f" * 20, GOOD),
+        ("-1", GOOD),
+        (fingerprint_text(CAUSE), GOOD.replace(b'"tries":1', b'"tries":-1')),
+        (
+            fingerprint_text(CAUSE),
+            GOOD.replace(b'"tries":1', b'"tries":%d' % (1 << 40)),
+        ),
+        (fingerprint_text(CAUSE), GOOD.replace(b"2.0", b"1e308")),
+        (fingerprint_text(CAUSE), GOOD.replace(b"1700000000000", b"9" * 400)),
+    ],
+)
+def test_a_record_out_of_range_does_not_silence_an_entry(
+    text: str, value: bytes
+) -> None:
+    """Found by reading: one such record would have ended the round of every entry.
+
+    A record that is JSON of the right types was taken as it was; the next round could
+    not pack its fingerprint, tries or span into a notice and raised, so that no entry
+    sent heartbeats while the record stood.
+    """
+    take_and_tell(text, value)
+
+
+@given(
+    st.text(max_size=20) | st.integers(0, (1 << 72) - 1).map("{:x}".format),
+    st.binary(max_size=40)
+    | st.builds(
+        '{{"held_at_ms":{},"first_s":{},"entry":"n1","tries":{}}}'.format,
+        st.integers(),
+        st.floats(allow_nan=False, allow_infinity=False),
+        st.integers(),
+    ).map(str.encode),
+)
+def test_any_record_is_read_or_left_out(text: str, value: bytes) -> None:
+    take_and_tell(text, value)
