--- a/leverdoor/gate/quarantining.py
+++ b/leverdoor/gate/quarantining.py
@@ -18,6 +18,7 @@
 from loguru import logger
 
 from leverdoor.gate.neighbours import Neighbours
+from leverdoor.gate.relay import CONNECT_TIMEOUT_S
 from leverdoor.metrics import GateMetrics
 from leverdoor.model.resources import Target
 from leverdoor.quarantine.crashes import LostRun, target_id
@@ -41,9 +42,6 @@
 have it after three rounds. Fewer: some have it later. More: more connections."""
 TELL_TIMEOUT_S = 1.0
 """Longest time to tell one gate, in seconds; chosen: another round follows."""
-CHECK_TIMEOUT_S = 1.0
-"""Longest time to connect to a target that is looked at, in seconds; as for requests
-(`relay.CONNECT_TIMEOUT_S`)."""
 
 
 class GateQuarantine:
@@ -162,7 +160,7 @@
     """Find out by a new connection whether a target still serves."""
     address = parse_address(target.address)
     try:
-        async with asyncio.timeout(CHECK_TIMEOUT_S):
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
             _, writer = await asyncio.open_connection(address.host, address.port)
     except ConnectionRefusedError:
         return TargetCheck.ENDED
--- a/leverdoor/quarantine/notices.py
+++ b/leverdoor/quarantine/notices.py
@@ -68,7 +68,7 @@
 
 
 def parse_notices(data: bytes) -> list[Notice]:
-    """Parse notices; one cut short, or of a kind of tomorrow, is left out."""
+    """Parse notices; one cut short, or of an unknown kind, is left out."""
     whole = len(data) - len(data) % ROW.size
     return [
         Notice(NoticeKind(kind), fingerprint, age_ms, target, span)
--- a/leverdoor/quarantine/quarantine.py
+++ b/leverdoor/quarantine/quarantine.py
@@ -61,8 +61,8 @@
 MOST_TRIES = 2
 """Such tries of one request.
 
-The operator allows three sends later than 4 s after the third end; that leaves two for
-entries that are cut off from each other. Greater: none is left. Smaller: a harmless
+The operator allows three sends later than 4 s after the third end; that leaves one for
+an entry that was cut off. Greater: none is left. Smaller: a harmless
 request whose one try meets another end of a target stays held back.
 """
 MOST_HELD = 256
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -7,22 +7,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from leverdoor.quarantine.crashes import (
-    MEMORY_S,
-    MOST_CRASHES,
-    MOST_RUNS,
-    SAME_END_S,
-    CrashBook,
-    LostRun,
-    separate,
-    target_id,
-)
-from leverdoor.quarantine.notices import (
-    Notice,
-    NoticeKind,
-    parse_notices,
-    serialize_notices,
-)
+from leverdoor.quarantine.crashes import MEMORY_S, MOST_CRASHES, LostRun
+from leverdoor.quarantine.notices import serialize_notices
 from leverdoor.quarantine.outbox import MOST_SENT, RESENT_S
 from leverdoor.quarantine.quarantine import (
     HOLD_S,
@@ -293,56 +279,6 @@
     assert s.held(CAUSE) == [True]
 
 
-def test_one_end_that_is_reported_twice_counts_once() -> None:
-    book = CrashBook()
-    assert book.add(1, LostRun(CAUSE, 0.0, 0.1))
-    assert not book.add(1, LostRun(CAUSE, 0.0, 0.1 + SAME_END_S))
-    assert book.add(1, LostRun(CAUSE, 2.0, 2.1))
-    for i in range(2 * MOST_RUNS):
-        book.add(2, LostRun(i, 0.0, 0.1))
-    assert len(book._crashes[-1].runs) == MOST_RUNS
-
-
-def test_runs_that_overlap_count_once() -> None:
-    one = LostRun(1, 0.0, 1.0)
-    assert separate([one, LostRun(1, 0.1, 1.0), LostRun(1, 0.9, 1.0)]) == 1
-    assert separate([one, LostRun(1, 0.99, 1.1)]) == 2
-    assert separate([LostRun(1, i, i + 1.0) for i in range(4)]) == 4
-
-
-def test_an_end_speaks_against_the_request_that_was_there_at_the_most() -> None:
-    book = CrashBook()
-    for i in range(ENOUGH):
-        book.add(i, LostRun(CAUSE, i, i + 0.1))
-        book.add(i, LostRun(VICTIM, i, i + 0.1))
-    assert judge_request(book, CAUSE) is Verdict.UNSURE
-    assert judge_request(book, VICTIM) is Verdict.UNSURE
-    book.add(ENOUGH, LostRun(CAUSE, ENOUGH, ENOUGH + 0.1))
-    assert judge_request(book, CAUSE) is Verdict.CAUSE
-    assert judge_request(book, VICTIM) is Verdict.HARMLESS
-    assert book.attributed(VICTIM) == []
-
-
-notices = st.builds(
-    Notice,
-    st.sampled_from(NoticeKind),
-    st.integers(1, (1 << 64) - 1),
-    st.integers(0, (1 << 32) - 1),
-    st.integers(0, (1 << 32) - 1),
-    st.integers(0, (1 << 16) - 1),
-)
-
-
-@given(st.lists(notices, max_size=5), st.binary(max_size=18))
-def test_notices_are_read_as_written(some: list[Notice], cut: bytes) -> None:
-    assert parse_notices(serialize_notices(some) + cut) == some
-
-
-@given(st.binary(max_size=200))
-def test_any_bytes_are_read(data: bytes) -> None:
-    Quarantine().receive(parse_notices(data), 1000.0)
-
-
 events = st.lists(
     st.tuples(
         st.sampled_from(["crash", "answer", "round"]),
@@ -371,10 +307,6 @@
         assert len(set(s.held(fingerprint))) == 1, fingerprint
 
 
-def test_targets_have_ids_of_32_bits() -> None:
-    assert 0 < target_id("i-1") < 1 << 32
-
-
 def test_beside_a_cause_that_ends_all_targets_at_once_nobody_is_held_back() -> None:
     """Six harmless look-ups were refused for 2.3 s.
 
