--- /dev/null
+++ b/tests/test_target_limits.py
@@ -0,0 +1,91 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""What a target takes from all entries together, it gets from all entries together.
+
+What users saw: two targets in need named in their answers how many requests a second
+they take, 3.4 and 3.6, and went on getting eight, then seven a second from eight
+entries; over an hour of such days their bounds were passed by a fifth. No request was
+refused and no log told of it. Order of events: a target names its limit in each answer;
+entries that got such answers, and others, send as before.
+
+Cause: nothing read what targets name; load, warmth and distance alone decided, at each
+entry for itself.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+from entry_bench import check_own
+from leverdoor.standins.entry_site import Answer, EntrySite
+from leverdoor.standins.upstreams import UpstreamStandin
+
+PAUSE_S = 1 / 60
+"""Time between two look-ups: 60 a second, far above what is named."""
+KEYS = 40
+CONTACT_S = 4.0
+"""Time after a limit was first named from which on it is to be kept, in seconds."""
+WINDOW_S = 4.0
+"""Any window of this length is looked at, in seconds."""
+OVERSHOOT = 1.5
+SLACK = 5
+"""What may come in a window: so many times the limit, and so many requests more."""
+PLAYED_S = 14.0
+LIMITS = {"i-look-a1-0": "3.5", "i-look-b1-1": "0.5"}
+
+
+def most_in_a_window(target: UpstreamStandin, since: float) -> int:
+    """Return the most requests that a target got in a window after a time."""
+    times = sorted(r.at for r in target.runs if r.at >= since)
+    first = most = 0
+    for last, at in enumerate(times):
+        while times[first] <= at - WINDOW_S:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+@contextlib.asynccontextmanager
+async def looking_up(site: EntrySite) -> AsyncIterator[list[Answer]]:
+    """Send look-ups to all entries in turn, of many keys, while the block runs."""
+    answers: list[Answer] = []
+    entries = list(site.entries.values())
+    pending: set[asyncio.Task[None]] = set()
+
+    async def ask(number: int) -> None:
+        key = {"X-Affinity-Key": str(number % KEYS)}
+        entry = entries[number % len(entries)]
+        answers.append(await site.request(entry, "GET", f"/look/{number}", None, key))
+
+    async def send() -> None:
+        number = 0
+        while True:
+            task = asyncio.create_task(ask(number))
+            pending.add(task)
+            task.add_done_callback(pending.discard)
+            number += 1
+            await asyncio.sleep(PAUSE_S)
+
+    sender = asyncio.create_task(send())
+    try:
+        yield answers
+    finally:
+        sender.cancel()
+        await asyncio.gather(*pending)
+
+
+async def test_targets_get_together_what_they_named_at_most(site: EntrySite) -> None:
+    """The others serve what is beyond it; nobody is refused for it."""
+    async with looking_up(site) as answers:
+        await asyncio.sleep(1.0)
+        for name, limit in LIMITS.items():
+            site.targets[name].limit = limit
+        named_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(PLAYED_S)
+    for name, limit in LIMITS.items():
+        most = most_in_a_window(site.targets[name], named_at + CONTACT_S)
+        allowed = OVERSHOOT * float(limit) * WINDOW_S + SLACK
+        assert 0 < most <= allowed, name
+    for answer in answers:
+        check_own(answer)
+        assert answer.status == 200
