What a target takes from all entries together, it gets from all together

Callers of two targets in need were served, and the targets got twice what they named: each entry chose by load, warmth and distance, and nothing kept a sum. A bound over all entries can't be kept by each alone, so one entry of the target's region, the first by a hash of those that serve, hands out its room request by request. While views differ (silence, start, pause, cut) several may hand out, each a part, so that their sum stays below one and a half times the limit. Most urgent first; what all targets' limits leave no room for is refused at once (3023). All entries are told of limits along the way of digests.

--- a/benchmarks/emulated_exchange.py
+++ b/benchmarks/emulated_exchange.py
@@ -23,7 +23,7 @@
 from leverdoor.codec import pack
 from leverdoor.entry.exchange.exchange import Exchange
 from leverdoor.entry.exchange.exchange_types import EntryStatus
-from leverdoor.entry.exchange.messages import Message
+from leverdoor.entry.exchange.messages import ExchangeMessage
 from leverdoor.entry.membership.liveness import HEARTBEAT_S
 from leverdoor.entry.membership.member import SERVING, Member
 from leverdoor.entry.membership.members import Membership
@@ -137,7 +137,7 @@
         sendings, _ = self._exchange.round(report, now)
         return [(s.message, s.to) for s in sendings]
 
-    def take(self, message: Message, now: float) -> None:
+    def take(self, message: ExchangeMessage, now: float) -> None:
         """Take a message."""
         self._exchange.take(message, 1, now)
 
--- a/benchmarks/emulated_quotas.py
+++ b/benchmarks/emulated_quotas.py
@@ -17,7 +17,7 @@
 from emulated_exchange import KnowledgeSite, Outgoing
 from leverdoor.entry.exchange.exchange import Exchange
 from leverdoor.entry.exchange.exchange_types import EntryStatus, PeerUpdate
-from leverdoor.entry.exchange.messages import Message
+from leverdoor.entry.exchange.messages import ExchangeMessage
 from leverdoor.entry.membership.member import SERVING, Member
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.membership.roles import Roles
@@ -132,7 +132,7 @@
         self.exchange.forget(now)
         return [(s.message, s.to) for s in sendings]
 
-    def take(self, message: Message, now: float) -> None:
+    def take(self, message: ExchangeMessage, now: float) -> None:
         """Take a message."""
         self._receive(self.exchange.take(message, 1, now), now)
 
--- a/benchmarks/quarantine_node.py
+++ b/benchmarks/quarantine_node.py
@@ -11,7 +11,7 @@
 from emulated_exchange import Outgoing
 from leverdoor.entry.exchange.exchange import Exchange
 from leverdoor.entry.exchange.exchange_types import EntryStatus
-from leverdoor.entry.exchange.messages import Message
+from leverdoor.entry.exchange.messages import ExchangeMessage
 from leverdoor.entry.membership.member import SERVING, Member
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.membership.roles import Roles
@@ -45,7 +45,7 @@
         self.exchange.forget(now)
         return [(s.message, s.to) for s in sendings]
 
-    def take(self, message: Message, now: float) -> None:
+    def take(self, message: ExchangeMessage, now: float) -> None:
         """Take a message."""
         self.quarantine.receive(self.exchange.take(message, 1, now).notices, now)
 
--- a/leverdoor/analysis/explaining.py
+++ b/leverdoor/analysis/explaining.py
@@ -137,6 +137,8 @@
     match f["name"]:
         case "QUEUE_FULL":
             return f"No target had room in time: {f['detail']}."
+        case "TARGETS_LIMITED":
+            return f"Targets' limits for all entries left no room: {f['detail']}."
         case "NO_TARGET":
             return "No target in service may serve it: all are gone, or its homes bind."
         case "NO_ROUTE":
--- a/leverdoor/analysis/losses.py
+++ b/leverdoor/analysis/losses.py
@@ -74,6 +74,7 @@
     KEY_REFUSED = "key missing or unknown"
     OVER_QUOTA = "over quota"
     QUARANTINED = "held back"
+    LIMITED = "targets' limits"
     CLIENT_LEFT = "client left"
 
 
@@ -90,6 +91,7 @@
     Code.NO_COMMON_HOME: Cause.NO_TARGET,
     Code.QUOTA_EXCEEDED: Cause.OVER_QUOTA,
     Code.QUARANTINED: Cause.QUARANTINED,
+    Code.TARGETS_LIMITED: Cause.LIMITED,
 }
 """Causes by the code of a refusal; any other means that it was not routed."""
 
--- a/leverdoor/emulator/entries.py
+++ b/leverdoor/emulator/entries.py
@@ -28,7 +28,7 @@
 from leverdoor.entry.configuration.catalog import Catalog
 from leverdoor.entry.exchange.exchange import Exchange
 from leverdoor.entry.exchange.exchange_types import EntryStatus, PeerUpdate
-from leverdoor.entry.exchange.messages import Message
+from leverdoor.entry.exchange.messages import ExchangeMessage
 from leverdoor.entry.membership.member import SERVING, Member
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.membership.roles import Roles
@@ -127,7 +127,7 @@
 
     # Heartbeats.
 
-    def round(self, send: Callable[[Message, list[str]], None]) -> None:
+    def round(self, send: Callable[[ExchangeMessage, list[str]], None]) -> None:
         """Send heartbeats and digests, move the regions' shares, as the daemon does."""
         now = self._clock.now
         self._rounds += 1
@@ -152,7 +152,7 @@
             warm if self._experiment.shares_warmth else [],
         )
 
-    def receive(self, message: Message) -> None:
+    def receive(self, message: ExchangeMessage) -> None:
         """Take another entry's message."""
         self._take_update(self._exchange.take(message, 1, self._clock.now))
 
--- a/leverdoor/emulator/site.py
+++ b/leverdoor/emulator/site.py
@@ -18,7 +18,7 @@
 from leverdoor.emulator.results import Result
 from leverdoor.emulator.targets import EmulatedRun, EmulatedTarget, RunOutcome
 from leverdoor.entry.configuration.catalog import Catalog
-from leverdoor.entry.exchange.messages import Message
+from leverdoor.entry.exchange.messages import ExchangeMessage
 from leverdoor.entry.membership.liveness import HEARTBEAT_S
 from leverdoor.entry.membership.member import Member
 from leverdoor.entry.placement.fleet import Fleet
@@ -162,7 +162,9 @@
             entry.round(lambda message, to: self._send(entry, message, to))
         self.clock.after(HEARTBEAT_S, partial(self._round, entry))
 
-    def _send(self, entry: EmulatedEntry, message: Message, to: list[str]) -> None:
+    def _send(
+        self, entry: EmulatedEntry, message: ExchangeMessage, to: list[str]
+    ) -> None:
         site = self.experiment.site
         for address in to:
             other = self._by_address[address]
@@ -172,7 +174,7 @@
             delay_ms = site.domain_ms if near else site.region_ms
             self.clock.after(delay_ms / 1000, partial(self._deliver, other, message))
 
-    def _deliver(self, entry: EmulatedEntry, message: Message) -> None:
+    def _deliver(self, entry: EmulatedEntry, message: ExchangeMessage) -> None:
         if entry.member.name not in self._away:
             entry.receive(message)
 
--- a/leverdoor/entry/control_plane.py
+++ b/leverdoor/entry/control_plane.py
@@ -16,8 +16,8 @@
 from leverdoor.entry.configuration.catalog_keeper import CatalogKeeper
 from leverdoor.entry.context import EntryContext
 from leverdoor.entry.exchange.exchange import Exchange
-from leverdoor.entry.exchange.exchange_types import EntryStatus, PeerUpdate
-from leverdoor.entry.exchange.peer_link import PeerLink
+from leverdoor.entry.exchange.exchange_types import EntryStatus
+from leverdoor.entry.exchange.peer_link import PeerLink, TakeRoomMessage, TakeUpdate
 from leverdoor.entry.membership.joining import Joining
 from leverdoor.entry.membership.member import Member
 from leverdoor.entry.membership.members import Membership
@@ -61,7 +61,8 @@
         keeper: CatalogKeeper,
         membership: Membership,
         status: Callable[[], EntryStatus],
-        take_update: Callable[[PeerUpdate, float], None],
+        take_update: TakeUpdate,
+        take_room: TakeRoomMessage,
     ) -> None:
         """Create all parts; nothing is opened yet.
 
@@ -72,6 +73,7 @@
           membership: the entries known.
           status: returns what heartbeats say of this entry.
           take_update: called with what other entries reported, and the loop time.
+          take_room: called with questions for room at targets, and their answers.
         """
         self._context = context
         self._state = state
@@ -81,7 +83,9 @@
         self._peers_read = asyncio.Event()
         self._roles = Roles(membership, context.rng)
         self.exchange = Exchange(membership, self._roles)
-        self.peers = PeerLink(self.exchange, state, keeper, status, take_update)
+        self.peers = PeerLink(
+            self.exchange, state, keeper, status, take_update, take_room
+        )
         self.registration = self._create_registration()
         self._joining = self._create_joining()
         self._follower = self._create_follower()
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -147,7 +147,14 @@
         self._membership = Membership(create_member(s))
         self._naming = Naming(self._membership)
         self._metrics = EntryMetrics()
-        self._data = DataPlane(context, self._keeper, self._membership, self._metrics)
+        self._data = DataPlane(
+            context,
+            self._keeper,
+            self._membership,
+            self._metrics,
+            lambda: self._state,
+            lambda request, to: self._control.peers.ask_room(request, to),
+        )
         self._control = ControlPlane(
             context,
             self._store_copy,
@@ -155,6 +162,7 @@
             self._membership,
             self._status,
             self._take_update,
+            self._data.limits.take,
         )
         self._records = QuarantineRecords(
             self._data.quarantine,
@@ -230,7 +238,7 @@
         self._data.connections.sweep(now)
         self._membership.forget(now)
         self._control.exchange.forget(now)
-        self._data.named_limits.forget(now)
+        self._data.limits.forget(now)
         self._metrics.in_flight.set(self._data.handler.active)
         self._metrics.peers.set(len(self._membership.live(now)))
         for name, change, silent_s in self._membership.changes(now):
@@ -282,6 +290,7 @@
             self._data.quotas.report(now),
             self._data.quotas.lived_s(now),
             self._keeper.confirmation.age_ms(now),
+            self._data.limits.round(now),
             self._data.quarantine.notices(now),
         )
 
--- a/leverdoor/entry/data_plane.py
+++ b/leverdoor/entry/data_plane.py
@@ -3,13 +3,14 @@
 """The parts of an entry that serve requests, and how they are connected.
 
 Owns the loads and run times of targets (fleet), the regions' shares of keys
-(placement), connections to targets, the use of quotas, the retry budget, and which
-requests are held back. All of it is lost with the process and learned again from
-answers and other entries; what is held back also from the store. Relies on the
-catalogue in force (`configuration`) and on the entries known (`membership`).
+(placement), connections to targets, targets' limits, the use of quotas, the retry
+budget, and which requests are held back. All of it is lost with the process and learned
+again from answers and other entries; what is held back also from the store. Relies on
+the catalogue in force (`configuration`) and on the entries known (`membership`).
 """
 
 import asyncio
+from collections.abc import Callable
 
 from aiohttp import web
 
@@ -24,6 +25,9 @@
 from leverdoor.entry.configuration.catalog_keeper import CatalogKeeper
 from leverdoor.entry.context import EntryContext
 from leverdoor.entry.exchange.exchange_types import PeerUpdate
+from leverdoor.entry.exchange.messages import RoomRequest
+from leverdoor.entry.limits.target_limits import TargetLimits
+from leverdoor.entry.membership.member import EntryState
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.metrics import EntryMetrics
 from leverdoor.entry.placement.fleet import OTHERS, Fleet
@@ -33,11 +37,9 @@
 from leverdoor.entry.requests.forwarding import Forwarder
 from leverdoor.entry.requests.handler import EntryHandler
 from leverdoor.entry.requests.intake import Intake
-from leverdoor.entry.requests.named_limits import NamedLimits
 from leverdoor.entry.requests.outcomes import Outcomes
 from leverdoor.entry.settings import EntrySettings
 from leverdoor.entry.warm_up import count_sharers
-from leverdoor.limits.named import LimitBook
 from leverdoor.model.resources import Target
 from leverdoor.model.target_id import target_id
 from leverdoor.quarantine.crashes import LostRun
@@ -59,17 +61,27 @@
         keeper: CatalogKeeper,
         membership: Membership,
         metrics: EntryMetrics,
+        state: Callable[[], EntryState],
+        ask_room: Callable[[RoomRequest, str], None],
     ) -> None:
-        """Create all parts; nothing is opened yet."""
+        """Create all parts; nothing is opened yet.
+
+        Args:
+          context: the entry's settings and surroundings.
+          keeper: has the configuration in force.
+          membership: the entries known.
+          metrics: what is counted.
+          state: returns the state of this entry.
+          ask_room: sends a question for room to an address.
+        """
         s = context.settings
         self._context = context
         self._keeper = keeper
         self._membership = membership
-        self.limits = LimitBook()
-        self.named_limits = NamedLimits(
-            context.wire, self.limits, context.events, metrics
+        self.fleet = Fleet()
+        self.limits = TargetLimits(
+            context, membership, self.fleet, state, ask_room, metrics
         )
-        self.fleet = Fleet(self.limits)
         self.placement = self._create_placement()
         self.connections = Connections(
             context.wire.headers.request_id,
@@ -99,12 +111,13 @@
         intake = Intake(
             wire, self._catalog, self.placement.pick_service, self._keys_confirmed
         )
-        outcomes = Outcomes(wire, self.placement, self.fleet, self.named_limits, events)
+        outcomes = Outcomes(wire, self.placement, self.fleet, self.limits.named, events)
         forwarder = Forwarder(
             wire,
             self.placement,
             self.connections,
             outcomes,
+            self.limits.asking,
             self._budget,
             self.quotas,
             self.quarantine,
@@ -179,7 +192,7 @@
         """Serve by a newer catalogue from now on."""
         self.count_entries()
         self.fleet.renew(catalog.targets, now)
-        self.named_limits.renew(catalog.targets)
+        self.limits.renew(catalog.targets)
         for name in before.in_service - catalog.in_service:
             self.connections.drop(name)
         self.placement.renew(catalog)
@@ -187,6 +200,7 @@
     def receive(self, update: PeerUpdate, now: float) -> None:
         """Take what other entries reported of targets, keys, quotas and requests."""
         self.quarantine.receive(update.notices, now)
+        self.limits.told(update.limits)
         if update.others is not None:
             self.fleet.receive(OTHERS, update.others, now)
         self.placement.shared_warmth.receive(update.warm, now)
--- a/leverdoor/entry/exchange/exchange.py
+++ b/leverdoor/entry/exchange/exchange.py
@@ -22,12 +22,15 @@
 
 from leverdoor.entry.exchange.encoding import parse_ids, serialize_ids
 from leverdoor.entry.exchange.exchange_types import EntryStatus, PeerUpdate, Sending
+from leverdoor.entry.exchange.limit_exchange import LimitExchange
 from leverdoor.entry.exchange.merging import PART_TRUST_S, MeanShares, Merger, merged
 from leverdoor.entry.exchange.messages import (
+    OWN_SCOPE,
     Digest,
     DigestScope,
     EntryHeartbeat,
-    Message,
+    ExchangeMessage,
+    LimitNews,
     News,
     QuarantineNews,
     Shares,
@@ -87,6 +90,7 @@
         self.use = UseExchange(membership)
         self._views = Views(membership)
         self._warm_news = WarmNews()
+        self._limits = LimitExchange(self._own.name)
         self._recipients = Recipients(membership, roles)
         self._round_digests = RoundDigests(
             membership, self.lists, self._merger, self._views, self._warm_news
@@ -100,7 +104,7 @@
 
     # Messages of others.
 
-    def take(self, message: Message, revision: int, now: float) -> PeerUpdate:
+    def take(self, message: ExchangeMessage, revision: int, now: float) -> PeerUpdate:
         """Take a message.
 
         Args:
@@ -114,6 +118,8 @@
             )
         if isinstance(message, QuarantineNews):
             return PeerUpdate(notices=parse_notices(message.notices))
+        if isinstance(message, LimitNews):
+            return PeerUpdate(limits=self._limits.take(message, now))
         if isinstance(message, EntryHeartbeat):
             return self._take_heartbeat(message, revision, now)
         return self._take_digest(message, revision, now)
@@ -273,6 +279,7 @@
         sendings = self.announce(status, now)
         if status.notices:
             sendings.append(self._quarantine_news(status, now))
+        sendings += self._limit_news(status, now)
         if not self._roles.is_aggregator(now):
             self.use.stop_merging()
             return sendings, PeerUpdate()
@@ -291,6 +298,29 @@
         message = QuarantineNews(self._own.name, serialize_notices(status.notices))
         return Sending(message, self._news_recipients(now))
 
+    def _limit_news(self, status: EntryStatus, now: float) -> list[Sending]:
+        """Return what to tell of targets' limits, and to whom: the way of digests."""
+        self._limits.note_own(status.limits, now)
+        if not self._roles.is_aggregator(now):
+            recipients = {OWN_SCOPE: self._recipients.aggregators(now)}
+        else:
+            near, far = (
+                self._recipients.near(now),
+                self._recipients.far(self._turn, now),
+            )
+            own = self._membership.in_own_domain()
+            recipients = {
+                DigestScope.DOMAIN: [m.gossip for m in near],
+                DigestScope.REGION: [m.gossip for m in far],
+                DigestScope.ALL: [m.gossip for m in own],
+            }
+        told = {s: self._limits.news(s, self._turn, now) for s in recipients}
+        return [
+            Sending(news, recipients[scope])
+            for scope, news in told.items()
+            if news is not None and recipients[scope]
+        ]
+
     def _digests(self, status: EntryStatus, now: float) -> list[Sending]:
         """Return an aggregator's digests of a round, with their recipients."""
         use = self.use.summary(status.use, status.uptime_s, now)
@@ -316,6 +346,7 @@
         """Drop what is too old to be used."""
         self._merger.forget(now)
         self.use.forget(now)
+        self._limits.forget(now)
 
 
 def _subtract(own: dict[str, int], counts: dict[str, int]) -> None:
--- a/leverdoor/entry/exchange/exchange_types.py
+++ b/leverdoor/entry/exchange/exchange_types.py
@@ -8,9 +8,10 @@
 
 import msgspec
 
-from leverdoor.entry.exchange.messages import Message, Shares
+from leverdoor.entry.exchange.messages import ExchangeMessage, Shares
 from leverdoor.entry.exchange.use_lists import Use
 from leverdoor.entry.membership.member import EntryState
+from leverdoor.limits.named import LimitWord
 from leverdoor.quarantine.notices import Notice
 from leverdoor.workspaces.others_use import OthersUse
 
@@ -36,6 +37,8 @@
     """Since the start of this process."""
     confirmed_ms: int = -1
     """How long ago the store answered any entry; -1 if it never did."""
+    limits: list[LimitWord] = []
+    """What targets named as limits in answers to this entry."""
     notices: list[Notice] = []
     """What to tell of requests that end targets."""
 
@@ -43,7 +46,7 @@
 class Sending(msgspec.Struct, frozen=True):
     """A message, and the addresses that get it, as `ip:port`."""
 
-    message: Message
+    message: ExchangeMessage
     to: list[str]
 
 
@@ -59,5 +62,7 @@
     confirmed_ms: int = -1
     use: OthersUse | None = None
     """Requests of workspaces by all other entries; None if there is no new sum."""
+    limits: list[LimitWord] = []
+    """What targets named as limits in answers to other entries."""
     notices: list[Notice] = []
     """What another entry told of requests that end targets."""
--- a/leverdoor/entry/exchange/messages.py
+++ b/leverdoor/entry/exchange/messages.py
@@ -2,11 +2,11 @@
 # SPDX-License-Identifier: Apache-2.0
 """Messages among entries: heartbeats, digests that merge heartbeats, and news.
 
-Owns no state. The structs are encoded by the position of their fields and by the tag
-of their class (`h`, `d`, `n`, `q`): a new field goes to the end, with a default, so
-that entries of two releases understand each other. Counts at targets, rows of entries
-and use of quotas are packed into bytes by `target_counts`, `encoding` and `use_lists`,
-what is known of requests by `quarantine.notices`.
+Owns no state. The structs are encoded by the position of their fields and by the tag of
+their class (`h`, `d`, `n`, `q`, `l`, `r`, `g`): a new field goes to the end, with a
+default, so that entries of two releases understand each other. Counts at targets, rows
+of entries and use of quotas are packed into bytes by `target_counts`, `encoding` and
+`use_lists`, what is known of requests by `quarantine.notices`.
 """
 
 from enum import IntEnum
@@ -20,11 +20,17 @@
     "Digest",
     "DigestScope",
     "DomainView",
+    "OWN_SCOPE",
     "EntryHeartbeat",
+    "ExchangeMessage",
+    "LimitNews",
     "Message",
     "News",
     "QuarantineNews",
     "RegionCounts",
+    "RoomAnswer",
+    "RoomMessage",
+    "RoomRequest",
     "Shares",
 ]
 
@@ -90,6 +96,10 @@
     """Those of all entries."""
 
 
+OWN_SCOPE = -1
+"""Scope of what an entry received itself."""
+
+
 class Digest(msgspec.Struct, frozen=True, array_like=True, tag="d"):
     """What an aggregator sends in one round to one group of entries."""
 
@@ -142,4 +152,46 @@
     """See `quarantine.notices`."""
 
 
-Message: TypeAlias = EntryHeartbeat | Digest | News | QuarantineNews
+class LimitNews(msgspec.Struct, frozen=True, array_like=True, tag="l"):
+    """What targets named as their limits; sent only if there is something."""
+
+    sender: str
+    scope: int
+    """Whose words these are: a `DigestScope`, or `OWN_SCOPE` for the sender's own."""
+    words: bytes
+    """See `limits.rows`."""
+
+
+class RoomRequest(msgspec.Struct, frozen=True, array_like=True, tag="r"):
+    """Asks a target's limiter whether one request may be sent there."""
+
+    sender: str
+    """Where the answer goes, as `ip:port`."""
+    number: int
+    """Of the question; the sender uses none twice."""
+    target: int
+    """See `target_id`."""
+    per_s: float
+    """The target's limit, as the sender knows it."""
+    priority: int
+    """Of the request; smaller is more urgent."""
+    missed: int
+    """Requests of that priority which the sender kept from asking before it."""
+
+
+class RoomAnswer(msgspec.Struct, frozen=True, array_like=True, tag="g"):
+    """Answers a `RoomRequest`."""
+
+    number: int
+    granted: bool
+    wait_ms: int
+    """If not granted: how long the sender need not ask again for such a request."""
+    room_ms: int
+    """If not granted: when there should be room for it."""
+
+
+ExchangeMessage: TypeAlias = EntryHeartbeat | Digest | News | QuarantineNews | LimitNews
+"""What entries report to each other in rounds."""
+RoomMessage: TypeAlias = RoomRequest | RoomAnswer
+"""A question on a request's path, and its answer."""
+Message: TypeAlias = ExchangeMessage | RoomMessage
--- a/leverdoor/entry/exchange/peer_link.py
+++ b/leverdoor/entry/exchange/peer_link.py
@@ -15,13 +15,18 @@
 from leverdoor.entry.configuration.catalog_keeper import CatalogKeeper
 from leverdoor.entry.exchange.exchange import Exchange
 from leverdoor.entry.exchange.exchange_types import EntryStatus, PeerUpdate, Sending
-from leverdoor.entry.exchange.messages import Message
+from leverdoor.entry.exchange.messages import (
+    Message,
+    RoomAnswer,
+    RoomMessage,
+    RoomRequest,
+)
 from leverdoor.membership.gossip import GossipSocket
 from leverdoor.settings import Address
 from leverdoor.storage.following import PeerFollower
 from leverdoor.storage.state import State
 
-__all__ = ["PeerLink", "TakeUpdate"]
+__all__ = ["PeerLink", "TakeRoomMessage", "TakeUpdate"]
 
 NEWS_S = 0.03
 """Pause before news are sent, in seconds.
@@ -38,6 +43,9 @@
 steps to the last entry it adds 0.45 s at most, of a bound of 2.5 s.
 """
 
+TakeRoomMessage: TypeAlias = Callable[[RoomMessage, float], RoomAnswer | None]
+"""Called with a question for room or an answer, and the monotonic time in seconds;
+returns the answer to a question that another entry asked."""
 TakeUpdate: TypeAlias = Callable[[PeerUpdate, float], None]
 """Called with what was learned, and the monotonic time in seconds."""
 
@@ -52,6 +60,7 @@
         keeper: CatalogKeeper,
         status: Callable[[], EntryStatus],
         take: TakeUpdate,
+        take_room: TakeRoomMessage,
     ) -> None:
         """Create it; nothing is opened yet.
 
@@ -61,12 +70,14 @@
           keeper: gets the source of a newer state.
           status: returns the status of this entry.
           take: passes what was learned on to the other parts.
+          take_room: takes questions for room at targets, and answers to own ones.
         """
         self._exchange = exchange
         self._state = state
         self._keeper = keeper
         self._status = status
         self._take = take
+        self._take_room = take_room
         self._socket = GossipSocket(Message, self._take_message)
         self.puller = PeerFollower(state)
         self._news_due = False
@@ -118,10 +129,23 @@
         for sending in sendings:
             self._socket.send_all(sending.message, sending.to)
 
+    def ask_room(self, request: RoomRequest, address: str) -> None:
+        """Send a question for room at a target to the entry that limits it."""
+        self._socket.send(request, address)
+
     def _take_message(self, message: Message) -> None:
         now = asyncio.get_running_loop().time()
+        if isinstance(message, RoomMessage):
+            self._answer_room(message, now)
+            return
         self._take_update(self._exchange.take(message, self._state.revision, now), now)
 
+    def _answer_room(self, message: RoomMessage, now: float) -> None:
+        answer = self._take_room(message, now)
+        asked_by = message.sender if isinstance(message, RoomRequest) else ""
+        if answer is not None and asked_by:
+            self._socket.send(answer, asked_by)
+
     def _take_update(self, update: PeerUpdate, now: float) -> None:
         self._take(update, now)
         if update.source:
--- /dev/null
+++ b/leverdoor/entry/limits/limiter.py
@@ -0,0 +1,136 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""This entry as the limiter of some targets: it grants requests, its own and others'.
+
+Owns the rooms of the targets that it was asked about, and the answers of the last
+second, so that a message that came twice is not granted twice. Both are lost with the
+process; a room begins empty where another limiter may just have granted some.
+
+Relies on `LimitBook` for the limits, on `LimiterRole` for its part of them.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable
+
+import msgspec
+
+from leverdoor.entry.exchange.messages import RoomAnswer, RoomRequest
+from leverdoor.entry.limits.role import LimiterRole
+from leverdoor.entry.pauses import Pauses
+from leverdoor.limits.named import LimitBook
+from leverdoor.limits.room import Room, RoomDecision, burst
+from leverdoor.model.resources import Target
+from leverdoor.model.target_id import target_id
+
+__all__ = ["Limiter"]
+
+NOT_LIMITER = RoomDecision(granted=False, wait_s=0.1, room_s=0.5)
+"""What an entry answers that does not limit the target: who asked may know better in a
+moment."""
+MOST_ANSWERS = 4_096
+"""Answers kept for messages that come twice."""
+
+
+class _GivenAnswer(msgspec.Struct, frozen=True):
+    """An answer, and to which message."""
+
+    request: RoomRequest
+    answer: RoomAnswer
+
+
+class Limiter:
+    """Hands out the room of targets."""
+
+    def __init__(
+        self,
+        book: LimitBook,
+        role: LimiterRole,
+        pauses: Pauses,
+        target: Callable[[int], Target | None],
+    ) -> None:
+        """Create it.
+
+        Args:
+          book: the limits of targets.
+          role: which of them this entry hands out, and how much.
+          pauses: for how long this entry has run.
+          target: returns the target of a `target_id`, if there is one.
+        """
+        self._book = book
+        self._role = role
+        self._pauses = pauses
+        self._target = target
+        self._rooms: dict[int, Room] = {}
+        self._answers: OrderedDict[tuple[str, int], RoomAnswer] = OrderedDict()
+
+    def answer(self, request: RoomRequest, now: float) -> RoomAnswer:
+        """Return the answer to another entry's request for room.
+
+        Args:
+          request: the message; one that was answered gets the same answer again.
+          now: monotonic time in seconds.
+        """
+        key = (request.sender, request.number)
+        known = self._answers.get(key)
+        if known is not None:
+            return known
+        decision = self._decide(request, now)
+        answer = RoomAnswer(
+            request.number,
+            decision.granted,
+            round(decision.wait_s * 1000),
+            round(decision.room_s * 1000),
+        )
+        self._answers[key] = answer
+        if len(self._answers) > MOST_ANSWERS:
+            self._answers.popitem(last=False)
+        return answer
+
+    def _decide(self, request: RoomRequest, now: float) -> RoomDecision:
+        target = self._target(request.target)
+        if target is None:
+            return NOT_LIMITER
+        return self.decide(target, request.per_s, request.priority, request.missed, now)
+
+    def decide(
+        self, target: Target, per_s: float, priority: int, missed: int, now: float
+    ) -> RoomDecision:
+        """Decide on one request to a target.
+
+        Args:
+          target: where it would go.
+          per_s: the target's limit as known to who asks; the smaller one counts, since
+            either may not have heard of a change.
+          priority: of the request; smaller is more urgent.
+          missed: requests of that priority kept from asking before it.
+          now: monotonic time in seconds.
+        """
+        part = self._role.part(target, now)
+        if not part:
+            return NOT_LIMITER
+        key = target_id(target.name)
+        known = self._book.per_s(key)
+        per_s = per_s if known is None else min(per_s, known)
+        room = self._rooms.get(key)
+        if room is None:
+            room = Room(self._saved(key, per_s, part, now), now)
+            self._rooms[key] = room
+        return room.ask(per_s, part, priority, missed, now)
+
+    def _saved(self, key: int, per_s: float, part: float, now: float) -> float:
+        """Return the tokens with which a room begins.
+
+        What was named, and could be handed out by nobody else, since then.
+        """
+        if part < 1.0:
+            return 0.0
+        since_s = min(self._book.limited_s(key, now), self._pauses.running_s(now))
+        return min(since_s * per_s, burst(per_s))
+
+    def forget(self) -> None:
+        """Drop the rooms of targets without a limit, and of those that are gone."""
+        self._rooms = {
+            key: room
+            for key, room in self._rooms.items()
+            if self._book.per_s(key) is not None and self._target(key) is not None
+        }
--- a/leverdoor/entry/requests/named_limits.py
+++ b/leverdoor/entry/limits/named_limits.py
@@ -2,8 +2,9 @@
 # SPDX-License-Identifier: Apache-2.0
 """What answers say of targets' limits: read, kept in the book, logged and counted.
 
-Owns the last unreadable text of each target, so that it is logged once; lost with the
-process. Relies on the wire for the header, and on `limits.named` for what counts.
+Owns what this entry received itself, which it tells the others, and the last unreadable
+text of each target, so that it is logged once; both are lost with the process. Relies
+on the wire for the header, and on `limits.named` for what counts.
 """
 
 from collections.abc import Iterable
@@ -13,6 +14,7 @@
 from leverdoor.entry.requests.replies import TargetReply
 from leverdoor.entry.wire import Wire
 from leverdoor.limits.named import (
+    KEPT_S,
     LimitBook,
     LimitChange,
     LimitWord,
@@ -37,6 +39,8 @@
         self._metrics = metrics
         self._names: dict[int, str] = {}
         """Names of targets by their `target_id`."""
+        self._own: dict[int, LimitWord] = {}
+        """By target, the newest word that came here and counts."""
         self._unreadable: dict[str, str] = {}
         """By target, what it last named that is no number."""
 
@@ -60,8 +64,14 @@
         except UnreadableLimit as e:
             self._note_unreadable(target, str(e))
             return
-        change = self._book.take(LimitWord(target_id(target.name), per_s, now))
-        self._log(change, "answer")
+        word = LimitWord(target_id(target.name), per_s, now)
+        self._log(self._book.take(word), "answer")
+        if self._book.word(word.target) is word:
+            self._own[word.target] = word
+
+    def own_words(self) -> list[LimitWord]:
+        """Return what came here, for the other entries."""
+        return list(self._own.values())
 
     def told(self, words: Iterable[LimitWord]) -> None:
         """Take what other entries received."""
@@ -71,6 +81,7 @@
     def forget(self, now: float) -> None:
         """Drop what has grown old, and show how many targets are limited."""
         self._book.forget(now)
+        self._own = {t: w for t, w in self._own.items() if now - w.at <= KEPT_S}
         self._metrics.limited_targets.set(len(self._book.limited()))
 
     def _note_unreadable(self, target: Target, text: str) -> None:
--- a/leverdoor/entry/metrics.py
+++ b/leverdoor/entry/metrics.py
@@ -79,6 +79,12 @@
             "Targets that have set a limit for all entries together.",
             registry=self.registry,
         )
+        self.room_requests = Counter(
+            "leverdoor_entry_room_requests",
+            "Requests for room at targets with a limit, by what came of them.",
+            ["outcome"],
+            registry=self.registry,
+        )
         self.limits_unreadable = Counter(
             "leverdoor_entry_limits_unreadable",
             "Answers whose limit is no number of requests a second.",
--- a/leverdoor/entry/placement/choice.py
+++ b/leverdoor/entry/placement/choice.py
@@ -40,6 +40,10 @@
 wait for a target that is near. Smaller: chance decides between domains.
 """
 
+MOST_QUESTIONS = 3
+"""Limited targets that are asked for room for one request. Each question may take a
+way to another region and back; a request that finds none is to be refused at once."""
+
 
 class Option(msgspec.Struct, frozen=True):
     """One target for a request, weighed."""
@@ -125,12 +129,32 @@
             state = self._fleet.of(target, now)
             if not state.usable(now) or state.cold(now):
                 continue
+            if self.lacks_room(request, state, now):
+                if not options:
+                    state.room.miss(request.priority)
+                continue
             rank = RANKS - 1 if reason == "overflow" else len(options)
             options.append(self._option(request, state, rank, now))
             if len(options) >= self._tuning.targets_a_key:
                 break
         return options
 
+    def lacks_room(
+        self, request: PlacementRequest, state: TargetState, now: float
+    ) -> bool:
+        """Return whether a target's limit is known to leave no room for a request.
+
+        It is neither slow nor failed, and takes what its limiter grants again at once.
+        """
+        target = state.target
+        if self._fleet.limit_per_s(target) is None:
+            return False
+        if target.name in request.without_room:
+            return True
+        if len(request.without_room) >= MOST_QUESTIONS:
+            return True
+        return state.room.closed(request.priority, now)
+
     def _option(
         self, request: PlacementRequest, state: TargetState, rank: int, now: float
     ) -> Option:
--- a/leverdoor/entry/placement/fleet.py
+++ b/leverdoor/entry/placement/fleet.py
@@ -16,6 +16,7 @@
 from leverdoor.entry.placement.health import Health
 from leverdoor.entry.placement.known_keys import KnownKeys
 from leverdoor.entry.placement.load import LoadEstimate
+from leverdoor.entry.placement.room_notes import RoomNotes
 from leverdoor.entry.placement.slow_start import SlowStart
 from leverdoor.entry.placement.times import RunTimes
 from leverdoor.entry.wire import TargetLoad
@@ -39,6 +40,8 @@
         self._health = Health(now)
         self._slow_start = SlowStart(target.cold_ms, now)
         self._known_keys = KnownKeys()
+        self.room = RoomNotes()
+        """What its limiter said of room there, if it is limited."""
         self._times = RunTimes(0.0, 0.0)
 
     def renew(self, target: Target, now: float) -> None:
@@ -96,6 +99,17 @@
         """Estimate how many requests the target has, of all entries."""
         return self._load.estimate(self._times.warm_s, now)
 
+    def usable_slots(self, limit_per_s: float | None) -> float:
+        """Return the slots that requests within a limit can keep busy.
+
+        Args:
+          limit_per_s: requests a second that it takes; None for any number.
+        """
+        run_s = self._times.warm_s
+        if limit_per_s is None or not run_s:
+            return self.target.slots
+        return min(limit_per_s * run_s, float(self.target.slots))
+
     def load_age_ms(self, now: float) -> int:
         """Return the time since the last report or digest of its load arrived, in ms.
 
@@ -233,13 +247,17 @@
                 state.reported_by_peer(peer, count, now)
         self._counted[peer] = frozenset(counts)
 
-    def load(self, targets: Iterable[Target], now: float) -> tuple[float, int]:
-        """Return the load and the slots of the usable, warm ones of some targets."""
+    def load(self, targets: Iterable[Target], now: float) -> tuple[float, float]:
+        """Return the load and the slots of the usable, warm ones of some targets.
+
+        Of one with a limit, only the slots that so many requests a second keep busy:
+        otherwise its region would look empty, and keys would stay that find no room.
+        """
         load = 0.0
-        slots = 0
+        slots = 0.0
         for target in targets:
             state = self.of(target, now)
             if state.usable(now) and not state.cold(now) and not state.slow(now):
                 load += state.load(now)
-                slots += target.slots
+                slots += state.usable_slots(self.limit_per_s(target))
         return load, slots
--- a/leverdoor/entry/placement/placement_request.py
+++ b/leverdoor/entry/placement/placement_request.py
@@ -35,6 +35,8 @@
     """Whose request it is; None without workspaces, or without a key."""
     tried: set[str] = msgspec.field(default_factory=set)
     """Names of the targets that earlier attempts went to."""
+    without_room: set[str] = msgspec.field(default_factory=set)
+    """Names of the limited targets that had no room for it."""
     fingerprint: int = 0
     """By which it is known when it comes again; 0 until its body was read."""
 
--- a/leverdoor/entry/placement/policy.py
+++ b/leverdoor/entry/placement/policy.py
@@ -27,7 +27,11 @@
     PlacementReason,
     PlacementRequest,
 )
-from leverdoor.entry.placement.refusals import describe_loads, retry_after_ms
+from leverdoor.entry.placement.refusals import (
+    describe_loads,
+    limited_retry_after_ms,
+    retry_after_ms,
+)
 from leverdoor.entry.placement.service_weights import ServiceWeights
 from leverdoor.entry.placement.shared_warmth import SharedWarmth
 from leverdoor.entry.placement.sharing import ShareBook
@@ -209,6 +213,8 @@
             return False
         if target.name in request.tried or state.load(now) >= target.slots:
             return False
+        if self._chooser.lacks_room(request, state, now):
+            return False
         entries = self.sharers(target)
         if entries < 1:
             return False
@@ -224,9 +230,30 @@
         self, request: PlacementRequest, first: str, now: float
     ) -> Rejection:
         """Refuse what no target can take, with the loads in the key's region."""
-        targets = self._candidates.order(request, first)[:LOGGED_TARGETS]
-        loads = describe_loads(targets, self._fleet, now)
-        return self._refuse(Code.QUEUE_FULL, f"{request.service} in {first}: {loads}")
+        targets = self._candidates.order(request, first)
+        loads = describe_loads(targets[:LOGGED_TARGETS], self._fleet, now)
+        reason = f"{request.service} in {first}: {loads}"
+        room_s = self._limited_room_s(targets, now)
+        if room_s is None:
+            return self._refuse(Code.QUEUE_FULL, reason)
+        wait_ms = limited_retry_after_ms(room_s, self._rng.random())
+        return Rejection(Code.TARGETS_LIMITED, wait_ms, reason)
+
+    def _limited_room_s(self, targets: list[Target], now: float) -> float | None:
+        """Return when any of some targets should have room, if limits are why not.
+
+        Args:
+          targets: of the region that the request belongs to.
+          now: monotonic time in seconds.
+        Returns: None if any that can be used has no limit.
+        """
+        states = [self._fleet.of(t, now) for t in targets]
+        usable = [s for s in states if s.usable(now) and not s.cold(now)]
+        if not usable:
+            return None
+        if any(self._fleet.limit_per_s(s.target) is None for s in usable):
+            return None
+        return min(s.room.room_s(now) for s in usable)
 
     def _refuse(self, code: Code, reason: str) -> Rejection:
         return Rejection(code, retry_after_ms(self._rng.random()), reason)
--- a/leverdoor/entry/placement/refusals.py
+++ b/leverdoor/entry/placement/refusals.py
@@ -10,7 +10,7 @@
 from leverdoor.entry.placement.fleet import Fleet
 from leverdoor.model.resources import Target
 
-__all__ = ["describe_loads", "retry_after_ms"]
+__all__ = ["describe_loads", "limited_retry_after_ms", "retry_after_ms"]
 
 LEAST_RETRY_AFTER_MS = 150
 """Least time after which a refused request should come back, in ms.
@@ -39,11 +39,25 @@
     return int(LEAST_RETRY_AFTER_MS + RETRY_AFTER_SPREAD_MS * chance)
 
 
+def limited_retry_after_ms(room_s: float, chance: float) -> int:
+    """Return when a request should come back that targets' limits leave no room for.
+
+    From the time when there should be room for it to twice that, so that those refused
+    together come one by one.
+
+    Args:
+      room_s: until any target should have room, in seconds.
+      chance: a random number of [0, 1).
+    """
+    least_ms = max(room_s * 1000, LEAST_RETRY_AFTER_MS)
+    return int(least_ms * (1 + chance))
+
+
 def describe_loads(targets: Iterable[Target], fleet: Fleet, now: float) -> str:
     """Return, for the log, the loads of targets that could not take a request.
 
     For each target: name, estimated load over slots, time since the last report of it
-    arrived, "cold" in its warm-up, "ejected" if it is ejected or silent.
+    arrived, "cold" in its warm-up, "ejected" if it is ejected or silent, its limit.
     """
     loads = []
     for target in targets:
@@ -51,6 +65,8 @@
         cold = " cold" if state.cold(now) else ""
         out = "" if state.usable(now) else " ejected"
         age_ms = state.load_age_ms(now)
+        per_s = fleet.limit_per_s(target)
+        limit = "" if per_s is None else f" limit {per_s:g}/s"
         load = f"{state.load(now):.1f}/{target.slots}"
-        loads.append(f"{target.name} {load} ({age_ms} ms){cold}{out}")
+        loads.append(f"{target.name} {load} ({age_ms} ms){cold}{out}{limit}")
     return ", ".join(loads)
--- a/leverdoor/entry/requests/forwarding.py
+++ b/leverdoor/entry/requests/forwarding.py
@@ -12,7 +12,8 @@
 import asyncio
 
 from leverdoor.entry.events import Events
-from leverdoor.entry.placement.placement_request import Placement
+from leverdoor.entry.limits.asking import RoomAsking
+from leverdoor.entry.placement.placement_request import Placement, PlacementRequest
 from leverdoor.entry.placement.policy import PlacementPolicy
 from leverdoor.entry.requests.connection import AnswerLost, NotSent
 from leverdoor.entry.requests.connections import Connections
@@ -43,6 +44,7 @@
         policy: PlacementPolicy,
         connections: Connections,
         outcomes: Outcomes,
+        rooms: RoomAsking,
         budget: RetryBudget,
         quotas: Quotas,
         quarantine: Quarantine,
@@ -54,6 +56,7 @@
         self._policy = policy
         self._connections = connections
         self._outcomes = outcomes
+        self._rooms = rooms
         self._budget = budget
         self._quotas = quotas
         self._quarantine = quarantine
@@ -113,9 +116,7 @@
         """
         loop = asyncio.get_running_loop()
         placement_request = request.placement_request
-        placement = self._policy.place(placement_request, loop.time())
-        if isinstance(placement, Rejection):
-            raise _AttemptFailed(placement.refusal(), placed=False, arrived=False)
+        placement = await self._place(placement_request)
         placement_request.tried.add(placement.target.name)
         began = loop.time()
         outcome = "cancelled"
@@ -134,6 +135,31 @@
         self._quarantine.answered(placement_request.fingerprint, loop.time())
         return reply
 
+    async def _place(self, request: PlacementRequest) -> Placement:
+        """Choose a target that has room for one more request of all entries.
+
+        A bound on all entries together can't be kept by each alone, so the limiter of
+        a limited target is asked before every attempt, a retry or an upload too. One
+        without room is left out, and the request is placed among the others.
+
+        Raises:
+          _AttemptFailed: no target can take it.
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            placement = self._policy.place(request, loop.time())
+            if isinstance(placement, Rejection):
+                raise _AttemptFailed(placement.refusal(), placed=False, arrived=False)
+            granted = False
+            try:
+                granted = await self._rooms.acquire(request, placement.target)
+            finally:
+                if not granted:
+                    self._policy.ended(placement, loop.time())
+            if granted:
+                return placement
+            request.without_room.add(placement.target.name)
+
     async def _send(self, request: EntryRequest, placement: Placement) -> TargetReply:
         """Send a request to a target and wait for its whole answer.
 
--- a/leverdoor/entry/requests/outcomes.py
+++ b/leverdoor/entry/requests/outcomes.py
@@ -10,12 +10,12 @@
 import asyncio
 
 from leverdoor.entry.events import Events
+from leverdoor.entry.limits.named_limits import NamedLimits
 from leverdoor.entry.placement.fleet import Fleet
 from leverdoor.entry.placement.health import SLOW_EJECTION_S
 from leverdoor.entry.placement.placement_request import Placement
 from leverdoor.entry.placement.policy import PlacementPolicy
 from leverdoor.entry.requests.entry_request import EntryRequest
-from leverdoor.entry.requests.named_limits import NamedLimits
 from leverdoor.entry.requests.replies import TargetReply
 from leverdoor.entry.requests.retries import WRONG_INSTANCE_STATUS
 from leverdoor.entry.wire import Wire
--- a/leverdoor/errors.py
+++ b/leverdoor/errors.py
@@ -73,6 +73,7 @@
     QUOTA_EXCEEDED = 3020
     WORKSPACE_KEY_UNCONFIRMED = 3021
     QUARANTINED = 3022
+    TARGETS_LIMITED = 3023
     ANSWER_LOST = 3101
     ISSUER_GONE = 3102
     DEADLINE_PASSED = 3103
@@ -181,6 +182,9 @@
     Code.QUARANTINED: CodeInfo(
         503, Run.NO, 59, "Targets end when they run this request; it is held back."
     ),
+    Code.TARGETS_LIMITED: CodeInfo(
+        503, Run.NO, 60, "The limits that targets set for all entries are used up."
+    ),
     Code.ANSWER_LOST: CodeInfo(
         502, Run.MAYBE, 50, "The request went out and its answer was lost."
     ),
--- a/leverdoor/limits/named.py
+++ b/leverdoor/limits/named.py
@@ -54,6 +54,12 @@
     def __init__(self) -> None:
         """Create it knowing of none."""
         self._words: dict[int, LimitWord] = {}
+        self._since: dict[int, float] = {}
+        """When a limit was last named after none, or became another."""
+
+    def limited_s(self, target: int, now: float) -> float:
+        """Return for how long a target's limit has been as it is, in seconds."""
+        return now - self._since.get(target, now)
 
     def per_s(self, target: int) -> float | None:
         """Return a target's limit in requests a second; None if it has none."""
@@ -79,12 +85,14 @@
             if word.per_s is None:
                 return None
             self._words[word.target] = word
+            self._since[word.target] = word.at
             return LimitChange(word, "named")
         if word.at <= known.at or _may_be_reordered(known, word):
             return None
         self._words[word.target] = word
         if word.per_s == known.per_s:
             return None
+        self._since[word.target] = word.at
         if word.per_s is None:
             return LimitChange(word, "ended")
         return LimitChange(word, "named" if known.per_s is None else "changed")
@@ -92,6 +100,7 @@
     def forget(self, now: float) -> None:
         """Drop the words that nothing has renewed for `KEPT_S`."""
         self._words = {t: w for t, w in self._words.items() if now - w.at <= KEPT_S}
+        self._since = {t: at for t, at in self._since.items() if t in self._words}
 
     def newest(self) -> Iterable[LimitWord]:
         """Return the newest word of each target that ever named a limit."""
--- a/tests/interface_table.py
+++ b/tests/interface_table.py
@@ -136,6 +136,7 @@
     "leverdoor_entry_quarantine_refusals": ("counter", ("service",), ()),
     "leverdoor_entry_quarantined": ("gauge", (), ()),
     "leverdoor_entry_quota_refusals": ("counter", ("workspace",), ()),
+    "leverdoor_entry_room_requests": ("counter", ("outcome",), ()),
     "leverdoor_entry_targets_ended": ("counter", ("service",), ()),
 }
 """The same of the entry."""
@@ -551,6 +552,7 @@
     (3020, "QUOTA_EXCEEDED", 429, "no", 49),
     (3021, "WORKSPACE_KEY_UNCONFIRMED", 503, "no", 58),
     (3022, "QUARANTINED", 503, "no", 59),
+    (3023, "TARGETS_LIMITED", 503, "no", 60),
     (3101, "ANSWER_LOST", 502, "maybe", 50),
     (3102, "ISSUER_GONE", 410, "maybe", 51),
     (3103, "DEADLINE_PASSED", 504, "maybe", 52),
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -25,6 +25,8 @@
 from leverdoor.errors import Code, Problem, Run
 from leverdoor.gate.keys import Key
 from leverdoor.gate.lookups import LookupAnswer, LookupEntry
+from leverdoor.limits.named import LimitWord
+from leverdoor.limits.rows import serialize_words
 from leverdoor.membership import ownership
 from leverdoor.membership.peers import AgentHeartbeat, GateState, Gossip, Load
 from leverdoor.model.burn import BurnLine, Counts, Series
@@ -216,12 +218,25 @@
     mac=b"\xf1\xf2\xf3\xf4\xf5\xf6\xf7\xf8\xf9\xfa\xfb\xfc",
 )
 
+LIMIT_NEWS = messages.LimitNews(
+    "n1",
+    messages.DigestScope.REGION,
+    serialize_words(
+        [LimitWord(0xFEDCBA98, 3.5, 8.0), LimitWord(7, None, 9.75)], now=10.0
+    ),
+)
+ROOM_REQUEST = messages.RoomRequest("10.0.0.1:7946", 70_000, 0xFEDCBA98, 3.5, 2, 17)
+ROOM_ANSWER = messages.RoomAnswer(70_000, False, 280, 1400)
+
 PACKED = {
     "member": Sample(MEMBER, Member),
     "entry heartbeat": Sample(ENTRY_HEARTBEAT, messages.Message),
     "digest": Sample(DIGEST, messages.Message),
     "news": Sample(NEWS, messages.Message),
     "quarantine news": Sample(QUARANTINE_NEWS, messages.Message),
+    "limit news": Sample(LIMIT_NEWS, messages.Message),
+    "room request": Sample(ROOM_REQUEST, messages.Message),
+    "room answer": Sample(ROOM_ANSWER, messages.Message),
     "delta": Sample(DELTA, Delta),
     "stored entry": Sample(ENTRY, KeyValue),
     "gate report": Sample(GATE_REPORT, GateReport),
