Soak: targets name limits that change, flap, end and are no number

--limits N; what targets get is checked against what they named, requests of entries that were just disturbed aside. Faults between entries are not played.

--- a/benchmarks/emulated_limits.py
+++ b/benchmarks/emulated_limits.py
@@ -104,9 +104,7 @@
         """Time of the event that is played, in seconds."""
         self._targets = [_target(i) for i in range(plan.targets)]
         bounds = QuotaBounds(WINDOW_S, OVERSHOOT - 1.0, SLACK)
-        self._shared = Surroundings(
-            self._targets, plan.per_s, bounds, lambda: self._at
-        )
+        self._shared = Surroundings(self._targets, plan.per_s, bounds, lambda: self._at)
         self.site: KnowledgeSite = KnowledgeSite(
             plan.entries, REGIONS, plan.loss, self._make, plan.seed
         )
--- a/leverdoor/commands/soak.py
+++ b/leverdoor/commands/soak.py
@@ -22,6 +22,7 @@
 @click.option("--seconds", type=click.FloatRange(1.0, 3_600.0), default=15.0)
 @click.option("--troubles", type=click.IntRange(0, 1_000), default=20)
 @click.option("--fatal", type=click.IntRange(0, 10), default=0, help="Requests.")
+@click.option("--limits", type=click.IntRange(0, 6), default=0, help="Targets.")
 @click.option("--logs", type=click.Path(path_type=Path), help="Keep logs of failures.")
 def soak(
     seed: int | None,
@@ -29,18 +30,21 @@
     seconds: float,
     troubles: int,
     fatal: int,
+    limits: int,
     logs: Path | None,
 ) -> None:
     """Play soaks one after the other; a line of JSON for each.
 
-    With --fatal, so many requests come that end each target that runs them.
+    With --fatal, so many requests come that end each target that runs them; with
+    --limits, so many targets name limits for all entries together.
     """
     from leverdoor.standins.soak.run import Soak
 
     first = time.time_ns() % 1_000_000_007 if seed is None else seed
     broken = 0
     for number in range(first, first + count):
-        verdict = asyncio.run(Soak(number, seconds, troubles, fatal=fatal).run(logs))
+        soak = Soak(number, seconds, troubles, fatal=fatal, limits=limits)
+        verdict = asyncio.run(soak.run(logs))
         broken += bool(verdict.breaches)
         click.echo(msgspec.json.encode(verdict).decode())
     sys.exit(BROKEN if broken else 0)
--- a/leverdoor/standins/soak/promises.py
+++ b/leverdoor/standins/soak/promises.py
@@ -9,6 +9,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterator
 
+from leverdoor.standins.soak.limit_promise import limit_breaches
 from leverdoor.standins.soak.record import Attempt, Probe, Record, RecordedRun
 from leverdoor.standins.soak.workspaces import WORKSPACES, workspace_named
 from leverdoor.workspaces.quota_bounds import QuotaBounds
@@ -45,6 +46,7 @@
     found += _stops(record, ran)
     found += _fatal(record)
     found += _harmless(record)
+    found += limit_breaches(record)
     return found
 
 
--- a/leverdoor/standins/soak/record.py
+++ b/leverdoor/standins/soak/record.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-__all__ = ["Attempt", "Leave", "Probe", "Record", "RecordedRun", "now_s"]
+__all__ = ["Attempt", "Leave", "NamedLimit", "Probe", "Record", "RecordedRun", "now_s"]
 
 
 class Attempt(msgspec.Struct, frozen=True):
@@ -77,6 +77,15 @@
     ended_at: float
 
 
+class NamedLimit(msgspec.Struct, frozen=True):
+    """What a target named as its limit from a time on."""
+
+    target: str
+    at: float
+    per_s: float | None
+    """Requests a second; None for no limit, or what is no number."""
+
+
 class Record(msgspec.Struct):
     """All that was seen."""
 
@@ -86,6 +95,7 @@
     probes: list[Probe] = []
     fatal: list[str] = []
     """Paths of requests that end each target that runs them."""
+    limits: list[NamedLimit] = []
     stops: list[tuple[str, float, float]] = []
     """Planned stops: entry, when it was signalled, when it had ended."""
     unplanned: list[tuple[str, float, float]] = []
--- a/leverdoor/standins/soak/run.py
+++ b/leverdoor/standins/soak/run.py
@@ -19,6 +19,7 @@
 from leverdoor.standins.soak.callers import SoakCaller, SoakProber
 from leverdoor.standins.soak.fatal import FatalCaller
 from leverdoor.standins.soak.faults import SoakFaults
+from leverdoor.standins.soak.limits import LimitNamer
 from leverdoor.standins.soak.plan import PlannedFault, draw_plan
 from leverdoor.standins.soak.promises import breaches
 from leverdoor.standins.soak.record import Leave, Record, RecordedRun
@@ -78,6 +79,7 @@
         troubles: int,
         site: SoakSite | None = None,
         fatal: int = 0,
+        limits: int = 0,
     ) -> None:
         """Create it.
 
@@ -87,7 +89,9 @@
           troubles: how many.
           site: what they happen to; one of this version if left out.
           fatal: requests that end each target that runs them, and come again.
+          limits: targets that name limits.
         """
+        self._limits = limits
         self._fatal = fatal
         self._seconds = seconds
         self._seed = seed
@@ -123,12 +127,18 @@
             FatalCaller(self._site, self._record, n, self._seed)
             for n in range(self._fatal)
         ]
+        namers = [
+            LimitNamer(self._site, self._record, n, self._seed)
+            for n in range(self._limits)
+        ]
         tasks = [asyncio.create_task(p.run()) for p in probers]
+        tasks += [asyncio.create_task(n.run()) for n in namers]
         tasks += [asyncio.create_task(f.run()) for f in fatal]
         tasks += [asyncio.create_task(c.run()) for c in callers]
         try:
             faults = SoakFaults(self._site, self._record)
-            lasts = asyncio.sleep(self._seconds if self._fatal else 0.0)
+            lasts_s = self._seconds if self._fatal or self._limits else 0.0
+            lasts = asyncio.sleep(lasts_s)
             await asyncio.gather(lasts, *(self._play_at(faults, f) for f in self._plan))
             faults.end_all()
             await self._settle()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -41,6 +41,12 @@
     assert verdict.breaches == []
 
 
+@pytest.mark.timeout(240)
+async def test_targets_get_together_what_they_named_beside_faults() -> None:
+    verdict = await Soak(5, 20.0, 8, limits=3).run()
+    assert verdict.breaches == []
+
+
 @pytest.mark.timeout(300)
 @pytest.mark.parametrize(("seed", "seconds", "troubles", "cause"), FAILED_ONCE)
 async def test_what_failed_once_holds(
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -5,7 +5,14 @@
 import pytest
 
 from leverdoor.standins.soak.promises import breaches
-from leverdoor.standins.soak.record import Attempt, Leave, Probe, Record, RecordedRun
+from leverdoor.standins.soak.record import (
+    Attempt,
+    Leave,
+    NamedLimit,
+    Probe,
+    Record,
+    RecordedRun,
+)
 from leverdoor.standins.soak.run import LEAVE_S, note_leaves
 
 
@@ -129,3 +136,33 @@
     was well 0.3 s later, while the entries held it as expired for 1.9 s."""
     leaves = note_leaves({"late": 10.0, "early": 1.0}, settled_at=10.3)
     assert leaves == [Leave("late", 10.0 + LEAVE_S), Leave("early", 10.3)]
+
+
+def limited(count: int, since: float, **more: object) -> Record:
+    """A limit of 3.5 a second, named at 0, and so many requests in 4 s."""
+    runs = [run(f"r{i}", target="t", at=since + i * 4.0 / count) for i in range(count)]
+    attempts = [attempt(f"r{i}") for i in range(count)]
+    named = [NamedLimit("t", 0.0, 3.5)]
+    return Record(attempts=attempts, runs=runs, limits=named, **more)  # type: ignore[arg-type]
+
+
+def limit_lines(record: Record) -> list[str]:
+    return [line for line in breaches(record) if line.startswith("LIMIT")]
+
+
+def test_more_than_a_target_named_is_found() -> None:
+    """26 are allowed in any 4 s from 4 s after it was named."""
+    assert limit_lines(limited(26, 4.2)) == []
+    assert limit_lines(limited(28, 4.2)) == ["LIMIT t: 28 in a window, 26 allowed"]
+    assert limit_lines(limited(60, 0.0)) == []
+    disturbed = [("n", 3.9, 9.0)]
+    assert limit_lines(limited(40, 4.2, unplanned=disturbed)) == []
+
+
+def test_a_limit_that_fell_or_ended_is_found_from_when_it_is_known() -> None:
+    record = limited(28, 10.2)
+    record.limits.append(NamedLimit("t", 9.0, None))
+    assert limit_lines(record) == []
+    record = limited(20, 14.2)
+    record.limits.append(NamedLimit("t", 9.0, 1.0))
+    assert limit_lines(record) == ["LIMIT t: 20 in a window, 11 allowed"]
