--- a/leverdoor/standins/soak/limits.py
+++ b/leverdoor/standins/soak/limits.py
@@ -22,7 +22,7 @@
 """Part of the stretches that are not readable, and in which the limit flaps."""
 SHORTEST_S = 2.0
 LONGEST_S = 14.0
-"""How long a limit stays as it is, in seconds; some outlast all windows of the check."""
+"""How long a limit stays as it is, in seconds; some outlast a window of the check."""
 FLAP_S = 1.0
 FLAPS = 6
 
--- a/tests/interface_table.py
+++ b/tests/interface_table.py
@@ -369,6 +369,7 @@
         ("--seconds", "float range min=1.0 max=3600.0", "15.0", "", "option"),
         ("--troubles", "integer range min=0 max=1000", "20", "", "option"),
         ("--fatal", "integer range min=0 max=10", "0", "", "option"),
+        ("--limits", "integer range min=0 max=6", "0", "", "option"),
         ("--logs", "path file_okay dir_okay readable", "None", "", "option"),
     ],
     "leverdoor agent": [
