A cold target gets what it bears from all entries together

Each entry of its failure domain kept an even part of the warm-up rate alone and saved up a whole request of it: 50 entries together sent 50 requests in a second where 20 are allowed, and a part lay unused where an entry had no request. The target's limiter now hands it out, the smaller of what it bears and what it names, by one mechanism; entries of the region may use it, not of its failure domain alone.

--- a/leverdoor/emulator/exact.py
+++ b/leverdoor/emulator/exact.py
@@ -7,11 +7,11 @@
 product's own. State: the shared fleet of one run.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from leverdoor.emulator.targets import EmulatedTarget
 from leverdoor.entry.placement.fleet import Fleet, TargetState
-from leverdoor.model.resources import Target
+from leverdoor.model.resources import Service, Target
 
 __all__ = ["ExactFleet"]
 
@@ -36,10 +36,15 @@
         super().__init__()
         self._emulated = targets
 
-    def renew(self, targets: Mapping[str, Target], now: float) -> list[str]:
+    def renew(
+        self,
+        targets: Mapping[str, Target],
+        now: float,
+        services: Iterable[Service] = (),
+    ) -> list[str]:
         """Take the targets of a new configuration."""
         for name, target in targets.items():
             if name not in self._states:
                 emulated = self._emulated[name]
                 self._states[name] = _ExactState(target, now, emulated)
-        return super().renew(targets, now)
+        return super().renew(targets, now, services)
--- a/leverdoor/entry/data_plane.py
+++ b/leverdoor/entry/data_plane.py
@@ -39,7 +39,7 @@
 from leverdoor.entry.requests.intake import Intake
 from leverdoor.entry.requests.outcomes import Outcomes
 from leverdoor.entry.settings import EntrySettings
-from leverdoor.entry.warm_up import count_sharers
+from leverdoor.entry.warm_up import may_warm_up
 from leverdoor.model.resources import Target
 from leverdoor.model.target_id import target_id
 from leverdoor.quarantine.crashes import LostRun
@@ -103,7 +103,7 @@
         policy = PlacementPolicy(
             s.region, s.domain, self.fleet, self._context.rng, move_per_s
         )
-        policy.sharers = lambda target: count_sharers(self._membership, target)
+        policy.warms_up = lambda target: may_warm_up(self._membership, target)
         return policy
 
     def _create_handler(self, metrics: EntryMetrics) -> EntryHandler:
@@ -191,7 +191,7 @@
     def renew(self, before: Catalog, catalog: Catalog, now: float) -> None:
         """Serve by a newer catalogue from now on."""
         self.count_entries()
-        self.fleet.renew(catalog.targets, now)
+        self.fleet.renew(catalog.targets, now, catalog.services.values())
         self.limits.renew(catalog.targets)
         for name in before.in_service - catalog.in_service:
             self.connections.drop(name)
--- a/leverdoor/entry/limits/asking.py
+++ b/leverdoor/entry/limits/asking.py
@@ -77,13 +77,13 @@
     async def acquire(self, request: PlacementRequest, target: Target) -> bool:
         """Return whether a request may be sent to a target that it was placed at.
 
-        A target without a limit has room at once. What is learned of one without room
-        is noted at its state.
+        A target without a limit, and not in its warm-up, has room at once. What is
+        learned of one without room is noted at its state.
         """
-        per_s = self._fleet.limit_per_s(target)
+        now = asyncio.get_running_loop().time()
+        per_s = self._fleet.room_per_s(target, now)
         if per_s is None:
             return True
-        now = asyncio.get_running_loop().time()
         state = self._fleet.of(target, now)
         missed = state.room.take_missed(request.priority)
         decision = await self._ask(target, per_s, request.priority, missed, now)
--- a/leverdoor/entry/limits/limiter.py
+++ b/leverdoor/entry/limits/limiter.py
@@ -6,7 +6,7 @@
 second, so that a message that came twice is not granted twice. Both are lost with the
 process; a room begins empty where another limiter may just have granted some.
 
-Relies on `LimitBook` for the limits, on `LimiterRole` for its part of them.
+Relies on the fleet for what bounds targets, on `LimiterRole` for its part of it.
 """
 
 from collections import OrderedDict
@@ -17,7 +17,7 @@
 from leverdoor.entry.exchange.messages import RoomAnswer, RoomRequest
 from leverdoor.entry.limits.role import LimiterRole
 from leverdoor.entry.pauses import Pauses
-from leverdoor.limits.named import LimitBook
+from leverdoor.entry.placement.fleet import Fleet
 from leverdoor.limits.room import Room, RoomDecision, burst
 from leverdoor.model.resources import Target
 from leverdoor.model.target_id import target_id
@@ -43,7 +43,7 @@
 
     def __init__(
         self,
-        book: LimitBook,
+        fleet: Fleet,
         role: LimiterRole,
         pauses: Pauses,
         target: Callable[[int], Target | None],
@@ -51,12 +51,12 @@
         """Create it.
 
         Args:
-          book: the limits of targets.
+          fleet: knows what bounds targets.
           role: which of them this entry hands out, and how much.
           pauses: for how long this entry has run.
           target: returns the target of a `target_id`, if there is one.
         """
-        self._book = book
+        self._fleet = fleet
         self._role = role
         self._pauses = pauses
         self._target = target
@@ -109,7 +109,7 @@
         if not part:
             return NOT_LIMITER
         key = target_id(target.name)
-        known = self._book.per_s(key)
+        known = self._fleet.room_per_s(target, now)
         per_s = per_s if known is None else min(per_s, known)
         room = self._rooms.get(key)
         if room is None:
@@ -124,13 +124,15 @@
         """
         if part < 1.0:
             return 0.0
-        since_s = min(self._book.limited_s(key, now), self._pauses.running_s(now))
-        return min(since_s * per_s, burst(per_s))
+        limited_s = self._fleet.limits.limited_s(key, now)
+        return min(min(limited_s, self._pauses.running_s(now)) * per_s, burst(per_s))
 
-    def forget(self) -> None:
-        """Drop the rooms of targets without a limit, and of those that are gone."""
+    def forget(self, now: float) -> None:
+        """Drop the rooms of targets without a bound, and of those that are gone."""
         self._rooms = {
-            key: room
-            for key, room in self._rooms.items()
-            if self._book.per_s(key) is not None and self._target(key) is not None
+            key: room for key, room in self._rooms.items() if self._bounded(key, now)
         }
+
+    def _bounded(self, key: int, now: float) -> bool:
+        target = self._target(key)
+        return target is not None and self._fleet.room_per_s(target, now) is not None
--- a/leverdoor/entry/limits/target_limits.py
+++ b/leverdoor/entry/limits/target_limits.py
@@ -54,7 +54,7 @@
         self.named = NamedLimits(context.wire, fleet.limits, context.events, metrics)
         self._pauses = Pauses(asyncio.get_running_loop().time())
         role = LimiterRole(membership, state, self._pauses)
-        self._limiter = Limiter(fleet.limits, role, self._pauses, self._targets.get)
+        self._limiter = Limiter(fleet, role, self._pauses, self._targets.get)
         self.asking = RoomAsking(
             fleet, role, self._limiter, ask_room, context.rng, metrics
         )
@@ -87,4 +87,4 @@
     def forget(self, now: float) -> None:
         """Drop what has grown old."""
         self.named.forget(now)
-        self._limiter.forget()
+        self._limiter.forget(now)
--- a/leverdoor/entry/placement/choice.py
+++ b/leverdoor/entry/placement/choice.py
@@ -142,12 +142,12 @@
     def lacks_room(
         self, request: PlacementRequest, state: TargetState, now: float
     ) -> bool:
-        """Return whether a target's limit is known to leave no room for a request.
+        """Return whether a target is known to have no room within what bounds it.
 
         It is neither slow nor failed, and takes what its limiter grants again at once.
         """
         target = state.target
-        if self._fleet.limit_per_s(target) is None:
+        if self._fleet.room_per_s(target, now) is None:
             return False
         if target.name in request.without_room:
             return True
--- a/leverdoor/entry/placement/fleet.py
+++ b/leverdoor/entry/placement/fleet.py
@@ -17,11 +17,11 @@
 from leverdoor.entry.placement.known_keys import KnownKeys
 from leverdoor.entry.placement.load import LoadEstimate
 from leverdoor.entry.placement.room_notes import RoomNotes
-from leverdoor.entry.placement.slow_start import SlowStart
+from leverdoor.entry.placement.slow_start import SlowStart, warm_up_limit_per_s
 from leverdoor.entry.placement.times import RunTimes
 from leverdoor.entry.wire import TargetLoad
 from leverdoor.limits.named import LimitBook
-from leverdoor.model.resources import Target
+from leverdoor.model.resources import Service, Target
 from leverdoor.model.target_id import target_id
 
 __all__ = ["OTHERS", "Fleet", "TargetState"]
@@ -128,10 +128,6 @@
         """Return whether the target is in its warm-up."""
         return self._slow_start.cold(now)
 
-    def spend_allowance(self, per_s: float, now: float) -> bool:
-        """Take one request of this entry's share of a cold target's allowance."""
-        return self._slow_start.spend_allowance(per_s, now)
-
     def remember(self, key: str) -> None:
         """Note that the target answered a key now."""
         self._known_keys.add(key)
@@ -193,15 +189,24 @@
             out.
         """
         self.limits = limits or LimitBook()
+        self.warm_up_per_s: Mapping[str, float] = {}
+        """By service, requests a second that all entries may send to a cold target; 0
+        for any number. Set with each configuration."""
         self._states: dict[str, TargetState] = {}
         self._counted: dict[str, frozenset[str]] = {}
         """By peer, the targets that its last message had counts for."""
 
-    def renew(self, targets: Mapping[str, Target], now: float) -> list[str]:
-        """Take the targets of a new configuration.
+    def renew(
+        self,
+        targets: Mapping[str, Target],
+        now: float,
+        services: Iterable[Service] = (),
+    ) -> list[str]:
+        """Take the targets and services of a new configuration.
 
         Returns: the names of those that are gone and have nothing in flight.
         """
+        self.warm_up_per_s = {s.name: s.warmup_per_s for s in services}
         for name, target in targets.items():
             state = self._states.get(name)
             if state is None:
@@ -231,6 +236,18 @@
         """
         return self.limits.per_s(target_id(target.name))
 
+    def room_per_s(self, target: Target, now: float) -> float | None:
+        """Return what bounds the requests a second of all entries to a target.
+
+        The limit that it names, and what it bears in its warm-up; None for no bound.
+        """
+        named = self.limit_per_s(target)
+        warm_up = self.warm_up_per_s.get(target.service, 0.0)
+        if not warm_up or not self.of(target, now).cold(now):
+            return named
+        allowed = warm_up_limit_per_s(warm_up)
+        return allowed if named is None else min(named, allowed)
+
     def in_flight(self) -> dict[str, int]:
         """Return how many requests this entry has at each target, if any."""
         return {n: s.in_flight for n, s in self._states.items() if s.in_flight}
--- a/leverdoor/entry/placement/policy.py
+++ b/leverdoor/entry/placement/policy.py
@@ -35,7 +35,6 @@
 from leverdoor.entry.placement.service_weights import ServiceWeights
 from leverdoor.entry.placement.shared_warmth import SharedWarmth
 from leverdoor.entry.placement.sharing import ShareBook
-from leverdoor.entry.placement.slow_start import share_per_s
 from leverdoor.entry.placement.spill import MOVE_PER_S, NO_SLOTS_UTILIZATION
 from leverdoor.entry.placement.tuning import PRODUCTION, Tuning
 from leverdoor.errors import Code, Rejection
@@ -83,10 +82,9 @@
         self._overflow = OverflowBudget(tuning.overflow_earn)
         self._weights = ServiceWeights(rng)
         self.shares = ShareBook(region, fleet, move_per_s, tuning)
-        self.sharers: Callable[[Target], int] = lambda _: 1
-        """How many entries share a cold target's allowance; 0 if not this one. The
-        entry sets it to its rule, which knows the members; alone, it shares with
-        nobody."""
+        self.warms_up: Callable[[Target], bool] = lambda _: True
+        """Whether this entry may use a cold target. The entry sets it to its rule,
+        which knows the members."""
 
     def renew(self, catalog: Catalog) -> None:
         """Take a new configuration."""
@@ -108,7 +106,7 @@
         """Choose a target for a request and count it there, or refuse it at once.
 
         In this order: a target in the region of the key; one in another region, for
-        a few requests; one in its warm-up, within this entry's share.
+        a few requests; one in its warm-up, within what it bears.
 
         Args:
           request: what is to be placed.
@@ -180,34 +178,23 @@
     def _place_in_warm_up(
         self, request: PlacementRequest, regions: list[str], now: float
     ) -> Placement | None:
-        """Use a cold target within this entry's share of its allowance.
+        """Use a cold target; its limiter has to grant the request.
 
         Targets of the own region come first, then those of the others in order.
         """
-        service = self._catalog.services.get(request.service)
-        per_s = service.warmup_per_s if service is not None else 0.0
         for region in sorted(regions, key=lambda r: r != self._region):
             for target in self._candidates.order(request, region):
                 state = self._fleet.of(target, now)
-                if not self._may_warm_up(request, state, per_s, now):
+                if not self._may_warm_up(request, state, now):
                     continue
                 option = self._chooser.warm_up_option(request, state)
                 return self._take(request, option, "cold", now)
         return None
 
     def _may_warm_up(
-        self, request: PlacementRequest, state: TargetState, per_s: float, now: float
+        self, request: PlacementRequest, state: TargetState, now: float
     ) -> bool:
-        """Return whether a target is cold, has a slot, and may get one more request.
-
-        If so, and the service bounds it, the request is taken off this entry's share.
-
-        Args:
-          request: what is to be placed.
-          state: the target's state.
-          per_s: requests a second that all entries may send to it; 0 for no bound.
-          now: monotonic time in seconds.
-        """
+        """Return whether a target is cold, has a slot, and may have room."""
         target = state.target
         if not state.cold(now) or not state.usable(now):
             return False
@@ -215,10 +202,7 @@
             return False
         if self._chooser.lacks_room(request, state, now):
             return False
-        entries = self.sharers(target)
-        if entries < 1:
-            return False
-        return not per_s or state.spend_allowance(share_per_s(per_s, entries), now)
+        return self.warms_up(target)
 
     def _refuse_without_region(self, request: PlacementRequest) -> Rejection:
         """Refuse what no region may serve, or none has a target for."""
