--- a/leverdoor/entry/limits/role.py
+++ b/leverdoor/entry/limits/role.py
@@ -30,11 +30,11 @@
 HANDOVER_S = 4.0
 """Age of an entry's last heartbeat up to which another may still ask it, in seconds:
 entries of other regions take it for silent after 3.2 s, which digests may delay."""
-NEWCOMER_S = 2.0
+NEWCOMER_S = 1.2
 """Time for which an entry that started or resumed is not known to all, in seconds."""
-HANDOVER_PART = 0.3
+HANDOVER_PART = 0.5
 """Part of a limit handed out while another entry may be asked as well, which hands out
-all of it."""
+all of it; for the 2.4 s that this lasts, half of it fits the bound of 4 s."""
 SPLIT_SPARE = 1.2
 """Factor on the part of the region's entries that are live here: each side of a cut
 hands out so much of the limit, and together at most this much."""
