All entries together keep fewer idle connections to a target than it takes

Each entry kept up to 16 idle ones for a target, 3,120 at 195 entries where 390 are taken, so that a target reset new ones. An even part of 0.8 of the bound sums up at any number of entries without a message, and a part that is not used leaves no room unused: who has no idle connection opens one. At 12 entries nothing changes (26 each, 16 are kept); at 195 each keeps one.

--- a/leverdoor/entry/data_plane.py
+++ b/leverdoor/entry/data_plane.py
@@ -193,6 +193,9 @@
         self.count_entries()
         self.fleet.renew(catalog.targets, now, catalog.services.values())
         self.limits.renew(catalog.targets)
+        self.connections.most = {
+            s.name: s.connections for s in catalog.services.values()
+        }
         for name in before.in_service - catalog.in_service:
             self.connections.drop(name)
         self.placement.renew(catalog)
@@ -209,5 +212,6 @@
             self.quotas.receive(update.use, now)
 
     def count_entries(self) -> None:
-        """Count the entries that share quotas."""
+        """Count the entries that share quotas and the connections of targets."""
         self.quotas.entries = self._membership.count
+        self.connections.entries = self._membership.count
--- a/leverdoor/entry/requests/connections.py
+++ b/leverdoor/entry/requests/connections.py
@@ -8,7 +8,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from leverdoor.entry.requests.connection import (
     AnswerLost,
@@ -55,6 +55,10 @@
 a target takes; smaller, a burst of requests opens new ones.
 """
 
+IDLE_PART = 0.8
+"""Part of the connections that a target takes from all entries which may be idle ones;
+the rest is for those that are opened for a request."""
+
 
 class Connections:
     """Kept connections by target; at most one request on each."""
@@ -74,6 +78,11 @@
         self._id_header = id_header
         self._region = region
         self._idle: dict[str, list[TargetConnection]] = {}
+        self.entries = 1
+        """How many entries there are, this one included, silent ones too."""
+        self.most: Mapping[str, int] = {}
+        """By service, connections that a target takes from all entries; 0 for any
+        number."""
         self.opened = 0
         """Connections that were opened so far."""
 
@@ -153,13 +162,29 @@
         if connection.closed:
             return
         kept = self._idle.setdefault(target.name, [])
-        if len(kept) >= MAX_IDLE:
+        if len(kept) >= self._most_idle(target.service):
             connection.close()
             return
         connection.idle_since = asyncio.get_running_loop().time()
         connection.idle_limit_s = _idle_limit_s(keep_alive)
         kept.append(connection)
 
+    def _most_idle(self, service: str) -> int:
+        """Return how many idle connections are kept for a target of a service.
+
+        A target resets what all entries together open beyond its bound. An even part
+        sums up to it at any number of entries, and one that is not used costs no room:
+        a request that finds no idle connection opens one.
+        """
+        most = self.most.get(service, 0)
+        if not most:
+            return MAX_IDLE
+        return min(MAX_IDLE, int(IDLE_PART * most / self.entries))
+
+    def idle_count(self, target: Target) -> int:
+        """Return how many idle connections to a target are kept."""
+        return len(self._idle.get(target.name, ()))
+
     def sweep(self, now: float) -> None:
         """Close what has been idle for too long.
 
--- a/tests/test_entry_connections.py
+++ b/tests/test_entry_connections.py
@@ -39,6 +39,34 @@
     assert limits.longest_s("s", 0.0) > 1e9
 
 
+@pytest.mark.parametrize("entries", [1, 12, 195, 300])
+async def test_all_entries_together_keep_no_more_idle_than_a_target_takes(
+    entries: int,
+) -> None:
+    """What a target saw: resets of new connections while hundreds lay idle.
+
+    Cause: its bound over all entries was read and used nowhere; each entry kept up to
+    16 idle connections alone, 3,120 at 195 entries where 390 are taken.
+    """
+
+    async def serve(r: asyncio.StreamReader, w: asyncio.StreamWriter) -> None:
+        await r.read()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    connections = Connections("x-id", "a", lambda _: None)
+    connections.entries = entries
+    connections.most = {"s": 390}
+    one = target("one", address=address)
+    checks = [connections.check(one) for _ in range(20)]
+    assert set(await asyncio.gather(*checks)) == {TargetCheck.SERVES}
+    idle = connections.idle_count(one)
+    assert 0 < idle * entries < 390
+    assert idle == 16 or (idle + 1) * entries > 0.8 * 390
+    connections.close()
+    server.close()
+
+
 def outgoing(request_id: str) -> Outgoing:
     head = f"POST / HTTP/1.1\r\nHost: h\r\nX-Id: {request_id}\r\n\r\n"
     return Outgoing(request_id, "POST", head.encode(), b"")
