Limiters are ranked once while nobody comes or goes

Choosing the limiter of one target among 833 entries of a region took 1.2 ms, ten times a second for each limited target in use. The order of a target's entries is kept until one comes, goes or restarts; the first that serves is then found at once. benchmarks/entry_slopes.py has the costs.

--- a/benchmarks/entry_slopes.py
+++ b/benchmarks/entry_slopes.py
@@ -13,18 +13,23 @@
 from collections.abc import Callable
 from random import Random
 
-from leverdoor.codec import pack
+from leverdoor.codec import pack, unpack
 from leverdoor.entry.configuration.catalog import Catalog
 from leverdoor.entry.exchange.exchange import Exchange
 from leverdoor.entry.exchange.exchange_types import EntryStatus
-from leverdoor.entry.exchange.messages import EntryHeartbeat
-from leverdoor.entry.membership.member import SERVING, Member
+from leverdoor.entry.exchange.messages import EntryHeartbeat, RoomRequest
+from leverdoor.entry.limits.limiter import Limiter
+from leverdoor.entry.limits.role import REMEMBERED_S, LimiterRole
+from leverdoor.entry.membership.member import SERVING, Member, MemberRow, member_id
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.membership.naming import Naming
+from leverdoor.entry.membership.peer_record import LastSeen
 from leverdoor.entry.membership.roles import Roles
+from leverdoor.entry.pauses import Pauses
 from leverdoor.entry.placement.fleet import Fleet
 from leverdoor.entry.placement.placement_request import Placement, PlacementRequest
 from leverdoor.entry.placement.policy import PlacementPolicy
+from leverdoor.limits.named import LimitWord
 from leverdoor.model.resources import (
     Region,
     Resource,
@@ -33,6 +38,7 @@
     Target,
     WorkClass,
 )
+from leverdoor.model.target_id import target_id
 
 RUNS = 7
 REGIONS = ("a", "b", "c")
@@ -146,8 +152,55 @@
     print(f"| {entries} | {heard:.1f} | {named:.0f} | {played:.0f} | {size} |")
 
 
+def by_limits(entries: int) -> None:
+    """Print the costs of limits that grow with entries: a third are of the region."""
+    membership = Membership(_limit_member(0))
+    for i in range(1, entries):
+        other = _limit_member(i)
+        membership.introduce(other, 0.0)
+        row = MemberRow(member_id(other.name), 1, SERVING)
+        membership.observe(LastSeen(row, 1e6), 0.0)
+    pauses = Pauses(-60.0, lambda: 0.0)
+    role = LimiterRole(membership, lambda: SERVING, pauses)
+    limited = [t for t in resources(30_000, 1) if isinstance(t, Target)]
+    mine = [t for t in limited if role.part(t, 0.0)][:1]
+    moments = (i * 1.01 * REMEMBERED_S for i in range(10**9))
+    turns = iter(range(10**9))
+
+    def choose() -> None:
+        fresh = LimiterRole(membership, lambda: SERVING, pauses)
+        fresh.limiter(limited[0], 0.0)
+
+    def choose_again() -> None:
+        role.part(limited[0], next(moments))
+
+    chosen = median_us(choose, 20)
+    again = median_us(choose_again, 100)
+    known = median_us(lambda: role.limiter(limited[0], 0.0), 200)
+    decided = 0.0
+    if mine:
+        fleet = Fleet()
+        fleet.limits.take(LimitWord(target_id(mine[0].name), 3.5, 0.0))
+        limiter = Limiter(fleet, role, pauses, {target_id(mine[0].name): mine[0]}.get)
+        key = target_id(mine[0].name)
+
+        def answer() -> None:
+            request = RoomRequest("10.0.0.1:7", next(turns), key, 3.5, 2, 0)
+            unpack(pack(request), RoomRequest)
+            pack(limiter.answer(request, 0.0))
+
+        decided = median_us(answer, 200)
+    print(f"| {entries} | {chosen:.0f} | {again:.1f} | {known:.1f} | {decided:.0f} |")
+
+
+def _limit_member(i: int) -> Member:
+    region = REGIONS[i % 3]
+    domain = f"{region}{i // 3 % 2}"
+    return Member(f"e{i}", region, domain, "f", f"10.0.0.{i}:7", "p", 1)
+
+
 def main() -> None:
-    """Print both tables."""
+    """Print all tables."""
     print("| targets | compile ms | rank ms | decide us | shares ms | hear us |")
     print("|---|---|---|---|---|---|")
     for targets in (48, 330, 1_000, 4_000):
@@ -156,6 +209,12 @@
     print("|---|---|---|---|---|")
     for entries in (12, 85, 300, 2_500):
         by_entries(entries)
+    print(
+        "\n| entries | rank entries us | choose a limiter us | known us | answer us |"
+    )
+    print("|---|---|---|---|---|")
+    for entries in (12, 85, 300, 2_500):
+        by_limits(entries)
 
 
 if __name__ == "__main__":
--- a/leverdoor/entry/limits/role.py
+++ b/leverdoor/entry/limits/role.py
@@ -15,6 +15,7 @@
 
 from collections.abc import Callable
 
+import msgspec
 import xxhash
 
 from leverdoor.entry.membership.liveness import is_live
@@ -43,6 +44,27 @@
 where a region has hundreds of entries."""
 
 
+MOST_RANKINGS = 256
+"""Targets whose order of entries is kept."""
+
+
+class _Limiter(msgspec.Struct, frozen=True):
+    """Who limits a target, as it was found at a time."""
+
+    at: float
+    member: Member | None
+    part: float
+    """Of the limit that this entry may hand out, once it has run for long enough."""
+
+
+class _Ranking(msgspec.Struct, frozen=True):
+    """The entries that may limit a target, the first one first."""
+
+    made_of: tuple[int, int]
+    """Version of the membership, and how many entries it had."""
+    names: list[str]
+
+
 class LimiterRole:
     """Who limits which target, as this entry sees it."""
 
@@ -63,7 +85,10 @@
         self.own = membership.own
         self._state = state
         self._pauses = pauses
-        self._found: dict[int, tuple[float, Member | None]] = {}
+        self._found: dict[int, _Limiter] = {}
+        self._rankings: dict[int, _Ranking] = {}
+        self._shares: dict[str, tuple[float, float]] = {}
+        """By region, when its live part was found, and this."""
 
     def limiter(self, target: Target, now: float) -> Member | None:
         """Return the entry that hands out a target's room; None if none can be asked.
@@ -72,48 +97,90 @@
           target: which one.
           now: monotonic time in seconds.
         """
-        key = target_id(target.name)
-        at, found = self._found.get(key, (float("-inf"), None))
-        if now - at > REMEMBERED_S:
-            found = self._choose(key, target.region, now)
-            self._found[key] = (now, found)
-        return found
-
-    def _choose(self, key: int, region: str, now: float) -> Member | None:
-        members = [r.member for r in self._records(region) if self._serves(r, now)]
-        if self._belongs(region) and self._state() == SERVING:
-            members.append(self.own)
-        return max(members, key=lambda m: _place(m, key), default=None)
+        return self._find(target, now).member
 
     def part(self, target: Target, now: float) -> float:
         """Return the part of a target's limit that this entry may hand out.
 
         0 if another entry limits it.
         """
-        running_s = self._pauses.running_s(now)
-        limiter = self.limiter(target, now)
-        if limiter is None or limiter.name != self.own.name:
-            return 0.0
-        if running_s < NEWCOMER_S or self._has_rival(target, now):
+        part = self._find(target, now).part
+        if part and self._pauses.running_s(now) < NEWCOMER_S:
             return HANDOVER_PART
-        return min(SPLIT_SPARE * self._live_share(target.region, now), 1.0)
+        return part
 
-    def _has_rival(self, target: Target, now: float) -> bool:
-        """Return whether a silent entry may still hand out the room of a target."""
+    def _find(self, target: Target, now: float) -> _Limiter:
         key = target_id(target.name)
-        own = _place(self.own, key)
+        found = self._found.get(key)
+        if found is None or now - found.at > REMEMBERED_S:
+            names = self._ranked(key, target.region)
+            member = self._first_serving(names, now)
+            own = member is not None and member.name == self.own.name
+            part = self._part(names, target.region, now) if own else 0.0
+            found = self._found[key] = _Limiter(now, member, part)
+        return found
+
+    def _ranked(self, key: int, region: str) -> list[str]:
+        """Return the names of the entries that may limit a target, in its order.
+
+        Kept until an entry comes, goes or restarts: hashing all of a large region for
+        each target would cost a percent of a core.
+        """
+        made_of = (self._membership.version, self._membership.count)
+        known = self._rankings.get(key)
+        if known is not None and known.made_of == made_of:
+            return known.names
+        names = [r.member.name for r in self._records(region)]
+        if self._belongs(region):
+            names.append(self.own.name)
+        names.sort(key=lambda name: _place(name, key), reverse=True)
+        if len(self._rankings) >= MOST_RANKINGS:
+            self._rankings.clear()
+            self._found.clear()
+        self._rankings[key] = _Ranking(made_of, names)
+        return names
+
+    def _first_serving(self, names: list[str], now: float) -> Member | None:
+        for name in names:
+            if name == self.own.name:
+                if self._state() == SERVING:
+                    return self.own
+                continue
+            record = self._membership.record(name)
+            if record is not None and self._serves(record, now):
+                return record.member
+        return None
+
+    def _part(self, names: list[str], region: str, now: float) -> float:
+        if self._has_rival(names, now):
+            return HANDOVER_PART
+        return min(SPLIT_SPARE * self._live_share(region, now), 1.0)
+
+    def _has_rival(self, names: list[str], now: float) -> bool:
+        """Return whether a silent entry may still hand out a target's room.
+
+        Args:
+          names: of the entries that may limit it; those before this one count.
+          now: monotonic time in seconds.
+        """
+        before = names[: names.index(self.own.name)]
+        records = [self._membership.record(name) for name in before]
         return any(
-            now - record.heartbeat_at <= HANDOVER_S and _place(record.member, key) > own
-            for record in self._records(target.region)
-            if record.state == SERVING and not self._serves(record, now)
+            record.state == SERVING and now - record.heartbeat_at <= HANDOVER_S
+            for record in records
+            if record is not None
         )
 
     def _live_share(self, region: str, now: float) -> float:
         """Return the part of a region's entries that are live, this one included."""
-        known = [r for r in self._records(region) if r.state != LEAVING]
-        live = sum(self._serves(r, now) for r in known)
-        own = int(self._belongs(region))
-        return (live + own) / (len(known) + own)
+        at, share = self._shares.get(region, (float("-inf"), 1.0))
+        if now - at > REMEMBERED_S:
+            known = [r for r in self._records(region) if r.state != LEAVING]
+            live = sum(self._serves(r, now) for r in known)
+            own = int(self._belongs(region))
+            share = (live + own) / (len(known) + own)
+            self._shares[region] = (now, share)
+        return share
 
     def _belongs(self, region: str) -> bool:
         """Return whether this entry may limit a region's targets."""
@@ -135,5 +202,5 @@
         return record.state == SERVING and is_live(record, self.own.region, now)
 
 
-def _place(member: Member, key: int) -> int:
-    return xxhash.xxh3_64_intdigest(member.name.encode(), seed=key)
+def _place(name: str, key: int) -> int:
+    return xxhash.xxh3_64_intdigest(name.encode(), seed=key)
--- a/leverdoor/entry/placement/fleet.py
+++ b/leverdoor/entry/placement/fleet.py
@@ -234,6 +234,8 @@
 
         None if it names no limit.
         """
+        if self.limits.is_empty:
+            return None
         return self.limits.per_s(target_id(target.name))
 
     def room_per_s(self, target: Target, now: float) -> float | None:
--- a/leverdoor/limits/named.py
+++ b/leverdoor/limits/named.py
@@ -57,6 +57,11 @@
         self._since: dict[int, float] = {}
         """When a limit was last named after none, or became another."""
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no target lately named a limit, as at nearly all times."""
+        return not self._words
+
     def limited_s(self, target: int, now: float) -> float:
         """Return for how long a target's limit has been as it is, in seconds."""
         return now - self._since.get(target, now)
