A harmless request is not held back beside a cause that was at all its ends

Six harmless look-ups were refused within 2.3 s beside a request that ended all six targets in 74 ms: by moments both were at three ends, so the look-up passed for its rival. Of two with the same count the one now comes first that was at all ends of the other and at more. Why this holds: it explains every end of the other, which explains a part of its; where neither contains the other nothing changes.

--- a/leverdoor/quarantine/crashes.py
+++ b/leverdoor/quarantine/crashes.py
@@ -185,9 +185,27 @@
         return found
 
     def attributed(self, fingerprint: int) -> list[Crash]:
-        """Return the ends at which no request was present that was so more often."""
+        """Return the ends at which no request was present that was so more often.
+
+        Counts are of moments, so that ends close together say little. Of two with the
+        same count the one comes first that was at all ends of the other and at more:
+        it explains them, while the other does not explain its.
+        """
         own = self.count(fingerprint)
-        return [c for c in self.crashes(fingerprint) if self._weight(c) <= own]
+        crashes = self.crashes(fingerprint)
+        if any(
+            self.count(other) == own and self._explains(other, crashes)
+            for other in self.beside(fingerprint)
+        ):
+            return []
+        return [c for c in crashes if self._weight(c) <= own]
+
+    def _explains(self, other: int, crashes: Sequence[Crash]) -> bool:
+        """Return whether a request was at all of some ends, and at more of them."""
+        ends = self._by_fingerprint[other]
+        if len(ends) <= len(crashes):
+            return False
+        return all(other in c.runs for c in crashes)
 
     def times(self, first: float, last: float) -> list[float]:
         """Return the times of all ends within a span of time."""
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -315,6 +315,10 @@
     other. By moments both were at three ends, so the look-up counted as a rival of the
     cause, which was at all six. Soak 820020 with one fatal request: quarantine held
     ends 6 tries 0 for the cause, ends 3 tries 2 for the look-up.
+
+    Cause: counts of moments were compared alone, and six ends within 74 ms are three
+    moments. Evidence: the cause was at all three ends of the look-up and at three more,
+    which these counts can't show.
     """
     s = Entries()
     runs = (
