--- a/leverdoor/agent/api.py
+++ b/leverdoor/agent/api.py
@@ -35,18 +35,18 @@
 MAX_BODY = 1_000_000
 """Longest document accepted, in bytes; the longest value of the store."""
 BOOKMARK_S = 5.0
-"""Seconds between bookmarks to an idle watch; chosen, below usual idle time-outs."""
+"""Seconds between bookmarks to an idle watch: below usual idle time-outs."""
 REPORT_WATCH_S = 1.0
-"""Seconds between two reports to a watcher; chosen, people read them."""
+"""Seconds between two reports to a watcher: people read them."""
 WATCH_QUEUE = 1_000
 """Changes kept for a slow watcher before its watch ends and it has to list again.
 
-Chosen: holds a large apply; a greater one costs memory for each slow watcher.
+Holds a large apply; a greater one costs memory for each slow watcher.
 """
 NO_CONFIGURATION_RETRY_MS = 500
 """Retry-After in ms while the agent has no copy of the store yet.
 
-Chosen: about the time in which a new agent gets it from a peer.
+About the time in which a new agent gets it from a peer.
 """
 ABSENT = msgspec.Raw(b"null")
 
--- a/leverdoor/agent/daemon.py
+++ b/leverdoor/agent/daemon.py
@@ -38,9 +38,9 @@
 __all__ = ["Agent"]
 
 STOP_TIMEOUT_S = 1.0
-"""Longest time that closing may take, in seconds; chosen, a gate goes on meanwhile."""
+"""Longest time that closing may take, in seconds: a gate goes on meanwhile."""
 METRICS_BEATS = 10
-"""Heartbeats between two updates of metrics and of peers to forget; chosen, 2 s."""
+"""Heartbeats between two updates of metrics and of peers to forget: 2 s."""
 PROBES_PER_S = 8
 """Targets probed in a second; keeps an agent below 1% of a core."""
 
--- a/leverdoor/agent/link.py
+++ b/leverdoor/agent/link.py
@@ -25,7 +25,7 @@
 HIGH_WATER = 1_000
 """Messages queued on the link before new ones are dropped.
 
-Chosen: 100 s of reports. Older ones are worthless, so a longer queue gains nothing.
+100 s of reports. Older ones are worthless, so a longer queue gains nothing.
 """
 
 
--- a/leverdoor/agent/planning.py
+++ b/leverdoor/agent/planning.py
@@ -40,8 +40,8 @@
 STANDBY_ROUNDS = 6
 """Rounds that the standby planner waits before it acts, 1.5 s.
 
-Chosen: above the time in which the first one writes. Greater, a dead planner is missed
-for longer; smaller, both write and one is refused.
+Above the time in which the first one writes. Greater, a dead planner is missed for
+longer; smaller, both write and one is refused.
 """
 
 
--- a/leverdoor/agent/probing.py
+++ b/leverdoor/agent/probing.py
@@ -19,12 +19,12 @@
 PROBE_TIMEOUT_S = 1.0
 """Longest time for a report of a target, in seconds.
 
-Chosen as the interval of probes: a longer one lets probes pile up, a shorter one takes
+As the interval of probes: a longer one lets probes pile up, a shorter one takes
 a busy target for a dead one.
 """
 PROBE_PATH = "/.leverdoor/report"
 CONNECTIONS = 16
-"""Probes under way at once; chosen, keeps the agent's bursts short."""
+"""Probes under way at once: keeps the agent's bursts short."""
 
 
 class TargetReport(msgspec.Struct):
--- a/leverdoor/agent/reports.py
+++ b/leverdoor/agent/reports.py
@@ -21,7 +21,7 @@
 __all__ = ["REPORTS", "Report", "Reporter"]
 
 FETCH_TIMEOUT_S = 1.5
-"""Longest time to fetch a gate's part of a report, in s; chosen, a person waits."""
+"""Longest time to fetch a gate's part of a report, in s: a person waits."""
 REPORTS = ("entries", "headroom", "burn", "shifts", "drains")
 
 
--- a/leverdoor/agent/vm_watch.py
+++ b/leverdoor/agent/vm_watch.py
@@ -20,8 +20,8 @@
 DEPARTED_KEPT_S = 120.0
 """How long a process that is gone is named in heartbeats, in seconds.
 
-Chosen: twice the time after which peers forget a silent VM, so that a late heartbeat
-doesn't bring it back into the ownership table.
+Twice the time after which peers forget a silent VM, so that a late heartbeat doesn't
+bring it back into the ownership table.
 """
 
 
--- a/leverdoor/analysis/explaining.py
+++ b/leverdoor/analysis/explaining.py
@@ -17,7 +17,7 @@
 CONTEXT_S = 30.0
 """Seconds before a request's own lines in which other events can bear on it.
 
-Chosen: longer than an ejection of a target lasts; more would list what is over.
+Longer than an ejection of a target lasts; more would list what is over.
 """
 
 _REQUEST_EVENTS = frozenset({"attempt", "attempt_failed", "refused", "client_left"})
--- a/leverdoor/analysis/plots.py
+++ b/leverdoor/analysis/plots.py
@@ -14,7 +14,7 @@
 __all__ = ["plot_losses"]
 
 WIDTH_INCHES = 10.0
-"""Width of a plot; chosen so that a day of a minute has readable bars."""
+"""Width of a plot: a day of a minute then has readable bars."""
 HEIGHT_INCHES = 5.0
 """Height of a plot; half of its width."""
 
--- a/leverdoor/client/caller.py
+++ b/leverdoor/client/caller.py
@@ -24,21 +24,21 @@
 __all__ = ["Caller", "Reply"]
 
 MAX_ATTEMPTS = 8
-"""Most attempts of one call; chosen, each of the four named gates twice."""
+"""Most attempts of one call: each of the four named gates twice."""
 LOOKUP_TIMEOUT_S = 2.0
 """Longest time of a look-up at one entry, in seconds.
 
-Chosen far above a round trip between regions; a longer one waits for a dead entry.
+Far above a round trip between regions; a longer one waits for a dead entry.
 """
 DEFAULT_WAIT_MS = 100
 """Pause before a retry where the answer names no Retry-After, in ms.
 
-Chosen: some runs; a lost answer may mean that a gate has just died.
+Some runs; a lost answer may mean that a gate has just died.
 """
 ANSWER_GRACE_S = 0.25
 """Seconds past the deadline for which an answer is awaited.
 
-Chosen: a refusal at the deadline says whether the request ran, a time-out doesn't.
+A refusal at the deadline says whether the request ran, a time-out doesn't.
 """
 
 
--- a/leverdoor/client/load.py
+++ b/leverdoor/client/load.py
@@ -23,11 +23,11 @@
 DIGITS = 3
 """Significant digits of the histogram; errors stay below 0.1%."""
 DRAIN_S = 10.0
-"""How long answers are awaited after the last request, in s; chosen, five deadlines."""
+"""How long answers are awaited after the last request, in s: five deadlines."""
 MAX_SECONDS = 600.0
-"""Longest run, in seconds; chosen, so that a mistyped option ends."""
+"""Longest run, in seconds: so that a mistyped option ends."""
 MAX_REQUESTS = 1_000_000
-"""Most requests of a run; chosen, bounds memory: each is kept in `told`."""
+"""Most requests of a run. Bounds memory: each is kept in `told`."""
 
 
 class Stream(msgspec.Struct, frozen=True):
--- a/leverdoor/client/operator.py
+++ b/leverdoor/client/operator.py
@@ -23,9 +23,9 @@
 __all__ = ["Operator"]
 
 CALL_TIMEOUT_S = 10.0
-"""Longest time of a call, in seconds; chosen, five time-outs of the store."""
+"""Longest time of a call, in seconds: five time-outs of the store."""
 WAIT_POLL_S = 0.1
-"""Seconds between two looks whether a change is in force; chosen, half a heartbeat."""
+"""Seconds between two looks whether a change is in force: half a heartbeat."""
 WATCH_SILENCE_S = 15.0
 """Silence of a watch after which it is opened anew; three bookmarks."""
 
--- a/leverdoor/commands/drain.py
+++ b/leverdoor/commands/drain.py
@@ -21,8 +21,8 @@
 __all__ = ["drain", "undrain"]
 
 POLL_S = 0.25
-"""Seconds between two reads of what is still in flight; chosen: four calls a second of
-one operator, and a wait that ends soon after the drain."""
+"""Seconds between two reads of what is still in flight: four calls a second of one
+operator, and a wait that ends soon after the drain."""
 WHAT = click.Choice(["region", "domain", "target", "vm"])
 
 
--- a/leverdoor/emulator/clients.py
+++ b/leverdoor/emulator/clients.py
@@ -22,8 +22,8 @@
 LEAST_RETRY_S = 0.02
 """Shortest pause before a client tries again, in seconds.
 
-Chosen: without one, a refusal that asks for no wait would be retried at once; a
-longer one would outlast short deadlines.
+Without one, a refusal that asks for no wait would be retried at once; a longer one
+would outlast short deadlines.
 """
 RETRY_SHARE = 1 / 3
 """Part of the time left that a client is willing to wait before it tries again."""
--- a/leverdoor/emulator/site.py
+++ b/leverdoor/emulator/site.py
@@ -36,8 +36,8 @@
 RESTART_S = 1.0
 """How long an entry that ends is away, in seconds.
 
-Chosen: about the start of a process. Shorter, and the others would not miss it;
-longer, and their takeover of its requests would be all that is played.
+About the start of a process. Shorter, and the others would not miss it; longer, and
+their takeover of its requests would be all that is played.
 """
 TARGET_ADDRESS = "10.0.0.1:80"
 """Address of every target; none is connected to."""
--- a/leverdoor/entry/admin.py
+++ b/leverdoor/entry/admin.py
@@ -32,8 +32,7 @@
 FAST_LEVEL = 1
 """Level of zlib for states.
 
-Chosen: the fastest, not measured. Greater levels hold up the loop, on which requests
-wait, for somewhat fewer bytes.
+Greater levels hold up the loop, on which requests wait, for somewhat fewer bytes.
 """
 
 
--- a/leverdoor/entry/bounds.py
+++ b/leverdoor/entry/bounds.py
@@ -40,8 +40,8 @@
 RETRIES_FIRST = 2.0
 """Retries that an entry starts with, for a service.
 
-Chosen: half of those saved at most, since many entries may start together. Greater:
-starts pass the bound. Smaller: the first failures after a start are not retried.
+Half of those saved at most, since many entries may start together. Greater: starts pass
+the bound. Smaller: the first failures after a start are not retried.
 """
 SHIFT_WINDOW_S = 2.0
 """Window of the bound on shifts, in seconds: the setting `max_shift` is a share of a
@@ -49,16 +49,16 @@
 MOVED_SHARE = 0.53
 """Part of the bound on shifts that is planned with.
 
-Chosen: agreement between entries may move half as much besides
-(spill.py:AGREEMENT_MOVE_PART), 0.8 in all; the rest is for chance, since keys have
-unequal numbers of requests. Greater: the operator's cap may be passed. Smaller: keys
-leave a full region more slowly.
+Agreement between entries may move half as much besides (spill.py:AGREEMENT_MOVE_PART),
+0.8 in all; the rest is for chance, since keys have unequal numbers of requests.
+Greater: the operator's cap may be passed. Smaller: keys leave a full region more
+slowly.
 """
 SHARE_UPDATE_ROUNDS = 2
 """Rounds of heartbeats between two moves of the regions' shares: 0.4 s.
 
-Chosen: no move before the effect of the last one was reported. Greater: shares move in
-larger steps. Smaller: more processor time for the same rate.
+No move before the effect of the last one was reported. Greater: shares move in larger
+steps. Smaller: more processor time for the same rate.
 """
 WARM_SENT_S = 0.5
 """How long heartbeats carry the digest of a warm key, in seconds.
--- a/leverdoor/entry/configuration/catalog_keeper.py
+++ b/leverdoor/entry/configuration/catalog_keeper.py
@@ -26,7 +26,7 @@
 LOGGED_PAIRS = 8
 """Routes and workspaces without a common home that one log line names.
 
-Chosen: enough to find the mistake; more would make the line long for no gain.
+Enough to find the mistake; more would make the line long for no gain.
 """
 
 PutInForce: TypeAlias = Callable[[Catalog, Catalog, Configured], None]
--- a/leverdoor/entry/configuration/expired_registrations.py
+++ b/leverdoor/entry/configuration/expired_registrations.py
@@ -21,14 +21,14 @@
 MOST_HOLD_S = 2.0
 """How long a target is used without its registration, in seconds.
 
-Chosen: targets that run have registered again by then. Greater, requests go to targets
-that are gone; smaller, running ones are taken out of service.
+Targets that run have registered again by then. Greater, requests go to targets that are
+gone; smaller, running ones are taken out of service.
 """
 HOLD_MARGIN_S = 0.6
 """Taken off the bound on leaving targets, in seconds.
 
-Chosen: time for the news of a leaving target to arrive here. Greater, targets are held
-for less; smaller, a target that left during the outage gets requests beyond the bound.
+Time for the news of a leaving target to arrive here. Greater, targets are held for
+less; smaller, a target that left during the outage gets requests beyond the bound.
 """
 
 
--- a/leverdoor/entry/configuration/outage.py
+++ b/leverdoor/entry/configuration/outage.py
@@ -12,9 +12,9 @@
 RECENT_S = 6.0
 """How long after an outage a missing registration may still be due to it, in seconds.
 
-Chosen: a lease that was not kept during the outage may end that long after it. Greater,
-targets that died are used for longer; smaller, targets that only lost their
-registration are taken out of service.
+A lease that was not kept during the outage may end that long after it. Greater, targets
+that died are used for longer; smaller, targets that only lost their registration are
+taken out of service.
 """
 
 
--- a/leverdoor/entry/control_plane.py
+++ b/leverdoor/entry/control_plane.py
@@ -32,8 +32,8 @@
 STORE_BACKOFF_S = 1.0
 """Longest pause between calls to a store that is away, in seconds.
 
-Chosen: with the spread of half of it, changes are read again within 2 s of its return.
-Greater, they are later; smaller, all followers load a store that is just coming back.
+With the spread of half of it, changes are read again within 2 s of its return. Greater,
+they are later; smaller, all followers load a store that is just coming back.
 """
 
 
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -42,8 +42,8 @@
 SWEEP_HEARTBEATS = 5
 """Rounds of heartbeats between two clean-ups: 1 s.
 
-Chosen: what is cleaned up ages over seconds. Greater, idle connections and metrics are
-late; smaller, an entry spends processor time on them.
+What is cleaned up ages over seconds. Greater, idle connections and metrics are late;
+smaller, an entry spends processor time on them.
 """
 LISTEN_ON_S = 2.2
 """How long a leaving entry accepts connections, in seconds.
@@ -54,14 +54,14 @@
 STOP_MARGIN_S = 0.4
 """Seconds before the end of the grace by which an entry ends itself.
 
-Chosen: it closes its sockets and writes its last log lines. Greater, requests in flight
-get less time; smaller, the platform may kill the process in between.
+It closes its sockets and writes its last log lines. Greater, requests in flight get
+less time; smaller, the platform may kill the process in between.
 """
 BACKLOG = 512
 """Connections that wait to be accepted.
 
-Chosen: a second of new ones at a burst. Smaller, clients' connections are dropped by
-the kernel while the loop is busy; greater, they wait beyond their deadlines.
+A second of new ones at a burst. Smaller, clients' connections are dropped by the kernel
+while the loop is busy; greater, they wait beyond their deadlines.
 """
 
 
--- a/leverdoor/entry/events.py
+++ b/leverdoor/entry/events.py
@@ -37,12 +37,12 @@
 MAX_PENDING_BYTES = 256 * 1024
 """Bytes kept for a reader that does not read; then lines are dropped.
 
-Chosen: a few seconds of log, for a reader that pauses. Greater, a reader that is gone
-costs memory; smaller, a short pause costs lines.
+A few seconds of log, for a reader that pauses. Greater, a reader that is gone costs
+memory; smaller, a short pause costs lines.
 """
 
 MOST_LOGGED_TEXT = 80
-"""Characters of a foreign text in a line; chosen: enough to find where it is set."""
+"""Characters of a foreign text in a line: enough to find where it is set."""
 
 
 class LineWriter:
--- a/leverdoor/entry/exchange/encoding.py
+++ b/leverdoor/entry/exchange/encoding.py
@@ -24,10 +24,10 @@
 ]
 
 AGE_STEP_S = 0.02
-"""Unit of an age in a digest, in seconds; chosen: a tenth of a round.
+"""Unit of an age in a digest, in seconds: a tenth of a round.
 
-One byte then reaches 5.1 s, beyond each silence that counts. Smaller, far entries
-would be off the scale; greater, ages are rounded up by more.
+One byte then reaches 5.1 s, beyond each silence that counts. Smaller, far entries would
+be off the scale; greater, ages are rounded up by more.
 """
 OLDEST_STEPS = 255
 """Greatest age in steps that a byte holds; it means that or older."""
--- a/leverdoor/entry/exchange/exchange.py
+++ b/leverdoor/entry/exchange/exchange.py
@@ -59,8 +59,8 @@
 OWN_COUNTS_KEPT = 32
 """Own heartbeats whose counts are kept, to subtract them from what comes back.
 
-Chosen: 6.4 s of heartbeats, longer than sums are used. With fewer, own requests in a
-late digest would count as those of others.
+6.4 s of heartbeats, longer than sums are used. With fewer, own requests in a late
+digest would count as those of others.
 """
 FIRST_TURNS = 1_000
 """Entries count rounds from one of so many numbers, which spreads their rotations."""
--- a/leverdoor/entry/exchange/merging.py
+++ b/leverdoor/entry/exchange/merging.py
@@ -24,8 +24,8 @@
 HEARTBEAT_TRUST_S = 1.0
 """Age up to which an entry's own counts are summed, in seconds.
 
-Chosen: five heartbeats. Shorter, lost datagrams make targets look idle, and more is
-sent to them than they have slots for; longer, requests of a dead entry keep slots.
+Five heartbeats. Shorter, lost datagrams make targets look idle, and more is sent to
+them than they have slots for; longer, requests of a dead entry keep slots.
 """
 PART_TRUST_S = 2.5
 """Age up to which the sums of another domain or region are used, in seconds.
--- a/leverdoor/entry/exchange/peer_link.py
+++ b/leverdoor/entry/exchange/peer_link.py
@@ -31,8 +31,8 @@
 NEWS_S = 0.03
 """Pause before news are sent, in seconds.
 
-Chosen: changes in a row are then sent once. Greater, each change is later everywhere by
-as much, at each of three steps.
+Changes in a row are then sent once. Greater, each change is later everywhere by as
+much, at each of three steps.
 """
 BUSY_NEWS_S = 0.15
 """Least time between two news, in seconds.
--- a/leverdoor/entry/exchange/recipients.py
+++ b/leverdoor/entry/exchange/recipients.py
@@ -23,19 +23,19 @@
 SILENT_ROUNDS = 5
 """Rounds between two digests to entries that are silent.
 
-Chosen: once a second. Without them, two sides of a cut would not notice that it is
-repaired; more often, digests go to VMs that are gone.
+Once a second. Without them, two sides of a cut would not notice that it is repaired;
+more often, digests go to VMs that are gone.
 """
 FAR_PARTNERS = 2
 """Aggregators of another region that get a digest in one round at most.
 
-Chosen: bounds the bytes between regions where the other region has more aggregators.
+Bounds the bytes between regions where the other region has more aggregators.
 """
 UNPAIRED_ROUNDS = 3
 """One round in so many goes to another aggregator than the paired one.
 
-Chosen: two sides that see different aggregators reach each other within a second.
-Lower, the paired ones wait for longer than a round more often.
+Two sides that see different aggregators reach each other within a second. Lower, the
+paired ones wait for longer than a round more often.
 """
 
 T = TypeVar("T")
--- a/leverdoor/entry/exchange/round_digests.py
+++ b/leverdoor/entry/exchange/round_digests.py
@@ -37,15 +37,15 @@
 SHARES_ROUNDS = 5
 """Rounds between two that carry the regions' shares, to save bytes.
 
-Chosen: once a second, since shares move in seconds.
+Once a second, since shares move in seconds.
 """
 FAR_REGIONS = 9
 """Other regions whose counts one digest carries at most.
 
-Chosen: 27 regions are all covered within 0.6 s; more make the digest larger.
+27 regions are all covered within 0.6 s; more make the digest larger.
 """
 FAR_DOMAINS = 18
-"""Failure domains of other regions in one digest at most; chosen: two a region."""
+"""Failure domains of other regions in one digest at most: two a region."""
 
 
 class DigestRound(msgspec.Struct, frozen=True):
--- a/leverdoor/entry/exchange/use_exchange.py
+++ b/leverdoor/entry/exchange/use_exchange.py
@@ -27,15 +27,14 @@
 LEAST_PART_REPORTED = 6
 """Percentage of a quota that all failure domains together may leave out of digests.
 
-Where there are many workspaces. Chosen: greater, more of a quota can be used unseen;
-smaller, digests are larger.
+Where there are many workspaces. Greater, more of a quota can be used unseen; smaller,
+digests are larger.
 """
 LEAST_REPORTED = 20
 """Percentage of a quota below which digests of all entries leave out its use.
 
-Where there are many workspaces. Chosen: enough of the quota is left, and receivers
-take the use to be this much. Greater, they admit less than they could; smaller,
-digests are larger.
+Where there are many workspaces. Enough of the quota is left, and receivers take the use
+to be this much. Greater, they admit less than they could; smaller, digests are larger.
 """
 UNREPORTED_PARTS = 2
 """Even parts of a quota that a silent entry may take whose use is not known.
--- a/leverdoor/entry/exchange/use_lists.py
+++ b/leverdoor/entry/exchange/use_lists.py
@@ -29,17 +29,17 @@
 MOST_COUNTED = 65_535
 """Greatest count, and greatest place, that a pair holds."""
 FEW_PAIRS = 300
-"""Pairs up to which none is left out; chosen: 1.2 kB, which fit one packet."""
+"""Pairs up to which none is left out: 1.2 kB, which fit one packet."""
 MOST_PAIRS = 2_000
 """Pairs of a message at most: those with the greatest part of their quota.
 
-Chosen: 8 kB. Fewer, and quotas that are nearly used up are left out; more, and large
-datagrams are lost more often.
+8 kB. Fewer, and quotas that are nearly used up are left out; more, and large datagrams
+are lost more often.
 """
 KEPT_LISTS = 4
 """Lists kept for messages of entries that have not yet, or already, taken a change.
 
-Chosen: a few changes in a row. Fewer, and use is dropped while changes spread.
+A few changes in a row. Fewer, and use is dropped while changes spread.
 """
 
 
--- a/leverdoor/entry/exchange/views.py
+++ b/leverdoor/entry/exchange/views.py
@@ -30,14 +30,14 @@
 ROWS_RESENT_S = 0.7
 """How long changed rows are sent again in digests, in seconds.
 
-Chosen: three rounds, since some may be lost. Shorter, a receiver that misses them
-cannot use the ages until the domain's turn; longer costs 13 bytes an entry a round.
+Three rounds, since some may be lost. Shorter, a receiver that misses them cannot use
+the ages until the domain's turn; longer costs 13 bytes an entry a round.
 """
 KEPT_ROWS = 512
 """Rows kept by hash.
 
-Chosen: some versions for each of the 56 failure domains that leverdoor is built for.
-Fewer than there are failure domains, and ages of some are dropped.
+Some versions for each of the 56 failure domains that leverdoor is built for. Fewer than
+there are failure domains, and ages of some are dropped.
 """
 
 
--- a/leverdoor/entry/exchange/warm_news.py
+++ b/leverdoor/entry/exchange/warm_news.py
@@ -17,19 +17,19 @@
 RESENT_S = 0.5
 """How long news of a warm key are sent again, in seconds.
 
-Chosen: two rounds and a half, since a digest may be lost. Longer costs 4 bytes a key
-in each further round.
+Two rounds and a half, since a digest may be lost. Longer costs 4 bytes a key in each
+further round.
 """
 SPACING_S = 1.0
 """Time within which the same news are passed on once, in seconds.
 
-Chosen: twice `RESENT_S`. Heartbeats and digests carry the same news for several rounds;
-shorter than that, each copy would start the news again.
+Twice `RESENT_S`. Heartbeats and digests carry the same news for several rounds; shorter
+than that, each copy would start the news again.
 """
 MOST_SENT = 128
-"""News in one digest at most: 512 bytes; chosen, a third of a packet."""
+"""News in one digest at most: 512 bytes, a third of a packet."""
 MOST_SEEN = 4_096
-"""News remembered as passed on; chosen: 32 digests full of them bound the memory."""
+"""News remembered as passed on: 32 digests full of them bound the memory."""
 
 
 class WarmNews:
--- a/leverdoor/entry/membership/joining.py
+++ b/leverdoor/entry/membership/joining.py
@@ -27,12 +27,12 @@
 __all__ = ["Joining"]
 
 TRIES = 3
-"""Groups of peers tried for the state, one after the other.
+"""Groups of peers asked for the state, one after the other.
 
-Chosen: with `TRY_S`, a start without any live peer waits for 0.75 s at most.
+With `TRY_S`, a start without any live peer waits for 0.75 s at most.
 """
 PEERS_AT_ONCE = 2
-"""Peers tried at once; chosen: one may be dead. More fetch the state for nothing."""
+"""Peers asked at once: one may be dead. More fetch the state for nothing."""
 TRY_S = 0.25
 """Longest wait for one group, in seconds.
 
@@ -42,22 +42,22 @@
 STAGGER_S = 0.1
 """Wait of each next group of entries by link before it lists the store, in seconds.
 
-Chosen: news of a state that the first ones listed arrive within that time. Shorter, all
-list the store at a start of all; longer, the last ones start later.
+News of a state that the first ones listed arrive within that time. Shorter, all list
+the store at a start of all; longer, the last ones start later.
 """
 MOST_STAGGER_S = 0.8
-"""Longest such wait, in seconds; chosen: bounds a start when no entry has a state."""
+"""Longest such wait, in seconds: bounds a start when no entry has a state."""
 ALONE_S = 1.0
 """Longest wait of an entry that finds no others, in seconds; the wait is random.
 
-Chosen: when all start for the first time, the first that lists sends news to the
-others. Shorter, more of them list; longer, a lone entry starts later.
+When all start for the first time, the first that lists sends news to the others.
+Shorter, more of them list; longer, a lone entry starts later.
 """
 SETTLE_S = 1.0
 """Time after a start in which an entry with a peer's state does not follow the store.
 
-In seconds. Chosen: five rounds, by then it knows those that do. Shorter, it lists and
-watches for nothing; longer, changes wait if no other entry follows.
+In seconds. Five rounds, by then it knows those that do. Shorter, it lists and watches
+for nothing; longer, changes wait if no other entry follows.
 """
 
 
--- a/leverdoor/entry/membership/liveness.py
+++ b/leverdoor/entry/membership/liveness.py
@@ -35,8 +35,8 @@
 HEARTBEAT_S = 0.2
 """Time between two rounds of heartbeats and of digests, in seconds.
 
-Chosen: shorter rounds cost datagrams and CPU time in proportion; longer ones make
-all that entries know of each other older, and each silence below longer.
+Shorter rounds cost datagrams and CPU time in proportion; longer ones make all that
+entries know of each other older, and each silence below longer.
 """
 SILENCE_S = 1.6
 """Age of the newest heartbeat from which on an entry of the region is not live.
@@ -51,16 +51,15 @@
 FORGET_S = 60.0
 """Silence after which the record of an entry is deleted, in seconds.
 
-Chosen: an entry behind a cut link is counted, and tried for contact, for that long.
 Shorter, a cut entry's part of shared allowances is given away while it still serves;
 longer, replaced VMs are counted beside their successors.
 """
 FORMER_INCARNATION_S = 1.2
 """How much older than the newest one a heartbeat of another incarnation may be.
 
-Chosen: six heartbeats, below `SILENCE_S`. Shorter, a late datagram of a process that
-ended passes for a restart with the clock set back; longer, an entry whose clock was
-set back is not named for longer after its restart.
+Six heartbeats, below `SILENCE_S`. Shorter, a late datagram of a process that ended
+passes for a restart with the clock set back; longer, an entry whose clock was set back
+is not named for longer after its restart.
 """
 
 
--- a/leverdoor/entry/membership/naming.py
+++ b/leverdoor/entry/membership/naming.py
@@ -28,13 +28,13 @@
 MAX_NAMED = 64
 """Entries named to a caller at most.
 
-Chosen: keeps the answer below 2 kB. Fewer spread the callers over fewer entries.
+Keeps the answer below 2 kB. Fewer spread the callers over fewer entries.
 """
 LEAST_NAMED = 2
 """Entries of a failure domain below which its region is named.
 
-Chosen: one may be gone. More would send callers across links that their own failure
-domain could spare them; with 1, callers have nowhere to go when it ends.
+One may be gone. More would send callers across links that their own failure domain
+could spare them; with 1, callers have nowhere to go when it ends.
 """
 NAMED_S = 0.1
 """How long a choice of entries to name is used again, in seconds.
--- a/leverdoor/entry/membership/registration.py
+++ b/leverdoor/entry/membership/registration.py
@@ -24,30 +24,30 @@
 TTL_S = 15.0
 """Duration of an entry's lease, in seconds.
 
-Chosen: longer than usual outages of the store, after which all would register again.
-Longer, keys of VMs that are gone are read by entries that start.
+Longer than usual outages of the store, after which all would register again. Longer,
+keys of VMs that are gone are read by entries that start.
 """
 KEEP_S = 5.0
-"""Seconds between two renewals; chosen: a third of the lease, so two may fail."""
+"""Seconds between two renewals: a third of the lease, so two may fail."""
 RETRY_S = 0.5
 """Least mean pause after a failed call, in seconds; see `retry_pause_s`.
 
-Chosen: bounds the calls of a few entries to an unavailable store. Longer, they are
-found later after an outage.
+Bounds the calls of a few entries to an unavailable store. Longer, they are found later
+after an outage.
 """
 CALLS = 2
 """Writing calls of one registration: one for its lease, one for its key."""
 RATE_SHARE = 0.25
 """Part of the store's rate of writes that registrations may take together.
 
-Chosen: the rest is for operators and targets. Greater, their writes wait after an
-outage; smaller, entries are found later.
+The rest is for operators and targets. Greater, their writes wait after an outage;
+smaller, entries are found later.
 """
 LEAST_OF_MEAN = 0.5
 """Shortest pause as a part of the mean; the longest is as much above it.
 
-Chosen: pauses spread over the length of the mean, so that entries that lost the store
-together do not call together.
+Pauses spread over the length of the mean, so that entries that lost the store together
+do not call together.
 """
 
 
--- a/leverdoor/entry/membership/roles.py
+++ b/leverdoor/entry/membership/roles.py
@@ -23,8 +23,8 @@
 AGGREGATORS = 2
 """Entries of a failure domain that merge what the others report.
 
-Chosen: one may be gone. With one, a death leaves the failure domain without digests
-until it is replaced; each further one costs digests to every other aggregator.
+One may be gone. With one, a death leaves the failure domain without digests until it is
+replaced; each further one costs digests to every other aggregator.
 """
 AGGREGATOR_SILENCE_S = 0.8
 """Time without a digest from an aggregator after which the next takes its place.
@@ -33,10 +33,10 @@
 bytes; longer, the failure domain's view grows old, up to `SILENCE_S` for all of it.
 """
 AGGREGATOR_RETRY_S = 5.0
-"""Time after which an aggregator that never sent a digest is tried again, in seconds.
+"""Time after which an aggregator that never sent a digest may again, in seconds.
 
-Chosen: long beside `AGGREGATOR_SILENCE_S`, so that it holds the role a small part of
-the time; longer, one that recovered stays replaced by one with a narrower link.
+Long beside `AGGREGATOR_SILENCE_S`, so that it holds the role a small part of the time;
+longer, one that recovered stays replaced by one with a narrower link.
 """
 
 
--- a/leverdoor/entry/metrics.py
+++ b/leverdoor/entry/metrics.py
@@ -15,8 +15,8 @@
 MOST_WORKSPACES = 100
 """Workspaces with a label of their own: those that are refused first.
 
-Chosen: the number of series stays bounded. Greater, scrapes grow with the workspaces;
-smaller, more of them are counted as "other".
+The number of series stays bounded. Greater, scrapes grow with the workspaces; smaller,
+more of them are counted as "other".
 """
 
 
--- a/leverdoor/entry/placement/affinity.py
+++ b/leverdoor/entry/placement/affinity.py
@@ -18,7 +18,7 @@
 CACHED_KEYS = 4_096
 """Keys whose order is kept for each service and region; 1 MB at 20 targets.
 
-Chosen: more than the keys of a service that are in use at a time. Greater: more memory.
+More than the keys of a service that are in use at a time. Greater: more memory.
 Smaller: the order is computed anew for each request.
 """
 HASHES = float(1 << 64)
--- a/leverdoor/entry/placement/candidates.py
+++ b/leverdoor/entry/placement/candidates.py
@@ -20,15 +20,15 @@
 CANDIDATES = 6
 """Targets of a key that are looked at, for the two that may serve it.
 
-Chosen: enough that two are usable while some are ejected or in their warm-up. Greater:
-more processor time a request. Smaller: refusals while a few targets are out.
+Enough that two are usable while some are ejected or in their warm-up. Greater: more
+processor time a request. Smaller: refusals while a few targets are out.
 """
 MANY_TARGETS = 8
 """Targets of a failure domain from which on it keeps large requests to itself.
 
-Chosen. Greater: more bytes between domains (uploads of 60 kB where domains have fewer
-than eight targets). Smaller: each key runs cold once a domain where that is much of
-what it has.
+Greater: more bytes between domains (uploads of 60 kB where domains have fewer than
+eight targets). Smaller: each key runs cold once a domain where that is much of what it
+has.
 """
 
 
--- a/leverdoor/entry/placement/choice.py
+++ b/leverdoor/entry/placement/choice.py
@@ -30,14 +30,14 @@
 LIKELY_COLD = 0.5
 """Share of cold runs from which on a choice counts as cold.
 
-Chosen: the likelier of two. Greater: more cold runs at second targets, which make busy
-targets slower. Smaller: refusals where a warm run was likely.
+The likelier of two. Greater: more cold runs at second targets, which make busy targets
+slower. Smaller: refusals where a warm run was likely.
 """
 OTHER_DOMAIN_MS = 8.0
 """What a target in another failure domain must be sooner by, in ms.
 
-Chosen: saves bytes between domains where targets are equally good. Greater: requests
-wait for a target that is near. Smaller: chance decides between domains.
+Saves bytes between domains where targets are equally good. Greater: requests wait for a
+target that is near. Smaller: chance decides between domains.
 """
 
 MOST_QUESTIONS = 3
--- a/leverdoor/entry/placement/health.py
+++ b/leverdoor/entry/placement/health.py
@@ -17,12 +17,12 @@
 UNREACHED_EJECTION_S = 0.5
 """First ejection of a target that was not reached, in seconds; it doubles each time.
 
-Chosen: short, since one failure says little. Greater: a target whose one connection
-failed loses its keys, which run cold elsewhere. Smaller: a dead target costs more
-requests a retry.
+Short, since one failure says little. Greater: a target whose one connection failed
+loses its keys, which run cold elsewhere. Smaller: a dead target costs more requests a
+retry.
 """
 LONGEST_UNREACHED_EJECTION_S = 4.0
-"""Longest such ejection, in seconds; chosen: the usual length of an outage.
+"""Longest such ejection, in seconds: the usual length of an outage.
 
 Greater: a target that is back stays unused. Smaller: each entry tries a dead one more
 often.
@@ -37,34 +37,33 @@
 12 entries.
 """
 SLOW_RATIO = 3.0
-"""Mean of measured over expected time from which on a target is ejected as slow.
+"""Mean of actual over expected time from which on a target is ejected as slow.
 
-A cold run where a warm one was expected has about 3.3, once. 2.2 made no difference to
-worth at 12 entries.
+A cold run where a warm one was expected has about 3.3, once.
 """
 SLOW_WEIGHT = 0.15
 """Weight of one answer in that mean: about the last seven.
 
-Chosen. Greater: one or two cold runs eject a target. Smaller: a slow one gets more
-requests before it is noticed.
+Greater: one or two cold runs eject a target. Smaller: a slow one gets more requests
+before it is noticed.
 """
 SLOW_EJECTION_S = 2.0
 """How long a slow target is ejected, in seconds.
 
-Chosen. Greater: its keys run cold elsewhere for longer. Smaller: it is tried again, and
-makes requests late, more often.
+Greater: its keys run cold elsewhere for longer. Smaller: it serves again, and makes
+requests late, more often.
 """
 MEAN_AFTER_SLOW_EJECTION = 2.4
-"""Mean of measured over expected time that a target has after such an ejection.
+"""Mean of actual over expected time that a target has after such an ejection.
 
-Chosen: close below the ratio that ejects, so that a few more slow answers eject it
-again, and a few good ones clear it.
+Close below the ratio that ejects, so that a few more slow answers eject it again, and a
+few good ones clear it.
 """
 TARGET_SILENCE_S = 1.2
 """Least time without an answer after which a target with requests gets no more, in s.
 
-Chosen: several warm runs. Greater: more requests are sent to a dead target. Smaller: a
-target that pauses is given up.
+Several warm runs. Greater: more requests are sent to a dead target. Smaller: a target
+that pauses is given up.
 """
 SILENT_RUNS = 2.0
 """Cold runs that such a silence lasts at least.
@@ -75,7 +74,7 @@
 SILENT_REQUESTS = 3
 """Requests that must be there for silence to count.
 
-Chosen: one or two may be long ones. Greater: targets with few slots are never silent.
+One or two may be long ones. Greater: targets with few slots are never silent.
 """
 
 
--- a/leverdoor/entry/placement/known_keys.py
+++ b/leverdoor/entry/placement/known_keys.py
@@ -9,8 +9,7 @@
 REMEMBERED_KEYS = 256
 """Keys remembered for each target.
 
-Chosen: five times what targets were seen to keep. Greater: keys count as warm that the
-target has dropped. 40 made no difference to worth at 12 entries.
+Greater: keys count as warm that the target has dropped.
 """
 
 
--- a/leverdoor/entry/placement/load.py
+++ b/leverdoor/entry/placement/load.py
@@ -30,20 +30,20 @@
 UNCOUNTED_MEMORY_S = 1.0
 """Time over which load that no heartbeat accounts for is averaged, in seconds.
 
-Chosen: several times the spacing of reports at 12 entries. Greater: the correction
-outlives a change of load. Smaller: it follows the noise of single reports.
+Greater: the correction outlives a change of load. Smaller: it follows the noise of
+single reports.
 """
 PEER_TRUST_S = 2.5
 """Age up to which another entry's count is used, in seconds: twelve heartbeats.
 
-Chosen. Greater: requests of an entry that died block slots. Smaller: a few lost
-datagrams make a busy target look free.
+Greater: requests of an entry that died block slots. Smaller: a few lost datagrams make
+a busy target look free.
 """
 SHED_LOAD_X = 2
 """Load over slots that a target counts as having when it refuses a request.
 
-Chosen: above any load at which a request may wait there, so that it gets nothing until
-the figure fades like a report.
+Above any load at which a request may wait there, so that it gets nothing until the
+figure fades like a report.
 """
 
 
--- a/leverdoor/entry/placement/overflow.py
+++ b/leverdoor/entry/placement/overflow.py
@@ -14,8 +14,8 @@
 MOST_OVERFLOWS_SAVED = 3.0
 """Most requests saved up.
 
-Chosen. Greater: a burst of them changes region at once, which the shift cap is there
-to prevent. Smaller: two full targets in a row refuse a request.
+Greater: a burst of them changes region at once, which the shift cap is there to
+prevent. Smaller: two full targets in a row refuse a request.
 """
 
 
--- a/leverdoor/entry/placement/policy.py
+++ b/leverdoor/entry/placement/policy.py
@@ -45,7 +45,7 @@
 LOGGED_TARGETS = 3
 """Targets that the log names when none could take a request.
 
-Chosen: a line that can be read, with the two that may serve the key and the next.
+A line that can be read, with the two that may serve the key and the next.
 """
 
 
--- a/leverdoor/entry/placement/refusals.py
+++ b/leverdoor/entry/placement/refusals.py
@@ -16,14 +16,13 @@
 """Least time after which a refused request should come back, in ms.
 
 About one warm run: before that the same requests still run. Greater: a caller waits
-while slots are free. Smaller: it meets the same load. 400 in place of 150 was better by
-less than noise.
+while slots are free. Smaller: it meets the same load.
 """
 RETRY_AFTER_SPREAD_MS = 350
 """Spread of that time, in ms, so that refused requests come back one by one.
 
-Chosen. Greater: some wait longer than the load lasts. Smaller: requests that were
-refused together come back together.
+Greater: some wait longer than the load lasts. Smaller: requests that were refused
+together come back together.
 """
 
 
--- a/leverdoor/entry/placement/shared_warmth.py
+++ b/leverdoor/entry/placement/shared_warmth.py
@@ -24,22 +24,22 @@
 KEPT_S = 20.0
 """How long an answer counts as a sign that its key is warm, in seconds.
 
-Chosen for keys that are requested each 0.3 to 4 s in their region. Greater: the target
-may have dropped the key. Smaller: the key is refused at a target where it is warm.
+For keys that are requested each 0.3 to 4 s in their region. Greater: the target may
+have dropped the key. Smaller: the key is refused at a target where it is warm.
 """
 RESENT_AFTER_S = 5.0
 """Time after which the same answer is sent again, in seconds; a quarter of `KEPT_S`.
 
-Chosen: three more chances before the first one is void. Smaller: longer heartbeats.
+Three more chances before the first one is void. Smaller: longer heartbeats.
 """
 MOST_SENT_DIGESTS = 64
 """Digests in one heartbeat at most: 320 bytes.
 
-Chosen. Greater: longer heartbeats. Smaller: a busy entry's oldest ones are not sent.
+Greater: longer heartbeats. Smaller: a busy entry's oldest ones are not sent.
 """
 MOST_KNOWN_DIGESTS = 8_192
-"""Digests kept; chosen: beyond what 65 entries send in `KEPT_S`. The one that was
-renewed longest ago goes first."""
+"""Digests kept: beyond what 65 entries send in `KEPT_S`. The one that was renewed
+longest ago goes first."""
 
 
 class _Sending(msgspec.Struct, frozen=True):
--- a/leverdoor/entry/placement/sharing.py
+++ b/leverdoor/entry/placement/sharing.py
@@ -21,10 +21,10 @@
 __all__ = ["ShareBook"]
 
 REPORTED_DIGITS = 4
-"""Decimal digits of a share in heartbeats; chosen: far below any move of a round."""
+"""Decimal digits of a share in heartbeats: far below any move of a round."""
 LOGGED_MOVE = 0.05
-"""Change of a share that is worth a line in the log; chosen: some lines a minute while
-keys move at the bounded rate."""
+"""Change of a share that is worth a line in the log: some lines a minute while keys
+move at the bounded rate."""
 
 
 class ShareBook:
--- a/leverdoor/entry/placement/sizes.py
+++ b/leverdoor/entry/placement/sizes.py
@@ -16,14 +16,14 @@
 Smaller: keys of small requests run cold in each domain.
 """
 LIGHT_BYTES = 1_250
-"""Mean bytes below which they no longer do; chosen: half, so that it does not flap."""
+"""Mean bytes below which they no longer do: half, so that it does not flap."""
 SIZE_WEIGHT = 0.02
 """Weight of one request in the mean of bytes.
 
-Chosen: about the last fifty. Greater: a few large requests change the order of targets.
+About the last fifty. Greater: a few large requests change the order of targets.
 """
 LEAST_SAMPLES = 20
-"""Requests before the mean counts; chosen: one large request says nothing yet."""
+"""Requests before the mean counts: one large request says nothing yet."""
 
 
 class _Sizes(msgspec.Struct):
--- a/leverdoor/entry/placement/spill.py
+++ b/leverdoor/entry/placement/spill.py
@@ -34,43 +34,41 @@
 MARGIN = 0.1
 """Least difference of utilization for which the own region gives keys away.
 
-Chosen: no move for noise. Greater: keys stay in a region that is too full. Smaller:
-keys move where it gains nothing, and run cold.
+No move for noise. Greater: keys stay in a region that is too full. Smaller: keys move
+where it gains nothing, and run cold.
 """
 IMBALANCE = 0.25
 """Difference of utilization between two other regions that moves keys between them.
 
-Chosen: they differ for certain. Greater and smaller: as for MARGIN.
+They differ for certain. Greater and smaller: as for MARGIN.
 """
 SMOOTHING_S = 1.0
 """Time over which utilization is smoothed, in seconds.
 
-Chosen: several reports. Greater: shares follow a change of load late. Smaller: they
-follow single reports, forth and back.
+Several reports. Greater: shares follow a change of load late. Smaller: they follow
+single reports, forth and back.
 """
 AGREEMENT_PER_S = 0.3
 """Part of the gap to the region's mean shares that is closed in a second.
 
-Chosen: entries agree in seconds without a jump. Greater: each follows the means of
-others that are 1 to 2 s old. Smaller: entries send a key to different regions for
-longer, which runs cold in each.
+Entries agree in seconds without a jump. Greater: each follows the means of others that
+are 1 to 2 s old. Smaller: entries send a key to different regions for longer, which
+runs cold in each.
 """
 AGREEMENT_MOVE_PART = 0.5
 """Part of the bound on moves by which agreement may move a share besides.
 
-Chosen: with entry/bounds.py:MOVED_SHARE both together stay within 0.8 of the operator's
-cap. Greater: nearer to it. Smaller: a gap between entries stays longer.
+With entry/bounds.py:MOVED_SHARE both together stay within 0.8 of the operator's cap.
+Greater: nearer to it. Smaller: a gap between entries stays longer.
 """
 LONGEST_STEP_S = 1.0
 """Most time that one update makes up for, in seconds.
 
-Chosen. Guards against a jump of the shares after a pause of the process.
+Guards against a jump of the shares after a pause of the process.
 """
 NO_SLOTS_UTILIZATION = 9.0
-"""Utilization of a region that has no usable slots, or about which nothing is known.
-
-Chosen: above any that is measured, so that such a region gives all keys away.
-"""
+"""Utilization of a region that has no usable slots, or about which nothing is known:
+above any other, so that such a region gives all keys away."""
 LEAST_SHARE = 1e-9
 """A share up to this counts as none; keeps divisions by it finite."""
 
--- a/leverdoor/entry/placement/times.py
+++ b/leverdoor/entry/placement/times.py
@@ -37,21 +37,20 @@
 CLUSTER_WEIGHT = 0.05
 """Weight of one run in the mean of its cluster: about the last twenty.
 
-Chosen. Greater: the mean follows single runs, which vary by 15%. Smaller: it lags when
-a service becomes slower.
+Greater: the mean follows single runs, which vary by 15%. Smaller: it lags when a
+service becomes slower.
 """
 LEAST_RATIO = 1.5
 """Least ratio of a cold run's time to a warm one's; closer, they are one cluster.
 
-Chosen: half of the ratio of 3.3 that was seen, far above the spread of one cluster.
 Greater: a cold run's time is taken for longer than it is where caches gain little.
 Smaller: both means fall together, and half of all warm runs count as cold.
 """
 DEFAULT_LATENCY_MS = 500
 """Latency target of a route that names none, in ms.
 
-Chosen: a cold run fits where a warm one takes 0.14 s. Greater: requests wait longer
-before they are refused. Smaller: they are refused sooner.
+A cold run fits where a warm one takes 0.14 s. Greater: requests wait longer before they
+are refused. Smaller: they are refused sooner.
 """
 
 
--- a/leverdoor/entry/placement/waiting.py
+++ b/leverdoor/entry/placement/waiting.py
@@ -21,7 +21,7 @@
 URGENT_PRIORITY = 1
 """Greatest priority number that counts as urgent; smaller is more urgent.
 
-Chosen. Greater: nearly all may wait to the last. Smaller: only one priority is urgent.
+Greater: nearly all may wait to the last. Smaller: only one priority is urgent.
 """
 MS_PER_S = 1000
 """Milliseconds in a second: times of requests are in s, run times in ms."""
--- a/leverdoor/entry/placement/warmth.py
+++ b/leverdoor/entry/placement/warmth.py
@@ -20,20 +20,20 @@
 RANKS = 4
 """Ranks of targets for a key with a share each; further ones count as the last.
 
-Chosen: the two that may serve a key, one spare, and the last for overflow and warm-up.
+The two that may serve a key, one spare, and the last for overflow and warm-up.
 """
 TARGET_WEIGHT = 0.1
 """Weight of one run in a target's share: about the last ten runs.
 
-Chosen. Greater: one cold run in two stops new keys. Smaller: a target that has started
-again, or got more keys, is noticed late.
+Greater: one cold run in two stops new keys. Smaller: a target that has started again,
+or got more keys, is noticed late.
 """
 RANK_WEIGHT = 0.1
-"""Weight of one run in a rank's share: about the last ten runs; chosen as above."""
+"""Weight of one run in a rank's share: about the last ten runs."""
 FORGETS = 0.3
 """Share of cold runs among known keys from which on a target is given no new ones.
 
-It then gets more keys than it keeps. Chosen between the share of a target that keeps
+It then gets more keys than it keeps. Between the share of a target that keeps
 all (0) and one that gets twice as many as it keeps, in turn (near 1). Greater: such a
 target goes on running cold. Smaller: a few late runs close a second target.
 """
--- a/leverdoor/entry/quarantine_records.py
+++ b/leverdoor/entry/quarantine_records.py
@@ -35,17 +35,17 @@
 LOOK_S = 0.5
 """Mean pause between two looks at what is to be written, in seconds.
 
-Chosen: with the 0.6 s until a request is held back a record is there within two
-seconds, half of the operator's bound. Greater: a restart of all entries in between
-forgets more. Smaller: two followers write the same record more often.
+With the 0.6 s until a request is held back a record is there within two seconds, half
+of the operator's bound. Greater: a restart of all entries in between forgets more.
+Smaller: two followers write the same record more often.
 """
 MOST_WRITES = 8
-"""Records written or removed in one look; chosen: bounds the calls of the store."""
+"""Records written or removed in one look: bounds the calls of the store."""
 REMOVED_AFTER_S = 5.0
 """Time after the end of a hold in which its record is removed, in seconds.
 
-Chosen: beyond the moments by which entries differ on when it was held back. Greater:
-records stay for longer. Smaller: the first to remove it releases it at the others.
+Beyond the moments by which entries differ on when it was held back. Greater: records
+stay for longer. Smaller: the first to remove it releases it at the others.
 """
 
 
--- a/leverdoor/entry/requests/connections.py
+++ b/leverdoor/entry/requests/connections.py
@@ -28,7 +28,7 @@
 CONNECT_TIMEOUT_S = 0.4
 """Longest time to connect within the region, in seconds.
 
-Chosen: one lost packet (0.2 s) is borne, a dead target is left before 0.5 s.
+One lost packet (0.2 s) is borne, a dead target is left before 0.5 s.
 """
 REMOTE_CONNECT_TIMEOUT_S = 0.8
 """The same for other regions, whose round trip takes up to 0.11 s.
@@ -39,20 +39,20 @@
 IDLE_S = 4.0
 """How long a connection is kept where the target names no time, in seconds.
 
-Chosen: below the 5 s after which common servers close. Greater, requests are sent on
+Below the 5 s after which common servers close. Greater, requests are sent on
 connections that the target closes; smaller, more connections are opened.
 """
 IDLE_MARGIN_S = 1.5
 """Taken off the time that a target names, in seconds.
 
-Chosen: a request must not be on its way while the target closes. Greater, more
-connections are opened; smaller, requests that must not run twice fail.
+A request must not be on its way while the target closes. Greater, more connections are
+opened; smaller, requests that must not run twice fail.
 """
 MAX_IDLE = 16
 """Idle connections kept for each target.
 
-Chosen: several times its 4 to 6 slots. Greater, idle connections use up the number that
-a target takes; smaller, a burst of requests opens new ones.
+Several times its 4 to 6 slots. Greater, idle connections use up the number that a
+target takes; smaller, a burst of requests opens new ones.
 """
 
 IDLE_PART = 0.8
--- a/leverdoor/entry/requests/deadlines.py
+++ b/leverdoor/entry/requests/deadlines.py
@@ -18,27 +18,27 @@
 DEFAULT_DEADLINE_MS = 30_000
 """Time of a request whose client names no deadline, in ms.
 
-Chosen: a bulk upload fits. Greater, a target that hangs keeps a request longer;
-smaller, uploads over slow links are cut.
+A bulk upload fits. Greater, a target that hangs keeps a request longer; smaller,
+uploads over slow links are cut.
 """
 RETURN_MARGIN_S = 0.02
 """Taken off a deadline for the way back to the client, in seconds.
 
-Chosen: several times the 1 to 3 ms between client and entry. Greater, time is lost in
-which a target could answer; smaller, a late answer or refusal misses the client.
+Several times the 1 to 3 ms between client and entry. Greater, time is lost in which a
+target could answer; smaller, a late answer or refusal misses the client.
 """
 LEAST_PATIENCE_S = 0.001
 """Time of a request whose deadline is all margin, in seconds.
 
-Chosen: it is refused by the rules of placement, with a code, rather than by a deadline
-in the past.
+It is refused by the rules of placement, with a code, rather than by a deadline in the
+past.
 """
 ANSWER_MARGIN_S = 0.03
 """Taken off the entry's own time while a target runs the request, in seconds.
 
-Chosen: the refusal is composed and sent on a busy loop before the client's deadline.
-Greater, answers that would still be in time are given up; smaller, the client times out
-and learns nothing of whether its request may have run.
+The refusal is composed and sent on a busy loop before the client's deadline. Greater,
+answers that would still be in time are given up; smaller, the client times out and
+learns nothing of whether its request may have run.
 """
 LEAST_LEFT_MS = 1
 """Least deadline that a target is given, in ms: one that has not passed."""
--- a/leverdoor/entry/requests/entry_request.py
+++ b/leverdoor/entry/requests/entry_request.py
@@ -13,9 +13,9 @@
 BUFFERED_BODY_BYTES = 512 * 1024
 """Longest body that is read whole before it is sent on, in bytes.
 
-Chosen: a body that is kept can be sent again to another target. Greater, fewer uploads
-at once fill the memory of a VM (600 of these a VM of 300 MB); smaller, more uploads
-fail that a target refuses to run.
+A body that is kept can be sent again to another target. Greater, fewer uploads at once
+fill the memory of a VM (600 of these a VM of 300 MB); smaller, more uploads fail that a
+target refuses to run.
 """
 
 
--- a/leverdoor/entry/requests/idle_timeouts.py
+++ b/leverdoor/entry/requests/idle_timeouts.py
@@ -15,21 +15,21 @@
 RESET_WITHIN_S = 0.15
 """Time within which a lost answer shows a forgotten connection, in seconds.
 
-Chosen: above the round trip between regions (0.11 s), so that the reset arrives; a
-target that fails while it runs a request mostly takes longer. Greater, such failures
-cost new connections; smaller, forgotten connections to other regions go unnoticed.
+Above the round trip between regions (0.11 s), so that the reset arrives; a target that
+fails while it runs a request mostly takes longer. Greater, such failures cost new
+connections; smaller, forgotten connections to other regions go unnoticed.
 """
 LIMITED_IDLE_S = 0.15
 """Longest idle time of a connection while its service forgets them, in seconds.
 
-Chosen: requests that follow one another still share a connection. Greater, more of them
-meet a forgotten one; smaller, nearly each opens its own.
+Requests that follow one another still share a connection. Greater, more of them meet a
+forgotten one; smaller, nearly each opens its own.
 """
 LIMITED_FOR_S = 8.0
 """How long this lasts after the last lost answer, in seconds.
 
-Chosen: the usual length of such a fault. Greater, new connections are opened for
-nothing; smaller, a request is lost each time the fault is found out anew.
+The usual length of such a fault. Greater, new connections are opened for nothing;
+smaller, a request is lost each time the fault is found out anew.
 """
 
 
--- a/leverdoor/entry/requests/replies.py
+++ b/leverdoor/entry/requests/replies.py
@@ -21,7 +21,7 @@
 MAX_HEADER_BYTES = 64 * 1024
 """Longest head of an answer in bytes.
 
-Chosen: eight times the common limits of servers. Greater, a faulty target fills memory;
+Eight times the common limits of servers. Greater, a faulty target fills memory;
 smaller, answers with many cookies are lost.
 """
 BODYLESS_STATUSES = frozenset({204, 304})
--- a/leverdoor/entry/requests/retries.py
+++ b/leverdoor/entry/requests/retries.py
@@ -15,8 +15,8 @@
 """Further attempts of a request that reached no target.
 
 A route's `attempts` bounds the targets that may run a request; one that was not reached
-can't run it. Chosen: one dead target and one more. Greater, a request spends its
-deadline on connecting; smaller, it is refused while other targets of its key serve.
+can't run it. One dead target and one more. Greater, a request spends its deadline on
+connecting; smaller, it is refused while other targets of its key serve.
 """
 WRONG_INSTANCE_STATUS = 421
 """HTTP status of a target at whose address another instance now serves."""
--- a/leverdoor/entry/requests/retry_after.py
+++ b/leverdoor/entry/requests/retry_after.py
@@ -16,20 +16,20 @@
 NO_CONFIGURATION_MS = 500
 """After a request at an entry that has no configuration yet.
 
-Chosen: an entry that starts gets the state from a peer within that time. Greater,
-clients wait though the entry is ready; smaller, they spend their retries on it.
+An entry that starts gets the state from a peer within that time. Greater, clients wait
+though the entry is ready; smaller, they spend their retries on it.
 """
 UNCONFIRMED_MS = 500
 """After a workspace key that can't be confirmed.
 
-Chosen: time to look up another entry. Greater, a client of an entry that is cut off
-waits for nothing; smaller, it comes back to the same entry.
+Time to look up another entry. Greater, a client of an entry that is cut off waits for
+nothing; smaller, it comes back to the same entry.
 """
 NOT_RUN_MS = 250
 """After the last attempt failed to connect, or its target did not run the request.
 
-Chosen: a round of heartbeats (0.2 s) brings newer loads. Greater, a look-up loses much
-of its latency target; smaller, the entry knows no more than at the refusal.
+A round of heartbeats (0.2 s) brings newer loads. Greater, a look-up loses much of its
+latency target; smaller, the entry knows no more than at the refusal.
 """
 RETRY_AFTER_STATUSES = frozenset({429, 503})
 """HTTP statuses whose answers carry a Retry-After header."""
--- a/leverdoor/entry/shutdown.py
+++ b/leverdoor/entry/shutdown.py
@@ -16,14 +16,14 @@
 STOP_POLL_S = 0.02
 """Seconds between two looks at what is in flight.
 
-Chosen: a stop ends within some of them. Greater, it ends later; smaller, it takes
-processor time from the requests in flight.
+A stop ends within some of them. Greater, it ends later; smaller, it takes processor
+time from the requests in flight.
 """
 IDLE_ROUNDS = 3
 """Looks without a request in flight before the end.
 
-Chosen: a request on a connection that was just accepted arrives meanwhile. Smaller, it
-is cut; greater, each stop takes longer.
+A request on a connection that was just accepted arrives meanwhile. Smaller, it is cut;
+greater, each stop takes longer.
 """
 
 
--- a/leverdoor/errors.py
+++ b/leverdoor/errors.py
@@ -98,8 +98,8 @@
 SOON_MS = 100
 """When to come back where the rule that refused gives no time, in ms.
 
-Chosen: without any time a caller that was told "not run" would come back at once;
-longer would hold up a request that needs only another entry.
+Without any time a caller that was told "not run" would come back at once; longer would
+hold up a request that needs only another entry.
 """
 
 _TABLE: dict[Code, CodeInfo] = {
--- a/leverdoor/gate/daemon.py
+++ b/leverdoor/gate/daemon.py
@@ -39,11 +39,11 @@
 REPORT_INTERVAL_S = 0.1
 """Seconds between two reports of a gate to its agent.
 
-Chosen: half the interval of heartbeats, so that each carries a report that is not
-older than that. More often costs both processes time and changes little.
+Half the interval of heartbeats, so that each carries a report that is not older than
+that. More often costs both processes time and changes little.
 """
 STOP_POLL_S = 0.05
-"""Seconds between two looks at the requests in flight at a stop; chosen, short."""
+"""Seconds between two looks at the requests in flight at a stop: short."""
 CLOSE_TIMEOUT_S = 1.0
 """Longest time that closing the servers may take, in seconds; all is drained then."""
 
--- a/leverdoor/gate/dispatch.py
+++ b/leverdoor/gate/dispatch.py
@@ -19,11 +19,11 @@
 TICK_S = 0.02
 """Seconds between two rounds of decisions while requests wait.
 
-Chosen: how late a deadline, a ripened unit or the end of an ejection is seen. A
-greater one adds to the wait; a smaller one costs processor time.
+How late a deadline, a ripened unit or the end of an ejection is seen. A greater one
+adds to the wait; a smaller one costs processor time.
 """
 IDLE_TICK_S = 0.25
-"""The same while none waits, in seconds; chosen, nothing depends on it."""
+"""The same while none waits, in seconds: nothing depends on it."""
 
 
 class Dispatcher:
--- a/leverdoor/gate/intake.py
+++ b/leverdoor/gate/intake.py
@@ -26,7 +26,7 @@
 BUFFERED_BODY = 64 * 1024
 """Longest body kept in memory for a retry, in bytes; longer ones are streamed.
 
-Chosen: holds queries and corrections; a greater one costs memory for each request.
+Holds queries and corrections; a greater one costs memory for each request.
 """
 
 
--- a/leverdoor/gate/keyed.py
+++ b/leverdoor/gate/keyed.py
@@ -26,11 +26,11 @@
 OUTCOME_RETRY_MS = 500
 """Retry-After in ms while an outcome is not known yet.
 
-Chosen: some runs, and some heartbeats of an issuer that can't be reached. A smaller
-one loads the issuer for nothing; a greater one keeps a caller waiting for an outcome.
+Some runs, and some heartbeats of an issuer that can't be reached. A smaller one loads
+the issuer for nothing; a greater one keeps a caller waiting for an outcome.
 """
 MAX_OUTCOME_BYTES = 8 * 1024 * 1024
-"""Longest answer read whole, in bytes; chosen, bounds the memory of a gate."""
+"""Longest answer read whole, in bytes: bounds the memory of a gate."""
 
 
 class KeyedServer:
--- a/leverdoor/gate/keys.py
+++ b/leverdoor/gate/keys.py
@@ -26,11 +26,7 @@
 KEPT_BODY_BYTES = 64 * 1024
 """Longest answer kept for a retry with its key, in bytes; docs/ERRORS.md says so."""
 KEPT_TOTAL_BYTES = 32 * 1024 * 1024
-"""Most bytes of all kept answers.
-
-Chosen: bounds the memory of a gate; when it is full a retry gets ALREADY_RAN in place
-of the answer.
-"""
+"""Most bytes of all kept answers."""
 MAC_BYTES = 12
 """Bytes of a key's check; a guess succeeds once in 2**96."""
 
--- a/leverdoor/gate/lookups.py
+++ b/leverdoor/gate/lookups.py
@@ -16,8 +16,8 @@
 MAX_ENTRIES = 4
 """Most entries named in a look-up's answer.
 
-Chosen: one to use and three to fail over to. More spread callers over gates with fewer
-slots; fewer leave a caller without one when a failure domain dies.
+One to use and three to fail over to. More spread callers over gates with fewer slots;
+fewer leave a caller without one when a failure domain dies.
 """
 
 
--- a/leverdoor/gate/neighbours.py
+++ b/leverdoor/gate/neighbours.py
@@ -22,8 +22,8 @@
 PEER_BACKOFF_S = 1.0
 """How long a gate that failed is not forwarded to, in seconds.
 
-Chosen: five heartbeats. A longer time leaves its slots idle after one lost connection;
-a shorter one costs more attempts while it is dead and not yet silent.
+Five heartbeats. A longer time leaves its slots idle after one lost connection; a
+shorter one costs more attempts while it is dead and not yet silent.
 """
 FORWARD_MARGIN_MS = 2.0
 """What forwarding to a shorter queue must save, in ms: two hops of 1 ms.
@@ -33,7 +33,7 @@
 CHOICES = 2
 """Gates drawn at random, of which the better is used.
 
-Chosen: the best of all would draw every gate to the same one until its next heartbeat.
+The best of all would draw every gate to the same one until its next heartbeat.
 """
 
 
--- a/leverdoor/gate/placement.py
+++ b/leverdoor/gate/placement.py
@@ -29,20 +29,20 @@
 BULK_SHARE = 0.5
 """Part of the slots that bulk uploads may take in a service that is not all bulk.
 
-Chosen: an upload holds a slot for minutes, so without a bound uploads would take all
-of them. A greater part lengthens the wait of other requests, a smaller one the uploads.
+An upload holds a slot for minutes, so without a bound uploads would take all of them. A
+greater part lengthens the wait of other requests, a smaller one the uploads.
 """
 SPILL_MARGIN_MS = 5.0
 """What leaving the home region must save beyond the round trip, in ms.
 
-Chosen: waits of other gates are estimated from old heartbeats. A smaller margin moves
-requests back and forth between regions; a greater one lets them wait at home.
+Waits of other gates are estimated from old heartbeats. A smaller margin moves requests
+back and forth between regions; a greater one lets them wait at home.
 """
 
 NO_SLOT_WAIT_MS = 30_000.0
 """Expected wait at a gate that holds no slot, in ms; longer than any deadline allows.
 
-Chosen: any other gate of the region with a slot is then the better one.
+Any other gate of the region with a slot is then the better one.
 """
 
 
--- a/leverdoor/gate/pool.py
+++ b/leverdoor/gate/pool.py
@@ -21,8 +21,8 @@
 JITTER = 0.1
 """Random part of a target's score.
 
-Chosen: without it gates with the same reports send to the same target; a greater one
-hides differences of latency that are real.
+Without it gates with the same reports send to the same target; a greater one hides
+differences of latency that are real.
 """
 
 
--- a/leverdoor/gate/quarantining.py
+++ b/leverdoor/gate/quarantining.py
@@ -37,12 +37,12 @@
 NOTICES_PATH = "/v1/internal/notices"
 """Path at which gates tell each other, on the address for other gates."""
 ROUND_S = 0.2
-"""Time between two rounds, in seconds; chosen: as heartbeats are sent."""
+"""Time between two rounds, in seconds: as heartbeats are sent."""
 TOLD_GATES = 8
-"""Gates that are told in one round; chosen: with three rounds for each news 195 gates
-have it after three rounds. Fewer: some have it later. More: more connections."""
+"""Gates that are told in one round: with three rounds for each news 195 gates have it
+after three rounds. Fewer: some have it later. More: more connections."""
 TELL_TIMEOUT_S = 1.0
-"""Longest time to tell one gate, in seconds; chosen: another round follows."""
+"""Longest time to tell one gate, in seconds: another round follows."""
 
 
 class GateQuarantine:
--- a/leverdoor/gate/ramp.py
+++ b/leverdoor/gate/ramp.py
@@ -13,8 +13,8 @@
 USED_ENOUGH = 0.5
 """Part of what was allowed that a window must use for the level to rise.
 
-Chosen: half. A smaller part raises the level before the receiving caches are warm; a
-greater one keeps it low when requests come unevenly.
+Half. A smaller part raises the level before the receiving caches are warm; a greater
+one keeps it low when requests come unevenly.
 """
 
 
--- a/leverdoor/gate/refusals.py
+++ b/leverdoor/gate/refusals.py
@@ -15,31 +15,31 @@
 MIN_RETRY_MS = 50
 """Least Retry-After of a refused request, in ms, and the width of its random part.
 
-Chosen: about two runs of 20 ms. A smaller one brings callers back before a slot is
-free; a greater one leaves slots idle after a short peak.
+About two runs of 20 ms. A smaller one brings callers back before a slot is free; a
+greater one leaves slots idle after a short peak.
 """
 MAX_RETRY_MS = 30_000
 """Greatest such Retry-After, in ms.
 
-Chosen: bounds what an estimate from old heartbeats can do; a greater one keeps
-callers away long after the load has gone.
+Bounds what an estimate from old heartbeats can do; a greater one keeps callers away
+long after the load has gone.
 """
 NO_TARGET_RETRY_MS = 1_000.0
 """Least wait that a NO_TARGET answer assumes, in ms, before its random part.
 
-Chosen: drains and leaving VMs end in seconds, and nothing says when; a smaller one
-brings all callers back for nothing.
+Drains and leaving VMs end in seconds, and nothing says when; a smaller one brings all
+callers back for nothing.
 """
 CAP_WINDOW_SHARE = 0.25
 """Part of a shift cap's window that a CAP_REACHED answer assumes as least wait.
 
-Chosen: units come back evenly over a window, so one is likely to be free after a
-quarter of it; the whole window would leave units unused.
+Units come back evenly over a window, so one is likely to be free after a quarter of it;
+the whole window would leave units unused.
 """
 NOT_READY_RETRY_MS = 500
 """Retry-After in ms while a gate has no configuration, or serves no longer.
 
-Chosen: a start takes longer than that, and a caller has other gates meanwhile.
+A start takes longer than that, and a caller has other gates meanwhile.
 """
 LEAVING_RETRY_MS = MIN_RETRY_MS
 """Retry-After in ms of a gate that has closed.
--- a/leverdoor/gate/relay.py
+++ b/leverdoor/gate/relay.py
@@ -24,20 +24,20 @@
 CONNECT_TIMEOUT_S = 1.0
 """Longest time to connect to a target or gate, in seconds.
 
-Chosen far above the 55 ms between regions. A longer one spends the deadline on a dead
+Far above the 55 ms between regions. A longer one spends the deadline on a dead
 VM; a shorter one takes a busy target for a dead one.
 """
 BUFFERED_ANSWER = 256 * 1024
 """Bytes of an answer read ahead of a slow caller.
 
-Chosen: most answers are shorter, so that their slot is free at once; it bounds the
-memory of each request.
+Most answers are shorter, so that their slot is free at once; it bounds the memory of
+each request.
 """
 RELAY_GRACE_S = 0.1
 """Seconds past the deadline for which the answer of another gate is awaited.
 
-Chosen: a gate that refuses at the deadline says whether the request ran, which a
-time-out here doesn't.
+A gate that refuses at the deadline says whether the request ran, which a time-out here
+doesn't.
 """
 
 
--- a/leverdoor/gate/retries.py
+++ b/leverdoor/gate/retries.py
@@ -15,8 +15,8 @@
 MAX_ATTEMPTS = 4
 """Most attempts of one request, the first included.
 
-Chosen: what did not run is placed again outside the budget, so something must bound
-it. More attempts lengthen the wait for a refusal; fewer give up while targets are left.
+What did not run is placed again outside the budget, so something must bound it. More
+attempts lengthen the wait for a refusal; fewer give up while targets are left.
 """
 BUDGET_RATIO = 0.1
 """Retries earned with each request: the common tenth.
@@ -26,8 +26,8 @@
 BUDGET_LIMIT = 10.0
 """Most retries saved up, and those that a process starts with.
 
-Chosen: a target that dies loses some requests at once. A greater limit lets a burst of
-retries hit the targets that are left.
+A target that dies loses some requests at once. A greater limit lets a burst of retries
+hit the targets that are left.
 """
 EVERY_SERVICE = ""
 """The budget's only key: a gate has one budget for all services."""
--- a/leverdoor/gate/target_health.py
+++ b/leverdoor/gate/target_health.py
@@ -15,39 +15,39 @@
 FAILURE_EJECTION_FIRST_S = 0.25
 """First ejection of a target that failed, in seconds; it doubles with each failure.
 
-Chosen: one failure says little. A longer one idles a good target after one lost
-connection; a shorter one sends retry after retry to a dead one.
+One failure says little. A longer one idles a good target after one lost connection; a
+shorter one sends retry after retry to a dead one.
 """
 FAILURE_EJECTION_LONGEST_S = 10.0
 """Longest ejection after failures, in seconds.
 
-Chosen: a target that is back waits that long at most for its next request; a shorter
-one loses a request more often while it stays dead.
+A target that is back waits that long at most for its next request; a shorter one loses
+a request more often while it stays dead.
 """
 SHED_EJECTION_FIRST_S = 0.1
 """First ejection of a target that shed a request, in seconds; it doubles.
 
-Chosen: some runs of 20 ms, in which a slot of the target is likely to become free.
+Some runs of 20 ms, in which a slot of the target is likely to become free.
 """
 SHED_EJECTION_LONGEST_S = 1.0
 """Longest ejection after shed requests, in seconds.
 
-Chosen far below that of failures: a target that sheds works, and does so less than a
+Far below that of failures: a target that sheds works, and does so less than a
 dead one keeps its slots idle.
 """
 LATENCY_WEIGHT = 0.2
 """Weight of one answer in the mean latency of a target.
 
-Chosen: the last five answers. A greater one lets single answers decide; a smaller one
-sends requests to a target that has become slow.
+The last five answers. A greater one lets single answers decide; a smaller one sends
+requests to a target that has become slow.
 """
 ASSUMED_MS = 20.0
-"""Run time assumed before any answer, in ms; chosen, the run of a look-up."""
+"""Run time assumed before any answer, in ms: the run of a look-up."""
 REPORT_TRUST_S = 5.0
 """Age in seconds at which a target's own report counts for nothing.
 
-Chosen: some intervals of the probes, so that one lost probe changes little; a longer
-one orders targets by load that has gone.
+Some intervals of the probes, so that one lost probe changes little; a longer one orders
+targets by load that has gone.
 """
 
 
--- a/leverdoor/gate/workload.py
+++ b/leverdoor/gate/workload.py
@@ -13,8 +13,8 @@
 RUN_WEIGHT = 0.1
 """Weight of one run in the mean run time of a service.
 
-Chosen: the last ten runs. A greater one lets single slow runs turn requests away; a
-smaller one is late to see that a service has become slow.
+The last ten runs. A greater one lets single slow runs turn requests away; a smaller one
+is late to see that a service has become slow.
 """
 
 
--- a/leverdoor/lifecycle.py
+++ b/leverdoor/lifecycle.py
@@ -24,13 +24,13 @@
 RESTART_S = 1.0
 """Pause before a loop that failed is run again, in seconds.
 
-Chosen: without it a loop that fails at once would take the whole core; a longer one
-leaves heartbeats or the store's watch off for that long.
+Without it a loop that fails at once would take the whole core; a longer one leaves
+heartbeats or the store's watch off for that long.
 """
 SETTINGS_POLL_S = 2.0
 """Seconds between two looks at the settings file.
 
-Chosen below the 2.5 s within which a changed setting must be used; one `stat` a look.
+Below the 2.5 s within which a changed setting must be used; one `stat` a look.
 """
 
 
--- a/leverdoor/membership/ownership.py
+++ b/leverdoor/membership/ownership.py
@@ -48,8 +48,8 @@
 LOAD_SLACK = 1.25
 """Greatest load of a holder, over the mean.
 
-Chosen: a smaller one moves more units when a process comes or goes, and units on the
-move serve nobody; a greater one makes some gates forward more.
+A smaller one moves more units when a process comes or goes, and units on the move serve
+nobody; a greater one makes some gates forward more.
 """
 
 
--- a/leverdoor/membership/peers.py
+++ b/leverdoor/membership/peers.py
@@ -23,41 +23,41 @@
 LEAST_SILENCE_S = 1.5
 """Least silence after which a VM is not used, in seconds.
 
-Chosen: seven heartbeats of 0.2 s. A smaller one drops live VMs when some datagrams are
-lost; a greater one sends requests to dead ones for longer.
+Seven heartbeats of 0.2 s. A smaller one drops live VMs when some datagrams are lost; a
+greater one sends requests to dead ones for longer.
 """
 MOST_SILENCE_S = 10.0
 """Greatest such silence, in seconds.
 
-Chosen: heartbeats of far VMs come seldom, through others. A smaller one drops live far
-VMs; a greater one keeps dead ones.
+Heartbeats of far VMs come seldom, through others. A smaller one drops live far VMs; a
+greater one keeps dead ones.
 """
 GAPS_MISSED = 4
 """Mean gaps between heartbeats that a silence must exceed.
 
-Chosen: three datagrams in a row may be lost before a VM is dropped.
+Three datagrams in a row may be lost before a VM is dropped.
 """
 GAP_WEIGHT = 0.2
-"""Weight of one gap in the mean; chosen, the last five gaps."""
+"""Weight of one gap in the mean: the last five gaps."""
 RING_PARTNERS = 8
 """Next VMs of the region on the ring that get this VM's heartbeats, in turn.
 
-Chosen: each VM gets heartbeats often from some. More of them come to each VM less
-often; fewer delay what spreads over the ring.
+Each VM gets heartbeats often from some. More of them come to each VM less often; fewer
+delay what spreads over the ring.
 """
 PLACES = 1 << 64
 """Places of the ring: the range of the 64-bit hash."""
 FORGET_S = 60.0
 """Silence after which a VM is forgotten, in seconds.
 
-Chosen far above a pause or a cut link, after which its heartbeats are used again.
+Far above a pause or a cut link, after which its heartbeats are used again.
 """
 MESSAGE_BEATS = 5
 """Heartbeats of others in one message; keeps it in one packet."""
 SAME_REGION_BIAS = 0.75
 """Part of the heartbeats in a message that are of the own region.
 
-Chosen: requests go to gates of the region first, so their loads must be fresher.
+Requests go to gates of the region first, so their loads must be fresher.
 """
 
 
--- a/leverdoor/metrics.py
+++ b/leverdoor/metrics.py
@@ -21,8 +21,8 @@
 __all__ = ["AgentMetrics", "GateMetrics"]
 
 LATENCY_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0)
-"""Bounds of the latency histogram, in seconds; chosen: the usual steps from a cached
-look-up (5 ms) to an upload (10 s)."""
+"""Bounds of the latency histogram, in seconds: the usual steps from a cached look-up (5
+ms) to an upload (10 s)."""
 
 
 class _Metrics:
--- a/leverdoor/model/burn.py
+++ b/leverdoor/model/burn.py
@@ -18,14 +18,14 @@
 __all__ = ["BurnLine", "BurnMeter", "Series", "merge_series", "summarize"]
 
 BUCKET_S = 10.0
-"""Length of a bucket of counts, in seconds; chosen: 360 buckets an hour, and the short
-window is off by one of its 30 buckets at most."""
+"""Length of a bucket of counts, in seconds: 360 buckets an hour, and the short window
+is off by one of its 30 buckets at most."""
 FAST_S = 300.0
 """Short window of the burn rate in seconds: the usual five minutes."""
 SLOW_S = 3600.0
 """Long window of the burn rate in seconds: the usual hour."""
 HISTOGRAM_S = 60.0
-"""Length of one latency histogram, in seconds; chosen: a fifth of the short window."""
+"""Length of one latency histogram, in seconds: a fifth of the short window."""
 HISTOGRAMS = 6
 """Histograms kept: six minutes, a little over the short window."""
 MAX_MS = 600_000
--- a/leverdoor/platform/settings.py
+++ b/leverdoor/platform/settings.py
@@ -25,8 +25,8 @@
 LOOKUP_TTL_S = 2.0
 """How long clients may keep a look-up, in seconds, if the deployment allows it.
 
-Chosen: a leaving entry accepts connections for that long (`entry.daemon`). Greater, a
-stop takes longer and clients go on to dead entries; smaller, there are more look-ups.
+A leaving entry accepts connections for that long (`entry.daemon`). Greater, a stop
+takes longer and clients go on to dead entries; smaller, there are more look-ups.
 """
 
 
--- a/leverdoor/quarantine/crashes.py
+++ b/leverdoor/quarantine/crashes.py
@@ -29,38 +29,37 @@
 MEMORY_S = 600.0
 """How long the end of a target counts, in seconds.
 
-Chosen: a request that comes once in minutes is known as well. Greater: more memory.
-Smaller: targets go on ending under a request that comes seldom.
+A request that comes once in minutes is known as well. Greater: more memory. Smaller:
+targets go on ending under a request that comes seldom.
 """
 SAME_END_S = 1.0
 """Time within which two reports of a target's end are of the same end, in seconds.
 
-Chosen: reports arrive 0.6 s apart (p99, 195 entries, 5% of datagrams lost,
-benchmarks/knowledge.py), and a target that starts again takes longer. Greater: a second
-end is overlooked. Smaller: one end counts twice.
+Reports arrive 0.6 s apart, and a target that starts again takes longer. Greater: a
+second end is overlooked. Smaller: one end counts twice.
 """
 MOST_CRASHES = 256
 """Ends kept; with `MOST_RUNS` each, 4.0 MB (tracemalloc).
 
-Chosen: the 750 targets of a large site that lose a third at once. Of more, those are
-dropped that say least (`CrashBook._drop_one`).
+The 750 targets of a large site that lose a third at once. Of more, those are dropped
+that say least (`CrashBook._drop_one`).
 """
 MOST_RUNS = 48
-"""Runs kept for each end; chosen: five times the slots of usual targets."""
+"""Runs kept for each end: five times the slots of usual targets."""
 LEAST_APART = 0.5
 """Part of the shorter of two runs that lies outside the other, for both to count.
 
-Runs that overlap may have ended by one cause, such as a power loss. Chosen: half, since
-times from other entries are off by some milliseconds. Greater: runs that followed each
-other count once. Smaller: runs that ended at the same moment count twice.
+Runs that overlap may have ended by one cause, such as a power loss. Half, since times
+from other entries are off by some milliseconds. Greater: runs that followed each other
+count once. Smaller: runs that ended at the same moment count twice.
 """
 
 MOMENT_S = 0.06
 """Time within which ends of targets count as one event, in seconds.
 
-Chosen: the way between regions is up to 0.055 s, so one event is seen that far apart.
-Greater: targets that end one after the other pass for one event; a fatal request was
-seen to end targets 0.06 to 0.1 s apart. Smaller: one event counts several times.
+The way between regions is up to 0.055 s, so one event is seen that far apart. Greater:
+targets that end one after the other pass for one event; a fatal request was seen to end
+targets 0.06 to 0.1 s apart. Smaller: one event counts several times.
 """
 
 
--- a/leverdoor/quarantine/notices.py
+++ b/leverdoor/quarantine/notices.py
@@ -24,7 +24,7 @@
 HELD_SPAN_S = 0.01
 """Unit of the span of a notice that a request is held back, in seconds.
 
-Chosen: two bytes then reach 655 s, beyond `crashes.MEMORY_S`.
+Two bytes then reach 655 s, beyond `crashes.MEMORY_S`.
 """
 
 
--- a/leverdoor/quarantine/outbox.py
+++ b/leverdoor/quarantine/outbox.py
@@ -30,15 +30,15 @@
 MOST_SENT = 48
 """Notices in one message at most: 912 bytes, which fit one packet.
 
-Chosen. Greater: long datagrams are lost more often. Smaller: an event that ends many
-targets hides one request among its victims for longer.
+Greater: long datagrams are lost more often. Smaller: an event that ends many targets
+hides one request among its victims for longer.
 """
 MOST_KEPT = 1_024
-"""News kept; chosen: of a loss of a hundred targets with ten runs each."""
+"""News kept: of a loss of a hundred targets with ten runs each."""
 TURN_ROUNDS = 5
 """Rounds between two that tell again what is held back: a second."""
 TOLD_IN_TURN = 8
-"""Requests held back that are told again in one such round; chosen: 152 bytes."""
+"""Requests held back that are told again in one such round: 152 bytes."""
 
 
 class News(msgspec.Struct, frozen=True):
--- a/leverdoor/quarantine/quarantine.py
+++ b/leverdoor/quarantine/quarantine.py
@@ -40,8 +40,8 @@
 HOLD_S = 600.0
 """How long a request is held back, in seconds.
 
-Chosen: time to mend or replace the targets' software. Greater: a harmless request that
-is held back by mistake waits longer. Smaller: three more targets end each time.
+Time to mend or replace the targets' software. Greater: a harmless request that is held
+back by mistake waits longer. Smaller: three more targets end each time.
 """
 JUDGE_AFTER_S = 0.6
 """Time after the newest end in which reports of other entries are awaited, in seconds.
@@ -53,11 +53,11 @@
 TRY_AFTER_S = 2.0
 """Time after which a request that may be harmless is run once more, in seconds.
 
-Chosen: all hold the cause back by then, so that it meets no more ends. Greater:
-harmless requests are refused for longer. Smaller: it meets the same trouble.
+All hold the cause back by then, so that it meets no more ends. Greater: harmless
+requests are refused for longer. Smaller: it meets the same trouble.
 """
 NEXT_TRY_X = 5.0
-"""Times that wait until the next try; chosen: trouble of a few seconds is over."""
+"""Times that wait until the next try: trouble of a few seconds is over."""
 MOST_TRIES = 2
 """Such tries of one request.
 
@@ -68,13 +68,13 @@
 MOST_HELD = 256
 """Requests held back at most; the one that was first goes first.
 
-Chosen: each ends targets, so there are few; this bounds memory and keys of the store.
+Each ends targets, so there are few; this bounds memory and keys of the store.
 """
 MOST_ANSWERED = 4_096
-"""Requests kept that ran to an end; 0.6 MB (tracemalloc).
+"""Requests kept that ran to an end; 0.6 MB.
 
-Chosen: those of some minutes at 16 a second and entry. Greater: more memory. Smaller: a
-report that comes late counts against a request that was run meanwhile.
+Those of some minutes at 16 a second and entry. Greater: more memory. Smaller: a report
+that comes late counts against a request that was run meanwhile.
 """
 MOST_RELEASED = 1_024
 """Releases kept, as `MOST_ANSWERED` are; these came from other entries or the store."""
--- a/leverdoor/quarantine/refusal.py
+++ b/leverdoor/quarantine/refusal.py
@@ -8,9 +8,9 @@
 __all__ = ["held_refusal"]
 
 LEAST_RETRY_AFTER_S = 1.0
-"""Least time after which a request that may be tried should come back, in seconds.
+"""Least time after which a request that may run once more should come back, in seconds.
 
-Chosen: its try may be under way at another entry. Greater: a harmless one waits longer.
+Its try may be under way at another entry. Greater: a harmless one waits longer.
 Smaller: it comes back before the try has ended.
 """
 
--- a/leverdoor/quarantine/verdict.py
+++ b/leverdoor/quarantine/verdict.py
@@ -26,18 +26,16 @@
 ENOUGH_BESIDE = 4
 """The same where others were present at its ends more often.
 
-Chosen: one more, since the cause may be among those seen less often: with a region cut
-off 11 sends too many without it (195 entries, emulated). Greater: more targets end
-then. Smaller: 120 of 5,212 harmless attempts refused where 11 are now (12 entries, a
-tenth of the targets ending each second, emulated).
+One more, since the cause may be among those seen less often: with a region cut off 11
+sends too many without it. Greater: more targets end then. Smaller: 120 of 5,212
+harmless attempts refused where 11 are now.
 """
 SURE_SHARE = 0.5
 """Part of the moments with ends at which a request was present, to be sure of it.
 
-Of those from its first end to its last; targets that end at one moment count once.
-Chosen: most of what ended. Greater: two such requests at a time are tried once more
-each. Smaller: where targets keep ending by themselves, harmless requests stay held
-back.
+Of those from its first end to its last; targets that end at one moment count once. Most
+of what ended. Greater: two such requests at a time run once more each. Smaller:
+where targets keep ending by themselves, harmless requests stay held back.
 """
 
 
--- a/leverdoor/standins/soak/limit_promise.py
+++ b/leverdoor/standins/soak/limit_promise.py
@@ -16,9 +16,10 @@
 """Time after a limit was first named from which on it is kept, in seconds."""
 WINDOW_S = 4.0
 """Any window of this length is looked at, in seconds."""
-OVERSHOOT = 1.5
+OVERSHOOT_X = 1.5
+"""Times its limit that a target may get in a window."""
 SLACK = 5.0
-"""What a target may get in a window: so many times its limit, and so many more."""
+"""Requests that it may get besides."""
 FALL_S = 1.5
 """Time for which a limit that fell may still be taken for what it was, in seconds: an
 answer has to name it, and all have to hear of it."""
@@ -77,7 +78,7 @@
         at = began + step * STEP_S
         known = _in_force(limits, at - FALL_S, at)
         total += max(limit.per_s or 0.0 for limit in known) * STEP_S
-    return OVERSHOOT * total + SLACK
+    return OVERSHOOT_X * total + SLACK
 
 
 def _in_force(limits: list[NamedLimit], since: float, until: float) -> list[NamedLimit]:
--- a/leverdoor/standins/soak/limits.py
+++ b/leverdoor/standins/soak/limits.py
@@ -25,6 +25,7 @@
 """How long a limit stays as it is, in seconds; some outlast a window of the check."""
 FLAP_S = 1.0
 FLAPS = 6
+"""Limits named one after the other, each for `FLAP_S`, while it flaps."""
 
 
 class LimitNamer:
--- a/leverdoor/standins/soak/run.py
+++ b/leverdoor/standins/soak/run.py
@@ -32,8 +32,8 @@
 SETTLED_S = 45.0
 """Seconds within which all must be well after the last fault.
 
-Chosen: several times what a start, a lease and a watch need on a busy machine, so that
-only what never recovers is reported.
+Several times what a start, a lease and a watch need on a busy machine, so that only
+what never recovers is reported.
 """
 REST_S = 3.0
 """Seconds that callers go on once all is well."""
--- a/leverdoor/storage/configuration.py
+++ b/leverdoor/storage/configuration.py
@@ -36,17 +36,17 @@
 ATTEMPTS = 6
 """Attempts of a transaction that other operators overtook.
 
-Chosen: an operator that is overtaken that often gets CONFLICT and can look at what the
-others wrote; each attempt costs the store a read and a write.
+An operator that is overtaken that often gets CONFLICT and can look at what the others
+wrote; each attempt costs the store a read and a write.
 """
 CONFLICT_RETRY_MS = 500
 """When an operator whom others overtook may write again, in ms.
 
-Chosen: the others' writes are done by then, and a person does not notice it.
+The others' writes are done by then, and a person does not notice it.
 """
 MAX_RESOURCES = 100
-"""Resources of one document at most; chosen: with the guard it stays below etcd's
-usual 128 operations of a transaction."""
+"""Resources of one document at most: with the guard it stays below etcd's usual 128
+operations of a transaction."""
 
 
 class Guard(msgspec.Struct):
--- a/leverdoor/storage/etcd.py
+++ b/leverdoor/storage/etcd.py
@@ -31,8 +31,8 @@
 T = TypeVar("T")
 
 CALL_TIMEOUT_S = 2.0
-"""Longest time of a call, in seconds; chosen: the service answers in milliseconds, and
-a follower must try another member well before its watch counts as lost (6 s)."""
+"""Longest time of a call, in seconds: the service answers in milliseconds, and a
+follower must try another member well before its watch counts as lost (6 s)."""
 READ_BUFFER = 4_000_000
 """Longest line of a watch, in bytes; above the largest batch of events."""
 
--- a/leverdoor/storage/following.py
+++ b/leverdoor/storage/following.py
@@ -34,14 +34,14 @@
 """First pause after a failed call, in seconds; it doubles. Shorter would add calls to a
 store that is already overloaded."""
 LONGEST_BACKOFF_S = 5.0
-"""Longest such pause, in seconds; chosen: the time for which a store that is back may
-go unnoticed, beside 0.2 calls a second of each follower while it is down."""
+"""Longest such pause, in seconds: the time for which a store that is back may go
+unnoticed, beside 0.2 calls a second of each follower while it is down."""
 PULL_TIMEOUT_S = 2.0
-"""Longest time to fetch what a peer has, in seconds; chosen: a peer that needs longer
-is slow or dead, and the next one is tried."""
+"""Longest time to fetch what a peer has, in seconds: a peer that needs longer is slow
+or dead, and the next one is asked."""
 ELECTION_POLL_S = 0.5
-"""Seconds between two checks of the election; chosen: part of the time until a dead
-follower is replaced, at no cost to the store."""
+"""Seconds between two checks of the election: part of the time until a dead follower is
+replaced, at no cost to the store."""
 FETCH_FAULTS = (
     aiohttp.ClientError,
     OSError,
--- a/leverdoor/storage/store.py
+++ b/leverdoor/storage/store.py
@@ -28,11 +28,11 @@
 ]
 
 WATCH_SILENCE_S = 6.0
-"""Silence of a watch after which the store counts as lost, in seconds; chosen: several
-missed signs that the service is there, and a fault that operators notice at once."""
+"""Silence of a watch after which the store counts as lost, in seconds: several missed
+signs that the service is there, and a fault that operators notice at once."""
 EVENT_LOG = 20_000
-"""Events that the store in memory keeps before it compacts; chosen. A watch from
-further back gets COMPACTED, as from the real service."""
+"""Events that the store in memory keeps before it compacts. A watch from further back
+gets COMPACTED, as from the real service."""
 
 
 class KeyValue(msgspec.Struct, frozen=True, array_like=True):
--- a/leverdoor/storage/vmlist.py
+++ b/leverdoor/storage/vmlist.py
@@ -20,8 +20,8 @@
 FETCH_TIMEOUT_S = 2.0
 """Longest time to fetch the list, in seconds.
 
-Chosen: longer, and a list that does not answer would hold up the next reading;
-shorter, and a slow list would read as one that is down.
+Longer, and a list that does not answer would hold up the next reading; shorter, and a
+slow list would read as one that is down.
 """
 
 
--- a/leverdoor/workspaces/allowance.py
+++ b/leverdoor/workspaces/allowance.py
@@ -36,8 +36,8 @@
 PRIOR_USE = 0.1
 """Requests that each entry is taken to have had besides.
 
-Chosen: the parts add up to one also where nobody had any. Greater: parts are more even
-than the use. Smaller: one request decides who has the whole part by use.
+The parts add up to one also where nobody had any. Greater: parts are more even than the
+use. Smaller: one request decides who has the whole part by use.
 """
 FOUR_FREE_STEP = 5.0
 """Times the expected requests that must be left for four of each entry to be free.
--- a/leverdoor/workspaces/isolation.py
+++ b/leverdoor/workspaces/isolation.py
@@ -25,21 +25,19 @@
 HOLD_S = 20.0
 """How long the others reserve what a silent entry may take, in seconds.
 
-Chosen: above the 12 s for which VMs were seen to be cut off. Greater: dead entries
-block a part of quotas for longer. Smaller: an entry that is cut off for longer refuses
-nearly all.
+Greater: dead entries block a part of quotas for longer. Smaller: an entry that is cut
+off for longer refuses nearly all.
 """
 MOST_STRETCH = 4.0
 """Times its use that an isolated entry may take at most, and others reserve.
 
-Chosen: one request in a quiet time must not become a claim on a whole quota. Greater:
-more is reserved for silent ones. Smaller: a workspace whose use grows in a cut is
-refused.
+One request in a quiet time must not become a claim on a whole quota. Greater: more is
+reserved for silent ones. Smaller: a workspace whose use grows in a cut is refused.
 """
 SPARE_AFTER_HOLD = 0.5
 """Part of the spare above the plan that all entries share once nothing is reserved.
 
-Chosen: half, since others may be cut off too. Greater: the bound may be passed.
+Half, since others may be cut off too. Greater: the bound may be passed.
 """
 
 
--- a/leverdoor/workspaces/quota.py
+++ b/leverdoor/workspaces/quota.py
@@ -40,14 +40,14 @@
 LEAST_EXPECTED = 0.15
 """Part of a quota that counts as its use where less is known to be used.
 
-Chosen: a start knows nothing. Greater: fewer requests are free. Smaller: an entry that
-has just started lets too many through.
+A start knows nothing. Greater: fewer requests are free. Smaller: an entry that has just
+started lets too many through.
 """
 LEAST_RETRY_AFTER_S = 0.2
 """Least time after which a refused request should come back, in seconds.
 
-Chosen: a round of heartbeats, before it nothing newer is known. Greater: callers wait
-while there is some of the quota left. Smaller: they are refused again.
+A round of heartbeats, before it nothing newer is known. Greater: callers wait while
+there is some of the quota left. Smaller: they are refused again.
 """
 
 
--- a/leverdoor/workspaces/quota_bounds.py
+++ b/leverdoor/workspaces/quota_bounds.py
@@ -25,8 +25,8 @@
 """Part of the spare above the plan that all entries together may take when they don't
 know what was used.
 
-Chosen: half, since the other half is for what is on its way. Greater: a workspace that
-used up its quota before passes its bound. Smaller: more refusals after a restart of all
+Half, since the other half is for what is on its way. Greater: a workspace that used up
+its quota before passes its bound. Smaller: more refusals after a restart of all
 entries.
 """
 
--- a/leverdoor/workspaces/usage.py
+++ b/leverdoor/workspaces/usage.py
@@ -15,7 +15,7 @@
 SLICE_S = 0.1
 """Resolution in seconds; a window counts up to one slice too much, never less.
 
-Chosen: a fiftieth of a window of 5 s. Greater: more refusals at the edge of the window.
+A fiftieth of a window of 5 s. Greater: more refusals at the edge of the window.
 Smaller: more memory and time for each request.
 """
 
