--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -14,6 +14,7 @@
 
 import asyncio
 import contextlib
+import json
 from collections.abc import AsyncIterator
 
 from entry_bench import check_own
@@ -89,3 +90,36 @@
     for answer in answers:
         check_own(answer)
         assert answer.status == 200
+
+
+async def test_where_all_targets_are_limited_the_rest_is_refused_at_once(
+    site: EntrySite,
+) -> None:
+    """With a code of its own, and a time to come back; none of those ran.
+
+    What users saw: six targets that named three a second each served 58 look-ups a
+    second together, and none was refused. Some room is used even where the machine is
+    so busy that questions are given up.
+    """
+    limited = [t for t in site.targets.values() if t.service == "look"]
+    for target in limited:
+        target.limit = "3"
+    async with looking_up(site) as answers:
+        named_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(PLAYED_S)
+    ran = 0
+    for target in limited:
+        most = most_in_a_window(target, named_at + CONTACT_S)
+        assert most <= OVERSHOOT * 3.0 * WINDOW_S + SLACK, target.name
+        ran += sum(r.at >= named_at + CONTACT_S for r in target.runs)
+    assert ran >= 0.4 * 3.0 * len(limited) * (PLAYED_S - CONTACT_S)
+    refused = [a for a in answers if a.status != 200]
+    assert refused
+    run_ids = {r.request_id for t in limited for r in t.runs}
+    for answer in refused:
+        assert json.loads(answer.body)["name"] == "TARGETS_LIMITED"
+        assert 0.1 < float(answer.headers["Retry-After"]) <= 20.0
+        assert answer.request_id not in run_ids
+    events = {e["event"] for entry in site.entries.values() for e in entry.events()}
+    assert {"target_limit", "refused"} <= events
+    assert "target_ejected" not in events
