--- a/leverdoor/standins/soak/limit_promise.py
+++ b/leverdoor/standins/soak/limit_promise.py
@@ -44,7 +44,7 @@
             r.at
             for r in record.runs
             if r.target == target
-            and not _disturbed(record, entry.get(r.request_id, ""), r.at)
+            and not record.was_disturbed(entry.get(r.request_id, ""), DISTURBED_S, r.at)
         )
         worst = max(_excesses(times, limits), default=(0.0, 0.0, 0))
         if worst[0] > 0.0:
@@ -86,10 +86,3 @@
     before = [limit for limit in limits if limit.at <= since]
     first = before[-1] if before else NamedLimit("", since, None)
     return [first, *(limit for limit in limits if since < limit.at <= until)]
-
-
-def _disturbed(record: Record, entry: str, at: float) -> bool:
-    return any(
-        name == entry and began <= at and ended >= at - DISTURBED_S
-        for name, began, ended in (*record.unplanned, *record.stops)
-    )
--- a/leverdoor/standins/soak/promises.py
+++ b/leverdoor/standins/soak/promises.py
@@ -181,20 +181,13 @@
         late = [
             r
             for r in runs
-            if r.at > known_at and not _disturbed(record, entry[r.request_id], r.at)
+            if r.at > known_at
+            and not record.was_disturbed(entry[r.request_id], KNOWN_S, r.at)
         ]
         if len(late) > MOST_MORE:
             yield f"BUDGET {path}: sent {len(late)} times more, {len(runs)} ended"
 
 
-def _disturbed(record: Record, entry: str, at: float) -> bool:
-    """Return whether an entry was disturbed or stopped shortly before a time."""
-    return any(
-        name == entry and began <= at and ended >= at - KNOWN_S
-        for name, began, ended in (*record.unplanned, *record.stops)
-    )
-
-
 def _harmless(record: Record) -> Iterator[str]:
     """No request is held back but those that end targets."""
     held = Counter(
--- a/leverdoor/standins/soak/record.py
+++ b/leverdoor/standins/soak/record.py
@@ -105,6 +105,19 @@
         """Note what disturbed an entry besides planned stops."""
         self.unplanned.append((entry, began, ended))
 
+    def was_disturbed(self, entry: str, within_s: float, at: float) -> bool:
+        """Return whether an entry was disturbed or stopped shortly before a time.
+
+        Args:
+          entry: its name.
+          within_s: how long before, in seconds.
+          at: the time, in seconds of the loop's clock.
+        """
+        return any(
+            name == entry and began <= at and ended >= at - within_s
+            for name, began, ended in (*self.unplanned, *self.stops)
+        )
+
 
 def now_s() -> float:
     """Return the loop's time in seconds."""
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -8,20 +8,7 @@
 from hypothesis import strategies as st
 
 from leverdoor.limits.room import RENEWAL_S, Room, burst
-
-WINDOW_S = 4.0
-OVERSHOOT = 1.5
-SLACK = 5
-"""What a target may get in a window: the operator's bound."""
-
-
-def most_in_a_window(times: list[float]) -> int:
-    first = most = 0
-    for last, at in enumerate(times):
-        while times[first] <= at - WINDOW_S:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
+from windows import allowed, most_in_a_window
 
 
 def play(
@@ -51,7 +38,7 @@
         now += pause_s
         if room.ask(per_s, 1.0, priority, 0, now).granted:
             granted.append(now)
-    assert most_in_a_window(granted) <= OVERSHOOT * per_s * WINDOW_S + SLACK
+    assert most_in_a_window(granted) <= allowed(per_s)
 
 
 def test_all_room_is_used_where_there_is_demand() -> None:
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -20,30 +20,20 @@
 from entry_bench import check_own
 from leverdoor.standins.entry_site import Answer, EntrySite
 from leverdoor.standins.upstreams import UpstreamStandin
+from windows import allowed, most_in_a_window
 
 PAUSE_S = 1 / 60
 """Time between two look-ups: 60 a second, far above what is named."""
 KEYS = 40
 CONTACT_S = 4.0
 """Time after a limit was first named from which on it is to be kept, in seconds."""
-WINDOW_S = 4.0
-"""Any window of this length is looked at, in seconds."""
-OVERSHOOT = 1.5
-SLACK = 5
-"""What may come in a window: so many times the limit, and so many requests more."""
 PLAYED_S = 14.0
 LIMITS = {"i-look-a1-0": "3.5", "i-look-b1-1": "0.5"}
 
 
-def most_in_a_window(target: UpstreamStandin, since: float) -> int:
+def most_from(target: UpstreamStandin, since: float) -> int:
     """Return the most requests that a target got in a window after a time."""
-    times = sorted(r.at for r in target.runs if r.at >= since)
-    first = most = 0
-    for last, at in enumerate(times):
-        while times[first] <= at - WINDOW_S:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
+    return most_in_a_window(r.at for r in target.runs if r.at >= since)
 
 
 @contextlib.asynccontextmanager
@@ -84,9 +74,8 @@
         named_at = asyncio.get_running_loop().time()
         await asyncio.sleep(PLAYED_S)
     for name, limit in LIMITS.items():
-        most = most_in_a_window(site.targets[name], named_at + CONTACT_S)
-        allowed = OVERSHOOT * float(limit) * WINDOW_S + SLACK
-        assert 0 < most <= allowed, name
+        most = most_from(site.targets[name], named_at + CONTACT_S)
+        assert 0 < most <= allowed(float(limit)), name
     for answer in answers:
         check_own(answer)
         assert answer.status == 200
@@ -109,8 +98,8 @@
         await asyncio.sleep(PLAYED_S)
     ran = 0
     for target in limited:
-        most = most_in_a_window(target, named_at + CONTACT_S)
-        assert most <= OVERSHOOT * 3.0 * WINDOW_S + SLACK, target.name
+        most = most_from(target, named_at + CONTACT_S)
+        assert most <= allowed(3.0), target.name
         ran += sum(r.at >= named_at + CONTACT_S for r in target.runs)
     assert ran >= 0.4 * 3.0 * len(limited) * (PLAYED_S - CONTACT_S)
     refused = [a for a in answers if a.status != 200]
