Registrations of other writers name no target unless each field is sound

Seen on: an address that is no host and port, an unknown failure domain, a service that no configuration names, no state, a thousand million slots or minus three were taken for targets, and what can't be read cost a log line at each translation. Cause: fields were decoded by type alone, with defaults. One place in the adapter now decides; what is left out is logged once for each value, 20 lines a minute at most, and counted by cause. A value that turned bad is not kept in its last good form.

--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -18,6 +18,7 @@
 from leverdoor.entry.bounds import SHARE_UPDATE_ROUNDS, WARM_SENT_S
 from leverdoor.entry.configuration.catalog import Catalog
 from leverdoor.entry.configuration.catalog_keeper import CatalogKeeper
+from leverdoor.entry.configuration.left_out import LeftOutReport
 from leverdoor.entry.context import EntryContext
 from leverdoor.entry.control_plane import ControlPlane, create_member
 from leverdoor.entry.data_plane import DataPlane
@@ -147,6 +148,7 @@
         self._membership = Membership(create_member(s))
         self._naming = Naming(self._membership)
         self._metrics = EntryMetrics()
+        self._left_out = LeftOutReport(self._events, self._metrics)
         self._data = DataPlane(
             context,
             self._keeper,
@@ -265,6 +267,7 @@
         now = asyncio.get_running_loop().time()
         self._membership.add_registered(configured.peers, now)
         self._records.take(configured.held, now)
+        self._left_out.take(configured.left_out, now)
         self._data.renew(before, catalog, now)
         exchange = self._control.exchange
         exchange.lists.renew(catalog.names_by_region)
--- a/leverdoor/entry/events.py
+++ b/leverdoor/entry/events.py
@@ -257,6 +257,21 @@
             revision=revision,
         )
 
+    def registration_left_out(
+        self, name: str, cause: str, detail: str, unlogged: int
+    ) -> None:
+        """A registration names no target to use; its name may be anything.
+
+        `unlogged` counts those for which there was no line in the last minutes.
+        """
+        self.emit(
+            "registration_left_out",
+            name=name[:MOST_LOGGED_TEXT],
+            cause=cause,
+            detail=detail[:MOST_LOGGED_TEXT],
+            unlogged=unlogged,
+        )
+
     def homeless(self, count: int, pairs: list[tuple[str, str]]) -> None:
         """A configuration has routes and workspaces without a common home."""
         self.emit("homeless", count=count, pairs=pairs)
--- a/leverdoor/entry/metrics.py
+++ b/leverdoor/entry/metrics.py
@@ -5,6 +5,8 @@
 Owns its counters and histograms; they start anew with the process.
 """
 
+from collections.abc import Mapping
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
@@ -91,6 +93,12 @@
             ["service"],
             registry=self.registry,
         )
+        self._left_out = Gauge(
+            "leverdoor_entry_registrations_left_out",
+            "Registrations that name no target to use, by what is wrong with them.",
+            ["cause"],
+            registry=self.registry,
+        )
         self._workspaces: set[str] = set()
         """Those that have a label of their own."""
 
@@ -101,6 +109,12 @@
         label = workspace if workspace in self._workspaces else "other"
         self._quota_refusals.labels(label).inc()
 
+    def show_left_out(self, causes: Mapping[str, int]) -> None:
+        """Show how many registrations are left out, by cause."""
+        self._left_out.clear()
+        for cause, count in causes.items():
+            self._left_out.labels(cause).set(count)
+
     def request(self, service: str, outcome: str, took_s: float) -> None:
         """Count a request that ended.
 
--- a/leverdoor/entry/wire.py
+++ b/leverdoor/entry/wire.py
@@ -17,6 +17,7 @@
 __all__ = [
     "Configured",
     "HeaderNames",
+    "LeftOut",
     "Lookup",
     "TargetLoad",
     "Translate",
@@ -24,6 +25,18 @@
 ]
 
 
+class LeftOut(msgspec.Struct, frozen=True):
+    """A registration that names no target to use."""
+
+    name: str
+    """Under which it stands."""
+    cause: str
+    """One of a few, for metrics."""
+    detail: str
+    revision: int
+    """Of the store, at which it was written."""
+
+
 class Configured(msgspec.Struct, frozen=True):
     """What the store holds, as resources of the product."""
 
@@ -34,6 +47,8 @@
     """Registrations of other entries, by the entry's name."""
     held: dict[str, KeyValue] = {}
     """Records of requests that are held back, by the text of their fingerprint."""
+    left_out: list[LeftOut] = []
+    """Registrations that name no target to use."""
 
 
 Translate: TypeAlias = Callable[[Mapping[str, KeyValue]], Configured]
--- a/leverdoor/platform/documents.py
+++ b/leverdoor/platform/documents.py
@@ -1,6 +1,6 @@
 # leverdoor: global traffic steering
 # SPDX-License-Identifier: Apache-2.0
-"""Documents that the operator and the targets keep in the platform's store.
+"""Documents that the operator keeps in the platform's store.
 
 Each is decoded once and turned into the product's resources. A field has a comment
 where the platform's name misleads. Owns no state.
@@ -13,15 +13,13 @@
     Resource,
     Route,
     Service,
-    Target,
     WorkClass,
     Workspace,
 )
 from leverdoor.workspaces.keys import key_digest
 
-__all__ = ["Config", "Server"]
+__all__ = ["Config"]
 
-READY = "ready"
 KINDS = {"safe": WorkClass.LOOKUP, "unsafe": WorkClass.ONCE, "upload": WorkClass.BULK}
 """Kinds of routes: "safe" may run again, "unsafe" must run at most once."""
 
@@ -152,6 +150,13 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
     tenants: list[_Tenant] = []
 
+    def service_names(self) -> set[str]:
+        """Return the services that are described, or that a route leads to."""
+        names = {s.name for s in self.services}
+        for route in self.routes:
+            names |= route.resource().services.keys()
+        return names
+
     def resources(self) -> list[Resource]:
         """Return all that it describes, in the product's names."""
         found: list[Resource] = [r.resource() for r in self.routes]
@@ -159,30 +164,3 @@
         found += [t.resource() for t in self.tenants]
         found.append(self.limits.resource())
         return found
-
-
-class Server(msgspec.Struct, rename="kebab"):
-    """What a target writes of itself under its lease."""
-
-    service: str
-    address: str
-    zone: str
-    """Its failure domain."""
-    slots: int = 1
-    state: str = READY
-    """Anything but `READY` means that it leaves."""
-    cold_remaining_ms: float = 0
-    """How much longer it is cold, from when this was written."""
-
-    def resource(self, name: str, region: str) -> Target:
-        """Return it in the product's names."""
-        return Target(
-            name=name,
-            service=self.service,
-            region=region,
-            domain=self.zone,
-            address=self.address,
-            slots=max(self.slots, 1),
-            draining=self.state != READY,
-            cold_ms=round(self.cold_remaining_ms),
-        )
--- a/leverdoor/platform/formats.py
+++ b/leverdoor/platform/formats.py
@@ -12,10 +12,15 @@
 import msgspec
 from loguru import logger
 
-from leverdoor.entry.wire import Configured, TargetLoad
+from leverdoor.entry.wire import Configured, LeftOut, TargetLoad
 from leverdoor.limits.named import UnreadableLimit
 from leverdoor.model.resources import Drain, Region, Resource, Target
-from leverdoor.platform.documents import Config, Server
+from leverdoor.platform.documents import Config
+from leverdoor.platform.registrations import (
+    BadRegistration,
+    Places,
+    read_registration,
+)
 from leverdoor.storage.store import KeyValue
 
 __all__ = ["HELD", "PEERS", "Translator", "parse_limit", "parse_load"]
@@ -54,8 +59,11 @@
         self._config_revision = 0
         self._config = Config(version="")
         self._config_resources: list[Resource] = []
+        self._places = Places(zones, frozenset())
         self._targets: dict[str, tuple[int, Target]] = {}
         """By key, with the revision that was translated."""
+        self._left_out: dict[str, LeftOut] = {}
+        """Those of which nothing is used, by key."""
 
     def __call__(self, entries: Mapping[str, KeyValue]) -> Configured:
         """Translate all keys of the store."""
@@ -66,11 +74,13 @@
         peers: dict[str, bytes] = {}
         held: dict[str, KeyValue] = {}
         targets: dict[str, tuple[int, Target]] = {}
+        left_out: dict[str, LeftOut] = {}
         for key, entry in entries.items():
             if key.startswith(SERVERS):
-                known = self._target(entry)
-                if known is not None:
-                    targets[key] = known
+                try:
+                    targets[key] = self._target(entry)
+                except _LeftOutError as e:
+                    left_out[key] = e.left_out
             elif key.startswith(EVACUATIONS):
                 zone = key.removeprefix(EVACUATIONS)
                 resources.append(Drain(name=zone, domain=zone))
@@ -79,8 +89,10 @@
             elif key.startswith(HELD):
                 held[key.removeprefix(HELD)] = entry
         self._targets = targets
+        self._left_out = left_out
         resources += [target for _, target in targets.values()]
-        return Configured(self._config.version, resources, peers, held)
+        bad = list(left_out.values())
+        return Configured(self._config.version, resources, peers, held, bad)
 
     def _take_config(self, entry: KeyValue) -> None:
         """Read a new configuration; one that can't be read leaves the last in force."""
@@ -88,23 +100,49 @@
             config = msgspec.json.decode(entry.value, type=Config)
             self._config_resources = config.resources()
             self._config = config
+            self._take_services(config)
         except msgspec.MsgspecError as e:
             logger.error("configuration not taken", key=entry.key, error=str(e))
         self._config_revision = entry.revision
 
-    def _target(self, entry: KeyValue) -> tuple[int, Target] | None:
-        """Return a target with its revision; None if it can't be read."""
+    def _take_services(self, config: Config) -> None:
+        """Take the services that targets may be of, and look at all targets again."""
+        services = frozenset(config.service_names())
+        if services != self._places.services:
+            self._places = Places(self._zones, services)
+            self._targets = {}
+            self._left_out = {}
+
+    def _target(self, entry: KeyValue) -> tuple[int, Target]:
+        """Return a target with its revision.
+
+        Raises:
+          _LeftOutError: the registration names none to use.
+        """
         known = self._targets.get(entry.key)
         if known is not None and known[0] == entry.revision:
             return known
-        try:
-            server = msgspec.json.decode(entry.value, type=Server)
-        except msgspec.MsgspecError as e:
-            logger.error("target not taken", key=entry.key, error=str(e))
-            return None
+        bad = self._left_out.get(entry.key)
+        if bad is not None and bad.revision == entry.revision:
+            raise _LeftOutError(bad)
         name = entry.key.removeprefix(SERVERS)
-        region = self._zones.get(server.zone, "")
-        return entry.revision, server.resource(name, region)
+        try:
+            return entry.revision, read_registration(name, entry.value, self._places)
+        except BadRegistration as e:
+            left_out = LeftOut(name, e.cause.value, str(e), entry.revision)
+            raise _LeftOutError(left_out) from None
+
+
+class _LeftOutError(Exception):
+    """A registration is left out.
+
+    Attributes:
+      left_out: which, and why.
+    """
+
+    def __init__(self, left_out: LeftOut) -> None:
+        super().__init__(left_out.detail)
+        self.left_out = left_out
 
 
 def parse_load(text: str) -> TargetLoad | None:
--- a/tests/interface_table.py
+++ b/tests/interface_table.py
@@ -138,6 +138,7 @@
     "leverdoor_entry_quarantine_refusals": ("counter", ("service",), ()),
     "leverdoor_entry_quarantined": ("gauge", (), ()),
     "leverdoor_entry_quota_refusals": ("counter", ("workspace",), ()),
+    "leverdoor_entry_registrations_left_out": ("gauge", ("cause",), ()),
     "leverdoor_entry_room_requests": ("counter", ("outcome",), ()),
     "leverdoor_entry_targets_ended": ("counter", ("service",), ()),
 }
@@ -186,7 +187,6 @@
     ("table refused", "info", ("revision", "version")),
     ("table written", "info", ("revision", "version")),
     ("target checked", "info", ("found", "target")),
-    ("target not taken", "error", ("error", "key")),
     ("the store is behind what was accepted", "error", ("held", "store")),
 ]
 """Event, level and fields of each call of the logger; `?` for what libraries log."""
@@ -269,6 +269,7 @@
             "workspace",
         ),
     ),
+    ("registration_left_out", ("cause", "detail", "name", "unlogged")),
     ("shares", ("service", "shares")),
     ("store", ("change", "detail", "revision")),
     ("target_checked", ("found", "lost", "service", "target", "took_ms")),
--- a/tests/test_platform_bytes.py
+++ b/tests/test_platform_bytes.py
@@ -57,7 +57,8 @@
     }""",
     "servers/i-1": b"""{
         "service": "s1", "address": "10.0.0.9:80", "zone": "a2", "slots": 9,
-        "state": "draining", "cold-remaining-ms": 900, "version": "v1"
+        "state": "draining", "cold-remaining-ms": 900, "version": "v1",
+        "sequence": 4
     }""",
     "op/evacuate/b1": b"{}",
     "leverdoor/entries/n1": b"\x01",
@@ -236,17 +237,12 @@
         "op/config": KeyValue("op/config", config, 2),
         "servers/i-1": KeyValue("servers/i-1", server, 3),
     }
-    assert wire({}).translate(entries).resources == [
+    configured = wire({"a1": "a"}).translate(entries)
+    assert [one.cause for one in configured.left_out] == ["unreadable"]
+    assert configured.resources == [
+        Region(name="a", domains=["a1"]),
         Route(name="r", host="h", prefix="/", work=WorkClass.ONCE, services={}),
         Service(name="s", work=WorkClass.ONCE),
         Workspace(name="w"),
         ClientLimits(name="limits"),
-        Target(
-            name="i-1",
-            service="s",
-            region="",
-            domain="a1",
-            address="10.0.0.9:80",
-            slots=1,
-        ),
     ]
