Of a cut, no side hands out more than its share of the entries, from its start

What is silent may as well be the other side of a cut, so the share of the entries seen bounds the part from the start; also the request that asks whether a limit still holds comes the more seldom the smaller the part is, or hundreds of lone entries would each send one.

--- a/leverdoor/entry/limits/role.py
+++ b/leverdoor/entry/limits/role.py
@@ -106,7 +106,7 @@
         """
         part = self._find(target, now).part
         if part and self._pauses.running_s(now) < NEWCOMER_S:
-            return HANDOVER_PART
+            return min(part, HANDOVER_PART)
         return part
 
     def _find(self, target: Target, now: float) -> _Limiter:
@@ -152,9 +152,10 @@
         return None
 
     def _part(self, names: list[str], region: str, now: float) -> float:
-        if self._has_rival(names, now):
-            return HANDOVER_PART
-        return min(SPLIT_SPARE * self._live_share(region, now), 1.0)
+        # What is silent may as well be the other side of a cut: no part is greater
+        # than the share of the entries that are seen here.
+        share = min(SPLIT_SPARE * self._live_share(region, now), 1.0)
+        return min(share, HANDOVER_PART) if self._has_rival(names, now) else share
 
     def _has_rival(self, names: list[str], now: float) -> bool:
         """Return whether a silent entry may still hand out a target's room.
--- a/leverdoor/limits/room.py
+++ b/leverdoor/limits/room.py
@@ -119,7 +119,7 @@
             self._tokens -= 1.0
             self._granted_at = now
             return RoomDecision(granted=True)
-        if part > 0.0 and now - self._granted_at >= RENEWAL_S:
+        if part > 0.0 and now - self._granted_at >= RENEWAL_S / part:
             self._granted_at = now
             return RoomDecision(granted=True)
         return self._refusal(rate, 1.0 + kept - self._tokens, priority, now)
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -159,12 +159,20 @@
     assert view.part(NEWCOMER_S + 0.1) == 1.0
 
 
-@given(st.lists(st.booleans(), min_size=1, max_size=8))
+@given(
+    st.lists(st.integers(0, 7), min_size=1, max_size=8),
+    st.sampled_from([SILENCE_S + 0.1, HANDOVER_S + 0.1]),
+)
 def test_the_sides_of_a_cut_stay_below_one_and_a_half_limits(
-    sides: list[bool],
+    sides: list[int], after_s: float
 ) -> None:
+    """However many they are, and while each takes the others for just silent.
+
+    In the benchmark a fifth of 195 entries, each cut off alone, handed itself half of
+    the limit at first, as one does that follows a single silent entry.
+    """
     names = [f"a1-{i}" for i in range(len(sides))]
-    now = LONG_S + HANDOVER_S + 0.1
+    now = LONG_S + after_s
     total = 0.0
     for i, name in enumerate(names):
         view = View(name, [n for n in names if n != name])
