Questions for room that can't be answered harm nothing

A question whose limit is no number would have made a room's tokens one for ever, and one whose sender is no address raised in the socket's callback. Found by reading; the first grants nothing, the second is logged as bad gossip.

--- a/leverdoor/entry/limits/limiter.py
+++ b/leverdoor/entry/limits/limiter.py
@@ -9,6 +9,7 @@
 Relies on the fleet for what bounds targets, on `LimiterRole` for its part of it.
 """
 
+import math
 from collections import OrderedDict
 from collections.abc import Callable
 
@@ -88,7 +89,7 @@
 
     def _decide(self, request: RoomRequest, now: float) -> RoomDecision:
         target = self._target(request.target)
-        if target is None:
+        if target is None or not 0.0 <= request.per_s < math.inf:
             return NOT_LIMITER
         return self.decide(target, request.per_s, request.priority, request.missed, now)
 
--- a/leverdoor/membership/gossip.py
+++ b/leverdoor/membership/gossip.py
@@ -15,6 +15,7 @@
 from loguru import logger
 
 from leverdoor.codec import pack, unpack
+from leverdoor.errors import SettingsError
 from leverdoor.settings import Address, parse_address
 
 __all__ = ["GossipSocket"]
@@ -68,7 +69,7 @@
         try:
             raw = zlib.decompressobj().decompress(data, MAX_DATAGRAM)
             self._take(unpack(raw, self._kind))
-        except (zlib.error, msgspec.MsgspecError) as e:
+        except (zlib.error, msgspec.MsgspecError, SettingsError) as e:
             logger.warning("bad gossip", sender=addr[0], error=str(e))
 
     def error_received(self, exc: Exception) -> None:
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -307,6 +307,18 @@
     assert desk.fleet.of(TARGET, now).room.closed(2, now)
 
 
+@pytest.mark.parametrize("per_s", [float("nan"), float("inf"), -1.0])
+async def test_a_question_with_no_limit_in_it_grants_nothing_and_harms_none(
+    per_s: float,
+) -> None:
+    desk = Desk(asker())
+    now = asyncio.get_running_loop().time()
+    key = target_id(TARGET.name)
+    bad = RoomRequest("g/x", 1, key, per_s, 2, 0)
+    assert not desk.limiting.answer(bad, now).granted
+    assert desk.limiting.answer(RoomRequest("g/x", 2, key, 2.0, 2, 0), now).granted
+
+
 async def test_a_question_that_comes_twice_is_granted_once() -> None:
     desk = Desk(asker())
     now = asyncio.get_running_loop().time()
