A refusal names limits only where each usable target lacks room for them

Where limited targets had room and were full, a caller got TARGETS_LIMITED and a Retry-After of the limiter's last word. Found by reading; also an unused type and a name that said less than it could.

--- a/leverdoor/entry/limits/limiter.py
+++ b/leverdoor/entry/limits/limiter.py
@@ -13,8 +13,6 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
-import msgspec
-
 from leverdoor.entry.exchange.messages import RoomAnswer, RoomRequest
 from leverdoor.entry.limits.role import LimiterRole
 from leverdoor.entry.pauses import Pauses
@@ -32,13 +30,6 @@
 """Answers kept for messages that come twice."""
 
 
-class _GivenAnswer(msgspec.Struct, frozen=True):
-    """An answer, and to which message."""
-
-    request: RoomRequest
-    answer: RoomAnswer
-
-
 class Limiter:
     """Hands out the room of targets."""
 
@@ -63,6 +54,7 @@
         self._target = target
         self._rooms: dict[int, Room] = {}
         self._answers: OrderedDict[tuple[str, int], RoomAnswer] = OrderedDict()
+        """By sender and number of the question."""
 
     def answer(self, request: RoomRequest, now: float) -> RoomAnswer:
         """Return the answer to another entry's request for room.
--- a/leverdoor/entry/limits/role.py
+++ b/leverdoor/entry/limits/role.py
@@ -42,8 +42,6 @@
 REMEMBERED_S = 0.1
 """How long it is remembered who limits a target, in seconds, to save processor time
 where a region has hundreds of entries."""
-
-
 MOST_RANKINGS = 256
 """Targets whose order of entries is kept."""
 
--- a/leverdoor/entry/pauses.py
+++ b/leverdoor/entry/pauses.py
@@ -12,14 +12,14 @@
 import time
 from collections.abc import Callable
 
-__all__ = ["Pauses", "elapsed_s"]
+__all__ = ["Pauses", "boot_time_s"]
 
 PAUSE_S = 1.0
 """Time between two calls from which on the process counts as paused, in seconds: five
 rounds, less than after which others take it for silent."""
 
 
-def elapsed_s() -> float:
+def boot_time_s() -> float:
     """Return a time in seconds that counts while the VM is suspended.
 
     Where the system has no such clock, one that stands still then.
@@ -32,7 +32,7 @@
 class Pauses:
     """When this process last resumed."""
 
-    def __init__(self, now: float, clock: Callable[[], float] = elapsed_s) -> None:
+    def __init__(self, now: float, clock: Callable[[], float] = boot_time_s) -> None:
         """Create it as the process starts.
 
         Args:
--- a/leverdoor/entry/placement/policy.py
+++ b/leverdoor/entry/placement/policy.py
@@ -217,27 +217,29 @@
         targets = self._candidates.order(request, first)
         loads = describe_loads(targets[:LOGGED_TARGETS], self._fleet, now)
         reason = f"{request.service} in {first}: {loads}"
-        room_s = self._limited_room_s(targets, now)
+        room_s = self._limited_room_s(request, targets, now)
         if room_s is None:
             return self._refuse(Code.QUEUE_FULL, reason)
         wait_ms = limited_retry_after_ms(room_s, self._rng.random())
         return Rejection(Code.TARGETS_LIMITED, wait_ms, reason)
 
-    def _limited_room_s(self, targets: list[Target], now: float) -> float | None:
+    def _limited_room_s(
+        self, request: PlacementRequest, targets: list[Target], now: float
+    ) -> float | None:
         """Return when any of some targets should have room, if limits are why not.
 
         Args:
-          targets: of the region that the request belongs to.
+          request: what found no target.
+          targets: of the region that it belongs to.
           now: monotonic time in seconds.
-        Returns: None if any that can be used has no limit.
+        Returns: None if any that can be used has no limit, or room within it.
         """
         states = [self._fleet.of(t, now) for t in targets]
         usable = [s for s in states if s.usable(now) and not s.cold(now)]
-        if not usable:
+        limited = [s for s in usable if self._chooser.lacks_room(request, s, now)]
+        if not usable or len(limited) < len(usable):
             return None
-        if any(self._fleet.limit_per_s(s.target) is None for s in usable):
-            return None
-        return min(s.room.room_s(now) for s in usable)
+        return min(s.room.room_s(now) for s in limited)
 
     def _refuse(self, code: Code, reason: str) -> Rejection:
         return Rejection(code, retry_after_ms(self._rng.random()), reason)
