--- a/tests/test_http_bytes.py
+++ b/tests/test_http_bytes.py
@@ -22,7 +22,7 @@
 from leverdoor.agent.probing import PROBE_PATH
 from leverdoor.answers import problem_answer
 from leverdoor.client.operator import Operator
-from leverdoor.codec import serialize_json, unpack
+from leverdoor.codec import unpack
 from leverdoor.entry.admin import AdminServer
 from leverdoor.entry.metrics import EntryMetrics
 from leverdoor.errors import Code, Refusal
@@ -31,6 +31,7 @@
 from leverdoor.standins.deployments import Deployment, TargetPlan
 from leverdoor.standins.entry_process import Place
 from leverdoor.standins.entry_site import EntrySite
+from leverdoor.standins.upstreams import UpstreamStandin
 from leverdoor.storage.etcd import EtcdStore
 from leverdoor.storage.state import Delta, State
 from leverdoor.storage.store import (
@@ -372,8 +373,8 @@
 async def entry_before(target: str) -> AsyncIterator[EntrySite]:
     """Run one entry before one target of the service `file`."""
     site = EntrySite({"n1": Place("a1", "a")}, [])
-    fields = {"service": "file", "address": target, "zone": "a1", "slots": 4}
-    site.store.put("servers/t1", serialize_json(fields))
+    registered = UpstreamStandin("t1", "file", "a1").entry(target)
+    site.store.put("servers/t1", registered)
     try:
         await site.start([route("file"), route("look")])
         yield site
