A limit of zero holds for less urgent requests too

Where a more urgent request had asked, what was kept for it came out as less than nothing at a limit of zero, and one less urgent request was granted. A refusal while no target is limited looks at no more targets than before.

--- a/leverdoor/entry/placement/policy.py
+++ b/leverdoor/entry/placement/policy.py
@@ -234,6 +234,8 @@
           now: monotonic time in seconds.
         Returns: None if any that can be used has no limit, or room within it.
         """
+        if self._fleet.limits.is_empty:
+            return None
         states = [self._fleet.of(t, now) for t in targets]
         usable = [s for s in states if s.usable(now) and not s.cold(now)]
         limited = [s for s in usable if self._chooser.lacks_room(request, s, now)]
--- a/leverdoor/limits/room.py
+++ b/leverdoor/limits/room.py
@@ -136,7 +136,7 @@
         if not urgent:
             return 0.0
         share = URGENT_X * urgent / rate if rate else 1.0
-        return (most - 1.0) * min(share, 1.0)
+        return max(most - 1.0, 0.0) * min(share, 1.0)
 
     def _refusal(
         self, rate: float, lacking: float, priority: int, now: float
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -82,6 +82,13 @@
     assert 60.0 / RENEWAL_S - 2 <= len(granted) <= 60.0 / RENEWAL_S
 
 
+def test_a_limit_of_zero_holds_for_less_urgent_requests_too() -> None:
+    """Nothing is kept for more urgent ones where nothing is saved up."""
+    room = Room(0.0, 0.0)
+    assert not room.ask(0.0, 1.0, 0, 0, 0.1).granted
+    assert not room.ask(0.0, 1.0, 2, 0, 0.2).granted
+
+
 def test_who_may_hand_out_nothing_grants_nothing() -> None:
     room = Room(0.0, 0.0)
     assert not any(room.ask(3.5, 0.0, 0, 0, float(t)).granted for t in range(30))
