--- a/leverdoor/entry/exchange/exchange.py
+++ b/leverdoor/entry/exchange/exchange.py
@@ -279,8 +279,9 @@
         sendings = self.announce(status, now)
         if status.notices:
             sendings.append(self._quarantine_news(status, now))
-        sendings += self._limit_news(status, now)
-        if not self._roles.is_aggregator(now):
+        aggregates = self._roles.is_aggregator(now)
+        sendings += self._limit_news(status, aggregates, now)
+        if not aggregates:
             self.use.stop_merging()
             return sendings, PeerUpdate()
         self._region_shares = self._merger.region_shares(status.shares).shares
@@ -298,28 +299,31 @@
         message = QuarantineNews(self._own.name, serialize_notices(status.notices))
         return Sending(message, self._news_recipients(now))
 
-    def _limit_news(self, status: EntryStatus, now: float) -> list[Sending]:
-        """Return what to tell of targets' limits, and to whom: the way of digests."""
+    def _limit_news(
+        self, status: EntryStatus, aggregates: bool, now: float
+    ) -> list[Sending]:
+        """Return what to tell of targets' limits, and to whom: the way of digests.
+
+        Recipients are chosen only for what there is to tell, since that draws chance.
+        """
         self._limits.note_own(status.limits, now)
-        if not self._roles.is_aggregator(now):
-            recipients = {OWN_SCOPE: self._recipients.aggregators(now)}
-        else:
-            near, far = (
-                self._recipients.near(now),
-                self._recipients.far(self._turn, now),
-            )
-            own = self._membership.in_own_domain()
-            recipients = {
-                DigestScope.DOMAIN: [m.gossip for m in near],
-                DigestScope.REGION: [m.gossip for m in far],
-                DigestScope.ALL: [m.gossip for m in own],
-            }
-        told = {s: self._limits.news(s, self._turn, now) for s in recipients}
-        return [
-            Sending(news, recipients[scope])
+        scopes = DigestScope if aggregates else (OWN_SCOPE,)
+        told = {scope: self._limits.news(scope, self._turn, now) for scope in scopes}
+        sendings = [
+            Sending(news, self._limit_recipients(scope, now))
             for scope, news in told.items()
-            if news is not None and recipients[scope]
+            if news is not None
         ]
+        return [s for s in sendings if s.to]
+
+    def _limit_recipients(self, scope: int, now: float) -> list[str]:
+        if scope == OWN_SCOPE:
+            return self._recipients.aggregators(now)
+        if scope == DigestScope.DOMAIN:
+            return [m.gossip for m in self._recipients.near(now)]
+        if scope == DigestScope.REGION:
+            return [m.gossip for m in self._recipients.far(self._turn, now)]
+        return [m.gossip for m in self._membership.in_own_domain()]
 
     def _digests(self, status: EntryStatus, now: float) -> list[Sending]:
         """Return an aggregator's digests of a round, with their recipients."""
