Soak: a target at a reused address crashes under fatal requests as the others do

Cause: the soak's site let a target that takes over another's address run the fatal request to a good end, and a good answer rightly releases a request at all entries. Evidence: each release follows a 200 of i-reuse-2; the held request was held 0.1 s before by all six entries.

--- a/leverdoor/standins/entry_site.py
+++ b/leverdoor/standins/entry_site.py
@@ -219,13 +219,17 @@
     async def add_target(self, target: UpstreamStandin) -> None:
         """Start a target and let it write itself."""
         self.targets[target.name] = target
-        target.crash = partial(self.crash_target, target.name)
-        target.crash_paths = self.crash_paths
+        self._let_crash(target)
         served = await self._serve(target.name, target.app())
         address = await self._link(f"target/{target.name}", served)
         self._addresses[target.name] = address
         self.store.put(f"servers/{target.name}", target.entry(address))
 
+    def _let_crash(self, target: UpstreamStandin) -> None:
+        """Let fatal requests end a target, as they do each that runs them."""
+        target.crash = partial(self.crash_target, target.name)
+        target.crash_paths = self.crash_paths
+
     def drain_target(self, name: str) -> None:
         """Let a target announce that it leaves."""
         target = self.targets[name]
--- a/leverdoor/standins/soak/site.py
+++ b/leverdoor/standins/soak/site.py
@@ -158,8 +158,10 @@
         self._joined += 1
         service = next(s for s in SERVICES if s != old.service)
         target = UpstreamStandin(f"i-reuse-{self._joined}", service, old.zone)
+        self._let_crash(target)
         served = await self._serve(target.name, target.app())
         self._behind[f"target/{name}"] = served
+        self.proxies[f"target/{target.name}"] = self.proxies[f"target/{name}"]
         self._addresses[target.name] = address
         self.targets[target.name] = target
         self.store.put(f"servers/{target.name}", target.entry(address))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -42,8 +42,18 @@
 
 
 @pytest.mark.timeout(240)
-async def test_targets_get_together_what_they_named_beside_faults() -> None:
-    verdict = await Soak(5, 20.0, 8, limits=3).run()
+@pytest.mark.parametrize(
+    ("seed", "seconds", "troubles", "fatal"), [(5, 20.0, 8, 0), (920006, 15.0, 15, 1)]
+)
+async def test_targets_get_together_what_they_named_beside_faults(
+    seed: int, seconds: float, troubles: int, fatal: int
+) -> None:
+    """At 920006 a target at a reused address once answered a fatal request well.
+
+    The site had not let such targets crash, and one good answer releases a request
+    everywhere.
+    """
+    verdict = await Soak(seed, seconds, troubles, fatal=fatal, limits=3).run()
     assert verdict.breaches == []
 
 
