--- a/benchmarks/emulated_quarantine.py
+++ b/benchmarks/emulated_quarantine.py
@@ -18,7 +18,8 @@
 
 from emulated_exchange import KnowledgeSite
 from leverdoor.entry.membership.member import Member
-from leverdoor.quarantine.crashes import LostRun, target_id
+from leverdoor.model.target_id import target_id
+from leverdoor.quarantine.crashes import LostRun
 from quarantine_node import EmulatedRecords, QuarantineNode
 from quarantine_plan import QuarantineFigures, QuarantinePlan
 
--- a/leverdoor/analysis/explaining.py
+++ b/leverdoor/analysis/explaining.py
@@ -100,6 +100,13 @@
     if e.event == "target_checked":
         lost = f"{f['lost']} lost answers"
         return f"{when}: {f['target']} was looked at after {lost}: {f['found']}"
+    if e.event == "target_limit":
+        mine = " (asked)" if f["target"] in targets else ""
+        limit = "no limit" if f["per_s"] is None else f"{f['per_s']} a second"
+        how = f"limit {f['change']}: {limit}, by {f['source']}"
+        return f"{when}: {f['target']}{mine} {how}"
+    if e.event == "limit_unreadable":
+        return f"{when}: {f['target']} named an unreadable limit: {f['text']}"
     if e.event == "quarantine_try":
         return f"{when}: request {f['fingerprint']} was run once more, as a try"
     if e.event == "quarantine":
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -230,6 +230,7 @@
         self._data.connections.sweep(now)
         self._membership.forget(now)
         self._control.exchange.forget(now)
+        self._data.named_limits.forget(now)
         self._metrics.in_flight.set(self._data.handler.active)
         self._metrics.peers.set(len(self._membership.live(now)))
         for name, change, silent_s in self._membership.changes(now):
--- a/leverdoor/entry/data_plane.py
+++ b/leverdoor/entry/data_plane.py
@@ -33,11 +33,14 @@
 from leverdoor.entry.requests.forwarding import Forwarder
 from leverdoor.entry.requests.handler import EntryHandler
 from leverdoor.entry.requests.intake import Intake
+from leverdoor.entry.requests.named_limits import NamedLimits
 from leverdoor.entry.requests.outcomes import Outcomes
 from leverdoor.entry.settings import EntrySettings
 from leverdoor.entry.warm_up import count_sharers
+from leverdoor.limits.named import LimitBook
 from leverdoor.model.resources import Target
-from leverdoor.quarantine.crashes import LostRun, target_id
+from leverdoor.model.target_id import target_id
+from leverdoor.quarantine.crashes import LostRun
 from leverdoor.quarantine.ended_targets import EndedTargets, TargetCheck
 from leverdoor.quarantine.quarantine import Quarantine
 from leverdoor.quarantine.trying import tries_for_all
@@ -62,7 +65,11 @@
         self._context = context
         self._keeper = keeper
         self._membership = membership
-        self.fleet = Fleet()
+        self.limits = LimitBook()
+        self.named_limits = NamedLimits(
+            context.wire, self.limits, context.events, metrics
+        )
+        self.fleet = Fleet(self.limits)
         self.placement = self._create_placement()
         self.connections = Connections(
             context.wire.headers.request_id,
@@ -92,7 +99,7 @@
         intake = Intake(
             wire, self._catalog, self.placement.pick_service, self._keys_confirmed
         )
-        outcomes = Outcomes(wire, self.placement, self.fleet, events)
+        outcomes = Outcomes(wire, self.placement, self.fleet, self.named_limits, events)
         forwarder = Forwarder(
             wire,
             self.placement,
@@ -172,6 +179,7 @@
         """Serve by a newer catalogue from now on."""
         self.count_entries()
         self.fleet.renew(catalog.targets, now)
+        self.named_limits.renew(catalog.targets)
         for name in before.in_service - catalog.in_service:
             self.connections.drop(name)
         self.placement.renew(catalog)
--- a/leverdoor/entry/events.py
+++ b/leverdoor/entry/events.py
@@ -41,6 +41,9 @@
 costs memory; smaller, a short pause costs lines.
 """
 
+MOST_LOGGED_TEXT = 80
+"""Characters of a foreign text in a line; chosen: enough to find where it is set."""
+
 
 class LineWriter:
     """Writes lines to a descriptor that nobody may be reading."""
@@ -108,7 +111,8 @@
     Fields of `attempt` whose names do not say all: `load_age_ms` is the time since the
     newest report or digest about the target arrived, not the age of what it counts;
     `rank` is the target's place in its region's order for the key; `seen` says that an
-    entry had an answer for the key from there; `version` is the configuration by which
+    entry had an answer for the key from there; `limit_per_s` is what the entry took the
+    target's limit to be, null for none; `version` is the configuration by which
     the request was routed.
     """
 
@@ -172,6 +176,7 @@
             rank=placement.rank,
             seen=placement.seen,
             cold_share=round(placement.cold_share, 2),
+            limit_per_s=placement.limit_per_s,
             expected_ms=round(placement.expected_ms),
             latency_target_ms=request.route.target_latency_ms,
             took_ms=round(took_s * 1000),
@@ -265,6 +270,22 @@
             ejected_s=round(ejected_s, 2),
         )
 
+    def target_limit(
+        self, target: str, change: str, per_s: float | None, source: str
+    ) -> None:
+        """A target named a limit for all entries together, another one, or none.
+
+        `change` is "named", "changed" or "ended"; `source` says who received that:
+        "answer" for this entry, "peer" for another one.
+        """
+        self.emit(
+            "target_limit", target=target, change=change, per_s=per_s, source=source
+        )
+
+    def limit_unreadable(self, target: str, text: str) -> None:
+        """A target named as its limit what is no number; its last one holds on."""
+        self.emit("limit_unreadable", target=target, text=text[:MOST_LOGGED_TEXT])
+
     def target_checked(
         self, target: str, service: str, found: str, lost: int, took_s: float
     ) -> None:
--- a/leverdoor/entry/metrics.py
+++ b/leverdoor/entry/metrics.py
@@ -74,6 +74,17 @@
             ["service"],
             registry=self.registry,
         )
+        self.limited_targets = Gauge(
+            "leverdoor_entry_limited_targets",
+            "Targets that have set a limit for all entries together.",
+            registry=self.registry,
+        )
+        self.limits_unreadable = Counter(
+            "leverdoor_entry_limits_unreadable",
+            "Answers whose limit is no number of requests a second.",
+            ["service"],
+            registry=self.registry,
+        )
         self._workspaces: set[str] = set()
         """Those that have a label of their own."""
 
--- a/leverdoor/entry/placement/fleet.py
+++ b/leverdoor/entry/placement/fleet.py
@@ -19,7 +19,9 @@
 from leverdoor.entry.placement.slow_start import SlowStart
 from leverdoor.entry.placement.times import RunTimes
 from leverdoor.entry.wire import TargetLoad
+from leverdoor.limits.named import LimitBook
 from leverdoor.model.resources import Target
+from leverdoor.model.target_id import target_id
 
 __all__ = ["OTHERS", "Fleet", "TargetState"]
 
@@ -169,8 +171,14 @@
 class Fleet:
     """The states of all targets, by target name."""
 
-    def __init__(self) -> None:
-        """Create an empty one."""
+    def __init__(self, limits: LimitBook | None = None) -> None:
+        """Create an empty one.
+
+        Args:
+          limits: what targets take from all entries together; none are known if left
+            out.
+        """
+        self.limits = limits or LimitBook()
         self._states: dict[str, TargetState] = {}
         self._counted: dict[str, frozenset[str]] = {}
         """By peer, the targets that its last message had counts for."""
@@ -202,6 +210,13 @@
             found = self._states[target.name] = TargetState(target, now)
         return found
 
+    def limit_per_s(self, target: Target) -> float | None:
+        """Return the requests a second that a target takes from all entries.
+
+        None if it names no limit.
+        """
+        return self.limits.per_s(target_id(target.name))
+
     def in_flight(self) -> dict[str, int]:
         """Return how many requests this entry has at each target, if any."""
         return {n: s.in_flight for n, s in self._states.items() if s.in_flight}
--- a/leverdoor/entry/placement/placement_request.py
+++ b/leverdoor/entry/placement/placement_request.py
@@ -76,3 +76,6 @@
     """Time since the last report or digest of that load arrived, in ms; the counts in
     it may be older. -1 if none has arrived."""
     reason: PlacementReason
+    limit_per_s: float | None = None
+    """Requests a second that the target takes from all entries, as last known; None
+    for no limit."""
--- a/leverdoor/entry/placement/policy.py
+++ b/leverdoor/entry/placement/policy.py
@@ -252,6 +252,7 @@
             load=load,
             load_age_ms=age_ms,
             reason=reason,
+            limit_per_s=self._fleet.limit_per_s(state.target),
         )
 
     # What came of it.
--- /dev/null
+++ b/leverdoor/entry/requests/named_limits.py
@@ -0,0 +1,87 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""What answers say of targets' limits: read, kept in the book, logged and counted.
+
+Owns the last unreadable text of each target, so that it is logged once; lost with the
+process. Relies on the wire for the header, and on `limits.named` for what counts.
+"""
+
+from collections.abc import Iterable
+
+from leverdoor.entry.events import Events
+from leverdoor.entry.metrics import EntryMetrics
+from leverdoor.entry.requests.replies import TargetReply
+from leverdoor.entry.wire import Wire
+from leverdoor.limits.named import (
+    LimitBook,
+    LimitChange,
+    LimitWord,
+    UnreadableLimit,
+)
+from leverdoor.model.resources import Target
+from leverdoor.model.target_id import target_id
+
+__all__ = ["NamedLimits"]
+
+
+class NamedLimits:
+    """Takes the limits that targets name in their answers."""
+
+    def __init__(
+        self, wire: Wire, book: LimitBook, events: Events, metrics: EntryMetrics
+    ) -> None:
+        """Create it around the book of limits."""
+        self._wire = wire
+        self._book = book
+        self._events = events
+        self._metrics = metrics
+        self._names: dict[int, str] = {}
+        """Names of targets by their `target_id`."""
+        self._unreadable: dict[str, str] = {}
+        """By target, what it last named that is no number."""
+
+    def renew(self, targets: Iterable[str]) -> None:
+        """Take the names of the targets of a new configuration."""
+        self._names = {target_id(name): name for name in targets}
+        self._unreadable = {
+            name: text
+            for name, text in self._unreadable.items()
+            if target_id(name) in self._names
+        }
+
+    def answered(self, target: Target, reply: TargetReply, now: float) -> None:
+        """Take what a whole answer says, or its silence, of a target's limit.
+
+        What can't be read says neither that there is a limit nor that there is none:
+        the last readable word holds.
+        """
+        try:
+            per_s = self._wire.parse_limit(reply.all(self._wire.headers.limit))
+        except UnreadableLimit as e:
+            self._note_unreadable(target, str(e))
+            return
+        change = self._book.take(LimitWord(target_id(target.name), per_s, now))
+        self._log(change, "answer")
+
+    def told(self, words: Iterable[LimitWord]) -> None:
+        """Take what other entries received."""
+        for word in words:
+            self._log(self._book.take(word), "peer")
+
+    def forget(self, now: float) -> None:
+        """Drop what has grown old, and show how many targets are limited."""
+        self._book.forget(now)
+        self._metrics.limited_targets.set(len(self._book.limited()))
+
+    def _note_unreadable(self, target: Target, text: str) -> None:
+        self._metrics.limits_unreadable.labels(target.service).inc()
+        if self._unreadable.get(target.name) != text:
+            self._unreadable[target.name] = text
+            self._events.limit_unreadable(target.name, text)
+
+    def _log(self, change: LimitChange | None, source: str) -> None:
+        if change is None:
+            return
+        word = change.word
+        name = self._names.get(word.target, f"{word.target:08x}")
+        self._events.target_limit(name, change.change, word.per_s, source)
--- a/leverdoor/entry/requests/outcomes.py
+++ b/leverdoor/entry/requests/outcomes.py
@@ -15,6 +15,7 @@
 from leverdoor.entry.placement.placement_request import Placement
 from leverdoor.entry.placement.policy import PlacementPolicy
 from leverdoor.entry.requests.entry_request import EntryRequest
+from leverdoor.entry.requests.named_limits import NamedLimits
 from leverdoor.entry.requests.replies import TargetReply
 from leverdoor.entry.requests.retries import WRONG_INSTANCE_STATUS
 from leverdoor.entry.wire import Wire
@@ -31,14 +32,30 @@
     """Passes the outcomes of attempts to placement."""
 
     def __init__(
-        self, wire: Wire, policy: PlacementPolicy, fleet: Fleet, events: Events
+        self,
+        wire: Wire,
+        policy: PlacementPolicy,
+        fleet: Fleet,
+        named_limits: NamedLimits,
+        events: Events,
     ) -> None:
         """Create it from the entry's parts."""
         self._wire = wire
         self._policy = policy
         self._fleet = fleet
+        self._named_limits = named_limits
         self._events = events
 
+    def replied(self, placement: Placement, reply: TargetReply) -> None:
+        """Learn what any whole answer says of the target itself: its limit.
+
+        Whatever its status; but one of another instance at the same address says
+        nothing of this one.
+        """
+        if reply.status != WRONG_INSTANCE_STATUS:
+            now = asyncio.get_running_loop().time()
+            self._named_limits.answered(placement.target, reply, now)
+
     def answered(
         self,
         request: EntryRequest,
--- a/leverdoor/entry/requests/replies.py
+++ b/leverdoor/entry/requests/replies.py
@@ -48,6 +48,10 @@
                 return value
         return ""
 
+    def all(self, name: str) -> list[str]:
+        """Return the values of all headers of a name in lower case, in order."""
+        return [value for key, value in self.headers if key == name]
+
 
 class ReplyParser:
     """The answers on one connection, one after the other."""
--- a/leverdoor/entry/wire.py
+++ b/leverdoor/entry/wire.py
@@ -6,7 +6,7 @@
 Owns no state.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple, TypeAlias
 
 import msgspec
@@ -74,6 +74,9 @@
     """From targets: the request was not run."""
     load: str
     """From targets: their load, see `Wire.parse_load`."""
+    limit: str
+    """From targets: requests a second that they take from all entries together, see
+    `Wire.parse_limit`."""
     workspace_key: str
     """From clients: the key that shows whose request it is."""
     workspace: str
@@ -92,6 +95,10 @@
     """From addresses and the seconds for which they may be kept: the answer's body."""
     parse_load: Callable[[str], TargetLoad | None]
     """From a header; None if it is not a load."""
+    parse_limit: Callable[[Sequence[str]], float | None]
+    """From all headers of that name in an answer; None for none of them.
+
+    Raises `UnreadableLimit` if they name no limit."""
     translate: Translate
     peer_key: Callable[[str], str]
     """From an entry's name: the key of its registration in the store."""
--- a/leverdoor/gate/quarantining.py
+++ b/leverdoor/gate/quarantining.py
@@ -21,7 +21,8 @@
 from leverdoor.gate.relay import CONNECT_TIMEOUT_S
 from leverdoor.metrics import GateMetrics
 from leverdoor.model.resources import Target
-from leverdoor.quarantine.crashes import LostRun, target_id
+from leverdoor.model.target_id import target_id
+from leverdoor.quarantine.crashes import LostRun
 from leverdoor.quarantine.ended_targets import EndedTargets, TargetCheck
 from leverdoor.quarantine.fingerprint import fingerprint_text
 from leverdoor.quarantine.notices import parse_notices, serialize_notices
--- /dev/null
+++ b/leverdoor/limits/__init__.py
@@ -0,0 +1,3 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Limits that targets set on what all entries together send them."""
--- a/leverdoor/platform/formats.py
+++ b/leverdoor/platform/formats.py
@@ -6,17 +6,19 @@
 so that only what changed is decoded; lost with the process.
 """
 
-from collections.abc import Mapping
+import re
+from collections.abc import Mapping, Sequence
 
 import msgspec
 from loguru import logger
 
 from leverdoor.entry.wire import Configured, TargetLoad
+from leverdoor.limits.named import UnreadableLimit
 from leverdoor.model.resources import Drain, Region, Resource, Target
 from leverdoor.platform.documents import Config, Server
 from leverdoor.storage.store import KeyValue
 
-__all__ = ["HELD", "PEERS", "Translator", "parse_load"]
+__all__ = ["HELD", "PEERS", "Translator", "parse_limit", "parse_load"]
 
 CONFIG = "op/config"
 """The key of the operator's configuration."""
@@ -30,6 +32,8 @@
 """Below it stand the requests that are held back, each under its fingerprint."""
 LOAD_FIGURES = 3
 """Figures of a target's load: running, waiting, slots."""
+LIMIT = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+"""A plain decimal number: no sign, no exponent, no other base, and finite."""
 
 
 class Translator:
@@ -117,3 +121,20 @@
         return None
     running, waiting, slots = (int(p) for p in parts)
     return TargetLoad(max(running - 1, 0), waiting, slots)
+
+
+def parse_limit(values: Sequence[str]) -> float | None:
+    """Parse the limit that a target names: requests a second, a decimal number.
+
+    Args:
+      values: of all headers that should have it.
+    Returns: None if there is no such header.
+    Raises:
+      UnreadableLimit: there are several, or what is there is no plain decimal number.
+        It is never taken for a limit of zero.
+    """
+    if not values:
+        return None
+    if len(values) > 1 or not LIMIT.fullmatch(values[0].strip()):
+        raise UnreadableLimit(", ".join(values))
+    return float(values[0])
--- a/leverdoor/platform/names.py
+++ b/leverdoor/platform/names.py
@@ -10,7 +10,13 @@
 import msgspec
 
 from leverdoor.entry.wire import HeaderNames, Lookup, Wire
-from leverdoor.platform.formats import HELD, PEERS, Translator, parse_load
+from leverdoor.platform.formats import (
+    HELD,
+    PEERS,
+    Translator,
+    parse_limit,
+    parse_load,
+)
 
 __all__ = ["wire"]
 
@@ -37,6 +43,7 @@
             stamp="x-server-stamp",
             not_run="x-not-executed",
             load="x-server-load",
+            limit="server-limit",
             workspace_key="x-credential",
             workspace="x-tenant",  # The platform calls workspaces tenants.
         ),
@@ -45,6 +52,7 @@
         parse_resolve=_parse_resolve,
         serialize_resolve=_serialize_resolve,
         parse_load=parse_load,
+        parse_limit=parse_limit,
         translate=Translator(zones),
         peer_key=lambda name: PEERS + name,
         held_key=lambda fingerprint: HELD + fingerprint,
--- a/leverdoor/quarantine/crashes.py
+++ b/leverdoor/quarantine/crashes.py
@@ -14,7 +14,6 @@
 from collections.abc import Iterable, Sequence
 
 import msgspec
-import xxhash
 
 __all__ = [
     "MEMORY_S",
@@ -25,7 +24,6 @@
     "distinct",
     "moments",
     "separate",
-    "target_id",
 ]
 
 MEMORY_S = 600.0
@@ -87,14 +85,6 @@
     """By fingerprint."""
 
 
-def target_id(name: str) -> int:
-    """Return the 32 bits by which entries tell each other of a target.
-
-    Two targets that end at the same moment and share them count as one end.
-    """
-    return xxhash.xxh32_intdigest(name.encode())
-
-
 def moments(times: Iterable[float]) -> int:
     """Return at how many moments something happened (`MOMENT_S`), from its times."""
     count = 0
--- a/leverdoor/standins/upstreams.py
+++ b/leverdoor/standins/upstreams.py
@@ -67,6 +67,8 @@
         """Ends the target as when its process crashes; set by the site."""
         self.crash_paths: set[str] = set()
         """Paths of requests that end the target as it begins to run them."""
+        self.limit = ""
+        """What answers name as the requests a second that it takes; "" for nothing."""
         self.answer_well()
         self.runs: list[UpstreamRun] = []
         self._running = 0
@@ -106,6 +108,8 @@
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         headers = {"X-Request-Id": request.headers.get("X-Request-Id", "")}
+        if self.limit:
+            headers["Server-Limit"] = self.limit
         if request.headers.get("X-Expect-Instance", self.name) != self.name:
             return web.Response(
                 status=421, headers={**headers, "X-Instance-Id": self.name}
--- a/tests/interface_table.py
+++ b/tests/interface_table.py
@@ -130,6 +130,8 @@
     "leverdoor_entry_lookups": ("counter", (), ()),
     "leverdoor_entry_revision": ("gauge", (), ()),
     "leverdoor_entry_in_flight": ("gauge", (), ()),
+    "leverdoor_entry_limited_targets": ("gauge", (), ()),
+    "leverdoor_entry_limits_unreadable": ("counter", ("service",), ()),
     "leverdoor_entry_live_peers": ("gauge", (), ()),
     "leverdoor_entry_quarantine_refusals": ("counter", ("service",), ()),
     "leverdoor_entry_quarantined": ("gauge", (), ()),
@@ -196,6 +198,7 @@
             "fingerprint",
             "key",
             "latency_target_ms",
+            "limit_per_s",
             "load",
             "load_age_ms",
             "outcome",
@@ -221,6 +224,7 @@
             "fingerprint",
             "key",
             "latency_target_ms",
+            "limit_per_s",
             "load",
             "load_age_ms",
             "outcome",
@@ -241,6 +245,7 @@
     ("configuration", ("revision", "routes", "source", "targets", "version")),
     ("connections_forgotten", ("service",)),
     ("homeless", ("count", "pairs")),
+    ("limit_unreadable", ("target", "text")),
     ("peer", ("change", "peer", "silent_s")),
     ("process", ("**", "change")),
     ("quarantine", ("change", "ends", "fingerprint", "source", "tries")),
@@ -265,6 +270,7 @@
     ("store", ("change", "detail", "revision")),
     ("target_checked", ("found", "lost", "service", "target", "took_ms")),
     ("target_ejected", ("ejected_s", "reason", "target")),
+    ("target_limit", ("change", "per_s", "source", "target")),
     ("targets", ("came", "cold", "expired", "gone", "revision")),
 ]
 """Kind and fields of each event of an entry, without those that all lines have."""
@@ -575,6 +581,7 @@
 """Headers of a plain site, and the prefix of those that are not forwarded."""
 
 PLATFORM_HEADERS: list[str] = [
+    "server-limit",
     "x-affinity-key",
     "x-credential",
     "x-deadline-ms",
--- a/tests/test_platform_bytes.py
+++ b/tests/test_platform_bytes.py
@@ -139,6 +139,7 @@
         "x-server-stamp",
         "x-not-executed",
         "x-server-load",
+        "server-limit",
         "x-credential",
         "x-tenant",
     ]
