Entries reach each other through an interface, with sockets behind it

PeerNetwork carries messages and fetches; SocketNetwork is what it was. The longest time of a fetch is kept where the fetch is begun, so that it holds for any source. benchmarks/emulated_following.py runs the product's control plane on a fake clock over ways that are cut in each direction by itself, go silent on kept connections, reset, refuse or lose answers.

--- /dev/null
+++ b/benchmarks/emulated_following.py
@@ -0,0 +1,581 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Entries that keep in step with the store, on a fake clock, under cuts of every shape.
+
+The product's own control plane runs: membership, exchange, elections, fetches, the
+client of the platform's store. Emulated are the clock, the ways between entries and to
+the store, and the store. No request is played.
+
+State: the clock, the store's keys and history, the faults of all ways, and when each
+change was in force at each entry; all of it lasts one run.
+"""
+
+import asyncio
+import base64
+import os
+import selectors
+from bisect import bisect_right
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from enum import StrEnum
+from random import Random
+from typing import Any
+
+import msgspec
+
+from leverdoor.codec import pack, serialize_json
+from leverdoor.entry.configuration.catalog import Catalog
+from leverdoor.entry.configuration.catalog_keeper import CatalogKeeper
+from leverdoor.entry.context import EntryContext
+from leverdoor.entry.control_plane import ControlPlane
+from leverdoor.entry.events import Events, LineWriter
+from leverdoor.entry.exchange.exchange_types import EntryStatus, PeerUpdate
+from leverdoor.entry.exchange.messages import Message, RoomAnswer, RoomMessage
+from leverdoor.entry.exchange.peer_network import PeerNetwork
+from leverdoor.entry.membership.liveness import HEARTBEAT_S
+from leverdoor.entry.membership.member import SERVING, STARTING, Member, link_rank
+from leverdoor.entry.membership.members import Membership
+from leverdoor.entry.settings import EntrySettings
+from leverdoor.entry.wire import Configured
+from leverdoor.errors import StoreUnknown
+from leverdoor.platform.names import wire
+from leverdoor.platform.store import PlatformStore
+from leverdoor.settings import Address
+from leverdoor.storage.state import Delta, State
+from leverdoor.storage.store import KeyValue
+
+__all__ = ["Change", "FollowingSite", "VirtualLoop", "WayFault", "run_virtual"]
+
+NEAR_S = 0.001
+"""One-way delay within a region, in seconds."""
+FAR_S = 0.045
+"""One-way delay between regions, in seconds; users have 35 to 55 ms."""
+JITTER_S = 0.004
+"""Most by which a round comes late, in seconds."""
+SWEEP_ROUNDS = 5
+"""Rounds between two clean-ups."""
+PREFIX = "entry/"
+"""Of the entries' registrations."""
+SPREAD_MBPS = 8
+"""Links of the entries of a region differ by up to so many steps."""
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop whose clock jumps to what is due next."""
+
+    def __init__(self) -> None:
+        """Create it at time 0."""
+        self.jumping = _JumpingSelector()
+        super().__init__(self.jumping)
+
+    def time(self) -> float:
+        """Return the fake time in seconds."""
+        return self.jumping.now
+
+
+class _JumpingSelector(selectors.SelectSelector):
+    """Takes no time to wait."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 1_000.0
+
+    def select(
+        self, timeout: float | None = None
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        if timeout is None:
+            raise RuntimeError("nothing is due")
+        self.now += max(timeout, 0.0)
+        return []
+
+
+def run_virtual(main: Any) -> Any:
+    """Run a coroutine to its end on a fake clock."""
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        return runner.run(main)
+
+
+class WayFault(StrEnum):
+    """What happens to the calls of one entry to the store."""
+
+    NONE = "none"
+    SILENT = "silent"
+    """Calls do not arrive, and nothing says so."""
+    ANSWERS_LOST = "answers-lost"
+    """Calls arrive and are done; answers do not come back."""
+    RESET = "reset"
+    BUSY = "503"
+    TURNED_AWAY = "429"
+
+
+class Change(msgspec.Struct):
+    """One change of the store, and when it was in force at each entry."""
+
+    revision: int
+    at: float
+    """When the store confirmed it."""
+    in_force: dict[str, float] = {}
+    """By entry, the first time at which its state included it."""
+
+
+class EmulatedStore:
+    """The platform's store: keys, history, and calls counted."""
+
+    def __init__(self) -> None:
+        """Create an empty store at revision 1."""
+        self.revision = 1
+        self.down = False
+        """Nobody is answered."""
+        self.calls: Counter[str] = Counter()
+        self.call_times: list[float] = []
+        """When each watch and each listing that is not stale was begun, also those
+        that did not arrive."""
+        self._items: dict[str, KeyValue] = {}
+        self._history: list[tuple[int, dict[str, object]]] = []
+        self._kept_after = 1
+        self._leases = 0
+        self._changed = asyncio.Event()
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Write one key; returns the revision."""
+        self.revision += 1
+        self._items[key] = KeyValue(key, value, self.revision, lease)
+        self._history.append((self.revision, _shown(self._items[key])))
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return self.revision
+
+    def forget_history(self) -> None:
+        """Drop what watches could have continued from."""
+        self._history.clear()
+        self._kept_after = self.revision
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def answer(
+        self, call: str, query: Mapping[str, str], body: Any
+    ) -> tuple[int, bytes]:
+        """Do a call."""
+        kind = call.partition("/")[0]
+        self.calls[kind + (" stale" if query.get("stale") else "")] += 1
+        if kind == "kv-watch":
+            return await self._watch(int(query["after"]), int(query["wait-ms"]))
+        if kind == "kv-range":
+            return 200, self._range(query["path-prefix"])
+        if kind == "kv-lease":
+            self._leases += 1
+            return 200, serialize_json({"lease": self._leases})
+        if kind == "kv-txn":
+            for put in body["put"]:
+                self.put(put["private-key"], put["value"], put["lease"])
+            return 200, serialize_json({"revision": self.revision})
+        return 200, b"{}"
+
+    def _range(self, prefix: str) -> bytes:
+        found = [_shown(v) for k, v in self._items.items() if k.startswith(prefix)]
+        return serialize_json({"items": found, "more": False, "at": self.revision})
+
+    async def _watch(self, after: int, wait_ms: int) -> tuple[int, bytes]:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + wait_ms / 1000
+        while True:
+            if after < self._kept_after:
+                return 410, b""
+            changed = self._changed
+            first = bisect_right(self._history, after, key=lambda e: e[0])
+            found = [event for _, event in self._history[first:]]
+            left = until - loop.time()
+            if found or left <= 0:
+                body = {"events": found, "at": self.revision}
+                return 200, serialize_json(body)
+            try:
+                async with asyncio.timeout(left):
+                    await changed.wait()
+            except TimeoutError:
+                continue
+
+
+def _shown(item: KeyValue) -> dict[str, object]:
+    return {
+        "private-key": item.key,
+        "value": base64.b64encode(item.value).decode(),
+        "revision": item.revision,
+        "lease": item.lease,
+    }
+
+
+class StoreWay(PlatformStore):
+    """The product's client of the store, over an emulated way."""
+
+    def __init__(self, store: EmulatedStore, delay_s: float) -> None:
+        """Create it.
+
+        Args:
+          store: what it reaches.
+          delay_s: one-way delay in seconds.
+        """
+        super().__init__("emulated:1")
+        self._emulated = store
+        self._delay_s = delay_s
+        self._connected = False
+        self._reset = asyncio.Event()
+        self.fault = WayFault.NONE
+        self.stuck = False
+        """The kept connection is silent for good; a new one works."""
+
+    def set_fault(self, fault: WayFault) -> None:
+        """Set what happens to calls from now on, and to those under way."""
+        self.fault = fault
+        if fault is WayFault.RESET:
+            self._connected = False
+            self._reset.set()
+            self._reset = asyncio.Event()
+
+    async def _call(
+        self,
+        method: str,
+        call: str,
+        query: dict[str, str],
+        body: object,
+        timeout_s: float = 2.0,
+    ) -> tuple[int, bytes]:
+        self.calls += 1
+        if call in ("kv-watch", "kv-range") and not query.get("stale"):
+            self._emulated.call_times.append(asyncio.get_running_loop().time())
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._unless_reset(self._exchange(call, query, body))
+        except (TimeoutError, ConnectionResetError) as e:
+            self._forget_connection()
+            raise StoreUnknown(f"{call}: {e!r}") from None
+        except asyncio.CancelledError:
+            self._forget_connection()
+            raise
+
+    def _forget_connection(self) -> None:
+        """A call that is given up closes its connection."""
+        self._connected = False
+        self.stuck = False
+
+    async def _unless_reset(self, exchange: Any) -> tuple[int, bytes]:
+        task = asyncio.ensure_future(exchange)
+        reset = asyncio.ensure_future(self._reset.wait())
+        try:
+            await asyncio.wait([task, reset], return_when=asyncio.FIRST_COMPLETED)
+            if not task.done():
+                raise ConnectionResetError
+            return task.result()
+        finally:
+            task.cancel()
+            reset.cancel()
+
+    async def _exchange(
+        self, call: str, query: dict[str, str], body: object
+    ) -> tuple[int, bytes]:
+        if self.fault is WayFault.RESET:
+            raise ConnectionResetError
+        trips = 1 if self._connected else 3
+        await asyncio.sleep(self._delay_s * trips)
+        if self.fault is WayFault.SILENT or self.stuck or self._emulated.down:
+            await asyncio.Event().wait()
+        self._connected = True
+        if self.fault is WayFault.BUSY:
+            return 503, b""
+        if self.fault is WayFault.TURNED_AWAY:
+            return 429, b""
+        status, data = await self._emulated.answer(call, query, body)
+        await asyncio.sleep(self._delay_s)
+        lost = self.fault in (WayFault.SILENT, WayFault.ANSWERS_LOST)
+        if lost or self.stuck or self._emulated.down:
+            await asyncio.Event().wait()
+        return status, data
+
+
+class EmulatedNetwork(PeerNetwork):
+    """One entry's way to the others."""
+
+    def __init__(self, site: "FollowingSite", name: str) -> None:
+        """Create it for an entry of a site."""
+        self._site = site
+        self._name = name
+        self.take: Callable[[Message], None] | None = None
+        self.stuck: set[str] = set()
+        """Entries to which the kept connection is silent for good."""
+
+    async def open(self, listen: Address, take: Callable[[Message], None]) -> None:
+        """Receive messages from now on."""
+        self.take = take
+
+    def send_all(self, message: Message, to: Iterable[str]) -> None:
+        """Send one message to several addresses."""
+        for address in to:
+            self._site.carry(self._name, address.partition(":")[0], message)
+
+    async def fetch(self, address: str, since: int) -> Delta:
+        """Fetch what an entry has beyond a revision."""
+        to = address.partition(":")[0]
+        peer = self._site.entries[to]
+        delay_s = self._site.delay_s(self._name, to)
+        try:
+            await asyncio.sleep(delay_s)
+            if to in self.stuck or not self._site.connects(self._name, to):
+                await asyncio.Event().wait()
+            delta = peer.state.delta(since)
+            self._site.fetched_bytes += len(pack(delta))
+            await asyncio.sleep(delay_s)
+            if not self._site.connects(self._name, to):
+                await asyncio.Event().wait()
+            return delta
+        except asyncio.CancelledError:
+            self.stuck.discard(to)
+            raise
+
+
+class FollowingEntry:
+    """One entry's control plane."""
+
+    def __init__(self, site: "FollowingSite", member: Member, rng: Random) -> None:
+        """Create it; `start` runs it."""
+        self._site = site
+        self._rng = rng
+        self.member = member
+        self.store = StoreWay(site.store, site.store_delay_s(member.region))
+        self.network = EmulatedNetwork(site, member.name)
+        self.state = State()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Run it, as a new process."""
+        loop = asyncio.get_running_loop()
+        incarnation = round(loop.time() * 1e6)
+        self.member = msgspec.structs.replace(self.member, incarnation=incarnation)
+        self.state = State()
+        name = self.member.name
+        here = Address(name, 1)
+        settings = EntrySettings(
+            name=name,
+            region=self.member.region,
+            domain=self.member.domain,
+            domains=self._site.domains,
+            front=here,
+            ready=here,
+            directory=here,
+            gossip=here,
+            pull=here,
+            metrics=here,
+        )
+        events = Events(LineWriter(os.open(os.devnull, os.O_WRONLY)), name)
+        words = msgspec.structs.replace(
+            wire(self._site.domains),
+            translate=_translate,
+            peer_key=lambda name: PREFIX + name,
+        )
+        context = EntryContext(
+            settings, self.store, self.network, words, events, self._rng
+        )
+        self.membership = Membership(self.member)
+        self.state.changes.subscribe(self._take_delta)
+        self.keeper = CatalogKeeper(words, self.state, events, 2.5, self._put_in_force)
+        self.control = ControlPlane(
+            context,
+            self.state,
+            self.keeper,
+            self.membership,
+            self._status,
+            self._take_update,
+            _no_room,
+        )
+        loops = (self.control.join_and_follow, self.control.register, self._rounds)
+        self._tasks = [asyncio.ensure_future(run()) for run in loops]
+
+    async def stop(self) -> None:
+        """End it without a word."""
+        self.network.take = None
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _rounds(self) -> None:
+        await self.control.peers.open(Address(self.member.name, 1))
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(self._rng.random() * HEARTBEAT_S)
+        turn = 0
+        while True:
+            await asyncio.sleep(HEARTBEAT_S + self._rng.random() * JITTER_S)
+            turn += 1
+            self.control.peers.round(loop.time())
+            if turn % SWEEP_ROUNDS == 0:
+                self.membership.forget(loop.time())
+                self.control.exchange.forget(loop.time())
+
+    def _take_delta(self, _: Delta) -> None:
+        self.keeper.compile()
+        self._site.note_in_force(self.member.name, self.state.revision)
+        self.control.peers.spread_news()
+
+    def _put_in_force(self, _: Catalog, __: Catalog, configured: Configured) -> None:
+        now = asyncio.get_running_loop().time()
+        self.membership.add_registered(configured.peers, now)
+
+    def _take_update(self, update: PeerUpdate, now: float) -> None:
+        self.keeper.outage.peer_reported(update.outage_ms, now)
+        self.keeper.confirmation.peer_reported(update.confirmed_ms, now)
+
+    def _status(self) -> EntryStatus:
+        now = asyncio.get_running_loop().time()
+        return EntryStatus(
+            SERVING if self.state.revision else STARTING,
+            self.state.revision,
+            {},
+            {},
+            self.keeper.outage.age_ms(now),
+            [],
+            confirmed_ms=self.keeper.confirmation.age_ms(now),
+        )
+
+
+def _translate(items: Mapping[str, KeyValue]) -> Configured:
+    peers = {k: v.value for k, v in items.items() if k.startswith(PREFIX)}
+    return Configured("1", [], peers)
+
+
+def _no_room(_: RoomMessage, __: float) -> RoomAnswer | None:
+    return None
+
+
+class FollowingSite:
+    """Entries in some regions, and the ways between them and to the store."""
+
+    def __init__(
+        self, entries: int, regions: int = 3, seed: int = 1, loss: float = 0.0
+    ) -> None:
+        """Create it; `start` runs it.
+
+        Args:
+          entries: how many, spread evenly over two failure domains a region.
+          regions: how many; the store stands in the first one.
+          seed: of all chance.
+          loss: share of datagrams that are lost.
+        """
+        self.rng = Random(seed)
+        self.loss = loss
+        self.store = EmulatedStore()
+        self.domains = {f"r{r}-{d}": f"r{r}" for r in range(regions) for d in range(2)}
+        self.cuts: set[tuple[str, str]] = set()
+        """Pairs of entries; nothing that the first sends reaches the second."""
+        self.changes: list[Change] = []
+        self.fetched_bytes = 0
+        self._in_force: dict[str, int] = {}
+        self.entries: dict[str, FollowingEntry] = {}
+        for i in range(entries):
+            self._add(i, f"r{i % regions}", i // regions)
+
+    def _add(self, number: int, region: str, place: int) -> None:
+        name = f"{region}-n{place}"
+        link = 20 + 10 * (place % SPREAD_MBPS)
+        here = f"{name}:1"
+        member = Member(
+            name, region, f"{region}-{place % 2}", here, here, here, 1, link
+        )
+        rng = Random(self.rng.random() + number)
+        self.entries[name] = FollowingEntry(self, member, rng)
+
+    async def start(self, warm_up_s: float = 8.0) -> None:
+        """Run all entries until they are in step."""
+        self.store.put("op/config", b"first")
+        for entry in self.entries.values():
+            entry.start()
+        await asyncio.sleep(warm_up_s)
+
+    async def stop(self) -> None:
+        """End all entries."""
+        for entry in self.entries.values():
+            await entry.stop()
+
+    # Ways.
+
+    def store_delay_s(self, region: str) -> float:
+        """Return the one-way delay from a region to the store."""
+        return NEAR_S if region == "r0" else FAR_S
+
+    def delay_s(self, a: str, b: str) -> float:
+        """Return the one-way delay between two entries."""
+        same = self.entries[a].member.region == self.entries[b].member.region
+        return NEAR_S if same else FAR_S
+
+    def connects(self, a: str, b: str) -> bool:
+        """Return whether bytes pass both ways between two entries."""
+        return (a, b) not in self.cuts and (b, a) not in self.cuts
+
+    def carry(self, sender: str, to: str, message: Message) -> None:
+        """Carry a datagram, or lose it."""
+        if (sender, to) in self.cuts or to not in self.entries:
+            return
+        if self.loss and self.rng.random() < self.loss:
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.delay_s(sender, to), self._deliver, to, message)
+
+    def _deliver(self, to: str, message: Message) -> None:
+        take = self.entries[to].network.take
+        if take is not None:
+            take(message)
+
+    def cut(self, senders: Iterable[str], to: Iterable[str]) -> None:
+        """Lose what some entries send to others."""
+        receivers = list(to)
+        self.cuts |= {(a, b) for a in senders for b in receivers if a != b}
+
+    def set_store_fault(self, names: Iterable[str], fault: WayFault) -> None:
+        """Set the fault of some entries' ways to the store."""
+        for name in names:
+            self.entries[name].store.set_fault(fault)
+
+    def first_by_link(self, count: int = 2) -> list[str]:
+        """Return the entries of each region with the widest links."""
+        return [
+            entry.member.name
+            for region in sorted({e.member.region for e in self.entries.values()})
+            for entry in self._ranked(region)[:count]
+        ]
+
+    def _ranked(self, region: str) -> list[FollowingEntry]:
+        here = [e for e in self.entries.values() if e.member.region == region]
+        return sorted(here, key=lambda e: link_rank(e.member))
+
+    # Changes.
+
+    def change(self, size: int = 200) -> Change:
+        """Let the operator write a change, which the store confirms at once."""
+        revision = self.store.put("op/config", bytes(size))
+        now = asyncio.get_running_loop().time()
+        self.changes.append(Change(revision, now, {}))
+        return self.changes[-1]
+
+    def note_in_force(self, name: str, revision: int) -> None:
+        """Record that an entry has put a revision in force."""
+        now = asyncio.get_running_loop().time()
+        before = self._in_force.get(name, 0)
+        self._in_force[name] = revision
+        for change in self.changes:
+            if before < change.revision <= revision:
+                change.in_force.setdefault(name, now)
+
+    async def change_for(self, seconds: float, gap_s: float = 0.33) -> None:
+        """Change something again and again for a while."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        while loop.time() < until:
+            self.change()
+            await asyncio.sleep(gap_s)
+
+    def delays(self, judged: Iterable[str]) -> Iterator[float]:
+        """Yield for each change how long each judged entry took.
+
+        Infinite where a change never was in force.
+        """
+        names = list(judged)
+        for change in self.changes:
+            for name in names:
+                at = change.in_force.get(name, float("inf"))
+                yield max(at - change.at, 0.0)
--- a/leverdoor/entry/context.py
+++ b/leverdoor/entry/context.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from leverdoor.entry.events import Events
+from leverdoor.entry.exchange.peer_network import PeerNetwork
 from leverdoor.entry.settings import EntrySettings
 from leverdoor.entry.wire import Wire
 from leverdoor.storage.store import LeasingStore
@@ -19,6 +20,7 @@
 
     settings: EntrySettings
     store: LeasingStore
+    network: PeerNetwork
     wire: Wire
     events: Events
     rng: Random
--- a/leverdoor/entry/control_plane.py
+++ b/leverdoor/entry/control_plane.py
@@ -84,7 +84,13 @@
         self._roles = Roles(membership, context.rng)
         self.exchange = Exchange(membership, self._roles)
         self.peers = PeerLink(
-            self.exchange, state, keeper, status, take_update, take_room
+            self.exchange,
+            context.network,
+            state,
+            keeper,
+            status,
+            take_update,
+            take_room,
         )
         self.registration = self._create_registration()
         self._joining = self._create_joining()
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -24,6 +24,7 @@
 from leverdoor.entry.data_plane import DataPlane
 from leverdoor.entry.events import Events
 from leverdoor.entry.exchange.exchange_types import EntryStatus, PeerUpdate
+from leverdoor.entry.exchange.peer_network import PeerNetwork, SocketNetwork
 from leverdoor.entry.membership.liveness import HEARTBEAT_S
 from leverdoor.entry.membership.member import LEAVING, SERVING, STARTING
 from leverdoor.entry.membership.members import Membership
@@ -75,12 +76,22 @@
         store: LeasingStore,
         wire: Wire,
         events: Events,
+        network: PeerNetwork | None = None,
     ) -> None:
-        """Create an entry; nothing is opened yet."""
+        """Create an entry; nothing is opened yet.
+
+        Args:
+          settings: at its start.
+          store: the platform's service.
+          wire: translates what comes from the platform.
+          events: the log.
+          network: the way to other entries; sockets if left out.
+        """
         self._settings = settings
         self._store = store
         self._wire = wire
         self._events = events
+        self._network = network or SocketNetwork()
         self._stop = asyncio.Event()
         self._state = STARTING
         self._servers: list[asyncio.Server] = []
@@ -139,7 +150,9 @@
         """Create all parts; nothing is opened yet."""
         s = self._settings
         rng = Random(s.seed or None)
-        context = EntryContext(s, self._store, self._wire, self._events, rng)
+        context = EntryContext(
+            s, self._store, self._network, self._wire, self._events, rng
+        )
         self._store_copy = State()
         self._store_copy.changes.subscribe(self._take_delta)
         self._keeper = CatalogKeeper(
--- a/leverdoor/entry/exchange/peer_link.py
+++ b/leverdoor/entry/exchange/peer_link.py
@@ -2,9 +2,9 @@
 # SPDX-License-Identifier: Apache-2.0
 """Messages to and from the other entries, and fetches of newer states.
 
-Owns the datagram socket, the client that fetches from peers, and when news of a newer
-state were sent last; nothing of it outlives the process. Relies on `Exchange` for what
-to send and on the loop's clock. A datagram that is lost is not sent again: the next
+Owns when news of a newer state were sent last, and the fetch under way; nothing of it
+outlives the process. Relies on `Exchange` for what to send, on a `PeerNetwork` for the
+way to other entries, and on the loop's clock. A datagram that is lost is not sent again: the next
 round's replaces it.
 """
 
@@ -21,7 +21,7 @@
     RoomMessage,
     RoomRequest,
 )
-from leverdoor.membership.gossip import GossipSocket
+from leverdoor.entry.exchange.peer_network import PeerNetwork
 from leverdoor.settings import Address
 from leverdoor.storage.following import PeerFollower
 from leverdoor.storage.state import State
@@ -56,6 +56,7 @@
     def __init__(
         self,
         exchange: Exchange,
+        network: PeerNetwork,
         state: State,
         keeper: CatalogKeeper,
         status: Callable[[], EntryStatus],
@@ -66,6 +67,7 @@
 
         Args:
           exchange: decides what to send to whom, and what is learned.
+          network: the way to the other entries.
           state: the copy of the store in force here.
           keeper: gets the source of a newer state.
           status: returns the status of this entry.
@@ -73,24 +75,23 @@
           take_room: takes questions for room at targets, and answers to own ones.
         """
         self._exchange = exchange
+        self._network = network
         self._state = state
         self._keeper = keeper
         self._status = status
         self._take = take
         self._take_room = take_room
-        self._socket = GossipSocket(Message, self._take_message)
-        self.puller = PeerFollower(state)
+        self.puller = PeerFollower(state, network)
         self._news_due = False
         self._news_at = 0.0
 
     async def open(self, listen: Address) -> None:
         """Bind the address that datagrams reach."""
-        await self._socket.open(listen)
+        await self._network.open(listen, self._take_message)
 
     async def close(self) -> None:
-        """Close the socket and the connections to peers."""
-        self._socket.close()
-        await self.puller.close()
+        """Close the ways to other entries."""
+        await self._network.close()
 
     def round(self, now: float) -> None:
         """Send the heartbeats and digests of a round."""
@@ -127,11 +128,11 @@
 
     def _send(self, sendings: list[Sending]) -> None:
         for sending in sendings:
-            self._socket.send_all(sending.message, sending.to)
+            self._network.send_all(sending.message, sending.to)
 
     def ask_room(self, request: RoomRequest, address: str) -> None:
         """Send a question for room at a target to the entry that limits it."""
-        self._socket.send(request, address)
+        self._network.send_all(request, [address])
 
     def _take_message(self, message: Message) -> None:
         now = asyncio.get_running_loop().time()
@@ -144,7 +145,7 @@
         answer = self._take_room(message, now)
         asked_by = message.sender if isinstance(message, RoomRequest) else ""
         if answer is not None and asked_by:
-            self._socket.send(answer, asked_by)
+            self._network.send_all(answer, [asked_by])
 
     def _take_update(self, update: PeerUpdate, now: float) -> None:
         self._take(update, now)
--- a/leverdoor/storage/following.py
+++ b/leverdoor/storage/following.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import zlib
+from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
 from random import Random
 
@@ -24,7 +25,15 @@
 from leverdoor.storage.state import PREFIX, Delta, State
 from leverdoor.storage.store import Store
 
-__all__ = ["DEFLATE", "PeerFollower", "StoreFollower", "elected"]
+__all__ = [
+    "DEFLATE",
+    "FETCH_FAULTS",
+    "DeltaSource",
+    "HttpDeltaSource",
+    "PeerFollower",
+    "StoreFollower",
+    "elected",
+]
 
 WATCHERS = 2
 """Agents of a region that watch the store; one may be gone. More would cost the store
@@ -165,19 +174,66 @@
         logger.warning("store lost", error=why)
 
 
+class DeltaSource(ABC):
+    """Where a peer's newer state is fetched."""
+
+    @abstractmethod
+    async def fetch(self, address: str, since: int) -> Delta:
+        """Fetch what a peer has beyond a revision.
+
+        Args:
+          address: the peer's API address, as `ip:port`.
+          since: the revision held here.
+        Raises: one of `FETCH_FAULTS`. It may take for ever.
+        """
+
+    async def close(self) -> None:  # noqa: B027
+        """Give back connections; there may be none."""
+
+
+class HttpDeltaSource(DeltaSource):
+    """Fetches over HTTP."""
+
+    def __init__(self) -> None:
+        """Create it; nothing is opened yet."""
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def fetch(self, address: str, since: int) -> Delta:
+        """Fetch what a peer has beyond a revision."""
+        if self._session is None:
+            self._session = new_session()
+        url = f"http://{address}/v1/internal/state?since={since}"
+        headers = {"Accept-Encoding": DEFLATE}
+        async with self._session.get(url, headers=headers) as answer:
+            answer.raise_for_status()
+            data = await answer.read()
+            if answer.headers.get("Content-Encoding") == DEFLATE:
+                data = zlib.decompress(data)
+            return unpack(data, Delta)
+
+
 class PeerFollower:
     """Fetches what a peer has and this process lacks."""
 
-    def __init__(self, state: State) -> None:
-        """Create it around the copy to keep in step."""
+    def __init__(self, state: State, source: DeltaSource | None = None) -> None:
+        """Create it.
+
+        Args:
+          state: the copy to keep in step.
+          source: fetches from peers; over HTTP if left out.
+        """
         self._state = state
-        self._session: aiohttp.ClientSession | None = None
+        self._source = source or HttpDeltaSource()
         self._pulling = False
 
     async def close(self) -> None:
         """Close the connections."""
-        if self._session is not None:
-            await self._session.close()
+        await self._source.close()
 
     @property
     def busy(self) -> bool:
@@ -231,13 +287,5 @@
         return self._state.apply(delta)
 
     async def _fetch(self, api: str) -> Delta:
-        if self._session is None:
-            self._session = new_session(PULL_TIMEOUT_S)
-        url = f"http://{api}/v1/internal/state?since={self._state.revision}"
-        headers = {"Accept-Encoding": DEFLATE}
-        async with self._session.get(url, headers=headers) as answer:
-            answer.raise_for_status()
-            data = await answer.read()
-            if answer.headers.get("Content-Encoding") == DEFLATE:
-                data = zlib.decompress(data)
-            return unpack(data, Delta)
+        async with asyncio.timeout(PULL_TIMEOUT_S):
+            return await self._source.fetch(api, self._state.revision)
