Sight: how old the newest known answer of the store is, and fetches that are slow

An entry's log could not tell whether it was behind since nobody had a newer state, or since its fetch of it got no answer. Event fetch names the peer, the time and the revisions; event configuration has confirmed_ms; metric leverdoor_entry_confirmed_age_seconds.

--- a/benchmarks/emulated_following.py
+++ b/benchmarks/emulated_following.py
@@ -536,10 +536,11 @@
         return [
             entry.member.name
             for region in sorted({e.member.region for e in self.entries.values()})
-            for entry in self._ranked(region)[:count]
+            for entry in self.ranked(region)[:count]
         ]
 
-    def _ranked(self, region: str) -> list[FollowingEntry]:
+    def ranked(self, region: str) -> list[FollowingEntry]:
+        """Return a region's entries, the widest links first."""
         here = [e for e in self.entries.values() if e.member.region == region]
         return sorted(here, key=lambda e: link_rank(e.member))
 
@@ -569,13 +570,20 @@
             self.change()
             await asyncio.sleep(gap_s)
 
-    def delays(self, judged: Iterable[str]) -> Iterator[float]:
-        """Yield for each change how long each judged entry took.
+    def delays(
+        self, judged: Iterable[str], older_than_s: float = 0.0
+    ) -> Iterator[float]:
+        """Yield for each change how long each judged entry took, in seconds.
 
-        Infinite where a change never was in force.
+        Infinite where a change was not in force yet.
+
+        Args:
+          judged: names of entries.
+          older_than_s: changes that were confirmed later than that are left out.
         """
         names = list(judged)
+        last = asyncio.get_running_loop().time() - older_than_s
         for change in self.changes:
-            for name in names:
+            for name in names if change.at <= last else ():
                 at = change.in_force.get(name, float("inf"))
                 yield max(at - change.at, 0.0)
--- a/leverdoor/entry/configuration/catalog_keeper.py
+++ b/leverdoor/entry/configuration/catalog_keeper.py
@@ -103,6 +103,7 @@
             catalog.route_count,
             len(catalog.targets),
             self.source,
+            self.confirmation.age_ms(asyncio.get_running_loop().time()),
         )
         pairs = catalog.without_common_home()
         if pairs:
--- a/leverdoor/entry/control_plane.py
+++ b/leverdoor/entry/control_plane.py
@@ -88,6 +88,7 @@
             context.network,
             state,
             keeper,
+            context.events,
             status,
             take_update,
             take_room,
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -254,6 +254,8 @@
         self._membership.forget(now)
         self._control.exchange.forget(now)
         self._data.limits.forget(now)
+        confirmed_ms = self._keeper.confirmation.age_ms(now)
+        self._metrics.confirmed_age.set(confirmed_ms / 1000)
         self._metrics.in_flight.set(self._data.handler.active)
         self._metrics.peers.set(len(self._membership.live(now)))
         for name, change, silent_s in self._membership.changes(now):
--- a/leverdoor/entry/events.py
+++ b/leverdoor/entry/events.py
@@ -223,9 +223,19 @@
     # What the entry knows.
 
     def configuration(
-        self, version: str, revision: int, routes: int, targets: int, source: str
+        self,
+        version: str,
+        revision: int,
+        routes: int,
+        targets: int,
+        source: str,
+        confirmed_ms: int,
     ) -> None:
-        """A newer configuration is in force; `source` is a peer or the store."""
+        """A newer configuration is in force; `source` is a peer or the store.
+
+        `confirmed_ms` is the age of the store's newest answer that this entry knew of
+        before it, -1 for none.
+        """
         self.emit(
             "configuration",
             version=version,
@@ -233,6 +243,7 @@
             routes=routes,
             targets=targets,
             source=source,
+            confirmed_ms=confirmed_ms,
         )
 
     def targets(
@@ -358,6 +369,22 @@
 
     # Dependencies and the process.
 
+    def fetch(
+        self, peer: str, newer: bool, since: int, revision: int, took_s: float
+    ) -> None:
+        """A fetch of a newer state from another entry was slow, or brought nothing.
+
+        `since` is the revision held when it began, `revision` the one held now.
+        """
+        self.emit(
+            "fetch",
+            peer=peer,
+            newer=newer,
+            since=since,
+            revision=revision,
+            took_ms=round(took_s * 1000),
+        )
+
     def store(self, change: str, revision: int, detail: str = "") -> None:
         """The store was lost or answers again."""
         self.emit("store", change=change, revision=revision, detail=detail)
--- a/leverdoor/entry/exchange/peer_link.py
+++ b/leverdoor/entry/exchange/peer_link.py
@@ -4,8 +4,8 @@
 
 Owns when news of a newer state were sent last, and the fetch under way; nothing of it
 outlives the process. Relies on `Exchange` for what to send, on a `PeerNetwork` for the
-way to other entries, and on the loop's clock. A datagram that is lost is not sent again: the next
-round's replaces it.
+way to other entries, and on the loop's clock. A datagram that is lost is not sent
+again: the next round's replaces it.
 """
 
 import asyncio
@@ -13,6 +13,7 @@
 from typing import TypeAlias
 
 from leverdoor.entry.configuration.catalog_keeper import CatalogKeeper
+from leverdoor.entry.events import Events
 from leverdoor.entry.exchange.exchange import Exchange
 from leverdoor.entry.exchange.exchange_types import EntryStatus, PeerUpdate, Sending
 from leverdoor.entry.exchange.messages import (
@@ -43,6 +44,10 @@
 steps to the last entry it adds 0.45 s at most, of a bound of 2.5 s.
 """
 
+SLOW_FETCH_S = 0.3
+"""Time of a fetch from which on it is logged, in seconds: several round trips between
+regions."""
+
 TakeRoomMessage: TypeAlias = Callable[[RoomMessage, float], RoomAnswer | None]
 """Called with a question for room or an answer, and the monotonic time in seconds;
 returns the answer to a question that another entry asked."""
@@ -59,6 +64,7 @@
         network: PeerNetwork,
         state: State,
         keeper: CatalogKeeper,
+        events: Events,
         status: Callable[[], EntryStatus],
         take: TakeUpdate,
         take_room: TakeRoomMessage,
@@ -70,6 +76,7 @@
           network: the way to the other entries.
           state: the copy of the store in force here.
           keeper: gets the source of a newer state.
+          events: the entry's log.
           status: returns the status of this entry.
           take: passes what was learned on to the other parts.
           take_room: takes questions for room at targets, and answers to own ones.
@@ -78,6 +85,7 @@
         self._network = network
         self._state = state
         self._keeper = keeper
+        self._events = events
         self._status = status
         self._take = take
         self._take_room = take_room
@@ -156,6 +164,11 @@
         """Fetch what another entry has and this one lacks; no two at the same time."""
         if self.puller.busy:
             return
+        loop = asyncio.get_running_loop()
+        began, since = loop.time(), self._state.revision
         self._keeper.source = address
-        await self.puller.pull(address)
+        newer = await self.puller.pull(address)
         self._keeper.source = "store"
+        took_s = loop.time() - began
+        if not newer or took_s > SLOW_FETCH_S:
+            self._events.fetch(address, newer, since, self._state.revision, took_s)
--- a/leverdoor/entry/metrics.py
+++ b/leverdoor/entry/metrics.py
@@ -45,6 +45,11 @@
             "Revision of the store in force.",
             registry=self.registry,
         )
+        self.confirmed_age = Gauge(
+            "leverdoor_entry_confirmed_age_seconds",
+            "Age of the newest known answer of the store; below 0 for none.",
+            registry=self.registry,
+        )
         self.in_flight = Gauge(
             "leverdoor_entry_in_flight", "Requests in flight.", registry=self.registry
         )
