A fetch that gets no answer does not hold off the next one

What callers saw: single entries answered by an older configuration for two seconds or a multiple. Cause: an entry fetched from one peer at a time and began no other for up to 2 s; a kept connection that went silent, or a peer whose answers are lost, used that up. Now another peer is asked beside one that has not answered for 0.3 s, two at most; a peer from which nothing comes for 0.7 s is given up and passed over for a second; connections idle for over 2 s are not used again. What comes late changes nothing back: State takes only what is newer.

Fetches have a module of their own (storage.fetching).

--- a/benchmarks/emulated_following.py
+++ b/benchmarks/emulated_following.py
@@ -41,6 +41,7 @@
 from leverdoor.platform.names import wire
 from leverdoor.platform.store import PlatformStore
 from leverdoor.settings import Address
+from leverdoor.storage.fetching import SILENCE_S
 from leverdoor.storage.state import Delta, State
 from leverdoor.storage.store import KeyValue
 
@@ -319,18 +320,24 @@
         try:
             await asyncio.sleep(delay_s)
             if to in self.stuck or not self._site.connects(self._name, to):
-                await asyncio.Event().wait()
+                await _silence()
             delta = peer.state.delta(since)
             self._site.fetched_bytes += len(pack(delta))
             await asyncio.sleep(delay_s)
             if not self._site.connects(self._name, to):
-                await asyncio.Event().wait()
+                await _silence()
             return delta
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, TimeoutError):
             self.stuck.discard(to)
             raise
 
 
+async def _silence() -> None:
+    """Wait as the product's fetches do where nothing comes."""
+    await asyncio.sleep(SILENCE_S)
+    raise TimeoutError
+
+
 class FollowingEntry:
     """One entry's control plane."""
 
--- a/leverdoor/agent/daemon.py
+++ b/leverdoor/agent/daemon.py
@@ -31,7 +31,8 @@
 from leverdoor.settings import AgentSettings
 from leverdoor.storage.configuration import Configuration
 from leverdoor.storage.etcd import EtcdStore
-from leverdoor.storage.following import PeerFollower, StoreFollower, elected
+from leverdoor.storage.fetching import PeerFollower
+from leverdoor.storage.following import StoreFollower, elected
 from leverdoor.storage.state import Delta, State
 from leverdoor.storage.view import ViewCache
 
--- a/leverdoor/entry/admin.py
+++ b/leverdoor/entry/admin.py
@@ -15,7 +15,7 @@
 from leverdoor.entry.metrics import EntryMetrics
 from leverdoor.entry.wire import Wire
 from leverdoor.headers import bounded_int
-from leverdoor.storage.following import DEFLATE
+from leverdoor.storage.fetching import DEFLATE
 from leverdoor.storage.state import State
 
 __all__ = ["PULL_PATH", "AdminServer"]
--- a/leverdoor/entry/exchange/peer_link.py
+++ b/leverdoor/entry/exchange/peer_link.py
@@ -24,7 +24,7 @@
 )
 from leverdoor.entry.exchange.peer_network import PeerNetwork
 from leverdoor.settings import Address
-from leverdoor.storage.following import PeerFollower
+from leverdoor.storage.fetching import PeerFollower
 from leverdoor.storage.state import State
 
 __all__ = ["PeerLink", "TakeRoomMessage", "TakeUpdate"]
@@ -161,11 +161,11 @@
             asyncio.ensure_future(self._pull(update.source))
 
     async def _pull(self, address: str) -> None:
-        """Fetch what another entry has and this one lacks; no two at the same time."""
-        if self.puller.busy:
-            return
+        """Fetch what another entry has and this one lacks."""
         loop = asyncio.get_running_loop()
         began, since = loop.time(), self._state.revision
+        if not self.puller.may_pull(address, began):
+            return
         self._keeper.source = address
         newer = await self.puller.pull(address)
         self._keeper.source = "store"
--- a/leverdoor/entry/exchange/peer_network.py
+++ b/leverdoor/entry/exchange/peer_network.py
@@ -12,7 +12,7 @@
 from leverdoor.entry.exchange.messages import Message
 from leverdoor.membership.gossip import GossipSocket
 from leverdoor.settings import Address
-from leverdoor.storage.following import DeltaSource, HttpDeltaSource
+from leverdoor.storage.fetching import DeltaSource, HttpDeltaSource
 from leverdoor.storage.state import Delta
 
 __all__ = ["PeerNetwork", "SocketNetwork"]
--- a/leverdoor/entry/membership/joining.py
+++ b/leverdoor/entry/membership/joining.py
@@ -20,7 +20,7 @@
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.membership.roles import Roles
 from leverdoor.errors import LeverdoorError
-from leverdoor.storage.following import PeerFollower
+from leverdoor.storage.fetching import PeerFollower
 from leverdoor.storage.state import State
 from leverdoor.storage.store import KeyValue, LeasingStore
 
--- a/leverdoor/sessions.py
+++ b/leverdoor/sessions.py
@@ -11,16 +11,19 @@
 
 
 def new_session(
-    timeout_s: float | None = None, keep_connections: bool = True
+    timeout_s: float | None = None,
+    keep_connections: bool = True,
+    idle_s: float = IDLE_CONNECTION_S,
 ) -> aiohttp.ClientSession:
     """Create a session; must be called on the loop.
 
     Args:
       timeout_s: longest time of a whole call in seconds, None for no bound.
       keep_connections: whether connections serve more than one call.
+      idle_s: how long an idle connection is kept, in seconds.
     """
     if keep_connections:
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_S)
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=idle_s)
     else:
         connector = aiohttp.TCPConnector(limit=0, force_close=True)
     session = aiohttp.ClientSession(
--- a/leverdoor/storage/following.py
+++ b/leverdoor/storage/following.py
@@ -1,39 +1,25 @@
 # leverdoor: global traffic steering
 # SPDX-License-Identifier: Apache-2.0
-"""Keeps a process's State in step: from the store, or from peers.
+"""Keeps a process's State in step with the store.
 
-A few processes of each region are elected to watch the store (`StoreFollower`); all
-others fetch what they lack from one that is ahead (`PeerFollower`). Both are used by
-agents and entries. Owns the watch and the HTTP session; the copy belongs to `State`.
+A few processes of each region are elected to watch the store; all others fetch what
+they lack from one that is ahead (`storage.fetching`). Used by agents and entries. Owns
+the watch; the copy belongs to `State`.
 """
 
 import asyncio
-import zlib
-from abc import ABC, abstractmethod
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from random import Random
 
-import aiohttp
-import msgspec
 import xxhash
 from loguru import logger
 
-from leverdoor.codec import unpack
 from leverdoor.errors import Code, LeverdoorError, StoreUnavailable
 from leverdoor.membership.peers import Peers
-from leverdoor.sessions import new_session
-from leverdoor.storage.state import PREFIX, Delta, State
+from leverdoor.storage.state import PREFIX, State
 from leverdoor.storage.store import Store
 
-__all__ = [
-    "DEFLATE",
-    "FETCH_FAULTS",
-    "DeltaSource",
-    "HttpDeltaSource",
-    "PeerFollower",
-    "StoreFollower",
-    "elected",
-]
+__all__ = ["StoreFollower", "elected"]
 
 WATCHERS = 2
 """Agents of a region that watch the store; one may be gone. More would cost the store
@@ -45,22 +31,9 @@
 LONGEST_BACKOFF_S = 5.0
 """Longest such pause, in seconds: the time for which a store that is back may go
 unnoticed, beside 0.2 calls a second of each follower while it is down."""
-PULL_TIMEOUT_S = 2.0
-"""Longest time to fetch what a peer has, in seconds: a peer that needs longer is slow
-or dead, and the next one is asked."""
 ELECTION_POLL_S = 0.5
 """Seconds between two checks of the election: part of the time until a dead follower is
 replaced, at no cost to the store."""
-FETCH_FAULTS = (
-    aiohttp.ClientError,
-    OSError,
-    TimeoutError,
-    msgspec.MsgspecError,
-    zlib.error,
-)
-"""What a fetch from a peer may fail with."""
-DEFLATE = "deflate"
-"""Name in HTTP of the coding of zlib."""
 
 
 def elected(peers: Peers, vm: str, now: float) -> int:
@@ -172,120 +145,3 @@
         logger.info("store answers")
     else:
         logger.warning("store lost", error=why)
-
-
-class DeltaSource(ABC):
-    """Where a peer's newer state is fetched."""
-
-    @abstractmethod
-    async def fetch(self, address: str, since: int) -> Delta:
-        """Fetch what a peer has beyond a revision.
-
-        Args:
-          address: the peer's API address, as `ip:port`.
-          since: the revision held here.
-        Raises: one of `FETCH_FAULTS`. It may take for ever.
-        """
-
-    async def close(self) -> None:  # noqa: B027
-        """Give back connections; there may be none."""
-
-
-class HttpDeltaSource(DeltaSource):
-    """Fetches over HTTP."""
-
-    def __init__(self) -> None:
-        """Create it; nothing is opened yet."""
-        self._session: aiohttp.ClientSession | None = None
-
-    async def close(self) -> None:
-        """Close the connections."""
-        if self._session is not None:
-            await self._session.close()
-
-    async def fetch(self, address: str, since: int) -> Delta:
-        """Fetch what a peer has beyond a revision."""
-        if self._session is None:
-            self._session = new_session()
-        url = f"http://{address}/v1/internal/state?since={since}"
-        headers = {"Accept-Encoding": DEFLATE}
-        async with self._session.get(url, headers=headers) as answer:
-            answer.raise_for_status()
-            data = await answer.read()
-            if answer.headers.get("Content-Encoding") == DEFLATE:
-                data = zlib.decompress(data)
-            return unpack(data, Delta)
-
-
-class PeerFollower:
-    """Fetches what a peer has and this process lacks."""
-
-    def __init__(self, state: State, source: DeltaSource | None = None) -> None:
-        """Create it.
-
-        Args:
-          state: the copy to keep in step.
-          source: fetches from peers; over HTTP if left out.
-        """
-        self._state = state
-        self._source = source or HttpDeltaSource()
-        self._pulling = False
-
-    async def close(self) -> None:
-        """Close the connections."""
-        await self._source.close()
-
-    @property
-    def busy(self) -> bool:
-        """Return whether a fetch is under way."""
-        return self._pulling
-
-    async def pull_any(self, apis: list[str], patience_s: float) -> bool:
-        """Fetch from several peers at once; the first that has a state is enough.
-
-        Args:
-          apis: their API addresses.
-          patience_s: longest time for it, in seconds.
-        Returns: whether anything newer came.
-        """
-        fetches = [asyncio.create_task(self._fetch(api)) for api in apis]
-        try:
-            async with asyncio.timeout(patience_s):
-                for fetched in asyncio.as_completed(fetches):
-                    if await self._took(fetched):
-                        return True
-        except TimeoutError:
-            logger.info("no peer answered in time", peers=apis)
-        finally:
-            for fetch in fetches:
-                fetch.cancel()
-            await asyncio.gather(*fetches, return_exceptions=True)
-        return False
-
-    async def _took(self, fetched: Awaitable[Delta]) -> bool:
-        try:
-            return self._state.apply(await fetched)
-        except FETCH_FAULTS as e:
-            logger.info("pull failed", error=repr(e))
-            return False
-
-    async def pull(self, api: str) -> bool:
-        """Fetch from one peer's API address.
-
-        Returns: whether anything newer came.
-        """
-        if self._pulling:
-            return False
-        self._pulling = True
-        try:
-            delta = await self._fetch(api)
-        except FETCH_FAULTS as e:
-            logger.info("pull failed", peer=api, error=repr(e))
-            return False
-        finally:
-            self._pulling = False
-        return self._state.apply(delta)
-
-    async def _fetch(self, api: str) -> Delta:
-        async with asyncio.timeout(PULL_TIMEOUT_S):
-            return await self._source.fetch(api, self._state.revision)
--- a/tests/test_entry_joining.py
+++ b/tests/test_entry_joining.py
@@ -13,7 +13,7 @@
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.membership.roles import Roles
 from leverdoor.errors import StoreUnavailable
-from leverdoor.storage.following import PeerFollower
+from leverdoor.storage.fetching import PeerFollower
 from leverdoor.storage.state import Delta, State
 from leverdoor.storage.store import Commit, Event, KeyValue, LeasingStore, Listing
 
--- /dev/null
+++ b/tests/test_fetching.py
@@ -0,0 +1,94 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Fetches of a newer state from peers of which some say nothing."""
+
+import asyncio
+
+from emulated_following import run_virtual
+from leverdoor.storage.fetching import (
+    HEDGE_S,
+    MOST_FETCHES,
+    PASSED_OVER_S,
+    DeltaSource,
+    PeerFollower,
+)
+from leverdoor.storage.state import Delta, State
+from leverdoor.storage.store import Event
+
+CHANGE = Delta(0, 5, True, [Event(5, "k", b"v")])
+
+
+class Peers(DeltaSource):
+    """Peers that answer at once, or not at all."""
+
+    def __init__(self, silent: set[str]) -> None:
+        self.silent = silent
+        self.asked: list[str] = []
+
+    async def fetch(self, address: str, since: int) -> Delta:
+        self.asked.append(address)
+        if address in self.silent:
+            await asyncio.Event().wait()
+        return CHANGE
+
+
+async def begin(puller: PeerFollower, *peers: str) -> list[asyncio.Task[bool]]:
+    """Begin fetches one after the other, without waiting for their ends."""
+    tasks = [asyncio.ensure_future(puller.pull(peer)) for peer in peers]
+    await asyncio.sleep(0)
+    return tasks
+
+
+def test_a_fetch_that_gets_no_answer_does_not_hold_off_the_next() -> None:
+    async def run() -> None:
+        state = State()
+        source = Peers({"a"})
+        puller = PeerFollower(state, source)
+        await begin(puller, "a", "b")
+        assert source.asked == ["a"]
+        await asyncio.sleep(HEDGE_S + 0.01)
+        (second,) = await begin(puller, "b")
+        assert await second
+        assert state.revision == CHANGE.revision
+
+    run_virtual(run())
+
+
+def test_no_more_than_a_few_fetches_are_under_way() -> None:
+    async def run() -> None:
+        names = [f"p{i}" for i in range(MOST_FETCHES + 2)]
+        source = Peers(set(names))
+        puller = PeerFollower(State(), source)
+        for name in names:
+            await begin(puller, name)
+            await asyncio.sleep(HEDGE_S + 0.01)
+        assert source.asked == names[:MOST_FETCHES]
+
+    run_virtual(run())
+
+
+def test_a_peer_that_failed_is_passed_over_for_a_while() -> None:
+    async def run() -> None:
+        source = Peers({"a"})
+        puller = PeerFollower(State(), source)
+        assert not await puller.pull("a")
+        source.silent.clear()
+        assert not await puller.pull("a")
+        await asyncio.sleep(PASSED_OVER_S + 0.01)
+        assert await puller.pull("a")
+
+    run_virtual(run())
+
+
+def test_a_late_answer_changes_nothing_back() -> None:
+    """Of two fetches the slower one may bring what is older by then."""
+
+    async def run() -> None:
+        state = State()
+        puller = PeerFollower(state, Peers(set()))
+        state.apply(Delta(0, 9, True, [Event(9, "k", b"newer")]))
+        assert not await puller.pull("a")
+        assert state.revision == 9
+        assert state.entries["k"].value == b"newer"
+
+    run_virtual(run())
