What confirms a revision confirms only entries that hold it

An entry took the newest answer that the store gave to any entry for a confirmation of its own configuration, whatever revision that answer was about. One that could not fetch a change went on as confirmed: where keys must be confirmed, a key that the change had revoked was accepted for as long as it was behind. Heartbeats and digests carry the revision beside the age; what is told of a revision that is not held is kept until it is, so that an entry which is a revision behind in a series of changes is not taken for outdated.

The age now means one thing: how old the newest answer of the store is that the configuration in force rests on.

--- a/benchmarks/emulated_following.py
+++ b/benchmarks/emulated_following.py
@@ -426,7 +426,9 @@
 
     def _take_update(self, update: PeerUpdate, now: float) -> None:
         self.keeper.outage.peer_reported(update.outage_ms, now)
-        self.keeper.confirmation.peer_reported(update.confirmed_ms, now)
+        self.keeper.confirmation.peer_told(
+            update.revision, update.confirmed_ms, self.state.revision, now
+        )
 
     def _status(self) -> EntryStatus:
         now = asyncio.get_running_loop().time()
--- a/leverdoor/entry/configuration/catalog_keeper.py
+++ b/leverdoor/entry/configuration/catalog_keeper.py
@@ -69,7 +69,7 @@
         """Where the state comes from, for the log: the store or a peer's address."""
 
     def store_answered(self) -> None:
-        """Record that the store has just confirmed the configuration here."""
+        """Record that the store has just confirmed what is in force here."""
         self.confirmation.answered(asyncio.get_running_loop().time())
 
     def compile(self) -> None:
@@ -79,6 +79,7 @@
         """
         loop = asyncio.get_running_loop()
         now = loop.time()
+        self.confirmation.advanced(self._state.revision)
         configured = self._wire.translate(self._state.entries)
         targets = {t.name: t for t in configured.resources if isinstance(t, Target)}
         held = self._registrations.update(targets, self.outage.recent(now), now)
--- a/leverdoor/entry/configuration/last_time.py
+++ b/leverdoor/entry/configuration/last_time.py
@@ -6,6 +6,8 @@
 with the process and known again from the next report.
 """
 
+from math import inf
+
 __all__ = ["LastTime"]
 
 NEVER_MS = -1
@@ -19,22 +21,25 @@
         """Create it for what never happened."""
         self._at: float | None = None
 
-    def record(self, now: float) -> None:
-        """Record that it happens here now, at a loop time in seconds."""
-        self._at = now
+    def record(self, at: float) -> None:
+        """Record that it happened at a loop time in seconds; an earlier time is old."""
+        if self._at is None or at > self._at:
+            self._at = at
 
     def peer_reported(self, age_ms: int, now: float) -> None:
         """Take the age in ms that another entry knows of; -1 for never."""
         if age_ms == NEVER_MS:
             return
-        at = now - age_ms / 1000
-        if self._at is None or at > self._at:
-            self._at = at
+        self.record(now - age_ms / 1000)
 
     def within(self, longest_s: float, now: float) -> bool:
         """Return whether it happened no longer ago than some seconds."""
         return self._at is not None and now - self._at <= longest_s
 
+    def age_s(self, now: float) -> float:
+        """Return how long ago it happened, in seconds; infinite if it never did."""
+        return inf if self._at is None else now - self._at
+
     def age_ms(self, now: float) -> int:
         """Return how long ago it happened, in ms; -1 if it never did."""
         return NEVER_MS if self._at is None else round((now - self._at) * 1000)
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -293,7 +293,9 @@
         """Give the other parts what other entries reported."""
         self._data.receive(update, now)
         self._keeper.outage.peer_reported(update.outage_ms, now)
-        self._keeper.confirmation.peer_reported(update.confirmed_ms, now)
+        self._keeper.confirmation.peer_told(
+            update.revision, update.confirmed_ms, self._store_copy.revision, now
+        )
 
     def _status(self) -> EntryStatus:
         """Return what heartbeats say of this entry."""
--- a/leverdoor/entry/exchange/exchange.py
+++ b/leverdoor/entry/exchange/exchange.py
@@ -145,6 +145,7 @@
             outage_ms=heartbeat.outage_ms,
             source=member.pull if heartbeat.revision > revision else "",
             confirmed_ms=heartbeat.confirmed_ms,
+            revision=heartbeat.revision,
         )
 
     def _take_digest(self, digest: Digest, revision: int, now: float) -> PeerUpdate:
@@ -160,6 +161,7 @@
             outage_ms=digest.outage_ms,
             source=source,
             confirmed_ms=digest.confirmed_ms,
+            revision=digest.revision,
         )
         if digest.scope == DigestScope.ALL:
             return self._take_total(digest, sender, update, now)
--- a/leverdoor/entry/exchange/exchange_types.py
+++ b/leverdoor/entry/exchange/exchange_types.py
@@ -36,7 +36,7 @@
     uptime_s: float = 0.0
     """Since the start of this process."""
     confirmed_ms: int = -1
-    """How long ago the store answered any entry; -1 if it never did."""
+    """Age of the store's newest answer that `revision` rests on; -1 for none."""
     limits: list[LimitWord] = []
     """What targets named as limits in answers to this entry."""
     notices: list[Notice] = []
@@ -60,6 +60,9 @@
     source: str = ""
     """Where a newer state can be fetched, as `ip:port`; empty if there is none."""
     confirmed_ms: int = -1
+    """Age of the store's newest answer that `revision` rests on; -1 for none."""
+    revision: int = 0
+    """Of the store, as the sender has it in force."""
     use: OthersUse | None = None
     """Requests of workspaces by all other entries; None if there is no new sum."""
     limits: list[LimitWord] = []
--- a/leverdoor/entry/exchange/messages.py
+++ b/leverdoor/entry/exchange/messages.py
@@ -59,7 +59,7 @@
     use: bytes = b""
     """Requests of workspaces in the window of their quotas; see `use_lists`."""
     confirmed_ms: int = -1
-    """How long ago the store answered any entry, in ms; -1 if it never did."""
+    """Age in ms of the store's newest answer that `revision` rests on; -1 for none."""
 
 
 class DomainView(msgspec.Struct, frozen=True, array_like=True):
--- a/leverdoor/storage/following.py
+++ b/leverdoor/storage/following.py
@@ -110,8 +110,8 @@
         watch = self._store.watch(self._prefix, self._state.revision)
         try:
             async for events in watch:
-                self._set_reachable(True, "")
                 self._state.extend(events)
+                self._set_reachable(True, "")
                 if not self._is_elected():
                     return
         except LeverdoorError as e:
@@ -130,7 +130,6 @@
 
     async def _list(self) -> None:
         listing = await self._store.read(self._prefix)
-        self._set_reachable(True, "")
         if not self._state.reset(listing) and listing.revision < self._state.revision:
             logger.error(
                 "the store is behind what was accepted",
@@ -138,6 +137,7 @@
                 held=self._state.revision,
             )
             raise StoreUnavailable("the store went back")
+        self._set_reachable(True, "")
 
 
 def _log(reachable: bool, why: str) -> None:
--- a/tests/test_entry_confirmation.py
+++ b/tests/test_entry_confirmation.py
@@ -17,16 +17,41 @@
     assert c.age_ms(10.0) == -1
     assert c.holds(0.0, 10.0)
     assert not c.holds(5.0, 10.0)
-    c.peer_reported(2_000, 10.0)
+    c.peer_told(7, 2_000, 7, 10.0)
     assert c.holds(5.0, 12.9)
     assert not c.holds(5.0, 13.1)
-    c.peer_reported(4_000, 10.5)
-    c.peer_reported(-1, 10.5)
+    c.peer_told(7, 4_000, 7, 10.5)
+    c.peer_told(7, -1, 7, 10.5)
     assert c.age_ms(10.5) == 2_500
     c.answered(11.0)
     assert c.age_ms(11.2) == 200
 
 
+def test_an_answer_to_a_revision_that_is_not_held_confirms_nothing() -> None:
+    """Before, an entry that could not fetch a change took its confirmation for its own.
+
+    Its keys held on although one of them was revoked by that change.
+    """
+    c = Confirmation()
+    c.peer_told(8, 500, 7, 10.0)
+    assert not c.holds(5.0, 10.0)
+    c.peer_told(9, 100, 7, 10.2)
+    c.advanced(8)
+    assert c.age_ms(10.2) == 700
+    c.advanced(9)
+    assert c.age_ms(10.2) == 100
+
+
+def test_an_entry_always_a_revision_behind_is_not_outdated_for_it() -> None:
+    """Revisions may follow each other faster than an entry fetches them."""
+    c = Confirmation()
+    for i in range(100):
+        now = 10.0 + i / 10
+        c.peer_told(8 + i, 50, 7 + i, now)
+        c.advanced(8 + i)
+        assert c.age_s(now) < 0.2
+
+
 async def keys_hold(strict: bool) -> list[int]:
     """Return the answers to requests while the store is silent for all."""
     site = EntrySite(PLACES, targets())
