An answer of the store that is told in a circle grows as old as it is

Entries tell each other how long ago the store answered any of them. Each message makes that age too small by its way, 45 ms between regions; two regions that told each other made an answer younger with every round. An age of five seconds was reported after six and a half, and keys that may have been revoked were accepted for as long; whoever looks at the age to see whether the store is silent saw it late. Answers have numbers now, and of each number the earliest time counts.

--- a/benchmarks/emulated_following.py
+++ b/benchmarks/emulated_following.py
@@ -26,6 +26,7 @@
 from leverdoor.codec import pack, serialize_json
 from leverdoor.entry.configuration.catalog import Catalog
 from leverdoor.entry.configuration.catalog_keeper import CatalogKeeper
+from leverdoor.entry.configuration.confirmation import NUMBER_BITS, Confirmation
 from leverdoor.entry.context import EntryContext
 from leverdoor.entry.control_plane import ControlPlane
 from leverdoor.entry.events import Events, LineWriter
@@ -33,7 +34,13 @@
 from leverdoor.entry.exchange.messages import Message, RoomAnswer, RoomMessage
 from leverdoor.entry.exchange.peer_network import PeerNetwork
 from leverdoor.entry.membership.liveness import HEARTBEAT_S
-from leverdoor.entry.membership.member import SERVING, STARTING, Member, link_rank
+from leverdoor.entry.membership.member import (
+    SERVING,
+    STARTING,
+    Member,
+    link_rank,
+    member_id,
+)
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.settings import EntrySettings
 from leverdoor.entry.wire import Configured
@@ -382,7 +389,14 @@
         )
         self.membership = Membership(self.member)
         self.state.changes.subscribe(self._take_delta)
-        self.keeper = CatalogKeeper(words, self.state, events, 2.5, self._put_in_force)
+        self.keeper = CatalogKeeper(
+            words,
+            self.state,
+            Confirmation(member_id(name), self._rng.getrandbits(NUMBER_BITS)),
+            events,
+            2.5,
+            self._put_in_force,
+        )
         self.control = ControlPlane(
             context,
             self.state,
@@ -426,9 +440,7 @@
 
     def _take_update(self, update: PeerUpdate, now: float) -> None:
         self.keeper.outage.peer_reported(update.outage_ms, now)
-        self.keeper.confirmation.peer_told(
-            update.revision, update.confirmed_ms, self.state.revision, now
-        )
+        self.keeper.confirmation.peer_told(update.answer, self.state.revision, now)
 
     def _status(self) -> EntryStatus:
         now = asyncio.get_running_loop().time()
@@ -439,7 +451,7 @@
             {},
             self.keeper.outage.age_ms(now),
             [],
-            confirmed_ms=self.keeper.confirmation.age_ms(now),
+            answer=self.keeper.confirmation.tell(self.state.revision, now),
         )
 
 
--- a/leverdoor/entry/configuration/catalog_keeper.py
+++ b/leverdoor/entry/configuration/catalog_keeper.py
@@ -40,6 +40,7 @@
         self,
         wire: Wire,
         state: State,
+        confirmation: Confirmation,
         events: Events,
         leave_s: float,
         put_in_force: PutInForce,
@@ -49,6 +50,7 @@
         Args:
           wire: translates the store's keys.
           state: the copy of the store.
+          confirmation: is told which of its revisions are in force.
           events: the log.
           leave_s: within which time a leaving target must get no new requests, in
             seconds.
@@ -64,7 +66,7 @@
         self._hold_timer: asyncio.TimerHandle | None = None
         self.catalog = EMPTY
         self.outage = Outage()
-        self.confirmation = Confirmation()
+        self.confirmation = confirmation
         self.source = "store"
         """Where the state comes from, for the log: the store or a peer's address."""
 
@@ -104,12 +106,16 @@
             catalog.route_count,
             len(catalog.targets),
             self.source,
-            self.confirmation.age_ms(asyncio.get_running_loop().time()),
+            self._confirmed_ms(),
         )
         pairs = catalog.without_common_home()
         if pairs:
             self._events.homeless(len(pairs), pairs[:LOGGED_PAIRS])
 
+    def _confirmed_ms(self) -> int:
+        now = asyncio.get_running_loop().time()
+        return self.confirmation.tell(self._state.revision, now).age_ms
+
     def _log_targets(self, before: Catalog, held: list[Target]) -> None:
         """Log how targets differ from those of the catalogue before."""
         catalog = self.catalog
--- a/leverdoor/entry/configuration/last_time.py
+++ b/leverdoor/entry/configuration/last_time.py
@@ -6,8 +6,6 @@
 with the process and known again from the next report.
 """
 
-from math import inf
-
 __all__ = ["LastTime"]
 
 NEVER_MS = -1
@@ -36,10 +34,6 @@
         """Return whether it happened no longer ago than some seconds."""
         return self._at is not None and now - self._at <= longest_s
 
-    def age_s(self, now: float) -> float:
-        """Return how long ago it happened, in seconds; infinite if it never did."""
-        return inf if self._at is None else now - self._at
-
     def age_ms(self, now: float) -> int:
         """Return how long ago it happened, in ms; -1 if it never did."""
         return NEVER_MS if self._at is None else round((now - self._at) * 1000)
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -18,6 +18,7 @@
 from leverdoor.entry.bounds import SHARE_UPDATE_ROUNDS, WARM_SENT_S
 from leverdoor.entry.configuration.catalog import Catalog
 from leverdoor.entry.configuration.catalog_keeper import CatalogKeeper
+from leverdoor.entry.configuration.confirmation import NUMBER_BITS, Confirmation
 from leverdoor.entry.configuration.left_out import LeftOutReport
 from leverdoor.entry.context import EntryContext
 from leverdoor.entry.control_plane import ControlPlane, create_member
@@ -26,7 +27,7 @@
 from leverdoor.entry.exchange.exchange_types import EntryStatus, PeerUpdate
 from leverdoor.entry.exchange.peer_network import PeerNetwork, SocketNetwork
 from leverdoor.entry.membership.liveness import HEARTBEAT_S
-from leverdoor.entry.membership.member import LEAVING, SERVING, STARTING
+from leverdoor.entry.membership.member import LEAVING, SERVING, STARTING, member_id
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.membership.naming import Naming
 from leverdoor.entry.metrics import EntryMetrics
@@ -156,7 +157,12 @@
         self._store_copy = State()
         self._store_copy.changes.subscribe(self._take_delta)
         self._keeper = CatalogKeeper(
-            self._wire, self._store_copy, self._events, s.leave_s, self._take_catalog
+            self._wire,
+            self._store_copy,
+            Confirmation(member_id(s.name), rng.getrandbits(NUMBER_BITS)),
+            self._events,
+            s.leave_s,
+            self._take_catalog,
         )
         self._membership = Membership(create_member(s))
         self._naming = Naming(self._membership)
@@ -254,8 +260,7 @@
         self._membership.forget(now)
         self._control.exchange.forget(now)
         self._data.limits.forget(now)
-        confirmed_ms = self._keeper.confirmation.age_ms(now)
-        self._metrics.confirmed_age.set(confirmed_ms / 1000)
+        self._metrics.confirmed_age.set(self._keeper.confirmation.age_s(now))
         self._metrics.in_flight.set(self._data.handler.active)
         self._metrics.peers.set(len(self._membership.live(now)))
         for name, change, silent_s in self._membership.changes(now):
@@ -293,9 +298,8 @@
         """Give the other parts what other entries reported."""
         self._data.receive(update, now)
         self._keeper.outage.peer_reported(update.outage_ms, now)
-        self._keeper.confirmation.peer_told(
-            update.revision, update.confirmed_ms, self._store_copy.revision, now
-        )
+        held = self._store_copy.revision
+        self._keeper.confirmation.peer_told(update.answer, held, now)
 
     def _status(self) -> EntryStatus:
         """Return what heartbeats say of this entry."""
@@ -309,7 +313,7 @@
             self._data.placement.shared_warmth.recent(WARM_SENT_S, now),
             self._data.quotas.report(now),
             self._data.quotas.lived_s(now),
-            self._keeper.confirmation.age_ms(now),
+            self._keeper.confirmation.tell(self._store_copy.revision, now),
             self._data.limits.round(now),
             self._data.quarantine.notices(now),
         )
--- a/leverdoor/entry/exchange/exchange.py
+++ b/leverdoor/entry/exchange/exchange.py
@@ -20,6 +20,7 @@
 
 import msgspec
 
+from leverdoor.entry.configuration.confirmation import ToldAnswer
 from leverdoor.entry.exchange.encoding import parse_ids, serialize_ids
 from leverdoor.entry.exchange.exchange_types import EntryStatus, PeerUpdate, Sending
 from leverdoor.entry.exchange.limit_exchange import LimitExchange
@@ -93,7 +94,11 @@
         self._limits = LimitExchange(self._own.name)
         self._recipients = Recipients(membership, roles)
         self._round_digests = RoundDigests(
-            membership, self.lists, self._merger, self._views, self._warm_news
+            membership,
+            self.lists,
+            self._merger,
+            self._views,
+            self._warm_news,
         )
         self._totals: dict[str, tuple[float, dict[str, int]]] = {}
         """By region, when a digest brought the requests of all others at its targets,
@@ -144,8 +149,9 @@
             warm=warm,
             outage_ms=heartbeat.outage_ms,
             source=member.pull if heartbeat.revision > revision else "",
-            confirmed_ms=heartbeat.confirmed_ms,
-            revision=heartbeat.revision,
+            answer=ToldAnswer(
+                heartbeat.revision, heartbeat.answer, heartbeat.confirmed_ms
+            ),
         )
 
     def _take_digest(self, digest: Digest, revision: int, now: float) -> PeerUpdate:
@@ -160,8 +166,7 @@
             warm=parse_ids(digest.warm),
             outage_ms=digest.outage_ms,
             source=source,
-            confirmed_ms=digest.confirmed_ms,
-            revision=digest.revision,
+            answer=ToldAnswer(digest.revision, digest.answer, digest.confirmed_ms),
         )
         if digest.scope == DigestScope.ALL:
             return self._take_total(digest, sender, update, now)
@@ -243,7 +248,8 @@
             status.outage_ms,
             serialize_ids(status.warm),
             self.use.serialize(status.use),
-            status.confirmed_ms,
+            status.answer.age_ms,
+            status.answer.number,
         )
 
     def announce(self, status: EntryStatus, now: float) -> list[Sending]:
--- a/leverdoor/entry/exchange/exchange_types.py
+++ b/leverdoor/entry/exchange/exchange_types.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from leverdoor.entry.configuration.confirmation import NO_ANSWER, ToldAnswer
 from leverdoor.entry.exchange.messages import ExchangeMessage, Shares
 from leverdoor.entry.exchange.use_lists import Use
 from leverdoor.entry.membership.member import EntryState
@@ -35,8 +36,8 @@
     """Own requests of workspaces in the window of their quotas."""
     uptime_s: float = 0.0
     """Since the start of this process."""
-    confirmed_ms: int = -1
-    """Age of the store's newest answer that `revision` rests on; -1 for none."""
+    answer: ToldAnswer = NO_ANSWER
+    """The store's newest answer that `revision` rests on."""
     limits: list[LimitWord] = []
     """What targets named as limits in answers to this entry."""
     notices: list[Notice] = []
@@ -59,10 +60,8 @@
     outage_ms: int = -1
     source: str = ""
     """Where a newer state can be fetched, as `ip:port`; empty if there is none."""
-    confirmed_ms: int = -1
-    """Age of the store's newest answer that `revision` rests on; -1 for none."""
-    revision: int = 0
-    """Of the store, as the sender has it in force."""
+    answer: ToldAnswer = NO_ANSWER
+    """The store's newest answer that the sender's revision rests on."""
     use: OthersUse | None = None
     """Requests of workspaces by all other entries; None if there is no new sum."""
     limits: list[LimitWord] = []
--- a/leverdoor/entry/exchange/messages.py
+++ b/leverdoor/entry/exchange/messages.py
@@ -60,6 +60,8 @@
     """Requests of workspaces in the window of their quotas; see `use_lists`."""
     confirmed_ms: int = -1
     """Age in ms of the store's newest answer that `revision` rests on; -1 for none."""
+    answer: int = 0
+    """Number of that answer; see `configuration.confirmation`."""
 
 
 class DomainView(msgspec.Struct, frozen=True, array_like=True):
@@ -131,6 +133,8 @@
     """How many of the entries covered are silent: they may serve behind a cut."""
     confirmed_ms: int = -1
     """As in heartbeats."""
+    answer: int = 0
+    """As in heartbeats."""
 
 
 class News(msgspec.Struct, frozen=True, array_like=True, tag="n"):
--- a/leverdoor/entry/exchange/round_digests.py
+++ b/leverdoor/entry/exchange/round_digests.py
@@ -164,7 +164,8 @@
             use=r.use.by_scope[scope],
             use_age_ms=r.use.age_ms,
             silent=r.use.silent[scope],
-            confirmed_ms=r.status.confirmed_ms,
+            confirmed_ms=r.status.answer.age_ms,
+            answer=r.status.answer.number,
             merged_ms=r.use.merged_ms,
         )
 
--- a/leverdoor/entry/metrics.py
+++ b/leverdoor/entry/metrics.py
@@ -47,7 +47,7 @@
         )
         self.confirmed_age = Gauge(
             "leverdoor_entry_confirmed_age_seconds",
-            "Age of the newest known answer of the store; below 0 for none.",
+            "Age of the store's newest answer that the state rests on.",
             registry=self.registry,
         )
         self.in_flight = Gauge(
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -93,6 +93,7 @@
     warm=b"\x01\x02\x03\x04",
     use=b"\x05\x06\x07\x08\x09",
     confirmed_ms=250,
+    answer=0x0123456789ABCDEF,
 )
 DIGEST = messages.Digest(
     sender="n1",
@@ -120,6 +121,7 @@
     merged_ms=9_000,
     silent=2,
     confirmed_ms=250,
+    answer=0x0123456789ABCDEF,
 )
 NOTICES = [
     Notice(NoticeKind.CRASH, 0x0102030405060708, 1_500, 0xFEDCBA98, 63),
