--- a/benchmarks/emulated_following.py
+++ b/benchmarks/emulated_following.py
@@ -46,7 +46,7 @@
 from leverdoor.entry.wire import Configured
 from leverdoor.errors import StoreUnknown
 from leverdoor.platform.names import wire
-from leverdoor.platform.store import PlatformStore
+from leverdoor.platform.store import IDLE_S, PlatformStore
 from leverdoor.settings import Address
 from leverdoor.storage.fetching import SILENCE_S
 from leverdoor.storage.state import Delta, State
@@ -226,6 +226,7 @@
         self._emulated = store
         self._delay_s = delay_s
         self._connected = False
+        self._used_at = 0.0
         self._reset = asyncio.Event()
         self.fault = WayFault.NONE
         self.stuck = False
@@ -282,6 +283,9 @@
     ) -> tuple[int, bytes]:
         if self.fault is WayFault.RESET:
             raise ConnectionResetError
+        now = asyncio.get_running_loop().time()
+        if now - self._used_at > IDLE_S:
+            self._forget_connection()
         trips = 1 if self._connected else 3
         await asyncio.sleep(self._delay_s * trips)
         if self.fault is WayFault.SILENT or self.stuck or self._emulated.down:
@@ -293,6 +297,7 @@
             return 429, b""
         status, data = await self._emulated.answer(call, query, body)
         await asyncio.sleep(self._delay_s)
+        self._used_at = asyncio.get_running_loop().time()
         lost = self.fault in (WayFault.SILENT, WayFault.ANSWERS_LOST)
         if lost or self.stuck or self._emulated.down:
             await asyncio.Event().wait()
@@ -385,7 +390,7 @@
             peer_key=lambda name: PREFIX + name,
         )
         context = EntryContext(
-            settings, self.store, self.network, words, events, self._rng
+            settings, self.store, self.network, words, events, self._rng, loop.time
         )
         self.membership = Membership(self.member)
         self.state.changes.subscribe(self._take_delta)
@@ -440,7 +445,7 @@
 
     def _take_update(self, update: PeerUpdate, now: float) -> None:
         self.keeper.outage.peer_reported(update.outage_ms, now)
-        self.keeper.confirmation.peer_told(update.answer, self.state.revision, now)
+        self.control.take_answer(update.answer, now)
 
     def _status(self) -> EntryStatus:
         now = asyncio.get_running_loop().time()
@@ -452,6 +457,7 @@
             self.keeper.outage.age_ms(now),
             [],
             answer=self.keeper.confirmation.tell(self.state.revision, now),
+            unserved=self.control.is_unserved(now),
         )
 
 
--- a/leverdoor/agent/daemon.py
+++ b/leverdoor/agent/daemon.py
@@ -32,7 +32,7 @@
 from leverdoor.storage.configuration import Configuration
 from leverdoor.storage.etcd import EtcdStore
 from leverdoor.storage.fetching import PeerFollower
-from leverdoor.storage.following import StoreFollower, elected
+from leverdoor.storage.following import ElectedRole, StoreFollower, elected
 from leverdoor.storage.state import Delta, State
 from leverdoor.storage.view import ViewCache
 
@@ -105,7 +105,10 @@
         self._prober = Prober()
         self._pull = PeerFollower(self._state)
         self._follower = StoreFollower(
-            self._store, self._state, lambda: self._follower_place() >= 0, self._rng
+            self._store,
+            self._state,
+            ElectedRole(lambda: self._follower_place() >= 0),
+            self._rng,
         )
         self._planner = Planner(
             s.region,
--- a/leverdoor/entry/context.py
+++ b/leverdoor/entry/context.py
@@ -2,6 +2,8 @@
 # SPDX-License-Identifier: Apache-2.0
 """What the parts of an entry are created from."""
 
+import time
+from collections.abc import Callable
 from random import Random
 
 import msgspec
@@ -25,3 +27,5 @@
     events: Events
     rng: Random
     """Where all chance comes from."""
+    time_of_day: Callable[[], float] = time.time
+    """Returns seconds since the epoch; the loop's clock is for all else."""
--- a/leverdoor/entry/control_plane.py
+++ b/leverdoor/entry/control_plane.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 
 from leverdoor.entry.configuration.catalog_keeper import CatalogKeeper
+from leverdoor.entry.configuration.confirmation import ToldAnswer
 from leverdoor.entry.context import EntryContext
 from leverdoor.entry.exchange.exchange import Exchange
 from leverdoor.entry.exchange.exchange_types import EntryStatus
@@ -23,8 +24,9 @@
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.membership.registration import Registration, retry_pause_s
 from leverdoor.entry.membership.roles import Roles
+from leverdoor.entry.membership.store_role import StoreRole
 from leverdoor.entry.settings import EntrySettings
-from leverdoor.storage.following import StoreFollower
+from leverdoor.storage.following import FollowerRole, StoreFollower
 from leverdoor.storage.state import State
 
 __all__ = ["ControlPlane", "create_member"]
@@ -95,6 +97,20 @@
         )
         self.registration = self._create_registration()
         self._joining = self._create_joining()
+        self._store_role = StoreRole(
+            membership,
+            self._roles,
+            self.exchange.unserved,
+            keeper.confirmation,
+            lambda: self._settings,
+            context.rng,
+        )
+        self._clocked_role = _ClockedRole(
+            self._store_role,
+            self._joining,
+            self._take_store_answer,
+            context.time_of_day,
+        )
         self._follower = self._create_follower()
 
     def _create_registration(self) -> Registration:
@@ -123,12 +139,11 @@
         return StoreFollower(
             self._context.store,
             self._state,
-            self.follows_store,
+            self._clocked_role,
             self._context.rng,
             prefix="",
             longest_backoff_s=STORE_BACKOFF_S,
             on_change=self._store_changed,
-            on_answer=self._keeper.store_answered,
         )
 
     def reload(self, settings: EntrySettings) -> None:
@@ -161,13 +176,77 @@
 
     def follows_store(self) -> bool:
         """Return whether this entry follows the store now."""
-        now = asyncio.get_running_loop().time()
-        if now < self._joining.settled_at:
-            return False
-        return self._roles.follows_store(self._settings.watchers, now)
+        return self._clocked_role.follows()
+
+    def take_answer(self, told: ToldAnswer, now: float) -> None:
+        """Take what another entry's revision rests on.
+
+        Who lacked a recent answer passes it on at once, so that those who lack one as
+        well don't ask the store for it.
+        """
+        was_stale = self._store_role.is_stale(now)
+        self._keeper.confirmation.peer_told(told, self._state.revision, now)
+        if was_stale and not self._store_role.is_stale(now):
+            self.peers.spread_news()
+
+    def _take_store_answer(self) -> None:
+        """Record that the store answered here, as `take_answer` does of others."""
+        was_stale = self._store_role.is_stale(asyncio.get_running_loop().time())
+        self._keeper.store_answered()
+        if was_stale:
+            self.peers.spread_news()
+
+    def is_unserved(self, now: float) -> bool:
+        """Return whether the store does not answer this entry."""
+        return self._store_role.unserved(now)
 
     def _store_changed(self, reachable: bool, why: str) -> None:
         """Record that the store was lost, or answers again."""
         self._keeper.outage.take(reachable, asyncio.get_running_loop().time())
         change = "answers" if reachable else "lost"
         self._context.events.store(change, self._state.revision, why)
+
+
+class _ClockedRole(FollowerRole):
+    """An entry's role by its clocks; none before it has joined the others."""
+
+    def __init__(
+        self,
+        role: StoreRole,
+        joining: Joining,
+        on_answer: Callable[[], None],
+        time_of_day: Callable[[], float],
+    ) -> None:
+        self._role = role
+        self._joining = joining
+        self._on_answer = on_answer
+        self._time_of_day = time_of_day
+
+    @property
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def _has_joined(self) -> bool:
+        return self._now >= self._joining.settled_at
+
+    def follows(self) -> bool:
+        return self._has_joined() and self._role.follows(self._now)
+
+    def must_ask(self) -> bool:
+        return self._has_joined() and self._role.must_ask(self._now)
+
+    def is_stale(self) -> bool:
+        return self._role.is_stale(self._now)
+
+    def asked(self) -> None:
+        self._role.asked()
+
+    def answered(self) -> None:
+        self._role.answered(self._now)
+        self._on_answer()
+
+    def failed(self) -> None:
+        self._role.failed(self._now)
+
+    def wait_s(self) -> float:
+        return self._role.wait_s(self._now, self._time_of_day())
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -298,8 +298,7 @@
         """Give the other parts what other entries reported."""
         self._data.receive(update, now)
         self._keeper.outage.peer_reported(update.outage_ms, now)
-        held = self._store_copy.revision
-        self._keeper.confirmation.peer_told(update.answer, held, now)
+        self._control.take_answer(update.answer, now)
 
     def _status(self) -> EntryStatus:
         """Return what heartbeats say of this entry."""
@@ -314,6 +313,7 @@
             self._data.quotas.report(now),
             self._data.quotas.lived_s(now),
             self._keeper.confirmation.tell(self._store_copy.revision, now),
+            self._control.is_unserved(now),
             self._data.limits.round(now),
             self._data.quarantine.notices(now),
         )
--- a/leverdoor/entry/exchange/exchange.py
+++ b/leverdoor/entry/exchange/exchange.py
@@ -43,6 +43,7 @@
     RoundDigests,
 )
 from leverdoor.entry.exchange.target_counts import TargetLists
+from leverdoor.entry.exchange.unserved import UnservedEntries
 from leverdoor.entry.exchange.use_exchange import UseExchange
 from leverdoor.entry.exchange.use_lists import Use
 from leverdoor.entry.exchange.views import Views
@@ -91,6 +92,7 @@
         self.use = UseExchange(membership)
         self._views = Views(membership)
         self._warm_news = WarmNews()
+        self.unserved = UnservedEntries(self._own)
         self._limits = LimitExchange(self._own.name)
         self._recipients = Recipients(membership, roles)
         self._round_digests = RoundDigests(
@@ -99,6 +101,7 @@
             self._merger,
             self._views,
             self._warm_news,
+            self.unserved,
         )
         self._totals: dict[str, tuple[float, dict[str, int]]] = {}
         """By region, when a digest brought the requests of all others at its targets,
@@ -119,7 +122,10 @@
         """
         if isinstance(message, News):
             return PeerUpdate(
-                source=message.pull if message.revision > revision else ""
+                source=message.pull if message.revision > revision else "",
+                answer=ToldAnswer(
+                    message.revision, message.answer, message.confirmed_ms
+                ),
             )
         if isinstance(message, QuarantineNews):
             return PeerUpdate(notices=parse_notices(message.notices))
@@ -143,6 +149,7 @@
             return PeerUpdate()
         self._merger.take_heartbeat(heartbeat, now)
         self.use.take_heartbeat(heartbeat, now)
+        self.unserved.take_heartbeat(heartbeat, now)
         warm = parse_ids(heartbeat.warm)
         self._warm_news.take_from_domain(warm, now)
         return PeerUpdate(
@@ -168,6 +175,8 @@
             source=source,
             answer=ToldAnswer(digest.revision, digest.answer, digest.confirmed_ms),
         )
+        if sender.region == self._own.region:
+            self.unserved.take_digest(digest, sender, now)
         if digest.scope == DigestScope.ALL:
             return self._take_total(digest, sender, update, now)
         self._take_part(digest, sender, update.warm, now)
@@ -250,6 +259,7 @@
             self.use.serialize(status.use),
             status.answer.age_ms,
             status.answer.number,
+            status.unserved,
         )
 
     def announce(self, status: EntryStatus, now: float) -> list[Sending]:
@@ -261,13 +271,15 @@
         to = [m.gossip for m in self._membership.in_own_region()]
         return [Sending(self.heartbeat(status), to)]
 
-    def news(self, revision: int, now: float) -> list[Sending]:
-        """Return the news of a newer state.
+    def news(self, status: EntryStatus, now: float) -> list[Sending]:
+        """Return the news of a newer state, or of an answer that confirms it.
 
         They go to the aggregators of the own failure domain; from an aggregator, to
         its whole failure domain and to the other aggregators.
         """
-        return [Sending(News(revision, self._own.pull), self._news_recipients(now))]
+        answer = status.answer
+        news = News(status.revision, self._own.pull, answer.number, answer.age_ms)
+        return [Sending(news, self._news_recipients(now))]
 
     def _news_recipients(self, now: float) -> list[str]:
         """Return the addresses that get news from this entry first."""
--- a/leverdoor/entry/exchange/exchange_types.py
+++ b/leverdoor/entry/exchange/exchange_types.py
@@ -38,6 +38,8 @@
     """Since the start of this process."""
     answer: ToldAnswer = NO_ANSWER
     """The store's newest answer that `revision` rests on."""
+    unserved: bool = False
+    """Whether the store does not answer this entry."""
     limits: list[LimitWord] = []
     """What targets named as limits in answers to this entry."""
     notices: list[Notice] = []
--- a/leverdoor/entry/exchange/messages.py
+++ b/leverdoor/entry/exchange/messages.py
@@ -62,6 +62,8 @@
     """Age in ms of the store's newest answer that `revision` rests on; -1 for none."""
     answer: int = 0
     """Number of that answer; see `configuration.confirmation`."""
+    unserved: bool = False
+    """Whether the store does not answer this entry."""
 
 
 class DomainView(msgspec.Struct, frozen=True, array_like=True):
@@ -135,6 +137,9 @@
     """As in heartbeats."""
     answer: int = 0
     """As in heartbeats."""
+    unserved: bytes = b""
+    """Entries that the store does not answer: of the sender's failure domain in scope
+    DOMAIN, of its region in scope ALL; see `encoding.parse_ids`."""
 
 
 class News(msgspec.Struct, frozen=True, array_like=True, tag="n"):
@@ -143,6 +148,9 @@
     revision: int
     pull: str
     """Where it can be fetched, by HTTP."""
+    answer: int = 0
+    """As in heartbeats: entries that lack a recent answer need not ask for one."""
+    confirmed_ms: int = -1
 
 
 class QuarantineNews(msgspec.Struct, frozen=True, array_like=True, tag="q"):
--- a/leverdoor/entry/exchange/peer_link.py
+++ b/leverdoor/entry/exchange/peer_link.py
@@ -132,7 +132,7 @@
         self._news_due = False
         now = asyncio.get_running_loop().time()
         self._news_at = now
-        self._send(self._exchange.news(self._state.revision, now))
+        self._send(self._exchange.news(self._status(), now))
 
     def _send(self, sendings: list[Sending]) -> None:
         for sending in sendings:
--- a/leverdoor/entry/exchange/round_digests.py
+++ b/leverdoor/entry/exchange/round_digests.py
@@ -27,6 +27,7 @@
 )
 from leverdoor.entry.exchange.recipients import in_turn
 from leverdoor.entry.exchange.target_counts import TargetLists
+from leverdoor.entry.exchange.unserved import UnservedEntries
 from leverdoor.entry.exchange.use_exchange import UseSummary
 from leverdoor.entry.exchange.views import Views
 from leverdoor.entry.exchange.warm_news import WarmNews
@@ -71,6 +72,7 @@
         merger: Merger,
         views: Views,
         warm_news: WarmNews,
+        unserved: UnservedEntries,
     ) -> None:
         """Create it around what it reads."""
         self._membership = membership
@@ -79,6 +81,7 @@
         self._merger = merger
         self._views = views
         self._warm_news = warm_news
+        self._unserved = unserved
 
     def make(self, r: DigestRound) -> dict[DigestScope, Digest]:
         """Return the digests of a round by their scope."""
@@ -99,6 +102,8 @@
     ) -> Digest:
         loads = self._counts(counts, self._lists.regions())
         digest = self._digest(r, DigestScope.DOMAIN, near, loads)
+        unserved = self._unserved.of_domain(r.status.unserved, r.now)
+        digest = msgspec.structs.replace(digest, unserved=serialize_ids(unserved))
         mean = self._merger.domain_shares(r.status.shares)
         warm = self._warm_news.for_region(r.status.warm, r.now)
         return self._with_shares(r, digest, mean, warm)
@@ -117,6 +122,8 @@
         regions = [self._own.region, *in_turn(others, FAR_REGIONS, r.turn)]
         loads = self._counts(counts, regions)
         digest = self._digest(r, DigestScope.ALL, views, loads)
+        unserved = self._unserved.of_region(r.status.unserved, r.now)
+        digest = msgspec.structs.replace(digest, unserved=serialize_ids(unserved))
         mean = self._merger.region_shares(r.status.shares)
         warm = self._warm_news.for_domain(r.status.warm, r.now)
         return self._with_shares(r, digest, mean, warm)
--- a/leverdoor/entry/membership/members.py
+++ b/leverdoor/entry/membership/members.py
@@ -239,6 +239,15 @@
 
     # Failure domains, regions and numbers.
 
+    def live_regions(self, now: float) -> list[str]:
+        """Return the own region and those of live entries, by name."""
+        return sorted(
+            region
+            for region, domains in self._regions.items()
+            if region == self.own.region
+            or any(self._is_live(r, now) for r in self.records(domains))
+        )
+
     def all_domains(self) -> list[str]:
         """Return all failure domains from which entries are known, by name."""
         return sorted(self._domains)
--- a/leverdoor/entry/membership/roles.py
+++ b/leverdoor/entry/membership/roles.py
@@ -10,11 +10,12 @@
 `Membership` for who is live.
 """
 
+from collections.abc import Collection
 from itertools import islice
 from random import Random
 
 from leverdoor.entry.membership.liveness import SILENCE_S, is_live
-from leverdoor.entry.membership.member import LEAVING, Member, link_rank
+from leverdoor.entry.membership.member import LEAVING, Member, link_rank, member_id
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.membership.peer_record import NEVER, PeerRecord
 
@@ -128,20 +129,44 @@
 
     # Followers of the store.
 
-    def follows_store(self, followers: int, now: float) -> bool:
+    def follows_store(
+        self,
+        followers: int,
+        now: float,
+        unserved: Collection[int] = (),
+        own_unserved: bool = False,
+    ) -> bool:
         """Return whether this entry is one of its region's followers of the store.
 
         They watch the store and pass all changes on, so those with the widest links
-        of the live ones come first.
+        come first, of the live ones that the store answers. While it answers none of
+        them, all count.
 
         Args:
           followers: how many a region has.
           now: monotonic time in seconds.
+          unserved: others that the store does not answer, by `member_id`.
+          own_unserved: whether it does not answer this entry.
         """
-        ranked = sorted(
-            [*self._membership.live_in_own_region(now), self._own], key=link_rank
-        )
-        return ranked.index(self._own) < followers
+        if not own_unserved:
+            return self.place(now, unserved) < followers
+        others = self._membership.live_in_own_region(now)
+        if any(member_id(m.name) not in unserved for m in others):
+            return False
+        return self.place(now, ()) < followers
+
+    def place(self, now: float, unserved: Collection[int]) -> int:
+        """Return this entry's place by link among the region's live ones, from 0.
+
+        Args:
+          now: monotonic time in seconds.
+          unserved: entries that don't count, by `member_id`.
+        """
+        own = link_rank(self._own)
+        others = self._membership.live_in_own_region(now)
+        if unserved:
+            others = [m for m in others if member_id(m.name) not in unserved]
+        return sum(link_rank(m) < own for m in others)
 
     def place_by_link(self) -> int | None:
         """Return this entry's place among all of its region on record, from 0.
--- a/leverdoor/entry/settings.py
+++ b/leverdoor/entry/settings.py
@@ -12,7 +12,13 @@
 
 __all__ = ["EntrySettings", "Reloaded", "reload_settings"]
 
-RELOADABLE = ("grace_s", "repeat_ratio", "watchers", "store_writes_per_s")
+RELOADABLE = (
+    "grace_s",
+    "repeat_ratio",
+    "watchers",
+    "store_writes_per_s",
+    "store_reads_per_s",
+)
 """Settings that take effect at a reload; the others need a restart."""
 
 
@@ -54,6 +60,8 @@
     """Bandwidth of the VM's link in Mbit/s; 0 if it is not known."""
     store_writes_per_s: float = 400.0
     """Writing calls that the store takes in a second, of all entries together."""
+    store_reads_per_s: float = 2_000.0
+    """The same for reading calls."""
     quotas: QuotaBounds = QuotaBounds()
     """How far the use of a workspace's quota may go beyond it."""
     confirm_within_s: float = 0.0
--- a/leverdoor/platform/settings.py
+++ b/leverdoor/platform/settings.py
@@ -105,6 +105,8 @@
     address: str
     writes_per_s: float = 400.0
     """Writing calls that it takes in a second, of all entries together."""
+    reads_per_s: float = 2_000.0
+    """The same for reading calls."""
 
 
 class PlatformSettings(_Names):
@@ -149,6 +151,7 @@
             repeat_slack=self.bounds.repeat_slack,
             max_shift=self.bounds.max_shift,
             store_writes_per_s=self.platform.writes_per_s,
+            store_reads_per_s=self.platform.reads_per_s,
             quotas=self.bounds.quotas(),
             confirm_within_s=self.bounds.confirm_within_s(),
             first_start=self.bootstrap,
--- a/leverdoor/platform/store.py
+++ b/leverdoor/platform/store.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from typing import TypeVar
 
 import aiohttp
@@ -37,8 +37,19 @@
 """
 FIRST_WAIT_MS = 150
 """Wait of a watch's first call in ms: the return of a lost store shows soon."""
-WATCH_SLACK_S = 0.9
-"""Time beyond that wait after which the store counts as silent, in seconds."""
+WATCH_SLACK_S = 0.75
+"""Time beyond that wait after which the store counts as silent, in seconds.
+
+A slow one takes 60 times its 4 ms, and a new connection two round trips between
+regions.
+"""
+IDLE_S = 1.0
+"""How long an idle connection for reads is used again, in seconds.
+
+It may have gone silent without a reset, which costs a call its whole time. A watch
+leaves its connection idle for `GATHER_S`. Longer, a call out of turn may be late;
+shorter, watches open connections.
+"""
 GATHER_S = 0.1
 """Pause after a watch's events, in seconds, so that those that follow come together.
 
@@ -107,13 +118,23 @@
           address: the store's `ip:port`.
         """
         self._base = f"http://{address}/api/"
-        self._session: aiohttp.ClientSession | None = None
+        self._reading: aiohttp.ClientSession | None = None
+        self._writing: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
         """Close the connections."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        for session in (self._reading, self._writing):
+            if session is not None:
+                await session.close()
+        self._reading = self._writing = None
+
+    def _session(self, method: str) -> aiohttp.ClientSession:
+        """Return the session for a method; reads have connections of their own."""
+        if method == "GET":
+            self._reading = self._reading or new_session(idle_s=IDLE_S)
+            return self._reading
+        self._writing = self._writing or new_session()
+        return self._writing
 
     async def read(self, prefix: str) -> Listing:
         """Read all keys under a prefix; the revision is the first page's."""
@@ -137,7 +158,12 @@
                 return Listing(revision, list(found.values()))
             after = page.items[-1].key
 
-    async def watch(self, prefix: str, after: int) -> AsyncIterator[list[Event]]:
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+        wait_s: Callable[[], float | None] = lambda: None,
+    ) -> AsyncIterator[list[Event]]:
         """Yield the changes after a revision; an empty list when there are none."""
         wait_ms = FIRST_WAIT_MS
         while True:
@@ -147,12 +173,13 @@
                 "wait-ms": str(wait_ms),
             }
             timeout_s = wait_ms / 1000 + WATCH_SLACK_S
-            wait_ms = WATCH_WAIT_MS
             found = _parse(await self._read("kv-watch", query, timeout_s), _Events)
             after = max(after, found.at)
             yield [i.event() for i in found.events]
             if found.events:
                 await asyncio.sleep(GATHER_S)
+            next_s = wait_s()
+            wait_ms = WATCH_WAIT_MS if next_s is None else round(next_s * 1000)
 
     async def commit(self, writes: Sequence[Write]) -> Commit:
         """Write all changes or none, if every `expect` holds."""
@@ -233,12 +260,10 @@
           StoreUnavailable: no connection was opened.
           StoreUnknown: the answer was lost.
         """
-        if self._session is None:
-            self._session = new_session()
         self.calls += 1
         headers = {} if body is None else {"Content-Type": "application/json"}
         try:
-            async with self._session.request(
+            async with self._session(method).request(
                 method,
                 self._base + call,
                 params=query,
--- a/leverdoor/storage/etcd.py
+++ b/leverdoor/storage/etcd.py
@@ -8,7 +8,7 @@
 """
 
 import base64
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from typing import TypeVar
 
 import aiohttp
@@ -81,7 +81,12 @@
         answer = await self._call("/v3/kv/txn", body, _TxnAnswer)
         return Commit(answer.succeeded, answer.header.revision)
 
-    async def watch(self, prefix: str, after: int) -> AsyncIterator[list[Event]]:
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+        wait_s: Callable[[], float | None] = lambda: None,
+    ) -> AsyncIterator[list[Event]]:
         """Yield the changes after a revision."""
         create = {
             "key": to_base64(prefix.encode()),
--- a/leverdoor/storage/fetching.py
+++ b/leverdoor/storage/fetching.py
@@ -33,16 +33,16 @@
 PULL_TIMEOUT_S = 2.0
 """Longest time to fetch what a peer has, in seconds, for a large state over a narrow
 link."""
-SILENCE_S = 0.7
-"""Longest time without a byte from a peer, in seconds.
+SILENCE_S = 0.4
+"""Longest time without a byte from a peer, in seconds; then it is asked once more.
 
-Shorter, a busy peer's answer is given up; longer, a change is later where a connection
-went silent, of which nothing else tells.
+The second time over a connection of its own. Shorter, a busy peer's answer is given up;
+longer, a change is later where a connection went silent, of which nothing else tells.
 """
-HEDGE_S = 0.3
+HEDGE_S = 0.25
 """Time after which another peer is asked beside one that has not answered, in seconds.
 
-Several round trips between regions. Shorter, slow answers are fetched twice; longer, a
+Two round trips between regions. Shorter, slow answers are fetched twice; longer, a
 change is later where a peer or the connection to it is silent.
 """
 MOST_FETCHES = 2
@@ -206,5 +206,9 @@
         self._failed = recent | {api: now}
 
     async def _fetch(self, api: str) -> Delta:
+        """Fetch from a peer, a second time if the first connection was silent."""
         async with asyncio.timeout(PULL_TIMEOUT_S):
-            return await self._source.fetch(api, self._state.revision)
+            try:
+                return await self._source.fetch(api, self._state.revision)
+            except TimeoutError:
+                return await self._source.fetch(api, self._state.revision)
--- a/leverdoor/storage/following.py
+++ b/leverdoor/storage/following.py
@@ -8,7 +8,8 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from abc import ABC, abstractmethod
+from collections.abc import AsyncIterator, Callable
 from random import Random
 
 import xxhash
@@ -17,9 +18,9 @@
 from leverdoor.errors import Code, LeverdoorError, StoreUnavailable
 from leverdoor.membership.peers import Peers
 from leverdoor.storage.state import PREFIX, State
-from leverdoor.storage.store import Store
+from leverdoor.storage.store import Event, Store
 
-__all__ = ["StoreFollower", "elected"]
+__all__ = ["ElectedRole", "FollowerRole", "POLL_S", "StoreFollower", "elected"]
 
 WATCHERS = 2
 """Agents of a region that watch the store; one may be gone. More would cost the store
@@ -31,9 +32,64 @@
 LONGEST_BACKOFF_S = 5.0
 """Longest such pause, in seconds: the time for which a store that is back may go
 unnoticed, beside 0.2 calls a second of each follower while it is down."""
-ELECTION_POLL_S = 0.5
-"""Seconds between two checks of the election: part of the time until a dead follower is
-replaced, at no cost to the store."""
+POLL_S = 0.1
+"""Seconds between two looks at whether to follow or to ask: part of the time until a
+change is in force that nobody passed on, at no cost to the store."""
+OVERDUE_S = 1.0
+"""Time after which a watch may be given up, in seconds.
+
+Beyond the time of a call that need not wait, so that a store that is down is found by
+its calls. Longer, a kept connection that went silent costs as much.
+"""
+
+
+class FollowerRole(ABC):
+    """Whether this process follows the store now."""
+
+    @abstractmethod
+    def follows(self) -> bool:
+        """Return whether it is to watch the store now."""
+
+    def must_ask(self) -> bool:
+        """Return whether it is to ask the store now, although it does not follow."""
+        return False
+
+    def is_stale(self) -> bool:
+        """Return whether what is held may lack changes that are due."""
+        return False
+
+    def asked(self) -> None:  # noqa: B027
+        """Take note that it asks the store since it must."""
+
+    def answered(self) -> None:  # noqa: B027
+        """Take note that the store answered, and that all of it is held."""
+
+    def failed(self) -> None:  # noqa: B027
+        """Take note that the store did not answer."""
+
+    def wait_s(self) -> float | None:
+        """Return how long a watch may wait, in seconds; None for the client's own."""
+        return None
+
+
+class ElectedRole(FollowerRole):
+    """Follows while it is elected to."""
+
+    def __init__(self, is_elected: Callable[[], bool]) -> None:
+        """Create it.
+
+        Args:
+          is_elected: whether this process should watch now.
+        """
+        self._is_elected = is_elected
+
+    def follows(self) -> bool:
+        """Return whether it is to watch the store now."""
+        return self._is_elected()
+
+
+class _WatchOverdueError(Exception):
+    """A watch is silent while what is held is older than it should be."""
 
 
 def elected(peers: Peers, vm: str, now: float) -> int:
@@ -50,38 +106,35 @@
 
 
 class StoreFollower:
-    """Watches the store while this process is elected to."""
+    """Watches the store while this process is to."""
 
     def __init__(
         self,
         store: Store,
         state: State,
-        is_elected: Callable[[], bool],
+        role: FollowerRole,
         rng: Random,
         prefix: str = PREFIX,
         longest_backoff_s: float = LONGEST_BACKOFF_S,
         on_change: Callable[[bool, str], None] | None = None,
-        on_answer: Callable[[], None] = lambda: None,
     ) -> None:
         """Create it.
 
         Args:
           store: the platform's service.
           state: the copy to keep in step.
-          is_elected: whether this process should watch now.
+          role: when this process watches, and is told what came of it.
           rng: spreads the calls after an outage.
           prefix: what to follow of the store.
           longest_backoff_s: longest pause between calls that fail, in seconds.
           on_change: called with whether the store answers, and why, when that changes.
-          on_answer: called at each answer of the store.
         """
-        self._on_answer = on_answer
         self._on_change = on_change or _log
         self._prefix = prefix
         self._longest_backoff_s = longest_backoff_s
         self._store = store
         self._state = state
-        self._is_elected = is_elected
+        self._role = role
         self._rng = rng
         self.reachable: bool | None = None
         """Whether the last call was answered; None before the first."""
@@ -90,29 +143,43 @@
         """Follow the store until cancelled."""
         backoff = FIRST_BACKOFF_S
         while True:
-            if not self._is_elected():
-                await asyncio.sleep(ELECTION_POLL_S)
+            if not self._is_due():
+                await asyncio.sleep(POLL_S)
                 continue
             try:
                 await self._follow()
                 backoff = FIRST_BACKOFF_S
+            except _WatchOverdueError:
+                # The next watch opens a connection of its own.
+                logger.info("watch silent while its answer is due")
             except LeverdoorError as e:
                 if self.reachable:
                     backoff = FIRST_BACKOFF_S
+                self._role.failed()
                 self._set_reachable(False, str(e))
                 await asyncio.sleep(backoff * (0.5 + self._rng.random()))
                 backoff = min(backoff * 2, self._longest_backoff_s)
 
+    def _is_due(self) -> bool:
+        """Return whether to follow the store now, in turn or since it must be asked."""
+        if self._role.follows():
+            return True
+        if not self._role.must_ask():
+            return False
+        self._role.asked()
+        return True
+
     async def _follow(self) -> None:
         """Watch from where the copy stands; list only when that is not possible."""
         if self._state.revision == 0:
             await self._list()
-        watch = self._store.watch(self._prefix, self._state.revision)
+        watch = self._store.watch(self._prefix, self._state.revision, self._role.wait_s)
         try:
-            async for events in watch:
+            while True:
+                events = await self._next(watch)
                 self._state.extend(events)
-                self._set_reachable(True, "")
-                if not self._is_elected():
+                self._note_answer()
+                if not self._role.follows():
                     return
         except LeverdoorError as e:
             if e.code is not Code.COMPACTED:
@@ -121,9 +188,35 @@
         finally:
             await watch.aclose()  # type: ignore[attr-defined]
 
+    async def _next(self, watch: AsyncIterator[list[Event]]) -> list[Event]:
+        """Return what a watch says next.
+
+        A connection may have gone silent, which the store's wait hides: a watch that
+        says nothing while what is held grows too old is given up.
+
+        Raises:
+          LeverdoorError: as the watch does.
+        """
+        answer = asyncio.ensure_future(anext(watch))
+        waited_s = 0.0
+        try:
+            while not answer.done():
+                await asyncio.wait([answer], timeout=POLL_S)
+                waited_s += POLL_S
+                if waited_s > OVERDUE_S and self._role.is_stale():
+                    break
+            if answer.done():
+                return answer.result()
+        finally:
+            answer.cancel()
+            await asyncio.gather(answer, return_exceptions=True)
+        raise _WatchOverdueError
+
+    def _note_answer(self) -> None:
+        self._role.answered()
+        self._set_reachable(True, "")
+
     def _set_reachable(self, reachable: bool, why: str) -> None:
-        if reachable:
-            self._on_answer()
         if reachable != self.reachable:
             self.reachable = reachable
             self._on_change(reachable, why)
@@ -137,7 +230,7 @@
                 held=self._state.revision,
             )
             raise StoreUnavailable("the store went back")
-        self._set_reachable(True, "")
+        self._note_answer()
 
 
 def _log(reachable: bool, why: str) -> None:
--- a/leverdoor/storage/store.py
+++ b/leverdoor/storage/store.py
@@ -10,7 +10,7 @@
 import asyncio
 from abc import ABC, abstractmethod
 from collections import deque
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 
 import msgspec
 
@@ -106,11 +106,22 @@
         """
 
     @abstractmethod
-    def watch(self, prefix: str, after: int) -> AsyncIterator[list[Event]]:
+    def watch(
+        self,
+        prefix: str,
+        after: int,
+        wait_s: Callable[[], float | None] = lambda: None,
+    ) -> AsyncIterator[list[Event]]:
         """Yield the changes after a revision, whole transactions at a time.
 
         An empty list says that the service is still there.
 
+        Args:
+          prefix: of the keys.
+          after: the revision.
+          wait_s: returns, at each call, how long the service may wait before it says
+            that there is nothing, in seconds; None for the client's own time. Clients
+            whose watch is one long call do not use it.
         Raises:
           StoreUnavailable: the watch ended.
           LeverdoorError: COMPACTED, list again.
@@ -208,7 +219,12 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def watch(self, prefix: str, after: int) -> AsyncIterator[list[Event]]:
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+        wait_s: Callable[[], float | None] = lambda: None,
+    ) -> AsyncIterator[list[Event]]:
         """Yield the changes after a revision."""
         self.waiting += 1
         try:
