Who follows the store is who it answers, and who is outdated asks it

What callers saw: 404 and runs by older routes, and runs outside homes, long after a change was confirmed, at single entries or at all of a region. Cause: no entry knew how old its configuration was, and roles were given by being alive. The store's silence towards the two followers of each region kept all others behind until it ended (they noticed after 3.4 s and kept the role); an entry that could not fetch a newer state, or heard of none, waited for others.

The class: a role that is given by being alive and kept by who can't do the job.

Now the age of the newest answer of the store that the configuration in force rests on decides (entry.membership.store_role, with the sum of the longest way): above 1.2 s an entry asks the store itself, the first by link first, all together within a twentieth of its reads; who was answered passes that on at once. An entry that the store does not answer says so in heartbeats and digests and is passed over for the role until a try of its own succeeds. The followers of all regions end their watches in turn, so that an answer comes each 0.42 s at no more calls. A watch that is silent while the age grows is given up; reads have connections of their own, which are not used again after a second of rest.

--- a/tests/interface_table.py
+++ b/tests/interface_table.py
@@ -59,6 +59,7 @@
     "max_shift": ("float", 0.15),
     "watchers": ("int", 2),
     "link_mbps": ("int", 0),
+    "store_reads_per_s": ("float", 2000.0),
     "store_writes_per_s": ("float", 400.0),
     "quotas.window_s": ("float", 5.0),
     "quotas.overshoot": ("float", 0.1),
@@ -83,6 +84,7 @@
     "internal-port-range": ("list[int]", "required"),
     "platform.address": ("str", "required"),
     "platform.writes_per_s": ("float", 400.0),
+    "platform.reads_per_s": ("float", 2000.0),
     "platform": ("object", "required"),
     "bootstrap": ("bool", False),
     "limits.link-bandwidth-mbps": ("float", 0.0),
@@ -189,6 +191,7 @@
     ("table written", "info", ("revision", "version")),
     ("target checked", "info", ("found", "target")),
     ("the store is behind what was accepted", "error", ("held", "store")),
+    ("watch silent while its answer is due", "info", ()),
 ]
 """Event, level and fields of each call of the logger; `?` for what libraries log."""
 
--- a/tests/test_config_in_force.py
+++ b/tests/test_config_in_force.py
@@ -7,10 +7,20 @@
 region, which stands in the same configuration. One or two entries were behind at a
 time, in step again after some seconds.
 
+Cause: no entry knew how old its configuration was. Who follows the store was decided by
+who is alive, not by whom the store answers; an entry that could not fetch a newer state
+waited for others, and asked nobody else meanwhile. Evidence: with the store silent to
+the followers alone, all others stayed behind until it ended; with kept connections
+silent or one way of an entry lost, single entries stayed behind, as in the users'
+record. Each is over where entries ask the store once what they have is too old.
+
 The product's control plane runs on a fake clock (`emulated_following`).
 """
 
+import asyncio
+from collections import Counter
 from collections.abc import Callable, Iterable
+from math import inf
 
 from emulated_following import FollowingSite, WayFault, run_virtual
 
@@ -52,7 +62,7 @@
 
 
 def test_followers_that_the_store_does_not_serve_hand_the_role_on() -> None:
-    """Symptom: none of the other entries gets a change while it lasts."""
+    """The others got no change while it lasted: nobody else asked the store."""
     for fault in WayFault:
         if fault is WayFault.NONE:
             continue
@@ -67,7 +77,7 @@
 
 
 def test_kept_connections_that_went_silent_delay_no_change() -> None:
-    """Symptom: single entries are behind for two seconds or a multiple of that."""
+    """Single entries were behind for two seconds or more, fetch after fetch."""
 
     def begin(site: FollowingSite) -> list[str]:
         for entry in site.entries.values():
@@ -80,7 +90,7 @@
 
 
 def test_an_entry_that_reaches_no_other_asks_the_store() -> None:
-    """Symptom: it hears of newer states, and its fetches of them get no answer."""
+    """It heard of newer states, and its fetches of them got no answer."""
 
     def begin(site: FollowingSite) -> list[str]:
         last = site.ranked("r1")[-1].member.name
@@ -89,3 +99,79 @@
 
     late, worst = play(begin)
     assert not late, f"{late} late, the worst by {worst:.2f} s"
+
+
+def test_an_entry_that_hears_nothing_asks_the_store() -> None:
+    """It counted itself as a follower after 1.6 s, and had a call and a look to go."""
+
+    def begin(site: FollowingSite) -> list[str]:
+        last = site.ranked("r1")[-1].member.name
+        site.cut(site.entries, [last])
+        return []
+
+    late, worst = play(begin)
+    assert not late, f"{late} late, the worst by {worst:.2f} s"
+
+
+def test_a_calm_site_makes_no_more_calls_than_six_watches() -> None:
+    """Six followers, each of which waits for 2.5 s at most."""
+
+    async def run() -> float:
+        site = FollowingSite(ENTRIES)
+        await site.start()
+        before = len(site.store.call_times)
+        await asyncio.sleep(30.0)
+        calls = len(site.store.call_times) - before
+        await site.stop()
+        return calls / 30.0
+
+    calls_per_s: float = run_virtual(run())
+    assert calls_per_s <= 6 / 2.5 + 0.1
+
+
+def test_a_store_that_answers_nobody_gets_few_calls() -> None:
+    """A tenth of its reads at most, in each second, also as it returns."""
+    entries, reads_per_s = 60, 2_000.0
+
+    async def run() -> tuple[int, float]:
+        site = FollowingSite(entries)
+        await site.start()
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        site.store.down = True
+        await asyncio.sleep(TROUBLE_S)
+        site.store.down = False
+        change = site.change()
+        await asyncio.sleep(IN_FORCE_S)
+        await site.stop()
+        seconds = Counter(int(t - began) for t in site.store.call_times if t > began)
+        last = max(change.in_force.get(n, inf) for n in site.entries) - change.at
+        return max(seconds.values()), last
+
+    most, last_s = run_virtual(run())
+    assert most <= reads_per_s / 10
+    assert last_s <= IN_FORCE_S, "in force soon after the store is back"
+
+
+def test_a_revision_never_goes_back() -> None:
+    """Whatever answers late: a watch, a second fetch, a listing after lost history."""
+
+    async def run() -> None:
+        site = FollowingSite(ENTRIES, loss=0.05)
+        held: dict[str, list[int]] = {name: [] for name in site.entries}
+        await site.start()
+        for name, entry in site.entries.items():
+            note = held[name]
+            entry.state.changes.subscribe(lambda d, note=note: note.append(d.revision))
+        for fault in WayFault:
+            site.set_store_fault(site.first_by_link(), fault)
+            site.cut(site.first_by_link(1), site.entries)
+            await site.change_for(1.5, 0.1)
+            site.store.forget_history()
+            site.cuts.clear()
+        await site.change_for(2.0)
+        await site.stop()
+        for revisions in held.values():
+            assert revisions == sorted(set(revisions))
+
+    run_virtual(run())
--- a/tests/test_entry_exchange.py
+++ b/tests/test_entry_exchange.py
@@ -259,7 +259,7 @@
         steps += 1
         heard: set[str] = set()
         for name in sorted(newly):
-            for sending in s.exchanges[name].news(9, s.now):
+            for sending in s.exchanges[name].news(s.reports[name], s.now):
                 assert isinstance(sending.message, News)
                 heard |= {to.removeprefix("g/") for to in sending.to}
         newly = heard - reached
--- a/tests/test_interface.py
+++ b/tests/test_interface.py
@@ -115,7 +115,13 @@
 def test_constants_of_the_settings_file() -> None:
     assert program.SETTINGS == "LEVERDOOR_SETTINGS"
     assert (METRICS_PORT, GOSSIP_OFFSET, PULL_OFFSET) == (9464, 0, 1)
-    assert RELOADABLE == ("grace_s", "repeat_ratio", "watchers", "store_writes_per_s")
+    assert RELOADABLE == (
+        "grace_s",
+        "repeat_ratio",
+        "watchers",
+        "store_writes_per_s",
+        "store_reads_per_s",
+    )
 
 
 # Metrics.
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -94,6 +94,7 @@
     use=b"\x05\x06\x07\x08\x09",
     confirmed_ms=250,
     answer=0x0123456789ABCDEF,
+    unserved=True,
 )
 DIGEST = messages.Digest(
     sender="n1",
@@ -122,6 +123,7 @@
     silent=2,
     confirmed_ms=250,
     answer=0x0123456789ABCDEF,
+    unserved=b"\x0a\x0b\x0c\x0d",
 )
 NOTICES = [
     Notice(NoticeKind.CRASH, 0x0102030405060708, 1_500, 0xFEDCBA98, 63),
@@ -129,7 +131,12 @@
     Notice(NoticeKind.RELEASED, 1, 0),
 ]
 QUARANTINE_NEWS = messages.QuarantineNews("n1", serialize_notices(NOTICES))
-NEWS = messages.News(revision=70_000, pull="10.0.0.1:7947")
+NEWS = messages.News(
+    revision=70_000,
+    pull="10.0.0.1:7947",
+    answer=0x0123456789ABCDEF,
+    confirmed_ms=250,
+)
 
 DELTA = Delta(
     since=69_998,
