--- a/leverdoor/commands/soak.py
+++ b/leverdoor/commands/soak.py
@@ -23,6 +23,7 @@
 @click.option("--troubles", type=click.IntRange(0, 1_000), default=20)
 @click.option("--fatal", type=click.IntRange(0, 10), default=0, help="Requests.")
 @click.option("--limits", type=click.IntRange(0, 6), default=0, help="Targets.")
+@click.option("--cuts", type=click.IntRange(0, 1_000), default=0, help="Of ways.")
 @click.option("--logs", type=click.Path(path_type=Path), help="Keep logs of failures.")
 def soak(
     seed: int | None,
@@ -31,19 +32,22 @@
     troubles: int,
     fatal: int,
     limits: int,
+    cuts: int,
     logs: Path | None,
 ) -> None:
     """Play soaks one after the other; a line of JSON for each.
 
     With --fatal, so many requests come that end each target that runs them; with
-    --limits, so many targets name limits for all entries together.
+    --limits, so many targets name limits for all entries together. With --cuts, twelve
+    entries run, ways between them and to the store are cut so many times, and changes
+    must be in force in time.
     """
     from leverdoor.standins.soak.run import Soak
 
     first = time.time_ns() % 1_000_000_007 if seed is None else seed
     broken = 0
     for number in range(first, first + count):
-        soak = Soak(number, seconds, troubles, fatal=fatal, limits=limits)
+        soak = Soak(number, seconds, troubles, fatal=fatal, limits=limits, cuts=cuts)
         verdict = asyncio.run(soak.run(logs))
         broken += bool(verdict.breaches)
         click.echo(msgspec.json.encode(verdict).decode())
--- a/leverdoor/standins/proxy.py
+++ b/leverdoor/standins/proxy.py
@@ -58,6 +58,8 @@
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
         self._open: set[asyncio.StreamWriter] = set()
+        self._silenced: set[asyncio.StreamWriter] = set()
+        """Ends of connections that carry nothing any more."""
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self, listen: Address | None = None) -> str:
@@ -84,6 +86,10 @@
         if fault is LinkFault.RESET:
             self._abort_all()
 
+    def silence_open(self) -> None:
+        """Let the connections open now carry nothing any more; new ones do."""
+        self._silenced |= self._open
+
     def _abort_all(self) -> None:
         for writer in list(self._open):
             writer.transport.abort()
@@ -125,6 +131,7 @@
             for end in (writer, onward):
                 if end is not None:
                     self._open.discard(end)
+                    self._silenced.discard(end)
                     end.close()
 
     async def _pump(
@@ -136,6 +143,8 @@
                 if self._fault is LinkFault.DELAY:
                     await asyncio.sleep(DELAY_S)
                 await self._free(request)
+                if writer in self._silenced:
+                    continue
                 writer.write(data)
                 await writer.drain()
             await self._free(request)
--- a/leverdoor/standins/soak/faults.py
+++ b/leverdoor/standins/soak/faults.py
@@ -22,6 +22,14 @@
 __all__ = ["SoakFaults"]
 
 LINK_FAULTS = [f for f in LinkFault if f is not LinkFault.NONE]
+STORE_AWAY = (
+    FaultKind.STORE_SILENT,
+    FaultKind.STORE_BUSY,
+    FaultKind.STORE_RESET,
+    FaultKind.STORE_SLOW,
+    FaultKind.STORE_LAPSE,
+)
+"""Faults during which the store does not answer all as usual."""
 SLOW_STORE_S = 0.3
 """Time of an answer of a slow store, in seconds."""
 SHORT_TIMEOUT_SHARE = 0.3
@@ -76,7 +84,10 @@
 
     async def play(self, fault: PlannedFault) -> None:
         """Play one fault, and undo it when its time is over."""
+        began = now_s()
         await self._actions[fault.kind](fault)
+        if fault.kind in STORE_AWAY:
+            self._record.store_disturbed.append((began, now_s()))
 
     def end_all(self) -> None:
         """End what still harms links and the store."""
--- a/leverdoor/standins/soak/record.py
+++ b/leverdoor/standins/soak/record.py
@@ -100,6 +100,10 @@
     """Planned stops: entry, when it was signalled, when it had ended."""
     unplanned: list[tuple[str, float, float]] = []
     """What else disturbed an entry or its callers' links: entry, from, until."""
+    changes: list[tuple[int, float]] = []
+    """Versions of the configuration, and when the store confirmed each."""
+    store_disturbed: list[tuple[float, float]] = []
+    """From when until when the store did not answer all as usual."""
 
     def note_disturbance(self, entry: str, began: float, ended: float) -> None:
         """Note what disturbed an entry besides planned stops."""
--- a/leverdoor/standins/soak/run.py
+++ b/leverdoor/standins/soak/run.py
@@ -17,16 +17,20 @@
 from leverdoor.standins.entry_process import EntryProcess
 from leverdoor.standins.entry_site import SAMPLE_ROUTES
 from leverdoor.standins.soak.callers import SoakCaller, SoakProber
+from leverdoor.standins.soak.cuts import Cuts, draw_cuts
 from leverdoor.standins.soak.fatal import FatalCaller
 from leverdoor.standins.soak.faults import SoakFaults
+from leverdoor.standins.soak.in_force import change_again_and_again, late_changes
 from leverdoor.standins.soak.limits import LimitNamer
 from leverdoor.standins.soak.plan import PlannedFault, draw_plan
 from leverdoor.standins.soak.promises import breaches
 from leverdoor.standins.soak.record import Leave, Record, RecordedRun
-from leverdoor.standins.soak.site import SoakSite
+from leverdoor.standins.soak.site import ENTRIES_A_REGION, SoakSite
 
 __all__ = ["Soak", "Verdict", "note_leaves"]
 
+ENTRIES_CUT = 4
+"""Entries of a region where ways are cut: two that follow the store, and two others."""
 CALLERS = 8
 """Callers of a soak; they load six entries and leave cores to them."""
 SETTLED_S = 45.0
@@ -80,6 +84,8 @@
         site: SoakSite | None = None,
         fatal: int = 0,
         limits: int = 0,
+        cuts: int = 0,
+        judge_bound: bool = True,
     ) -> None:
         """Create it.
 
@@ -90,13 +96,19 @@
           site: what they happen to; one of this version if left out.
           fatal: requests that end each target that runs them, and come again.
           limits: targets that name limits.
+          cuts: of ways between entries and of the store towards some of them, beside
+            an operator who changes the configuration again and again.
+          judge_bound: whether changes must be in force in time; on a machine that is
+            busy with other work they may be late.
         """
+        self._cuts = draw_cuts(seed, seconds, cuts)
+        self._judges_bound = judge_bound and cuts > 0
         self._limits = limits
         self._fatal = fatal
         self._seconds = seconds
         self._seed = seed
         self._plan = draw_plan(seed, seconds, troubles)
-        self._site = site or SoakSite()
+        self._site = site or SoakSite(ENTRIES_CUT if cuts else ENTRIES_A_REGION)
         self._record = Record()
         self._late: list[str] = []
 
@@ -135,11 +147,16 @@
         tasks += [asyncio.create_task(n.run()) for n in namers]
         tasks += [asyncio.create_task(f.run()) for f in fatal]
         tasks += [asyncio.create_task(c.run()) for c in callers]
+        if self._cuts:
+            changes = change_again_and_again(self._site, self._seed)
+            tasks.append(asyncio.create_task(changes))
         try:
             faults = SoakFaults(self._site, self._record)
             lasts_s = self._seconds if self._fatal or self._limits else 0.0
             lasts = asyncio.sleep(lasts_s)
-            await asyncio.gather(lasts, *(self._play_at(faults, f) for f in self._plan))
+            cuts = Cuts(self._site, self._record)
+            played = [self._play_at(faults, f) for f in self._plan]
+            await asyncio.gather(lasts, *played, *(cuts.play(c) for c in self._cuts))
             faults.end_all()
             await self._settle()
             await asyncio.sleep(REST_S)
@@ -219,6 +236,9 @@
                 )
                 for r in target.runs
             ]
+        self._record.changes = self._site.changes
+        if self._judges_bound:
+            self._late += late_changes(self._record)
         statuses = Counter(str(a.status) for a in self._record.attempts)
         return Verdict(
             seed=self._seed,
--- a/leverdoor/standins/soak/site.py
+++ b/leverdoor/standins/soak/site.py
@@ -6,13 +6,18 @@
 configuration; all of it lasts one soak. Relies on `EntrySite` for the processes.
 """
 
+import asyncio
 import tempfile
 from collections.abc import Mapping
 from pathlib import Path
 
+import xxhash
+
+from leverdoor.codec import serialize_json
 from leverdoor.standins.entry_process import EntryProcess, Place
-from leverdoor.standins.entry_site import SAMPLE_ROUTES, EntrySite
+from leverdoor.standins.entry_site import HOST, SAMPLE_ROUTES, EntrySite
 from leverdoor.standins.proxy import LinkFault, LoopbackProxy
+from leverdoor.standins.soak.harmed import CUTS, LostWays
 from leverdoor.standins.soak.record import now_s
 from leverdoor.standins.soak.skewed import CLOCK
 from leverdoor.standins.soak.workspaces import WORKSPACES
@@ -23,6 +28,8 @@
 REGIONS = ("a", "b", "c")
 ENTRIES_A_REGION = 2
 """Entries in each of the three regions."""
+FOLLOWERS = 2
+"""Entries of a region that follow the store, as in the entries' settings."""
 SERVICES = ("look", "file")
 TARGETS_A_SERVICE = 2
 """In each region."""
@@ -33,15 +40,29 @@
     return f"/mark-{version}/"
 
 
+async def _never_answer(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Keep a connection until the caller ends it."""
+    try:
+        await reader.read()
+    finally:
+        writer.close()
+
+
 class SoakSite(EntrySite):
     """Entries, targets and a store, with a proxy before each."""
 
-    def __init__(self) -> None:
-        """Create it; `start` runs it."""
+    def __init__(self, entries_a_region: int = ENTRIES_A_REGION) -> None:
+        """Create it; `start` runs it.
+
+        Args:
+          entries_a_region: entries in each of the three regions.
+        """
         places = {
             f"n-{region}-{i}": Place(f"{region}1", region)
             for region in REGIONS
-            for i in range(ENTRIES_A_REGION)
+            for i in range(entries_a_region)
         }
         targets = [
             UpstreamStandin(f"i-{service}-{region}-{i}", service, f"{region}1")
@@ -55,14 +76,19 @@
         """Targets that have left or are about to, and since when (loop time, s)."""
         self.routed = 0
         """The newest version of the configuration."""
+        self.changes: list[tuple[int, float]] = []
+        """Versions of the configuration, and when the store confirmed each."""
         self._behind: dict[str, str] = {}
         self._fronts: dict[str, str] = {}
         self._joined = 0
+        self._silent: asyncio.Server | None = None
+        self._silent_address = ""
         self._clocks = tempfile.TemporaryDirectory()
 
     async def start(self, routes: list[dict[str, object]] | None = None) -> None:
         """Start everything and wait until every entry is ready."""
         await super().start(routes)
+        await self._listen_silently()
         for entry in self.entries.values():
             front = entry.ports["frontend"]
             self._fronts[entry.name] = await self._link(f"front/{entry.name}", front)
@@ -70,10 +96,18 @@
     async def stop(self) -> None:
         """End everything that was started here."""
         await super().stop()
+        if self._silent is not None:
+            self._silent.close()
         for proxy in self.proxies.values():
             await proxy.close()
         self._clocks.cleanup()
 
+    async def _listen_silently(self) -> None:
+        """Take connections at an address that never answers."""
+        self._silent = await asyncio.start_server(_never_answer, HOST, 0)
+        port = self._silent.sockets[0].getsockname()[1]
+        self._silent_address = f"{HOST}:{port}"
+
     def front(self, entry: EntryProcess) -> str:
         """Return the address at which clients reach an entry."""
         return self._fronts.get(entry.name, entry.ports["frontend"])
@@ -87,9 +121,41 @@
         entry = super()._entry(name, place, store)
         entry.program = "leverdoor.standins.soak.skewed"
         entry.environment[CLOCK] = str(self._clock(name))
+        entry.environment[CUTS] = str(self._cuts(name))
         self.set_clock(name, 0.0)
         return entry
 
+    def _cuts(self, name: str) -> Path:
+        return Path(self._clocks.name) / f"{name}.cuts"
+
+    def cut_ways(self, ways: set[tuple[str, str]]) -> None:
+        """Lose all that passes on some ways, from a sender to a receiver.
+
+        Args:
+          ways: all that are cut from now on; others are whole.
+        """
+        for name in self.entries:
+            lost = LostWays(
+                unreached=[self._host_of(to) for a, to in ways if a == name],
+                unanswered=[self._host_of(a) for a, to in ways if to == name],
+                silent_address=self._silent_address,
+            )
+            fresh = Path(self._clocks.name) / f"{name}.cuts.new"
+            fresh.write_bytes(serialize_json(lost))
+            fresh.replace(self._cuts(name))
+
+    def _host_of(self, name: str) -> str:
+        return self.entries[name].ports["frontend"].rpartition(":")[0]
+
+    def first_followers(self) -> list[str]:
+        """Return the entries of each region that follow the store, all being well."""
+        found: list[str] = []
+        for region in REGIONS:
+            names = [n for n, e in self.entries.items() if e.place.region == region]
+            names.sort(key=lambda n: xxhash.xxh3_64_intdigest(n.encode()))
+            found += names[:FOLLOWERS]
+        return found
+
     def _clock(self, name: str) -> Path:
         return Path(self._clocks.name) / name
 
@@ -115,6 +181,7 @@
         tenants = tenants or [w.tenant() for w in WORKSPACES]
         revision = super().configure([*routes, mark], limits, tenants)
         self.routed = version
+        self.changes.append((version, now_s()))
         return revision
 
     def set_link_fault(self, kind: str, fault: LinkFault) -> None:
--- a/leverdoor/standins/soak/skewed.py
+++ b/leverdoor/standins/soak/skewed.py
@@ -1,9 +1,10 @@
 # leverdoor: global traffic steering
 # SPDX-License-Identifier: Apache-2.0
-"""`python -m leverdoor.standins.soak.skewed`: an entry whose time of day is off.
+"""`python -m leverdoor.standins.soak.skewed`: an entry with a clock and ways to harm.
 
-The file that `SOAK_CLOCK` names holds the seconds to add. The product is not
-changed: what it calls for the time of day is replaced before it starts.
+The file that `SOAK_CLOCK` names holds the seconds to add to its time of day, the one of
+`SOAK_CUTS` which ways to other entries are cut. The product is not changed: what it
+calls for the time of day and for other entries is replaced before it starts.
 """
 
 import os
@@ -29,6 +30,10 @@
 
 if __name__ == "__main__":
     skew_clock(Path(os.environ[CLOCK]))
+    from leverdoor.entry import daemon
     from leverdoor.platform.__main__ import main
+    from leverdoor.standins.soak.harmed import HarmedNetwork
+
+    vars(daemon)["SocketNetwork"] = HarmedNetwork
 
     sys.exit(main())
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -51,6 +51,22 @@
     writer.close()
 
 
+async def test_open_connections_go_silent_for_good_while_new_ones_work(
+    echo: Echo,
+) -> None:
+    reader, writer = await echo.open()
+    writer.write(b"hello")
+    assert await reader.readexactly(5) == b"hello"
+    echo.proxy.silence_open()
+    writer.write(b"again")
+    new_reader, new_writer = await echo.open()
+    new_writer.write(b"other")
+    assert await new_reader.readexactly(5) == b"other"
+    assert echo.received == len(b"hello") + len(b"other")
+    writer.close()
+    new_writer.close()
+
+
 async def test_a_reset_strikes_open_and_new_connections(echo: Echo) -> None:
     reader, writer = await echo.open()
     writer.write(b"hello")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -57,6 +57,18 @@
     assert verdict.breaches == []
 
 
+@pytest.mark.timeout(240)
+async def test_cuts_between_entries_break_no_promise() -> None:
+    """Each direction by itself, and the store towards some; not how late changes are.
+
+    Other work on the machine would decide that; `test_config_in_force.py` holds the
+    bound on a fake clock, `leverdoor soak --cuts` on a machine of its own.
+    """
+    soak = Soak(6, 8.0, 3, cuts=6, judge_bound=False)
+    verdict = await soak.run()
+    assert verdict.breaches == []
+
+
 @pytest.mark.timeout(300)
 @pytest.mark.parametrize(("seed", "seconds", "troubles", "cause"), FAILED_ONCE)
 async def test_what_failed_once_holds(
