Agents that the store does not answer hand the role of following it on

One that was cut off from the store alone kept its place. Its heartbeats say so now, others take its place, and it tries again after five seconds or so. While the store answers none of them, all count, as before.

Whether the store answers a process, and when it tries again, stands once (storage.served), for agents and entries.

--- a/leverdoor/agent/daemon.py
+++ b/leverdoor/agent/daemon.py
@@ -104,10 +104,11 @@
         self._vm_watch = VmWatch(s)
         self._prober = Prober()
         self._pull = PeerFollower(self._state)
+        self._role = ElectedRole(self._is_elected, self._now, self._rng)
         self._follower = StoreFollower(
             self._store,
             self._state,
-            ElectedRole(lambda: self._follower_place() >= 0),
+            self._role,
             self._rng,
         )
         self._planner = Planner(
@@ -144,7 +145,13 @@
 
     def _follower_place(self) -> int:
         """Return this agent's place among those that follow the store, -1 if none."""
-        return elected(self._peers, self._settings.vm, self._now())
+        return self._place(self._role.unserved)
+
+    def _place(self, unserved: bool) -> int:
+        return elected(self._peers, self._settings.vm, self._now(), unserved)
+
+    def _is_elected(self, unserved: bool) -> bool:
+        return self._place(unserved) >= 0
 
     # Membership.
 
@@ -164,6 +171,7 @@
             revision=self._state.revision,
             departed=sorted(self._vm_watch.departed),
             leaving_vms=sorted(self._vm_watch.leaving),
+            unserved=self._role.unserved,
         )
         r = self._gates.fresh_report(now)
         if r is not None:
--- a/leverdoor/entry/membership/store_role.py
+++ b/leverdoor/entry/membership/store_role.py
@@ -40,6 +40,7 @@
 from leverdoor.entry.membership.peer_record import NEVER
 from leverdoor.entry.membership.roles import Roles
 from leverdoor.entry.settings import EntrySettings
+from leverdoor.storage.served import LEAST_OF_MEAN, Served
 
 __all__ = ["STALE_S", "StoreRole"]
 
@@ -82,8 +83,6 @@
 """
 ASK_AGAIN_S = 1.0
 """Least mean pause after an entry asked in vain until it asks again, in seconds."""
-LEAST_OF_MEAN = 0.5
-"""Shortest pause as a part of the mean; the longest is as much above it."""
 OUT_OF_TURN = 2
 """Times as many entries of a region as follow the store may do so out of turn.
 
@@ -96,17 +95,6 @@
 Until the followers before it have told that they are not served, or are served again.
 Longer, more entries watch the store after a trouble.
 """
-TRY_AGAIN_S = 5.0
-"""Mean pause after which an entry that is not served tries to follow again, in seconds.
-
-Longer, a follower with a wide link stays replaced by one with a narrower link; shorter,
-more calls to a store that does not answer it.
-"""
-UNSERVED_S = 10.0
-"""How long an entry counts as not served after a call that failed, in seconds.
-
-Beyond the longest pause until its next try, if it is to try at all.
-"""
 
 
 class StoreRole:
@@ -138,22 +126,21 @@
         self._settings = settings
         self._rng = rng
         self._out_of_turn_until = NEVER
-        self._unserved_until = NEVER
-        self._try_at = NEVER
+        self._served = Served(rng)
         self._ask_at = NEVER
         self._asks = False
         """Whether it asks out of turn now."""
 
     def unserved(self, now: float) -> bool:
         """Return whether the store did not answer this entry lately."""
-        return now < self._unserved_until
+        return self._served.is_unserved(now)
 
     def follows(self, now: float) -> bool:
         """Return whether this entry follows the store now."""
         if now < self._out_of_turn_until:
             return True
         followers = self._settings().watchers
-        if self.unserved(now) and now >= self._try_at:
+        if self._served.may_try(now):
             return self._roles.follows_store(followers, now)
         return self._roles.follows_store(
             followers, now, self._unserved.all_known(now), self.unserved(now)
@@ -193,16 +180,13 @@
         regions = len(self._membership.live_regions(now))
         return regions / (share * self._settings().store_reads_per_s)
 
-    def _pause_s(self, mean_s: float) -> float:
-        return mean_s * (LEAST_OF_MEAN + self._rng.random())
-
     def asked(self) -> None:
         """Record that this entry begins to ask out of turn."""
         self._asks = True
 
     def answered(self, now: float) -> None:
         """Record that the store answered this entry."""
-        self._unserved_until = NEVER
+        self._served.answered()
         if self._asks and self._place(now) < OUT_OF_TURN * self._settings().watchers:
             self._out_of_turn_until = now + OUT_OF_TURN_S
         self._asks = False
@@ -212,11 +196,11 @@
         if self._asks:
             reads_per_s = ASK_SHARE * self._settings().store_reads_per_s
             mean_s = self._membership.count / reads_per_s
-            self._ask_at = now + self._pause_s(max(ASK_AGAIN_S, mean_s))
+            spread = LEAST_OF_MEAN + self._rng.random()
+            self._ask_at = now + max(ASK_AGAIN_S, mean_s) * spread
         self._asks = False
-        self._unserved_until = now + UNSERVED_S
+        self._served.failed(now)
         self._out_of_turn_until = NEVER
-        self._try_at = now + self._pause_s(TRY_AGAIN_S)
 
     def wait_s(self, now: float, time_of_day: float) -> float:
         """Return how long a watch that begins now may wait, in seconds.
--- a/leverdoor/membership/peers.py
+++ b/leverdoor/membership/peers.py
@@ -110,6 +110,8 @@
     departed: list[str] = []
     leaving_vms: list[str] = []
     draining: dict[str, int] = {}
+    unserved: bool = False
+    """Whether the store does not answer the agent."""
 
     def newer(self, other: "AgentHeartbeat") -> bool:
         """Return whether this heartbeat supersedes another of the same VM."""
--- a/leverdoor/storage/following.py
+++ b/leverdoor/storage/following.py
@@ -17,6 +17,7 @@
 
 from leverdoor.errors import Code, LeverdoorError, StoreUnavailable
 from leverdoor.membership.peers import Peers
+from leverdoor.storage.served import Served
 from leverdoor.storage.state import PREFIX, State
 from leverdoor.storage.store import Event, Store
 
@@ -73,33 +74,65 @@
 
 
 class ElectedRole(FollowerRole):
-    """Follows while it is elected to."""
+    """Follows while it is elected to, and the store answers it."""
 
-    def __init__(self, is_elected: Callable[[], bool]) -> None:
+    def __init__(
+        self, is_elected: Callable[[bool], bool], now: Callable[[], float], rng: Random
+    ) -> None:
         """Create it.
 
         Args:
-          is_elected: whether this process should watch now.
+          is_elected: whether this process should watch now, given whether the store
+            does not answer it.
+          now: returns monotonic time in seconds.
+          rng: spreads the tries of a process that is not served.
         """
         self._is_elected = is_elected
+        self._now = now
+        self._served = Served(rng)
+
+    @property
+    def unserved(self) -> bool:
+        """Return whether the store did not answer this process lately."""
+        return self._served.is_unserved(self._now())
 
     def follows(self) -> bool:
-        """Return whether it is to watch the store now."""
-        return self._is_elected()
+        """Return whether it is to watch the store now, or to try whether it can."""
+        tries = self._served.may_try(self._now())
+        return self._is_elected(self.unserved and not tries)
+
+    def answered(self) -> None:
+        """Take note that the store answered."""
+        self._served.answered()
+
+    def failed(self) -> None:
+        """Take note that the store did not answer."""
+        self._served.failed(self._now())
 
 
 class _WatchOverdueError(Exception):
     """A watch is silent while what is held is older than it should be."""
 
 
-def elected(peers: Peers, vm: str, now: float) -> int:
+def elected(peers: Peers, vm: str, now: float, unserved: bool = False) -> int:
     """Return this agent's place among its region's followers of the store, or -1.
 
-    Every agent orders the live VMs of its region by the same hash, so that a few
-    watch the store and pass changes on to the rest. Two agents that see different
-    peers may both elect themselves; that costs a waiting call, no more.
+    Every agent orders the live VMs of its region by the same hash, those aside that the
+    store does not answer, so that a few watch the store and pass changes on to the
+    rest. Two agents that see different peers may both elect themselves; that costs a
+    waiting call, no more. While the store answers none of them, all count.
+
+    Args:
+      peers: what this agent knows of the others.
+      vm: this agent's.
+      now: monotonic time in seconds.
+      unserved: whether the store does not answer this agent.
     """
-    names = {b.vm for b in peers.live_near(now)} | {vm}
+    live = [b for b in peers.live_near(now) if b.vm != vm]
+    served = {b.vm for b in live if not b.unserved}
+    if unserved and served:
+        return -1
+    names = {vm} | ({b.vm for b in live} if unserved else served)
     ranked = sorted(names, key=lambda n: xxhash.xxh3_64_intdigest(n.encode()))
     place = ranked.index(vm)
     return place if place < WATCHERS else -1
--- a/tests/test_store_role.py
+++ b/tests/test_store_role.py
@@ -16,16 +16,15 @@
 from leverdoor.entry.membership.store_role import (
     ASK_AGAIN_S,
     CONFIRM_EVERY_S,
-    LEAST_OF_MEAN,
     LONGEST_WAIT_S,
     OUT_OF_TURN_S,
     SHORTEST_WAIT_S,
     STALE_S,
-    TRY_AGAIN_S,
     StoreRole,
 )
 from leverdoor.entry.settings import EntrySettings
 from leverdoor.settings import Address
+from leverdoor.storage.served import LEAST_OF_MEAN, TRY_AGAIN_S
 
 REGIONS = ("a", "b", "c")
 HERE = Address("127.0.0.1", 1)
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -183,6 +183,7 @@
     departed=["vm8|10.0.0.8:80|1"],
     leaving_vms=["vm9"],
     draining={"t1": 2},
+    unserved=True,
 )
 HINTS = Hints(
     heartbeats=[GATE_HEARTBEAT],
