--- a/leverdoor/commands/soak.py
+++ b/leverdoor/commands/soak.py
@@ -24,6 +24,7 @@
 @click.option("--fatal", type=click.IntRange(0, 10), default=0, help="Requests.")
 @click.option("--limits", type=click.IntRange(0, 6), default=0, help="Targets.")
 @click.option("--cuts", type=click.IntRange(0, 1_000), default=0, help="Of ways.")
+@click.option("--entries", type=click.IntRange(1, 40), default=None, help="A region.")
 @click.option("--logs", type=click.Path(path_type=Path), help="Keep logs of failures.")
 def soak(
     seed: int | None,
@@ -33,6 +34,7 @@
     fatal: int,
     limits: int,
     cuts: int,
+    entries: int | None,
     logs: Path | None,
 ) -> None:
     """Play soaks one after the other; a line of JSON for each.
@@ -43,11 +45,15 @@
     must be in force in time.
     """
     from leverdoor.standins.soak.run import Soak
+    from leverdoor.standins.soak.site import SoakSite
 
     first = time.time_ns() % 1_000_000_007 if seed is None else seed
     broken = 0
     for number in range(first, first + count):
-        soak = Soak(number, seconds, troubles, fatal=fatal, limits=limits, cuts=cuts)
+        site = SoakSite(entries) if entries is not None else None
+        soak = Soak(
+            number, seconds, troubles, site, fatal=fatal, limits=limits, cuts=cuts
+        )
         verdict = asyncio.run(soak.run(logs))
         broken += bool(verdict.breaches)
         click.echo(msgspec.json.encode(verdict).decode())
