--- a/leverdoor/entry/membership/store_role.py
+++ b/leverdoor/entry/membership/store_role.py
@@ -18,13 +18,16 @@
 | at most | step |
 | --- | --- |
 | 1.2 | `STALE_S`: the answer that an entry knows is older than the change |
-| 0.1 | two places in the order of asking, `RANK_STEP_S` each |
+| 0.1 | the messages that told it, by which the age is too small |
+| 0.1 | three places in the order of asking, `RANK_STEP_S` each |
 | 0.1 | `storage.following.POLL_S`: the age is looked at |
-| 0.25 | a new connection to a store in another region, and the answer |
-| 0.15 | `peer_link.BUSY_NEWS_S`: news to entries that it does not answer |
-| 0.2 | their fetch |
+| 0.2 | a new connection to a store in another region, and the answer |
+| 0.15 | `peer_link.BUSY_NEWS_S`: news to entries that the store does not answer |
+| 0.15 | their fetch |
 | 2.0 | |
 
+A first packet that is lost on the way to the store adds the time of that call, 0.9 s.
+
 Owns until when this entry follows out of turn, and since when the store does not answer
 it; lost with the process. Relies on `Confirmation` for the age, on `Roles` for the
 order, on `UnservedEntries` for who is not served. Pure but for the chance passed in;
