--- a/benchmarks/emulated_following.py
+++ b/benchmarks/emulated_following.py
@@ -334,7 +334,7 @@
             if to in self.stuck or not self._site.connects(self._name, to):
                 await _silence()
             delta = peer.state.delta(since)
-            self._site.fetched_bytes += len(pack(delta))
+            self._site.note_fetch(self._name, to, len(pack(delta)))
             await asyncio.sleep(delay_s)
             if not self._site.connects(self._name, to):
                 await _silence()
@@ -492,6 +492,9 @@
         """Pairs of entries; nothing that the first sends reaches the second."""
         self.changes: list[Change] = []
         self.fetched_bytes = 0
+        """Of all fetches, before compression."""
+        self.crossed_bytes = 0
+        """Of those that crossed regions."""
         self._in_force: dict[str, int] = {}
         self.entries: dict[str, FollowingEntry] = {}
         for i in range(entries):
@@ -548,6 +551,12 @@
         if take is not None:
             take(message)
 
+    def note_fetch(self, a: str, b: str, size: int) -> None:
+        """Count the bytes of an entry's fetch from another."""
+        self.fetched_bytes += size
+        if self.entries[a].member.region != self.entries[b].member.region:
+            self.crossed_bytes += size
+
     def cut(self, senders: Iterable[str], to: Iterable[str]) -> None:
         """Lose what some entries send to others."""
         receivers = list(to)
--- a/benchmarks/following.py
+++ b/benchmarks/following.py
@@ -42,6 +42,11 @@
 """Time after a trouble in which changes may still come into force."""
 MIX_S = 20.0
 """Length of a random mix of cuts."""
+LARGE_CHANGES = 30
+LARGE_BYTES = 100_000
+"""Size of each."""
+LARGE_GAP_S = 0.33
+"""Time between two of them."""
 
 
 class Figures(msgspec.Struct):
@@ -287,6 +292,26 @@
     return found / seconds
 
 
+async def copies_of_large_changes(entries: int) -> tuple[float, float]:
+    """Return how often a change's bytes are fetched, and cross regions, by entries.
+
+    Beside them the store sends each change to the followers of all regions.
+    """
+    site = FollowingSite(entries)
+    await site.start()
+    fetched, crossed = site.fetched_bytes, site.crossed_bytes
+    for _ in range(LARGE_CHANGES):
+        site.change(LARGE_BYTES)
+        await asyncio.sleep(LARGE_GAP_S)
+    await asyncio.sleep(AFTER_S)
+    await site.stop()
+    all_bytes = LARGE_CHANGES * LARGE_BYTES
+    return (
+        (site.fetched_bytes - fetched) / all_bytes,
+        (site.crossed_bytes - crossed) / all_bytes,
+    )
+
+
 @click.command()
 @click.option("--entries", default=12, help="How many entries, in three regions.")
 @click.option("--row", "only", multiple=True, help="Rows to play; all if left out.")
@@ -306,6 +331,10 @@
     if not only:
         calls = run_virtual(calm_calls(entries))
         click.echo(f"{entries} entries, no changes: {calls:.1f} calls/s")
+        fetched, crossed = run_virtual(copies_of_large_changes(entries))
+        click.echo(
+            f"a change is fetched {fetched:.1f} times, {crossed:.1f} between regions"
+        )
     for name, play_row in plays.items():
         if only and name not in only:
             continue
