A watch's first call that gets no answer is made again over another connection

On real TCP the first packet of a connection may be lost; it is sent again after a second, later than the 0.9 s that the call had, and a kept connection may be silent. An entry that asked the store out of turn was then later by the whole time of the call and a pause. Now the call is made again after 0.45 s; refusals and resets are not. What entries may ask while the store answers nobody counts both calls.

--- a/benchmarks/emulated_following.py
+++ b/benchmarks/emulated_following.py
@@ -46,7 +46,7 @@
 from leverdoor.entry.wire import Configured
 from leverdoor.errors import StoreUnknown
 from leverdoor.platform.names import wire
-from leverdoor.platform.store import IDLE_S, PlatformStore
+from leverdoor.platform.store import IDLE_S, NoAnswer, PlatformStore
 from leverdoor.settings import Address
 from leverdoor.storage.fetching import SILENCE_S
 from leverdoor.storage.state import Delta, State
@@ -62,6 +62,8 @@
 """Most by which a round comes late, in seconds."""
 SWEEP_ROUNDS = 5
 """Rounds between two clean-ups."""
+SENT_AGAIN_S = 1.0
+"""Time after which TCP sends the first packet of a connection again, in seconds."""
 PREFIX = "entry/"
 """Of the entries' registrations."""
 SPREAD_MBPS = 8
@@ -215,22 +217,26 @@
 class StoreWay(PlatformStore):
     """The product's client of the store, over an emulated way."""
 
-    def __init__(self, store: EmulatedStore, delay_s: float) -> None:
+    def __init__(self, store: EmulatedStore, delay_s: float, rng: Random) -> None:
         """Create it.
 
         Args:
           store: what it reaches.
           delay_s: one-way delay in seconds.
+          rng: draws which first packets are lost.
         """
         super().__init__("emulated:1")
         self._emulated = store
         self._delay_s = delay_s
+        self._rng = rng
         self._connected = False
         self._used_at = 0.0
         self._reset = asyncio.Event()
         self.fault = WayFault.NONE
         self.stuck = False
         """The kept connection is silent for good; a new one works."""
+        self.first_packet_loss = 0.0
+        """Chance that a connection's first packet is lost and sent again after 1 s."""
 
     def set_fault(self, fault: WayFault) -> None:
         """Set what happens to calls from now on, and to those under way."""
@@ -254,7 +260,10 @@
         try:
             async with asyncio.timeout(timeout_s):
                 return await self._unless_reset(self._exchange(call, query, body))
-        except (TimeoutError, ConnectionResetError) as e:
+        except TimeoutError as e:
+            self._forget_connection()
+            raise NoAnswer(f"{call}: {e!r}") from None
+        except ConnectionResetError as e:
             self._forget_connection()
             raise StoreUnknown(f"{call}: {e!r}") from None
         except asyncio.CancelledError:
@@ -286,6 +295,8 @@
         now = asyncio.get_running_loop().time()
         if now - self._used_at > IDLE_S:
             self._forget_connection()
+        if not self._connected and self._rng.random() < self.first_packet_loss:
+            await asyncio.sleep(SENT_AGAIN_S)
         trips = 1 if self._connected else 3
         await asyncio.sleep(self._delay_s * trips)
         if self.fault is WayFault.SILENT or self.stuck or self._emulated.down:
@@ -358,7 +369,7 @@
         self._site = site
         self._rng = rng
         self.member = member
-        self.store = StoreWay(site.store, site.store_delay_s(member.region))
+        self.store = StoreWay(site.store, site.store_delay_s(member.region), rng)
         self.network = EmulatedNetwork(site, member.name)
         self.state = State()
         self._tasks: list[asyncio.Task[None]] = []
--- a/benchmarks/following.py
+++ b/benchmarks/following.py
@@ -153,6 +153,12 @@
     return []
 
 
+def first_packets_lost(site: FollowingSite) -> list[str]:
+    for entry in site.entries.values():
+        entry.store.first_packet_loss = 0.3
+    return unserved_followers(WayFault.SILENT, site)
+
+
 def lossy(site: FollowingSite) -> list[str]:
     site.loss = 0.05
     return []
@@ -166,6 +172,7 @@
         LONG_S,
         partial(unserved_followers, WayFault.SILENT),
     ),
+    "the same, first packets lost": (LONG_S, first_packets_lost),
     "resets": (LONG_S, partial(unserved_followers, WayFault.RESET)),
     "503": (LONG_S, partial(unserved_followers, WayFault.BUSY)),
     "429": (LONG_S, partial(unserved_followers, WayFault.TURNED_AWAY)),
--- a/leverdoor/entry/membership/store_role.py
+++ b/leverdoor/entry/membership/store_role.py
@@ -19,14 +19,15 @@
 | --- | --- |
 | 1.2 | `STALE_S`: the answer that an entry knows is older than the change |
 | 0.1 | the messages that told it, by which the age is too small |
-| 0.1 | three places in the order of asking, `RANK_STEP_S` each |
+| 0.1 | two places in the order of asking, by `ASK_SHARE` |
 | 0.1 | `storage.following.POLL_S`: the age is looked at |
 | 0.2 | a new connection to a store in another region, and the answer |
 | 0.15 | `peer_link.BUSY_NEWS_S`: news to entries that the store does not answer |
 | 0.15 | their fetch |
 | 2.0 | |
 
-A first packet that is lost on the way to the store adds the time of that call, 0.9 s.
+A first packet that is lost on the way to the store adds 0.45 s, until that call is made
+again.
 
 Owns until when this entry follows out of turn, and since when the store does not answer
 it; lost with the process. Relies on `Confirmation` for the age, on `Roles` for the
@@ -78,6 +79,8 @@
 Half of what they may take while it answers nobody: the rest is for followers and
 starts. Greater, its return is noticed sooner by more calls than it needs.
 """
+ASK_CALLS = 2
+"""Calls that an entry makes as it asks in vain: the first one is made again."""
 ALONE_SHARE = 0.5
 """The same where others know newer answers, which this entry can't fetch.
 
@@ -181,7 +184,7 @@
           now: monotonic time in seconds.
         """
         regions = len(self._membership.live_regions(now))
-        return regions / (share * self._settings().store_reads_per_s)
+        return regions * ASK_CALLS / (share * self._settings().store_reads_per_s)
 
     def asked(self) -> None:
         """Record that this entry begins to ask out of turn."""
@@ -198,7 +201,7 @@
         """Record that the store did not answer this entry."""
         if self._asks:
             reads_per_s = ASK_SHARE * self._settings().store_reads_per_s
-            mean_s = self._membership.count / reads_per_s
+            mean_s = self._membership.count * ASK_CALLS / reads_per_s
             spread = LEAST_OF_MEAN + self._rng.random()
             self._ask_at = now + max(ASK_AGAIN_S, mean_s) * spread
         self._asks = False
--- a/leverdoor/platform/store.py
+++ b/leverdoor/platform/store.py
@@ -24,7 +24,7 @@
     Write,
 )
 
-__all__ = ["PlatformStore"]
+__all__ = ["IDLE_S", "NoAnswer", "PlatformStore"]
 
 T = TypeVar("T")
 
@@ -35,8 +35,16 @@
 
 Greater, a silent store is noticed later; smaller, each follower makes more calls.
 """
-FIRST_WAIT_MS = 150
+FIRST_WAIT_MS = 50
 """Wait of a watch's first call in ms: the return of a lost store shows soon."""
+FIRST_ANSWER_S = 0.4
+"""Time beyond that wait after which the first call is made again, in seconds.
+
+Over another connection: the first packet of one may be lost, which TCP sends again
+after a second, or a kept one may have gone silent. Two round trips between regions and
+a slow store's answer fit. Shorter, more calls to a slow store; longer, an entry that
+asks out of turn is later by as much.
+"""
 WATCH_SLACK_S = 0.75
 """Time beyond that wait after which the store counts as silent, in seconds.
 
@@ -108,6 +116,10 @@
     lease: int
 
 
+class NoAnswer(StoreUnknown):
+    """No answer came within the time of a call."""
+
+
 class PlatformStore(LeasingStore):
     """The store over HTTP; each method is one call, `read` one for each page."""
 
@@ -150,7 +162,7 @@
         after = ""
         while True:
             page_query = query | ({"after": after} if after else {})
-            data = await self._read("kv-range", page_query, CALL_TIMEOUT_S)
+            data = await self._read("kv-range", page_query, [CALL_TIMEOUT_S])
             page = _parse(data, _Range)
             revision = revision or page.at
             found.update((i.key, i.key_value()) for i in page.items)
@@ -166,14 +178,16 @@
     ) -> AsyncIterator[list[Event]]:
         """Yield the changes after a revision; an empty list when there are none."""
         wait_ms = FIRST_WAIT_MS
+        patience_s = [FIRST_ANSWER_S, WATCH_SLACK_S]
         while True:
             query = {
                 "path-prefix": prefix,
                 "after": str(after),
                 "wait-ms": str(wait_ms),
             }
-            timeout_s = wait_ms / 1000 + WATCH_SLACK_S
-            found = _parse(await self._read("kv-watch", query, timeout_s), _Events)
+            timeouts_s = [wait_ms / 1000 + s for s in patience_s]
+            patience_s = [WATCH_SLACK_S]
+            found = _parse(await self._read("kv-watch", query, timeouts_s), _Events)
             after = max(after, found.at)
             yield [i.event() for i in found.events]
             if found.events:
@@ -230,10 +244,35 @@
         _check(status, "kv-txn")
         return Commit(True, _parse(data, _Done).revision)
 
-    async def _read(self, call: str, query: dict[str, str], timeout_s: float) -> bytes:
-        """Make a call that changes nothing: a lost answer is as good as no call."""
+    async def _read(
+        self, call: str, query: dict[str, str], timeouts_s: Sequence[float]
+    ) -> bytes:
+        """Make a call that changes nothing: a lost answer is as good as no call.
+
+        Args:
+          call: its name.
+          query: its parameters.
+          timeouts_s: longest time of each try, in seconds; only a call that got no
+            answer in time is tried again.
+        """
+        *first, last = timeouts_s
+        for timeout_s in first:
+            try:
+                return await self._read_once(call, query, timeout_s)
+            except NoAnswer:
+                continue
+        try:
+            return await self._read_once(call, query, last)
+        except NoAnswer as e:
+            raise StoreUnavailable(e.detail) from None
+
+    async def _read_once(
+        self, call: str, query: dict[str, str], timeout_s: float
+    ) -> bytes:
         try:
             status, data = await self._call("GET", call, query, None, timeout_s)
+        except NoAnswer:
+            raise
         except StoreUnknown as e:
             raise StoreUnavailable(e.detail) from None
         if status == 410:
@@ -258,7 +297,7 @@
 
         Raises:
           StoreUnavailable: no connection was opened.
-          StoreUnknown: the answer was lost.
+          StoreUnknown: the answer was lost, or did not come in time.
         """
         self.calls += 1
         headers = {} if body is None else {"Content-Type": "application/json"}
@@ -274,7 +313,9 @@
                 return answer.status, await answer.read()
         except aiohttp.ClientConnectorError as e:
             raise StoreUnavailable(f"{call}: {e}") from None
-        except (aiohttp.ClientError, OSError, TimeoutError) as e:
+        except TimeoutError as e:
+            raise NoAnswer(f"{call}: {e!r}") from None
+        except (aiohttp.ClientError, OSError) as e:
             raise StoreUnknown(f"{call}: {e!r}") from None
 
 
--- a/leverdoor/storage/following.py
+++ b/leverdoor/storage/following.py
@@ -36,10 +36,10 @@
 POLL_S = 0.1
 """Seconds between two looks at whether to follow or to ask: part of the time until a
 change is in force that nobody passed on, at no cost to the store."""
-OVERDUE_S = 1.0
+OVERDUE_S = 1.4
 """Time after which a watch may be given up, in seconds.
 
-Beyond the time of a call that need not wait, so that a store that is down is found by
+Beyond the time of a first call, tried twice, so that a store that is down is found by
 its calls. Longer, a kept connection that went silent costs as much.
 """
 
