--- a/leverdoor/entry/control_plane.py
+++ b/leverdoor/entry/control_plane.py
@@ -24,8 +24,8 @@
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.membership.registration import Registration, retry_pause_s
 from leverdoor.entry.membership.roles import Roles
-from leverdoor.entry.membership.store_role import StoreRole
 from leverdoor.entry.settings import EntrySettings
+from leverdoor.entry.store_role import StoreRole
 from leverdoor.storage.following import FollowerRole, StoreFollower
 from leverdoor.storage.state import State
 
--- a/leverdoor/platform/store.py
+++ b/leverdoor/platform/store.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Sequence
 from typing import TypeVar
 
 import aiohttp
@@ -21,7 +21,9 @@
     KeyValue,
     LeasingStore,
     Listing,
+    Wait,
     Write,
+    own_wait,
 )
 
 __all__ = ["IDLE_S", "NoAnswer", "PlatformStore"]
@@ -171,10 +173,7 @@
             after = page.items[-1].key
 
     async def watch(
-        self,
-        prefix: str,
-        after: int,
-        wait_s: Callable[[], float | None] = lambda: None,
+        self, prefix: str, after: int, wait_s: Wait = own_wait
     ) -> AsyncIterator[list[Event]]:
         """Yield the changes after a revision; an empty list when there are none."""
         wait_ms = FIRST_WAIT_MS
--- a/leverdoor/storage/etcd.py
+++ b/leverdoor/storage/etcd.py
@@ -8,7 +8,7 @@
 """
 
 import base64
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Sequence
 from typing import TypeVar
 
 import aiohttp
@@ -23,7 +23,9 @@
     KeyValue,
     Listing,
     Store,
+    Wait,
     Write,
+    own_wait,
 )
 
 __all__ = ["EtcdStore", "from_base64", "key_text", "to_base64"]
@@ -82,10 +84,7 @@
         return Commit(answer.succeeded, answer.header.revision)
 
     async def watch(
-        self,
-        prefix: str,
-        after: int,
-        wait_s: Callable[[], float | None] = lambda: None,
+        self, prefix: str, after: int, wait_s: Wait = own_wait
     ) -> AsyncIterator[list[Event]]:
         """Yield the changes after a revision."""
         create = {
--- a/leverdoor/storage/store.py
+++ b/leverdoor/storage/store.py
@@ -11,6 +11,7 @@
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import AsyncIterator, Callable, Sequence
+from typing import TypeAlias
 
 import msgspec
 
@@ -24,7 +25,9 @@
     "Listing",
     "MemoryStore",
     "Store",
+    "Wait",
     "Write",
+    "own_wait",
 ]
 
 WATCH_SILENCE_S = 6.0
@@ -35,6 +38,15 @@
 gets COMPACTED, as from the real service."""
 
 
+Wait: TypeAlias = Callable[[], float | None]
+"""Returns how long a watch may wait at the service, in seconds; None for the client's
+own time."""
+
+
+def own_wait() -> None:
+    """Leave the wait of a watch to the client."""
+
+
 class KeyValue(msgspec.Struct, frozen=True, array_like=True):
     """One key as it stands."""
 
@@ -107,10 +119,7 @@
 
     @abstractmethod
     def watch(
-        self,
-        prefix: str,
-        after: int,
-        wait_s: Callable[[], float | None] = lambda: None,
+        self, prefix: str, after: int, wait_s: Wait = own_wait
     ) -> AsyncIterator[list[Event]]:
         """Yield the changes after a revision, whole transactions at a time.
 
@@ -119,9 +128,8 @@
         Args:
           prefix: of the keys.
           after: the revision.
-          wait_s: returns, at each call, how long the service may wait before it says
-            that there is nothing, in seconds; None for the client's own time. Clients
-            whose watch is one long call do not use it.
+          wait_s: asked before each call how long the service may wait before it says
+            that there is nothing; not by clients whose watch is one long call.
         Raises:
           StoreUnavailable: the watch ended.
           LeverdoorError: COMPACTED, list again.
@@ -220,10 +228,7 @@
         self._changed = asyncio.Event()
 
     async def watch(
-        self,
-        prefix: str,
-        after: int,
-        wait_s: Callable[[], float | None] = lambda: None,
+        self, prefix: str, after: int, wait_s: Wait = own_wait
     ) -> AsyncIterator[list[Event]]:
         """Yield the changes after a revision."""
         self.waiting += 1
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from random import Random
 
 import msgspec
@@ -26,7 +26,7 @@
 )
 from leverdoor.storage.served import LEAST_OF_MEAN, TRY_AGAIN_S
 from leverdoor.storage.state import State
-from leverdoor.storage.store import Event, MemoryStore, Write
+from leverdoor.storage.store import Event, MemoryStore, Wait, Write, own_wait
 
 VMS = [f"vm{i}" for i in range(5)]
 NOW = 50.0
@@ -111,10 +111,7 @@
         self.watches = 0
 
     async def watch(
-        self,
-        prefix: str,
-        after: int,
-        wait_s: Callable[[], float | None] = lambda: None,
+        self, prefix: str, after: int, wait_s: Wait = own_wait
     ) -> AsyncIterator[list[Event]]:
         self.watches += 1
         if self.watches == 1:
@@ -149,10 +146,7 @@
     """A store that refuses all reads and watches."""
 
     async def watch(
-        self,
-        prefix: str,
-        after: int,
-        wait_s: Callable[[], float | None] = lambda: None,
+        self, prefix: str, after: int, wait_s: Wait = own_wait
     ) -> AsyncIterator[list[Event]]:
         raise StoreUnavailable("down")
         yield []
--- a/tests/test_store_role.py
+++ b/tests/test_store_role.py
@@ -13,7 +13,8 @@
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.membership.peer_record import LastSeen
 from leverdoor.entry.membership.roles import Roles
-from leverdoor.entry.membership.store_role import (
+from leverdoor.entry.settings import EntrySettings
+from leverdoor.entry.store_role import (
     ASK_AGAIN_S,
     CONFIRM_EVERY_S,
     LONGEST_WAIT_S,
@@ -22,7 +23,6 @@
     STALE_S,
     StoreRole,
 )
-from leverdoor.entry.settings import EntrySettings
 from leverdoor.settings import Address
 from leverdoor.storage.served import LEAST_OF_MEAN, TRY_AGAIN_S
 
