--- a/benchmarks/emulated_following.py
+++ b/benchmarks/emulated_following.py
@@ -6,24 +6,20 @@
 client of the platform's store. Emulated are the clock, the ways between entries and to
 the store, and the store. No request is played.
 
-State: the clock, the store's keys and history, the faults of all ways, and when each
-change was in force at each entry; all of it lasts one run.
+State: the ways between entries and what is cut of them, and when each change was in
+force at each entry; all of it lasts one run. Relies on `virtual_clock` for the clock
+and on `emulated_store` for the store.
 """
 
 import asyncio
-import base64
 import os
-import selectors
-from bisect import bisect_right
-from collections import Counter
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from enum import StrEnum
 from random import Random
-from typing import Any
 
 import msgspec
 
-from leverdoor.codec import pack, serialize_json
+from emulated_store import EmulatedStore, StoreWay, WayFault
+from leverdoor.codec import pack
 from leverdoor.entry.configuration.catalog import Catalog
 from leverdoor.entry.configuration.catalog_keeper import CatalogKeeper
 from leverdoor.entry.configuration.confirmation import NUMBER_BITS, Confirmation
@@ -44,15 +40,13 @@
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.settings import EntrySettings
 from leverdoor.entry.wire import Configured
-from leverdoor.errors import StoreUnknown
 from leverdoor.platform.names import wire
-from leverdoor.platform.store import IDLE_S, NoAnswer, PlatformStore
 from leverdoor.settings import Address
 from leverdoor.storage.fetching import SILENCE_S
 from leverdoor.storage.state import Delta, State
 from leverdoor.storage.store import KeyValue
 
-__all__ = ["Change", "FollowingSite", "VirtualLoop", "WayFault", "run_virtual"]
+__all__ = ["Change", "FollowingSite"]
 
 NEAR_S = 0.001
 """One-way delay within a region, in seconds."""
@@ -62,62 +56,12 @@
 """Most by which a round comes late, in seconds."""
 SWEEP_ROUNDS = 5
 """Rounds between two clean-ups."""
-SENT_AGAIN_S = 1.0
-"""Time after which TCP sends the first packet of a connection again, in seconds."""
 PREFIX = "entry/"
 """Of the entries' registrations."""
 SPREAD_MBPS = 8
 """Links of the entries of a region differ by up to so many steps."""
 
 
-class VirtualLoop(asyncio.SelectorEventLoop):
-    """An event loop whose clock jumps to what is due next."""
-
-    def __init__(self) -> None:
-        """Create it at time 0."""
-        self.jumping = _JumpingSelector()
-        super().__init__(self.jumping)
-
-    def time(self) -> float:
-        """Return the fake time in seconds."""
-        return self.jumping.now
-
-
-class _JumpingSelector(selectors.SelectSelector):
-    """Takes no time to wait."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.now = 1_000.0
-
-    def select(
-        self, timeout: float | None = None
-    ) -> list[tuple[selectors.SelectorKey, int]]:
-        if timeout is None:
-            raise RuntimeError("nothing is due")
-        self.now += max(timeout, 0.0)
-        return []
-
-
-def run_virtual(main: Any) -> Any:
-    """Run a coroutine to its end on a fake clock."""
-    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
-        return runner.run(main)
-
-
-class WayFault(StrEnum):
-    """What happens to the calls of one entry to the store."""
-
-    NONE = "none"
-    SILENT = "silent"
-    """Calls do not arrive, and nothing says so."""
-    ANSWERS_LOST = "answers-lost"
-    """Calls arrive and are done; answers do not come back."""
-    RESET = "reset"
-    BUSY = "503"
-    TURNED_AWAY = "429"
-
-
 class Change(msgspec.Struct):
     """One change of the store, and when it was in force at each entry."""
 
@@ -128,193 +72,6 @@
     """By entry, the first time at which its state included it."""
 
 
-class EmulatedStore:
-    """The platform's store: keys, history, and calls counted."""
-
-    def __init__(self) -> None:
-        """Create an empty store at revision 1."""
-        self.revision = 1
-        self.down = False
-        """Nobody is answered."""
-        self.calls: Counter[str] = Counter()
-        self.call_times: list[float] = []
-        """When each watch and each listing that is not stale was begun, also those
-        that did not arrive."""
-        self._items: dict[str, KeyValue] = {}
-        self._history: list[tuple[int, dict[str, object]]] = []
-        self._kept_after = 1
-        self._leases = 0
-        self._changed = asyncio.Event()
-
-    def put(self, key: str, value: bytes, lease: int = 0) -> int:
-        """Write one key; returns the revision."""
-        self.revision += 1
-        self._items[key] = KeyValue(key, value, self.revision, lease)
-        self._history.append((self.revision, _shown(self._items[key])))
-        self._changed.set()
-        self._changed = asyncio.Event()
-        return self.revision
-
-    def forget_history(self) -> None:
-        """Drop what watches could have continued from."""
-        self._history.clear()
-        self._kept_after = self.revision
-        self._changed.set()
-        self._changed = asyncio.Event()
-
-    async def answer(
-        self, call: str, query: Mapping[str, str], body: Any
-    ) -> tuple[int, bytes]:
-        """Do a call."""
-        kind = call.partition("/")[0]
-        self.calls[kind + (" stale" if query.get("stale") else "")] += 1
-        if kind == "kv-watch":
-            return await self._watch(int(query["after"]), int(query["wait-ms"]))
-        if kind == "kv-range":
-            return 200, self._range(query["path-prefix"])
-        if kind == "kv-lease":
-            self._leases += 1
-            return 200, serialize_json({"lease": self._leases})
-        if kind == "kv-txn":
-            for put in body["put"]:
-                self.put(put["private-key"], put["value"], put["lease"])
-            return 200, serialize_json({"revision": self.revision})
-        return 200, b"{}"
-
-    def _range(self, prefix: str) -> bytes:
-        found = [_shown(v) for k, v in self._items.items() if k.startswith(prefix)]
-        return serialize_json({"items": found, "more": False, "at": self.revision})
-
-    async def _watch(self, after: int, wait_ms: int) -> tuple[int, bytes]:
-        loop = asyncio.get_running_loop()
-        until = loop.time() + wait_ms / 1000
-        while True:
-            if after < self._kept_after:
-                return 410, b""
-            changed = self._changed
-            first = bisect_right(self._history, after, key=lambda e: e[0])
-            found = [event for _, event in self._history[first:]]
-            left = until - loop.time()
-            if found or left <= 0:
-                body = {"events": found, "at": self.revision}
-                return 200, serialize_json(body)
-            try:
-                async with asyncio.timeout(left):
-                    await changed.wait()
-            except TimeoutError:
-                continue
-
-
-def _shown(item: KeyValue) -> dict[str, object]:
-    return {
-        "private-key": item.key,
-        "value": base64.b64encode(item.value).decode(),
-        "revision": item.revision,
-        "lease": item.lease,
-    }
-
-
-class StoreWay(PlatformStore):
-    """The product's client of the store, over an emulated way."""
-
-    def __init__(self, store: EmulatedStore, delay_s: float, rng: Random) -> None:
-        """Create it.
-
-        Args:
-          store: what it reaches.
-          delay_s: one-way delay in seconds.
-          rng: draws which first packets are lost.
-        """
-        super().__init__("emulated:1")
-        self._emulated = store
-        self._delay_s = delay_s
-        self._rng = rng
-        self._connected = False
-        self._used_at = 0.0
-        self._reset = asyncio.Event()
-        self.fault = WayFault.NONE
-        self.stuck = False
-        """The kept connection is silent for good; a new one works."""
-        self.first_packet_loss = 0.0
-        """Chance that a connection's first packet is lost and sent again after 1 s."""
-
-    def set_fault(self, fault: WayFault) -> None:
-        """Set what happens to calls from now on, and to those under way."""
-        self.fault = fault
-        if fault is WayFault.RESET:
-            self._connected = False
-            self._reset.set()
-            self._reset = asyncio.Event()
-
-    async def _call(
-        self,
-        method: str,
-        call: str,
-        query: dict[str, str],
-        body: object,
-        timeout_s: float = 2.0,
-    ) -> tuple[int, bytes]:
-        self.calls += 1
-        if call in ("kv-watch", "kv-range") and not query.get("stale"):
-            self._emulated.call_times.append(asyncio.get_running_loop().time())
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await self._unless_reset(self._exchange(call, query, body))
-        except TimeoutError as e:
-            self._forget_connection()
-            raise NoAnswer(f"{call}: {e!r}") from None
-        except ConnectionResetError as e:
-            self._forget_connection()
-            raise StoreUnknown(f"{call}: {e!r}") from None
-        except asyncio.CancelledError:
-            self._forget_connection()
-            raise
-
-    def _forget_connection(self) -> None:
-        """A call that is given up closes its connection."""
-        self._connected = False
-        self.stuck = False
-
-    async def _unless_reset(self, exchange: Any) -> tuple[int, bytes]:
-        task = asyncio.ensure_future(exchange)
-        reset = asyncio.ensure_future(self._reset.wait())
-        try:
-            await asyncio.wait([task, reset], return_when=asyncio.FIRST_COMPLETED)
-            if not task.done():
-                raise ConnectionResetError
-            return task.result()
-        finally:
-            task.cancel()
-            reset.cancel()
-
-    async def _exchange(
-        self, call: str, query: dict[str, str], body: object
-    ) -> tuple[int, bytes]:
-        if self.fault is WayFault.RESET:
-            raise ConnectionResetError
-        now = asyncio.get_running_loop().time()
-        if now - self._used_at > IDLE_S:
-            self._forget_connection()
-        if not self._connected and self._rng.random() < self.first_packet_loss:
-            await asyncio.sleep(SENT_AGAIN_S)
-        trips = 1 if self._connected else 3
-        await asyncio.sleep(self._delay_s * trips)
-        if self.fault is WayFault.SILENT or self.stuck or self._emulated.down:
-            await asyncio.Event().wait()
-        self._connected = True
-        if self.fault is WayFault.BUSY:
-            return 503, b""
-        if self.fault is WayFault.TURNED_AWAY:
-            return 429, b""
-        status, data = await self._emulated.answer(call, query, body)
-        await asyncio.sleep(self._delay_s)
-        self._used_at = asyncio.get_running_loop().time()
-        lost = self.fault in (WayFault.SILENT, WayFault.ANSWERS_LOST)
-        if lost or self.stuck or self._emulated.down:
-            await asyncio.Event().wait()
-        return status, data
-
-
 class EmulatedNetwork(PeerNetwork):
     """One entry's way to the others."""
 
--- a/benchmarks/following.py
+++ b/benchmarks/following.py
@@ -30,7 +30,9 @@
 import msgspec
 from loguru import logger
 
-from emulated_following import FollowingSite, WayFault, run_virtual
+from emulated_following import FollowingSite
+from emulated_store import WayFault
+from virtual_clock import run_virtual
 
 LONG_S = 9.0
 """Length of a trouble of the store."""
--- a/tests/test_config_in_force.py
+++ b/tests/test_config_in_force.py
@@ -22,7 +22,9 @@
 from collections.abc import Callable, Iterable
 from math import inf
 
-from emulated_following import FollowingSite, WayFault, run_virtual
+from emulated_following import FollowingSite
+from emulated_store import WayFault
+from virtual_clock import run_virtual
 
 IN_FORCE_S = 2.5
 """The bound, from the store's confirmation."""
--- a/tests/test_fetching.py
+++ b/tests/test_fetching.py
@@ -4,7 +4,6 @@
 
 import asyncio
 
-from emulated_following import run_virtual
 from leverdoor.storage.fetching import (
     HEDGE_S,
     MOST_FETCHES,
@@ -14,6 +13,7 @@
 )
 from leverdoor.storage.state import Delta, State
 from leverdoor.storage.store import Event
+from virtual_clock import run_virtual
 
 CHANGE = Delta(0, 5, True, [Event(5, "k", b"v")])
 
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -12,7 +12,6 @@
 
 import msgspec
 
-from emulated_following import run_virtual
 from leverdoor.errors import StoreUnavailable
 from leverdoor.membership.peers import AgentHeartbeat, Peers
 from leverdoor.storage.following import (
@@ -27,6 +26,7 @@
 from leverdoor.storage.served import LEAST_OF_MEAN, TRY_AGAIN_S
 from leverdoor.storage.state import State
 from leverdoor.storage.store import Event, MemoryStore, Wait, Write, own_wait
+from virtual_clock import run_virtual
 
 VMS = [f"vm{i}" for i in range(5)]
 NOW = 50.0
