News of a state don't use up what a round is to tell; fetches beside each other keep their source

News carry the store's newest answer, and took it from the status that a round sends. What a round is to tell of requests that end targets is told a few times and then no more: each news used one of them up. Two fetches under way at once named the wrong source in the log.

--- a/benchmarks/emulated_following.py
+++ b/benchmarks/emulated_following.py
@@ -46,7 +46,7 @@
 from leverdoor.storage.state import Delta, State
 from leverdoor.storage.store import KeyValue
 
-__all__ = ["Change", "FollowingSite"]
+__all__ = ["Change", "FollowingEntry", "FollowingSite"]
 
 NEAR_S = 0.001
 """One-way delay within a region, in seconds."""
--- a/leverdoor/entry/exchange/exchange.py
+++ b/leverdoor/entry/exchange/exchange.py
@@ -271,14 +271,18 @@
         to = [m.gossip for m in self._membership.in_own_region()]
         return [Sending(self.heartbeat(status), to)]
 
-    def news(self, status: EntryStatus, now: float) -> list[Sending]:
+    def news(self, revision: int, answer: ToldAnswer, now: float) -> list[Sending]:
         """Return the news of a newer state, or of an answer that confirms it.
 
         They go to the aggregators of the own failure domain; from an aggregator, to
         its whole failure domain and to the other aggregators.
+
+        Args:
+          revision: the one in force here.
+          answer: the store's newest answer that it rests on.
+          now: monotonic time in seconds.
         """
-        answer = status.answer
-        news = News(status.revision, self._own.pull, answer.number, answer.age_ms)
+        news = News(revision, self._own.pull, answer.number, answer.age_ms)
         return [Sending(news, self._news_recipients(now))]
 
     def _news_recipients(self, now: float) -> list[str]:
--- a/leverdoor/entry/exchange/peer_link.py
+++ b/leverdoor/entry/exchange/peer_link.py
@@ -2,9 +2,9 @@
 # SPDX-License-Identifier: Apache-2.0
 """Messages to and from the other entries, and fetches of newer states.
 
-Owns when news of a newer state were sent last, and the fetch under way; nothing of it
-outlives the process. Relies on `Exchange` for what to send, on a `PeerNetwork` for the
-way to other entries, and on the loop's clock. A datagram that is lost is not sent
+Owns when news of a newer state were sent last; lost with the process. Relies on
+`Exchange` for what to send, on a `PeerNetwork` for the way to other entries, on
+`PeerFollower` for fetches, and on the loop's clock. A datagram that is lost is not sent
 again: the next round's replaces it.
 """
 
@@ -132,7 +132,9 @@
         self._news_due = False
         now = asyncio.get_running_loop().time()
         self._news_at = now
-        self._send(self._exchange.news(self._status(), now))
+        revision = self._state.revision
+        answer = self._keeper.confirmation.tell(revision, now)
+        self._send(self._exchange.news(revision, answer, now))
 
     def _send(self, sendings: list[Sending]) -> None:
         for sending in sendings:
@@ -166,8 +168,9 @@
         began, since = loop.time(), self._state.revision
         if not self.puller.may_pull(address, began):
             return
+        delta = await self.puller.fetch(address)
         self._keeper.source = address
-        newer = await self.puller.pull(address)
+        newer = delta is not None and self._state.apply(delta)
         self._keeper.source = "store"
         took_s = loop.time() - began
         if not newer or took_s > SLOW_FETCH_S:
--- a/leverdoor/storage/fetching.py
+++ b/leverdoor/storage/fetching.py
@@ -186,19 +186,26 @@
 
         Returns: whether anything newer came.
         """
+        delta = await self.fetch(api)
+        return delta is not None and self._state.apply(delta)
+
+    async def fetch(self, api: str) -> Delta | None:
+        """Fetch from one peer, if that may begin now, and leave the copy as it is.
+
+        Returns: what the peer has beyond it; None if nothing came.
+        """
         now = asyncio.get_running_loop().time()
         if not self.may_pull(api, now):
-            return False
+            return None
         self._under_way[api] = now
         try:
-            delta = await self._fetch(api)
+            return await self._fetch(api)
         except FETCH_FAULTS as e:
             logger.info("pull failed", peer=api, error=repr(e))
             self._note_failure(api)
-            return False
+            return None
         finally:
             del self._under_way[api]
-        return self._state.apply(delta)
 
     def _note_failure(self, api: str) -> None:
         now = asyncio.get_running_loop().time()
--- a/tests/test_config_in_force.py
+++ b/tests/test_config_in_force.py
@@ -22,8 +22,11 @@
 from collections.abc import Callable, Iterable
 from math import inf
 
-from emulated_following import FollowingSite
+import pytest
+
+from emulated_following import FollowingEntry, FollowingSite
 from emulated_store import WayFault
+from leverdoor.entry.exchange.exchange_types import EntryStatus
 from virtual_clock import run_virtual
 
 IN_FORCE_S = 2.5
@@ -177,3 +180,31 @@
             assert revisions == sorted(set(revisions))
 
     run_virtual(run())
+
+
+def test_news_are_made_without_the_status_of_a_round(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What a round is to tell counts how often it was told; news tell none of it."""
+    asked: Counter[bool] = Counter()
+    changing = False
+    status = FollowingEntry._status
+
+    def counted(entry: FollowingEntry) -> EntryStatus:
+        asked[changing] += 1
+        return status(entry)
+
+    monkeypatch.setattr(FollowingEntry, "_status", counted)
+
+    async def run() -> None:
+        nonlocal changing
+        site = FollowingSite(ENTRIES)
+        await site.start()
+        asked.clear()
+        await asyncio.sleep(3.0)
+        changing = True
+        await site.change_for(3.0, 0.1)
+        await site.stop()
+
+    run_virtual(run())
+    assert abs(asked[True] - asked[False]) <= ENTRIES
--- a/tests/test_entry_exchange.py
+++ b/tests/test_entry_exchange.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from leverdoor.entry.configuration.confirmation import NO_ANSWER
 from leverdoor.entry.exchange.exchange import Exchange
 from leverdoor.entry.exchange.exchange_types import EntryStatus, PeerUpdate, Sending
 from leverdoor.entry.exchange.messages import Digest, DigestScope, EntryHeartbeat, News
@@ -259,7 +260,7 @@
         steps += 1
         heard: set[str] = set()
         for name in sorted(newly):
-            for sending in s.exchanges[name].news(s.reports[name], s.now):
+            for sending in s.exchanges[name].news(9, NO_ANSWER, s.now):
                 assert isinstance(sending.message, News)
                 heard |= {to.removeprefix("g/") for to in sending.to}
         newly = heard - reached
