--- a/leverdoor/standins/soak/cuts.py
+++ b/leverdoor/standins/soak/cuts.py
@@ -29,7 +29,7 @@
 SOON_S = 1.0
 """Longest pause until it does, in seconds."""
 UNSERVED_SHARE = 0.5
-"""Largest part of the entries that the store does not answer, beside the first ones."""
+"""Largest part of the entries that the store does not answer, of those drawn."""
 STORE_FAULTS = (
     LinkFault.SILENT,
     LinkFault.RESET,
