--- a/benchmarks/following.py
+++ b/benchmarks/following.py
@@ -8,15 +8,15 @@
 while a row's trouble lasts. Times run from the store's confirmation until a change is
 in force, over all entries but those whose own way to the store is struck. Calls are
 watches and listings, whether they arrive or not, in a second on average and in the
-worst one. Before a row was mended and after it, 12 entries, worst time in seconds:
+worst one. Before the mends and after them, 12 entries, worst time in seconds:
 
 | row | before | after |
 |---|---|---|
 | calm | 0.17 | 0.17 |
 | store silent to the followers | 10.0 | 1.4 |
-| kept connections silent | 9.8 | 1.5 |
-| an entry sends in vain | 6.4 | 1.2 |
-| an entry hears nothing | 2.2 | 1.2 |
+| kept connections silent | 9.8 | 1.6 |
+| an entry sends in vain | 6.4 | 1.5 |
+| an entry hears nothing | 2.2 | 1.1 |
 """
 
 import asyncio
