The bytes of a watch's first call name its new wait

The wait became 50 ms as that call got a second try (FIRST_WAIT_MS); the test that writes the bytes down still had 150. It is as strict as before.

--- a/tests/test_http_bytes.py
+++ b/tests/test_http_bytes.py
@@ -185,7 +185,7 @@
     StoreCall(
         "watch",
         first_of_watch,
-        "GET /api/kv-watch?path-prefix=op/&after=7&wait-ms=150 HTTP/1.1",
+        "GET /api/kv-watch?path-prefix=op/&after=7&wait-ms=50 HTTP/1.1",
         b"",
         b'{"events":['
         + ITEM
