--- a/leverdoor/storage/fetching.py
+++ b/leverdoor/storage/fetching.py
@@ -60,6 +60,7 @@
 wait for new connections more often; longer, for time-outs.
 """
 SILENCE = aiohttp.ClientTimeout(sock_connect=SILENCE_S, sock_read=SILENCE_S)
+"""`SILENCE_S` as the HTTP client takes it."""
 FETCH_FAULTS = (
     aiohttp.ClientError,
     OSError,
--- a/leverdoor/storage/following.py
+++ b/leverdoor/storage/following.py
@@ -25,7 +25,7 @@
 
 WATCHERS = 2
 """Agents of a region that watch the store; one may be gone. More would cost the store
-a waiting call each. Entries have a rule of their own (`entry.membership.roles`) and a
+a waiting call each. Entries have a rule of their own (`entry.store_role`) and a
 setting for the number."""
 FIRST_BACKOFF_S = 0.2
 """First pause after a failed call, in seconds; it doubles. Shorter would add calls to a
