Red tests: targets that said that they leave, or asked for rest, get requests

The check is the users' rule, from what targets saw; the stand-in notes each request that reaches it, and what its answer said.

--- a/leverdoor/standins/upstreams.py
+++ b/leverdoor/standins/upstreams.py
@@ -2,12 +2,13 @@
 # SPDX-License-Identifier: Apache-2.0
 """Stand-ins of the platform's targets: slots, warm keys, refusals, a log.
 
-State: what runs and waits, the keys seen and all runs, in memory. A target of a plain
-site, with other headers and probes, is `standins.targets`.
+State: what runs and waits, the keys seen, all arrivals and runs, in memory. A target
+of a plain site, with other headers and probes, is `standins.targets`.
 """
 
 import asyncio
 import hashlib
+import re
 from collections import OrderedDict
 from collections.abc import Callable
 
@@ -16,8 +17,10 @@
 
 from leverdoor.codec import serialize_json
 
-__all__ = ["UpstreamRun", "UpstreamStandin"]
+__all__ = ["UpstreamArrival", "UpstreamRun", "UpstreamStandin"]
 
+PLAIN_NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+"""What counts as seconds of a Retry-After: a decimal number without sign."""
 SECOND_ANSWER_S = 0.005
 """How much later a surplus answer follows, in seconds."""
 
@@ -39,6 +42,20 @@
     """A workspace's key came along, which it must not."""
 
 
+class UpstreamArrival(msgspec.Struct):
+    """One request that reached a target and was meant for it."""
+
+    request_id: str
+    at: float
+    """When its head had arrived, in seconds of the loop's clock."""
+    answered_at: float = 0.0
+    """When its answer was made, on the same clock; 0 for none."""
+    leaving: bool = False
+    """The answer said that the target leaves."""
+    rest_s: float = 0.0
+    """Rest that the answer asked for, in seconds; 0 for none."""
+
+
 class UpstreamStandin:
     """One target: it runs so many requests at once, and queues as many again."""
 
@@ -69,7 +86,13 @@
         """Paths of requests that end the target as it begins to run them."""
         self.limit = ""
         """What answers name as the requests a second that it takes; "" for nothing."""
+        self.leaving = ""
+        """What answers say of whether the target leaves; "" for nothing."""
+        self.rest = ""
+        """Requests are turned away with this as their Retry-After; "" for not at all.
+        """
         self.answer_well()
+        self.arrivals: list[UpstreamArrival] = []
         self.runs: list[UpstreamRun] = []
         self._running = 0
         self._waiting = 0
@@ -114,7 +137,24 @@
             return web.Response(
                 status=421, headers={**headers, "X-Instance-Id": self.name}
             )
+        arrival = UpstreamArrival(headers["X-Request-Id"], _now_s())
+        self.arrivals.append(arrival)
+        response = await self._answer(request, headers)
+        if self.leaving:
+            response.headers["Server-Leaving"] = self.leaving
+        arrival.answered_at = _now_s()
+        arrival.leaving = self.leaving == "1"
+        arrival.rest_s = _seconds(response.headers.get("Retry-After", ""))
+        return response
+
+    async def _answer(
+        self, request: web.Request, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        """Return the answer to a request that was meant for this target."""
         body = await request.read()
+        if self.rest:
+            headers = {**headers, "X-Not-Executed": "1", "Retry-After": self.rest}
+            return web.Response(status=503, headers=headers)
         if self._waiting >= self.slots:
             return web.Response(status=503, headers={**headers, "X-Not-Executed": "1"})
         self._waiting += 1
@@ -136,7 +176,7 @@
             request.raw_path,
             hashlib.sha256(body).hexdigest(),
             int(request.headers.get("X-Deadline-Ms", "0")),
-            asyncio.get_running_loop().time(),
+            _now_s(),
             workspace=request.headers.get("X-Tenant", ""),
             keyed="X-Credential" in request.headers,
         )
@@ -170,6 +210,16 @@
         return self.slow_x * (self.work_s if warm else 3 * self.work_s)
 
 
+def _now_s() -> float:
+    """Return the loop's time in seconds."""
+    return asyncio.get_running_loop().time()
+
+
+def _seconds(text: str) -> float:
+    """Return the seconds that a Retry-After names; 0 for none, or no plain number."""
+    return float(text) if PLAIN_NUMBER.fullmatch(text) else 0.0
+
+
 def _reset(request: web.Request) -> None:
     """Close a connection without an answer."""
     if request.transport is not None:
