What targets say in answers of leaving and rest binds the entry that is told

Cause: leaving was read from the store alone, which was away for 13 s; a refusal counted as a full target's load, which fades within a run, so each entry sent one probe after the other and spent its retries on them.

Both are kept with the target's state now, which all that chooses a target reads: first attempts, retries, overflow, warm-up, utilization of regions, and once more when the connection is open. Leaving is final for the target's name and outlasts a registration that expires. A rest holds to its end; then few requests go first and more with each answer. Where all rest, callers are told at once when the first rest ends (3024), the most urgent first.

--- a/leverdoor/analysis/explaining.py
+++ b/leverdoor/analysis/explaining.py
@@ -147,8 +147,13 @@
             return f"No target had room in time: {f['detail']}."
         case "TARGETS_LIMITED":
             return f"Targets' limits for all entries left no room: {f['detail']}."
+        case "TARGETS_RESTING":
+            return f"All targets that may serve it wanted rest: {f['detail']}."
         case "NO_TARGET":
-            return "No target in service may serve it: all are gone, or its homes bind."
+            return (
+                "No target in service may serve it: all are gone or leave, or its"
+                " homes bind."
+            )
         case "NO_ROUTE":
             return f"Configuration {f['version']} has no route for {f['detail']}."
         case "NO_CONFIGURATION":
--- a/leverdoor/analysis/losses.py
+++ b/leverdoor/analysis/losses.py
@@ -75,6 +75,7 @@
     OVER_QUOTA = "over quota"
     QUARANTINED = "held back"
     LIMITED = "targets' limits"
+    RESTING = "targets rest"
     CLIENT_LEFT = "client left"
 
 
@@ -92,6 +93,7 @@
     Code.QUOTA_EXCEEDED: Cause.OVER_QUOTA,
     Code.QUARANTINED: Cause.QUARANTINED,
     Code.TARGETS_LIMITED: Cause.LIMITED,
+    Code.TARGETS_RESTING: Cause.RESTING,
 }
 """Causes by the code of a refusal; any other means that it was not routed."""
 
--- a/leverdoor/emulator/entries.py
+++ b/leverdoor/emulator/entries.py
@@ -15,7 +15,12 @@
 from leverdoor.codec import pack
 from leverdoor.emulator.clock import EmulatedClock
 from leverdoor.emulator.plan import Experiment
-from leverdoor.emulator.targets import EmulatedRun, EmulatedTarget, RunOutcome
+from leverdoor.emulator.targets import (
+    EmulatedAnswer,
+    EmulatedRun,
+    EmulatedTarget,
+    RunOutcome,
+)
 from leverdoor.entry.bounds import (
     MOVED_SHARE,
     RETRIES_FIRST,
@@ -39,7 +44,6 @@
 )
 from leverdoor.entry.placement.policy import PlacementPolicy
 from leverdoor.entry.requests.retries import may_retry
-from leverdoor.entry.wire import TargetLoad
 from leverdoor.errors import Code, Refusal, Rejection
 from leverdoor.retry_budget import RetryBudget
 
@@ -221,6 +225,11 @@
         """The clock of the run."""
         return self._clock
 
+    @property
+    def rng(self) -> Random:
+        """Where all chance of this entry comes from."""
+        return self._rng
+
     @property
     def policy(self) -> PlacementPolicy:
         """The product's decisions."""
@@ -258,31 +267,36 @@
     def start(self) -> None:
         """Send it, and give it up at its time."""
         clock = self._entry.clock
-        run = EmulatedRun(self._work.request.key, self._work.work_s, self._done)
+        request = self._work.request
+        sender = self._entry.member.name
+        run = EmulatedRun(request.key, self._work.work_s, self._done, sender)
         delay_s = self._entry.delay_s(self._placement)
         target = self._entry.emulated(self._placement)
         clock.after(delay_s, lambda: target.take(run))
         clock.at(self._work.request.until, self._give_up)
 
-    def _done(self, outcome: RunOutcome, load: TargetLoad | None) -> None:
+    def _done(self, answer: EmulatedAnswer) -> None:
         delay_s = self._entry.delay_s(self._placement)
-        self._entry.clock.after(delay_s, lambda: self._ended(outcome, load))
+        self._entry.clock.after(delay_s, lambda: self._ended(answer))
 
-    def _ended(self, outcome: RunOutcome, load: TargetLoad | None) -> None:
+    def _ended(self, answer: EmulatedAnswer) -> None:
         if self._over:
             return
         self._over = True
         now = self._entry.clock.now
         state = self._fleet.of(self._placement.target, now)
+        report = answer.report
+        if not self._entry.uses_reported_load:
+            report = msgspec.structs.replace(report, load=None)
+        if answer.outcome in (RunOutcome.ANSWERED, RunOutcome.SHED):
+            state.take(report, self._entry.rng, now)
         self._policy.ended(self._placement, now)
-        if outcome is RunOutcome.ANSWERED:
-            if load is not None and self._entry.uses_reported_load:
-                state.reported(load, now)
+        if answer.outcome is RunOutcome.ANSWERED:
             took_ms = (now - self._began) * 1000
             self._policy.answered(self._work.request, self._placement, took_ms, 0, now)
             self._reply(EmulatedReply(None))
             return
-        self._failed(outcome, now)
+        self._failed(answer.outcome, now)
 
     def _failed(self, outcome: RunOutcome, now: float) -> None:
         state = self._fleet.of(self._placement.target, now)
--- a/leverdoor/emulator/site.py
+++ b/leverdoor/emulator/site.py
@@ -16,7 +16,7 @@
 from leverdoor.emulator.exact import ExactFleet
 from leverdoor.emulator.plan import Experiment, LoadSpec, ServiceSpec
 from leverdoor.emulator.results import Result
-from leverdoor.emulator.targets import EmulatedRun, EmulatedTarget, RunOutcome
+from leverdoor.emulator.targets import EmulatedAnswer, EmulatedRun, EmulatedTarget
 from leverdoor.entry.configuration.catalog import Catalog
 from leverdoor.entry.exchange.messages import ExchangeMessage
 from leverdoor.entry.membership.liveness import HEARTBEAT_S
@@ -77,6 +77,11 @@
             first = rng.random() * HEARTBEAT_S
             self.clock.at(first, partial(self._round, entry))
 
+    @property
+    def targets(self) -> list[EmulatedTarget]:
+        """All targets."""
+        return list(self._targets.values())
+
     def count_runs(self) -> None:
         """Add to the result what targets and entries counted themselves."""
         self.result.cold_runs = sum(t.cold_runs for t in self._targets.values())
@@ -234,5 +239,5 @@
     )
 
 
-def _ignore(_: RunOutcome, __: object) -> None:
+def _ignore(_: EmulatedAnswer) -> None:
     """Leave a call's answer to its caller, which is not emulated."""
--- a/leverdoor/emulator/targets.py
+++ b/leverdoor/emulator/targets.py
@@ -16,10 +16,10 @@
 
 from leverdoor.emulator.clock import EmulatedClock
 from leverdoor.emulator.plan import ServiceSpec
-from leverdoor.entry.wire import TargetLoad
+from leverdoor.entry.wire import TargetLoad, TargetReport
 from leverdoor.model.resources import Target
 
-__all__ = ["EmulatedTarget", "RunOutcome", "EmulatedRun"]
+__all__ = ["EmulatedAnswer", "EmulatedRun", "EmulatedTarget", "RunOutcome", "SaidWord"]
 
 
 class RunOutcome(Enum):
@@ -34,13 +34,35 @@
     """The target is down."""
 
 
+class EmulatedAnswer(msgspec.Struct, frozen=True):
+    """How a run ended, and what the target said with its answer."""
+
+    outcome: RunOutcome
+    report: TargetReport = TargetReport()
+
+
 class EmulatedRun(msgspec.Struct):
     """One request as a target sees it."""
 
     key: str
     work_s: float
     """Time of a cold run."""
-    done: Callable[[RunOutcome, TargetLoad | None], None]
+    done: Callable[[EmulatedAnswer], None]
+    sender: str = ""
+    """The entry that sent it; "" for a call of another target."""
+    arrived: float = 0.0
+    """When it reached the target, in seconds of the run's clock."""
+
+
+class SaidWord(msgspec.Struct, frozen=True):
+    """A request that reached a target which says that it leaves, or asks for rest."""
+
+    sender: str
+    arrived: float
+    answered: float
+    """Both in seconds of the run's clock."""
+    leaving: bool
+    rest_s: float
 
 
 class EmulatedTarget:
@@ -66,6 +88,12 @@
         self.cold_runs = 0
         self.runs = 0
         self._down = False
+        self.leaving = False
+        """Its answers say that it leaves."""
+        self.rest_s = 0.0
+        """It turns all requests away and asks for so much rest; 0 for neither."""
+        self.said: list[SaidWord] = []
+        """Answers since it first left or asked for rest."""
 
     @property
     def load(self) -> TargetLoad:
@@ -79,13 +107,13 @@
     def take(self, run: EmulatedRun) -> None:
         """Run a request, queue it, or turn it away."""
         if self._down:
-            run.done(RunOutcome.UNREACHED, None)
+            run.done(EmulatedAnswer(RunOutcome.UNREACHED))
             return
+        run.arrived = self._clock.now
         full = len(self._running) >= self.target.slots
-        if self._rng.random() < self.sheds or (
-            full and len(self._queue) >= self._service.queue
-        ):
-            run.done(RunOutcome.SHED, self.load)
+        sheds = self._rng.random() < self.sheds or self.rest_s > 0.0
+        if sheds or (full and len(self._queue) >= self._service.queue):
+            self._answer(run, RunOutcome.SHED, self.load)
             return
         if full:
             self._queue.append(run)
@@ -100,7 +128,7 @@
         self._running.clear()
         self._queue.clear()
         for run in ended:
-            run.done(RunOutcome.LOST, None)
+            run.done(EmulatedAnswer(RunOutcome.LOST))
 
     def restart(self) -> None:
         """Come back with an empty cache."""
@@ -129,6 +157,17 @@
         if self._queue:
             self._start(self._queue.popleft())
         if lost:
-            run.done(RunOutcome.LOST, None)
+            run.done(EmulatedAnswer(RunOutcome.LOST))
         else:
-            run.done(RunOutcome.ANSWERED, load)
+            self._answer(run, RunOutcome.ANSWERED, load)
+
+    def _answer(self, run: EmulatedRun, outcome: RunOutcome, load: TargetLoad) -> None:
+        """Answer a request, with what the target says of itself."""
+        rest_s = self.rest_s if outcome is RunOutcome.SHED else 0.0
+        if self.said or self.leaving or rest_s:
+            now = self._clock.now
+            word = SaidWord(run.sender, run.arrived, now, self.leaving, rest_s)
+            self.said.append(word)
+        not_run = outcome is RunOutcome.SHED
+        report = TargetReport(not_run, self.leaving, rest_s or None, load)
+        run.done(EmulatedAnswer(outcome, report))
--- a/leverdoor/emulator/troubles.py
+++ b/leverdoor/emulator/troubles.py
@@ -66,6 +66,10 @@
                 target.slow_x = max(x, LEAST_X)
             case TroubleKind.LOSE:
                 target.loses = x
+            case TroubleKind.REST:
+                target.rest_s = x
+            case TroubleKind.LEAVE:
+                target.leaving = True
             case TroubleKind.CRASH:
                 target.crash()
 
@@ -77,5 +81,7 @@
                 target.slow_x = 1.0
             case TroubleKind.LOSE:
                 target.loses = 0.0
+            case TroubleKind.REST:
+                target.rest_s = 0.0
             case TroubleKind.CRASH:
                 target.restart()
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -259,7 +259,7 @@
         self._data.connections.sweep(now)
         self._membership.forget(now)
         self._control.exchange.forget(now)
-        self._data.limits.forget(now)
+        self._data.forget(now)
         self._metrics.confirmed_age.set(self._keeper.confirmation.age_s(now))
         self._metrics.in_flight.set(self._data.handler.active)
         self._metrics.peers.set(len(self._membership.live(now)))
--- a/leverdoor/entry/data_plane.py
+++ b/leverdoor/entry/data_plane.py
@@ -85,11 +85,12 @@
             context, membership, self.fleet, state, ask_room, metrics
         )
         self.placement = self._create_placement()
+        self._reports = self._create_reports(metrics)
         self.connections = Connections(
             context.wire.headers.request_id,
             s.region,
             context.events.connections_forgotten,
-            self._create_reports(metrics).take,
+            self._reports.take,
         )
         now = asyncio.get_running_loop().time()
         self.quotas = Quotas(s.quotas, context.rng, now, first_start=s.first_start)
@@ -112,7 +113,12 @@
     def _create_reports(self, metrics: EntryMetrics) -> TargetReports:
         context = self._context
         return TargetReports(
-            context.wire, self.fleet, self.limits.named, context.events, metrics
+            context.wire,
+            self.fleet,
+            self.limits.named,
+            context.rng,
+            context.events,
+            metrics,
         )
 
     def _create_handler(self, metrics: EntryMetrics) -> EntryHandler:
@@ -174,9 +180,11 @@
             return
         now = asyncio.get_running_loop().time()
         self._metrics.targets_ended.labels(target.service).inc()
-        ejected_s = self.fleet.of(target, now).unreached(now)
+        state = self.fleet.of(target, now)
+        ejected_s = state.unreached(now)
         events.target_ejected(target.name, "ended", ejected_s)
-        if target.name not in self._catalog().in_service:
+        left_service = target.name not in self._catalog().in_service
+        if left_service or state.availability.leaving:
             return
         for run in runs:
             self.quarantine.crashed(target_id(target.name), run, now)
@@ -202,6 +210,7 @@
         self.count_entries()
         self.fleet.renew(catalog.targets, now, catalog.services.values())
         self.limits.renew(catalog.targets)
+        self._reports.renew(catalog.targets)
         self.connections.most = {
             s.name: s.connections for s in catalog.services.values()
         }
@@ -220,6 +229,13 @@
             self.count_entries()
             self.quotas.receive(update.use, now)
 
+    def forget(self, now: float) -> None:
+        """Drop what has grown old of targets, and show how many take no requests."""
+        self.limits.forget(now)
+        self.fleet.forget(now)
+        self._metrics.leaving_targets.set(self.fleet.leaving_count())
+        self._metrics.resting_targets.set(self.fleet.resting_count(now))
+
     def count_entries(self) -> None:
         """Count the entries that share what holds for all of them together."""
         count = self._membership.count
--- a/leverdoor/entry/metrics.py
+++ b/leverdoor/entry/metrics.py
@@ -98,6 +98,16 @@
             ["service"],
             registry=self.registry,
         )
+        self.leaving_targets = Gauge(
+            "leverdoor_entry_leaving_targets",
+            "Targets that said in an answer to this entry that they leave.",
+            registry=self.registry,
+        )
+        self.resting_targets = Gauge(
+            "leverdoor_entry_resting_targets",
+            "Targets that want rest of this entry.",
+            registry=self.registry,
+        )
         self.rests = Counter(
             "leverdoor_entry_rests",
             "Answers by which targets asked this entry for rest.",
--- a/leverdoor/entry/placement/candidates.py
+++ b/leverdoor/entry/placement/candidates.py
@@ -9,6 +9,9 @@
 Relies on the configuration; knows nothing of loads and health.
 """
 
+from collections.abc import Callable, Iterable
+from itertools import islice
+
 from leverdoor.entry.configuration.catalog import EMPTY, Catalog
 from leverdoor.entry.placement.affinity import Ranking
 from leverdoor.entry.placement.placement_request import PlacementRequest
@@ -80,22 +83,39 @@
         """Return all of a region's targets, the one that the key belongs to first."""
         return self._by_region[(request.service, region)].order(request.key)
 
-    def nearest(self, request: PlacementRequest, region: str) -> list[Target]:
+    def nearest(
+        self, request: PlacementRequest, region: str, is_open: Callable[[Target], bool]
+    ) -> list[Target]:
         """Return the targets of a region that are looked at for a key, in order.
 
         A key has one target in the whole region, so that few runs are cold. In the
         own region, where requests are large and the own failure domain has many
         targets, it has one in each domain, so that bytes stay there.
+
+        Args:
+          request: what is to be placed.
+          region: where.
+          is_open: returns whether a target takes requests, as far as it said; others
+            are passed over.
         """
         whole = self.order(request, region)
         if region != self._region:
-            return whole[:CANDIDATES]
+            return _first(whole, CANDIDATES, is_open)
         own = self._by_domain.get((request.service, self._domain))
         many = own is not None and len(own) >= MANY_TARGETS
         if own is None or not many or not self._sizes.heavy(request.service):
-            return whole[:CANDIDATES]
-        others = [t for t in whole[: 2 * CANDIDATES] if t.domain != self._domain]
-        return own.order(request.key)[:CANDIDATES] + others[:CANDIDATES]
+            return _first(whole, CANDIDATES, is_open)
+        near = _first(whole, 2 * CANDIDATES, is_open)
+        others = [t for t in near if t.domain != self._domain]
+        first = _first(own.order(request.key), CANDIDATES, is_open)
+        return first + others[:CANDIDATES]
+
+
+def _first(
+    targets: Iterable[Target], count: int, is_open: Callable[[Target], bool]
+) -> list[Target]:
+    """Return the first of some targets that take requests."""
+    return list(islice(filter(is_open, targets), count))
 
 
 def _rankings(
--- a/leverdoor/entry/placement/choice.py
+++ b/leverdoor/entry/placement/choice.py
@@ -127,7 +127,7 @@
             if target.name in request.tried:
                 continue
             state = self._fleet.of(target, now)
-            if not state.usable(now) or state.cold(now):
+            if not state.admits(request.priority, now) or state.cold(now):
                 continue
             if self.lacks_room(request, state, now):
                 if not options:
--- a/leverdoor/entry/placement/fleet.py
+++ b/leverdoor/entry/placement/fleet.py
@@ -2,24 +2,27 @@
 # SPDX-License-Identifier: Apache-2.0
 """The targets as one entry sees them, by name.
 
-Owns a `TargetState` for each target: its load (load.py), health (health.py), warm-up
-(slow_start.py), known keys (known_keys.py) and the run times of the requests last sent
-there. It is kept for as long as the configuration has the target or a request is in
-flight there, and lost with the process.
+Owns a `TargetState` for each target: its load (load.py), health (health.py), what it
+said of whether it takes requests (availability.py), warm-up (slow_start.py), known keys
+(known_keys.py) and the run times of the requests last sent there. It is kept for as
+long as the configuration has the target or a request is in flight there, what it said
+beyond that, and lost with the process.
 
 Relies on the configuration for the targets, on answers (entry/requests) and on the
 counts of other entries (entry/exchange).
 """
 
 from collections.abc import Iterable, Mapping
+from random import Random
 
+from leverdoor.entry.placement.availability import Availability
 from leverdoor.entry.placement.health import Health
 from leverdoor.entry.placement.known_keys import KnownKeys
 from leverdoor.entry.placement.load import LoadEstimate
 from leverdoor.entry.placement.room_notes import RoomNotes
 from leverdoor.entry.placement.slow_start import SlowStart, warm_up_limit_per_s
 from leverdoor.entry.placement.times import RunTimes
-from leverdoor.entry.wire import TargetLoad
+from leverdoor.entry.wire import TargetLoad, TargetReport
 from leverdoor.limits.named import LimitBook
 from leverdoor.model.resources import Service, Target
 from leverdoor.model.target_id import target_id
@@ -30,12 +33,27 @@
 """Name of the peer under which the sums of all other entries' requests are kept."""
 
 
+AVAILABILITY_KEPT_S = 600.0
+"""How long it is known what a target said that the configuration no longer has, in
+seconds: a registration that expired in an outage may be back, and its target still
+leaves."""
+
+
 class TargetState:
     """One target as this entry sees it."""
 
-    def __init__(self, target: Target, now: float) -> None:
-        """Create it for a target that is new at a monotonic time in seconds."""
+    def __init__(
+        self, target: Target, now: float, availability: Availability | None = None
+    ) -> None:
+        """Create it.
+
+        Args:
+          target: its description.
+          now: monotonic time in seconds at which it is new.
+          availability: what it said before; None for nothing.
+        """
         self.target = target
+        self.availability = availability or Availability()
         self._load = LoadEstimate()
         self._health = Health(now)
         self._slow_start = SlowStart(target.cold_ms, now)
@@ -80,9 +98,29 @@
     def ended(self) -> None:
         """Count a request that ended."""
         self._load.in_flight -= 1
+        self.availability.ended(self._load.in_flight)
 
     # Load.
 
+    def take(self, report: TargetReport, rng: Random, now: float) -> None:
+        """Take what an answer reports of the target.
+
+        Args:
+          report: of an answer whose request still counts as in flight.
+          rng: spreads the return after a rest.
+          now: monotonic time in seconds.
+        """
+        if report.leaving:
+            self.availability.leave()
+        if report.rest_s:
+            in_flight = self._load.in_flight - 1
+            self.availability.rest(report.rest_s, rng.random(), in_flight, now)
+        if report.not_run:
+            return
+        self.availability.answered(self.target.slots, now)
+        if report.load is not None:
+            self.reported(report.load, now, answered=1)
+
     def reported(self, load: TargetLoad, now: float, answered: int = 0) -> None:
         """Take the load that the target reports; own requests are part of it.
 
@@ -181,8 +219,17 @@
 
     def usable(self, now: float) -> bool:
         """Return whether new requests may go there, warm-up and slowness aside."""
+        if not self.availability.open(now):
+            return False
         return not self._health.ejected(now) and not self.silent(now)
 
+    def admits(self, priority: int, now: float) -> bool:
+        """Return whether a request of a priority may go there, as `usable` says it,
+        within what a target takes that returns from a rest."""
+        if not self.usable(now):
+            return False
+        return self.availability.admits(priority, self._load.in_flight, now)
+
 
 class Fleet:
     """The states of all targets, by target name."""
@@ -199,6 +246,9 @@
         """By service, requests a second that all entries may send to a cold target; 0
         for any number. Set with each configuration."""
         self._states: dict[str, TargetState] = {}
+        self._said: dict[str, tuple[Availability, float]] = {}
+        """By targets that the configuration no longer has: what they said, and since
+        when they are gone."""
         self._counted: dict[str, frozenset[str]] = {}
         """By peer, the targets that its last message had counts for."""
 
@@ -216,7 +266,7 @@
         for name, target in targets.items():
             state = self._states.get(name)
             if state is None:
-                self._states[name] = TargetState(target, now)
+                self._create(target, now)
             else:
                 state.renew(target, now)
         gone = [
@@ -225,15 +275,36 @@
             if name not in targets and state.in_flight == 0
         ]
         for name in gone:
-            del self._states[name]
+            availability = self._states.pop(name).availability
+            if availability.matters(now):
+                self._said[name] = availability, now
         return gone
 
     def of(self, target: Target, now: float) -> TargetState:
         """Return the state of a target."""
-        found = self._states.get(target.name)
-        if found is None:
-            found = self._states[target.name] = TargetState(target, now)
-        return found
+        return self._states.get(target.name) or self._create(target, now)
+
+    def _create(self, target: Target, now: float) -> TargetState:
+        """Create the state of a target that is new, or was gone for a while."""
+        said, _ = self._said.pop(target.name, (None, now))
+        state = self._states[target.name] = TargetState(target, now, said)
+        return state
+
+    def forget(self, now: float) -> None:
+        """Drop what targets said that have been gone for long."""
+        self._said = {
+            name: (availability, since)
+            for name, (availability, since) in self._said.items()
+            if now - since <= AVAILABILITY_KEPT_S and availability.matters(now)
+        }
+
+    def leaving_count(self) -> int:
+        """Return how many targets of the configuration said that they leave."""
+        return sum(s.availability.leaving for s in self._states.values())
+
+    def resting_count(self, now: float) -> int:
+        """Return how many targets of the configuration want rest of this entry."""
+        return sum(s.availability.resting(now) for s in self._states.values())
 
     def limit_per_s(self, target: Target) -> float | None:
         """Return the requests a second that a target takes from all entries.
--- a/leverdoor/entry/placement/policy.py
+++ b/leverdoor/entry/placement/policy.py
@@ -30,6 +30,7 @@
 from leverdoor.entry.placement.refusals import (
     describe_loads,
     limited_retry_after_ms,
+    resting_retry_after_ms,
     retry_after_ms,
 )
 from leverdoor.entry.placement.service_weights import ServiceWeights
@@ -37,6 +38,7 @@
 from leverdoor.entry.placement.sharing import ShareBook
 from leverdoor.entry.placement.spill import MOVE_PER_S, NO_SLOTS_UTILIZATION
 from leverdoor.entry.placement.tuning import PRODUCTION, Tuning
+from leverdoor.entry.placement.waiting import URGENT_PRIORITY
 from leverdoor.errors import Code, Rejection
 from leverdoor.model.resources import Route, Target
 
@@ -124,9 +126,18 @@
             or self._place_in_warm_up(request, [first, *others], now)
         )
         if placement is None:
-            return self._refuse_as_full(request, first, now)
+            return self._refuse_unplaced(request, regions, first, now)
         return placement
 
+    def still_takes(self, target: Target, now: float) -> bool:
+        """Return whether a target that was chosen before takes requests now.
+
+        It may have left service, or said that it leaves or wants rest, meanwhile.
+        """
+        if target.name not in self._catalog.in_service:
+            return False
+        return self._fleet.of(target, now).availability.open(now)
+
     # The rules.
 
     def _place_in(
@@ -140,7 +151,9 @@
 
         Targets that are ejected as slow serve only if no other can.
         """
-        candidates = self._candidates.nearest(request, region)
+        candidates = self._candidates.nearest(
+            request, region, lambda t: self._fleet.of(t, now).availability.open(now)
+        )
         sound = [t for t in candidates if not self._avoided(t, now)]
         found = self._chooser.quickest(request, sound, reason, now)
         if found is None and len(sound) < len(candidates):
@@ -196,7 +209,7 @@
     ) -> bool:
         """Return whether a target is cold, has a slot, and may have room."""
         target = state.target
-        if not state.cold(now) or not state.usable(now):
+        if not state.cold(now) or not state.admits(request.priority, now):
             return False
         if target.name in request.tried or state.load(now) >= target.slots:
             return False
@@ -210,6 +223,34 @@
             return self._refuse(Code.NO_TARGET, "no target may serve it")
         return self._refuse(Code.NO_COMMON_HOME, f"of route {request.route.name}")
 
+    def _refuse_unplaced(
+        self, request: PlacementRequest, regions: list[str], first: str, now: float
+    ) -> Rejection:
+        """Refuse what no target takes, by whether they rest, leave or are full."""
+        states = [
+            self._fleet.of(target, now)
+            for region in regions
+            for target in self._candidates.order(request, region)
+        ]
+        if any(state.availability.open(now) for state in states):
+            return self._refuse_as_full(request, first, now)
+        resting = [state for state in states if not state.availability.leaving]
+        if not resting:
+            return self._refuse(Code.NO_TARGET, "all that may serve it leave")
+        return self._refuse_as_resting(request, resting, now)
+
+    def _refuse_as_resting(
+        self, request: PlacementRequest, states: list[TargetState], now: float
+    ) -> Rejection:
+        """Refuse what targets take after a rest only; urgent ones come back first."""
+        for state in states:
+            state.availability.refused(request.priority)
+        rest_s = min(state.availability.rest_left_s(now) for state in states)
+        urgent = request.priority <= URGENT_PRIORITY
+        wait_ms = resting_retry_after_ms(rest_s, urgent, self._rng.random())
+        reason = f"{request.service}: {len(states)} targets, {rest_s:.2f} s left"
+        return Rejection(Code.TARGETS_RESTING, wait_ms, reason)
+
     def _refuse_as_full(
         self, request: PlacementRequest, first: str, now: float
     ) -> Rejection:
--- a/leverdoor/entry/placement/refusals.py
+++ b/leverdoor/entry/placement/refusals.py
@@ -7,10 +7,15 @@
 
 from collections.abc import Iterable
 
-from leverdoor.entry.placement.fleet import Fleet
+from leverdoor.entry.placement.fleet import Fleet, TargetState
 from leverdoor.model.resources import Target
 
-__all__ = ["describe_loads", "limited_retry_after_ms", "retry_after_ms"]
+__all__ = [
+    "describe_loads",
+    "limited_retry_after_ms",
+    "resting_retry_after_ms",
+    "retry_after_ms",
+]
 
 LEAST_RETRY_AFTER_MS = 150
 """Least time after which a refused request should come back, in ms.
@@ -52,20 +57,45 @@
     return int(least_ms * (1 + chance))
 
 
+def resting_retry_after_ms(rest_s: float, urgent: bool, chance: float) -> int:
+    """Return when a request should come back that all targets' rests leave no room for.
+
+    Spread from the end of the first rest on: urgent ones over the first half of
+    `RETRY_AFTER_SPREAD_MS`, others over the second.
+
+    Args:
+      rest_s: until the first rest ends, in seconds.
+      urgent: whether it goes before others.
+      chance: a random number of [0, 1).
+    """
+    least_ms = max(rest_s * 1000, LEAST_RETRY_AFTER_MS)
+    half_ms = RETRY_AFTER_SPREAD_MS / 2
+    first_ms = 0.0 if urgent else half_ms
+    return int(least_ms + first_ms + half_ms * chance)
+
+
 def describe_loads(targets: Iterable[Target], fleet: Fleet, now: float) -> str:
     """Return, for the log, the loads of targets that could not take a request.
 
     For each target: name, estimated load over slots, time since the last report of it
-    arrived, "cold" in its warm-up, "ejected" if it is ejected or silent, its limit.
+    arrived, "cold" in its warm-up, "leaving" or "resting" if it said so, "ejected" if
+    it is ejected or silent, its limit.
     """
     loads = []
     for target in targets:
         state = fleet.of(target, now)
         cold = " cold" if state.cold(now) else ""
-        out = "" if state.usable(now) else " ejected"
+        out = "" if state.usable(now) else f" {_why_out(state, now)}"
         age_ms = state.load_age_ms(now)
         per_s = fleet.limit_per_s(target)
         limit = "" if per_s is None else f" limit {per_s:g}/s"
         load = f"{state.load(now):.1f}/{target.slots}"
         loads.append(f"{target.name} {load} ({age_ms} ms){cold}{out}{limit}")
     return ", ".join(loads)
+
+
+def _why_out(state: TargetState, now: float) -> str:
+    """Return why a target gets no requests."""
+    if state.availability.leaving:
+        return "leaving"
+    return "resting" if state.availability.resting(now) else "ejected"
--- a/leverdoor/entry/placement/waiting.py
+++ b/leverdoor/entry/placement/waiting.py
@@ -10,7 +10,7 @@
 from leverdoor.entry.placement.times import DEFAULT_LATENCY_MS
 from leverdoor.entry.placement.tuning import Tuning
 
-__all__ = ["longest_wait_ms"]
+__all__ = ["URGENT_PRIORITY", "longest_wait_ms"]
 
 RUN_SPREAD_X = 1.2
 """Times the mean warm run that is kept free for the run itself.
--- a/leverdoor/entry/requests/connection.py
+++ b/leverdoor/entry/requests/connection.py
@@ -18,7 +18,7 @@
 from leverdoor.entry.requests.dead_peers import notice_dead_peer
 from leverdoor.entry.requests.replies import ReplyParser, TargetReply
 
-__all__ = ["AnswerLost", "NotSent", "TargetConnection", "open_connection"]
+__all__ = ["AnswerLost", "NotSent", "TargetConnection", "Withdrawn", "open_connection"]
 
 
 class NotSent(Exception):
@@ -34,6 +34,10 @@
         self.refused = refused
 
 
+class Withdrawn(Exception):
+    """The target stopped taking requests before anything of this one was sent."""
+
+
 class AnswerLost(Exception):
     """The request went out and no whole answer came.
 
--- a/leverdoor/entry/requests/connections.py
+++ b/leverdoor/entry/requests/connections.py
@@ -14,6 +14,7 @@
     AnswerLost,
     NotSent,
     TargetConnection,
+    Withdrawn,
     open_connection,
 )
 from leverdoor.entry.requests.idle_timeouts import IdleTimeouts
@@ -92,10 +93,18 @@
         self.opened = 0
         """Connections that were opened so far."""
 
-    async def exchange(self, target: Target, outgoing: Outgoing) -> TargetReply:
+    async def exchange(
+        self, target: Target, outgoing: Outgoing, may_send: Callable[[], bool]
+    ) -> TargetReply:
         """Send a request to a target and wait for the whole answer.
 
+        Args:
+          target: where to send it.
+          outgoing: the request.
+          may_send: asked once there is a connection: whether the target still takes
+            requests.
         Raises:
+          Withdrawn: it does not.
           NotSent: no byte was sent.
           AnswerLost: the request may have run.
         """
@@ -104,6 +113,9 @@
         idle_s = 0.0 if connection is None else now - connection.idle_since
         if connection is None:
             connection = await self._open(target)
+        if not may_send():
+            connection.close()
+            raise Withdrawn
         try:
             reply = await connection.exchange(
                 outgoing.head,
--- a/leverdoor/entry/requests/forwarding.py
+++ b/leverdoor/entry/requests/forwarding.py
@@ -15,7 +15,7 @@
 from leverdoor.entry.limits.asking import RoomAsking
 from leverdoor.entry.placement.placement_request import Placement, PlacementRequest
 from leverdoor.entry.placement.policy import PlacementPolicy
-from leverdoor.entry.requests.connection import AnswerLost, NotSent
+from leverdoor.entry.requests.connection import AnswerLost, NotSent, Withdrawn
 from leverdoor.entry.requests.connections import Connections
 from leverdoor.entry.requests.deadlines import give_up_on_target_at
 from leverdoor.entry.requests.entry_request import EntryRequest
@@ -76,6 +76,8 @@
             attempt += 1
             try:
                 return await self._attempt(request, attempt)
+            except Withdrawn:
+                attempt -= 1
             except _AttemptFailed as e:
                 if e.refusal.run is not Run.NO:
                     maybe_ran = e.refusal
@@ -112,6 +114,8 @@
         """Place a request and send it once.
 
         Raises:
+          Withdrawn: the target stopped taking requests meanwhile; it is placed anew,
+            which is no retry.
           _AttemptFailed: it was not placed, or its target gave no whole answer.
         """
         loop = asyncio.get_running_loop()
@@ -123,6 +127,9 @@
         try:
             reply = await self._send(request, placement)
             outcome = str(reply.status)
+        except Withdrawn:
+            outcome = "withdrawn"
+            raise
         except _AttemptFailed as e:
             outcome = e.refusal.code.name
             raise
@@ -164,6 +171,7 @@
         """Send a request to a target and wait for its whole answer.
 
         Raises:
+          Withdrawn: the target takes no requests any more; nothing was sent.
           _AttemptFailed: there is no whole answer, or it says that nothing was run.
         """
         loop = asyncio.get_running_loop()
@@ -172,7 +180,11 @@
         give_up_at = give_up_on_target_at(request.placement_request.until)
         try:
             async with asyncio.timeout_at(give_up_at):
-                reply = await self._connections.exchange(placement.target, sent)
+                reply = await self._connections.exchange(
+                    placement.target,
+                    sent,
+                    lambda: self._policy.still_takes(placement.target, loop.time()),
+                )
         except NotSent as e:
             self._outcomes.unreached(placement, "not reached")
             refusal = Refusal(Code.CONNECT_FAILED, str(e), retry_after_ms=NOT_RUN_MS)
--- a/leverdoor/entry/requests/target_reports.py
+++ b/leverdoor/entry/requests/target_reports.py
@@ -4,11 +4,14 @@
 
 Each whole answer is looked at when it arrives, whatever its status and whatever becomes
 of its request: whether the target leaves, the rest that it asks for, the limit that it
-names, and its load. Owns which unreadable texts were logged, lost with the process.
-Relies on the wire for the headers.
+names, and its load. The first two are kept at the target's state in the fleet, which
+all that chooses a target reads. Owns which unreadable texts were logged, lost with the
+process. Relies on the wire for the headers.
 """
 
 import asyncio
+from collections.abc import Container
+from random import Random
 
 from leverdoor.entry.events import Events
 from leverdoor.entry.limits.named_limits import NamedLimits
@@ -17,7 +20,7 @@
 from leverdoor.entry.requests.replies import TargetReply
 from leverdoor.entry.requests.retries import WRONG_INSTANCE_STATUS, says_not_run
 from leverdoor.entry.unreadable import UnreadableTexts
-from leverdoor.entry.wire import UnreadableReport, Wire
+from leverdoor.entry.wire import TargetReport, UnreadableReport, Wire
 from leverdoor.model.resources import Target
 
 __all__ = ["TargetReports"]
@@ -31,11 +34,13 @@
         wire: Wire,
         fleet: Fleet,
         named_limits: NamedLimits,
+        rng: Random,
         events: Events,
         metrics: EntryMetrics,
     ) -> None:
         """Create it from the entry's parts."""
         self._wire = wire
+        self._rng = rng
         self._fleet = fleet
         self._named_limits = named_limits
         self._events = events
@@ -51,39 +56,43 @@
             return
         now = asyncio.get_running_loop().time()
         self._named_limits.answered(target, reply, now)
-        self._take_load(target, reply, now)
-        self._take_leaving(target, reply)
-        self._take_rest(target, reply)
+        state = self._fleet.of(target, now)
+        report = self._parse(target, reply)
+        if report.leaving and not state.availability.leaving:
+            self._events.target_leaving(target.name)
+        if report.rest_s:
+            self._metrics.rests.labels(target.service).inc()
+            self._events.target_rest(target.name, report.rest_s)
+        state.take(report, self._rng, now)
 
-    def _take_load(self, target: Target, reply: TargetReply, now: float) -> None:
-        """Take the load; one that turned the request away counts as full anyway."""
-        headers = self._wire.headers
-        if says_not_run(reply.status, bool(reply.get(headers.not_run))):
-            return
-        load = self._wire.parse_load(reply.get(headers.load))
-        if load is not None:
-            self._fleet.of(target, now).reported(load, now, answered=1)
+    def renew(self, targets: Container[str]) -> None:
+        """Take the names of the targets of a new configuration."""
+        self._unreadable.keep_only(targets)
+
+    def _parse(self, target: Target, reply: TargetReply) -> TargetReport:
+        """Parse a report; what can't be read counts as not said."""
+        wire, headers = self._wire, self._wire.headers
+        return TargetReport(
+            says_not_run(reply.status, bool(reply.get(headers.not_run))),
+            self._parse_leaving(target, reply),
+            self._parse_rest(target, reply),
+            wire.parse_load(reply.get(headers.load)),
+        )
 
-    def _take_leaving(self, target: Target, reply: TargetReply) -> None:
-        values = reply.all(self._wire.headers.leaving)
+    def _parse_leaving(self, target: Target, reply: TargetReply) -> bool:
         try:
-            leaves = self._wire.parse_leaving(values)
+            return self._wire.parse_leaving(reply.all(self._wire.headers.leaving))
         except UnreadableReport as e:
             self._note_unreadable(target, "leaving", str(e))
-            return
-        if leaves:
-            self._events.target_leaving(target.name)
+            return False
 
-    def _take_rest(self, target: Target, reply: TargetReply) -> None:
+    def _parse_rest(self, target: Target, reply: TargetReply) -> float | None:
         values = reply.all(self._wire.headers.rest)
         try:
-            rest_s = self._wire.parse_rest(reply.status, values)
+            return self._wire.parse_rest(reply.status, values)
         except UnreadableReport as e:
             self._note_unreadable(target, "rest", str(e))
-            return
-        if rest_s:
-            self._metrics.rests.labels(target.service).inc()
-            self._events.target_rest(target.name, rest_s)
+            return None
 
     def _note_unreadable(self, target: Target, what: str, text: str) -> None:
         self._metrics.reports_unreadable.labels(target.service, what).inc()
--- a/leverdoor/entry/wire.py
+++ b/leverdoor/entry/wire.py
@@ -20,6 +20,7 @@
     "LeftOut",
     "Lookup",
     "TargetLoad",
+    "TargetReport",
     "Translate",
     "UnreadableReport",
     "Wire",
@@ -78,6 +79,18 @@
     """How many it runs at a time."""
 
 
+class TargetReport(msgspec.Struct, frozen=True):
+    """What a whole answer reports of its target, limits aside."""
+
+    not_run: bool = False
+    """The request was turned away."""
+    leaving: bool = False
+    """The target leaves."""
+    rest_s: float | None = None
+    """Rest that the target asks this entry for, in seconds, not bounded."""
+    load: TargetLoad | None = None
+
+
 class HeaderNames(msgspec.Struct, frozen=True):
     """Names of headers towards clients and targets, in lower case."""
 
--- a/leverdoor/errors.py
+++ b/leverdoor/errors.py
@@ -74,6 +74,7 @@
     WORKSPACE_KEY_UNCONFIRMED = 3021
     QUARANTINED = 3022
     TARGETS_LIMITED = 3023
+    TARGETS_RESTING = 3024
     ANSWER_LOST = 3101
     ISSUER_GONE = 3102
     DEADLINE_PASSED = 3103
@@ -185,6 +186,9 @@
     Code.TARGETS_LIMITED: CodeInfo(
         503, Run.NO, 60, "The limits that targets set for all entries are used up."
     ),
+    Code.TARGETS_RESTING: CodeInfo(
+        503, Run.NO, 61, "All targets that may serve it want rest of this entry."
+    ),
     Code.ANSWER_LOST: CodeInfo(
         502, Run.MAYBE, 50, "The request went out and its answer was lost."
     ),
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -29,9 +29,13 @@
 from leverdoor.emulator.play import play
 from leverdoor.emulator.results import compare
 from leverdoor.emulator.series import ABLATIONS, Vary, ablations, play_all, scaled
-from leverdoor.emulator.targets import EmulatedRun, EmulatedTarget, RunOutcome
+from leverdoor.emulator.targets import (
+    EmulatedAnswer,
+    EmulatedRun,
+    EmulatedTarget,
+    RunOutcome,
+)
 from leverdoor.entry.placement.tuning import PRODUCTION
-from leverdoor.entry.wire import TargetLoad
 from leverdoor.errors import Code, ConfigError
 from leverdoor.model.resources import Target
 
@@ -93,8 +97,8 @@
         self.times: list[float] = []
 
     def run(self, key: str, work_s: float = 1.0) -> None:
-        def done(outcome: RunOutcome, _: TargetLoad | None) -> None:
-            self.outcomes.append(outcome)
+        def done(answer: EmulatedAnswer) -> None:
+            self.outcomes.append(answer.outcome)
             self.times.append(self.target._clock.now)
 
         self.target.take(EmulatedRun(key, work_s, done))
--- a/tests/test_entry_connections.py
+++ b/tests/test_entry_connections.py
@@ -8,7 +8,7 @@
 
 from desk import target
 from leverdoor.entry.requests import idle_timeouts
-from leverdoor.entry.requests.connection import AnswerLost
+from leverdoor.entry.requests.connection import AnswerLost, Withdrawn
 from leverdoor.entry.requests.connections import Connections
 from leverdoor.entry.requests.idle_timeouts import (
     LIMITED_FOR_S,
@@ -16,9 +16,18 @@
     IdleTimeouts,
 )
 from leverdoor.entry.requests.outgoing import Outgoing
+from leverdoor.entry.requests.replies import TargetReply
+from leverdoor.model.resources import Target
 from leverdoor.quarantine.ended_targets import TargetCheck
 
 LONG_S = 2 * LIMITED_IDLE_S
+
+
+def takes() -> bool:
+    """Stand for a target that takes requests."""
+    return True
+
+
 SOON_S = 0.01
 
 
@@ -93,12 +102,12 @@
     connections = Connections("x-id", "a", told.append, lambda *_: None)
     one, two = target("one", address=address), target("two", address=address)
     for t in (one, two):
-        await connections.exchange(t, outgoing("first"))
+        await connections.exchange(t, outgoing("first"), takes)
     await asyncio.sleep(LONG_S)
     with pytest.raises(AnswerLost):
-        await connections.exchange(one, outgoing("second"))
+        await connections.exchange(one, outgoing("second"), takes)
     assert told == ["s"]
-    reply = await connections.exchange(two, outgoing("third"))
+    reply = await connections.exchange(two, outgoing("third"), takes)
     assert reply.status == 200
     assert connections.opened == 3
     connections.close()
@@ -117,10 +126,57 @@
     connections = Connections("x-id", "a", lambda _: None, lambda *_: None)
     one = target("one", address=address)
     assert await connections.check(one) is TargetCheck.SERVES
-    reply = await connections.exchange(one, outgoing("first"))
+    reply = await connections.exchange(one, outgoing("first"), takes)
     assert reply.status == 200
     assert connections.opened == 1
     connections.close()
     server.close()
     await server.wait_closed()
     assert await connections.check(one) is TargetCheck.ENDED
+
+
+async def test_a_request_whose_target_stopped_taking_requests_is_not_sent() -> None:
+    """A connection may take most of a second to open; the word can come meanwhile."""
+    received = bytearray()
+
+    async def serve(r: asyncio.StreamReader, w: asyncio.StreamWriter) -> None:
+        received.extend(await r.read())
+        w.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    connections = Connections("x-id", "a", lambda _: None, lambda *_: None)
+    one = target("one", address=address)
+    with pytest.raises(Withdrawn):
+        await connections.exchange(one, outgoing("first"), lambda: False)
+    server.close()
+    await server.wait_closed()
+    assert not received
+    assert connections.idle_count(one) == 0
+
+
+async def test_what_an_answer_reports_is_taken_before_its_request_gets_it() -> None:
+    """So that it holds also where the request is cancelled at that moment."""
+    taken: list[int] = []
+
+    async def serve(r: asyncio.StreamReader, w: asyncio.StreamWriter) -> None:
+        await r.readuntil(b"\r\n\r\n")
+        w.write(b"HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n")
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    one = target("one", address=address)
+
+    def take(t: Target, reply: TargetReply) -> None:
+        assert t is one
+        taken.append(reply.status)
+        request.cancel()
+
+    connections = Connections("x-id", "a", lambda _: None, take)
+    sending = connections.exchange(one, outgoing("first"), takes)
+    request = asyncio.create_task(sending)
+    with pytest.raises(asyncio.CancelledError):
+        await request
+    assert taken == [503]
+    connections.close()
+    server.close()
