--- a/leverdoor/emulator/site.py
+++ b/leverdoor/emulator/site.py
@@ -60,6 +60,8 @@
         self._by_address = {e.member.gossip: e for e in self._entries}
         self._away: set[str] = set()
         """Names of the entries that are not running."""
+        self.restarted: list[tuple[str, float]] = []
+        """Entries that ended, and when, in seconds."""
         self.burst_x = 1.0
         """Factor on the rate of all clients."""
         self._heartbeat_rng = self.generator("heartbeats")
@@ -215,6 +217,7 @@
         count = math.ceil(share * len(self._entries))
         for entry in rng.sample(self._entries, count):
             self._away.add(entry.member.name)
+            self.restarted.append((entry.member.name, self.clock.now))
             self.clock.after(RESTART_S, partial(self._start_again, entry))
 
     def _start_again(self, entry: EmulatedEntry) -> None:
--- a/leverdoor/emulator/targets.py
+++ b/leverdoor/emulator/targets.py
@@ -92,6 +92,8 @@
         """Its answers say that it leaves."""
         self.rest_s = 0.0
         """It turns all requests away and asks for so much rest; 0 for neither."""
+        self.full_rest_s = 0.0
+        """Rest that it asks for while its queue is full, in seconds; 0 for none."""
         self.said: list[SaidWord] = []
         """Answers since it first left or asked for rest."""
 
@@ -111,9 +113,11 @@
             return
         run.arrived = self._clock.now
         full = len(self._running) >= self.target.slots
-        sheds = self._rng.random() < self.sheds or self.rest_s > 0.0
-        if sheds or (full and len(self._queue) >= self._service.queue):
-            self._answer(run, RunOutcome.SHED, self.load)
+        if self._rng.random() < self.sheds or self.rest_s > 0.0:
+            self._answer(run, RunOutcome.SHED, self.rest_s)
+            return
+        if full and len(self._queue) >= self._service.queue:
+            self._answer(run, RunOutcome.SHED, self.full_rest_s)
             return
         if full:
             self._queue.append(run)
@@ -159,11 +163,16 @@
         if lost:
             run.done(EmulatedAnswer(RunOutcome.LOST))
         else:
-            self._answer(run, RunOutcome.ANSWERED, load)
-
-    def _answer(self, run: EmulatedRun, outcome: RunOutcome, load: TargetLoad) -> None:
+            self._answer(run, RunOutcome.ANSWERED, 0.0, load)
+
+    def _answer(
+        self,
+        run: EmulatedRun,
+        outcome: RunOutcome,
+        rest_s: float,
+        load: TargetLoad | None = None,
+    ) -> None:
         """Answer a request, with what the target says of itself."""
-        rest_s = self.rest_s if outcome is RunOutcome.SHED else 0.0
         if self.said or self.leaving or rest_s:
             now = self._clock.now
             word = SaidWord(run.sender, run.arrived, now, self.leaving, rest_s)
--- a/leverdoor/entry/placement/availability.py
+++ b/leverdoor/entry/placement/availability.py
@@ -10,14 +10,16 @@
 monotonic in seconds, and for the requests in flight.
 """
 
-__all__ = ["MOST_REST_S", "RETURN_S", "RETURN_SPREAD_S", "Availability"]
+__all__ = ["FIRST_WINDOW", "MOST_REST_S", "RETURN_S", "RETURN_SPREAD_S", "Availability"]
 
 MOST_REST_S = 300.0
 """Longest rest that is heeded, in seconds: an absurd one shuts no target out for good.
 """
-RETURN_SPREAD_S = 0.3
+RETURN_SPREAD_S = 0.1
 """Time over which entries return after a rest, in seconds, since those that were asked
 together would come back together."""
+FIRST_WINDOW = 2
+"""Requests of this entry that may be in flight at first after a rest."""
 RETURN_S = 1.0
 """Time after a rest in which requests in flight are bounded, in seconds. A target that
 still wants rest turns requests away at once."""
@@ -58,7 +60,7 @@
         if not self.resting(now):
             self._most_urgent = None
         self._rest_until = max(self._rest_until, until)
-        self._window = 1
+        self._window = FIRST_WINDOW
         self._sent_before = in_flight
 
     def answered(self, slots: int, now: float) -> None:
@@ -110,7 +112,7 @@
         """Return whether the first requests after a rest are for more urgent ones."""
         if self._most_urgent is None or priority <= self._most_urgent:
             return False
-        return self._window == 1 and now - self._rest_until < URGENT_FIRST_S
+        return self._window == FIRST_WINDOW and now - self._rest_until < URGENT_FIRST_S
 
     def matters(self, now: float) -> bool:
         """Return whether what it said still bears on requests."""
