Gates: a probe older than an answer does not undo that its target leaves

A target that leaves says so in its answers and in the agent's probes; each probe replaced the word of an answer, also one that had been answered before it, and the gate sent on until the next probe. A probe ends the word only if it was taken a second later, as by a new start at the address. The test failed before: the target was usable again after an older probe.

--- a/leverdoor/gate/serving.py
+++ b/leverdoor/gate/serving.py
@@ -176,7 +176,7 @@
             self._return(inbound, made, began, False, True)
             raise
         if answer.leaving:
-            health.leaving = True
+            health.said_that_it_leaves(loop.time())
         if answer.shed:
             answer.close()
             health.shed(loop.time())
--- a/leverdoor/gate/target_health.py
+++ b/leverdoor/gate/target_health.py
@@ -50,6 +50,10 @@
 targets by load that has gone.
 """
 
+PROBE_LAG_S = 1.0
+"""Time after an answer that said that the target leaves in which a probe that says
+otherwise counts as older, in seconds. A new start at the address takes longer."""
+
 
 class TargetHealth:
     """One target's health; times are loop times in seconds."""
@@ -59,6 +63,8 @@
         self.mean_ms = ASSUMED_MS
         self.in_flight = 0
         self.leaving = False
+        self._left_at = -PROBE_LAG_S
+        """When an answer last said that it leaves."""
         self.out_until = 0.0
         self.warm_since = now
         self._failures = 0
@@ -86,10 +92,16 @@
         self._sheds += 1
         self.out_until = max(self.out_until, now + wait)
 
+    def said_that_it_leaves(self, now: float) -> None:
+        """Record an answer that said that the target leaves."""
+        self.leaving = True
+        self._left_at = now
+
     def report(self, probe: Probe) -> None:
         """Take a report; it can end an ejection by failure but not by shedding."""
         self._probe = probe
-        self.leaving = probe.leaving
+        if probe.leaving or probe.taken_at - self._left_at > PROBE_LAG_S:
+            self.leaving = probe.leaving
         if probe.ok and self._failures and not self._sheds:
             self._failures = 0
         if not probe.ok:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -273,6 +273,17 @@
     assert not health.usable(0.9)
 
 
+def test_a_probe_older_than_an_answer_does_not_undo_that_its_target_leaves() -> None:
+    """The agent's probe may have been answered before the target said so."""
+    health = TargetHealth(0.0)
+    health.said_that_it_leaves(10.0)
+    for taken_at in (9.9, 10.05):
+        health.report(Probe(True, False, 0, taken_at))
+        assert not health.usable(10.1)
+    health.report(Probe(True, False, 0, 12.0))
+    assert health.usable(12.0)
+
+
 def test_reports_lose_trust_with_age() -> None:
     health = TargetHealth(0.0)
     idle = health.score(0.0)
