Soak: targets that leave, or ask for rest, in their answers

The check is the users' rule, from what targets saw; entries restarted, frozen or cut off since, and targets whose link was harmed, are excused.

Two more tests with real entries: all targets rest; absurd words.

--- a/leverdoor/commands/soak.py
+++ b/leverdoor/commands/soak.py
@@ -24,6 +24,7 @@
 @click.option("--fatal", type=click.IntRange(0, 10), default=0, help="Requests.")
 @click.option("--limits", type=click.IntRange(0, 6), default=0, help="Targets.")
 @click.option("--cuts", type=click.IntRange(0, 1_000), default=0, help="Of ways.")
+@click.option("--reports", type=click.IntRange(0, 6), default=0, help="Targets.")
 @click.option("--entries", type=click.IntRange(1, 40), default=None, help="A region.")
 @click.option("--logs", type=click.Path(path_type=Path), help="Keep logs of failures.")
 def soak(
@@ -34,6 +35,7 @@
     fatal: int,
     limits: int,
     cuts: int,
+    reports: int,
     entries: int | None,
     logs: Path | None,
 ) -> None:
@@ -42,7 +44,8 @@
     With --fatal, so many requests come that end each target that runs them; with
     --limits, so many targets name limits for all entries together. With --cuts, twelve
     entries run, ways between them and to the store are cut so many times, and changes
-    must be in force in time.
+    must be in force in time. With --reports, so many targets at a time leave, or ask
+    for rest, in their answers.
     """
     from leverdoor.standins.soak.run import Soak
     from leverdoor.standins.soak.site import SoakSite
@@ -52,7 +55,14 @@
     for number in range(first, first + count):
         site = SoakSite(entries) if entries is not None else None
         soak = Soak(
-            number, seconds, troubles, site, fatal=fatal, limits=limits, cuts=cuts
+            number,
+            seconds,
+            troubles,
+            site,
+            fatal=fatal,
+            limits=limits,
+            cuts=cuts,
+            reports=reports,
         )
         verdict = asyncio.run(soak.run(logs))
         broken += bool(verdict.breaches)
--- a/leverdoor/standins/soak/run.py
+++ b/leverdoor/standins/soak/run.py
@@ -25,6 +25,7 @@
 from leverdoor.standins.soak.plan import PlannedFault, draw_plan
 from leverdoor.standins.soak.promises import breaches
 from leverdoor.standins.soak.record import Leave, Record, RecordedRun
+from leverdoor.standins.soak.reports import ReportingTarget, reports_not_heeded
 from leverdoor.standins.soak.site import ENTRIES_A_REGION, SoakSite
 
 __all__ = ["Soak", "Verdict", "note_leaves"]
@@ -85,6 +86,7 @@
         fatal: int = 0,
         limits: int = 0,
         cuts: int = 0,
+        reports: int = 0,
         judge_bound: bool = True,
     ) -> None:
         """Create it.
@@ -98,12 +100,14 @@
           limits: targets that name limits.
           cuts: of ways between entries and of the store towards some of them, beside
             an operator who changes the configuration again and again.
+          reports: targets that leave, or ask for rest, in their answers.
           judge_bound: whether changes must be in force in time; on a machine that is
             busy with other work they may be late.
         """
         self._cuts = draw_cuts(seed, seconds, cuts)
         self._judges_bound = judge_bound and cuts > 0
         self._limits = limits
+        self._reports = reports
         self._fatal = fatal
         self._seconds = seconds
         self._seed = seed
@@ -143,8 +147,12 @@
             LimitNamer(self._site, self._record, n, self._seed)
             for n in range(self._limits)
         ]
+        reporting = [
+            ReportingTarget(self._site, n, self._seed) for n in range(self._reports)
+        ]
         tasks = [asyncio.create_task(p.run()) for p in probers]
         tasks += [asyncio.create_task(n.run()) for n in namers]
+        tasks += [asyncio.create_task(r.run()) for r in reporting]
         tasks += [asyncio.create_task(f.run()) for f in fatal]
         tasks += [asyncio.create_task(c.run()) for c in callers]
         if self._cuts:
@@ -152,7 +160,8 @@
             tasks.append(asyncio.create_task(changes))
         try:
             faults = SoakFaults(self._site, self._record)
-            lasts_s = self._seconds if self._fatal or self._limits else 0.0
+            beside = self._fatal or self._limits or self._reports
+            lasts_s = self._seconds if beside else 0.0
             lasts = asyncio.sleep(lasts_s)
             cuts = Cuts(self._site, self._record)
             played = [self._play_at(faults, f) for f in self._plan]
@@ -239,6 +248,7 @@
         self._record.changes = self._site.changes
         if self._judges_bound:
             self._late += late_changes(self._record)
+        self._late += reports_not_heeded(self._site, self._record)
         statuses = Counter(str(a.status) for a in self._record.attempts)
         return Verdict(
             seed=self._seed,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -57,6 +57,12 @@
     assert verdict.breaches == []
 
 
+@pytest.mark.timeout(240)
+async def test_what_targets_say_in_answers_is_heeded_beside_faults() -> None:
+    verdict = await Soak(4901, 12.0, 10, reports=3).run()
+    assert verdict.breaches == []
+
+
 @pytest.mark.timeout(240)
 async def test_cuts_between_entries_break_no_promise() -> None:
     """Each direction by itself, and the store towards some; not how late changes are.
--- a/tests/test_target_reports.py
+++ b/tests/test_target_reports.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import json
 from collections.abc import AsyncIterator
 
 from entry_bench import check_own
@@ -100,3 +101,53 @@
     assert all(any(a.rest_s for a in t.arrivals) for t in resting)
     assert [b for t in resting for b in look_ups.breaches(t)] == []
     assert look_ups.served_share() >= SERVED_SHARE
+
+
+async def test_where_all_targets_rest_requests_are_refused_at_once_and_served_after(
+    site: EntrySite,
+) -> None:
+    """With a time to come back of the rest that is left; none of those ran."""
+    look_ups = LookUps(site)
+    resting = [t for t in site.targets.values() if t.service == "look"]
+    async with look_ups.running():
+        await asyncio.sleep(1.0)
+        for target in resting:
+            target.rest = REST
+        await asyncio.sleep(1.5)
+        for target in resting:
+            target.rest = ""
+        await asyncio.sleep(4.0)
+    assert [b for t in resting for b in look_ups.breaches(t)] == []
+    ran = {r.request_id for t in resting for r in t.runs}
+    refused = [
+        a
+        for a in look_ups.answers
+        if a.status == 503 and json.loads(a.body)["name"] == "TARGETS_RESTING"
+    ]
+    assert refused
+    for answer in refused:
+        assert answer.request_id not in ran
+        assert 0.1 < float(answer.headers["Retry-After"]) <= float(REST) + 0.5
+    assert look_ups.answers[-1].status == 200
+    logged = [e for entry in site.entries.values() for e in entry.events()]
+    events = {e["event"] for e in logged}
+    assert "target_rest" in events
+    assert "target_ejected" not in events
+
+
+async def test_absurd_words_of_a_target_change_nothing(site: EntrySite) -> None:
+    """One turns requests away for what is no time, one says neither yes nor no."""
+    look_ups = LookUps(site)
+    odd, unclear = site.targets["i-look-a1-0"], site.targets["i-look-b1-1"]
+    async with look_ups.running():
+        odd.rest = "soon"
+        unclear.leaving = "perhaps"
+        await asyncio.sleep(2.0)
+        odd.rest = ""
+        since = asyncio.get_running_loop().time()
+        await asyncio.sleep(2.0)
+    for target in (odd, unclear):
+        assert any(r.at > since for r in target.runs), target.name
+    logged = [e for entry in site.entries.values() for e in entry.events()]
+    unreadable = {e["what"] for e in logged if e["event"] == "report_unreadable"}
+    assert unreadable == {"leaving", "rest"}
