--- a/leverdoor/entry/placement/policy.py
+++ b/leverdoor/entry/placement/policy.py
@@ -136,7 +136,7 @@
         """
         if target.name not in self._catalog.in_service:
             return False
-        return self._fleet.of(target, now).availability.open(now)
+        return self._is_open(target, now)
 
     # The rules.
 
@@ -152,7 +152,7 @@
         Targets that are ejected as slow serve only if no other can.
         """
         candidates = self._candidates.nearest(
-            request, region, lambda t: self._fleet.of(t, now).availability.open(now)
+            request, region, lambda target: self._is_open(target, now)
         )
         sound = [t for t in candidates if not self._avoided(t, now)]
         found = self._chooser.quickest(request, sound, reason, now)
@@ -160,6 +160,10 @@
             found = self._chooser.quickest(request, candidates, reason, now)
         return None if found is None else self._take(request, found, reason, now)
 
+    def _is_open(self, target: Target, now: float) -> bool:
+        """Return whether a target takes requests, as far as it said."""
+        return self._fleet.of(target, now).availability.open(now)
+
     def _avoided(self, target: Target, now: float) -> bool:
         return self._tuning.avoids_slow and self._fleet.of(target, now).slow(now)
 
@@ -227,13 +231,14 @@
         self, request: PlacementRequest, regions: list[str], first: str, now: float
     ) -> Rejection:
         """Refuse what no target takes, by whether they rest, leave or are full."""
-        states = [
-            self._fleet.of(target, now)
+        targets = [
+            target
             for region in regions
-            for target in self._candidates.order(request, region)
+            for target in self._candidates.targets_by_region[request.service, region]
         ]
-        if any(state.availability.open(now) for state in states):
+        if any(self._is_open(target, now) for target in targets):
             return self._refuse_as_full(request, first, now)
+        states = [self._fleet.of(target, now) for target in targets]
         resting = [state for state in states if not state.availability.leaving]
         if not resting:
             return self._refuse(Code.NO_TARGET, "all that may serve it leave")
--- a/leverdoor/entry/placement/refusals.py
+++ b/leverdoor/entry/placement/refusals.py
@@ -58,7 +58,7 @@
 
 
 def resting_retry_after_ms(rest_s: float, urgent: bool, chance: float) -> int:
-    """Return when a request should come back that all targets' rests leave no room for.
+    """Return when a request should come back that was refused since all targets rest.
 
     Spread from the end of the first rest on: urgent ones over the first half of
     `RETRY_AFTER_SPREAD_MS`, others over the second.
