--- a/tests/entry_bench.py
+++ b/tests/entry_bench.py
@@ -3,8 +3,10 @@
 """Real entries on loopback, and what must hold of all they answer."""
 
 import asyncio
+import contextlib
 import json
 from collections import Counter
+from collections.abc import AsyncIterator
 
 from leverdoor.standins.entry_process import Place
 from leverdoor.standins.entry_site import Answer, EntrySite
@@ -17,6 +19,10 @@
 }
 
 
+PAUSE_S = 1 / 60
+"""Time between two look-ups of `LookUps`, in seconds."""
+KEYS = 40
+"""Keys of these look-ups."""
 NOT_RUN = (429, 503, 408, 421)
 
 
@@ -68,3 +74,50 @@
             await asyncio.sleep(0.01)
         else:
             raise AssertionError(f"{path} never became {status} at {entry.name}")
+
+
+class LookUps:
+    """Look-ups of many keys, sent to all entries in turn, and their answers."""
+
+    def __init__(self, site: EntrySite) -> None:
+        self._site = site
+        self.answers: list[Answer] = []
+        self.senders: dict[str, tuple[str, float]] = {}
+        """By request id, the entry it was sent to, and when."""
+
+    async def _ask(self, number: int) -> None:
+        entries = list(self._site.entries.values())
+        entry = entries[number % len(entries)]
+        request_id = f"{number:016x}"
+        self.senders[request_id] = (entry.name, asyncio.get_running_loop().time())
+        key = {"X-Affinity-Key": str(number % KEYS)}
+        path = f"/look/{number}"
+        answer = await self._site.request(entry, "GET", path, None, key, request_id)
+        self.answers.append(answer)
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Send them while the block runs; then wait for all answers."""
+        pending: set[asyncio.Task[None]] = set()
+
+        async def send() -> None:
+            number = 1
+            while True:
+                task = asyncio.create_task(self._ask(number))
+                pending.add(task)
+                task.add_done_callback(pending.discard)
+                number += 1
+                await asyncio.sleep(PAUSE_S)
+
+        sender = asyncio.create_task(send())
+        try:
+            yield
+        finally:
+            sender.cancel()
+            await asyncio.gather(*pending)
+
+    def served_share(self) -> float:
+        """Return the part of look-ups that was answered with success."""
+        for answer in self.answers:
+            check_own(answer)
+        return sum(a.status == 200 for a in self.answers) / len(self.answers)
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -13,18 +13,13 @@
 """
 
 import asyncio
-import contextlib
 import json
-from collections.abc import AsyncIterator
 
-from entry_bench import check_own
-from leverdoor.standins.entry_site import Answer, EntrySite
+from entry_bench import LookUps, check_own
+from leverdoor.standins.entry_site import EntrySite
 from leverdoor.standins.upstreams import UpstreamStandin
 from windows import allowed, most_in_a_window
 
-PAUSE_S = 1 / 60
-"""Time between two look-ups: 60 a second, far above what is named."""
-KEYS = 40
 CONTACT_S = 4.0
 """Time after a limit was first named from which on it is to be kept, in seconds."""
 PLAYED_S = 14.0
@@ -36,38 +31,10 @@
     return most_in_a_window(r.at for r in target.runs if r.at >= since)
 
 
-@contextlib.asynccontextmanager
-async def looking_up(site: EntrySite) -> AsyncIterator[list[Answer]]:
-    """Send look-ups to all entries in turn, of many keys, while the block runs."""
-    answers: list[Answer] = []
-    entries = list(site.entries.values())
-    pending: set[asyncio.Task[None]] = set()
-
-    async def ask(number: int) -> None:
-        key = {"X-Affinity-Key": str(number % KEYS)}
-        entry = entries[number % len(entries)]
-        answers.append(await site.request(entry, "GET", f"/look/{number}", None, key))
-
-    async def send() -> None:
-        number = 0
-        while True:
-            task = asyncio.create_task(ask(number))
-            pending.add(task)
-            task.add_done_callback(pending.discard)
-            number += 1
-            await asyncio.sleep(PAUSE_S)
-
-    sender = asyncio.create_task(send())
-    try:
-        yield answers
-    finally:
-        sender.cancel()
-        await asyncio.gather(*pending)
-
-
 async def test_targets_get_together_what_they_named_at_most(site: EntrySite) -> None:
     """The others serve what is beyond it; nobody is refused for it."""
-    async with looking_up(site) as answers:
+    look_ups = LookUps(site)
+    async with look_ups.running():
         await asyncio.sleep(1.0)
         for name, limit in LIMITS.items():
             site.targets[name].limit = limit
@@ -76,7 +43,7 @@
     for name, limit in LIMITS.items():
         most = most_from(site.targets[name], named_at + CONTACT_S)
         assert 0 < most <= allowed(float(limit)), name
-    for answer in answers:
+    for answer in look_ups.answers:
         check_own(answer)
         assert answer.status == 200
 
@@ -93,7 +60,8 @@
     limited = [t for t in site.targets.values() if t.service == "look"]
     for target in limited:
         target.limit = "3"
-    async with looking_up(site) as answers:
+    look_ups = LookUps(site)
+    async with look_ups.running():
         named_at = asyncio.get_running_loop().time()
         await asyncio.sleep(PLAYED_S)
     ran = 0
@@ -102,7 +70,7 @@
         assert most <= allowed(3.0), target.name
         ran += sum(r.at >= named_at + CONTACT_S for r in target.runs)
     assert ran >= 0.4 * 3.0 * len(limited) * (PLAYED_S - CONTACT_S)
-    refused = [a for a in answers if a.status != 200]
+    refused = [a for a in look_ups.answers if a.status != 200]
     assert refused
     run_ids = {r.request_id for t in limited for r in t.runs}
     for answer in refused:
--- a/tests/test_target_reports.py
+++ b/tests/test_target_reports.py
@@ -3,73 +3,22 @@
 """What targets say of themselves in answers binds the entry that was told."""
 
 import asyncio
-import contextlib
 import json
-from collections.abc import AsyncIterator
 
-from entry_bench import check_own
-from leverdoor.standins.entry_site import Answer, EntrySite
+from entry_bench import LookUps
+from leverdoor.standins.entry_site import EntrySite
 from leverdoor.standins.soak.report_promise import arrivals_by_entry, report_breaches
 from leverdoor.standins.upstreams import UpstreamStandin
 
-PAUSE_S = 1 / 60
-"""Time between two look-ups."""
-KEYS = 40
 SERVED_SHARE = 0.97
 """Least part of look-ups that is served while other targets have room."""
 REST = "2.5"
 
 
-class LookUps:
-    """Look-ups of many keys, sent to all entries in turn, and their answers."""
-
-    def __init__(self, site: EntrySite) -> None:
-        self._site = site
-        self.answers: list[Answer] = []
-        self.senders: dict[str, tuple[str, float]] = {}
-        """By request id, the entry it was sent to, and when."""
-
-    async def _ask(self, number: int) -> None:
-        entries = list(self._site.entries.values())
-        entry = entries[number % len(entries)]
-        request_id = f"{number:016x}"
-        self.senders[request_id] = (entry.name, asyncio.get_running_loop().time())
-        key = {"X-Affinity-Key": str(number % KEYS)}
-        path = f"/look/{number}"
-        answer = await self._site.request(entry, "GET", path, None, key, request_id)
-        self.answers.append(answer)
-
-    @contextlib.asynccontextmanager
-    async def running(self) -> AsyncIterator[None]:
-        """Send them while the block runs; then wait for all answers."""
-        pending: set[asyncio.Task[None]] = set()
-
-        async def send() -> None:
-            number = 1
-            while True:
-                task = asyncio.create_task(self._ask(number))
-                pending.add(task)
-                task.add_done_callback(pending.discard)
-                number += 1
-                await asyncio.sleep(PAUSE_S)
-
-        sender = asyncio.create_task(send())
-        try:
-            yield
-        finally:
-            sender.cancel()
-            await asyncio.gather(*pending)
-
-    def breaches(self, target: UpstreamStandin) -> list[str]:
-        """Return how entries did not heed what a target said."""
-        arrivals = arrivals_by_entry(target.arrivals, self.senders)
-        return list(report_breaches(target.name, arrivals, lambda *_: False))
-
-    def served_share(self) -> float:
-        """Return the part of look-ups that was answered with success."""
-        for answer in self.answers:
-            check_own(answer)
-        return sum(a.status == 200 for a in self.answers) / len(self.answers)
+def breaches(look_ups: LookUps, target: UpstreamStandin) -> list[str]:
+    """Return how entries did not heed what a target said."""
+    arrivals = arrivals_by_entry(target.arrivals, look_ups.senders)
+    return list(report_breaches(target.name, arrivals, lambda *_: False))
 
 
 async def test_a_target_that_said_that_it_leaves_gets_nothing_more(
@@ -83,7 +32,7 @@
         leaving.leaving = "1"
         await asyncio.sleep(6.0)
     assert any(a.leaving for a in leaving.arrivals)
-    assert look_ups.breaches(leaving) == []
+    assert breaches(look_ups, leaving) == []
     assert look_ups.served_share() >= SERVED_SHARE
 
 
@@ -99,7 +48,7 @@
             target.rest = REST
         await asyncio.sleep(8.0)
     assert all(any(a.rest_s for a in t.arrivals) for t in resting)
-    assert [b for t in resting for b in look_ups.breaches(t)] == []
+    assert [b for t in resting for b in breaches(look_ups, t)] == []
     assert look_ups.served_share() >= SERVED_SHARE
 
 
@@ -117,7 +66,7 @@
         for target in resting:
             target.rest = ""
         await asyncio.sleep(4.0)
-    assert [b for t in resting for b in look_ups.breaches(t)] == []
+    assert [b for t in resting for b in breaches(look_ups, t)] == []
     ran = {r.request_id for t in resting for r in t.runs}
     refused = [
         a
