Soak: what is played beside the faults is one value

Its constructor had nine parameters, four of them counts of what goes on beside the faults, and one function began all of it. The order of draws is the same.

--- a/benchmarks/mixed_versions.py
+++ b/benchmarks/mixed_versions.py
@@ -176,7 +176,7 @@
     check_differs(older)
     broken = False
     for number in range(seed, seed + count):
-        soak = Soak(number, seconds, troubles, MixedSoakSite(older))
+        soak = Soak(number, seconds, troubles, site=MixedSoakSite(older))
         verdict = asyncio.run(soak.run())
         broken |= bool(verdict.breaches)
         print(msgspec.json.encode(verdict).decode(), flush=True)
--- a/leverdoor/commands/soak.py
+++ b/leverdoor/commands/soak.py
@@ -47,23 +47,15 @@
     must be in force in time. With --reports, so many targets at a time leave, or ask
     for rest, in their answers.
     """
-    from leverdoor.standins.soak.run import Soak
+    from leverdoor.standins.soak.run import Soak, SoakOptions
     from leverdoor.standins.soak.site import SoakSite
 
     first = time.time_ns() % 1_000_000_007 if seed is None else seed
     broken = 0
+    options = SoakOptions(fatal, limits, cuts, reports)
     for number in range(first, first + count):
         site = SoakSite(entries) if entries is not None else None
-        soak = Soak(
-            number,
-            seconds,
-            troubles,
-            site,
-            fatal=fatal,
-            limits=limits,
-            cuts=cuts,
-            reports=reports,
-        )
+        soak = Soak(number, seconds, troubles, options, site)
         verdict = asyncio.run(soak.run(logs))
         broken += bool(verdict.breaches)
         click.echo(msgspec.json.encode(verdict).decode())
--- a/leverdoor/standins/soak/run.py
+++ b/leverdoor/standins/soak/run.py
@@ -8,9 +8,10 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from functools import partial
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
@@ -28,7 +29,7 @@
 from leverdoor.standins.soak.reports import ReportingTarget, reports_not_heeded
 from leverdoor.standins.soak.site import ENTRIES_A_REGION, SoakSite
 
-__all__ = ["Soak", "Verdict", "note_leaves"]
+__all__ = ["Soak", "SoakOptions", "Verdict", "note_leaves"]
 
 ENTRIES_CUT = 4
 """Entries of a region where ways are cut: two that follow the store, and two others."""
@@ -74,6 +75,32 @@
     breaches: list[str]
 
 
+class SoakOptions(msgspec.Struct, frozen=True):
+    """What a soak plays beside its random faults, and judges by."""
+
+    fatal: int = 0
+    """Requests that end each target that runs them, and come again."""
+    limits: int = 0
+    """Targets that name limits."""
+    cuts: int = 0
+    """Cuts of ways between entries, and of the store towards some of them, beside an
+    operator who changes the configuration again and again."""
+    reports: int = 0
+    """Targets that leave, or ask for rest, in their answers."""
+    judge_bound: bool = True
+    """Whether changes must be in force in time beside cuts; on a machine that is busy
+    with other work they may be late."""
+
+    @property
+    def lasts(self) -> bool:
+        """Whether something goes on for the whole time, whatever the faults."""
+        return bool(self.fatal or self.limits or self.reports)
+
+
+FAULTS_ALONE = SoakOptions()
+"""Random faults, and nothing beside them."""
+
+
 class Soak:
     """Runs one soak."""
 
@@ -82,12 +109,8 @@
         seed: int,
         seconds: float,
         troubles: int,
+        options: SoakOptions = FAULTS_ALONE,
         site: SoakSite | None = None,
-        fatal: int = 0,
-        limits: int = 0,
-        cuts: int = 0,
-        reports: int = 0,
-        judge_bound: bool = True,
     ) -> None:
         """Create it.
 
@@ -95,24 +118,15 @@
           seed: draws the faults and what callers do.
           seconds: within which all faults begin.
           troubles: how many.
+          options: what is played beside them.
           site: what they happen to; one of this version if left out.
-          fatal: requests that end each target that runs them, and come again.
-          limits: targets that name limits.
-          cuts: of ways between entries and of the store towards some of them, beside
-            an operator who changes the configuration again and again.
-          reports: targets that leave, or ask for rest, in their answers.
-          judge_bound: whether changes must be in force in time; on a machine that is
-            busy with other work they may be late.
         """
-        self._cuts = draw_cuts(seed, seconds, cuts)
-        self._judges_bound = judge_bound and cuts > 0
-        self._limits = limits
-        self._reports = reports
-        self._fatal = fatal
+        self._options = options
+        self._cuts = draw_cuts(seed, seconds, options.cuts)
         self._seconds = seconds
         self._seed = seed
         self._plan = draw_plan(seed, seconds, troubles)
-        self._site = site or SoakSite(ENTRIES_CUT if cuts else ENTRIES_A_REGION)
+        self._site = site or SoakSite(ENTRIES_CUT if options.cuts else ENTRIES_A_REGION)
         self._record = Record()
         self._late: list[str] = []
 
@@ -134,35 +148,10 @@
             await self._site.stop()
 
     async def _play(self) -> None:
-        entries = list(self._site.entries.values())
-        probers = [SoakProber(self._site, self._record, e) for e in entries]
-        callers = [
-            SoakCaller(self._site, self._record, n, self._seed) for n in range(CALLERS)
-        ]
-        fatal = [
-            FatalCaller(self._site, self._record, n, self._seed)
-            for n in range(self._fatal)
-        ]
-        namers = [
-            LimitNamer(self._site, self._record, n, self._seed)
-            for n in range(self._limits)
-        ]
-        reporting = [
-            ReportingTarget(self._site, n, self._seed) for n in range(self._reports)
-        ]
-        tasks = [asyncio.create_task(p.run()) for p in probers]
-        tasks += [asyncio.create_task(n.run()) for n in namers]
-        tasks += [asyncio.create_task(r.run()) for r in reporting]
-        tasks += [asyncio.create_task(f.run()) for f in fatal]
-        tasks += [asyncio.create_task(c.run()) for c in callers]
-        if self._cuts:
-            changes = change_again_and_again(self._site, self._seed)
-            tasks.append(asyncio.create_task(changes))
+        tasks = [asyncio.create_task(run) for run in self._callers()]
         try:
             faults = SoakFaults(self._site, self._record)
-            beside = self._fatal or self._limits or self._reports
-            lasts_s = self._seconds if beside else 0.0
-            lasts = asyncio.sleep(lasts_s)
+            lasts = asyncio.sleep(self._seconds if self._options.lasts else 0.0)
             cuts = Cuts(self._site, self._record)
             played = [self._play_at(faults, f) for f in self._plan]
             await asyncio.gather(lasts, *played, *(cuts.play(c) for c in self._cuts))
@@ -175,6 +164,24 @@
             done = await asyncio.gather(*tasks, return_exceptions=True)
         self._late += [repr(e) for e in done if isinstance(e, Exception)]
 
+    def _callers(self) -> list[Coroutine[Any, Any, None]]:
+        """Return what goes on until the end: callers, targets, the operator."""
+        site, record, seed = self._site, self._record, self._seed
+        options = self._options
+        entries = site.entries.values()
+        found = [SoakProber(site, record, e).run() for e in entries]
+        found += [
+            LimitNamer(site, record, n, seed).run() for n in range(options.limits)
+        ]
+        found += [ReportingTarget(site, n, seed).run() for n in range(options.reports)]
+        found += [
+            FatalCaller(site, record, n, seed).run() for n in range(options.fatal)
+        ]
+        found += [SoakCaller(site, record, n, seed).run() for n in range(CALLERS)]
+        if self._cuts:
+            found.append(change_again_and_again(site, seed))
+        return found
+
     async def _play_at(self, faults: SoakFaults, fault: PlannedFault) -> None:
         await asyncio.sleep(fault.at_s)
         await faults.play(fault)
@@ -246,7 +253,7 @@
                 for r in target.runs
             ]
         self._record.changes = self._site.changes
-        if self._judges_bound:
+        if self._options.judge_bound and self._cuts:
             self._late += late_changes(self._record)
         self._late += reports_not_heeded(self._site, self._record)
         statuses = Counter(str(a.status) for a in self._record.attempts)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from leverdoor.standins.soak.run import Soak
+from leverdoor.standins.soak.run import Soak, SoakOptions
 
 SHORT_S = 4.0
 SHORT_TROUBLES = 8
@@ -37,7 +37,7 @@
 
     Its check once counted sends of entries that had just been started.
     """
-    verdict = await Soak(seed, seconds, troubles, fatal=fatal).run()
+    verdict = await Soak(seed, seconds, troubles, SoakOptions(fatal=fatal)).run()
     assert verdict.breaches == []
 
 
@@ -53,13 +53,14 @@
     The site had not let such targets crash, and one good answer releases a request
     everywhere.
     """
-    verdict = await Soak(seed, seconds, troubles, fatal=fatal, limits=3).run()
+    options = SoakOptions(fatal=fatal, limits=3)
+    verdict = await Soak(seed, seconds, troubles, options).run()
     assert verdict.breaches == []
 
 
 @pytest.mark.timeout(240)
 async def test_what_targets_say_in_answers_is_heeded_beside_faults() -> None:
-    verdict = await Soak(4901, 12.0, 10, reports=3).run()
+    verdict = await Soak(4901, 12.0, 10, SoakOptions(reports=3)).run()
     assert verdict.breaches == []
 
 
@@ -70,7 +71,7 @@
     Other work on the machine would decide that; `test_config_in_force.py` holds the
     bound on a fake clock, `leverdoor soak --cuts` on a machine of its own.
     """
-    soak = Soak(6, 8.0, 3, cuts=6, judge_bound=False)
+    soak = Soak(6, 8.0, 3, SoakOptions(cuts=6, judge_bound=False))
     verdict = await soak.run()
     assert verdict.breaches == []
 
