--- a/benchmarks/emulated_reports.py
+++ b/benchmarks/emulated_reports.py
@@ -227,7 +227,7 @@
             one.arrived,
             UpstreamArrival("", one.arrived, one.answered, one.leaving, one.rest_s),
         )
-        for one in sorted(target.said, key=lambda one: one.arrived)
+        for one in sorted(target.arrivals, key=lambda one: one.arrived)
     ]
     return len(list(report_breaches(target.target.name, arrivals, excused)))
 
@@ -237,7 +237,7 @@
     ends = [
         one.answered + one.rest_s
         for target in site.targets
-        for one in target.said
+        for one in target.arrivals
         if one.rest_s
     ]
     end = max(ends, default=STRUCK_S)
--- a/leverdoor/emulator/targets.py
+++ b/leverdoor/emulator/targets.py
@@ -19,7 +19,13 @@
 from leverdoor.entry.wire import TargetLoad, TargetReport
 from leverdoor.model.resources import Target
 
-__all__ = ["EmulatedAnswer", "EmulatedRun", "EmulatedTarget", "RunOutcome", "SaidWord"]
+__all__ = [
+    "EmulatedAnswer",
+    "EmulatedRun",
+    "EmulatedTarget",
+    "RunOutcome",
+    "EmulatedArrival",
+]
 
 
 class RunOutcome(Enum):
@@ -35,7 +41,7 @@
 
 
 class EmulatedAnswer(msgspec.Struct, frozen=True):
-    """How a run ended, and what the target said with its answer."""
+    """How a run ended, and what its answer reports of the target."""
 
     outcome: RunOutcome
     report: TargetReport = TargetReport()
@@ -54,8 +60,8 @@
     """When it reached the target, in seconds of the run's clock."""
 
 
-class SaidWord(msgspec.Struct, frozen=True):
-    """A request that reached a target which says that it leaves, or asks for rest."""
+class EmulatedArrival(msgspec.Struct, frozen=True):
+    """A request that reached a target, and what its answer reported."""
 
     sender: str
     arrived: float
@@ -94,8 +100,8 @@
         """It turns all requests away and asks for so much rest; 0 for neither."""
         self.full_rest_s = 0.0
         """Rest that it asks for while its queue is full, in seconds; 0 for none."""
-        self.said: list[SaidWord] = []
-        """Answers since it first left or asked for rest."""
+        self.arrivals: list[EmulatedArrival] = []
+        """Requests that it answered since it first left or asked for rest."""
 
     @property
     def load(self) -> TargetLoad:
@@ -172,11 +178,12 @@
         rest_s: float,
         load: TargetLoad | None = None,
     ) -> None:
-        """Answer a request, with what the target says of itself."""
-        if self.said or self.leaving or rest_s:
+        """Answer a request, with a report of the target."""
+        if self.arrivals or self.leaving or rest_s:
             now = self._clock.now
-            word = SaidWord(run.sender, run.arrived, now, self.leaving, rest_s)
-            self.said.append(word)
+            self.arrivals.append(
+                EmulatedArrival(run.sender, run.arrived, now, self.leaving, rest_s)
+            )
         not_run = outcome is RunOutcome.SHED
         report = TargetReport(not_run, self.leaving, rest_s or None, load)
         run.done(EmulatedAnswer(outcome, report))
--- a/leverdoor/entry/placement/availability.py
+++ b/leverdoor/entry/placement/availability.py
@@ -1,12 +1,12 @@
 # leverdoor: global traffic steering
 # SPDX-License-Identifier: Apache-2.0
-"""Whether a target takes requests of this entry, by what it said in its answers.
+"""Whether a target takes requests of this entry, by the reports in its answers.
 
-One that said that it leaves takes no more, for good: its next start has another name.
-One that asked for rest takes none until the rest is over, and then a few at first and
-more with each answer, since the rests of all entries end at about the same moment.
+One that leaves takes no more, for good: its next start has another name. One that asked
+for rest takes none until the rest is over, then few, and more with each answer, since
+the rests of all entries end at about the same moment.
 
-Owns what one target said, lost with the process. Relies on the caller for the time,
+Owns this state of one target, lost with the process. Relies on the caller for the time,
 monotonic in seconds, and for the requests in flight.
 """
 
@@ -29,12 +29,12 @@
 
 
 class Availability:
-    """What one target said of whether it takes requests."""
+    """Whether one target takes requests of this entry."""
 
     def __init__(self) -> None:
-        """Create it for a target that said nothing."""
+        """Create it for a target that takes them."""
         self.leaving = False
-        """It said that it leaves."""
+        """It reported that it leaves."""
         self._rest_until = 0.0
         self._window = 0
         """Requests that may be in flight after a rest; 0 for any number."""
@@ -44,11 +44,11 @@
         """Least priority number of the requests that were refused for the rest."""
 
     def leave(self) -> None:
-        """Take the word that the target leaves."""
+        """Record that the target leaves."""
         self.leaving = True
 
     def rest(self, rest_s: float, chance: float, in_flight: int, now: float) -> None:
-        """Take a request for rest; one that ends sooner than another changes nothing.
+        """Record that it asks for rest; the longest counts.
 
         Args:
           rest_s: how long, in seconds.
@@ -89,7 +89,7 @@
         return max(self._rest_until - now, 0.0)
 
     def open(self, now: float) -> bool:
-        """Return whether it takes requests, as far as it said."""
+        """Return whether it neither leaves nor rests."""
         return not self.leaving and not self.resting(now)
 
     def admits(self, priority: int, in_flight: int, now: float) -> bool:
@@ -115,5 +115,5 @@
         return self._window == FIRST_WINDOW and now - self._rest_until < URGENT_FIRST_S
 
     def matters(self, now: float) -> bool:
-        """Return whether what it said still bears on requests."""
+        """Return whether it still bears on requests."""
         return self.leaving or now - self._rest_until < RETURN_S
--- a/leverdoor/entry/placement/candidates.py
+++ b/leverdoor/entry/placement/candidates.py
@@ -95,8 +95,8 @@
         Args:
           request: what is to be placed.
           region: where.
-          is_open: returns whether a target takes requests, as far as it said; others
-            are passed over.
+          is_open: returns whether a target neither leaves nor rests; others are
+            passed over.
         """
         whole = self.order(request, region)
         if region != self._region:
--- a/leverdoor/entry/placement/fleet.py
+++ b/leverdoor/entry/placement/fleet.py
@@ -2,11 +2,11 @@
 # SPDX-License-Identifier: Apache-2.0
 """The targets as one entry sees them, by name.
 
-Owns a `TargetState` for each target: its load (load.py), health (health.py), what it
-said of whether it takes requests (availability.py), warm-up (slow_start.py), known keys
+Owns a `TargetState` for each target: its load (load.py), health (health.py), whether it
+takes requests by its own reports (availability.py), warm-up (slow_start.py), known keys
 (known_keys.py) and the run times of the requests last sent there. It is kept for as
-long as the configuration has the target or a request is in flight there, what it said
-beyond that, and lost with the process.
+long as the configuration has the target or a request is in flight there, availability
+beyond that; all is lost with the process.
 
 Relies on the configuration for the targets, on answers (entry/requests) and on the
 counts of other entries (entry/exchange).
@@ -34,8 +34,8 @@
 
 
 AVAILABILITY_KEPT_S = 600.0
-"""How long it is known what a target said that the configuration no longer has, in
-seconds: a registration that expired in an outage may be back, and its target still
+"""How long the availability of a target is kept that the configuration no longer has,
+in seconds: a registration that expired in an outage may be back, and its target still
 leaves."""
 
 
@@ -50,7 +50,7 @@
         Args:
           target: its description.
           now: monotonic time in seconds at which it is new.
-          availability: what it said before; None for nothing.
+          availability: as known from before it was gone; None for nothing known.
         """
         self.target = target
         self.availability = availability or Availability()
@@ -246,9 +246,9 @@
         """By service, requests a second that all entries may send to a cold target; 0
         for any number. Set with each configuration."""
         self._states: dict[str, TargetState] = {}
-        self._said: dict[str, tuple[Availability, float]] = {}
-        """By targets that the configuration no longer has: what they said, and since
-        when they are gone."""
+        self._gone: dict[str, tuple[Availability, float]] = {}
+        """By targets that the configuration no longer has: their availability, and
+        since when they are gone."""
         self._counted: dict[str, frozenset[str]] = {}
         """By peer, the targets that its last message had counts for."""
 
@@ -277,7 +277,7 @@
         for name in gone:
             availability = self._states.pop(name).availability
             if availability.matters(now):
-                self._said[name] = availability, now
+                self._gone[name] = availability, now
         return gone
 
     def of(self, target: Target, now: float) -> TargetState:
@@ -286,15 +286,15 @@
 
     def _create(self, target: Target, now: float) -> TargetState:
         """Create the state of a target that is new, or was gone for a while."""
-        said, _ = self._said.pop(target.name, (None, now))
-        state = self._states[target.name] = TargetState(target, now, said)
+        known, _ = self._gone.pop(target.name, (None, now))
+        state = self._states[target.name] = TargetState(target, now, known)
         return state
 
     def forget(self, now: float) -> None:
-        """Drop what targets said that have been gone for long."""
-        self._said = {
+        """Drop the availability of targets that have been gone for long."""
+        self._gone = {
             name: (availability, since)
-            for name, (availability, since) in self._said.items()
+            for name, (availability, since) in self._gone.items()
             if now - since <= AVAILABILITY_KEPT_S and availability.matters(now)
         }
 
--- a/leverdoor/entry/placement/policy.py
+++ b/leverdoor/entry/placement/policy.py
@@ -161,7 +161,7 @@
         return None if found is None else self._take(request, found, reason, now)
 
     def _is_open(self, target: Target, now: float) -> bool:
-        """Return whether a target takes requests, as far as it said."""
+        """Return whether a target neither leaves nor rests, by its reports."""
         return self._fleet.of(target, now).availability.open(now)
 
     def _avoided(self, target: Target, now: float) -> bool:
