Entries that are asked for rest tell the others of their region

Cause: an entry has a request for each target every few seconds, so nearly each that goes to a resting one is that entry's first, is turned away, and the retry budget covers a tenth of all requests.

An entry that is asked for rest now tells one of eight digests of the target, with those of warm keys. Three different ones make others prefer other targets for a second; the target serves them where no other can, and one that answers them well meanwhile is not avoided. No decision changes where no target asks for rest.

--- a/leverdoor/emulator/entries.py
+++ b/leverdoor/emulator/entries.py
@@ -225,11 +225,6 @@
         """The clock of the run."""
         return self._clock
 
-    @property
-    def rng(self) -> Random:
-        """Where all chance of this entry comes from."""
-        return self._rng
-
     @property
     def policy(self) -> PlacementPolicy:
         """The product's decisions."""
@@ -284,12 +279,11 @@
             return
         self._over = True
         now = self._entry.clock.now
-        state = self._fleet.of(self._placement.target, now)
         report = answer.report
         if not self._entry.uses_reported_load:
             report = msgspec.structs.replace(report, load=None)
         if answer.outcome in (RunOutcome.ANSWERED, RunOutcome.SHED):
-            state.take(report, self._entry.rng, now)
+            self._policy.take_report(self._placement.target, report, now)
         self._policy.ended(self._placement, now)
         if answer.outcome is RunOutcome.ANSWERED:
             took_ms = (now - self._began) * 1000
--- a/leverdoor/entry/data_plane.py
+++ b/leverdoor/entry/data_plane.py
@@ -114,9 +114,8 @@
         context = self._context
         return TargetReports(
             context.wire,
-            self.fleet,
+            self.placement,
             self.limits.named,
-            context.rng,
             context.events,
             metrics,
         )
--- a/leverdoor/entry/placement/availability.py
+++ b/leverdoor/entry/placement/availability.py
@@ -10,6 +10,8 @@
 monotonic in seconds, and for the requests in flight.
 """
 
+import math
+
 __all__ = ["FIRST_WINDOW", "MOST_REST_S", "RETURN_S", "RETURN_SPREAD_S", "Availability"]
 
 MOST_REST_S = 300.0
@@ -35,6 +37,8 @@
         """Create it for a target that takes them."""
         self.leaving = False
         """It reported that it leaves."""
+        self.answered_at = -math.inf
+        """When it last answered without turning the request away."""
         self._rest_until = 0.0
         self._window = 0
         """Requests that may be in flight after a rest; 0 for any number."""
@@ -65,6 +69,7 @@
 
     def answered(self, slots: int, now: float) -> None:
         """Count an answer that turned nothing away; after a rest, more may be sent."""
+        self.answered_at = now
         if not self._window or self.resting(now):
             return
         self._window *= 2
--- a/leverdoor/entry/placement/policy.py
+++ b/leverdoor/entry/placement/policy.py
@@ -7,8 +7,9 @@
 
 Owns the parts that the rules keep state in: the candidates (candidates.py), the
 chooser with run times and warm keys (choice.py), the shares of regions (sharing.py),
-the overflow budget (overflow.py) and the credit of services (service_weights.py). All
-is lost with the process.
+the overflow budget (overflow.py), the credit of services (service_weights.py) and the
+rests of targets that other entries tell of (shared_rests.py). All is lost with the
+process.
 
 Relies on the configuration (a `Catalog`), on the states of targets (fleet.py), and on
 `answered` and `ended` being called for what was placed.
@@ -34,11 +35,13 @@
     retry_after_ms,
 )
 from leverdoor.entry.placement.service_weights import ServiceWeights
+from leverdoor.entry.placement.shared_rests import AVOIDED_S, SharedRests
 from leverdoor.entry.placement.shared_warmth import SharedWarmth
 from leverdoor.entry.placement.sharing import ShareBook
 from leverdoor.entry.placement.spill import MOVE_PER_S, NO_SLOTS_UTILIZATION
 from leverdoor.entry.placement.tuning import PRODUCTION, Tuning
 from leverdoor.entry.placement.waiting import URGENT_PRIORITY
+from leverdoor.entry.wire import TargetReport
 from leverdoor.errors import Code, Rejection
 from leverdoor.model.resources import Route, Target
 
@@ -81,6 +84,7 @@
         self._catalog = EMPTY
         self._candidates = CandidateBook(region, domain)
         self._chooser = TargetChooser(region, domain, fleet, tuning)
+        self._rests = SharedRests(self._chooser.shared_warmth, rng)
         self._overflow = OverflowBudget(tuning.overflow_earn)
         self._weights = ServiceWeights(rng)
         self.shares = ShareBook(region, fleet, move_per_s, tuning)
@@ -129,6 +133,10 @@
             return self._refuse_unplaced(request, regions, first, now)
         return placement
 
+    def leaves(self, target: Target, now: float) -> bool:
+        """Return whether a target reported that it leaves."""
+        return self._fleet.of(target, now).availability.leaving
+
     def still_takes(self, target: Target, now: float) -> bool:
         """Return whether a target that was chosen before takes requests now.
 
@@ -149,7 +157,8 @@
     ) -> Placement | None:
         """Place in a region, where the answer is expected first.
 
-        Targets that are ejected as slow serve only if no other can.
+        Targets that are ejected as slow, or lately asked other entries for rest, serve
+        only if no other can.
         """
         candidates = self._candidates.nearest(
             request, region, lambda target: self._is_open(target, now)
@@ -165,7 +174,12 @@
         return self._fleet.of(target, now).availability.open(now)
 
     def _avoided(self, target: Target, now: float) -> bool:
-        return self._tuning.avoids_slow and self._fleet.of(target, now).slow(now)
+        state = self._fleet.of(target, now)
+        if self._tuning.avoids_slow and state.slow(now):
+            return True
+        if now - state.availability.answered_at <= AVOIDED_S:
+            return False
+        return self._rests.rests(target, now)
 
     def _place_in_overflow(
         self, request: PlacementRequest, first: str, others: list[str], now: float
@@ -318,6 +332,18 @@
 
     # What came of it.
 
+    def take_report(self, target: Target, report: TargetReport, now: float) -> None:
+        """Take what an answer reports of its target.
+
+        Args:
+          target: which answered.
+          report: of an answer whose request still counts as in flight.
+          now: monotonic time in seconds.
+        """
+        self._fleet.of(target, now).take(report, self._rng, now)
+        if report.rest_s:
+            self._rests.note(target, now)
+
     def answered(
         self,
         request: PlacementRequest,
--- /dev/null
+++ b/leverdoor/entry/placement/shared_rests.py
@@ -0,0 +1,66 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Which targets turn several entries away, told as short digests.
+
+A rest is asked of one entry. Where hundreds share a target, each sends it a request in
+seconds, and nearly all of these would be turned away before each entry was asked. So
+entries tell each other that they were asked, and others prefer other targets for a
+moment; it is a preference only, and what a target answers an entry counts for more.
+
+Owns the part under which this entry tells its rests, lost with the process. Relies on
+`SharedWarmth`, whose digests carry these as well.
+"""
+
+from functools import lru_cache
+from random import Random
+
+from leverdoor.entry.placement.shared_warmth import SharedWarmth, target_digest
+from leverdoor.model.resources import Target
+
+__all__ = ["AVOIDED_S", "PARTS", "QUORUM", "SharedRests"]
+
+PARTS = 8
+"""Digests of a target; each entry tells one of them, so that they count entries."""
+QUORUM = 3
+"""Digests that must be known: a target that turns one entry away may serve others."""
+AVOIDED_S = 1.0
+"""How long such a digest counts, in seconds: a target that is well again is used again
+in about that time."""
+CACHED_TARGETS = 8_192
+"""Targets whose digests are kept; 2,500 entries are built for 3,000."""
+
+
+class SharedRests:
+    """Rests that targets asked several entries for."""
+
+    def __init__(self, digests: SharedWarmth, rng: Random) -> None:
+        """Create it without any.
+
+        Args:
+          digests: carries them between entries.
+          rng: chooses the part of this entry.
+        """
+        self._digests = digests
+        self._rng = rng
+        self._part: int | None = None
+
+    def note(self, target: Target, now: float) -> None:
+        """Tell others that a target asked this entry for rest."""
+        if self._part is None:
+            self._part = self._rng.randrange(PARTS)
+        digest = _digests(target.name)[self._part]
+        self._digests.note_digest(digest, AVOIDED_S, now)
+
+    def rests(self, target: Target, now: float) -> bool:
+        """Return whether a target lately asked several entries for rest."""
+        known = 0
+        for digest in _digests(target.name):
+            at = self._digests.noted_at(digest)
+            known += at is not None and now - at <= AVOIDED_S
+        return known >= QUORUM
+
+
+@lru_cache(CACHED_TARGETS)
+def _digests(name: str) -> tuple[int, ...]:
+    # No key of a request holds a line feed, so none has the same digest.
+    return tuple(target_digest(name, f"\n{part}") for part in range(PARTS))
--- a/leverdoor/entry/placement/shared_warmth.py
+++ b/leverdoor/entry/placement/shared_warmth.py
@@ -19,7 +19,7 @@
 
 from leverdoor.model.resources import Target
 
-__all__ = ["KEPT_S", "MOST_SENT_DIGESTS", "SharedWarmth"]
+__all__ = ["KEPT_S", "MOST_SENT_DIGESTS", "SharedWarmth", "target_digest"]
 
 KEPT_S = 20.0
 """How long an answer counts as a sign that its key is warm, in seconds.
@@ -61,12 +61,25 @@
 
     def note(self, target: Target, key: str, now: float) -> None:
         """Note an answer for the next heartbeats, unless it was sent lately."""
-        digest = _digest(target, key)
+        self.note_digest(target_digest(target.name, key), RESENT_AFTER_S, now)
+
+    def note_digest(self, digest: int, again_after_s: float, now: float) -> None:
+        """Note a digest for the next heartbeats, unless it was noted lately.
+
+        Args:
+          digest: 32 bits.
+          again_after_s: age from which on it is sent again, in seconds.
+          now: monotonic time in seconds.
+        """
         at = self._known.get(digest)
-        if at is None or now - at > RESENT_AFTER_S:
+        if at is None or now - at > again_after_s:
             self._recent.append(_Sending(now, digest))
         self._remember(digest, now)
 
+    def noted_at(self, digest: int) -> float | None:
+        """Return when a digest was last noted here or by another entry, if known."""
+        return self._known.get(digest)
+
     def recent(self, span_s: float, now: float) -> list[int]:
         """Return the digests of the last seconds, for a heartbeat."""
         return [
@@ -87,7 +100,7 @@
           since: when the target last was empty; older answers are void.
           now: monotonic time in seconds.
         """
-        at = self._known.get(_digest(target, key))
+        at = self._known.get(target_digest(target.name, key))
         return at is not None and at >= since and now - at <= KEPT_S
 
     def _remember(self, digest: int, now: float) -> None:
@@ -97,6 +110,6 @@
             self._known.popitem(last=False)
 
 
-def _digest(target: Target, key: str) -> int:
-    """Return 32 bits for a key at a target; a clash costs one cold run."""
-    return xxhash.xxh32_intdigest(f"{target.name}|{key}".encode())
+def target_digest(target: str, key: str) -> int:
+    """Return 32 bits for a key at a target, by its name; a clash costs one cold run."""
+    return xxhash.xxh32_intdigest(f"{target}|{key}".encode())
--- a/leverdoor/entry/requests/target_reports.py
+++ b/leverdoor/entry/requests/target_reports.py
@@ -11,12 +11,11 @@
 
 import asyncio
 from collections.abc import Container
-from random import Random
 
 from leverdoor.entry.events import Events
 from leverdoor.entry.limits.named_limits import NamedLimits
 from leverdoor.entry.metrics import EntryMetrics
-from leverdoor.entry.placement.fleet import Fleet
+from leverdoor.entry.placement.policy import PlacementPolicy
 from leverdoor.entry.requests.replies import TargetReply
 from leverdoor.entry.requests.retries import WRONG_INSTANCE_STATUS, says_not_run
 from leverdoor.entry.unreadable import UnreadableTexts
@@ -32,16 +31,14 @@
     def __init__(
         self,
         wire: Wire,
-        fleet: Fleet,
+        policy: PlacementPolicy,
         named_limits: NamedLimits,
-        rng: Random,
         events: Events,
         metrics: EntryMetrics,
     ) -> None:
         """Create it from the entry's parts."""
         self._wire = wire
-        self._rng = rng
-        self._fleet = fleet
+        self._policy = policy
         self._named_limits = named_limits
         self._events = events
         self._metrics = metrics
@@ -56,14 +53,13 @@
             return
         now = asyncio.get_running_loop().time()
         self._named_limits.answered(target, reply, now)
-        state = self._fleet.of(target, now)
         report = self._parse(target, reply)
-        if report.leaving and not state.availability.leaving:
+        if report.leaving and not self._policy.leaves(target, now):
             self._events.target_leaving(target.name)
         if report.rest_s:
             self._metrics.rests.labels(target.service).inc()
             self._events.target_rest(target.name, report.rest_s)
-        state.take(report, self._rng, now)
+        self._policy.take_report(target, report, now)
 
     def renew(self, targets: Container[str]) -> None:
         """Take the names of the targets of a new configuration."""
--- a/tests/test_availability.py
+++ b/tests/test_availability.py
@@ -21,6 +21,8 @@
 from leverdoor.entry.placement.candidates import CANDIDATES
 from leverdoor.entry.placement.fleet import AVAILABILITY_KEPT_S
 from leverdoor.entry.placement.placement_request import Placement
+from leverdoor.entry.placement.shared_rests import AVOIDED_S, PARTS, SharedRests
+from leverdoor.entry.placement.shared_warmth import SharedWarmth
 from leverdoor.entry.wire import TargetLoad, TargetReport
 from leverdoor.errors import Code, Rejection
 from leverdoor.model.resources import Target
@@ -231,3 +233,58 @@
         else:
             availability.rest(rest_s, 0.0, 0, at)
             ends = max(ends, at + rest_s)
+
+
+def tell_of_rests(desk: Desk, told: Target, entries: int) -> None:
+    """Let other entries tell that a target asked each of them for rest."""
+    for number in range(entries):
+        digests = SharedWarmth()
+        SharedRests(digests, Random(number)).note(told, desk.now)
+        recent = digests.recent(1.0, desk.now)
+        desk.placement.shared_warmth.receive(recent, desk.now)
+
+
+def test_a_target_that_turns_many_entries_away_is_not_tried_by_each_of_the_others() -> (
+    None
+):
+    """At 195 entries one in thirty requests was refused beside targets with room."""
+    one, two = target("t1"), target("t2")
+    desk = Desk(one, two)
+    home = {"t1": one, "t2": two}[desk.name("k")]
+    tell_of_rests(desk, home, 2 * PARTS)
+    assert desk.name("k") != home.name
+    desk.now += AVOIDED_S + 0.01
+    assert desk.name("k") == home.name
+
+
+def test_one_entry_that_is_turned_away_keeps_no_other_from_a_target() -> None:
+    one, two = target("t1"), target("t2")
+    desk = Desk(one, two)
+    home = {"t1": one, "t2": two}[desk.name("k")]
+    tell_of_rests(desk, home, 1)
+    assert desk.name("k") == home.name
+
+
+def test_what_a_target_answers_here_counts_for_more_than_what_others_tell() -> None:
+    one, two = target("t1"), target("t2")
+    desk = Desk(one, two)
+    home = {"t1": one, "t2": two}[desk.name("k")]
+    tell_of_rests(desk, home, 2 * PARTS)
+    hear(desk, ANSWERED, home)
+    assert desk.name("k") == home.name
+
+
+def test_where_no_other_target_can_serve_one_that_others_tell_of_does() -> None:
+    only = target("t1")
+    desk = Desk(only)
+    tell_of_rests(desk, only, 2 * PARTS)
+    assert desk.name("k") == "t1"
+
+
+def test_a_rest_asked_of_this_entry_is_told_to_others_once_a_moment() -> None:
+    only = target("t1")
+    desk = Desk(only)
+    for _ in range(3):
+        desk.placement.take_report(only, rest(1.0), desk.now)
+        desk.now += 0.1
+    assert len(desk.placement.shared_warmth.recent(1.0, desk.now)) == 1
