--- a/leverdoor/emulator/targets.py
+++ b/leverdoor/emulator/targets.py
@@ -21,10 +21,10 @@
 
 __all__ = [
     "EmulatedAnswer",
+    "EmulatedArrival",
     "EmulatedRun",
     "EmulatedTarget",
     "RunOutcome",
-    "EmulatedArrival",
 ]
 
 
--- a/leverdoor/entry/placement/fleet.py
+++ b/leverdoor/entry/placement/fleet.py
@@ -218,14 +218,16 @@
         return self._health.silent(self._load.in_flight, self._times.cold_s, now)
 
     def usable(self, now: float) -> bool:
-        """Return whether new requests may go there, warm-up and slowness aside."""
+        """Return whether it is open and reached; warm-up and slowness aside."""
         if not self.availability.open(now):
             return False
         return not self._health.ejected(now) and not self.silent(now)
 
     def admits(self, priority: int, now: float) -> bool:
-        """Return whether a request of a priority may go there, as `usable` says it,
-        within what a target takes that returns from a rest."""
+        """Return whether a request of a priority may go there.
+
+        As `usable`, and after a rest only as many as the target takes then.
+        """
         if not self.usable(now):
             return False
         return self.availability.admits(priority, self._load.in_flight, now)
