Agents: which VMs leave is not forgotten while the reading of their list changes hands

What callers could see: requests to a target on a VM that leaves, while the store is down.

Cause: since agents that the store does not answer hand its role on, the reading of the VM list goes with it, and who stops reading forgot at once which VMs leave. While both agents hear of each other as served, both stop. They forget it now once the list's lag has passed since their last reading, time for the next one to read.

--- a/leverdoor/agent/daemon.py
+++ b/leverdoor/agent/daemon.py
@@ -244,7 +244,7 @@
             if self._follower_place() >= 0:
                 await self._read_list()
             else:
-                self._vm_watch.pause()
+                self._vm_watch.pause(self._now())
             await asyncio.sleep(interval * (0.9 + 0.2 * self._rng.random()))
 
     async def _read_list(self) -> None:
--- a/leverdoor/agent/vm_watch.py
+++ b/leverdoor/agent/vm_watch.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import math
 
 from leverdoor.membership.ownership import Table
 from leverdoor.membership.peers import Peers
@@ -33,16 +34,24 @@
         self.leaving: frozenset[str] = frozenset()
         self._departed: dict[str, float] = {}
         self._list = HttpVmList(settings.vm_list)
-        self._departures = Departures(settings.vm_list_lag_ms / 1000)
+        self._lag_s = settings.vm_list_lag_ms / 1000
+        self._departures = Departures(self._lag_s)
+        self._read_at = -math.inf
+        """When the list was last read, in seconds of the loop's clock."""
 
     @property
     def departed(self) -> set[str]:
         """Identities of processes that this agent proved to be gone."""
         return set(self._departed)
 
-    def pause(self) -> None:
-        """Forget which VMs leave, while other agents read the list."""
-        self.leaving = frozenset()
+    def pause(self, now: float) -> None:
+        """Forget which VMs leave, while other agents read the list.
+
+        Not before these had time to: agents that hand the reading on may all stop for
+        a moment, while the store answers none of them.
+        """
+        if now - self._read_at > self._lag_s:
+            self.leaving = frozenset()
 
     async def read(self, table: Table, peers: Peers) -> set[str]:
         """Read the list once.
@@ -59,6 +68,7 @@
         for m in table.members.values():
             known.setdefault(m.vm, set()).add(m.identity)
         vms = await self._list.fetch()
+        self._read_at = _now()
         self.leaving = frozenset(v.vm for v in vms if v.state is VmState.LEAVING)
         absent = self._departures.observe({v.vm for v in vms}, known, began)
         gone = absent - {b.identity for b in peers.live_near(_now())}
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -11,15 +11,19 @@
 
 from bench import Bench, calling, until
 from leverdoor import headers as h
+from leverdoor.agent.vm_watch import VmWatch
 from leverdoor.client.caller import Reply
 from leverdoor.client.operator import Operator
 from leverdoor.errors import Code, Refusal
 from leverdoor.gate.daemon import Gate
 from leverdoor.gate.pool import TargetPool
+from leverdoor.membership.ownership import Table
+from leverdoor.membership.peers import Peers
 from leverdoor.model.resources import (
     Drain,
     Target,
 )
+from leverdoor.settings import Address, AgentSettings
 from leverdoor.storage.vmlist import Vm, VmState
 
 
@@ -87,6 +91,32 @@
     await _gets_nothing_new(bench, "look-00")
 
 
+class _Listed:
+    """A VM list that names one VM, which leaves."""
+
+    async def fetch(self) -> list[Vm]:
+        return [Vm("host", VmState.LEAVING)]
+
+    async def close(self) -> None:
+        pass
+
+
+async def test_vms_that_leave_are_known_while_the_reading_changes_hands() -> None:
+    """One that the store does not answer hands it on; the next has not read yet."""
+    here = Address("127.0.0.1", 1)
+    settings = AgentSettings("vm00", "r0", "r0-0", here, here, here, (), "http://h")
+    watch = VmWatch(settings)
+    await watch.close()
+    watch._list = _Listed()  # type: ignore[assignment]
+    await watch.read(Table("r0"), Peers("vm00", "r0"))
+    lag_s = settings.vm_list_lag_ms / 1000
+    now = asyncio.get_running_loop().time()
+    watch.pause(now + lag_s / 2)
+    assert watch.leaving == {"host"}
+    watch.pause(now + lag_s + 0.1)
+    assert watch.leaving == frozenset()
+
+
 async def test_a_vm_that_leaves_by_the_list_is_not_named(bench: Bench) -> None:
     bench.vms._shown = [Vm("vm00", VmState.LEAVING), Vm("vm01")]
     named = {bench.listen("vm00")}
