Gates: a probe that finds no report does not undo that its target leaves

A probe says now whether there was a report; without one, leaving ends when the target was not reached in between. The field stands at the end of the message between agent and gate. The test failed before: usable after the first such probe.

--- a/leverdoor/agent/probing.py
+++ b/leverdoor/agent/probing.py
@@ -59,7 +59,7 @@
         try:
             async with self._session.get(f"http://{address}{PROBE_PATH}") as answer:
                 if answer.status == 404:
-                    return Probe(True, taken_at=loop.time())
+                    return Probe(True, taken_at=loop.time(), reports=False)
                 report = msgspec.json.decode(await answer.read(), type=TargetReport)
         except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError):
             return Probe(False, taken_at=loop.time())
--- a/leverdoor/gate/target_health.py
+++ b/leverdoor/gate/target_health.py
@@ -65,6 +65,8 @@
         self.leaving = False
         self._left_at = -PROBE_LAG_S
         """When an answer last said that it leaves."""
+        self._ended = False
+        """The newest probe did not reach it: what comes next is a new start."""
         self.out_until = 0.0
         self.warm_since = now
         self._failures = 0
@@ -100,13 +102,24 @@
     def report(self, probe: Probe) -> None:
         """Take a report; it can end an ejection by failure but not by shedding."""
         self._probe = probe
-        if probe.leaving or probe.taken_at - self._left_at > PROBE_LAG_S:
-            self.leaving = probe.leaving
+        self._take_leaving(probe)
         if probe.ok and self._failures and not self._sheds:
             self._failures = 0
         if not probe.ok:
             self.failed(probe.taken_at)
 
+    def _take_leaving(self, probe: Probe) -> None:
+        """Take whether the target leaves; what an older answer said of it may end."""
+        newer = probe.taken_at - self._left_at > PROBE_LAG_S
+        if probe.leaving:
+            self.leaving = True
+        elif not probe.ok:
+            self._ended = True
+        elif self._ended or (probe.reports and newer):
+            self.leaving = False
+        if probe.ok:
+            self._ended = False
+
     def usable(self, now: float) -> bool:
         """Return whether new work may go to the target."""
         return not self.leaving and now >= self.out_until
--- a/leverdoor/model/probe.py
+++ b/leverdoor/model/probe.py
@@ -18,3 +18,5 @@
     leaving: bool = False
     in_flight: int = 0
     taken_at: float = 0.0
+    reports: bool = True
+    """Whether the target reports anything of itself; not all have a path for it."""
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -284,6 +284,18 @@
     assert health.usable(12.0)
 
 
+def test_a_probe_without_a_report_does_not_undo_that_its_target_leaves() -> None:
+    """Targets need not have a path for probes; a new start comes after an end."""
+    health = TargetHealth(0.0)
+    health.said_that_it_leaves(10.0)
+    health.report(Probe(True, taken_at=20.0, reports=False))
+    assert not health.usable(20.0)
+    health.report(Probe(False, taken_at=30.0))
+    assert not health.usable(30.0)
+    health.report(Probe(True, taken_at=32.0, reports=False))
+    assert health.usable(32.0)
+
+
 def test_reports_lose_trust_with_age() -> None:
     health = TargetHealth(0.0)
     idle = health.score(0.0)
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -189,7 +189,9 @@
     heartbeats=[GATE_HEARTBEAT],
     leaving_vms=["vm9"],
     probes={
-        "10.0.0.9:80": Probe(ok=True, leaving=True, in_flight=4, taken_at=1234.5),
+        "10.0.0.9:80": Probe(
+            ok=True, leaving=True, in_flight=4, taken_at=1234.5, reports=False
+        ),
     },
     incarnation_floor=1_700_000_000_000_000,
 )
