--- a/leverdoor/emulator/site.py
+++ b/leverdoor/emulator/site.py
@@ -31,7 +31,7 @@
     WorkClass,
 )
 
-__all__ = ["EmulatedSite", "load_route"]
+__all__ = ["RESTART_S", "EmulatedSite", "load_route"]
 
 RESTART_S = 1.0
 """How long an entry that ends is away, in seconds.
