--- a/leverdoor/storage/following.py
+++ b/leverdoor/storage/following.py
@@ -39,8 +39,8 @@
 OVERDUE_S = 1.4
 """Time after which a watch may be given up, in seconds.
 
-Beyond the time of a first call, tried twice, so that a store that is down is found by
-its calls. Longer, a kept connection that went silent costs as much.
+Longer than a call and its second try take. Greater, a kept connection that went silent
+is waited for as long; smaller, a store that is down shows by lost watches.
 """
 
 
