--- a/benchmarks/emulated_following.py
+++ b/benchmarks/emulated_following.py
@@ -25,10 +25,11 @@
 from leverdoor.entry.configuration.confirmation import NUMBER_BITS, Confirmation
 from leverdoor.entry.context import EntryContext
 from leverdoor.entry.control_plane import ControlPlane
-from leverdoor.entry.events import Events, LineWriter
+from leverdoor.entry.events import Events
 from leverdoor.entry.exchange.exchange_types import EntryStatus, PeerUpdate
 from leverdoor.entry.exchange.messages import Message, RoomAnswer, RoomMessage
 from leverdoor.entry.exchange.peer_network import PeerNetwork
+from leverdoor.entry.log_writer import LineWriter
 from leverdoor.entry.membership.liveness import HEARTBEAT_S
 from leverdoor.entry.membership.member import (
     SERVING,
--- a/leverdoor/platform/program.py
+++ b/leverdoor/platform/program.py
@@ -10,7 +10,8 @@
 from pathlib import Path
 
 from leverdoor.entry.daemon import Entry
-from leverdoor.entry.events import Events, LineWriter
+from leverdoor.entry.events import Events
+from leverdoor.entry.log_writer import LineWriter
 from leverdoor.errors import SettingsError, code_info
 from leverdoor.lifecycle import run_daemon
 from leverdoor.logs import setup_logs
--- a/tests/test_entry_events.py
+++ b/tests/test_entry_events.py
@@ -5,7 +5,8 @@
 import json
 import os
 
-from leverdoor.entry.events import BURST_LINES, MAX_PENDING_BYTES, Events, LineWriter
+from leverdoor.entry.events import Events
+from leverdoor.entry.log_writer import BURST_LINES, MAX_PENDING_BYTES, LineWriter
 
 
 def test_a_pipe_that_nobody_reads_does_not_block() -> None:
--- a/tests/test_entry_joining.py
+++ b/tests/test_entry_joining.py
@@ -7,7 +7,8 @@
 from random import Random
 
 from leverdoor.codec import pack
-from leverdoor.entry.events import Events, LineWriter
+from leverdoor.entry.events import Events
+from leverdoor.entry.log_writer import LineWriter
 from leverdoor.entry.membership.joining import ALONE_S, SETTLE_S, Joining
 from leverdoor.entry.membership.member import Member
 from leverdoor.entry.membership.members import Membership
--- a/tests/test_entry_registration.py
+++ b/tests/test_entry_registration.py
@@ -10,7 +10,8 @@
 import pytest
 
 from leverdoor.codec import pack
-from leverdoor.entry.events import Events, LineWriter
+from leverdoor.entry.events import Events
+from leverdoor.entry.log_writer import LineWriter
 from leverdoor.entry.membership.member import Member
 from leverdoor.entry.membership.registration import (
     CALLS,
--- a/tests/test_entry_registration_end.py
+++ b/tests/test_entry_registration_end.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from leverdoor.entry.events import Events, LineWriter
+from leverdoor.entry.events import Events
+from leverdoor.entry.log_writer import LineWriter
 from leverdoor.entry.membership import registration
 from leverdoor.entry.membership.member import Member
 from leverdoor.storage.store import Commit, LeasingStore, Listing
--- a/tests/test_interface.py
+++ b/tests/test_interface.py
@@ -31,7 +31,8 @@
 from leverdoor.agent.probing import PROBE_PATH
 from leverdoor.cli import main as leverdoor_command
 from leverdoor.entry.admin import METRICS_PATH, PULL_PATH
-from leverdoor.entry.events import Events, LineWriter
+from leverdoor.entry.events import Events
+from leverdoor.entry.log_writer import LineWriter
 from leverdoor.entry.metrics import EntryMetrics
 from leverdoor.entry.settings import RELOADABLE, EntrySettings
 from leverdoor.errors import Code, code_info
--- a/tests/test_quarantine_records.py
+++ b/tests/test_quarantine_records.py
@@ -10,7 +10,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from leverdoor.entry.events import Events, LineWriter
+from leverdoor.entry.events import Events
+from leverdoor.entry.log_writer import LineWriter
 from leverdoor.entry.quarantine_records import REMOVED_AFTER_S, QuarantineRecords
 from leverdoor.errors import Code
 from leverdoor.platform.names import wire
