--- a/leverdoor/analysis/explaining.py
+++ b/leverdoor/analysis/explaining.py
@@ -107,6 +107,14 @@
         return f"{when}: {f['target']}{mine} {how}"
     if e.event == "limit_unreadable":
         return f"{when}: {f['target']} named an unreadable limit: {f['text']}"
+    if e.event == "target_leaving":
+        return f"{when}: {f['target']} said that it leaves"
+    if e.event == "target_rest":
+        mine = " (asked)" if f["target"] in targets else ""
+        return f"{when}: {f['target']}{mine} asked for {f['rest_s']} s of rest"
+    if e.event == "report_unreadable":
+        what = f"unreadable word on {f['what']}: {f['text']}"
+        return f"{when}: {f['target']} sent an {what}"
     if e.event == "quarantine_try":
         return f"{when}: request {f['fingerprint']} was run once more, as a try"
     if e.event == "quarantine":
--- a/leverdoor/entry/data_plane.py
+++ b/leverdoor/entry/data_plane.py
@@ -39,6 +39,7 @@
 from leverdoor.entry.requests.handler import EntryHandler
 from leverdoor.entry.requests.intake import Intake
 from leverdoor.entry.requests.outcomes import Outcomes
+from leverdoor.entry.requests.target_reports import TargetReports
 from leverdoor.entry.settings import EntrySettings
 from leverdoor.entry.warm_up import may_warm_up
 from leverdoor.model.resources import Target
@@ -88,6 +89,7 @@
             context.wire.headers.request_id,
             s.region,
             context.events.connections_forgotten,
+            self._create_reports(metrics).take,
         )
         now = asyncio.get_running_loop().time()
         self.quotas = Quotas(s.quotas, context.rng, now, first_start=s.first_start)
@@ -107,12 +109,18 @@
         policy.warms_up = lambda target: may_warm_up(self._membership, target)
         return policy
 
+    def _create_reports(self, metrics: EntryMetrics) -> TargetReports:
+        context = self._context
+        return TargetReports(
+            context.wire, self.fleet, self.limits.named, context.events, metrics
+        )
+
     def _create_handler(self, metrics: EntryMetrics) -> EntryHandler:
         wire, events = self._context.wire, self._context.events
         intake = Intake(
             wire, self._catalog, self.placement.pick_service, self._keys_confirmed
         )
-        outcomes = Outcomes(wire, self.placement, self.fleet, self.limits.named, events)
+        outcomes = Outcomes(self.placement, self.fleet, events)
         forwarder = Forwarder(
             wire,
             self.placement,
--- a/leverdoor/entry/events.py
+++ b/leverdoor/entry/events.py
@@ -312,6 +312,26 @@
         """A target named as its limit what is no number; its last one holds on."""
         self.emit("limit_unreadable", target=target, text=text[:MOST_LOGGED_TEXT])
 
+    def target_leaving(self, target: str) -> None:
+        """A target said in an answer that it leaves; one line for each."""
+        self.emit("target_leaving", target=target)
+
+    def target_rest(self, target: str, rest_s: float) -> None:
+        """A target turned a request away and asked this entry for rest."""
+        self.emit("target_rest", target=target, rest_s=round(rest_s, 3))
+
+    def report_unreadable(self, target: str, what: str, text: str) -> None:
+        """A target said of itself what can't be read; nothing is taken from it.
+
+        `what` is "leaving" or "rest".
+        """
+        self.emit(
+            "report_unreadable",
+            target=target,
+            what=what,
+            text=text[:MOST_LOGGED_TEXT],
+        )
+
     def target_checked(
         self, target: str, service: str, found: str, lost: int, took_s: float
     ) -> None:
--- a/leverdoor/entry/limits/named_limits.py
+++ b/leverdoor/entry/limits/named_limits.py
@@ -2,16 +2,17 @@
 # SPDX-License-Identifier: Apache-2.0
 """What answers say of targets' limits: read, kept in the book, logged and counted.
 
-Owns what this entry received itself, which it tells the others, and the last unreadable
-text of each target, so that it is logged once; both are lost with the process. Relies
+Owns what this entry received itself, which it tells the others, and which unreadable
+texts were logged; both are lost with the process. Relies
 on the wire for the header, and on `limits.named` for what counts.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from leverdoor.entry.events import Events
 from leverdoor.entry.metrics import EntryMetrics
 from leverdoor.entry.requests.replies import TargetReply
+from leverdoor.entry.unreadable import UnreadableTexts
 from leverdoor.entry.wire import Wire
 from leverdoor.limits.named import (
     KEPT_S,
@@ -41,17 +42,12 @@
         """Names of targets by their `target_id`."""
         self._own: dict[int, LimitWord] = {}
         """By target, the newest word that came here and counts."""
-        self._unreadable: dict[str, str] = {}
-        """By target, what it last named that is no number."""
+        self._unreadable = UnreadableTexts()
 
-    def renew(self, targets: Iterable[str]) -> None:
+    def renew(self, targets: Collection[str]) -> None:
         """Take the names of the targets of a new configuration."""
         self._names = {target_id(name): name for name in targets}
-        self._unreadable = {
-            name: text
-            for name, text in self._unreadable.items()
-            if target_id(name) in self._names
-        }
+        self._unreadable.keep_only(targets)
 
     def answered(self, target: Target, reply: TargetReply, now: float) -> None:
         """Take what a whole answer says, or its silence, of a target's limit.
@@ -86,8 +82,7 @@
 
     def _note_unreadable(self, target: Target, text: str) -> None:
         self._metrics.limits_unreadable.labels(target.service).inc()
-        if self._unreadable.get(target.name) != text:
-            self._unreadable[target.name] = text
+        if self._unreadable.is_new(target.name, text):
             self._events.limit_unreadable(target.name, text)
 
     def _log(self, change: LimitChange | None, source: str) -> None:
--- a/leverdoor/entry/metrics.py
+++ b/leverdoor/entry/metrics.py
@@ -98,6 +98,18 @@
             ["service"],
             registry=self.registry,
         )
+        self.rests = Counter(
+            "leverdoor_entry_rests",
+            "Answers by which targets asked this entry for rest.",
+            ["service"],
+            registry=self.registry,
+        )
+        self.reports_unreadable = Counter(
+            "leverdoor_entry_reports_unreadable",
+            "Answers in which targets say of themselves what can't be read.",
+            ["service", "what"],
+            registry=self.registry,
+        )
         self._left_out = Gauge(
             "leverdoor_entry_registrations_left_out",
             "Registrations that name no target to use, by what is wrong with them.",
--- a/leverdoor/entry/placement/fleet.py
+++ b/leverdoor/entry/placement/fleet.py
@@ -83,9 +83,15 @@
 
     # Load.
 
-    def reported(self, load: TargetLoad, now: float) -> None:
-        """Take the load that the target reports; own requests are part of it."""
-        self._load.reported(load, now)
+    def reported(self, load: TargetLoad, now: float, answered: int = 0) -> None:
+        """Take the load that the target reports; own requests are part of it.
+
+        Args:
+          load: what it reports.
+          now: monotonic time in seconds.
+          answered: own requests that have ended there and still count as in flight.
+        """
+        self._load.reported(load, now, answered)
 
     def reported_by_peer(self, peer: str, in_flight: int, now: float) -> None:
         """Take how many requests another entry has in flight there."""
--- a/leverdoor/entry/placement/load.py
+++ b/leverdoor/entry/placement/load.py
@@ -79,9 +79,16 @@
         self._peers_until = 0.0
         """Until when the sum holds: then the oldest count in it is too old."""
 
-    def reported(self, load: TargetLoad, now: float) -> None:
-        """Take the load that the target reports; own requests are part of it."""
-        others = max(load.running + load.waiting - self.in_flight, 0)
+    def reported(self, load: TargetLoad, now: float, answered: int = 0) -> None:
+        """Take the load that the target reports; own requests are part of it.
+
+        Args:
+          load: what it reports.
+          now: monotonic time in seconds.
+          answered: own requests that have ended there and still count as in flight.
+        """
+        own = self.in_flight - answered
+        others = max(load.running + load.waiting - own, 0)
         elapsed_s = now - self._report.at if self._report else UNCOUNTED_MEMORY_S
         weight = 1.0 - math.exp(-max(elapsed_s, 0.0) / UNCOUNTED_MEMORY_S)
         gap = others - self._in_flight_of_peers(now)
--- a/leverdoor/entry/requests/connection.py
+++ b/leverdoor/entry/requests/connection.py
@@ -11,7 +11,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import httptools
 
@@ -63,8 +63,13 @@
 class TargetConnection(asyncio.Protocol):
     """One connection; it carries one request at a time."""
 
-    def __init__(self) -> None:
-        """Create it; the loop's `create_connection` opens it."""
+    def __init__(self, take_report: Callable[[TargetReply], None]) -> None:
+        """Create it; the loop's `create_connection` opens it.
+
+        Args:
+          take_report: called with each whole answer to a request.
+        """
+        self._take_report = take_report
         self._transport: asyncio.Transport | None = None
         self._parser = ReplyParser(self._take_reply)
         self._pending: _Pending | None = None
@@ -140,6 +145,7 @@
             return
         if reply.get(pending.id_header) not in ("", pending.request_id):
             return
+        self._take_report(reply)
         if not keeps:
             self.usable = False
         pending.answer.set_result(reply)
@@ -231,16 +237,28 @@
             self._transport.write(part)
 
 
-async def open_connection(host: str, port: int, timeout_s: float) -> TargetConnection:
+async def open_connection(
+    host: str,
+    port: int,
+    timeout_s: float,
+    take_report: Callable[[TargetReply], None],
+) -> TargetConnection:
     """Open a connection to a target.
 
+    Args:
+      host: of the target.
+      port: of the target.
+      timeout_s: longest time to connect.
+      take_report: called with each whole answer to a request on it.
     Raises:
       NotSent: it could not be opened in time.
     """
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_s):
-            _, connection = await loop.create_connection(TargetConnection, host, port)
+            _, connection = await loop.create_connection(
+                lambda: TargetConnection(take_report), host, port
+            )
     except (OSError, TimeoutError) as e:
         refused = isinstance(e, ConnectionRefusedError)
         raise NotSent(f"no connection: {e!r}", refused) from None
--- a/leverdoor/entry/requests/connections.py
+++ b/leverdoor/entry/requests/connections.py
@@ -64,7 +64,11 @@
     """Kept connections by target; at most one request on each."""
 
     def __init__(
-        self, id_header: str, region: str, log_forgotten: Callable[[str], None]
+        self,
+        id_header: str,
+        region: str,
+        log_forgotten: Callable[[str], None],
+        take_report: Callable[[Target, TargetReply], None],
     ) -> None:
         """Create it without any connection.
 
@@ -72,7 +76,9 @@
           id_header: the header, in lower case, that carries a request's id.
           region: this entry's region.
           log_forgotten: called with a service whose targets forget connections.
+          take_report: called with each whole answer to a request as it arrives.
         """
+        self._take_report = take_report
         self._log_forgotten = log_forgotten
         self._idle_timeouts = IdleTimeouts()
         self._id_header = id_header
@@ -147,7 +153,12 @@
         near = target.region == self._region
         timeout_s = CONNECT_TIMEOUT_S if near else REMOTE_CONNECT_TIMEOUT_S
         self.opened += 1
-        return await open_connection(address.host, address.port, timeout_s)
+        return await open_connection(
+            address.host,
+            address.port,
+            timeout_s,
+            lambda reply: self._take_report(target, reply),
+        )
 
     def _keep(
         self, target: Target, connection: TargetConnection, keep_alive: str
--- a/leverdoor/entry/requests/forwarding.py
+++ b/leverdoor/entry/requests/forwarding.py
@@ -187,7 +187,6 @@
         except TimeoutError:
             self._outcomes.overran(placement, loop.time() - began)
             raise _AttemptFailed(Refusal(Code.DEADLINE_PASSED)) from None
-        self._outcomes.replied(placement, reply)
         self._check_run(placement, reply)
         return reply
 
--- a/leverdoor/entry/requests/outcomes.py
+++ b/leverdoor/entry/requests/outcomes.py
@@ -2,7 +2,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """What placement learns from the outcome of each attempt at a target.
 
-Loads, run times and warm keys go to the fleet and to the placement policy; a target
+Run times and warm keys go to the placement policy, failures to the fleet; a target
 that they eject is logged. Owns no state; relies on `placement.fleet` for all rules of
 ejection.
 """
@@ -10,7 +10,6 @@
 import asyncio
 
 from leverdoor.entry.events import Events
-from leverdoor.entry.limits.named_limits import NamedLimits
 from leverdoor.entry.placement.fleet import Fleet
 from leverdoor.entry.placement.health import SLOW_EJECTION_S
 from leverdoor.entry.placement.placement_request import Placement
@@ -18,7 +17,6 @@
 from leverdoor.entry.requests.entry_request import EntryRequest
 from leverdoor.entry.requests.replies import TargetReply
 from leverdoor.entry.requests.retries import WRONG_INSTANCE_STATUS
-from leverdoor.entry.wire import Wire
 
 __all__ = ["Outcomes"]
 
@@ -33,29 +31,15 @@
 
     def __init__(
         self,
-        wire: Wire,
         policy: PlacementPolicy,
         fleet: Fleet,
-        named_limits: NamedLimits,
         events: Events,
     ) -> None:
         """Create it from the entry's parts."""
-        self._wire = wire
         self._policy = policy
         self._fleet = fleet
-        self._named_limits = named_limits
         self._events = events
 
-    def replied(self, placement: Placement, reply: TargetReply) -> None:
-        """Learn what any whole answer says of the target itself: its limit.
-
-        Whatever its status; but one of another instance at the same address says
-        nothing of this one.
-        """
-        if reply.status != WRONG_INSTANCE_STATUS:
-            now = asyncio.get_running_loop().time()
-            self._named_limits.answered(placement.target, reply, now)
-
     def answered(
         self,
         request: EntryRequest,
@@ -63,12 +47,8 @@
         reply: TargetReply,
         took_s: float,
     ) -> None:
-        """Learn the load that an answer reports, and how long its run took."""
+        """Learn how long the run of an answer took."""
         now = asyncio.get_running_loop().time()
-        state = self._fleet.of(placement.target, now)
-        load = self._wire.parse_load(reply.get(self._wire.headers.load))
-        if load is not None:
-            state.reported(load, now)
         if reply.status >= FAILED_STATUS:
             return
         size = len(reply.body) + request.body_size
--- a/leverdoor/entry/wire.py
+++ b/leverdoor/entry/wire.py
@@ -21,10 +21,15 @@
     "Lookup",
     "TargetLoad",
     "Translate",
+    "UnreadableReport",
     "Wire",
 ]
 
 
+class UnreadableReport(ValueError):
+    """A target said something of itself in a form that can't be read."""
+
+
 class LeftOut(msgspec.Struct, frozen=True):
     """A registration that names no target to use."""
 
@@ -92,6 +97,11 @@
     limit: str
     """From targets: requests a second that they take from all entries together, see
     `Wire.parse_limit`."""
+    leaving: str
+    """From targets: they leave, see `Wire.parse_leaving`."""
+    rest: str
+    """From targets that turn a request away: for how long they want nothing more of
+    this entry, see `Wire.parse_rest`."""
     workspace_key: str
     """From clients: the key that shows whose request it is."""
     workspace: str
@@ -114,6 +124,15 @@
     """From all headers of that name in an answer; None for none of them.
 
     Raises `UnreadableLimit` if they name no limit."""
+    parse_leaving: Callable[[Sequence[str]], bool]
+    """From all headers of that name in an answer: whether the target leaves.
+
+    Raises `UnreadableReport` if they say neither."""
+    parse_rest: Callable[[int, Sequence[str]], float | None]
+    """From an answer's status and all its headers of that name: seconds of rest that
+    the target asks this entry for, not bounded; None if it asks for none.
+
+    Raises `UnreadableReport` if they name no time."""
     translate: Translate
     peer_key: Callable[[str], str]
     """From an entry's name: the key of its registration in the store."""
--- a/leverdoor/platform/formats.py
+++ b/leverdoor/platform/formats.py
@@ -12,7 +12,7 @@
 import msgspec
 from loguru import logger
 
-from leverdoor.entry.wire import Configured, LeftOut, TargetLoad
+from leverdoor.entry.wire import Configured, LeftOut, TargetLoad, UnreadableReport
 from leverdoor.limits.named import UnreadableLimit
 from leverdoor.model.resources import Drain, Region, Resource, Target
 from leverdoor.platform.documents import Config
@@ -23,7 +23,15 @@
 )
 from leverdoor.storage.store import KeyValue
 
-__all__ = ["HELD", "PEERS", "Translator", "parse_limit", "parse_load"]
+__all__ = [
+    "HELD",
+    "PEERS",
+    "Translator",
+    "parse_leaving",
+    "parse_limit",
+    "parse_load",
+    "parse_rest",
+]
 
 CONFIG = "op/config"
 """The key of the operator's configuration."""
@@ -37,6 +45,12 @@
 """Below it stand the requests that are held back, each under its fingerprint."""
 LOAD_FIGURES = 3
 """Figures of a target's load: running, waiting, slots."""
+TURNED_AWAY = 503
+"""HTTP status of an answer that may ask for rest; elsewhere its header means others."""
+SECONDS = re.compile(r"[0-9]+(\.[0-9]+)?")
+"""A plain decimal number, of any length; a date is none."""
+LEAVES, STAYS = "1", "0"
+"""What a target may say of whether it leaves."""
 LIMIT = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 """A plain decimal number: no sign, no exponent, no other base, and finite."""
 
@@ -176,3 +190,37 @@
     if len(values) > 1 or not LIMIT.fullmatch(values[0].strip()):
         raise UnreadableLimit(", ".join(values))
     return float(values[0])
+
+
+def parse_leaving(values: Sequence[str]) -> bool:
+    """Parse whether a target says that it leaves.
+
+    Args:
+      values: of all headers that should say so.
+    Returns: False if there is no such header.
+    Raises:
+      UnreadableReport: one says neither, or they differ.
+    """
+    said = {value.strip() for value in values}
+    if not said or said == {STAYS}:
+        return False
+    if said != {LEAVES}:
+        raise UnreadableReport(", ".join(values))
+    return True
+
+
+def parse_rest(status: int, values: Sequence[str]) -> float | None:
+    """Parse the rest that a target asks for with an answer, in seconds.
+
+    Args:
+      status: the answer's HTTP status.
+      values: of all headers that should name it.
+    Returns: None if the target asks for none; infinity for a number beyond a float's.
+    Raises:
+      UnreadableReport: there are several, or what is there is no plain decimal number.
+    """
+    if status != TURNED_AWAY or not values:
+        return None
+    if len(values) > 1 or not SECONDS.fullmatch(values[0].strip()):
+        raise UnreadableReport(", ".join(values))
+    return float(values[0])
--- a/leverdoor/platform/names.py
+++ b/leverdoor/platform/names.py
@@ -14,8 +14,10 @@
     HELD,
     PEERS,
     Translator,
+    parse_leaving,
     parse_limit,
     parse_load,
+    parse_rest,
 )
 
 __all__ = ["wire"]
@@ -44,6 +46,8 @@
             not_run="x-not-executed",
             load="x-server-load",
             limit="server-limit",
+            leaving="server-leaving",
+            rest="retry-after",
             workspace_key="x-credential",
             workspace="x-tenant",  # The platform calls workspaces tenants.
         ),
@@ -53,6 +57,8 @@
         serialize_resolve=_serialize_resolve,
         parse_load=parse_load,
         parse_limit=parse_limit,
+        parse_leaving=parse_leaving,
+        parse_rest=parse_rest,
         translate=Translator(zones),
         peer_key=lambda name: PEERS + name,
         held_key=lambda fingerprint: HELD + fingerprint,
--- a/tests/interface_table.py
+++ b/tests/interface_table.py
@@ -142,6 +142,8 @@
     "leverdoor_entry_quarantined": ("gauge", (), ()),
     "leverdoor_entry_quota_refusals": ("counter", ("workspace",), ()),
     "leverdoor_entry_registrations_left_out": ("gauge", ("cause",), ()),
+    "leverdoor_entry_reports_unreadable": ("counter", ("service", "what"), ()),
+    "leverdoor_entry_rests": ("counter", ("service",), ()),
     "leverdoor_entry_room_requests": ("counter", ("outcome",), ()),
     "leverdoor_entry_targets_ended": ("counter", ("service",), ()),
 }
@@ -278,11 +280,14 @@
         ),
     ),
     ("registration_left_out", ("cause", "detail", "name", "unlogged")),
+    ("report_unreadable", ("target", "text", "what")),
     ("shares", ("service", "shares")),
     ("store", ("change", "detail", "revision")),
     ("target_checked", ("found", "lost", "service", "target", "took_ms")),
     ("target_ejected", ("ejected_s", "reason", "target")),
+    ("target_leaving", ("target",)),
     ("target_limit", ("change", "per_s", "source", "target")),
+    ("target_rest", ("rest_s", "target")),
     ("targets", ("came", "cold", "expired", "gone", "revision")),
 ]
 """Kind and fields of each event of an entry, without those that all lines have."""
@@ -597,6 +602,8 @@
 """Headers of a plain site, and the prefix of those that are not forwarded."""
 
 PLATFORM_HEADERS: list[str] = [
+    "retry-after",
+    "server-leaving",
     "server-limit",
     "x-affinity-key",
     "x-credential",
--- a/tests/test_platform_bytes.py
+++ b/tests/test_platform_bytes.py
@@ -141,6 +141,8 @@
         "x-not-executed",
         "x-server-load",
         "server-limit",
+        "server-leaving",
+        "retry-after",
         "x-credential",
         "x-tenant",
     ]
