Log and export the era of the store's history

Whether the store came back from a copy or a lagging copy answered could not be told from what the users collected: no line and no metric named the history that a revision belongs to. The client reads Store-Era of each response; the event store, the line 'the store is behind what was accepted' and the metric leverdoor_entry_store_era carry it. No decision reads it yet. The stand-in of the store comes back from a copy, names its era, and answers 410 to a watch from a revision that it does not have.

--- a/leverdoor/entry/control_plane.py
+++ b/leverdoor/entry/control_plane.py
@@ -213,7 +213,8 @@
             reachable, asyncio.get_running_loop().time()
         )
         change = "answers" if reachable else "lost"
-        self._context.events.store(change, self._state.revision, reason)
+        store = self._context.store
+        self._context.events.store(change, self._state.revision, store.era, reason)
 
 
 class _FollowerRoleAdapter(FollowerRole):
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -265,6 +265,7 @@
         self._control.exchange.forget(now)
         self._data.forget(now)
         self._metrics.confirmed_age.set(self._catalog_manager.confirmation.age_s(now))
+        self._metrics.store_era.set(self._store.era)
         self._metrics.in_flight.set(self._data.handler.active_count)
         self._metrics.peers.set(len(self._membership.live(now)))
         for name, change, silent_s in self._membership.changes(now):
--- a/leverdoor/entry/events.py
+++ b/leverdoor/entry/events.py
@@ -335,9 +335,13 @@
             took_ms=round(took_s * 1000),
         )
 
-    def store(self, change: str, revision: int, detail: str = "") -> None:
-        """Log that the store became unreachable ("lost") or "answers" again."""
-        self.emit("store", change=change, revision=revision, detail=detail)
+    def store(self, change: str, revision: int, era: int, detail: str = "") -> None:
+        """Log that the store became unreachable ("lost") or "answers" again.
+
+        `revision` is that of the state in force, `era` that of the store's newest
+        response to this entry.
+        """
+        self.emit("store", change=change, revision=revision, era=era, detail=detail)
 
     def process(self, change: str, **fields: Any) -> None:
         """Log an event of the process, such as its start or a failed record write."""
--- a/leverdoor/entry/metrics.py
+++ b/leverdoor/entry/metrics.py
@@ -47,6 +47,11 @@
             "Revision of the store in force.",
             registry=self.registry,
         )
+        self.store_era = Gauge(
+            "leverdoor_entry_store_era",
+            "Era of the store's history in its newest response to this entry.",
+            registry=self.registry,
+        )
         self.confirmed_age = Gauge(
             "leverdoor_entry_confirmed_age_seconds",
             "Age of the store's newest answer that the state rests on.",
--- a/leverdoor/platform/store.py
+++ b/leverdoor/platform/store.py
@@ -70,6 +70,11 @@
 `EVENT_BATCH_DELAY_S`. With a greater value an unscheduled call may be late; with a
 smaller value watches open new connections.
 """
+ERA_HEADER = "Store-Era"
+"""Header of all responses with the era of the store's history, a decimal number.
+
+It rises by one each time the store comes back from a copy, without its latest changes.
+"""
 EVENT_BATCH_DELAY_S = 0.1
 """Delay after a watch call that returned events, in seconds; it batches later events.
 
@@ -355,7 +360,9 @@
                 headers=headers,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
-                return response.status, await response.read()
+                data = await response.read()
+                self.era = _parse_era(response.headers.get(ERA_HEADER, ""))
+                return response.status, data
         except aiohttp.ClientConnectorError as e:
             raise StoreUnavailable(f"{call}: {e}") from None
         except TimeoutError as e:
@@ -376,6 +383,11 @@
     raise OutcomeUnknown(f"{call}: HTTP {status}")
 
 
+def _parse_era(text: str) -> int:
+    """Return the era that a response names; 0 if it names none."""
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
 def _parse_response(data: bytes, kind: type[T]) -> T:
     try:
         return msgspec.json.decode(data, type=kind)
--- a/leverdoor/standins/metadata.py
+++ b/leverdoor/standins/metadata.py
@@ -9,14 +9,16 @@
 import asyncio
 import base64
 from collections.abc import Callable
-from itertools import count
 
 import msgspec
 from aiohttp import web
 
 from leverdoor.codec import serialize_json
 
-__all__ = ["MetadataFaults", "MetadataStandin"]
+__all__ = ["MetadataCopy", "MetadataFaults", "MetadataStandin"]
+
+ERA_HEADER = "Store-Era"
+"""Header of all answers: the era of the history."""
 
 MOST_WAIT_MS = 30_000
 """Longest wait of a watch, in ms, by the published protocol."""
@@ -69,6 +71,17 @@
     until: float
 
 
+class MetadataCopy(msgspec.Struct):
+    """All that the store held at one moment."""
+
+    revision: int
+    items: dict[str, _Item]
+    history: list[tuple[int, dict[str, object]]]
+    kept_after: int
+    leases: dict[int, _Lease]
+    next_lease: int
+
+
 class _Condition(msgspec.Struct, rename={"key": "private-key"}):
     key: str
     revision: int
@@ -97,13 +110,15 @@
         """
         self._now = now or (lambda: asyncio.get_running_loop().time())
         self.revision = 1
+        self.era = 1
+        """Era of the history, which each restoration from a copy raises by one."""
         self.items: dict[str, _Item] = {}
         self.faults = MetadataFaults()
         self.calls: dict[str, int] = {}
         self._history: list[tuple[int, dict[str, object]]] = []
         self._kept_after = 1
         self._leases: dict[int, _Lease] = {}
-        self._numbers = count(77_120)
+        self._next_lease = 77_120
         self._changed = asyncio.Event()
 
     # The store itself.
@@ -134,6 +149,34 @@
         self._kept_after = self.revision
         self._wake()
 
+    def copy(self) -> MetadataCopy:
+        """Return a copy of all that the store holds now."""
+        return MetadataCopy(
+            self.revision,
+            dict(self.items),
+            list(self._history),
+            self._kept_after,
+            {n: msgspec.structs.replace(v) for n, v in self._leases.items()},
+            self._next_lease,
+        )
+
+    def restore(self, copy: MetadataCopy) -> None:
+        """Come back as a copy: what was written since is lost, and the era rises.
+
+        Revisions and leases are given out again from those of the copy. Its leases run
+        from now.
+        """
+        self.era += 1
+        self.revision = copy.revision
+        self.items = dict(copy.items)
+        self._history = list(copy.history)
+        self._kept_after = copy.kept_after
+        self._leases = {
+            n: _Lease(v.ttl_s, self._now() + v.ttl_s) for n, v in copy.leases.items()
+        }
+        self._next_lease = copy.next_lease
+        self._wake()
+
     def _put(self, key: str, value: bytes, lease: int) -> None:
         before = self.items.get(key)
         made = before.made if before else self.revision
@@ -194,6 +237,7 @@
     def app(self) -> web.Application:
         """Return the store's HTTP interface."""
         app = web.Application(client_max_size=4 * 1024 * 1024)
+        app.on_response_prepare.append(self._add_era)
         app.router.add_get("/api/kv-key", self._key)
         app.router.add_get("/api/kv-range", self._range)
         app.router.add_get("/api/kv-watch", self._watch)
@@ -203,6 +247,9 @@
         app.router.add_delete("/api/kv-lease-end/{lease}", self._end)
         return app
 
+    async def _add_era(self, _: web.Request, response: web.StreamResponse) -> None:
+        response.headers[ERA_HEADER] = str(self.era)
+
     async def _fail(self, request: web.Request) -> web.StreamResponse | None:
         """Count a call; return the answer of the faults set now, if they answer it."""
         name = request.path.split("/")[2]
@@ -258,7 +305,7 @@
         wait_ms = min(int(request.query["wait-ms"]), MOST_WAIT_MS)
         until = self._now() + wait_ms / 1000
         while True:
-            if after < self._kept_after:
+            if after < self._kept_after or after > self.revision:
                 return web.Response(status=410)
             changed = self._changed
             found = [
@@ -302,7 +349,8 @@
         if failed is not None:
             return failed
         ttl_ms = msgspec.json.decode(await request.read())["ttl_ms"]
-        number = next(self._numbers)
+        number = self._next_lease
+        self._next_lease += 1
         self._leases[number] = _Lease(ttl_ms / 1000, self._now() + ttl_ms / 1000)
         return _json({"lease": number, "ttl_ms": ttl_ms})
 
--- a/leverdoor/storage/following.py
+++ b/leverdoor/storage/following.py
@@ -283,6 +283,7 @@
                 "the store is behind what was accepted",
                 store=listing.revision,
                 held=self._state.revision,
+                era=self._store.era,
             )
             raise StoreUnavailable("the revision of the store decreased")
         self._record_response()
--- a/leverdoor/storage/store.py
+++ b/leverdoor/storage/store.py
@@ -106,6 +106,8 @@
 
     calls = 0
     """Number of requests sent to the service; `MemoryStore` does not count them."""
+    era = 0
+    """Era of the service's history in its newest response; 0 if it names none."""
 
     @abstractmethod
     async def read(self, prefix: str) -> Listing:
--- a/tests/interface_table.py
+++ b/tests/interface_table.py
@@ -133,6 +133,7 @@
     ),
     "leverdoor_entry_lookups": ("counter", (), ()),
     "leverdoor_entry_revision": ("gauge", (), ()),
+    "leverdoor_entry_store_era": ("gauge", (), ()),
     "leverdoor_entry_confirmed_age_seconds": ("gauge", (), ()),
     "leverdoor_entry_in_flight": ("gauge", (), ()),
     "leverdoor_entry_leaving_targets": ("gauge", (), ()),
@@ -194,7 +195,7 @@
     ("table refused", "info", ("revision", "version")),
     ("table written", "info", ("revision", "version")),
     ("target checked", "info", ("found", "target")),
-    ("the store is behind what was accepted", "error", ("held", "store")),
+    ("the store is behind what was accepted", "error", ("era", "held", "store")),
     ("watch silent while its answer is due", "info", ()),
 ]
 """Event, level and fields of each call of the logger; `?` for what libraries log."""
@@ -284,7 +285,7 @@
     ("registration_left_out", ("cause", "detail", "name", "unlogged")),
     ("report_unreadable", ("target", "text", "what")),
     ("shares", ("service", "shares")),
-    ("store", ("change", "detail", "revision")),
+    ("store", ("change", "detail", "era", "revision")),
     ("target_checked", ("found", "lost", "service", "target", "took_ms")),
     ("target_ejected", ("ejected_s", "reason", "target")),
     ("target_leaving", ("target",)),
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -228,3 +228,15 @@
     contract.store._call = invalid_response  # type: ignore[method-assign]
     with pytest.raises(StoreUnavailable):
         await contract.store.read("")
+
+
+async def test_store_restored_from_a_copy_names_a_later_era(
+    contract: StoreFixture,
+) -> None:
+    copy = contract.standin.copy()
+    at = contract.standin.put("op/config", b"1")
+    await contract.store.read("")
+    era = contract.store.era
+    contract.standin.restore(copy)
+    assert (await contract.store.read("")).revision < at
+    assert contract.store.era == era + 1
