Red test: changes after the store came back from a copy are not in force in time

The product's control plane on a fake clock, twelve entries in three regions, an operator and targets that write again what the store lost.

--- a/benchmarks/emulated_following.py
+++ b/benchmarks/emulated_following.py
@@ -40,7 +40,7 @@
 )
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.settings import EntrySettings
-from leverdoor.entry.wire import StoreContents
+from leverdoor.entry.wire import StoreContents, Wire
 from leverdoor.platform.wire_format import wire
 from leverdoor.settings import Address
 from leverdoor.storage.fetching import READ_TIMEOUT_S
@@ -153,11 +153,7 @@
             metrics=here,
         )
         events = Events(LineWriter(os.open(os.devnull, os.O_WRONLY)), name)
-        words = msgspec.structs.replace(
-            wire(self._site.domains),
-            translate=_translate,
-            peer_key=lambda name: PREFIX + name,
-        )
+        words = self._site.wire()
         context = EntryContext(
             settings, self.store, self.network, words, events, self._rng, loop.time
         )
@@ -293,6 +289,14 @@
         for entry in self.entries.values():
             await entry.stop()
 
+    def wire(self) -> Wire:
+        """Return names and formats for an entry; no configuration is decoded."""
+        return msgspec.structs.replace(
+            wire(self.domains),
+            translate=_translate,
+            peer_key=lambda name: PREFIX + name,
+        )
+
     # Ways.
 
     def store_delay_s(self, region: str) -> float:
--- a/benchmarks/emulated_store.py
+++ b/benchmarks/emulated_store.py
@@ -13,14 +13,14 @@
 from collections.abc import Coroutine, Mapping
 from enum import StrEnum
 from random import Random
-from typing import Any
+from typing import Any, NamedTuple
 
 from leverdoor.codec import serialize_json
 from leverdoor.errors import OutcomeUnknown
 from leverdoor.platform.store import READ_IDLE_S, CallTimeoutError, PlatformStore
 from leverdoor.storage.store import KeyValue
 
-__all__ = ["EmulatedStore", "StoreWay", "WayFault"]
+__all__ = ["EmulatedStore", "StoreCopy", "StoreWay", "WayFault"]
 
 SENT_AGAIN_S = 1.0
 """Time after which TCP sends the first packet of a connection again, in seconds."""
@@ -39,12 +39,24 @@
     TURNED_AWAY = "429"
 
 
+class StoreCopy(NamedTuple):
+    """All that the store held at one moment."""
+
+    revision: int
+    items: dict[str, KeyValue]
+    history: list[tuple[int, dict[str, object]]]
+    kept_after: int
+    leases: int
+
+
 class EmulatedStore:
     """The platform's store: keys, history, and calls counted."""
 
     def __init__(self) -> None:
         """Create an empty store at revision 1."""
         self.revision = 1
+        self.era = 1
+        """Raised by one each time the store comes back from a copy."""
         self.down = False
         """Nobody is answered."""
         self.calls: Counter[str] = Counter()
@@ -62,16 +74,52 @@
         self.revision += 1
         self._items[key] = KeyValue(key, value, self.revision, lease)
         self._history.append((self.revision, _shown(self._items[key])))
+        self._wake()
+        return self.revision
+
+    def remove(self, key: str) -> int:
+        """Remove one key, if it is there; returns the revision."""
+        if self._items.pop(key, None) is not None:
+            self.revision += 1
+            gone = {"private-key": key, "revision": self.revision, "gone": True}
+            self._history.append((self.revision, gone))
+            self._wake()
+        return self.revision
+
+    def value(self, key: str) -> bytes | None:
+        """Return the value of one key, None if it is not there."""
+        item = self._items.get(key)
+        return None if item is None else item.value
+
+    def copy(self) -> StoreCopy:
+        """Return a copy of all that the store holds now."""
+        return StoreCopy(
+            self.revision,
+            dict(self._items),
+            list(self._history),
+            self._kept_after,
+            self._leases,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back as a copy; what was written since is lost, and the era rises."""
+        self.era += 1
+        self.revision = copy.revision
+        self._items = dict(copy.items)
+        self._history = list(copy.history)
+        self._kept_after = copy.kept_after
+        self._leases = copy.leases
+        self._wake()
+
+    def _wake(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
-        return self.revision
 
     def forget_history(self) -> None:
         """Drop what watches could have continued from."""
         self._history.clear()
         self._kept_after = self.revision
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._wake()
 
     async def answer(
         self, call: str, query: Mapping[str, str], body: Any
@@ -100,7 +148,7 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + wait_ms / 1000
         while True:
-            if after < self._kept_after:
+            if after < self._kept_after or after > self.revision:
                 return 410, b""
             changed = self._changed
             first = bisect_right(self._history, after, key=lambda e: e[0])
@@ -220,9 +268,11 @@
         if self.fault is WayFault.TURNED_AWAY:
             return 429, b""
         status, data = await self._emulated.answer(call, query, body)
+        era = self._emulated.era
         await asyncio.sleep(self._delay_s)
         self._used_at = asyncio.get_running_loop().time()
         lost = self.fault in (WayFault.SILENT, WayFault.ANSWERS_LOST)
         if lost or self.stuck or self._emulated.down:
             await asyncio.Event().wait()
+        self.era = era
         return status, data
--- /dev/null
+++ b/tests/test_store_restored.py
@@ -0,0 +1,42 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""The store comes back from a copy, without its latest changes.
+
+The product's control plane runs on a virtual clock (`emulated_restoring`).
+"""
+
+import asyncio
+
+from emulated_restoring import Figures, RestoringSite
+from virtual_clock import run_virtual
+
+ENTRIES = 12
+AFTER_S = 12.0
+"""Time after the store's return, in seconds."""
+
+
+def figures_after_drills(
+    copy_ages_s: list[float], quiet_s: float = 0.0, entries: int = ENTRIES
+) -> Figures:
+    """Let the store come back from copies of some ages, one after the other."""
+
+    async def run() -> Figures:
+        site = RestoringSite(entries)
+        await site.start()
+        await asyncio.sleep(14.0)
+        for copy_age_s in copy_ages_s:
+            await site.drill(copy_age_s, quiet_s)
+            await asyncio.sleep(AFTER_S)
+        await site.stop()
+        return site.figures
+
+    figures: Figures = run_virtual(run())
+    return figures
+
+
+def test_changes_after_a_restored_store_are_in_force_in_time() -> None:
+    """Changes at revisions that were given out again were never read."""
+    for copy_age_s, quiet_s in ((4.0, 0.0), (12.0, 0.0), (12.0, 2.0)):
+        figures = figures_after_drills([copy_age_s], quiet_s)
+        broken = (figures.older, figures.left, figures.back)
+        assert broken == (0, 0, 0), f"copy {copy_age_s} s old: {figures}"
