--- a/benchmarks/emulated_exchange.py
+++ b/benchmarks/emulated_exchange.py
@@ -29,6 +29,7 @@
 from leverdoor.entry.membership.member import SERVING, Member
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.membership.roles import Roles
+from leverdoor.storage.position import position_without_era
 
 __all__ = ["Figures", "KnowledgeSite", "MakeNode", "Node", "Outgoing", "measure"]
 
@@ -133,13 +134,15 @@
     def round(self, now: float) -> list[Outgoing]:
         """Return what it sends in a round, with requests at a few targets."""
         counts = Counter(self._rng.choices(self._targets, k=BUSY_TARGETS))
-        report = EntryStatus(SERVING, 1, dict(counts), self._shares, -1, [])
+        report = EntryStatus(
+            SERVING, position_without_era(1), dict(counts), self._shares, -1, []
+        )
         sendings, _ = self._exchange.round(report, now)
         return [(s.message, s.destinations) for s in sendings]
 
     def take(self, message: ExchangeMessage, now: float) -> None:
         """Take a message."""
-        self._exchange.take(message, 1, now)
+        self._exchange.take(message, position_without_era(1), now)
 
 
 class KnowledgeSite:
--- a/benchmarks/emulated_following.py
+++ b/benchmarks/emulated_following.py
@@ -44,6 +44,7 @@
 from leverdoor.platform.wire_format import wire
 from leverdoor.settings import Address
 from leverdoor.storage.fetching import READ_TIMEOUT_S
+from leverdoor.storage.position import Position
 from leverdoor.storage.state import Delta, State
 from leverdoor.storage.store import KeyValue
 
@@ -93,8 +94,8 @@
         for address in to:
             self._site.carry(self._name, address.partition(":")[0], message)
 
-    async def fetch(self, address: str, since: int) -> Delta:
-        """Fetch what an entry has beyond a revision."""
+    async def fetch(self, address: str, since: Position) -> Delta:
+        """Fetch what an entry has beyond a position."""
         to = address.partition(":")[0]
         peer = self._site.entries[to]
         delay_s = self._site.delay_s(self._name, to)
@@ -137,7 +138,8 @@
         loop = asyncio.get_running_loop()
         incarnation = round(loop.time() * 1e6)
         self.member = msgspec.structs.replace(self.member, incarnation=incarnation)
-        self.state = State()
+        words = self._site.wire()
+        self.state = State(words.describe_record)
         name = self.member.name
         here = Address(name, 1)
         settings = EntrySettings(
@@ -153,7 +155,6 @@
             metrics=here,
         )
         events = Events(LineWriter(os.open(os.devnull, os.O_WRONLY)), name)
-        words = self._site.wire()
         context = EntryContext(
             settings, self.store, self.network, words, events, self._rng, loop.time
         )
@@ -216,13 +217,13 @@
         now = asyncio.get_running_loop().time()
         return EntryStatus(
             SERVING if self.state.revision else STARTING,
-            self.state.revision,
+            self.state.position,
             {},
             {},
             self.catalog_manager.outage.age_ms(now),
             [],
             answer=self.catalog_manager.confirmation.newest_answer(
-                self.state.revision, now
+                self.state.position, now
             ),
             unserved=self.control.is_unserved(now),
         )
--- a/benchmarks/emulated_quotas.py
+++ b/benchmarks/emulated_quotas.py
@@ -23,6 +23,7 @@
 from leverdoor.entry.membership.roles import Roles
 from leverdoor.errors import Refusal
 from leverdoor.model.resources import Workspace
+from leverdoor.storage.position import position_without_era
 from leverdoor.workspaces.quota import Quotas
 from leverdoor.workspaces.quota_bounds import QuotaBounds
 
@@ -126,7 +127,9 @@
         self.quotas.entries = self.membership.count
         use = self.quotas.report(now)
         counting_for_s = self.quotas.counting_for_s(now)
-        report = EntryStatus(SERVING, 1, {}, {}, -1, [], use, counting_for_s)
+        report = EntryStatus(
+            SERVING, position_without_era(1), {}, {}, -1, [], use, counting_for_s
+        )
         sendings, update = self.exchange.round(report, now)
         self._receive(update, now)
         self.exchange.forget(now)
@@ -134,7 +137,7 @@
 
     def take(self, message: ExchangeMessage, now: float) -> None:
         """Take a message."""
-        self._receive(self.exchange.take(message, 1, now), now)
+        self._receive(self.exchange.take(message, position_without_era(1), now), now)
 
     def _receive(self, update: PeerUpdate, now: float) -> None:
         if update.use is not None:
--- a/benchmarks/emulated_store.py
+++ b/benchmarks/emulated_store.py
@@ -17,7 +17,12 @@
 
 from leverdoor.codec import serialize_json
 from leverdoor.errors import OutcomeUnknown
-from leverdoor.platform.store import READ_IDLE_S, CallTimeoutError, PlatformStore
+from leverdoor.platform.store import (
+    READ_IDLE_S,
+    CallTimeoutError,
+    PlatformStore,
+    StoreResponse,
+)
 from leverdoor.storage.store import KeyValue
 
 __all__ = ["EmulatedStore", "StoreCopy", "StoreWay", "WayFault"]
@@ -212,7 +217,7 @@
         query: dict[str, str],
         body: object,
         timeout_s: float = 2.0,
-    ) -> tuple[int, bytes]:
+    ) -> StoreResponse:
         self.calls += 1
         if call in ("kv-watch", "kv-range") and not query.get("stale"):
             self._emulated.call_times.append(asyncio.get_running_loop().time())
@@ -235,8 +240,8 @@
         self.stuck = False
 
     async def _unless_reset(
-        self, exchange: Coroutine[Any, Any, tuple[int, bytes]]
-    ) -> tuple[int, bytes]:
+        self, exchange: Coroutine[Any, Any, StoreResponse]
+    ) -> StoreResponse:
         task = asyncio.ensure_future(exchange)
         reset = asyncio.ensure_future(self._reset.wait())
         try:
@@ -250,7 +255,7 @@
 
     async def _exchange(
         self, call: str, query: dict[str, str], body: object
-    ) -> tuple[int, bytes]:
+    ) -> StoreResponse:
         if self.fault is WayFault.RESET:
             raise ConnectionResetError
         now = asyncio.get_running_loop().time()
@@ -264,9 +269,9 @@
             await asyncio.Event().wait()
         self._connected = True
         if self.fault is WayFault.BUSY:
-            return 503, b""
+            return StoreResponse(503, b"", self._emulated.era)
         if self.fault is WayFault.TURNED_AWAY:
-            return 429, b""
+            return StoreResponse(429, b"", self._emulated.era)
         status, data = await self._emulated.answer(call, query, body)
         era = self._emulated.era
         await asyncio.sleep(self._delay_s)
@@ -275,4 +280,4 @@
         if lost or self.stuck or self._emulated.down:
             await asyncio.Event().wait()
         self.era = era
-        return status, data
+        return StoreResponse(status, data, era)
--- a/benchmarks/quarantine_node.py
+++ b/benchmarks/quarantine_node.py
@@ -22,6 +22,7 @@
     record_from_hold,
 )
 from leverdoor.quarantine.trial_owner import is_trial_owner
+from leverdoor.storage.position import position_without_era
 
 __all__ = ["EmulatedRecords", "QuarantineNode"]
 
@@ -44,14 +45,18 @@
         self.quarantine.judge(now)
         self.held |= self.quarantine.holds.keys()
         notices = self.quarantine.notices(now)
-        status = EntryStatus(SERVING, 1, {}, {}, -1, [], notices=notices)
+        status = EntryStatus(
+            SERVING, position_without_era(1), {}, {}, -1, [], notices=notices
+        )
         sendings, _ = self.exchange.round(status, now)
         self.exchange.forget(now)
         return [(s.message, s.destinations) for s in sendings]
 
     def take(self, message: ExchangeMessage, now: float) -> None:
         """Take a message."""
-        self.quarantine.receive(self.exchange.take(message, 1, now).notices, now)
+        self.quarantine.receive(
+            self.exchange.take(message, position_without_era(1), now).notices, now
+        )
 
     def tries(self, fingerprint: int, now: float) -> bool:
         """Return whether it runs a request that is held back once more."""
--- a/leverdoor/agent/api.py
+++ b/leverdoor/agent/api.py
@@ -28,6 +28,7 @@
 )
 from leverdoor.responses import json_response, problem_response
 from leverdoor.storage.configuration import Applied, Configuration
+from leverdoor.storage.position import position_without_era
 from leverdoor.storage.state import RESOURCES, Delta, State
 from leverdoor.storage.store import Event, KeyValue
 
@@ -178,7 +179,7 @@
     async def _internal_state(self, request: web.Request) -> web.StreamResponse:
         """Return the changes that a peer lacks."""
         since = _parse_number(request, "since", 0)
-        return web.Response(body=pack(self._state.delta(since)))
+        return web.Response(body=pack(self._state.delta(position_without_era(since))))
 
     async def _report(self, request: web.Request) -> web.StreamResponse:
         name = request.match_info["name"]
@@ -204,7 +205,7 @@
         if kind:
             _check_kind(kind)
         since = _parse_number(request, "since", self._state.revision)
-        if not self._state.log_covers(since):
+        if not self._state.log_covers(position_without_era(since)):
             raise LeverdoorError(Code.COMPACTED, revision=self._state.revision)
         prefix = RESOURCES + (f"{kind}/" if kind else "")
         return await _stream_lines(request, self._change_lines(prefix, since))
@@ -223,7 +224,7 @@
 
         subscription = self._state.changes.subscribe(enqueue)
         try:
-            delta: Delta | None = self._state.delta(since)
+            delta: Delta | None = self._state.delta(position_without_era(since))
             while True:
                 if delta is None or delta.full:
                     return
--- a/leverdoor/agent/daemon.py
+++ b/leverdoor/agent/daemon.py
@@ -34,6 +34,7 @@
 from leverdoor.storage.etcd import EtcdStore
 from leverdoor.storage.fetching import PeerFetcher
 from leverdoor.storage.following import ElectedRole, StoreFollower, watcher_rank
+from leverdoor.storage.position import position_without_era
 from leverdoor.storage.state import Delta, State
 from leverdoor.storage.view import ViewCache
 
@@ -287,7 +288,8 @@
             if report.revision > self._state.revision or is_new:
                 logger.info("gate joined", gate=report.gate)
             if report.revision < self._state.revision:
-                await self._link.send(peer, self._state.delta(report.revision))
+                held = position_without_era(report.revision)
+                await self._link.send(peer, self._state.delta(held))
 
     def _push_delta(self, delta: Delta) -> None:
         """Send a change of the configuration or the ownership table to all gates."""
--- a/leverdoor/emulator/entries.py
+++ b/leverdoor/emulator/entries.py
@@ -46,9 +46,13 @@
 from leverdoor.entry.requests.retries import may_retry
 from leverdoor.errors import Code, Refusal, Rejection
 from leverdoor.retry_budget import RetryBudget
+from leverdoor.storage.position import position_without_era
 
 __all__ = ["EmulatedEntry", "EmulatedReply", "EmulatedRequest"]
 
+CONFIGURED = position_without_era(1)
+"""Position of the only state that entries have."""
+
 
 class EmulatedRequest(msgspec.Struct, frozen=True):
     """A client's request as an entry takes it."""
@@ -149,7 +153,7 @@
         warm = self._policy.warm_keys.queued_within(WARM_KEY_REPORT_S, now)
         return EntryStatus(
             SERVING,
-            1,
+            CONFIGURED,
             self.fleet.in_flight() if counts else {},
             self._policy.shares.shares_to_send(),
             -1,
@@ -158,7 +162,7 @@
 
     def receive(self, message: ExchangeMessage) -> None:
         """Take another entry's message."""
-        self._take_update(self._exchange.take(message, 1, self._clock.now))
+        self._take_update(self._exchange.take(message, CONFIGURED, self._clock.now))
 
     def _take_update(self, update: PeerUpdate) -> None:
         now = self._clock.now
--- a/leverdoor/entry/admin.py
+++ b/leverdoor/entry/admin.py
@@ -2,7 +2,7 @@
 # SPDX-License-Identifier: Apache-2.0
 """HTTP endpoints of an entry besides the proxy: readiness, directory, state, metrics.
 
-Owns a cache of the deltas encoded at the current revision; it is lost with the process.
+Owns a cache of the deltas encoded at the current position; it is lost with the process.
 Relies on the local copy of the store's state and on the entry's metrics.
 """
 
@@ -17,6 +17,7 @@
 from leverdoor.entry.wire import Wire
 from leverdoor.headers import bounded_int
 from leverdoor.storage.fetching import DEFLATE
+from leverdoor.storage.position import START, Position
 from leverdoor.storage.state import State
 
 __all__ = ["STATE_PATH", "AdminServer"]
@@ -66,10 +67,10 @@
         self._is_ready = is_ready
         self._addresses = addresses
         self._lookup_ttl_s = lookup_ttl_s
-        self._encoded: dict[int, tuple[bytes, str]] = {}
-        """Encoded delta and its content coding, by the requesting entry's revision."""
-        self._encoded_revision = 0
-        """Target revision of the cached deltas."""
+        self._encoded: dict[Position, tuple[bytes, str]] = {}
+        """Encoded delta and its content coding, by the requesting entry's position."""
+        self._encoded_position = START
+        """Position up to which the cached deltas lead."""
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Dispatch a request by its path; unknown paths get status 404."""
@@ -89,11 +90,13 @@
 
         The encoded delta is cached because many entries fetch it after a change.
         """
-        since = bounded_int(request.query, "since", 0)
-        revision = self._state.revision
-        if self._encoded_revision != revision:
-            self._encoded_revision = revision
+        revision = bounded_int(request.query, "since", 0)
+        position = self._state.position
+        if self._encoded_position != position:
+            self._encoded_position = position
             self._encoded.clear()
+        # An earlier release sends no era, and means the one that it is served in.
+        since = Position(bounded_int(request.query, "era", position.era), revision)
         encoded = self._encoded.get(since)
         if encoded is None:
             encoded = self._encoded[since] = _compress(pack(self._state.delta(since)))
--- a/leverdoor/entry/configuration/catalog_manager.py
+++ b/leverdoor/entry/configuration/catalog_manager.py
@@ -19,6 +19,7 @@
 from leverdoor.entry.events import Events
 from leverdoor.entry.wire import StoreContents, Wire
 from leverdoor.model.resources import Target
+from leverdoor.storage.position import UNKNOWN_ERA
 from leverdoor.storage.state import State
 
 __all__ = ["CatalogManager", "CatalogListener"]
@@ -63,6 +64,8 @@
         self._logged_expired: list[str] = []
         """Names of the targets with expired registrations, as last logged."""
         self._expiry_timer: asyncio.TimerHandle | None = None
+        self._era = UNKNOWN_ERA
+        """Era of the state compiled last."""
         self.catalog = EMPTY_CATALOG
         self.outage = Outage()
         self.confirmation = confirmation
@@ -81,8 +84,12 @@
         """
         loop = asyncio.get_running_loop()
         now = loop.time()
-        self.confirmation.record_revision(self._state.revision)
-        configured = self._wire.translate(self._state.entries)
+        self.confirmation.record_position(self._state.position)
+        if self._state.position.era != self._era:
+            if self._era != UNKNOWN_ERA:
+                self.outage.record_restoration(now)
+            self._era = self._state.position.era
+        configured = self._wire.translate(self._state.in_force)
         targets = {t.name: t for t in configured.resources if isinstance(t, Target)}
         retained = self._expired_registrations.update(
             targets, self.outage.is_recent(now), now
@@ -118,7 +125,7 @@
 
     def _confirmed_ms(self) -> int:
         now = asyncio.get_running_loop().time()
-        return self.confirmation.newest_answer(self._state.revision, now).age_ms
+        return self.confirmation.newest_answer(self._state.position, now).age_ms
 
     def _log_targets(self, previous: Catalog, retained: list[Target]) -> None:
         """Log the changes of targets since the previous catalog."""
--- a/leverdoor/entry/configuration/confirmation.py
+++ b/leverdoor/entry/configuration/confirmation.py
@@ -2,13 +2,14 @@
 # SPDX-License-Identifier: Apache-2.0
 """Tracks the age of the newest store answer that confirms the configuration in force.
 
-An answer of the store confirms a revision: every change that the store committed before
+An answer of the store confirms a position: every change that the store committed before
 the answer is part of it, and later changes may be missing. The answer is therefore
-valid for every entry with that revision, whichever entry received it. Entries report
-their revision together with its newest answer. All decisions that require an up-to-date
+valid for every entry with that position, whichever entry received it. Entries report
+their position together with its newest answer. An answer of an earlier era confirms
+nothing of the present one. All decisions that require an up-to-date
 configuration use the age of that answer.
 
-Owns the answers for the revision in force and for newer revisions; they are lost with
+Owns the answers for the position in force and for newer positions; they are lost with
 the process. Messages carry ages, because clocks differ. A received age is too low by
 the latency of the message. Each answer has a number, so that an answer that is reported
 in a cycle does not become younger with each message.
@@ -18,6 +19,8 @@
 
 import msgspec
 
+from leverdoor.storage.position import START, Position
+
 __all__ = ["NO_ANSWER", "ANSWER_COUNTER_BITS", "Confirmation", "ReportedAnswer"]
 
 NEVER_MS = -1
@@ -32,26 +35,26 @@
 
 More than the number of answers reported within `store_role.MAX_ANSWER_AGE_S`.
 """
-MAX_PENDING_REVISIONS = 16
-"""Maximum number of newer revisions with recorded answers; the lowest are dropped.
+MAX_PENDING_POSITIONS = 16
+"""Maximum number of newer positions with recorded answers; the lowest are dropped.
 
-More than the number of revisions between two fetches. With fewer, an entry that fetches
-regularly counts as outdated if many revisions arrive between two fetches.
+More than the number of positions between two fetches. With fewer, an entry that fetches
+regularly counts as outdated if many positions arrive between two fetches.
 """
 
 
 class ReportedAnswer(msgspec.Struct, frozen=True):
     """An answer of the store as reported by one entry to others."""
 
-    revision: int
-    """Revision in force at the reporting entry, which the answer confirms."""
+    position: Position
+    """Position in force at the reporting entry, which the answer confirms."""
     number: int
     """Unique number of the answer."""
     age_ms: int
     """Age of the answer in ms; -1 if the store never answered."""
 
 
-NO_ANSWER = ReportedAnswer(0, 0, NEVER_MS)
+NO_ANSWER = ReportedAnswer(START, 0, NEVER_MS)
 """Reported before the store has answered any entry."""
 
 
@@ -70,8 +73,8 @@
         self._last_number = (entry_id << ANSWER_COUNTER_BITS) + first_number
         self._answer_times: dict[int, float] = {}
         """Loop time of each known answer, by its number."""
-        self._pending: dict[int, tuple[int, float]] = {}
-        """Number and loop time of the newest answer, by revision not in force here."""
+        self._pending: dict[Position, tuple[int, float]] = {}
+        """Number and loop time of the newest answer, by position not in force here."""
 
     def record_answer(self, now: float) -> None:
         """Record an answer of the store to this entry that confirms what is in force.
@@ -91,43 +94,43 @@
             ]
 
     def record_peer_answer(
-        self, answer: ReportedAnswer, revision_in_force: int, now: float
+        self, answer: ReportedAnswer, in_force: Position, now: float
     ) -> None:
-        """Record the answer that confirms the revision of another entry.
+        """Record the answer that confirms the position of another entry.
 
         Args:
           answer: the answer reported by that entry.
-          revision_in_force: the revision in force here.
+          in_force: the position in force here.
           now: loop time in seconds.
         """
-        if answer.age_ms == NEVER_MS:
+        if answer.age_ms == NEVER_MS or answer.position.era < in_force.era:
             return
         at = now - answer.age_ms / 1000
-        if answer.revision <= revision_in_force:
+        if answer.position <= in_force:
             self._record(answer.number, at)
             return
-        known = self._pending.get(answer.revision)
+        known = self._pending.get(answer.position)
         if known is None or at > known[1]:
-            self._pending[answer.revision] = (answer.number, at)
-        if len(self._pending) > MAX_PENDING_REVISIONS:
+            self._pending[answer.position] = (answer.number, at)
+        if len(self._pending) > MAX_PENDING_POSITIONS:
             del self._pending[min(self._pending)]
 
-    def record_revision(self, revision_in_force: int) -> None:
-        """Record the revision in force, and count the pending answers for it."""
-        for revision in [r for r in self._pending if r <= revision_in_force]:
-            self._record(*self._pending.pop(revision))
+    def record_position(self, in_force: Position) -> None:
+        """Record the position in force, and count the pending answers for it."""
+        for position in [p for p in self._pending if p <= in_force]:
+            self._record(*self._pending.pop(position))
 
-    def newest_answer(self, revision_in_force: int, now: float) -> ReportedAnswer:
-        """Return the newest answer that confirms the revision in force here."""
+    def newest_answer(self, in_force: Position, now: float) -> ReportedAnswer:
+        """Return the newest answer that confirms the position in force here."""
         if not self._answer_times:
             return NO_ANSWER
         number = max(self._answer_times, key=lambda n: self._answer_times[n])
         return ReportedAnswer(
-            revision_in_force, number, round((now - self._answer_times[number]) * 1000)
+            in_force, number, round((now - self._answer_times[number]) * 1000)
         )
 
-    def has_answer_for_newer_revision(self, max_age_s: float, now: float) -> bool:
-        """Return whether a known answer confirms a revision not in force here yet.
+    def has_answer_for_newer_position(self, max_age_s: float, now: float) -> bool:
+        """Return whether a known answer confirms a position not in force here yet.
 
         Args:
           max_age_s: maximum age of the answer in seconds.
--- a/leverdoor/entry/configuration/left_out.py
+++ b/leverdoor/entry/configuration/left_out.py
@@ -13,6 +13,7 @@
 from leverdoor.entry.events import Events
 from leverdoor.entry.metrics import EntryMetrics
 from leverdoor.entry.wire import LeftOutRegistration
+from leverdoor.storage.position import Position
 
 __all__ = ["LeftOutReporter"]
 
@@ -32,8 +33,8 @@
         """Create the reporter without any registrations left out."""
         self._events = events
         self._metrics = metrics
-        self._seen_revisions: dict[str, int] = {}
-        """Revision of each registration left out at the last call, by name."""
+        self._seen_positions: dict[str, Position] = {}
+        """Position of each registration left out at the last call, by name."""
         self._lines_in_window = 0
         self._window_start = 0.0
         """Monotonic time in seconds at which the current window began."""
@@ -51,10 +52,10 @@
         changed = [
             registration
             for name, registration in present.items()
-            if self._seen_revisions.get(name) != registration.revision
+            if self._seen_positions.get(name) != registration.position
         ]
-        self._seen_revisions = {
-            name: registration.revision for name, registration in present.items()
+        self._seen_positions = {
+            name: registration.position for name, registration in present.items()
         }
         for registration in changed:
             self._log(registration, now)
--- a/leverdoor/entry/configuration/outage.py
+++ b/leverdoor/entry/configuration/outage.py
@@ -34,6 +34,10 @@
             self._last_outage.record(now)
         self._store_unreachable = not reachable
 
+    def record_restoration(self, now: float) -> None:
+        """Record that the store came back from a copy, even if it was never away."""
+        self._last_outage.record(now)
+
     def record_peer_report(self, age_ms: int, now: float) -> None:
         """Record the age in ms that another entry reports for the last outage."""
         self._last_outage.record_peer_report(age_ms, now)
--- a/leverdoor/entry/control_plane.py
+++ b/leverdoor/entry/control_plane.py
@@ -191,7 +191,7 @@
         """
         was_stale = self._store_role.is_stale(now)
         self._catalog_manager.confirmation.record_peer_answer(
-            report, self._state.revision, now
+            report, self._state.position, now
         )
         if was_stale and not self._store_role.is_stale(now):
             self.peers.schedule_announcement()
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -33,6 +33,7 @@
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.metrics import EntryMetrics
 from leverdoor.entry.quarantine_records import QuarantineRecords
+from leverdoor.entry.restored_store import RestoredStore
 from leverdoor.entry.settings import EntrySettings, reload_settings
 from leverdoor.entry.shutdown import STOP_POLL_S, drain
 from leverdoor.entry.wire import StoreContents, Wire
@@ -137,6 +138,7 @@
             self._register,
             self._heartbeat,
             self._keep_records,
+            self._restore_records,
         )
         tasks = [asyncio.create_task(supervise(f.__qualname__, f)) for f in loops]
         try:
@@ -158,7 +160,7 @@
         context = EntryContext(
             s, self._store, self._network, self._wire, self._events, rng
         )
-        self._store_copy = State()
+        self._store_copy = State(self._wire.describe_record)
         self._store_copy.changes.subscribe(self._on_delta)
         self._catalog_manager = CatalogManager(
             self._wire,
@@ -198,6 +200,16 @@
             rng,
             self._control.follows_store,
         )
+        self._restored_store = RestoredStore(
+            self._store_copy,
+            self._wire.describe_record,
+            self._store,
+            self._events,
+            self._metrics,
+            rng,
+            self._control.follows_store,
+            self._catalog_manager.compile,
+        )
         self._admin_server = web.Server(self._create_admin().handle, access_log=None)
 
     def _create_admin(self) -> AdminServer:
@@ -241,6 +253,9 @@
     async def _keep_records(self) -> None:
         await self._records.run()
 
+    async def _restore_records(self) -> None:
+        await self._restored_store.run()
+
     async def _heartbeat(self) -> None:
         """Run the heartbeat rounds, share updates and sweeps until cancelled."""
         loop = asyncio.get_running_loop()
@@ -278,6 +293,7 @@
     def _on_delta(self, _: Delta) -> None:
         """Compile a newer state, announce it, and serve once configured."""
         self._catalog_manager.compile()
+        self._restored_store.take_state()
         self._metrics.revision.set(self._store_copy.revision)
         self._control.peers.schedule_announcement()
         if self._state == STARTING and self._catalog_manager.catalog.configured:
@@ -313,7 +329,7 @@
         now = asyncio.get_running_loop().time()
         return EntryStatus(
             self._state,
-            self._store_copy.revision,
+            self._store_copy.position,
             self._data.fleet.in_flight(),
             self._data.placement.shares.shares_to_send(),
             self._catalog_manager.outage.age_ms(now),
@@ -321,7 +337,7 @@
             self._data.quotas.report(now),
             self._data.quotas.counting_for_s(now),
             self._catalog_manager.confirmation.newest_answer(
-                self._store_copy.revision, now
+                self._store_copy.position, now
             ),
             self._control.is_unserved(now),
             self._data.limits.round(now),
--- a/leverdoor/entry/events.py
+++ b/leverdoor/entry/events.py
@@ -10,6 +10,7 @@
 """
 
 import time
+from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -17,6 +18,7 @@
 from leverdoor.entry.log_writer import LineRateLimiter, LineWriter
 from leverdoor.errors import Refusal
 from leverdoor.quarantine.fingerprint import fingerprint_text
+from leverdoor.storage.position import Position
 
 if TYPE_CHECKING:
     from leverdoor.entry.placement.placement_request import Placement, PlacementRequest
@@ -320,18 +322,19 @@
     # Dependencies and the process.
 
     def fetch(
-        self, peer: str, newer: bool, since: int, revision: int, took_s: float
+        self, peer: str, newer: bool, since: Position, now: Position, took_s: float
     ) -> None:
         """Log that a state fetch from another entry was slow or returned nothing newer.
 
-        `since` is the local revision when the fetch began, `revision` the current one.
+        `since` is the local position when the fetch began, `now` the current one.
         """
         self.emit(
             "fetch",
             peer=peer,
             newer=newer,
-            since=since,
-            revision=revision,
+            since=since.revision,
+            revision=now.revision,
+            era=now.era,
             took_ms=round(took_s * 1000),
         )
 
@@ -343,6 +346,24 @@
         """
         self.emit("store", change=change, revision=revision, era=era, detail=detail)
 
+    def store_restored(
+        self, change: str, position: Position, kept: Mapping[str, int]
+    ) -> None:
+        """Log that the store is back as a copy without its latest changes.
+
+        `change` is "returned" at the first state of the new era, "written again" once
+        the store holds again what is in force, and "given up" if what nobody wrote
+        again went out of force. `kept` counts by kind the records in force that the
+        store does not hold; with "given up", those that went.
+        """
+        self.emit(
+            "store_restored",
+            change=change,
+            era=position.era,
+            revision=position.revision,
+            kept=kept,
+        )
+
     def process(self, change: str, **fields: Any) -> None:
         """Log an event of the process, such as its start or a failed record write."""
         self.emit("process", change=change, **fields)
--- a/leverdoor/entry/exchange/digest_builder.py
+++ b/leverdoor/entry/exchange/digest_builder.py
@@ -210,7 +210,7 @@
             scope,
             digest_round.round_number,
             self._own.incarnation,
-            digest_round.status.revision,
+            digest_round.status.position.revision,
             self._own.pull,
             views,
             loads,
@@ -221,6 +221,7 @@
             confirmed_ms=digest_round.status.answer.age_ms,
             answer=digest_round.status.answer.number,
             merged_ms=digest_round.usage.merged_ms,
+            era=digest_round.status.position.era,
         )
 
     def _with_shares_and_warm_keys(
--- a/leverdoor/entry/exchange/exchange.py
+++ b/leverdoor/entry/exchange/exchange.py
@@ -65,6 +65,7 @@
 from leverdoor.entry.membership.peer_record import HeartbeatObservation
 from leverdoor.entry.membership.roles import Roles
 from leverdoor.quarantine.notices import parse_notices, serialize_notices
+from leverdoor.storage.position import Position
 
 __all__ = ["Exchange"]
 
@@ -128,31 +129,31 @@
 
     # Received messages.
 
-    def take(self, message: ExchangeMessage, revision: int, now: float) -> PeerUpdate:
+    def take(
+        self, message: ExchangeMessage, in_force: Position, now: float
+    ) -> PeerUpdate:
         """Process a message of another entry and return what it reports.
 
         Args:
           message: the received message.
-          revision: the revision in force at this entry.
+          in_force: the position in force at this entry.
           now: monotonic time in seconds.
         """
         if isinstance(message, RevisionAnnouncement):
             return PeerUpdate(
-                source=message.pull if message.revision > revision else "",
-                answer=ReportedAnswer(
-                    message.revision, message.answer, message.confirmed_ms
-                ),
+                source=message.pull if message.position > in_force else "",
+                answer=_reported_answer(message),
             )
         if isinstance(message, QuarantineUpdate):
             return PeerUpdate(notices=parse_notices(message.notices))
         if isinstance(message, LimitUpdate):
             return PeerUpdate(limits=self._limits.receive(message, now))
         if isinstance(message, EntryHeartbeat):
-            return self._handle_heartbeat(message, revision, now)
-        return self._handle_digest(message, revision, now)
+            return self._handle_heartbeat(message, in_force, now)
+        return self._handle_digest(message, in_force, now)
 
     def _handle_heartbeat(
-        self, heartbeat: EntryHeartbeat, revision: int, now: float
+        self, heartbeat: EntryHeartbeat, in_force: Position, now: float
     ) -> PeerUpdate:
         member = heartbeat.member
         if member.name == self._own.name or self._merger.is_outdated(heartbeat):
@@ -171,25 +172,25 @@
         return PeerUpdate(
             warm_keys=warm,
             outage_age_ms=heartbeat.outage_age_ms,
-            source=member.pull if heartbeat.revision > revision else "",
-            answer=ReportedAnswer(
-                heartbeat.revision, heartbeat.answer, heartbeat.confirmed_ms
-            ),
+            source=member.pull if heartbeat.position > in_force else "",
+            answer=_reported_answer(heartbeat),
         )
 
-    def _handle_digest(self, digest: Digest, revision: int, now: float) -> PeerUpdate:
+    def _handle_digest(
+        self, digest: Digest, in_force: Position, now: float
+    ) -> PeerUpdate:
         self._roles.record_digest(digest.sender, now)
         for view in digest.views:
             self._views.apply(view, now)
         sender = self._membership.member(digest.sender)
-        source = digest.pull if digest.revision > revision else ""
+        source = digest.pull if digest.position > in_force else ""
         if sender is None or not self._accept_round(digest):
             return PeerUpdate(source=source)
         update = PeerUpdate(
             warm_keys=parse_hashes(digest.warm_keys),
             outage_age_ms=digest.outage_age_ms,
             source=source,
-            answer=ReportedAnswer(digest.revision, digest.answer, digest.confirmed_ms),
+            answer=_reported_answer(digest),
         )
         if sender.region == self._own.region:
             self.unserved.record_digest(digest, sender, now)
@@ -285,7 +286,7 @@
             self._own,
             self._seq,
             status.state,
-            status.revision,
+            status.position.revision,
             status.in_flight,
             status.shares if self._seq % SHARES_INTERVAL_ROUNDS == 1 else {},
             status.outage_age_ms,
@@ -294,6 +295,7 @@
             status.answer.age_ms,
             status.answer.number,
             status.unserved,
+            status.position.era,
         )
 
     def heartbeat_messages(
@@ -315,21 +317,25 @@
         return [OutgoingMessage(self.heartbeat(status), addresses)]
 
     def announce_revision(
-        self, revision: int, answer: ReportedAnswer, now: float
+        self, position: Position, answer: ReportedAnswer, now: float
     ) -> list[OutgoingMessage]:
-        """Return the announcement of a newer revision or of a newer confirmation.
+        """Return the announcement of a newer position or of a newer confirmation.
 
         An ordinary entry sends it to the aggregators of its failure domain. An
         aggregator sends it to all entries of its failure domain and to other
         aggregators.
 
         Args:
-          revision: the revision in force at this entry.
-          answer: the newest answer of the store that confirms the revision.
+          position: the position in force at this entry.
+          answer: the newest answer of the store that confirms the position.
           now: monotonic time in seconds.
         """
         announcement = RevisionAnnouncement(
-            revision, self._own.pull, answer.number, answer.age_ms
+            position.revision,
+            self._own.pull,
+            answer.number,
+            answer.age_ms,
+            position.era,
         )
         return [OutgoingMessage(announcement, self._announcement_recipients(now))]
 
@@ -446,3 +452,10 @@
     """Subtract own counts from sums in place; a sum does not become negative."""
     for name in own.keys() & counts.keys():
         counts[name] = max(counts[name] - own[name], 0)
+
+
+def _reported_answer(
+    message: EntryHeartbeat | Digest | RevisionAnnouncement,
+) -> ReportedAnswer:
+    """Return the store answer that confirms the sender's position."""
+    return ReportedAnswer(message.position, message.answer, message.confirmed_ms)
--- a/leverdoor/entry/exchange/exchange_types.py
+++ b/leverdoor/entry/exchange/exchange_types.py
@@ -15,6 +15,7 @@
 from leverdoor.entry.membership.member import EntryState
 from leverdoor.limits.advertised import LimitAdvertisement
 from leverdoor.quarantine.notices import Notice
+from leverdoor.storage.position import Position
 from leverdoor.workspaces.remote_usage import RemoteUsage
 
 __all__ = ["PeerUpdate", "EntryStatus", "OutgoingMessage"]
@@ -24,8 +25,8 @@
     """The status of this entry that its next heartbeat reports."""
 
     state: EntryState
-    revision: int
-    """Revision of the configuration in force."""
+    position: Position
+    """Position of the configuration in force."""
     in_flight: dict[str, int]
     """Requests of this entry in flight, by name of the target."""
     shares: Shares
@@ -39,7 +40,7 @@
     uptime_s: float = 0.0
     """Time since the start of this process, in seconds."""
     answer: ReportedAnswer = NO_ANSWER
-    """The newest answer of the store that confirms `revision`."""
+    """The newest answer of the store that confirms `position`."""
     unserved: bool = False
     """Whether the store does not answer requests of this entry."""
     limits: list[LimitAdvertisement] = []
@@ -67,7 +68,7 @@
     source: str = ""
     """Address where a newer state can be fetched, as `ip:port`; empty if none."""
     answer: ReportedAnswer = NO_ANSWER
-    """The newest answer of the store that confirms the sender's revision."""
+    """The newest answer of the store that confirms the sender's position."""
     use: RemoteUsage | None = None
     """Workspace usage of all other entries; None if unchanged."""
     limits: list[LimitAdvertisement] = []
--- a/leverdoor/entry/exchange/messages.py
+++ b/leverdoor/entry/exchange/messages.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from leverdoor.entry.membership.member import EntryState, Member
+from leverdoor.storage.position import UNKNOWN_ERA, Position
 
 __all__ = [
     "Digest",
@@ -66,6 +67,13 @@
     `configuration.confirmation`."""
     unserved: bool = False
     """Whether the store does not answer requests of this entry."""
+    era: int = UNKNOWN_ERA
+    """Era of `revision`."""
+
+    @property
+    def position(self) -> Position:
+        """Position in force at the entry."""
+        return Position(self.era, self.revision)
 
 
 class DomainView(msgspec.Struct, frozen=True, array_like=True):
@@ -148,6 +156,13 @@
     """Entries whose requests the store does not answer, as `member_id` hashes. Scope
     DOMAIN: those of the sender's failure domain. Scope REGION: none. Scope ALL: those
     of its region."""
+    era: int = UNKNOWN_ERA
+    """Era of `revision`."""
+
+    @property
+    def position(self) -> Position:
+        """Position in force at the sender."""
+        return Position(self.era, self.revision)
 
 
 class RevisionAnnouncement(msgspec.Struct, frozen=True, array_like=True, tag="n"):
@@ -160,6 +175,13 @@
     """As in `EntryHeartbeat`. Entries without a recent answer then need not ask the
     store."""
     confirmed_ms: int = -1
+    era: int = UNKNOWN_ERA
+    """Era of `revision`."""
+
+    @property
+    def position(self) -> Position:
+        """The announced position."""
+        return Position(self.era, self.revision)
 
 
 class QuarantineUpdate(msgspec.Struct, frozen=True, array_like=True, tag="q"):
--- a/leverdoor/entry/exchange/peer_link.py
+++ b/leverdoor/entry/exchange/peer_link.py
@@ -140,9 +140,9 @@
         self._announcement_scheduled = False
         now = asyncio.get_running_loop().time()
         self._announced_at = now
-        revision = self._state.revision
-        answer = self._catalog_manager.confirmation.newest_answer(revision, now)
-        self._send(self._exchange.announce_revision(revision, answer, now))
+        position = self._state.position
+        answer = self._catalog_manager.confirmation.newest_answer(position, now)
+        self._send(self._exchange.announce_revision(position, answer, now))
 
     def _send(self, outgoing: list[OutgoingMessage]) -> None:
         for item in outgoing:
@@ -157,7 +157,7 @@
         if isinstance(message, PermitMessage):
             self._handle_permit_message(message, now)
             return
-        self._apply_update(self._exchange.take(message, self._state.revision, now), now)
+        self._apply_update(self._exchange.take(message, self._state.position, now), now)
 
     def _handle_permit_message(self, message: PermitMessage, now: float) -> None:
         response = self._on_permit_message(message, now)
@@ -173,7 +173,7 @@
     async def _fetch_state(self, address: str) -> None:
         """Fetch newer state from another entry and apply it."""
         loop = asyncio.get_running_loop()
-        started_at, old_revision = loop.time(), self._state.revision
+        started_at, since = loop.time(), self._state.position
         if not self.peer_follower.may_fetch(address, started_at):
             return
         delta = await self.peer_follower.fetch(address)
@@ -183,6 +183,4 @@
         self._catalog_manager.source = "store"
         took_s = loop.time() - started_at
         if not applied or took_s > SLOW_FETCH_S:
-            self._events.fetch(
-                address, applied, old_revision, self._state.revision, took_s
-            )
+            self._events.fetch(address, applied, since, self._state.position, took_s)
--- a/leverdoor/entry/exchange/peer_network.py
+++ b/leverdoor/entry/exchange/peer_network.py
@@ -13,6 +13,7 @@
 from leverdoor.membership.gossip import GossipSocket
 from leverdoor.settings import Address
 from leverdoor.storage.fetching import DeltaSource, HttpDeltaSource
+from leverdoor.storage.position import Position
 from leverdoor.storage.state import Delta
 
 __all__ = ["PeerNetwork", "SocketNetwork"]
@@ -57,8 +58,8 @@
         if self._socket is not None:
             self._socket.send_all(message, addresses)
 
-    async def fetch(self, address: str, since: int) -> Delta:
-        """Fetch the changes after a revision from another entry."""
+    async def fetch(self, address: str, since: Position) -> Delta:
+        """Fetch the changes after a position from another entry."""
         return await self._delta_source.fetch(address, since)
 
     async def close(self) -> None:
--- a/leverdoor/entry/membership/registration.py
+++ b/leverdoor/entry/membership/registration.py
@@ -18,7 +18,7 @@
 from leverdoor.entry.events import Events
 from leverdoor.entry.membership.member import Member
 from leverdoor.errors import LeverdoorError
-from leverdoor.storage.store import KeyValue, LeasingStore
+from leverdoor.storage.store import KeyValue, Lease, LeasingStore
 
 __all__ = ["Registration", "mean_retry_pause_s"]
 
@@ -97,8 +97,7 @@
         self._events = events
         self._rng = rng
         self._mean_pause_s = mean_pause_s
-        self._lease = 0
-        """Identifier of the lease; 0 without a lease."""
+        self._lease: Lease | None = None
         self._ended = False
         """Whether `end` was called, so that the key must not be written again."""
 
@@ -121,8 +120,8 @@
             return
         same = msgspec.structs.replace(former, incarnation=self._member.incarnation)
         if same == self._member:
-            self._lease = registered_key.lease
-            self._events.process("registration adopted", lease=self._lease)
+            self._lease = Lease(registered_key.lease, registered_key.era)
+            self._events.process("registration adopted", lease=self._lease.number)
 
     async def run(self) -> None:
         """Write the key and renew its lease; write it again after the lease expired.
@@ -131,20 +130,24 @@
         """
         while not self._ended:
             try:
-                if self._lease == 0:
+                if self._lease is None:
                     await self._register()
                 elif not await self._store.renew_lease(self._lease):
-                    self._lease = 0
+                    self._lease = None
                     self._events.process("registration lost")
+                    await self._pause()
                     continue
             except LeverdoorError as e:
                 self._events.process("registration failed", error=str(e))
-                await asyncio.sleep(
-                    self._mean_pause_s() * (MIN_PAUSE_FACTOR + self._rng.random())
-                )
+                await self._pause()
                 continue
             await asyncio.sleep(RENEW_INTERVAL_S)
 
+    async def _pause(self) -> None:
+        """Wait so long that all entries together stay within the write rate."""
+        factor = MIN_PAUSE_FACTOR + self._rng.random()
+        await asyncio.sleep(self._mean_pause_s() * factor)
+
     async def _register(self) -> None:
         """Write the key under a new lease; remove it if the entry began to leave.
 
@@ -154,13 +157,13 @@
         self._lease = await self._store.put_with_lease(
             self._key, self._value, LEASE_TTL_S
         )
-        self._events.process("registered", lease=self._lease)
+        self._events.process("registered", lease=self._lease.number)
         if self._ended:
             await self.end()
 
     async def end(self) -> None:
         """Revoke the lease, which deletes the key, and stop registering."""
         self._ended = True
-        lease, self._lease = self._lease, 0
-        if lease:
+        lease, self._lease = self._lease, None
+        if lease is not None:
             await self._store.revoke_lease(lease)
--- a/leverdoor/entry/metrics.py
+++ b/leverdoor/entry/metrics.py
@@ -52,6 +52,12 @@
             "Era of the store's history in its newest response to this entry.",
             registry=self.registry,
         )
+        self._retained = Gauge(
+            "leverdoor_entry_retained_records",
+            "Records in force that the restored store does not hold.",
+            ["kind"],
+            registry=self.registry,
+        )
         self.confirmed_age = Gauge(
             "leverdoor_entry_confirmed_age_seconds",
             "Age of the store's newest answer that the state rests on.",
@@ -149,6 +155,12 @@
         for cause, count in causes.items():
             self._left_out.labels(cause).set(count)
 
+    def set_retained_records(self, kinds: Mapping[str, int]) -> None:
+        """Set the number of records in force that the store does not hold, by kind."""
+        self._retained.clear()
+        for kind, count in kinds.items():
+            self._retained.labels(kind).set(count)
+
     def request(self, service: str, outcome: str, took_s: float) -> None:
         """Record the latency and outcome of a request.
 
--- a/leverdoor/entry/quarantine_records.py
+++ b/leverdoor/entry/quarantine_records.py
@@ -86,7 +86,7 @@
         self._stored: dict[int, KeyValue] = {}
         """The stored records by fingerprint."""
         self._seen_since: dict[int, float] = {}
-        """When each record's current revision was first seen, monotonic time in s."""
+        """When each record's current value was first seen, monotonic time in s."""
 
     def take(self, records: Mapping[str, KeyValue], now: float) -> None:
         """Apply all stored records; a missing record releases its request.
@@ -99,7 +99,7 @@
         for text, item in records.items():
             fingerprint = _parse_fingerprint(text)
             previous = self._stored.get(fingerprint)
-            if previous is not None and previous.revision == item.revision:
+            if previous is not None and previous.position == item.position:
                 readable[fingerprint] = previous
             elif self._apply_record(fingerprint, item, now):
                 readable[fingerprint] = item
@@ -165,6 +165,8 @@
         that is ahead would remove the record early and release the request at all
         entries.
         """
+        if item.era != self._store.era:
+            return False  # The store has no such record, or another value of it.
         seen_s = now - self._seen_since[fingerprint]
         record = parse_record(item.value)
         hold = self._quarantine.holds.get(fingerprint)
--- a/leverdoor/entry/store_role.py
+++ b/leverdoor/entry/store_role.py
@@ -181,7 +181,7 @@
         # Unserved entries keep their rank; otherwise their failures would let the
         # others query sooner.
         rank = self._roles.rank_among_live(now, ())
-        knows_newer_state = self._confirmation.has_answer_for_newer_revision(
+        knows_newer_state = self._confirmation.has_answer_for_newer_position(
             MAX_ANSWER_AGE_S, now
         )
         stagger_s = self._query_stagger_s(
--- a/leverdoor/entry/wire.py
+++ b/leverdoor/entry/wire.py
@@ -12,6 +12,8 @@
 import msgspec
 
 from leverdoor.model.resources import Resource
+from leverdoor.storage.position import Position
+from leverdoor.storage.retention import DescribeRecord
 from leverdoor.storage.store import KeyValue
 
 __all__ = [
@@ -39,8 +41,8 @@
     cause: str
     """Cause from a small fixed set, used as a metrics label."""
     detail: str
-    revision: int
-    """Store revision at which the registration was written."""
+    position: Position
+    """Position in the store at which the registration was written."""
 
 
 class StoreContents(msgspec.Struct, frozen=True):
@@ -150,6 +152,8 @@
     bounded, or None if it requests no rest. Raises `UnreadableReport` if the headers
     contain no valid time."""
     translate: TranslateStore
+    describe_record: DescribeRecord
+    """Returns what a record of the store says about its kind and order."""
     peer_key: Callable[[str], str]
     """Returns the store key of an entry's registration, by the entry's name."""
     quarantine_record_key: Callable[[str], str]
--- a/leverdoor/platform/formats.py
+++ b/leverdoor/platform/formats.py
@@ -27,12 +27,15 @@
     InvalidRegistrationError,
     parse_registration,
 )
+from leverdoor.storage.position import START, Position
+from leverdoor.storage.retention import UNREADABLE, RecordFacts, RecordKind
 from leverdoor.storage.store import KeyValue
 
 __all__ = [
     "QUARANTINE_PREFIX",
     "ENTRY_PREFIX",
     "Translator",
+    "describe_record",
     "parse_leaving",
     "parse_limit",
     "parse_load",
@@ -49,6 +52,8 @@
 """Prefix of entry registrations; the name of the entry follows."""
 QUARANTINE_PREFIX = "leverdoor/quarantine/"
 """Prefix of quarantine records; the fingerprint of the request follows."""
+LEAVING_STATE = "draining"
+"""State in the registration of a target that leaves."""
 LOAD_FIELD_COUNT = 3
 """Number of fields in a load header: running, waiting, slots."""
 SERVICE_UNAVAILABLE = 503
@@ -66,7 +71,7 @@
 
 
 class Translator:
-    """Translates the store's keys to resources; decodes each revision only once."""
+    """Translates the store's keys to resources; decodes each value only once."""
 
     def __init__(self, zones: Mapping[str, str]) -> None:
         """Create a translator without a configuration.
@@ -82,24 +87,24 @@
             )
             for r in sorted(set(zones.values()))
         ]
-        self._config_revision = 0
+        self._config_position = START
         self._config = OperatorConfig(version="")
         self._config_resources: list[Resource] = []
         self._allowed = AllowedReferences(zones, frozenset())
-        self._targets: dict[str, tuple[int, Target]] = {}
-        """Translated targets and their revisions, by key."""
+        self._targets: dict[str, tuple[Position, Target]] = {}
+        """Translated targets and their positions, by key."""
         self._left_out: dict[str, LeftOutRegistration] = {}
         """Rejected registrations, by key."""
 
     def __call__(self, items: Mapping[str, KeyValue]) -> StoreContents:
         """Translate all keys of the store to resources."""
         config = items.get(CONFIG_KEY)
-        if config is not None and config.revision != self._config_revision:
+        if config is not None and config.position != self._config_position:
             self._apply_config(config)
         resources = [*self._regions, *self._config_resources]
         peers: dict[str, bytes] = {}
         held: dict[str, KeyValue] = {}
-        targets: dict[str, tuple[int, Target]] = {}
+        targets: dict[str, tuple[Position, Target]] = {}
         left_out: dict[str, LeftOutRegistration] = {}
         for key, item in items.items():
             if key.startswith(REGISTRATION_PREFIX):
@@ -129,9 +134,9 @@
             self._apply_services(config)
         except msgspec.MsgspecError as e:
             logger.error("configuration not taken", key=item.key, error=str(e))
-        # The revision is kept for an invalid document as well, so that the document is
+        # The position is kept for an invalid document as well, so that the document is
         # decoded and logged only once.
-        self._config_revision = item.revision
+        self._config_position = item.position
 
     def _apply_services(self, config: OperatorConfig) -> None:
         """Update the allowed services; if they changed, check all targets again."""
@@ -141,23 +146,23 @@
             self._targets = {}
             self._left_out = {}
 
-    def _target(self, item: KeyValue) -> tuple[int, Target]:
-        """Return the target of a registration and the revision of its key.
+    def _target(self, item: KeyValue) -> tuple[Position, Target]:
+        """Return the target of a registration and the position of its key.
 
         Raises:
           _RejectedError: the registration is invalid.
         """
         known = self._targets.get(item.key)
-        if known is not None and known[0] == item.revision:
+        if known is not None and known[0] == item.position:
             return known
         rejected = self._left_out.get(item.key)
-        if rejected is not None and rejected.revision == item.revision:
+        if rejected is not None and rejected.position == item.position:
             raise _RejectedError(rejected)
         name = item.key.removeprefix(REGISTRATION_PREFIX)
         try:
-            return item.revision, parse_registration(name, item.value, self._allowed)
+            return item.position, parse_registration(name, item.value, self._allowed)
         except InvalidRegistrationError as e:
-            left_out = LeftOutRegistration(name, e.cause.value, str(e), item.revision)
+            left_out = LeftOutRegistration(name, e.cause.value, str(e), item.position)
             raise _RejectedError(left_out) from None
 
 
@@ -173,6 +178,54 @@
         self.left_out = left_out
 
 
+class _Versioned(msgspec.Struct):
+    """The part of a configuration that orders it."""
+
+    version: str
+
+
+class _Sequenced(msgspec.Struct):
+    """The part of a registration that orders it."""
+
+    sequence: int
+    state: str
+
+
+def describe_record(key: str, value: bytes) -> RecordFacts:
+    """Return the kind of a record and what orders its values.
+
+    Args:
+      key: key of the record.
+      value: its value, of any content.
+    """
+    if key == CONFIG_KEY:
+        return RecordFacts(RecordKind.CONFIGURATION, _version_number(value))
+    if key.startswith(REGISTRATION_PREFIX):
+        return _describe_registration(value)
+    if key.startswith(EVACUATION_PREFIX):
+        return RecordFacts(RecordKind.SWITCH)
+    if key.startswith(QUARANTINE_PREFIX):
+        return RecordFacts(RecordKind.OWN)
+    return RecordFacts(RecordKind.TEMPORARY)
+
+
+def _version_number(value: bytes) -> int:
+    try:
+        return int(msgspec.json.decode(value, type=_Versioned).version, 16)
+    except (msgspec.MsgspecError, ValueError, RecursionError):
+        return UNREADABLE
+
+
+def _describe_registration(value: bytes) -> RecordFacts:
+    try:
+        found = msgspec.json.decode(value, type=_Sequenced)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return RecordFacts(RecordKind.REGISTRATION, UNREADABLE)
+    return RecordFacts(
+        RecordKind.REGISTRATION, found.sequence, found.state == LEAVING_STATE
+    )
+
+
 def parse_load(text: str) -> TargetLoad | None:
     """Parse the load that a target reports: running, waiting, slots.
 
--- a/leverdoor/platform/store.py
+++ b/leverdoor/platform/store.py
@@ -12,17 +12,19 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Sequence
-from typing import TypeVar
+from typing import NamedTuple, TypeVar
 
 import aiohttp
 import msgspec
 
 from leverdoor.errors import Code, LeverdoorError, OutcomeUnknown, StoreUnavailable
 from leverdoor.sessions import new_session
+from leverdoor.storage.position import UNKNOWN_ERA, Position
 from leverdoor.storage.store import (
     Commit,
     Event,
     KeyValue,
+    Lease,
     LeasingStore,
     Listing,
     Wait,
@@ -30,7 +32,7 @@
     client_default_wait,
 )
 
-__all__ = ["READ_IDLE_S", "CallTimeoutError", "PlatformStore"]
+__all__ = ["READ_IDLE_S", "CallTimeoutError", "PlatformStore", "StoreResponse"]
 
 T = TypeVar("T")
 
@@ -95,9 +97,9 @@
     lease: int = 0
     """Lease of the key; 0 for none."""
 
-    def key_value(self) -> KeyValue:
-        """Convert the record to an existing key."""
-        return KeyValue(self.key, self.value, self.revision, self.lease)
+    def key_value(self, era: int) -> KeyValue:
+        """Convert the record, read in this era, to an existing key."""
+        return KeyValue(self.key, self.value, self.revision, self.lease, era)
 
     def event(self) -> Event:
         """Convert the record to a change event."""
@@ -133,6 +135,15 @@
     lease: int
 
 
+class StoreResponse(NamedTuple):
+    """Any response of the store."""
+
+    status: int
+    data: bytes
+    era: int
+    """Era of the store's history; `UNKNOWN_ERA` if the response names none."""
+
+
 class CallTimeoutError(OutcomeUnknown):
     """The store did not respond within the timeout of a call."""
 
@@ -181,45 +192,50 @@
         return await self._read_pages({"path-prefix": prefix, "stale": "1"})
 
     async def _read_pages(self, query: dict[str, str]) -> Listing:
-        revision = 0
+        first: Position | None = None
         found: dict[str, KeyValue] = {}
         after = ""
         while True:
             page_query = query | ({"after": after} if after else {})
-            data = await self._get_with_retry("kv-range", page_query, [CALL_TIMEOUT_S])
-            page = _parse_response(data, _RangeResponse)
-            revision = revision or page.at
-            found.update((i.key, i.key_value()) for i in page.items)
+            response = await self._get_with_retry(
+                "kv-range", page_query, [CALL_TIMEOUT_S]
+            )
+            page = _parse_response(response.data, _RangeResponse)
+            first = first or Position(response.era, page.at)
+            if response.era != first.era:
+                raise StoreUnavailable("the era rose between the pages of a listing")
+            found.update((i.key, i.key_value(response.era)) for i in page.items)
             if not page.more or not page.items:
-                return Listing(revision, list(found.values()))
+                return Listing(first.revision, list(found.values()), first.era)
             after = page.items[-1].key
 
     async def watch(
-        self, prefix: str, after: int, wait_s: Wait = client_default_wait
+        self, prefix: str, after: Position, wait_s: Wait = client_default_wait
     ) -> AsyncIterator[list[Event]]:
-        """Yield the changes after a revision; an empty list if a call returns none.
+        """Yield the changes after a position; an empty list if a call returns none.
 
         Args:
           prefix: prefix of the watched keys.
-          after: the revision.
+          after: the position.
           wait_s: returns how long the store may hold the next call open, in seconds;
             None for `WATCH_WAIT_MS`.
         """
+        revision = after.revision
         wait_ms = FIRST_WAIT_MS
         margins_s = [FIRST_CALL_MARGIN_S, WATCH_MARGIN_S]
         while True:
             query = {
                 "path-prefix": prefix,
-                "after": str(after),
+                "after": str(revision),
                 "wait-ms": str(wait_ms),
             }
             timeouts_s = [wait_ms / 1000 + s for s in margins_s]
             margins_s = [WATCH_MARGIN_S]
-            found = _parse_response(
-                await self._get_with_retry("kv-watch", query, timeouts_s),
-                _WatchResponse,
-            )
-            after = max(after, found.at)
+            response = await self._get_with_retry("kv-watch", query, timeouts_s)
+            if response.era != after.era:
+                raise LeverdoorError(Code.COMPACTED)
+            found = _parse_response(response.data, _WatchResponse)
+            revision = max(revision, found.at)
             yield [i.event() for i in found.events]
             if found.events:
                 await asyncio.sleep(EVENT_BATCH_DELAY_S)
@@ -230,7 +246,7 @@
         """Apply all writes atomically if every expected revision matches."""
         return await self._transact(writes, 0)
 
-    async def put_with_lease(self, key: str, value: bytes, ttl_s: float) -> int:
+    async def put_with_lease(self, key: str, value: bytes, ttl_s: float) -> Lease:
         """Write a key under a new lease; the store removes it when the lease expires.
 
         Args:
@@ -240,26 +256,27 @@
         Returns: the lease.
         """
         body = {"ttl_ms": round(ttl_s * 1000)}
-        lease = _parse_response(
-            await self._write("POST", "kv-lease", body), _LeaseResponse
-        ).lease
-        await self._transact([Write(key, value)], lease)
-        return lease
+        response = await self._write("POST", "kv-lease", body)
+        number = _parse_response(response.data, _LeaseResponse).lease
+        await self._transact([Write(key, value)], number)
+        return Lease(number, response.era)
 
-    async def renew_lease(self, lease: int) -> bool:
+    async def renew_lease(self, lease: Lease) -> bool:
         """Renew a lease.
 
-        Returns: False if the lease does not exist.
+        Returns: False if the lease does not exist, or the store's era is another one.
         """
-        status, _ = await self._call("POST", f"kv-keep/{lease}", {}, None)
-        if status not in (200, 404):
-            raise StoreUnavailable(f"kv-keep: HTTP {status}")
-        return status == 200
+        response = await self._call("POST", f"kv-keep/{lease.number}", {}, None)
+        if response.status not in (200, 404):
+            raise StoreUnavailable(f"kv-keep: HTTP {response.status}")
+        return response.status == 200 and response.era == lease.era
 
-    async def revoke_lease(self, lease: int) -> None:
+    async def revoke_lease(self, lease: Lease) -> None:
         """End a lease; errors are ignored because the lease expires anyway."""
+        if lease.era != self.era:
+            return
         try:
-            await self._write("DELETE", f"kv-lease-end/{lease}", None)
+            await self._write("DELETE", f"kv-lease-end/{lease.number}", None)
         except LeverdoorError:
             return
 
@@ -281,15 +298,16 @@
             ],
             "removals": [w.key for w in writes if w.value is None],
         }
-        status, data = await self._call("POST", "kv-txn", {}, body)
-        if status == 412:  # An expected revision did not match.
+        response = await self._call("POST", "kv-txn", {}, body)
+        if response.status == 412:  # An expected revision did not match.
             return Commit(False, 0)
-        _raise_for_status(status, "kv-txn")
-        return Commit(True, _parse_response(data, _TransactionResponse).revision)
+        _raise_for_status(response.status, "kv-txn")
+        committed = _parse_response(response.data, _TransactionResponse)
+        return Commit(True, committed.revision)
 
     async def _get_with_retry(
         self, call: str, query: dict[str, str], timeouts_s: Sequence[float]
-    ) -> bytes:
+    ) -> StoreResponse:
         """Make a read call and report a lost response as an unavailable store.
 
         Args:
@@ -297,7 +315,7 @@
           query: its query parameters.
           timeouts_s: timeout of each attempt, in seconds; only a call that timed out is
             attempted again.
-        Returns: the body of the response.
+        Returns: the response.
         Raises:
           StoreUnavailable: the store could not be reached or rejected the call, or the
             response was lost.
@@ -317,22 +335,22 @@
 
     async def _get_once(
         self, call: str, query: dict[str, str], timeout_s: float
-    ) -> bytes:
+    ) -> StoreResponse:
         try:
-            status, data = await self._call("GET", call, query, None, timeout_s)
+            response = await self._call("GET", call, query, None, timeout_s)
         except CallTimeoutError:
             raise
         except OutcomeUnknown as e:
             raise StoreUnavailable(e.detail) from None
-        if status == 410:
+        if response.status == 410:
             raise LeverdoorError(Code.COMPACTED)
-        _raise_for_status(status, call)
-        return data
+        _raise_for_status(response.status, call)
+        return response
 
-    async def _write(self, method: str, call: str, body: object) -> bytes:
-        status, data = await self._call(method, call, {}, body)
-        _raise_for_status(status, call)
-        return data
+    async def _write(self, method: str, call: str, body: object) -> StoreResponse:
+        response = await self._call(method, call, {}, body)
+        _raise_for_status(response.status, call)
+        return response
 
     async def _call(
         self,
@@ -341,8 +359,8 @@
         query: dict[str, str],
         body: object,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> tuple[int, bytes]:
-        """Make one call and return the status and body of the response.
+    ) -> StoreResponse:
+        """Make one call and return its response.
 
         Raises:
           StoreUnavailable: no connection was opened, so the call was not sent.
@@ -362,7 +380,7 @@
             ) as response:
                 data = await response.read()
                 self.era = _parse_era(response.headers.get(ERA_HEADER, ""))
-                return response.status, data
+                return StoreResponse(response.status, data, self.era)
         except aiohttp.ClientConnectorError as e:
             raise StoreUnavailable(f"{call}: {e}") from None
         except TimeoutError as e:
@@ -384,8 +402,8 @@
 
 
 def _parse_era(text: str) -> int:
-    """Return the era that a response names; 0 if it names none."""
-    return int(text) if text.isascii() and text.isdigit() else 0
+    """Return the era that a response names; `UNKNOWN_ERA` if it names none."""
+    return int(text) if text.isascii() and text.isdigit() else UNKNOWN_ERA
 
 
 def _parse_response(data: bytes, kind: type[T]) -> T:
--- a/leverdoor/platform/wire_format.py
+++ b/leverdoor/platform/wire_format.py
@@ -14,6 +14,7 @@
     ENTRY_PREFIX,
     QUARANTINE_PREFIX,
     Translator,
+    describe_record,
     parse_leaving,
     parse_limit,
     parse_load,
@@ -61,6 +62,7 @@
         parse_leaving=parse_leaving,
         parse_rest=parse_rest,
         translate=Translator(zones),
+        describe_record=describe_record,
         peer_key=lambda name: ENTRY_PREFIX + name,
         quarantine_record_key=lambda fingerprint: QUARANTINE_PREFIX + fingerprint,
     )
--- a/leverdoor/standins/kv.py
+++ b/leverdoor/standins/kv.py
@@ -15,6 +15,7 @@
 from leverdoor.errors import Code, LeverdoorError, OutcomeUnknown, StoreUnavailable
 from leverdoor.responses import json_response
 from leverdoor.storage.etcd import decode_key, from_base64, to_base64
+from leverdoor.storage.position import position_without_era
 from leverdoor.storage.store import Event, MemoryStore, Write
 
 __all__ = ["KvStandin", "KvFaults"]
@@ -125,7 +126,10 @@
         await response.prepare(request)
         await _line(response, {"created": True, "header": _header(self.store.revision)})
         try:
-            watch = self.store.watch(decode_key(create.key), create.start_revision - 1)
+            watch = self.store.watch(
+                decode_key(create.key),
+                position_without_era(create.start_revision - 1),
+            )
             async for events in watch:
                 result = {
                     "header": _header(self.store.revision),
--- a/leverdoor/standins/soak/harmed.py
+++ b/leverdoor/standins/soak/harmed.py
@@ -16,6 +16,7 @@
 
 from leverdoor.entry.exchange.messages import Message
 from leverdoor.entry.exchange.peer_network import SocketNetwork
+from leverdoor.storage.position import Position
 from leverdoor.storage.state import Delta
 
 __all__ = ["CUTS", "HarmedNetwork", "LostWays"]
@@ -61,7 +62,7 @@
         unreached = self._lost().unreached
         super().send_all(message, [a for a in to if _host(a) not in unreached])
 
-    async def fetch(self, address: str, since: int) -> Delta:
+    async def fetch(self, address: str, since: Position) -> Delta:
         """Fetch what an entry has, or wait for an answer in vain."""
         ways = self._lost()
         if _host(address) in (*ways.unreached, *ways.unanswered):
--- a/leverdoor/storage/etcd.py
+++ b/leverdoor/storage/etcd.py
@@ -17,6 +17,7 @@
 
 from leverdoor.errors import Code, LeverdoorError, OutcomeUnknown, StoreUnavailable
 from leverdoor.sessions import new_session
+from leverdoor.storage.position import Position
 from leverdoor.storage.store import (
     WATCH_SILENCE_S,
     Commit,
@@ -88,13 +89,13 @@
         return Commit(response.succeeded, response.header.revision)
 
     async def watch(
-        self, prefix: str, after: int, wait_s: Wait = client_default_wait
+        self, prefix: str, after: Position, wait_s: Wait = client_default_wait
     ) -> AsyncIterator[list[Event]]:
-        """Yield the changes after a revision."""
+        """Yield the changes after a position."""
         create = {
             "key": to_base64(prefix.encode()),
             "range_end": _range_end(prefix),
-            "start_revision": str(after + 1),
+            "start_revision": str(after.revision + 1),
             "progress_notify": True,
         }
         timeout = aiohttp.ClientTimeout(
--- a/leverdoor/storage/fetching.py
+++ b/leverdoor/storage/fetching.py
@@ -20,6 +20,7 @@
 
 from leverdoor.codec import unpack
 from leverdoor.sessions import new_session
+from leverdoor.storage.position import UNKNOWN_ERA, Position
 from leverdoor.storage.state import Delta, State
 
 __all__ = [
@@ -86,14 +87,14 @@
     """Transport for fetching the newer state of a peer."""
 
     @abstractmethod
-    async def fetch(self, address: str, since: int) -> Delta:
-        """Fetch the changes after a revision from a peer.
+    async def fetch(self, address: str, since: Position) -> Delta:
+        """Fetch the changes after a position from a peer.
 
         The caller limits the total duration.
 
         Args:
           address: the peer's API address, as `ip:port`.
-          since: the revision of the local replica.
+          since: the position of the local replica.
         Raises: one of `FETCH_ERRORS`.
         """
 
@@ -113,11 +114,13 @@
         if self._session is not None:
             await self._session.close()
 
-    async def fetch(self, address: str, since: int) -> Delta:
-        """Fetch the changes after a revision from a peer."""
+    async def fetch(self, address: str, since: Position) -> Delta:
+        """Fetch the changes after a position from a peer."""
         if self._session is None:
             self._session = new_session(idle_s=IDLE_CONNECTION_S)
-        url = f"http://{address}/v1/internal/state?since={since}"
+        url = f"http://{address}/v1/internal/state?since={since.revision}"
+        if since.era != UNKNOWN_ERA:
+            url += f"&era={since.era}"
         headers = {"Accept-Encoding": DEFLATE}
         async with self._session.get(
             url, headers=headers, timeout=READ_TIMEOUT
@@ -237,6 +240,6 @@
         """Fetch from a peer; retry once if the first connection times out."""
         async with asyncio.timeout(FETCH_TIMEOUT_S):
             try:
-                return await self._source.fetch(api, self._state.revision)
+                return await self._source.fetch(api, self._state.position)
             except TimeoutError:
-                return await self._source.fetch(api, self._state.revision)
+                return await self._source.fetch(api, self._state.position)
--- a/leverdoor/storage/following.py
+++ b/leverdoor/storage/following.py
@@ -18,6 +18,7 @@
 
 from leverdoor.errors import Code, LeverdoorError, StoreUnavailable
 from leverdoor.membership.peers import Peers
+from leverdoor.storage.position import START
 from leverdoor.storage.state import PREFIX, State
 from leverdoor.storage.store import Event, Store
 from leverdoor.storage.store_availability import StoreAvailability
@@ -221,11 +222,11 @@
         """Watch until the role ends.
 
         Reads all entries before the watch if the replica is empty. Reads them and
-        returns if the store has compacted the replica's revision.
+        returns if the store has compacted the replica's revision, or is in a later era.
         """
-        if self._state.revision == 0:
+        if self._state.position == START:
             await self._read_all()
-        watch = self._store.watch(self._prefix, self._state.revision, self._role.wait_s)
+        watch = self._store.watch(self._prefix, self._state.position, self._role.wait_s)
         try:
             while True:
                 events = await self._next_events(watch)
@@ -277,15 +278,14 @@
 
     async def _read_all(self) -> None:
         listing = await self._store.read(self._prefix)
-        if not self._state.reset(listing) and listing.revision < self._state.revision:
-            # The store lost revisions that this replica has already applied.
+        if not self._state.reset(listing) and listing.position < self._state.position:
+            # An answer of an earlier era, or of a lagging copy.
             logger.error(
                 "the store is behind what was accepted",
-                store=listing.revision,
-                held=self._state.revision,
-                era=self._store.era,
+                store=listing.position,
+                held=self._state.position,
             )
-            raise StoreUnavailable("the revision of the store decreased")
+            raise StoreUnavailable("the position of the store decreased")
         self._record_response()
 
 
--- a/leverdoor/storage/store.py
+++ b/leverdoor/storage/store.py
@@ -13,16 +13,18 @@
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import AsyncIterator, Callable, Sequence
-from typing import TypeAlias
+from typing import NamedTuple, TypeAlias
 
 import msgspec
 
 from leverdoor.errors import Code, LeverdoorError, OutcomeUnknown, StoreUnavailable
+from leverdoor.storage.position import UNKNOWN_ERA, Position
 
 __all__ = [
     "Commit",
     "KeyValue",
     "Event",
+    "Lease",
     "LeasingStore",
     "Listing",
     "MemoryStore",
@@ -62,6 +64,13 @@
     revision: int
     lease: int = 0
     """Id of the lease of the key, if the listing reports it; 0 otherwise."""
+    era: int = UNKNOWN_ERA
+    """Era of the store in which the value was read."""
+
+    @property
+    def position(self) -> Position:
+        """Position of the value; equal only for the same value of a key."""
+        return Position(self.era, self.revision)
 
 
 class Event(msgspec.Struct, frozen=True, array_like=True):
@@ -77,6 +86,22 @@
 
     revision: int
     entries: list[KeyValue]
+    era: int = UNKNOWN_ERA
+
+    @property
+    def position(self) -> Position:
+        """Position that the listing shows."""
+        return Position(self.era, self.revision)
+
+
+class Lease(NamedTuple):
+    """A lease and the era in which the service granted it.
+
+    In another era the service may have granted the same number to another holder.
+    """
+
+    number: int
+    era: int = UNKNOWN_ERA
 
 
 class Write(msgspec.Struct, frozen=True):
@@ -106,8 +131,8 @@
 
     calls = 0
     """Number of requests sent to the service; `MemoryStore` does not count them."""
-    era = 0
-    """Era of the service's history in its newest response; 0 if it names none."""
+    era = UNKNOWN_ERA
+    """Era of the service's history in its newest response."""
 
     @abstractmethod
     async def read(self, prefix: str) -> Listing:
@@ -136,21 +161,22 @@
 
     @abstractmethod
     def watch(
-        self, prefix: str, after: int, wait_s: Wait = client_default_wait
+        self, prefix: str, after: Position, wait_s: Wait = client_default_wait
     ) -> AsyncIterator[list[Event]]:
-        """Yield the changes after a revision.
+        """Yield the changes after a position, all of the same era.
 
         All changes of a transaction are in one list. An empty list is a keep-alive.
 
         Args:
           prefix: prefix of the watched keys.
-          after: the revision after which changes are reported.
+          after: the position after which changes are reported.
           wait_s: called before each request; returns how long the service may hold
             the request open without a change, in seconds. Clients that watch with
             one long-lived request do not call it.
         Raises:
           StoreUnavailable: the watch ended.
-          LeverdoorError: COMPACTED, the caller has to read the prefix again.
+          LeverdoorError: COMPACTED, the service does not have the changes after this
+            position, or is in another era; the caller has to read the prefix again.
         """
 
     async def close(self) -> None:  # noqa: B027
@@ -161,26 +187,28 @@
     """A store whose keys can be attached to a lease and expire with it."""
 
     @abstractmethod
-    async def put_with_lease(self, key: str, value: bytes, ttl_s: float) -> int:
+    async def put_with_lease(self, key: str, value: bytes, ttl_s: float) -> Lease:
         """Write a key under a new lease; the key expires with the lease.
 
-        Returns: the id of the lease.
+        Returns: the lease.
         Raises:
           StoreUnavailable: nothing was written.
           OutcomeUnknown: the key may have been written.
         """
 
     @abstractmethod
-    async def renew_lease(self, lease: int) -> bool:
-        """Renew a lease; return False if it has expired and its keys are deleted.
+    async def renew_lease(self, lease: Lease) -> bool:
+        """Renew a lease; return False if it is not held any longer.
+
+        It has expired and its keys are deleted, or the service is in another era.
 
         Raises:
           StoreUnavailable: the service did not respond.
         """
 
     @abstractmethod
-    async def revoke_lease(self, lease: int) -> None:
-        """Revoke a lease, which deletes its keys.
+    async def revoke_lease(self, lease: Lease) -> None:
+        """Revoke a lease of the present era, which deletes its keys.
 
         Errors are ignored: a lease that is not renewed expires by itself.
         """
@@ -251,23 +279,24 @@
         self._change_event = asyncio.Event()
 
     async def watch(
-        self, prefix: str, after: int, wait_s: Wait = client_default_wait
+        self, prefix: str, after: Position, wait_s: Wait = client_default_wait
     ) -> AsyncIterator[list[Event]]:
-        """Yield the changes after a revision."""
+        """Yield the changes after a position."""
         self.waiting += 1
+        revision = after.revision
         try:
             while True:
                 await self._inject_faults()
-                if after < self._compacted_revision:
+                if revision < self._compacted_revision:
                     raise LeverdoorError(Code.COMPACTED, revision=self.revision)
                 change_event = self._change_event
                 matching = [
                     e
                     for e in self._log
-                    if e.revision > after and e.key.startswith(prefix)
+                    if e.revision > revision and e.key.startswith(prefix)
                 ]
                 if matching:
-                    after = matching[-1].revision
+                    revision = matching[-1].revision
                     yield matching
                     continue
                 try:
--- a/leverdoor/storage/view.py
+++ b/leverdoor/storage/view.py
@@ -37,6 +37,7 @@
     Tier,
     parse_resource,
 )
+from leverdoor.storage.position import START
 from leverdoor.storage.state import RESOURCES, TABLES, Delta, State
 from leverdoor.storage.store import KeyValue
 
@@ -169,7 +170,7 @@
         self._blocks = ClientRegionMap({})
         self.view = View(0, {}, self._blocks)
         self.tables: dict[str, Table] = {}
-        self._apply_delta(state.delta(0))
+        self._apply_delta(state.delta(START))
         state.changes.subscribe(self._apply_delta)
 
     def _apply_delta(self, delta: Delta) -> None:
--- a/tests/interface_table.py
+++ b/tests/interface_table.py
@@ -134,6 +134,7 @@
     "leverdoor_entry_lookups": ("counter", (), ()),
     "leverdoor_entry_revision": ("gauge", (), ()),
     "leverdoor_entry_store_era": ("gauge", (), ()),
+    "leverdoor_entry_retained_records": ("gauge", ("kind",), ()),
     "leverdoor_entry_confirmed_age_seconds": ("gauge", (), ()),
     "leverdoor_entry_in_flight": ("gauge", (), ()),
     "leverdoor_entry_leaving_targets": ("gauge", (), ()),
@@ -195,7 +196,7 @@
     ("table refused", "info", ("revision", "version")),
     ("table written", "info", ("revision", "version")),
     ("target checked", "info", ("found", "target")),
-    ("the store is behind what was accepted", "error", ("era", "held", "store")),
+    ("the store is behind what was accepted", "error", ("held", "store")),
     ("watch silent while its answer is due", "info", ()),
 ]
 """Event, level and fields of each call of the logger; `?` for what libraries log."""
@@ -259,7 +260,7 @@
         ("confirmed_ms", "revision", "routes", "source", "targets", "version"),
     ),
     ("connections_forgotten", ("service",)),
-    ("fetch", ("newer", "peer", "revision", "since", "took_ms")),
+    ("fetch", ("era", "newer", "peer", "revision", "since", "took_ms")),
     ("homeless", ("count", "pairs")),
     ("limit_unreadable", ("target", "text")),
     ("peer", ("change", "peer", "silent_s")),
@@ -286,6 +287,7 @@
     ("report_unreadable", ("target", "text", "what")),
     ("shares", ("service", "shares")),
     ("store", ("change", "detail", "era", "revision")),
+    ("store_restored", ("change", "era", "kept", "revision")),
     ("target_checked", ("found", "lost", "service", "target", "took_ms")),
     ("target_ejected", ("ejected_s", "reason", "target")),
     ("target_leaving", ("target",)),
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -20,6 +20,7 @@
 from leverdoor.metrics import AgentMetrics
 from leverdoor.model.resources import Tier
 from leverdoor.storage.configuration import Configuration
+from leverdoor.storage.position import START
 from leverdoor.storage.state import PREFIX, Delta, State
 from leverdoor.storage.store import MemoryStore
 from leverdoor.storage.view import ViewCache
@@ -48,7 +49,7 @@
 
     async def follow(self) -> None:
         self.state.reset(await self.store.read(PREFIX))
-        async for events in self.store.watch(PREFIX, self.state.revision):
+        async for events in self.store.watch(PREFIX, self.state.position):
             self.state.extend(events)
 
 
@@ -150,7 +151,7 @@
     operator = Operator([api_server.address])
     await operator.apply([Tier(name="a")])
     await wait_for_replica(api_server)
-    full = api_server.state.delta(0).events
+    full = api_server.state.delta(START).events
     api_server.state.apply(Delta(0, api_server.state.revision + 1, True, full))
     with pytest.raises(LeverdoorError) as e:
         async for _ in operator.watch("tier", 1):
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -26,6 +26,7 @@
     WorkClass,
 )
 from leverdoor.storage.configuration import Configuration
+from leverdoor.storage.position import START
 from leverdoor.storage.state import PREFIX, State
 from leverdoor.storage.store import Commit, Listing, MemoryStore, Store, Write
 
@@ -115,12 +116,12 @@
     @rule(source=st.integers(0, 1))
     def fetch_from_peer(self, source: int) -> None:
         other = self.states[1 - source]
-        other.apply(self.states[source].delta(other.revision))
+        other.apply(self.states[source].delta(other.position))
 
     @rule(agent=st.integers(0, 1))
     def restart_from_peer(self, agent: int) -> None:
         fresh = State()
-        fresh.apply(self.states[1 - agent].delta(0))
+        fresh.apply(self.states[1 - agent].delta(START))
         if fresh.revision >= self.states[agent].revision:
             self.states[agent] = fresh
             self.agents[agent] = Configuration(self.store, fresh)
--- a/tests/test_entry_confirmation.py
+++ b/tests/test_entry_confirmation.py
@@ -14,21 +14,22 @@
 )
 from leverdoor.standins.entry_site import SAMPLE_ROUTES, EntrySite
 from leverdoor.standins.metadata import MetadataFaults
+from leverdoor.storage.position import position_without_era as at
 
 
 def test_the_newest_answer_of_any_entry_counts() -> None:
     tracker = Confirmation(3)
-    assert tracker.newest_answer(7, 10.0) == NO_ANSWER
+    assert tracker.newest_answer(at(7), 10.0) == NO_ANSWER
     assert tracker.holds(0.0, 10.0)
     assert not tracker.holds(5.0, 10.0)
-    tracker.record_peer_answer(ReportedAnswer(7, 1, 2_000), 7, 10.0)
+    tracker.record_peer_answer(ReportedAnswer(at(7), 1, 2_000), at(7), 10.0)
     assert tracker.holds(5.0, 12.9)
     assert not tracker.holds(5.0, 13.1)
-    tracker.record_peer_answer(ReportedAnswer(7, 2, 4_000), 7, 10.5)
-    tracker.record_peer_answer(NO_ANSWER, 7, 10.5)
-    assert tracker.newest_answer(7, 10.5) == ReportedAnswer(7, 1, 2_500)
+    tracker.record_peer_answer(ReportedAnswer(at(7), 2, 4_000), at(7), 10.5)
+    tracker.record_peer_answer(NO_ANSWER, at(7), 10.5)
+    assert tracker.newest_answer(at(7), 10.5) == ReportedAnswer(at(7), 1, 2_500)
     tracker.record_answer(11.0)
-    assert tracker.newest_answer(7, 11.2).age_ms == 200
+    assert tracker.newest_answer(at(7), 11.2).age_ms == 200
 
 
 def test_an_answer_for_a_newer_revision_does_not_confirm_the_one_in_force() -> None:
@@ -37,13 +38,13 @@
     One of them may have been revoked by the newer revision.
     """
     tracker = Confirmation(3)
-    tracker.record_peer_answer(ReportedAnswer(8, 1, 500), 7, 10.0)
+    tracker.record_peer_answer(ReportedAnswer(at(8), 1, 500), at(7), 10.0)
     assert not tracker.holds(5.0, 10.0)
-    tracker.record_peer_answer(ReportedAnswer(9, 2, 100), 7, 10.2)
-    tracker.record_revision(8)
-    assert tracker.newest_answer(8, 10.2) == ReportedAnswer(8, 1, 700)
-    tracker.record_revision(9)
-    assert tracker.newest_answer(9, 10.2) == ReportedAnswer(9, 2, 100)
+    tracker.record_peer_answer(ReportedAnswer(at(9), 2, 100), at(7), 10.2)
+    tracker.record_position(at(8))
+    assert tracker.newest_answer(at(8), 10.2) == ReportedAnswer(at(8), 1, 700)
+    tracker.record_position(at(9))
+    assert tracker.newest_answer(at(9), 10.2) == ReportedAnswer(at(9), 2, 100)
 
 
 def test_an_answer_reported_in_a_cycle_does_not_become_younger() -> None:
@@ -58,9 +59,11 @@
     first.record_answer(10.0)
     now = 10.0
     for _ in range(20):
-        second.record_peer_answer(first.newest_answer(7, now), 7, now + latency_s)
+        answer = first.newest_answer(at(7), now)
+        second.record_peer_answer(answer, at(7), now + latency_s)
         now += 0.2
-        first.record_peer_answer(second.newest_answer(7, now), 7, now + latency_s)
+        answer = second.newest_answer(at(7), now)
+        first.record_peer_answer(answer, at(7), now + latency_s)
         now += 0.2
     assert first.age_s(now) == now - 10.0
     assert second.age_s(now) >= now - 10.0 - latency_s - 0.001
@@ -74,8 +77,8 @@
     tracker = Confirmation(3)
     for i in range(100):
         now = 10.0 + i / 10
-        tracker.record_peer_answer(ReportedAnswer(8 + i, i, 50), 7 + i, now)
-        tracker.record_revision(8 + i)
+        tracker.record_peer_answer(ReportedAnswer(at(8 + i), i, 50), at(7 + i), now)
+        tracker.record_position(at(8 + i))
         assert tracker.age_s(now) < 0.2
 
 
--- a/tests/test_entry_exchange.py
+++ b/tests/test_entry_exchange.py
@@ -25,9 +25,12 @@
 from leverdoor.entry.membership.member import LEAVING, SERVING, Member
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.membership.roles import Roles
+from leverdoor.storage.position import START, position_without_era
 
 TARGETS = {"a": ["ta1", "ta2"], "b": ["tb1"]}
 
+IN_FORCE = position_without_era(1)
+
 
 class FakeCluster:
     """Exchanges of several entries with immediate delivery, on a fake clock."""
@@ -52,7 +55,7 @@
             exchange.target_count_codec.renew(TARGETS)
             self.exchanges[member.name] = exchange
             self.selectors[member.name] = EntrySelector(membership)
-            self.statuses[member.name] = EntryStatus(SERVING, 1, {}, {}, -1, [])
+            self.statuses[member.name] = EntryStatus(SERVING, IN_FORCE, {}, {}, -1, [])
 
     def set_status(self, name: str, **fields: object) -> None:
         self.statuses[name] = msgspec.structs.replace(self.statuses[name], **fields)
@@ -72,9 +75,9 @@
             for address in outgoing_message.destinations:
                 to = address.removeprefix("g/")
                 if to not in self.silent:
-                    revision = self.statuses[to].revision
+                    in_force = self.statuses[to].position
                     received = self.exchanges[to].take(
-                        outgoing_message.message, revision, self.now
+                        outgoing_message.message, in_force, self.now
                     )
                     self._record_update(to, received)
 
@@ -269,7 +272,7 @@
     early = sender.heartbeat(status)
     late = sender.heartbeat(msgspec.structs.replace(status, in_flight={"ta1": 1}))
     for message in (late, early):
-        cluster.exchanges["a1-0"].take(message, 1, cluster.now)
+        cluster.exchanges["a1-0"].take(message, IN_FORCE, cluster.now)
     cluster.round()
     assert cluster.others_in_flight("a1-0") == {"ta1": 1}
     assert isinstance(early, EntryHeartbeat)
@@ -283,7 +286,8 @@
         for _, x in cluster.sent
         if _is_total(x) and "g/a1-3" in x.destinations
     ]
-    duplicate_update = cluster.exchanges["a1-3"].take(digests[-1], 1, cluster.now)
+    last = digests[-1]
+    duplicate_update = cluster.exchanges["a1-3"].take(last, IN_FORCE, cluster.now)
     assert duplicate_update == PeerUpdate()
 
 
@@ -297,7 +301,7 @@
         received: set[str] = set()
         for name in sorted(new_recipients):
             for outgoing_message in cluster.exchanges[name].announce_revision(
-                9, NO_ANSWER, cluster.now
+                position_without_era(9), NO_ANSWER, cluster.now
             ):
                 assert isinstance(outgoing_message.message, RevisionAnnouncement)
                 received |= {
@@ -313,16 +317,16 @@
     cluster = FakeCluster(entry_names(["a1"], 4))
     cluster.round(4)
     received = cluster.exchanges["a1-3"].take(
-        RevisionAnnouncement(5, "p/a1-0"), 1, cluster.now
+        RevisionAnnouncement(5, "p/a1-0"), IN_FORCE, cluster.now
     )
     assert received.source == "p/a1-0"
     assert (
         cluster.exchanges["a1-3"]
-        .take(RevisionAnnouncement(1, "p/a1-0"), 1, cluster.now)
+        .take(RevisionAnnouncement(1, "p/a1-0"), IN_FORCE, cluster.now)
         .source
         == ""
     )
-    cluster.set_status("a1-0", revision=5)
+    cluster.set_status("a1-0", position=position_without_era(5))
     cluster.round(2)
     assert cluster.updates["a1-3"].source == "p/a1-0", (
         "the source must be the aggregator a1-0"
@@ -336,7 +340,7 @@
     digest = next(x.message for _, x in reversed(cluster.sent) if _is_total(x))
     known = Membership(_member("a1-9", 20))
     alone = Exchange(known, Roles(known, Random(1)))
-    assert alone.take(digest, 0, cluster.now).source.startswith("p/a1-")
+    assert alone.take(digest, START, cluster.now).source.startswith("p/a1-")
 
 
 def test_warm_keys_reach_the_whole_region_and_no_other() -> None:
--- a/tests/test_entry_registration.py
+++ b/tests/test_entry_registration.py
@@ -19,7 +19,8 @@
     Registration,
     mean_retry_pause_s,
 )
-from leverdoor.storage.store import Commit, KeyValue, LeasingStore, Listing
+from leverdoor.storage.position import Position
+from leverdoor.storage.store import Commit, KeyValue, Lease, LeasingStore, Listing
 
 
 @pytest.mark.parametrize(
@@ -44,7 +45,7 @@
     def __init__(self, expired: set[int]) -> None:
         self.expired = expired
         self.written: list[str] = []
-        self.renewed: list[int] = []
+        self.renewed: list[Lease] = []
 
     async def read(self, prefix: str) -> Listing:
         raise AssertionError(prefix)
@@ -52,18 +53,18 @@
     async def commit(self, writes: object) -> Commit:
         raise AssertionError(writes)
 
-    def watch(self, prefix: str, after: int) -> object:  # type: ignore[override]
+    def watch(self, prefix: str, after: Position) -> object:  # type: ignore[override]
         raise AssertionError(prefix)
 
-    async def put_with_lease(self, key: str, value: bytes, ttl_s: float) -> int:
+    async def put_with_lease(self, key: str, value: bytes, ttl_s: float) -> Lease:
         self.written.append(key)
-        return 99
+        return Lease(99)
 
-    async def renew_lease(self, lease: int) -> bool:
+    async def renew_lease(self, lease: Lease) -> bool:
         self.renewed.append(lease)
-        return lease not in self.expired
+        return lease.number not in self.expired
 
-    async def revoke_lease(self, lease: int) -> None:
+    async def revoke_lease(self, lease: Lease) -> None:
         raise AssertionError(lease)
 
 
@@ -91,13 +92,13 @@
 async def test_the_lease_of_a_former_incarnation_is_renewed() -> None:
     store = FakeStore(set())
     await run_registration(store, former_registration(12))
-    assert (store.renewed, store.written) == ([12], [])
+    assert (store.renewed, store.written) == ([Lease(12)], [])
 
 
 async def test_an_expired_lease_is_replaced() -> None:
     store = FakeStore({12})
     await run_registration(store, former_registration(12))
-    assert (store.renewed, store.written) == ([12], ["entries/n1"])
+    assert (store.renewed, store.written) == ([Lease(12)], ["entries/n1"])
 
 
 @pytest.mark.parametrize(
--- a/tests/test_entry_registration_end.py
+++ b/tests/test_entry_registration_end.py
@@ -12,7 +12,8 @@
 from leverdoor.entry.log_writer import LineWriter
 from leverdoor.entry.membership import registration
 from leverdoor.entry.membership.member import Member
-from leverdoor.storage.store import Commit, LeasingStore, Listing
+from leverdoor.storage.position import Position
+from leverdoor.storage.store import Commit, Lease, LeasingStore, Listing
 
 OWN = Member("n1", "a", "a1", "f", "g", "p", 50)
 LOOP_ITERATIONS = 20
@@ -32,17 +33,17 @@
     async def commit(self, writes: object) -> Commit:
         raise AssertionError(writes)
 
-    def watch(self, prefix: str, after: int) -> object:  # type: ignore[override]
+    def watch(self, prefix: str, after: Position) -> object:  # type: ignore[override]
         raise AssertionError(prefix)
 
-    async def put_with_lease(self, key: str, value: bytes, ttl_s: float) -> int:
+    async def put_with_lease(self, key: str, value: bytes, ttl_s: float) -> Lease:
         self.key_writes += 1
-        return self.key_writes
+        return Lease(self.key_writes)
 
-    async def renew_lease(self, lease: int) -> bool:
+    async def renew_lease(self, lease: Lease) -> bool:
         return True
 
-    async def revoke_lease(self, lease: int) -> None:
+    async def revoke_lease(self, lease: Lease) -> None:
         self.revocations += 1
 
 
@@ -74,7 +75,7 @@
     written = asyncio.Event()
 
     class SlowStore(CountingStore):
-        async def put_with_lease(self, key: str, value: bytes, ttl_s: float) -> int:
+        async def put_with_lease(self, key: str, value: bytes, ttl_s: float) -> Lease:
             await written.wait()
             return await super().put_with_lease(key, value, ttl_s)
 
--- a/tests/test_fetching.py
+++ b/tests/test_fetching.py
@@ -11,6 +11,7 @@
     DeltaSource,
     PeerFetcher,
 )
+from leverdoor.storage.position import Position
 from leverdoor.storage.state import Delta, State
 from leverdoor.storage.store import Event
 from virtual_clock import run_virtual
@@ -25,7 +26,7 @@
         self.silent = silent
         self.queried: list[str] = []
 
-    async def fetch(self, address: str, since: int) -> Delta:
+    async def fetch(self, address: str, since: Position) -> Delta:
         self.queried.append(address)
         if address in self.silent:
             await asyncio.Event().wait()
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -24,6 +24,7 @@
     StoreFollower,
     watcher_rank,
 )
+from leverdoor.storage.position import Position
 from leverdoor.storage.state import State
 from leverdoor.storage.store import Event, MemoryStore, Wait, Write, client_default_wait
 from leverdoor.storage.store_availability import MIN_FRACTION_OF_MEAN, RETRY_MEAN_S
@@ -114,7 +115,7 @@
         self.watches = 0
 
     async def watch(
-        self, prefix: str, after: int, wait_s: Wait = client_default_wait
+        self, prefix: str, after: Position, wait_s: Wait = client_default_wait
     ) -> AsyncIterator[list[Event]]:
         self.watches += 1
         if self.watches == 1:
--- a/tests/test_http_bytes.py
+++ b/tests/test_http_bytes.py
@@ -33,11 +33,13 @@
 from leverdoor.standins.entry_site import EntrySite
 from leverdoor.standins.upstreams import UpstreamStandin
 from leverdoor.storage.etcd import EtcdStore
+from leverdoor.storage.position import START, position_without_era
 from leverdoor.storage.state import Delta, State
 from leverdoor.storage.store import (
     Commit,
     Event,
     KeyValue,
+    Lease,
     Listing,
     Store,
     Write,
@@ -98,7 +100,7 @@
 
 async def read_first_events(store: Store) -> list[Event]:
     """Return the first events of a watch."""
-    watch = store.watch("op/", 7)
+    watch = store.watch("op/", position_without_era(7))
     try:
         return await anext(watch)
     finally:
@@ -206,7 +208,7 @@
     ),
     StoreCall(
         "keep",
-        lambda store: store.renew_lease(5),
+        lambda store: store.renew_lease(Lease(5)),
         "POST /api/kv-keep/5 HTTP/1.1",
         b"",
         b"{}",
@@ -214,7 +216,7 @@
     ),
     StoreCall(
         "let go",
-        lambda store: store.revoke_lease(5),
+        lambda store: store.revoke_lease(Lease(5)),
         "DELETE /api/kv-lease-end/5 HTTP/1.1",
         b"",
         b"{}",
@@ -238,11 +240,13 @@
     server = RawServer(json_reply(b'{"lease":5}'), json_reply(b'{"revision":9}'))
     async with server as address:
         store = PlatformStore(address)
-        assert await store.put_with_lease("leverdoor/entries/n1", b"1", 15.0) == 5
+        assert await store.put_with_lease("leverdoor/entries/n1", b"1", 15.0) == Lease(
+            5
+        )
         await store.close()
-    lease, put = (request.partition(b"\r\n\r\n") for request in server.requests)
-    assert lease[0].startswith(b"POST /api/kv-lease HTTP/1.1\r\n")
-    assert lease[2] == b'{"ttl_ms":15000}'
+    granted, put = (request.partition(b"\r\n\r\n") for request in server.requests)
+    assert granted[0].startswith(b"POST /api/kv-lease HTTP/1.1\r\n")
+    assert granted[2] == b'{"ttl_ms":15000}'
     assert put[0].startswith(b"POST /api/kv-txn HTTP/1.1\r\n")
     assert put[2] == (
         b'{"expected-revision":[],"put":[{"private-key":"leverdoor/entries/n1",'
@@ -606,4 +610,4 @@
     await runner.cleanup()
     head, _, body = answer.partition(b"\r\n\r\n")
     assert re.sub(rb"Length: \d+", b"Length: *", head) == pull.head
-    assert unpack(pull.coding(body), Delta) == state.delta(0)
+    assert unpack(pull.coding(body), Delta) == state.delta(START)
--- a/tests/test_platform_registrations.py
+++ b/tests/test_platform_registrations.py
@@ -27,6 +27,7 @@
 from leverdoor.model.resources import Target
 from leverdoor.platform.formats import Translator
 from leverdoor.settings import parse_address
+from leverdoor.storage.position import position_without_era
 from leverdoor.storage.store import KeyValue
 
 ZONES = {"a1": "a", "b1": "b"}
@@ -262,12 +263,13 @@
 def test_invalid_registration_is_logged_once_and_counted_while_present() -> None:
     events, metrics = RecordedEvents(), EntryMetrics()
     report = LeftOutReporter(events, metrics)  # type: ignore[arg-type]
-    invalid = LeftOutRegistration("x", "address", "''", 3)
+    invalid = LeftOutRegistration("x", "address", "''", position_without_era(3))
     for moment in range(5):
         report.take([invalid], float(moment))
     assert [line[0] for line in events.lines] == ["x"]
     assert b'registrations_left_out{cause="address"} 1.0' in metrics.text()
-    report.take([msgspec.structs.replace(invalid, revision=4)], 6.0)
+    changed = msgspec.structs.replace(invalid, position=position_without_era(4))
+    report.take([changed], 6.0)
     assert len(events.lines) == 2
     report.take([], 7.0)
     assert b"registrations_left_out{" not in metrics.text()
@@ -277,8 +279,10 @@
     events = RecordedEvents()
     report = LeftOutReporter(events, EntryMetrics())  # type: ignore[arg-type]
     for number in range(500):
-        report.take([LeftOutRegistration("x", "address", "''", number)], number / 10)
+        at = position_without_era(number)
+        report.take([LeftOutRegistration("x", "address", "''", at)], number / 10)
     assert len(events.lines) == MAX_LINES_PER_MINUTE
     # The next window of 60 s has begun; the line counts those that were suppressed.
-    report.take([LeftOutRegistration("x", "address", "''", 900)], 61.0)
+    at = position_without_era(900)
+    report.take([LeftOutRegistration("x", "address", "''", at)], 61.0)
     assert events.lines[-1][3] == 500 - MAX_LINES_PER_MINUTE
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -10,8 +10,9 @@
 
 import leverdoor.platform.store as platform_store
 from leverdoor.errors import Code, LeverdoorError, OutcomeUnknown, StoreUnavailable
-from leverdoor.platform.store import CallTimeoutError, PlatformStore
+from leverdoor.platform.store import CallTimeoutError, PlatformStore, StoreResponse
 from leverdoor.standins.metadata import MetadataFaults, MetadataStandin
+from leverdoor.storage.position import Position
 from leverdoor.storage.store import Write
 
 
@@ -23,6 +24,11 @@
         self.standin = standin
 
 
+def first_era(revision: int) -> Position:
+    """Return a position in the first era of the stand-in."""
+    return Position(1, revision)
+
+
 @pytest.fixture
 async def contract(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[StoreFixture]:
     monkeypatch.setattr(platform_store, "CALL_TIMEOUT_S", 0.3)
@@ -56,7 +62,7 @@
     lease = await contract.store.put_with_lease("entries/n1", b"1", 5.0)
     listing = await contract.store.read_stale("entries/")
     assert [(e.key, e.value, e.lease) for e in listing.entries] == [
-        ("entries/n1", b"1", lease)
+        ("entries/n1", b"1", lease.number)
     ]
     assert contract.standin.calls["kv-range stale"] == 1
     assert "kv-range" not in contract.standin.calls
@@ -74,7 +80,7 @@
 
 async def test_watch_returns_changes_and_removals(contract: StoreFixture) -> None:
     at = contract.standin.put("op/config", b"1")
-    watch = contract.store.watch("", at)
+    watch = contract.store.watch("", first_era(at))
     assert await anext(watch) == []
     contract.standin.put("op/config", b"2")
     contract.standin.remove("op/config")
@@ -92,7 +98,7 @@
     contract.standin.put("op/config", b"2")
     contract.standin.forget_history()
     with pytest.raises(LeverdoorError) as caught:
-        await anext(contract.store.watch("", 1))
+        await anext(contract.store.watch("", first_era(1)))
     assert caught.value.code is Code.COMPACTED
 
 
@@ -108,7 +114,7 @@
     call = contract.store._call
     to_drop = ["kv-watch"]
 
-    async def drop_first_call(*args: object) -> tuple[int, bytes]:
+    async def drop_first_call(*args: object) -> StoreResponse:
         if to_drop:
             to_drop.pop()
             raise CallTimeoutError("no answer")
@@ -116,7 +122,7 @@
 
     contract.store._call = drop_first_call  # type: ignore[method-assign]
     at = contract.standin.put("op/config", b"1")
-    [event] = await anext(contract.store.watch("", at - 1))
+    [event] = await anext(contract.store.watch("", first_era(at - 1)))
     assert event.key == "op/config"
     assert contract.standin.calls["kv-watch"] == 1
 
@@ -125,7 +131,7 @@
     """With status 429 the store requests fewer calls."""
     contract.standin.faults = MetadataFaults(busy=429)
     with pytest.raises(StoreUnavailable):
-        await anext(contract.store.watch("", 0))
+        await anext(contract.store.watch("", first_era(0)))
     assert contract.standin.calls["kv-watch"] == 1
 
 
@@ -147,7 +153,7 @@
     with pytest.raises(StoreUnavailable):
         await contract.store.read("")
     with pytest.raises(StoreUnavailable):
-        await anext(contract.store.watch("", 0))
+        await anext(contract.store.watch("", first_era(0)))
     contract.standin.faults = MetadataFaults()
     assert (await contract.store.read("")).entries == []
 
@@ -193,7 +199,7 @@
 
 async def test_lease_is_renewed_and_ended(contract: StoreFixture) -> None:
     lease = await contract.store.put_with_lease("leverdoor/e", b"me", 10.0)
-    assert contract.standin.items["leverdoor/e"].lease == lease
+    assert contract.standin.items["leverdoor/e"].lease == lease.number
     assert await contract.store.renew_lease(lease)
     await contract.store.revoke_lease(lease)
     assert "leverdoor/e" not in contract.standin.items
@@ -221,9 +227,9 @@
 async def test_invalid_response_raises_store_unavailable(
     contract: StoreFixture,
 ) -> None:
-    async def invalid_response(*_: object) -> tuple[int, bytes]:
+    async def invalid_response(*_: object) -> StoreResponse:
         await asyncio.sleep(0)
-        return 200, b"<html>"
+        return StoreResponse(200, b"<html>", 1)
 
     contract.store._call = invalid_response  # type: ignore[method-assign]
     with pytest.raises(StoreUnavailable):
@@ -240,3 +246,48 @@
     contract.standin.restore(copy)
     assert (await contract.store.read("")).revision < at
     assert contract.store.era == era + 1
+
+
+async def test_watch_ends_when_the_store_is_restored_from_a_copy(
+    contract: StoreFixture,
+) -> None:
+    """Revisions given out again may have passed the one that a watch starts from."""
+    copy = contract.standin.copy()
+    at = contract.standin.put("op/config", b"1")
+    contract.standin.restore(copy)
+    for _ in range(3):
+        contract.standin.put("op/config", b"2")
+    with pytest.raises(LeverdoorError) as e:
+        await anext(contract.store.watch("", first_era(at)))
+    assert e.value.code is Code.COMPACTED
+
+
+async def test_listing_does_not_mix_pages_of_two_eras(contract: StoreFixture) -> None:
+    contract.standin.faults.page = 1
+    for name in ("a", "b"):
+        contract.standin.put(f"servers/{name}", b"1")
+    call = contract.store._call
+
+    async def restore_after_call(*args: object) -> StoreResponse:
+        response = await call(*args)  # type: ignore[arg-type]
+        contract.standin.restore(contract.standin.copy())
+        return response
+
+    contract.store._call = restore_after_call  # type: ignore[method-assign]
+    with pytest.raises(StoreUnavailable):
+        await contract.store.read("")
+
+
+async def test_lease_of_an_earlier_era_is_neither_held_nor_revoked(
+    contract: StoreFixture,
+) -> None:
+    """The number was given out again, to another entry."""
+    copy = contract.standin.copy()
+    lease = await contract.store.put_with_lease("leverdoor/e1", b"1", 10.0)
+    contract.standin.restore(copy)
+    other = await contract.store.put_with_lease("leverdoor/e2", b"2", 10.0)
+    assert other.number == lease.number
+    assert not await contract.store.renew_lease(lease)
+    await contract.store.revoke_lease(lease)
+    assert "leverdoor/e2" in contract.standin.items
+    assert await contract.store.renew_lease(other)
--- a/tests/test_quarantine_records.py
+++ b/tests/test_quarantine_records.py
@@ -34,7 +34,7 @@
 )
 from leverdoor.quarantine.refusal import quarantine_refusal
 from leverdoor.quarantine.verdict import MIN_CRASHES
-from leverdoor.storage.store import KeyValue, LeasingStore, Write
+from leverdoor.storage.store import KeyValue, LeasingStore, MemoryStore, Write
 
 FATAL_REQUEST = 0xCA05E
 KEY = wire({}).quarantine_record_key(fingerprint_text(FATAL_REQUEST))
@@ -50,7 +50,7 @@
         self.store = store
         self.quarantine = Quarantine()
         events = Events(LineWriter(os.open(os.devnull, os.O_WRONLY)), "n1")
-        unused: LeasingStore = None  # type: ignore[assignment]
+        unused: LeasingStore = MemoryStore()  # type: ignore[assignment]
         self.records = QuarantineRecords(
             self.quarantine, unused, wire({}), "n1", events, Random(1), lambda: True
         )
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -11,6 +11,7 @@
 from leverdoor.errors import Code, LeverdoorError, OutcomeUnknown, StoreUnavailable
 from leverdoor.standins.kv import KvStandin
 from leverdoor.storage.etcd import EtcdStore
+from leverdoor.storage.position import position_without_era
 from leverdoor.storage.store import MAX_LOG_EVENTS, Event, MemoryStore, Store, Write
 
 
@@ -75,7 +76,7 @@
     await backend.store.commit([Write("/a", b"2"), Write("/b", b"1")])
     await backend.store.commit([Write("/a", None)])
     received: list[Event] = []
-    async for events in backend.store.watch("/", first.revision):
+    async for events in backend.store.watch("/", position_without_era(first.revision)):
         received += events
         if len(received) == 3:
             break
@@ -92,7 +93,7 @@
     for i in range(MAX_LOG_EVENTS + 2):
         backend.memory._commit([Write("/a", str(i).encode())])
     with pytest.raises(LeverdoorError) as e:
-        async for _ in backend.store.watch("/", 1):
+        async for _ in backend.store.watch("/", position_without_era(1)):
             pass
     assert e.value.code is Code.COMPACTED
 
@@ -111,7 +112,7 @@
 
 async def test_outage_ends_a_watch(backend: Backend) -> None:
     async def follow() -> None:
-        async for _ in backend.store.watch("/", 1):
+        async for _ in backend.store.watch("/", position_without_era(1)):
             pass
 
     task = asyncio.create_task(follow())
--- a/tests/test_store_role.py
+++ b/tests/test_store_role.py
@@ -24,6 +24,7 @@
     StoreRole,
 )
 from leverdoor.settings import Address
+from leverdoor.storage.position import position_without_era as at
 from leverdoor.storage.store_availability import MIN_FRACTION_OF_MEAN, RETRY_MEAN_S
 
 REGIONS = ("a", "b", "c")
@@ -183,7 +184,7 @@
 
 def test_entry_queries_store_when_newest_answer_is_too_old() -> None:
     third = Entry("a1-2")
-    third.confirmation.record_peer_answer(ReportedAnswer(1, 9, 0), 1, NOW)
+    third.confirmation.record_peer_answer(ReportedAnswer(at(1), 9, 0), at(1), NOW)
     assert not third.role.must_ask(NOW + MAX_ANSWER_AGE_S)
     third.receive_heartbeats(NOW + MAX_ANSWER_AGE_S + 0.2)
     assert third.role.must_ask(NOW + MAX_ANSWER_AGE_S + 0.2)
@@ -195,7 +196,7 @@
     asking = []
     for i in range(4):
         entry = Entry(f"a1-{i}")
-        entry.confirmation.record_peer_answer(ReportedAnswer(1, 9, 0), 1, NOW)
+        entry.confirmation.record_peer_answer(ReportedAnswer(at(1), 9, 0), at(1), NOW)
         entry.receive_heartbeats(now)
         asking.append(entry.role.must_ask(now))
     assert asking == [True, True, False, False]
@@ -204,7 +205,7 @@
 def test_unserved_entries_keep_their_rank_in_the_query_order() -> None:
     """Fails if failed queries promote other entries, which doubles the read rate."""
     third = Entry("a1-2")
-    third.confirmation.record_peer_answer(ReportedAnswer(1, 9, 0), 1, NOW)
+    third.confirmation.record_peer_answer(ReportedAnswer(at(1), 9, 0), at(1), NOW)
     now = NOW + MAX_ANSWER_AGE_S + 0.07
     third.receive_heartbeats(now)
     for name in ("a1-0", "a1-1"):
@@ -215,9 +216,9 @@
 def test_entry_that_cannot_fetch_newer_state_queries_early() -> None:
     """Other entries have the state, but this entry cannot fetch it from them."""
     last = Entry("a1-3")
-    last.confirmation.record_peer_answer(ReportedAnswer(1, 9, 0), 1, NOW)
+    last.confirmation.record_peer_answer(ReportedAnswer(at(1), 9, 0), at(1), NOW)
     last.confirmation.record_peer_answer(
-        ReportedAnswer(2, 10, 0), 1, NOW + MAX_ANSWER_AGE_S
+        ReportedAnswer(at(2), 10, 0), at(1), NOW + MAX_ANSWER_AGE_S
     )
     now = NOW + MAX_ANSWER_AGE_S + 0.02
     last.receive_heartbeats(now)
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -48,6 +48,7 @@
 )
 from leverdoor.quarantine.notices import Notice, NoticeKind, serialize_notices
 from leverdoor.storage.configuration import Applied, Guard
+from leverdoor.storage.retention import Retained
 from leverdoor.storage.state import Delta
 from leverdoor.storage.store import Event, KeyValue
 from leverdoor.storage.vm_list_client import Vm, VmState
@@ -95,6 +96,7 @@
     confirmed_ms=250,
     answer=0x0123456789ABCDEF,
     unserved=True,
+    era=3,
 )
 DIGEST = messages.Digest(
     sender="n1",
@@ -124,6 +126,7 @@
     confirmed_ms=250,
     answer=0x0123456789ABCDEF,
     unserved=b"\x0a\x0b\x0c\x0d",
+    era=3,
 )
 NOTICES = [
     Notice(NoticeKind.CRASH, 0x0102030405060708, 1_500, 0xFEDCBA98, 63),
@@ -136,6 +139,7 @@
     pull="10.0.0.1:7947",
     answer=0x0123456789ABCDEF,
     confirmed_ms=250,
+    era=3,
 )
 
 DELTA = Delta(
@@ -146,8 +150,10 @@
         Event(69_999, "/leverdoor/resources/tier/gold", b'{"kind":"tier"}'),
         Event(70_000, "/leverdoor/resources/drain/d1", None),
     ],
+    era=3,
+    retained=[Retained("op/evacuate/d2", None, 69_000, 2, b"1", 68_000)],
 )
-ENTRY = KeyValue(key="servers/t1", value=b"{}", revision=70_000, lease=12)
+ENTRY = KeyValue(key="servers/t1", value=b"{}", revision=70_000, lease=12, era=3)
 
 ACK = ownership.Ack(version=40, overused_rows=["t:10.0.0.9:80"])
 LOAD = Load(held=5, free=2, waiting=3, mean_ms=12.5)
