Soak: the store comes back from copies, in series and beside other faults

It judges configurations by the bound and by never going back, and requests to targets that left by their bound where the entry and the store were undisturbed. Stand-in targets count their sequence up.

A removed registration that its target writes in the present era is used again whatever its sequence number.

--- a/leverdoor/commands/soak.py
+++ b/leverdoor/commands/soak.py
@@ -25,6 +25,7 @@
 @click.option("--limits", type=click.IntRange(0, 6), default=0, help="Targets.")
 @click.option("--cuts", type=click.IntRange(0, 1_000), default=0, help="Of ways.")
 @click.option("--reports", type=click.IntRange(0, 6), default=0, help="Targets.")
+@click.option("--restores", type=click.IntRange(0, 100), default=0, help="Drills.")
 @click.option("--entries", type=click.IntRange(1, 40), default=None, help="A region.")
 @click.option("--logs", type=click.Path(path_type=Path), help="Keep logs of failures.")
 def soak(
@@ -36,6 +37,7 @@
     limits: int,
     cuts: int,
     reports: int,
+    restores: int,
     entries: int | None,
     logs: Path | None,
 ) -> None:
@@ -45,14 +47,15 @@
     --limits, so many targets name limits for all entries together. With --cuts, twelve
     entries run, ways between them and to the store are cut so many times, and changes
     must be in force in time. With --reports, so many targets at a time leave, or ask
-    for rest, in their answers.
+    for rest, in their answers. With --restores, the store comes back so many times from
+    a copy without its latest changes; changes must be in force in time.
     """
     from leverdoor.standins.soak.run import Soak, SoakOptions
     from leverdoor.standins.soak.site import SoakSite
 
     first = time.time_ns() % 1_000_000_007 if seed is None else seed
     broken = 0
-    options = SoakOptions(fatal, limits, cuts, reports)
+    options = SoakOptions(fatal, limits, cuts, reports, restores)
     for number in range(first, first + count):
         site = SoakSite(entries) if entries is not None else None
         soak = Soak(number, seconds, troubles, options, site)
--- a/leverdoor/standins/soak/in_force.py
+++ b/leverdoor/standins/soak/in_force.py
@@ -12,7 +12,7 @@
 
 from leverdoor.errors import Code
 from leverdoor.standins.entry_site import SAMPLE_ROUTES
-from leverdoor.standins.soak.record import Attempt, Record
+from leverdoor.standins.soak.record import Record
 from leverdoor.standins.soak.site import SoakSite, mark_path
 
 __all__ = ["change_again_and_again", "late_changes"]
@@ -46,15 +46,6 @@
             continue
         late_s = a.sent_at - confirmed[version] - IN_FORCE_S
         still_there = a.ended_at < replaced.get(version, a.ended_at + 1.0)
-        if late_s > 0 and still_there and _in_touch(record, a):
+        in_touch = record.is_in_touch(a.entry, IN_TOUCH_S, a.sent_at, a.ended_at)
+        if late_s > 0 and still_there and in_touch:
             yield f"CONFIG {a.entry}: no {a.path} {late_s:.2f} s beyond the bound"
-
-
-def _in_touch(record: Record, a: Attempt) -> bool:
-    """Return whether nothing disturbed an entry's way to the store."""
-    if record.was_disturbed(a.entry, IN_TOUCH_S, a.ended_at):
-        return False
-    return not any(
-        began <= a.ended_at and ended >= a.sent_at - IN_TOUCH_S
-        for began, ended in record.store_disturbed
-    )
--- a/leverdoor/standins/soak/record.py
+++ b/leverdoor/standins/soak/record.py
@@ -122,6 +122,24 @@
             for name, began, ended in (*self.unplanned, *self.stops)
         )
 
+    def is_in_touch(
+        self, entry: str, within_s: float, sent_at: float, ended_at: float
+    ) -> bool:
+        """Return whether nothing disturbed an entry's way to the store.
+
+        Args:
+          entry: its name.
+          within_s: how long before a request, in seconds.
+          sent_at: when the request was sent, in seconds of the loop's clock.
+          ended_at: when it had ended.
+        """
+        if self.was_disturbed(entry, within_s, ended_at):
+            return False
+        return not any(
+            began <= ended_at and ended >= sent_at - within_s
+            for began, ended in self.store_disturbed
+        )
+
 
 def now_s() -> float:
     """Return the loop's time in seconds."""
--- a/leverdoor/standins/soak/run.py
+++ b/leverdoor/standins/soak/run.py
@@ -27,6 +27,7 @@
 from leverdoor.standins.soak.promises import breaches
 from leverdoor.standins.soak.record import Leave, Record, RecordedRun
 from leverdoor.standins.soak.reports import ReportingTarget, reports_not_heeded
+from leverdoor.standins.soak.restores import Restores, draw_restores, left_too_late
 from leverdoor.standins.soak.site import ENTRIES_A_REGION, SoakSite
 
 __all__ = ["Soak", "SoakOptions", "Verdict", "note_leaves"]
@@ -87,9 +88,12 @@
     operator who changes the configuration again and again."""
     reports: int = 0
     """Targets that leave, or ask for rest, in their answers."""
+    restores: int = 0
+    """Returns of the store from a copy, beside an operator who changes the
+    configuration again and again."""
     judge_bound: bool = True
-    """Whether changes must be in force in time beside cuts; on a machine that is busy
-    with other work they may be late."""
+    """Whether changes must be in force in time beside cuts and returns of the store; on
+    a machine that is busy with other work they may be late."""
 
     @property
     def lasts(self) -> bool:
@@ -123,6 +127,7 @@
         """
         self._options = options
         self._cuts = draw_cuts(seed, seconds, options.cuts)
+        self._restores = draw_restores(seed, seconds, options.restores)
         self._seconds = seconds
         self._seed = seed
         self._plan = draw_plan(seed, seconds, troubles)
@@ -154,7 +159,13 @@
             lasts = asyncio.sleep(self._seconds if self._options.lasts else 0.0)
             cuts = Cuts(self._site, self._record)
             played = [self._play_at(faults, f) for f in self._plan]
-            await asyncio.gather(lasts, *played, *(cuts.play(c) for c in self._cuts))
+            restores = Restores(self._site, self._record)
+            await asyncio.gather(
+                lasts,
+                *played,
+                *(cuts.play(c) for c in self._cuts),
+                *(restores.play(r) for r in self._restores),
+            )
             faults.end_all()
             await self._settle()
             await asyncio.sleep(REST_S)
@@ -178,7 +189,7 @@
             FatalCaller(site, record, n, seed).run() for n in range(options.fatal)
         ]
         found += [SoakCaller(site, record, n, seed).run() for n in range(CALLERS)]
-        if self._cuts:
+        if self._cuts or self._restores:
             found.append(change_again_and_again(site, seed))
         return found
 
@@ -253,8 +264,10 @@
                 for r in target.runs
             ]
         self._record.changes = self._site.changes
-        if self._options.judge_bound and self._cuts:
+        if self._options.judge_bound and (self._cuts or self._restores):
             self._late += late_changes(self._record)
+        if self._options.judge_bound and self._restores:
+            self._late += left_too_late(self._record, self._site.left)
         self._late += reports_not_heeded(self._site, self._record)
         statuses = Counter(str(a.status) for a in self._record.attempts)
         return Verdict(
--- a/leverdoor/standins/upstreams.py
+++ b/leverdoor/standins/upstreams.py
@@ -94,6 +94,7 @@
         self.answer_well()
         self.arrivals: list[UpstreamArrival] = []
         self.runs: list[UpstreamRun] = []
+        self._sequence = 0
         self._running = 0
         self._waiting = 0
         self._free = asyncio.Semaphore(slots)
@@ -109,7 +110,8 @@
         """Each so many-th answer is followed by a second one."""
 
     def entry(self, address: str) -> bytes:
-        """Return what the target keeps in the store of itself."""
+        """Return what the target writes to the store of itself, with a new sequence."""
+        self._sequence += 1
         return serialize_json(
             {
                 "service": self.service,
@@ -119,7 +121,7 @@
                 "slots": self.slots,
                 "state": self.state,
                 "cold-remaining-ms": self.cold_ms,
-                "sequence": 1,
+                "sequence": self._sequence,
             }
         )
 
--- a/leverdoor/storage/retention.py
+++ b/leverdoor/storage/retention.py
@@ -127,5 +127,5 @@
         return True
     if retained.value is not None:
         return found.number < known.number
-    is_copied = not is_written and stored.revision == retained.last_revision
-    return is_copied or found.number <= known.number
+    is_copied = stored.revision == retained.last_revision
+    return not is_written and (is_copied or found.number <= known.number)
--- a/tests/interface_table.py
+++ b/tests/interface_table.py
@@ -393,6 +393,7 @@
         ("--limits", "integer range min=0 max=6", "0", "", "option"),
         ("--cuts", "integer range min=0 max=1000", "0", "", "option"),
         ("--reports", "integer range min=0 max=6", "0", "", "option"),
+        ("--restores", "integer range min=0 max=100", "0", "", "option"),
         ("--entries", "integer range min=1 max=40", "None", "", "option"),
         ("--logs", "path file_okay dir_okay readable", "None", "", "option"),
     ],
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -76,6 +76,14 @@
     assert verdict.breaches == []
 
 
+@pytest.mark.timeout(240)
+async def test_restored_store_reverts_no_change_beside_faults() -> None:
+    """Fails if entries compare bare revisions: they never have the newest again."""
+    options = SoakOptions(restores=3, fatal=1, judge_bound=False)
+    verdict = await Soak(6001, 10.0, 8, options).run()
+    assert verdict.breaches == []
+
+
 @pytest.mark.timeout(300)
 @pytest.mark.parametrize(("seed", "seconds", "troubles", "cause"), FAILED_ONCE)
 async def test_what_failed_once_holds(
