Soak: operator and targets write again what they wrote, also after two returns

Traced in its logs: all entries had the target as left in eras 1 to 5, and took it back in era 6 at a revision at which the soak itself wrote it again. The second of two overlapping returns took what the store held for what had been written, though the first return had not been written again yet. What is still to be written is kept across returns now, and a key that was written or removed since is left alone. Targets that register again after a lapse do so with a new sequence number, as the platform says.

--- a/leverdoor/standins/entry_site.py
+++ b/leverdoor/standins/entry_site.py
@@ -223,7 +223,12 @@
         served = await self._serve(target.name, target.app())
         address = await self._link(f"target/{target.name}", served)
         self._addresses[target.name] = address
-        self.store.put(f"servers/{target.name}", target.entry(address))
+        self.register(target.name)
+
+    def register(self, name: str) -> None:
+        """Let a target write itself, with its state now."""
+        entry = self.targets[name].entry(self._addresses[name])
+        self.store.put(f"servers/{name}", entry)
 
     def _let_crash(self, target: UpstreamStandin) -> None:
         """Let fatal requests end a target, as they do each that runs them."""
@@ -232,9 +237,8 @@
 
     def drain_target(self, name: str) -> None:
         """Let a target announce that it leaves."""
-        target = self.targets[name]
-        target.state = "draining"
-        self.store.put(f"servers/{name}", target.entry(self._addresses[name]))
+        self.targets[name].state = "draining"
+        self.register(name)
 
     async def end_target(self, name: str) -> None:
         """End a target without a word; its entry goes."""
--- a/leverdoor/standins/metadata.py
+++ b/leverdoor/standins/metadata.py
@@ -149,6 +149,12 @@
         self._kept_after = self.revision
         self._wake()
 
+    def changed_since(self, key: str, revision: int) -> bool:
+        """Return whether a key was written or removed after a revision."""
+        return any(
+            at > revision and event["private-key"] == key for at, event in self._history
+        )
+
     def copy(self) -> MetadataCopy:
         """Return a copy of all that the store holds now."""
         return MetadataCopy(
--- a/leverdoor/standins/soak/restores.py
+++ b/leverdoor/standins/soak/restores.py
@@ -4,8 +4,8 @@
 
 A plan of its own beside that of `plan`, so that a seed's other faults stay the same.
 What the operator and the targets wrote since the copy is written again within a moment;
-what the entries wrote is not. State: none beyond the site's. Relies on the site's store
-and on the record for when the store was disturbed.
+what the entries wrote is not. State: what is to be written again. Relies on the
+site's store and on the record for when the store was disturbed.
 """
 
 import asyncio
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from leverdoor.standins.metadata import MetadataFaults
+from leverdoor.standins.metadata import MetadataCopy, MetadataFaults
 from leverdoor.standins.soak.record import Record, now_s
 from leverdoor.standins.soak.site import SoakSite
 
@@ -82,6 +82,10 @@
         """
         self._store = site.store
         self._record = record
+        self._restored_at = 0
+        """Revision of the newest return; what has a higher one was written since."""
+        self._unwritten: dict[str, bytes | None] = {}
+        """What is to be written again: values, or None for a removal."""
 
     async def play(self, planned: PlannedRestore) -> None:
         """Wait for a return's time, and play it until all is written again."""
@@ -91,40 +95,46 @@
         began = now_s()
         self._store.faults = MetadataFaults(busy=503)
         await asyncio.sleep(planned.away_s)
-        held = self._foreign()
-        if copy.revision <= self._store.revision:
-            self._store.restore(copy)
+        self._restore(copy)
         self._store.faults = MetadataFaults()
-        await self._write_again(held, Random(planned.seed))
+        await self._write_again(Random(planned.seed))
         self._record.store_disturbed.append((began, now_s()))
 
-    def _foreign(self) -> dict[str, bytes]:
+    def _restore(self, copy: MetadataCopy) -> None:
+        """Come back as a copy, and note what its writers have to write again."""
+        written = self._foreign()
+        for key, value in self._unwritten.items():
+            if not self._store.changed_since(key, self._restored_at):
+                written[key] = value
+        self._store.restore(copy)
+        self._restored_at = copy.revision
+        stored = self._foreign()
+        keys = written.keys() | stored.keys()
+        self._unwritten = {
+            k: written.get(k) for k in keys if written.get(k) != stored.get(k)
+        }
+
+    def _foreign(self) -> dict[str, bytes | None]:
         items = self._store.items.values()
         return {i.key: i.value for i in items if i.key.startswith(FOREIGN_PREFIXES)}
 
-    async def _write_again(self, held: dict[str, bytes], rng: Random) -> None:
+    async def _write_again(self, rng: Random) -> None:
         """Let the operator and the targets write again what the copy lacks."""
-        restored_at, era = self._store.revision, self._store.era
-        keys = sorted(held.keys() | self._foreign().keys())
-        waits = [(rng.random() * WRITTEN_AGAIN_S, key) for key in keys]
+        era = self._store.era
+        waits = [(rng.random() * WRITTEN_AGAIN_S, key) for key in self._unwritten]
         waited_s = 0.0
         for wait_s, key in sorted(waits):
             await asyncio.sleep(wait_s - waited_s)
             waited_s = wait_s
             if self._store.era != era:
-                return  # The store came back once more, and all of it is lost again.
-            self._write_key_again(key, held.get(key), restored_at)
-
-    def _write_key_again(self, key: str, value: bytes | None, restored_at: int) -> None:
-        stored = self._store.items.get(key)
-        if stored is not None and stored.revision > restored_at:
-            return
-        if (stored.value if stored else None) == value:
-            return
-        if value is None:
-            self._store.remove(key)
-        else:
-            self._store.put(key, value)
+                return  # It came back once more, and the next return writes again.
+            value = self._unwritten.pop(key)
+            if self._store.changed_since(key, self._restored_at):
+                continue
+            if value is None:
+                self._store.remove(key)
+            else:
+                self._store.put(key, value)
 
 
 def left_too_late(record: Record, left: dict[str, float]) -> Iterator[str]:
--- a/leverdoor/standins/soak/site.py
+++ b/leverdoor/standins/soak/site.py
@@ -231,4 +231,4 @@
         self.proxies[f"target/{target.name}"] = self.proxies[f"target/{name}"]
         self._addresses[target.name] = address
         self.targets[target.name] = target
-        self.store.put(f"servers/{target.name}", target.entry(address))
+        self.register(target.name)
--- a/leverdoor/standins/soak/store_faults.py
+++ b/leverdoor/standins/soak/store_faults.py
@@ -3,7 +3,7 @@
 """Faults of the store: silent, busy, slow, lost writes, expired registrations.
 
 State: none; the store keeps the faults that it is given. Relies on the site's store
-and on its list of targets that have left.
+and targets, and on its list of targets that have left.
 """
 
 import asyncio
@@ -28,7 +28,7 @@
     def __init__(self, site: SoakSite) -> None:
         """Create it for a site's store."""
         self._store = site.store
-        self._left = site.left
+        self._site = site
 
     def behave(self, faults: MetadataFaults) -> FaultAction:
         """Return what lets the store behave badly for a while."""
@@ -56,13 +56,11 @@
         store = self._store
         store.faults = MetadataFaults(silent=silent, busy=0 if silent else 503)
         await asyncio.sleep(fault.for_s)
-        expired = {
-            k: v.value for k, v in store.items.items() if k.startswith(REGISTRATIONS)
-        }
+        expired = [k for k in store.items if k.startswith(REGISTRATIONS)]
         for key in expired:
             store.remove(key)
         store.faults = MetadataFaults()
         await asyncio.sleep(fault.variant)
-        for key, value in expired.items():
-            if key.removeprefix(REGISTRATIONS) not in self._left:
-                store.put(key, value)
+        for name in (key.removeprefix(REGISTRATIONS) for key in expired):
+            if name not in self._site.left:
+                self._site.register(name)
--- a/leverdoor/storage/retention.py
+++ b/leverdoor/storage/retention.py
@@ -11,7 +11,7 @@
 | configuration | the higher version | a version as high is written |
 | registration | the higher sequence number | one as high is written |
 | leaving registration | always | it is written as leaving, or goes |
-| removed registration | if not written since | it is written, or goes |
+| removed registration | if the copy is no later | a later one is written, or it goes |
 | switch, own record | always, set or removed | it is written or removed |
 | temporary record | never | |
 
@@ -127,5 +127,5 @@
         return True
     if retained.value is not None:
         return found.number < known.number
-    is_copied = stored.revision == retained.last_revision
-    return not is_written and (is_copied or found.number <= known.number)
+    is_copied = not is_written and stored.revision == retained.last_revision
+    return is_copied or found.number <= known.number
