A target that fails or sheds a thousand times in a row is still ejected

A gate that retried a target which was down for long raised OverflowError at the 1025th failure in a row: the exponent of the ejection grew without a limit before the minimum was taken. The same in ejections after shed requests, found on looking for the cause elsewhere. The exponent is limited; both maxima are reached at ten doublings.

--- a/leverdoor/gate/target_health.py
+++ b/leverdoor/gate/target_health.py
@@ -36,6 +36,8 @@
 Far below the maximum after failures: a target that sheds requests still works, so its
 slots should not stay idle as long as those of a failed target.
 """
+MAX_DOUBLINGS = 10
+"""Doublings of an ejection that are computed; both maxima are reached by then."""
 LATENCY_EWMA_WEIGHT = 0.2
 """Weight of one response in the moving average of a target's latency.
 
@@ -59,6 +61,11 @@
 """
 
 
+def _ejection_s(initial_s: float, previous: int, max_s: float) -> float:
+    """Return an ejection that doubles with each previous one, in seconds."""
+    return min(initial_s * 2.0 ** min(previous, MAX_DOUBLINGS), max_s)
+
+
 class TargetHealth:
     """Health of one target; all times are loop times in seconds."""
 
@@ -85,8 +92,8 @@
 
     def failed(self, now: float) -> None:
         """Record a failed connection or a lost response."""
-        ejection_s = min(
-            FAILURE_EJECTION_INITIAL_S * 2**self._failures, FAILURE_EJECTION_MAX_S
+        ejection_s = _ejection_s(
+            FAILURE_EJECTION_INITIAL_S, self._failures, FAILURE_EJECTION_MAX_S
         )
         self._failures += 1
         self.ejected_until = max(self.ejected_until, now + ejection_s)
@@ -97,7 +104,9 @@
 
         Only a complete response resets the number of shed requests.
         """
-        ejection_s = min(SHED_EJECTION_INITIAL_S * 2**self._sheds, SHED_EJECTION_MAX_S)
+        ejection_s = _ejection_s(
+            SHED_EJECTION_INITIAL_S, self._sheds, SHED_EJECTION_MAX_S
+        )
         self._sheds += 1
         self.ejected_until = max(self.ejected_until, now + ejection_s)
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -347,3 +347,10 @@
     for number in range(1100):
         health.failed(float(number))
     assert not health.usable(1099.0)
+
+
+def test_many_shed_requests_in_a_row_still_eject_a_target() -> None:
+    health = TargetHealth(now=0.0)
+    for number in range(1100):
+        health.shed(float(number))
+    assert not health.usable(1099.0)
