State: the records of earlier eras in a module of their own

Reading the change as a newcomer: the replica had two jobs, to follow one history and to keep what an earlier one wrote. RetainedRecords does the second. No behaviour changes; the tests of both are unchanged.

--- a/leverdoor/storage/retention.py
+++ b/leverdoor/storage/retention.py
@@ -36,6 +36,7 @@
     "RecordFacts",
     "RecordKind",
     "Retained",
+    "describe_as_temporary",
     "outlasts",
 ]
 
@@ -73,6 +74,11 @@
 """Describes a record by its key and value; the value may be of any content."""
 
 
+def describe_as_temporary(key: str, value: bytes) -> RecordFacts:
+    """Describe every record as one that never stays in force."""
+    return RecordFacts(RecordKind.TEMPORARY)
+
+
 class Retained(msgspec.Struct, frozen=True, array_like=True):
     """A record of an earlier era, or its removal, that stays in force."""
 
--- a/leverdoor/storage/state.py
+++ b/leverdoor/storage/state.py
@@ -15,7 +15,12 @@
 from reactivex import Subject
 
 from leverdoor.storage.position import START, UNKNOWN_ERA, Position
-from leverdoor.storage.retention import DescribeRecord, Retained, outlasts
+from leverdoor.storage.retained_records import RetainedRecords
+from leverdoor.storage.retention import (
+    DescribeRecord,
+    Retained,
+    describe_as_temporary,
+)
 from leverdoor.storage.store import Event, KeyValue, Listing
 
 __all__ = ["PREFIX", "RESOURCES", "TABLES", "Delta", "State"]
@@ -31,11 +36,6 @@
 Covers one day of changes (4,600) at the planned size of the system. A peer that is
 further behind fetches all entries.
 """
-MAX_KNOWN_REMOVALS = 5_000
-"""Number of removed keys that are remembered; one day of them, as for changes.
-
-A removal that is forgotten is not kept in force against a copy that lacks it.
-"""
 
 
 class Delta(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
@@ -64,25 +64,21 @@
     `changes` emits each Delta after it was applied.
     """
 
-    def __init__(self, describe: DescribeRecord | None = None) -> None:
+    def __init__(self, describe: DescribeRecord = describe_as_temporary) -> None:
         """Create an empty replica.
 
         Args:
           describe: describes records, so that what an earlier era wrote can stay in
-            force; None if the store never comes back from a copy.
+            force; by default nothing does.
         """
         self.position = START
         self.entries: dict[str, KeyValue] = {}
         """What the store holds."""
-        self.retained: dict[str, Retained] = {}
-        """What stays in force although the store does not hold it, by key."""
+        self._retained = RetainedRecords(describe)
         self.changes: Subject[Delta] = Subject()
-        self._describe = describe
         self._log: deque[Event] = deque()
         self._log_after_revision = 0
         """The log contains all changes of the era after this revision."""
-        self._removed: dict[str, Retained] = {}
-        """The latest removals by key, the oldest first."""
 
     @property
     def revision(self) -> int:
@@ -92,13 +88,12 @@
     @property
     def in_force(self) -> Mapping[str, KeyValue]:
         """All entries that are in force: those of the store, but for the retained."""
-        if not self.retained:
-            return self.entries
-        found = {k: e for k, e in self.entries.items() if k not in self.retained}
-        for r in self.retained.values():
-            if r.value is not None:
-                found[r.key] = KeyValue(r.key, r.value, r.revision, era=r.era)
-        return found
+        return self._retained.in_force(self.entries)
+
+    @property
+    def retained(self) -> Mapping[str, Retained]:
+        """What stays in force although the store does not hold it, by key."""
+        return self._retained.by_key
 
     def reset(self, listing: Listing) -> bool:
         """Replace all entries by a listing if it is newer.
@@ -140,7 +135,8 @@
         return True
 
     def _replace_entries(self, delta: Delta) -> None:
-        known = self._known()
+        before = self.in_force
+        at = delta.position
         self.entries = {
             e.key: KeyValue(e.key, e.value, e.revision, era=delta.era)
             for e in delta.events
@@ -148,72 +144,12 @@
         }
         self._log.clear()
         self._log_after_revision = delta.revision
-        if delta.era != self.position.era:
-            known |= {
-                r.key: r
-                for r in delta.retained
-                if r.key not in known or known[r.key].position < r.position
-            }
-            self._retain(known.values())
-            self._note_removed(known.values(), delta.position, only_leaving=True)
+        if delta.era == self.position.era:
+            self._retained.replace_in_same_era(before, self.entries, at)
         else:
-            self._retain(self.retained.values())
-            self._note_removed(known.values(), delta.position)
-
-    def _known(self) -> dict[str, Retained]:
-        """Return all that is known of records in force and of removed ones, by key.
-
-        Nothing is known across a change of an unknown era, which may be no change.
-        """
-        if self._describe is None or self.position.era == UNKNOWN_ERA:
-            return {}
-        in_force = {
-            e.key: Retained(e.key, e.value, e.revision, e.era)
-            for e in self.in_force.values()
-        }
-        removed = {k: r for k, r in self.retained.items() if r.value is None}
-        return self._removed | removed | in_force
-
-    def _retain(self, known: Iterable[Retained]) -> None:
-        """Retain what outlasts the entries that replaced all others."""
-        if self._describe is None:
-            return
-        self.retained = {
-            r.key: r
-            for r in known
-            if outlasts(r, self.entries.get(r.key), False, self._describe)
-        }
-
-    def _note_removed(
-        self, known: Iterable[Retained], at: Position, only_leaving: bool = False
-    ) -> None:
-        """Remember the removal of records that are no longer there.
-
-        Args:
-          known: all that was in force.
-          at: position of the listing that lacks them.
-          only_leaving: omit all but targets that were leaving, because a restored store
-            may lack other records for a moment.
-        """
-        if self._describe is None:
-            return
-        for r in known:
-            if r.value is None or r.key in self.entries or r.key in self.retained:
-                continue
-            if not only_leaving or self._describe(r.key, r.value).leaving:
-                self._remember_removal(r.key, r.value, r.revision, at)
-
-    def _remember_removal(
-        self, key: str, last_value: bytes, last_revision: int, at: Position
-    ) -> None:
-        if self._describe is None:
-            return
-        self._removed.pop(key, None)
-        self._removed[key] = Retained(
-            key, None, at.revision, at.era, last_value, last_revision
-        )
-        while len(self._removed) > MAX_KNOWN_REMOVALS:
-            del self._removed[next(iter(self._removed))]
+            self._retained.replace_in_later_era(
+                before, self.entries, delta.retained, at
+            )
 
     def _apply_changes(self, delta: Delta) -> None:
         for e in delta.events:
@@ -230,27 +166,18 @@
             self._drop_oldest_revision()
 
     def _apply_change(self, event: Event, current: KeyValue | None) -> None:
-        era = self.position.era
+        at = Position(self.position.era, event.revision)
+        stored = None
         if event.value is None:
             self.entries.pop(event.key, None)
-            if current is not None:
-                at = Position(era, event.revision)
-                self._remember_removal(event.key, current.value, current.revision, at)
         else:
-            self.entries[event.key] = KeyValue(
-                event.key, event.value, event.revision, era=era
-            )
-            self._removed.pop(event.key, None)
-        retained = self.retained.get(event.key)
-        if retained is None or self._describe is None:
-            return
-        if not outlasts(retained, self.entries.get(event.key), True, self._describe):
-            del self.retained[event.key]
+            stored = KeyValue(event.key, event.value, event.revision, era=at.era)
+            self.entries[event.key] = stored
+        self._retained.change(event.key, current, stored, at)
 
     def release(self, keys: Iterable[str]) -> None:
         """Stop to retain records: from now on the store's own are in force."""
-        for key in keys:
-            self.retained.pop(key, None)
+        self._retained.release(keys)
 
     def _drop_oldest_revision(self) -> None:
         """Drop all events of the oldest revision; a delta never splits a revision."""
