A response with an invalid era is not used

Found on reading the change: a header that is no decimal number was read as no era without a line in the log, which makes the listing that bears it older than any other. The tests of four such headers failed before.

--- a/leverdoor/platform/store.py
+++ b/leverdoor/platform/store.py
@@ -379,7 +379,7 @@
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
                 data = await response.read()
-                self.era = _parse_era(response.headers.get(ERA_HEADER, ""))
+                self.era = _parse_era(response.headers.get(ERA_HEADER))
                 return StoreResponse(response.status, data, self.era)
         except aiohttp.ClientConnectorError as e:
             raise StoreUnavailable(f"{call}: {e}") from None
@@ -401,9 +401,17 @@
     raise OutcomeUnknown(f"{call}: HTTP {status}")
 
 
-def _parse_era(text: str) -> int:
-    """Return the era that a response names; `UNKNOWN_ERA` if it names none."""
-    return int(text) if text.isascii() and text.isdigit() else UNKNOWN_ERA
+def _parse_era(text: str | None) -> int:
+    """Return the era that a response names; `UNKNOWN_ERA` if it names none.
+
+    Raises:
+      StoreUnavailable: the header is not a decimal number.
+    """
+    if text is None:
+        return UNKNOWN_ERA
+    if not text.isascii() or not text.isdigit():
+        raise StoreUnavailable(f"invalid era of the store: {text!r}")
+    return int(text)
 
 
 def _parse_response(data: bytes, kind: type[T]) -> T:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -291,3 +291,13 @@
     await contract.store.revoke_lease(lease)
     assert "leverdoor/e2" in contract.standin.items
     assert await contract.store.renew_lease(other)
+
+
+@pytest.mark.parametrize("era", ["", "-1", "one", "1.5"])
+async def test_response_with_an_invalid_era_is_not_used(
+    contract: StoreFixture, monkeypatch: pytest.MonkeyPatch, era: str
+) -> None:
+    """An era read as unknown would make a listing older than every other."""
+    monkeypatch.setattr(contract.standin, "era", era)
+    with pytest.raises(StoreUnavailable, match="era"):
+        await contract.store.read("")
