A lost position's answer does not confirm the state of the next era

Found on reading the change: an answer that was known for a position not held yet counted as soon as any later position was in force, also one of a later era, and made the state look confirmed by an answer of the lost history. It is dropped now; the test failed before.

--- a/leverdoor/entry/configuration/confirmation.py
+++ b/leverdoor/entry/configuration/confirmation.py
@@ -116,9 +116,11 @@
             del self._pending[min(self._pending)]
 
     def record_position(self, in_force: Position) -> None:
-        """Record the position in force, and count the pending answers for it."""
+        """Record the position in force, and count the pending answers of its era."""
         for position in [p for p in self._pending if p <= in_force]:
-            self._record(*self._pending.pop(position))
+            number, at = self._pending.pop(position)
+            if position.era == in_force.era:
+                self._record(number, at)
 
     def newest_answer(self, in_force: Position, now: float) -> ReportedAnswer:
         """Return the newest answer that confirms the position in force here."""
--- a/tests/test_entry_confirmation.py
+++ b/tests/test_entry_confirmation.py
@@ -14,6 +14,7 @@
 )
 from leverdoor.standins.entry_site import SAMPLE_ROUTES, EntrySite
 from leverdoor.standins.metadata import MetadataFaults
+from leverdoor.storage.position import Position
 from leverdoor.storage.position import position_without_era as at
 
 
@@ -82,6 +83,18 @@
         assert tracker.age_s(now) < 0.2
 
 
+def test_answers_of_an_earlier_era_do_not_confirm_the_present_one() -> None:
+    tracker = Confirmation()
+    before, lost, restored = Position(1, 7), Position(1, 9), Position(2, 8)
+    tracker.record_peer_answer(ReportedAnswer(before, 1, 2_000), before, 10.0)
+    tracker.record_peer_answer(ReportedAnswer(lost, 2, 100), before, 10.0)
+    tracker.record_position(restored)
+    tracker.record_peer_answer(ReportedAnswer(lost, 3, 0), restored, 10.0)
+    assert tracker.age_s(10.0) == 2.0
+    tracker.record_peer_answer(ReportedAnswer(restored, 4, 500), restored, 10.0)
+    assert tracker.age_s(10.0) == 0.5
+
+
 async def statuses_while_store_is_silent(strict: bool) -> list[int]:
     """Return the statuses of a request before and while the store is silent."""
     site = EntrySite(PLACES, targets())
