An entry that starts asks a peer before it lists a restored store

Found on looking for the cause elsewhere: an entry with one of the widest links of its region listed the store at its start without asking anybody. Beside a store that was back as a copy it served by that copy: targets in use that all its peers knew as gone (test, fails on the code before).

--- a/leverdoor/entry/membership/joining.py
+++ b/leverdoor/entry/membership/joining.py
@@ -4,8 +4,8 @@
 
 Listing the whole store and watching it costs about five calls per start, and the store
 counts and limits calls. Listing only the registered entries is enough to find peers
-that have the state. Only the entries with the widest links of a region, and entries
-that find no peer with the state, list the whole store.
+that have the state. Only entries that find no peer with the state list the whole store,
+those with the widest links of a region first.
 
 Owns the time from which this entry may follow the store (`may_follow_store_from`); it
 is lost with the process. Relies on `Roles` for the rank of this entry, on
@@ -127,27 +127,33 @@
         """Fetch the state from a peer, if one has it.
 
         The state is still empty afterwards if this entry has to list the store. Entries
-        with the widest links return immediately and list the store, so that the others
-        can fetch the state from them when all entries start at the same time.
+        with the widest links query peers only once before they follow the store, so
+        that the others can fetch the state from them when all entries start at the same
+        time. A peer may know what a restored store lacks.
 
         Args:
-          follower_count: number of entries per region that list the store immediately.
+          follower_count: number of entries per region that follow the store at once.
         """
         rank = self._roles.rank_among_known()
-        if rank is not None and rank < follower_count:
+        follows_at_once = rank is not None and rank < follower_count
+        await self._query_peers(1 if follows_at_once else MAX_ATTEMPTS)
+        if not self._has_state.is_set() and not follows_at_once:
+            await self._wait_for_state(self._list_delay_s(follower_count))
+        if not self._has_state.is_set():
             return
-        for _ in range(MAX_ATTEMPTS):
+        if not follows_at_once:
+            loop = asyncio.get_running_loop()
+            self.may_follow_store_from = loop.time() + FOLLOW_DELAY_S
+        self._events.process("joined", revision=self._state.revision)
+
+    async def _query_peers(self, attempts: int) -> None:
+        """Fetch the state from peers until one has it or all attempts have failed."""
+        for _ in range(attempts):
             peers = self._choose_peers()
             if not peers or self._has_state.is_set():
-                break
+                return
             if await self._puller.fetch_first_newer(peers, ATTEMPT_TIMEOUT_S):
-                break
-        if not self._has_state.is_set():
-            await self._wait_for_state(self._list_delay_s(follower_count))
-        if self._has_state.is_set():
-            loop = asyncio.get_running_loop()
-            self.may_follow_store_from = loop.time() + FOLLOW_DELAY_S
-            self._events.process("joined", revision=self._state.revision)
+                return
 
     def _choose_peers(self) -> list[str]:
         """Choose random peers of this failure domain, or of the region if too few."""
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -67,3 +67,31 @@
     """A target that left between two drills was in use again after the second."""
     figures = figures_of(ROWS[row])
     assert (figures.older, figures.left, figures.back) == (0, 0, 0), figures
+
+
+def test_an_entry_that_starts_knows_what_its_peers_know_beyond_the_store() -> None:
+    """It listed the copy and used targets that its peers knew as gone."""
+
+    async def run() -> list[frozenset[str]]:
+        site = RestoringSite(ENTRIES)
+        await site.start()
+        await asyncio.sleep(14.0)
+        copy = site.store.copy()
+        await asyncio.sleep(4.0)
+        drill = asyncio.ensure_future(site.come_back(copy, quiet_s=6.0))
+        await asyncio.sleep(3.0)
+        first, peer = site.ranked("r0")[0], site.ranked("r0")[-1]
+        await first.stop()
+        first.start()
+        await asyncio.sleep(1.0)
+        usable = [
+            frozenset(e.catalog_manager.catalog.usable_target_names)
+            for e in (first, peer)
+        ]
+        drill.cancel()
+        await site.stop()
+        return usable
+
+    of_first, of_peer = run_virtual(run())
+    assert of_first
+    assert of_first <= of_peer
