Soak: a departure that the store lost counts from when it is written again

Traced in its logs: the targets left, the store lost that, all entries were killed and started from the copy, and learned at 256.33 s, when it was written again, that the registrations are gone; they used the targets until 258.23 s, within the bound of 2.5 s from that confirmation. The users count from the later acknowledgement, and so does the check now.

--- a/leverdoor/standins/soak/record.py
+++ b/leverdoor/standins/soak/record.py
@@ -104,6 +104,8 @@
     """Versions of the configuration, and when the store confirmed each."""
     store_disturbed: list[tuple[float, float]] = []
     """From when until when the store did not answer all as usual."""
+    written_again: list[float] = []
+    """When all that a restored store had lost was written again."""
 
     def note_disturbance(self, entry: str, began: float, ended: float) -> None:
         """Note what disturbed an entry besides planned stops."""
--- a/leverdoor/standins/soak/restores.py
+++ b/leverdoor/standins/soak/restores.py
@@ -99,6 +99,7 @@
         self._store.faults = MetadataFaults()
         await self._write_again(Random(planned.seed))
         self._record.store_disturbed.append((began, now_s()))
+        self._record.written_again.append(now_s())
 
     def _restore(self, copy: MetadataCopy) -> None:
         """Come back as a copy, and note what its writers have to write again."""
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -166,3 +166,10 @@
     record = limited(20, 14.2)
     record.limits.append(NamedLimit("t", 9.0, 1.0))
     assert limit_lines(record) == ["LIMIT t: 20 in a window, 11 allowed"]
+
+
+def test_departures_that_the_store_lost_count_from_when_they_are_written_again() -> (
+    None
+):
+    (leave,) = note_leaves({"t": 1.0}, settled_at=10.0, written_again_at=9.0)
+    assert leave.at == 9.0 + LEAVE_S
