Late events of a watch are not applied to a later era

Found by the check for bare revisions: while a watch was waiting, a fetch from a peer could bring the state of the next era; the answer of the watch, of the lost history, was then taken for changes of the new one if its revisions were higher. A watch ends with the era of the replica. The test failed before.

--- a/leverdoor/storage/following.py
+++ b/leverdoor/storage/following.py
@@ -219,17 +219,20 @@
         return True
 
     async def _follow(self) -> None:
-        """Watch until the role ends.
+        """Watch until the role ends, or the replica is in another era.
 
         Reads all entries before the watch if the replica is empty. Reads them and
         returns if the store has compacted the replica's revision, or is in a later era.
         """
         if self._state.position == START:
             await self._read_all()
+        era = self._state.position.era
         watch = self._store.watch(self._prefix, self._state.position, self._role.wait_s)
         try:
             while True:
                 events = await self._next_events(watch)
+                if self._state.position.era != era:
+                    return  # A peer had the state of a later era.
                 self._state.extend(events)
                 self._record_response()
                 if not self._role.follows():
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -25,7 +25,7 @@
     watcher_rank,
 )
 from leverdoor.storage.position import Position
-from leverdoor.storage.state import State
+from leverdoor.storage.state import Delta, State
 from leverdoor.storage.store import Event, MemoryStore, Wait, Write, client_default_wait
 from leverdoor.storage.store_availability import MIN_FRACTION_OF_MEAN, RETRY_MEAN_S
 from virtual_clock import run_virtual
@@ -192,3 +192,31 @@
         assert {e.key for e in stored} <= state.entries.keys()
 
     run_virtual(run())
+
+
+class LateStore(MemoryStore):
+    """A store whose watch answers with a change after a second."""
+
+    async def watch(
+        self, prefix: str, after: Position, wait_s: Wait = client_default_wait
+    ) -> AsyncIterator[list[Event]]:
+        await asyncio.sleep(1.0)
+        yield [Event(after.revision + 1, "late", b"1")]
+
+
+def test_late_events_of_an_earlier_era_are_not_applied() -> None:
+    """A peer's state was of the next era when the answer of a watch arrived."""
+
+    async def run() -> None:
+        state = State()
+        state.apply(Delta(0, 5, True, [], era=1))
+        follower = StoreFollower(LateStore(), state, FakeRole(), Random(1), prefix="")
+        task = asyncio.ensure_future(follower.run())
+        await asyncio.sleep(0.5)
+        state.apply(Delta(0, 3, True, [], era=2))
+        await asyncio.sleep(0.6)
+        task.cancel()
+        assert "late" not in state.entries
+        assert state.position == Position(2, 3)
+
+    run_virtual(run())
