An entry that starts serves once its keys are confirmed, or after a second

With a peer's state it was configured, and ready, before any answer of the store confirmed that state; on a site with strict revocation it refused all keys until the first one. Entries with narrow links always started so, and since they ask a peer first those with wide links do. Readiness waits for the confirmation now, a second at most, so that a store that is down does not keep entries from serving what needs no key. Sites without strict revocation start as before.

--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -33,6 +33,7 @@
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.metrics import EntryMetrics
 from leverdoor.entry.quarantine_records import QuarantineRecords
+from leverdoor.entry.readiness import Readiness
 from leverdoor.entry.restored_store import RestoredStore
 from leverdoor.entry.settings import EntrySettings, reload_settings
 from leverdoor.entry.shutdown import STOP_POLL_S, drain
@@ -100,6 +101,7 @@
         self._network = network or SocketNetwork()
         self._stop = asyncio.Event()
         self._state = STARTING
+        self._readiness = Readiness()
         self._servers: list[asyncio.Server] = []
 
     def stop(self) -> None:
@@ -264,6 +266,7 @@
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
             rounds += 1
             now = loop.time()
+            self._serve_if_ready()
             self._data.update_entry_count()
             self._data.update_quarantine(now)
             self._control.peers.round(now)
@@ -291,14 +294,23 @@
     # Data flow between the store, other entries and the request path.
 
     def _on_delta(self, _: Delta) -> None:
-        """Compile a newer state, announce it, and serve once configured."""
+        """Compile a newer state, announce it, and serve if this entry is ready."""
         self._catalog_manager.compile()
         self._restored_store.take_state()
         self._metrics.revision.set(self._store_copy.revision)
         self._control.peers.schedule_announcement()
-        if self._state == STARTING and self._catalog_manager.catalog.configured:
+        self._serve_if_ready()
+
+    def _serve_if_ready(self) -> None:
+        """Begin to serve if the entry is still starting and ready."""
+        if self._state != STARTING:
+            return
+        catalog = self._catalog_manager.catalog
+        now = asyncio.get_running_loop().time()
+        keys_confirmed = self._data.keys_confirmed(now)
+        if self._readiness.may_serve(catalog.configured, keys_confirmed, now):
             self._state = SERVING
-            self._events.process("ready", version=self._catalog_manager.catalog.version)
+            self._events.process("ready", version=catalog.version)
             self._control.peers.announce()
 
     def _on_catalog(
@@ -320,6 +332,7 @@
         self._data.receive(update, now)
         self._catalog_manager.outage.record_peer_report(update.outage_age_ms, now)
         self._control.receive_confirmation(update.answer, now)
+        self._serve_if_ready()
 
     def _status(self) -> EntryStatus:
         """Return the status for the next heartbeat.
--- a/leverdoor/entry/data_plane.py
+++ b/leverdoor/entry/data_plane.py
@@ -123,7 +123,7 @@
     def _create_handler(self, metrics: EntryMetrics) -> EntryHandler:
         wire, events = self._context.wire, self._context.events
         router = RequestRouter(
-            wire, self._catalog, self.placement.pick_service, self._keys_confirmed
+            wire, self._catalog, self.placement.pick_service, self.keys_confirmed
         )
         outcomes = OutcomeRecorder(self.placement, self.fleet, events)
         forwarder = Forwarder(
@@ -153,7 +153,8 @@
     def _catalog(self) -> Catalog:
         return self._catalog_manager.catalog
 
-    def _keys_confirmed(self, now: float) -> bool:
+    def keys_confirmed(self, now: float) -> bool:
+        """Return whether the configuration is recent enough for workspace keys."""
         max_age_s = self._context.settings.confirm_within_s
         return self._catalog_manager.confirmation.holds(max_age_s, now)
 
