A load with digits that are no decimal number is malformed, not an error

A target whose X-Server-Load held a superscript digit ("3,²,8") passed the check by str.isdigit and failed in int, as did a number of thousands of digits. The exception left the handling of the reply, so the caller got no answer for a request that had run.

The figures are now matched as ASCII digits, nine at most.

--- a/leverdoor/platform/formats.py
+++ b/leverdoor/platform/formats.py
@@ -54,8 +54,10 @@
 """Prefix of quarantine records; the fingerprint of the request follows."""
 LEAVING_STATE = "draining"
 """State in the registration of a target that leaves."""
-LOAD_FIELD_COUNT = 3
-"""Number of fields in a load header: running, waiting, slots."""
+LOAD_PATTERN = re.compile(r"\s*[0-9]{1,9}\s*(,\s*[0-9]{1,9}\s*){2}", re.ASCII)
+"""Running, waiting and slots, each a number of at most 9 ASCII digits.
+
+`str.isdigit` also accepts digits that `int` does not, such as a superscript two."""
 SERVICE_UNAVAILABLE = 503
 """HTTP status with which a target may request a pause.
 
@@ -235,10 +237,9 @@
 
     Returns: the load, or None if the text is not a load.
     """
-    parts = text.split(",")
-    if len(parts) != LOAD_FIELD_COUNT or not all(p.strip().isdigit() for p in parts):
+    if not LOAD_PATTERN.fullmatch(text):
         return None
-    running, waiting, slots = (int(p) for p in parts)
+    running, waiting, slots = (int(figure) for figure in text.split(","))
     return TargetLoad(max(running - 1, 0), waiting, slots)
 
 
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -165,6 +165,9 @@
         ("3,0", None),
         ("-1,0,8", None),
         ("a,b,c", None),
+        ("3,\u00b2,8", None),
+        ("3,\u0663,8", None),
+        ("3,0," + "9" * 5_000, None),
     ],
 )
 def test_reported_load_excludes_the_answered_request(
