Entries of a region tell each other which targets are slow now

A target may report how long work takes there at this moment.

Heartbeats and digests of the failure domain and of the region carry rows of 6 bytes, 64 at most: target, slowness, and the age of the answer that reported it. The field is empty while no target is slow. Entries of the previous release ignore it, and their messages without it are understood (test_wire_bytes.py).

--- a/leverdoor/entry/exchange/digest_builder.py
+++ b/leverdoor/entry/exchange/digest_builder.py
@@ -9,7 +9,8 @@
 | ALL | all entries | entries of the own failure domain |
 
 Owns no state. Relies on `LoadMerger` for counts and shares, on `DomainViews` for the
-entries, and on `WarmKeyRelay` for warm keys. The caller selects the recipients.
+entries, on `WarmKeyRelay` for warm keys, and on `SpeedRelay` for slow targets. The
+caller selects the recipients.
 """
 
 from collections.abc import Iterable, Mapping
@@ -27,6 +28,8 @@
     RegionCounts,
 )
 from leverdoor.entry.exchange.recipients import rotate
+from leverdoor.entry.exchange.speed_encoding import serialize_speeds
+from leverdoor.entry.exchange.speed_relay import SpeedRelay
 from leverdoor.entry.exchange.target_counts import TargetCountCodec
 from leverdoor.entry.exchange.unserved import UnservedEntries
 from leverdoor.entry.exchange.usage_exchange import DigestUsage
@@ -74,6 +77,7 @@
         merger: LoadMerger,
         views: DomainViews,
         relay: WarmKeyRelay,
+        speed_relay: SpeedRelay,
         unserved: UnservedEntries,
     ) -> None:
         """Create the builder from the sources of the digests' contents."""
@@ -83,6 +87,7 @@
         self._merger = merger
         self._views = views
         self._warm_key_relay = relay
+        self._speed_relay = speed_relay
         self._unserved = unserved
 
     def build(self, digest_round: DigestRound) -> dict[DigestScope, Digest]:
@@ -114,7 +119,14 @@
         unserved = self._unserved.unserved_in_domain(
             digest_round.status.unserved, digest_round.now
         )
-        digest = msgspec.structs.replace(digest, unserved=serialize_hashes(unserved))
+        speeds = self._speed_relay.domain_speeds(
+            digest_round.status.speeds, digest_round.now
+        )
+        digest = msgspec.structs.replace(
+            digest,
+            unserved=serialize_hashes(unserved),
+            speeds=serialize_speeds(speeds),
+        )
         mean = self._merger.domain_shares(digest_round.status.shares)
         warm_hashes = self._warm_key_relay.keys_for_region(
             digest_round.status.warm_keys, digest_round.now
@@ -153,7 +165,14 @@
         unserved = self._unserved.unserved_in_region(
             digest_round.status.unserved, digest_round.now
         )
-        digest = msgspec.structs.replace(digest, unserved=serialize_hashes(unserved))
+        speeds = self._speed_relay.region_speeds(
+            digest_round.status.speeds, digest_round.now
+        )
+        digest = msgspec.structs.replace(
+            digest,
+            unserved=serialize_hashes(unserved),
+            speeds=serialize_speeds(speeds),
+        )
         mean = self._merger.region_shares(digest_round.status.shares)
         warm_hashes = self._warm_key_relay.keys_for_domain(
             digest_round.status.warm_keys, digest_round.now
--- a/leverdoor/entry/exchange/exchange.py
+++ b/leverdoor/entry/exchange/exchange.py
@@ -55,6 +55,8 @@
     Shares,
 )
 from leverdoor.entry.exchange.recipients import Recipients
+from leverdoor.entry.exchange.speed_encoding import parse_speeds, serialize_speeds
+from leverdoor.entry.exchange.speed_relay import SpeedRelay
 from leverdoor.entry.exchange.target_counts import TargetCountCodec
 from leverdoor.entry.exchange.unserved import UnservedEntries
 from leverdoor.entry.exchange.usage_encoding import Usage
@@ -109,6 +111,7 @@
         self.use = UsageExchange(membership)
         self._views = DomainViews(membership)
         self._warm_key_relay = WarmKeyRelay()
+        self._speed_relay = SpeedRelay()
         self.unserved = UnservedEntries(self._own)
         self._limits = LimitExchange(self._own.name)
         self._recipients = Recipients(membership, roles)
@@ -118,6 +121,7 @@
             self._merger,
             self._views,
             self._warm_key_relay,
+            self._speed_relay,
             self.unserved,
         )
         self._others_by_region: dict[str, tuple[float, dict[str, int]]] = {}
@@ -169,8 +173,11 @@
         self.unserved.record_heartbeat(heartbeat, now)
         warm = parse_hashes(heartbeat.warm_keys)
         self._warm_key_relay.record_domain_keys(warm, now)
+        speeds = parse_speeds(heartbeat.speeds)
+        self._speed_relay.record_domain(speeds, now)
         return PeerUpdate(
             warm_keys=warm,
+            speeds=speeds,
             outage_age_ms=heartbeat.outage_age_ms,
             source=member.pull if heartbeat.position > in_force else "",
             answer=_reported_answer(heartbeat),
@@ -188,6 +195,7 @@
             return PeerUpdate(source=source)
         update = PeerUpdate(
             warm_keys=parse_hashes(digest.warm_keys),
+            speeds=parse_speeds(digest.speeds),
             outage_age_ms=digest.outage_age_ms,
             source=source,
             answer=_reported_answer(digest),
@@ -196,7 +204,7 @@
             self.unserved.record_digest(digest, sender, now)
         if digest.scope == DigestScope.ALL:
             return self._record_all_entries(digest, sender, update, now)
-        self._record_partial_sums(digest, sender, update.warm_keys, now)
+        self._record_partial_sums(digest, sender, update, now)
         return update
 
     def _accept_round(self, digest: Digest) -> bool:
@@ -212,18 +220,19 @@
         return True
 
     def _record_partial_sums(
-        self, digest: Digest, sender: Member, warm: list[int], now: float
+        self, digest: Digest, sender: Member, update: PeerUpdate, now: float
     ) -> None:
         """Record the sums of another failure domain or region.
 
-        Digests with scope DOMAIN also contain shares and warm keys. Digests with scope
-        REGION from the own region are ignored.
+        Digests with scope DOMAIN also contain shares, warm keys and slow targets.
+        Digests with scope REGION from the own region are ignored.
         """
         if digest.scope == DigestScope.DOMAIN:
             shares = WeightedShares(digest.entries, digest.shares)
             counts = self._parse_counts(digest)
             self._merger.record_domain(sender.domain, counts, shares, now)
-            self._warm_key_relay.record_region_keys(warm, now)
+            self._warm_key_relay.record_region_keys(update.warm_keys, now)
+            self._speed_relay.record_other_domains(update.speeds, now)
             self.use.record_partial_sums(digest, sender, now)
         elif sender.region != self._own.region:
             self._merger.record_region(sender.region, self._parse_counts(digest), now)
@@ -296,6 +305,7 @@
             status.answer.number,
             status.unserved,
             status.position.era,
+            serialize_speeds(status.speeds),
         )
 
     def heartbeat_messages(
@@ -446,6 +456,7 @@
         self._merger.forget(now)
         self.use.forget(now)
         self._limits.forget(now)
+        self._speed_relay.forget(now)
 
 
 def _subtract(own: dict[str, int], counts: dict[str, int]) -> None:
--- a/leverdoor/entry/exchange/exchange_types.py
+++ b/leverdoor/entry/exchange/exchange_types.py
@@ -13,6 +13,7 @@
 from leverdoor.entry.exchange.messages import ExchangeMessage, Shares
 from leverdoor.entry.exchange.usage_encoding import Usage
 from leverdoor.entry.membership.member import EntryState
+from leverdoor.entry.placement.speed_estimate import TargetSpeed
 from leverdoor.limits.advertised import LimitAdvertisement
 from leverdoor.quarantine.notices import Notice
 from leverdoor.storage.position import Position
@@ -47,6 +48,8 @@
     """Limits that targets reported in responses to this entry."""
     notices: list[Notice] = []
     """Notices to send about requests that terminate targets."""
+    speeds: list[TargetSpeed] = []
+    """Targets that are slow or were so until now, by their answers to this entry."""
 
 
 class OutgoingMessage(msgspec.Struct, frozen=True):
@@ -75,3 +78,5 @@
     """Limits that targets reported to other entries."""
     notices: list[Notice] = []
     """Notices of another entry about requests that terminate targets."""
+    speeds: list[TargetSpeed] = []
+    """Targets that are slow or were so until now, by their answers to other entries."""
--- a/leverdoor/entry/exchange/messages.py
+++ b/leverdoor/entry/exchange/messages.py
@@ -6,7 +6,8 @@
 their class (`h`, `d`, `n`, `q`, `l`, `r`, `g`). A new field is appended with a default,
 so that entries of two releases understand each other. `target_counts`, `encoding` and
 `usage_encoding` define the binary encoding of target counts, member rows and workspace
-usage; `quarantine.notices` defines that of quarantine notices.
+usage, `speed_encoding` that of the slowness of targets; `quarantine.notices` defines
+that of quarantine notices.
 """
 
 from enum import IntEnum
@@ -69,6 +70,8 @@
     """Whether the store does not answer requests of this entry."""
     era: int = UNKNOWN_ERA
     """Era of `revision`."""
+    speeds: bytes = b""
+    """Targets that are slow or were so until now; see `speed_encoding`."""
 
     @property
     def position(self) -> Position:
@@ -158,6 +161,9 @@
     of its region."""
     era: int = UNKNOWN_ERA
     """Era of `revision`."""
+    speeds: bytes = b""
+    """As in `EntryHeartbeat`, of the entries of the sender's failure domain (scope
+    DOMAIN) or region (scope ALL). Scope REGION: none."""
 
     @property
     def position(self) -> Position:
--- a/tests/test_entry_exchange.py
+++ b/tests/test_entry_exchange.py
@@ -25,6 +25,7 @@
 from leverdoor.entry.membership.member import LEAVING, SERVING, Member
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.membership.roles import Roles
+from leverdoor.entry.placement.speed_estimate import LIFETIME_S, TargetSpeed
 from leverdoor.storage.position import START, position_without_era
 
 TARGETS = {"a": ["ta1", "ta2"], "b": ["tb1"]}
@@ -91,7 +92,13 @@
         warm = [*previous.warm_keys, *received.warm_keys]
         outage_ms = max(previous.outage_age_ms, received.outage_age_ms)
         source = received.source or previous.source
-        self.updates[name] = PeerUpdate(others, warm, outage_ms, source)
+        self.updates[name] = PeerUpdate(
+            others,
+            warm,
+            outage_ms,
+            source,
+            speeds=[*previous.speeds, *received.speeds],
+        )
 
     def others_in_flight(self, name: str) -> Mapping[str, int]:
         return self.updates[name].others_in_flight or {}
@@ -118,6 +125,30 @@
         assert cluster.others_in_flight(name) == {"ta1": 17, "tb1": 34}, name
 
 
+def test_slow_targets_are_known_in_the_region_with_their_age() -> None:
+    """Other regions are not told; the age grows on the way, and nothing comes back."""
+    cluster = FakeCluster(entry_names(["a1", "a2", "b1"], 6))
+    cluster.set_status("a1-4", speeds=[TargetSpeed(7, 2.5, 0.1)])
+    cluster.round()
+    cluster.set_status("a1-4", speeds=[])
+    cluster.round(8)
+    for name in cluster.exchanges:
+        told = cluster.updates[name].speeds
+        if name.startswith("b1"):
+            assert told == [], name
+            continue
+        assert {(s.target, s.slowness) for s in told} == {(7, 2.5)}, name
+        ages = [s.age_s for s in told]
+        assert min(ages) >= 0.1
+        assert ages == sorted(ages)
+        assert max(ages) <= LIFETIME_S + 0.02
+    cluster.sent.clear()
+    cluster.round()
+    for _, sent in cluster.sent:
+        if isinstance(sent.message, EntryHeartbeat | Digest):
+            assert sent.message.speeds == b"", "expired"
+
+
 def test_finished_requests_are_not_counted_after_a_second() -> None:
     cluster = FakeCluster(entry_names(["a1", "a2", "b1"], 6))
     for name in cluster.exchanges:
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -97,6 +97,7 @@
     answer=0x0123456789ABCDEF,
     unserved=True,
     era=3,
+    speeds=b"\x0e\x0f\x10\x11\x30\x05",
 )
 DIGEST = messages.Digest(
     sender="n1",
@@ -127,6 +128,7 @@
     answer=0x0123456789ABCDEF,
     unserved=b"\x0a\x0b\x0c\x0d",
     era=3,
+    speeds=b"\x0e\x0f\x10\x11\x30\x05",
 )
 NOTICES = [
     Notice(NoticeKind.CRASH, 0x0102030405060708, 1_500, 0xFEDCBA98, 63),
