Placement uses how long work takes at a target now

Callers of a target that shares its machine waited for slots that work 2.5 times as long, although usual ones were free. Such targets report it as a fourth figure of their load; parse_load took exactly three, so running and waiting were dropped with it.

The figure is parsed strictly; a load that can't be read counts as absent and is logged once for each text. The expected run and wait of a target, its room for cold runs, and its part in the utilization of its region take the slowness; run times are learned as usual ones; a target is ejected as slow only for what it did not report.

In the utilization both load and slots are divided by the slowness. Slots alone would count it twice: requests stay longer in slow slots, and a region whose targets are all slow would push its keys to others that are no better.

The log event attempt has a field more, slowness.

test_platform_bytes.py compared a load as a tuple of three and now has the fourth; interface_table.py lists the metric, the event and the field.

--- a/leverdoor/analysis/explaining.py
+++ b/leverdoor/analysis/explaining.py
@@ -112,6 +112,11 @@
     if e.event == "target_rest":
         mine = " (asked)" if f["target"] in targets else ""
         return f"{when}: {f['target']}{mine} asked for {f['rest_s']} s of rest"
+    if e.event == "target_slowness":
+        mine = " (asked)" if f["target"] in targets else ""
+        return (
+            f"{when}: work takes {f['slowness']} times as long at {f['target']}{mine}"
+        )
     if e.event == "report_unreadable":
         what = f"unreadable word on {f['what']}: {f['text']}"
         return f"{when}: {f['target']} sent an {what}"
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -355,6 +355,7 @@
             self._control.is_unserved(now),
             self._data.limits.round(now),
             self._data.quarantine.notices(now),
+            self._data.fleet.speeds.to_tell(now),
         )
 
     # Leaving.
--- a/leverdoor/entry/data_plane.py
+++ b/leverdoor/entry/data_plane.py
@@ -231,13 +231,17 @@
         if update.others_in_flight is not None:
             self.fleet.receive(SUM_OF_PEERS, update.others_in_flight, now)
         self.placement.warm_keys.receive(update.warm_keys, now)
+        self.fleet.speeds.receive(update.speeds, now)
         if update.use is not None:
             self.update_entry_count()
             self.quotas.receive(update.use, now)
 
     def forget(self, now: float) -> None:
-        """Drop expired state of targets; update the gauges of unavailable targets."""
+        """Drop expired state of targets; report unavailable and slow targets."""
         self.limits.forget(now)
+        for change in self.fleet.speeds.take_changes(now):
+            self._context.events.target_slowness(change.target, change.slowness)
+        self._metrics.slow_targets.set(self.fleet.speeds.slow_count(now))
         self.fleet.forget(now)
         self._metrics.leaving_targets.set(self.fleet.leaving_count())
         self._metrics.resting_targets.set(self.fleet.resting_count(now))
--- a/leverdoor/entry/events.py
+++ b/leverdoor/entry/events.py
@@ -39,7 +39,8 @@
     `rank` is the target's position in its region's order for the key; `seen` means that
     some entry has received an answer for the key from the target; `limit_per_s` is the
     target's limit as known to the entry, null for none; `version` is the version of the
-    configuration that routed the request.
+    configuration that routed the request; `slowness` is the duration of work at the
+    target when it was selected, relative to usual.
     """
 
     def __init__(self, writer: LineWriter, entry: str) -> None:
@@ -103,6 +104,7 @@
             seen=placement.seen,
             cold_share=round(placement.cold_share, 2),
             limit_per_s=placement.limit_per_s,
+            slowness=round(placement.slowness, 2),
             expected_ms=round(placement.expected_ms),
             latency_target_ms=request.route.target_latency_ms,
             took_ms=round(took_s * 1000),
@@ -248,10 +250,17 @@
         """Log that a target rejected a request and asked this entry to pause."""
         self.emit("target_rest", target=target, rest_s=round(rest_s, 3))
 
+    def target_slowness(self, target: str, slowness: float) -> None:
+        """Log that work takes longer at a target than usual, or as long as usual again.
+
+        `slowness` is the duration of work there, relative to usual.
+        """
+        self.emit("target_slowness", target=target, slowness=round(slowness, 2))
+
     def report_unreadable(self, target: str, what: str, text: str) -> None:
         """Log a malformed report of a target about itself; the report is ignored.
 
-        `what` is "leaving" or "rest".
+        `what` is "leaving", "rest" or "load".
         """
         self.emit(
             "report_unreadable",
--- a/leverdoor/entry/metrics.py
+++ b/leverdoor/entry/metrics.py
@@ -121,6 +121,11 @@
             "Targets that want rest of this entry.",
             registry=self.registry,
         )
+        self.slow_targets = Gauge(
+            "leverdoor_entry_slow_targets",
+            "Targets at which work takes longer than usual, by their own reports.",
+            registry=self.registry,
+        )
         self.rests = Counter(
             "leverdoor_entry_rests",
             "Answers by which targets asked this entry for rest.",
--- a/leverdoor/entry/placement/fleet.py
+++ b/leverdoor/entry/placement/fleet.py
@@ -7,7 +7,8 @@
 answered recently (known_keys.py), rejections by its limiter (room_rejections.py), and
 the run times of the requests last sent there. A state is kept while the configuration
 contains the target or a request is in flight there. The availability of a removed
-target is kept for AVAILABILITY_TTL_S. Nothing is persisted.
+target is kept for AVAILABILITY_TTL_S. Owns the slowness of all targets
+(speed_estimate.py), too. Nothing is persisted.
 
 Relies on the configuration for the targets, on answers (entry/requests) and on the
 counts of other entries (entry/exchange).
@@ -23,6 +24,7 @@
 from leverdoor.entry.placement.room_rejections import RoomRejections
 from leverdoor.entry.placement.run_times import MeanRunTimes
 from leverdoor.entry.placement.slow_start import SlowStart, warm_up_limit_per_s
+from leverdoor.entry.placement.speed_estimate import SpeedTable
 from leverdoor.entry.wire import TargetLoad, TargetReport
 from leverdoor.limits.advertised import LimitTable
 from leverdoor.model.resources import Service, Target
@@ -45,7 +47,11 @@
     """The state of one target as known to this entry."""
 
     def __init__(
-        self, target: Target, now: float, availability: Availability | None = None
+        self,
+        target: Target,
+        now: float,
+        availability: Availability | None = None,
+        speeds: SpeedTable | None = None,
     ) -> None:
         """Create it.
 
@@ -53,8 +59,11 @@
           target: its description.
           now: monotonic time in seconds.
           availability: known from before the target was removed; None if unknown.
+          speeds: the slowness of all targets; a table of its own if omitted.
         """
         self.target = target
+        self._id = target_id(target.name)
+        self._speeds = SpeedTable() if speeds is None else speeds
         self.availability = availability or Availability()
         self._load = LoadEstimate()
         self._health = Health(now)
@@ -118,6 +127,10 @@
         if report.rest_s:
             in_flight = self._load.in_flight - 1
             self.availability.start_rest(report.rest_s, rng.random(), in_flight, now)
+        if report.load is not None:
+            self._speeds.record_answer(
+                self._id, self.target.name, report.load.slowness, now
+            )
         if report.not_run:
             return
         self.availability.record_answer(self.target.slots, now)
@@ -147,15 +160,24 @@
 
     def load(self, now: float) -> float:
         """Estimate the requests of all entries at the target."""
-        return self._load.estimate(self._run_times.warm_s, now)
+        warm_run_s = self._run_times.warm_s * self.slowness(now)
+        return self._load.estimate(warm_run_s, now)
+
+    def slowness(self, now: float) -> float:
+        """Return how long work takes at the target now, relative to usual.
 
-    def usable_slots(self, limit_per_s: float | None) -> float:
+        1.0 as usual; see speed_estimate.py for the bounds.
+        """
+        return self._speeds.slowness(self._id, now)
+
+    def usable_slots(self, limit_per_s: float | None, now: float) -> float:
         """Return the slots that requests within a limit can keep busy.
 
         Args:
           limit_per_s: requests a second that the target accepts; None for no limit.
+          now: monotonic time in seconds.
         """
-        run_s = self._run_times.warm_s
+        run_s = self._run_times.warm_s * self.slowness(now)
         if limit_per_s is None or not run_s:
             return self.target.slots
         return min(limit_per_s * run_s, float(self.target.slots))
@@ -221,7 +243,8 @@
 
     def is_silent(self, now: float) -> bool:
         """Return whether requests are in flight and none is answered in time."""
-        return self._health.is_silent(self._load.in_flight, self._run_times.cold_s, now)
+        cold_run_s = self._run_times.cold_s * self.slowness(now)
+        return self._health.is_silent(self._load.in_flight, cold_run_s, now)
 
     def is_usable(self, now: float) -> bool:
         """Return whether the target is open, not ejected as failed, and not silent.
@@ -254,6 +277,8 @@
             omitted.
         """
         self.limits = limits or LimitTable()
+        self.speeds = SpeedTable()
+        """The slowness that targets report, to be exchanged in heartbeats."""
         self.warm_up_per_s: Mapping[str, float] = {}
         """By service, requests a second that all entries may send to a cold target.
 
@@ -300,11 +325,12 @@
     def _create(self, target: Target, now: float) -> TargetState:
         """Create the state of a new target, or of one that was removed before."""
         known, _ = self._removed.pop(target.name, (None, now))
-        state = self._states[target.name] = TargetState(target, now, known)
+        state = self._states[target.name] = TargetState(target, now, known, self.speeds)
         return state
 
     def forget(self, now: float) -> None:
-        """Drop the expired availability of removed targets."""
+        """Drop expired slowness, and the expired availability of removed targets."""
+        self.speeds.forget(now)
         self._removed = {
             name: (availability, since)
             for name, (availability, since) in self._removed.items()
@@ -359,11 +385,15 @@
         self._targets_by_peer[peer] = frozenset(counts)
 
     def load(self, targets: Iterable[Target], now: float) -> tuple[float, float]:
-        """Return the total load and slots of usable targets.
+        """Return the total load and slots of usable targets, relative to usual work.
 
         Excludes targets that are slow or in their warm-up. A limited target counts only
         the slots that its limit can keep busy. Otherwise the utilization of its region
         would appear low, and keys would stay where no target accepts their requests.
+
+        Load and slots of a target are divided by its slowness: its busy slots do less
+        work, and its free ones have room for less. If all targets are slow alike, the
+        utilization remains load over slots.
         """
         load = 0.0
         slots = 0.0
@@ -374,6 +404,8 @@
                 and not state.in_warm_up(now)
                 and not state.is_slow(now)
             ):
-                load += state.load(now)
-                slots += state.usable_slots(self.reported_limit_per_s(target))
+                slowness = state.slowness(now)
+                limit_per_s = self.reported_limit_per_s(target)
+                load += state.load(now) / slowness
+                slots += state.usable_slots(limit_per_s, now) / slowness
         return load, slots
--- a/leverdoor/entry/placement/placement_request.py
+++ b/leverdoor/entry/placement/placement_request.py
@@ -89,3 +89,5 @@
     reason: PlacementReason
     limit_per_s: float | None = None
     """Last known limit on the requests a second of all entries; None for no limit."""
+    slowness: float = 1.0
+    """Duration of work at the target when it was selected, relative to usual."""
--- a/leverdoor/entry/placement/policy.py
+++ b/leverdoor/entry/placement/policy.py
@@ -47,6 +47,8 @@
 
 __all__ = ["PlacementPolicy"]
 
+MIN_EXPECTED_MS = 1.0
+"""Lower bound of an expected duration in ms; prevents a division by zero."""
 MAX_LOGGED_TARGETS = 3
 """Maximum targets in the log detail of a request that no target can take.
 
@@ -232,7 +234,7 @@
                 state = self._fleet.state_of(target, now)
                 if not self._may_warm_up(request, state, now):
                     continue
-                scored = self._chooser.score_target_in_warm_up(request, state)
+                scored = self._chooser.score_target_in_warm_up(request, state, now)
                 return self._commit(request, scored, "cold", now)
         return None
 
@@ -356,6 +358,7 @@
             load_age_ms=age_ms,
             reason=reason,
             limit_per_s=self._fleet.reported_limit_per_s(state.target),
+            slowness=scored.slowness,
         )
 
     # Results of placed requests.
@@ -392,10 +395,38 @@
         """
         self._candidates.record_size(request.service, size)
         state = self._fleet.state_of(placement.target, now)
-        ejected = state.record_answer(took_ms / max(placement.expected_ms, 1.0), now)
+        expected_ms = self._expected_ms(placement, state.slowness(now))
+        ejected = state.record_answer(took_ms / expected_ms, now)
         self._chooser.learn(request, placement, took_ms, now)
         return ejected
 
+    def timed_out(self, placement: Placement, took_ms: float, now: float) -> bool:
+        """Record a request that timed out before the target answered.
+
+        Args:
+          placement: the target.
+          took_ms: duration until the time-out.
+          now: monotonic time in seconds.
+        Returns: whether the target is now ejected as slow.
+        """
+        state = self._fleet.state_of(placement.target, now)
+        expected_ms = self._expected_ms(placement, state.slowness(now))
+        return state.overran(took_ms / expected_ms, now)
+
+    def _expected_ms(self, placement: Placement, slowness: float) -> float:
+        """Return the duration by which a target's answer is judged.
+
+        A target that reports that it is slow is avoided by its cost already; it must
+        not be ejected for the same. The report may have arrived after the request was
+        placed.
+
+        Args:
+          placement: the target and the expected duration.
+          slowness: slowness of the target at the end of the request.
+        """
+        later = max(slowness / placement.slowness, 1.0)
+        return max(placement.expected_ms * later, MIN_EXPECTED_MS)
+
     def ended(self, placement: Placement, now: float) -> None:
         """Remove an ended request from those in flight, successful or not."""
         self._fleet.state_of(placement.target, now).record_end()
--- a/leverdoor/entry/placement/target_chooser.py
+++ b/leverdoor/entry/placement/target_chooser.py
@@ -63,6 +63,8 @@
     """Whether any entry received an answer for the key from the target."""
     cold_share: float
     """Probability of a cold run."""
+    slowness: float
+    """Duration of work at the target now, relative to usual."""
     wait_ms: float
     """Expected wait in the target's queue."""
     response_ms: float
@@ -115,12 +117,15 @@
           now: monotonic time in seconds.
         Returns: None if no candidate is acceptable, or each has too long a wait.
         """
-        times = self._clusters(request)
-        max_wait_ms = max_queue_wait_ms(request, times.warm_run_ms, self._tuning, now)
+        warm_run_ms = self._clusters(request).warm_run_ms
         acceptable = [
             scored
             for scored in self._score_candidates(request, candidates, reason, now)
-            if scored.wait_ms <= max_wait_ms and self._is_acceptable(scored, now)
+            if scored.wait_ms
+            <= max_queue_wait_ms(
+                request, warm_run_ms * scored.slowness, self._tuning, now
+            )
+            and self._is_acceptable(scored, now)
         ]
         return min(acceptable, key=lambda t: t.cost_ms, default=None)
 
@@ -173,20 +178,23 @@
 
         The queue is the load beyond the slots, including this request. Queued runs are
         assumed to be cold at the target's eviction rate. The cost includes a likely
-        cold run and the distance.
+        cold run and the distance. All runs take the target's slowness.
         """
         target = state.target
+        slowness = state.slowness(now)
         times = self._clusters(request)
         seen = not request.route.affinity or self._has_answered(request.key, state, now)
         cold_share = self._cold_run_rates.cold_run_probability(target, rank, seen)
         queued = max(state.load(now) - target.slots + 1, 0.0)
         run_ms = times.run_ms(self._cold_run_rates.eviction_rate(target))
-        wait_ms = queued * run_ms / target.slots
-        response_ms = wait_ms + times.run_ms(cold_share)
+        wait_ms = queued * run_ms * slowness / target.slots
+        own_run_ms = times.run_ms(cold_share)
+        response_ms = wait_ms + own_run_ms * slowness
         cost_ms = response_ms
         if rank == 0 and not seen:
             # An unseen key runs cold anywhere, so its first target has no extra cost.
-            cost_ms = wait_ms + times.warm_run_ms
+            slow_ms = own_run_ms * (slowness - 1.0)
+            cost_ms = wait_ms + times.warm_run_ms + slow_ms
         if target.domain != self._domain:
             cost_ms += OTHER_DOMAIN_PENALTY_MS
         return ScoredTarget(
@@ -194,6 +202,7 @@
             rank=rank,
             seen=seen,
             cold_share=cold_share,
+            slowness=slowness,
             wait_ms=wait_ms,
             response_ms=response_ms,
             cost_ms=cost_ms,
@@ -221,7 +230,8 @@
         state = scored.state
         if self._cold_run_rates.evicts_keys(state.target):
             return False
-        return state.load(now) < self._tuning.cold_room * state.target.slots
+        usual_slots = state.target.slots / scored.slowness
+        return state.load(now) < self._tuning.cold_room * usual_slots
 
     def _clusters(self, request: PlacementRequest) -> RunTimeClusters:
         """Return the run times of such requests."""
@@ -233,15 +243,17 @@
         return MeanRunTimes(times.warm_run_ms / 1000, times.cold_run_ms / 1000)
 
     def score_target_in_warm_up(
-        self, request: PlacementRequest, state: TargetState
+        self, request: PlacementRequest, state: TargetState, now: float
     ) -> ScoredTarget:
         """Score a target in its warm-up; all its runs count as cold."""
-        cold_run_ms = self._clusters(request).cold_run_ms
+        slowness = state.slowness(now)
+        cold_run_ms = self._clusters(request).cold_run_ms * slowness
         return ScoredTarget(
             state=state,
             rank=RANKS,
             seen=False,
             cold_share=1.0,
+            slowness=slowness,
             wait_ms=0.0,
             response_ms=cold_run_ms,
             cost_ms=cold_run_ms,
@@ -256,22 +268,27 @@
     ) -> None:
         """Update run times, cold run rates and known keys from a complete answer.
 
+        The run time that is learned is the usual one: the duration over the mean
+        slowness of the target at the start and at the end of the run.
+
         Args:
           request: the request.
           placement: the target that answered it.
           took_ms: duration of the request at the target.
           now: monotonic time in seconds.
         """
+        state = self._fleet.state_of(placement.target, now)
         if placement.load < placement.target.slots:
-            self._learn_run(request, placement, took_ms)
-        self._fleet.state_of(placement.target, now).record_key(request.key)
+            slowness = (placement.slowness + state.slowness(now)) / 2
+            self._learn_run(request, placement, took_ms / slowness)
+        state.record_key(request.key)
         if request.route.affinity and placement.rank > 0:
             self.warm_keys.record_answer(placement.target, request.key, now)
 
     def _learn_run(
         self, request: PlacementRequest, placement: Placement, took_ms: float
     ) -> None:
-        """Learn from the duration of a run that did not wait for a slot."""
+        """Learn from the usual duration of a run that did not wait for a slot."""
         times = self._clusters(request)
         if request.route.affinity and self._tuning.learns_warmth:
             was_cold = times.is_cold(took_ms)
--- a/leverdoor/entry/requests/outcomes.py
+++ b/leverdoor/entry/requests/outcomes.py
@@ -20,8 +20,6 @@
 
 __all__ = ["OutcomeRecorder"]
 
-MIN_EXPECTED_MS = 1.0
-"""Lower bound of the expected run time in ms; prevents a division by zero."""
 FIRST_ERROR_STATUS = 400
 """Replies with this or a greater HTTP status do not update run times or warm keys."""
 
@@ -77,8 +75,7 @@
             time measures how slow the target is.
         """
         now = asyncio.get_running_loop().time()
-        ratio = took_s * 1000 / max(placement.expected_ms, MIN_EXPECTED_MS)
-        if self._fleet.state_of(placement.target, now).overran(ratio, now):
+        if self._policy.timed_out(placement, took_s * 1000, now):
             self._log_slow_ejection(placement)
 
     def record_not_run(self, placement: Placement, status: int) -> None:
--- a/leverdoor/entry/requests/target_reports.py
+++ b/leverdoor/entry/requests/target_reports.py
@@ -22,7 +22,12 @@
 from leverdoor.entry.requests.replies import TargetReply
 from leverdoor.entry.requests.retries import WRONG_INSTANCE_STATUS, reports_not_run
 from leverdoor.entry.unreadable_texts import UnreadableTextFilter
-from leverdoor.entry.wire import TargetReport, UnreadableReport, Wire
+from leverdoor.entry.wire import (
+    TargetLoad,
+    TargetReport,
+    UnreadableReport,
+    Wire,
+)
 from leverdoor.model.resources import Target
 
 __all__ = ["TargetReportHandler"]
@@ -79,14 +84,22 @@
 
     def _parse(self, target: Target, reply: TargetReply) -> TargetReport:
         """Parse the report headers; unreadable values count as absent."""
-        wire, headers = self._wire, self._wire.headers
+        not_run = bool(reply.get(self._wire.headers.not_run))
         return TargetReport(
-            reports_not_run(reply.status, bool(reply.get(headers.not_run))),
+            reports_not_run(reply.status, not_run),
             self._parse_leaving(target, reply),
             self._parse_rest(target, reply),
-            wire.parse_load(reply.get(headers.load)),
+            self._parse_load(target, reply),
         )
 
+    def _parse_load(self, target: Target, reply: TargetReply) -> TargetLoad | None:
+        """Return the reported load; None if there is none."""
+        text = reply.get(self._wire.headers.load)
+        load = self._wire.parse_load(text)
+        if text and load is None:
+            self._record_unreadable(target, "load", text)
+        return load
+
     def _parse_leaving(self, target: Target, reply: TargetReply) -> bool:
         """Return whether the target reports that it is leaving."""
         try:
--- a/leverdoor/entry/wire.py
+++ b/leverdoor/entry/wire.py
@@ -79,6 +79,8 @@
     waiting: int
     slots: int
     """Maximum number of requests that the target executes concurrently."""
+    slowness: float = 1.0
+    """Duration of work at the target now, relative to usual; not bounded."""
 
 
 class TargetReport(msgspec.Struct, frozen=True):
--- a/leverdoor/platform/formats.py
+++ b/leverdoor/platform/formats.py
@@ -54,10 +54,13 @@
 """Prefix of quarantine records; the fingerprint of the request follows."""
 LEAVING_STATE = "draining"
 """State in the registration of a target that leaves."""
-LOAD_PATTERN = re.compile(r"\s*[0-9]{1,9}\s*(,\s*[0-9]{1,9}\s*){2}", re.ASCII)
-"""Running, waiting and slots, each a number of at most 9 ASCII digits.
+LOAD_PATTERN = re.compile(r"\s*[0-9]{1,9}\s*(,\s*[0-9]{1,9}\s*){2,3}", re.ASCII)
+"""Running, waiting, slots and optionally the time that work takes, in percent of usual;
+each a number of at most 9 ASCII digits.
 
 `str.isdigit` also accepts digits that `int` does not, such as a superscript two."""
+USUAL_TIME_OF_WORK = 100
+"""Value of the fourth figure of a load if work takes as long as usual."""
 SERVICE_UNAVAILABLE = 503
 """HTTP status with which a target may request a pause.
 
@@ -229,7 +232,9 @@
 
 
 def parse_load(text: str) -> TargetLoad | None:
-    """Parse the load that a target reports: running, waiting, slots.
+    """Parse the load that a target reports: running, waiting, slots, time of work.
+
+    The fourth figure is optional; 100 means that work takes as long as usual.
 
     The number of running requests includes the request whose response carries the
     report: none of 12,000 reports under high and low load was below one. The number is
@@ -239,8 +244,9 @@
     """
     if not LOAD_PATTERN.fullmatch(text):
         return None
-    running, waiting, slots = (int(figure) for figure in text.split(","))
-    return TargetLoad(max(running - 1, 0), waiting, slots)
+    running, waiting, slots, *times = (int(figure) for figure in text.split(","))
+    slowness = times[0] / USUAL_TIME_OF_WORK if times else 1.0
+    return TargetLoad(max(running - 1, 0), waiting, slots, slowness)
 
 
 def parse_limit(values: Sequence[str]) -> float | None:
--- a/tests/interface_table.py
+++ b/tests/interface_table.py
@@ -149,6 +149,7 @@
     "leverdoor_entry_resting_targets": ("gauge", (), ()),
     "leverdoor_entry_rests": ("counter", ("service",), ()),
     "leverdoor_entry_room_requests": ("counter", ("outcome",), ()),
+    "leverdoor_entry_slow_targets": ("gauge", (), ()),
     "leverdoor_entry_targets_ended": ("counter", ("service",), ()),
 }
 """The same of the entry."""
@@ -223,6 +224,7 @@
             "seen",
             "service",
             "slots",
+            "slowness",
             "target",
             "took_ms",
             "version",
@@ -249,6 +251,7 @@
             "seen",
             "service",
             "slots",
+            "slowness",
             "target",
             "took_ms",
             "version",
@@ -293,6 +296,7 @@
     ("target_leaving", ("target",)),
     ("target_limit", ("change", "per_s", "source", "target")),
     ("target_rest", ("rest_s", "target")),
+    ("target_slowness", ("slowness", "target")),
     ("targets", ("came", "cold", "expired", "gone", "revision")),
 ]
 """Kind and fields of each event of an entry, without those that all lines have."""
--- a/tests/test_platform_bytes.py
+++ b/tests/test_platform_bytes.py
@@ -157,7 +157,10 @@
     )
     load = speech.parse_load("5,2,8")
     assert load is not None
-    assert msgspec.structs.astuple(load) == (4, 2, 8)
+    assert msgspec.structs.astuple(load) == (4, 2, 8, 1.0)
+    slow = speech.parse_load("5,2,8,250")
+    assert slow is not None
+    assert msgspec.structs.astuple(slow) == (4, 2, 8, 2.5)
 
 
 PLATFORM_SETTINGS = b"""{
