--- a/benchmarks/entry_slopes.py
+++ b/benchmarks/entry_slopes.py
@@ -21,6 +21,7 @@
 from leverdoor.entry.limits.limiter import Limiter
 from leverdoor.entry.limits.limiter_selector import SELECTION_CACHE_S, LimiterSelector
 from leverdoor.entry.membership.entry_selection import EntrySelector
+from leverdoor.entry.membership.liveness import HEARTBEAT_INTERVAL_S
 from leverdoor.entry.membership.member import SERVING, DigestRow, Member, member_id
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.membership.peer_record import HeartbeatObservation
@@ -29,6 +30,7 @@
 from leverdoor.entry.placement.fleet import Fleet
 from leverdoor.entry.placement.placement_request import Placement, PlacementRequest
 from leverdoor.entry.placement.policy import PlacementPolicy
+from leverdoor.entry.placement.speed_estimate import TargetSpeed
 from leverdoor.limits.advertised import LimitAdvertisement
 from leverdoor.model.resources import (
     Region,
@@ -39,8 +41,11 @@
     WorkClass,
 )
 from leverdoor.model.target_id import target_id
+from leverdoor.storage.position import START, position_without_era
 
 RUNS = 7
+ANSWERING_SLOW_TARGETS = 4
+"""Slow targets that answer an entry within two rounds: at 60 requests a second."""
 REGIONS = ("a", "b", "c")
 
 
@@ -127,6 +132,7 @@
             f"e{i}", region, domain, "f", f"10.0.0.{i}:7", "p", 1, 9 // (i + 1)
         )
 
+    in_force = position_without_era(5)
     membership = Membership(member(0))
     selector = EntrySelector(membership)
     exchange = Exchange(membership, Roles(membership, Random(1)))
@@ -138,15 +144,16 @@
         EntryHeartbeat(member(i), 1, SERVING, 5, counts) for i in range(1, entries)
     ]
     for heartbeat in heartbeats:
-        exchange.take(heartbeat, 5, 0.0)
+        exchange.take(heartbeat, in_force, 0.0)
     numbers = iter(range(2, 10**9))
 
     def receive() -> None:
         n = next(numbers)
         heartbeat = heartbeats[n % len(heartbeats)]
-        exchange.take(EntryHeartbeat(heartbeat.member, n, SERVING, 5, counts), 5, 0.0)
+        newer = EntryHeartbeat(heartbeat.member, n, SERVING, 5, counts)
+        exchange.take(newer, in_force, 0.0)
 
-    report = EntryStatus(SERVING, 5, counts, {}, -1, [])
+    report = EntryStatus(SERVING, in_force, counts, {}, -1, [])
     heard = median_us(receive, 200)
     named = median_us(lambda: selector.select_addresses("a", "a1", SERVING, 0.1), 20)
     played = median_us(lambda: exchange.round(report, 0.1), 20)
@@ -201,6 +208,63 @@
     return Member(f"e{i}", region, domain, "f", f"10.0.0.{i}:7", "p", 1)
 
 
+def by_slow_targets(entries: int, regions: int) -> None:
+    """Print the bytes that slow targets add: one in six of a region's targets.
+
+    Each region has two failure domains, and ten targets for three entries. An
+    aggregator knows of all slow targets of its region; an ordinary entry had answers of
+    ANSWERING_SLOW_TARGETS of them within the last two rounds.
+    """
+    targets = entries * 10 // 3 // regions
+    slow = [
+        TargetSpeed(target_id(f"i-{i:07x}"), 1.5 + i % 3, 0.01 * (i % 30))
+        for i in range(targets // 6)
+    ]
+    own = slow[:ANSWERING_SLOW_TARGETS]
+    site = entries, regions, targets
+    heartbeat = _round_bytes(*site, False, own) - _round_bytes(*site, False, [])
+    digests = _round_bytes(*site, True, [])
+    added = _round_bytes(*site, True, slow) - digests
+    per_s = 1 / HEARTBEAT_INTERVAL_S / 1000
+    print(
+        f"| {entries} | {len(slow)} | {heartbeat * per_s:.2f} | {added * per_s:.1f}"
+        f" | {digests * per_s:.1f} |"
+    )
+
+
+def _round_bytes(
+    entries: int, regions: int, targets: int, aggregates: bool, slow: list[TargetSpeed]
+) -> float:
+    """Return the bytes that an aggregator or another entry sends in a round."""
+
+    def member(i: int) -> Member:
+        region = f"r{i % regions}"
+        domain = f"{region}-{i // regions % 2}"
+        link_mbps = 9 // (i + 1)
+        return Member(f"e{i}", region, domain, "f", f"10.0.0.{i}:7", "p", 1, link_mbps)
+
+    membership = Membership(member(0 if aggregates else entries - 1))
+    for i in range(entries):
+        membership.update_member(member(i), 0.0)
+        row = DigestRow(member_id(f"e{i}"), 1, SERVING)
+        membership.record_heartbeat(HeartbeatObservation(row, 0.0), 0.0)
+    exchange = Exchange(membership, Roles(membership, Random(1)))
+    exchange.target_count_codec.renew(
+        {f"r{r}": [f"i-{r}-{i:07x}" for i in range(targets)] for r in range(regions)}
+    )
+    status = EntryStatus(SERVING, START, {}, {}, -1, [], speeds=slow)
+    sizes = []
+    for number in range(1, RUNS + 1):
+        outgoing, _ = exchange.round(status, number * HEARTBEAT_INTERVAL_S)
+        sizes.append(
+            sum(
+                len(zlib.compress(pack(sent.message), 1)) * len(sent.destinations)
+                for sent in outgoing
+            )
+        )
+    return statistics.median(sizes)
+
+
 def main() -> None:
     """Print all tables."""
     print("| targets | compile ms | rank ms | decide us | shares ms | hear us |")
@@ -217,6 +281,13 @@
     print("|---|---|---|---|---|")
     for entries in (12, 85, 300, 2_500):
         by_limits(entries)
+    print(
+        "\n| entries | slow targets a region | kB/s more, ordinary entry"
+        " | aggregator | aggregator without |"
+    )
+    print("|---|---|---|---|---|")
+    for entries, regions in ((12, 3), (120, 3), (300, 3), (2_500, 28)):
+        by_slow_targets(entries, regions)
 
 
 if __name__ == "__main__":
