Stand-ins of targets report how long work takes; the soak's reporting targets do

A target of the stand-ins adds the fourth figure to its load, by how slow it is made. Entries of the region learn it from each other, place by it, and log when it ends (test_target_reports.py, real entries).

--- a/leverdoor/standins/soak/reports.py
+++ b/leverdoor/standins/soak/reports.py
@@ -1,6 +1,6 @@
 # leverdoor: global traffic steering
 # SPDX-License-Identifier: Apache-2.0
-"""Targets of a soak that say in answers that they leave, or ask for rest.
+"""Targets of a soak that say in answers that they leave, ask for rest, or are slow.
 
 State: none; what they said stands with their arrivals. Relies on the site for its
 targets, and on `report_promise` for the verdict.
@@ -34,7 +34,10 @@
 
 
 class ReportingTarget:
-    """One target of the look-ups after the other rests, or leaves and is replaced."""
+    """One target of the look-ups after the other rests, or leaves and is replaced.
+
+    From then on, it also reports how long work takes there.
+    """
 
     def __init__(self, site: SoakSite, number: int, seed: int) -> None:
         """Create it; `run` lets targets rest and leave until cancelled.
@@ -56,6 +59,7 @@
             if not names:
                 continue
             name = names[self._number % len(names)]
+            self._site.targets[name].reports_speed = True
             if self._rng.random() < LEAVE_SHARE:
                 await self._leave(name)
             else:
--- a/leverdoor/standins/upstreams.py
+++ b/leverdoor/standins/upstreams.py
@@ -91,6 +91,8 @@
         self.rest = ""
         """Requests are turned away with this as their Retry-After; "" for not at all.
         """
+        self.reports_speed = False
+        """Whether the load in answers has a fourth figure, by `slow_x`."""
         self.answer_well()
         self.arrivals: list[UpstreamArrival] = []
         self.runs: list[UpstreamRun] = []
@@ -197,7 +199,9 @@
         headers["X-Server-Stamp"] = f"{self.name}.{len(self.runs)}"
         # As on the platform, the request that is answered still counts as running.
         running = self._running + 1
-        headers["X-Server-Load"] = f"{running},{self._waiting},{self.slots}"
+        load = f"{running},{self._waiting},{self.slots}"
+        speed = f",{self.slow_x * 100:.0f}" if self.reports_speed else ""
+        headers["X-Server-Load"] = load + speed
         if self.empty:
             return web.Response(headers=headers)
         body = serialize_json({"id": run.request_id, "digest": run.digest})
--- a/tests/test_target_reports.py
+++ b/tests/test_target_reports.py
@@ -6,6 +6,7 @@
 import json
 
 from entry_bench import LookUps
+from leverdoor.entry.placement.speed_estimate import MIN_TOLD_SLOWNESS
 from leverdoor.standins.entry_site import EntrySite
 from leverdoor.standins.soak.report_promise import arrivals_by_entry, report_breaches
 from leverdoor.standins.upstreams import UpstreamStandin
@@ -84,6 +85,33 @@
     assert "target_ejected" not in events
 
 
+async def test_all_entries_of_a_region_learn_that_a_target_is_slow(
+    site: EntrySite,
+) -> None:
+    """The target runs requests ten times as long, and says so."""
+    slow = site.targets["i-look-a1-0"]
+    look_ups = LookUps(site)
+    async with look_ups.running():
+        await asyncio.sleep(1.0)
+        for target in site.targets.values():
+            target.reports_speed = True
+        slow.slow_x = 10.0
+        await asyncio.sleep(4.0)
+        slow.slow_x = 1.0
+        await asyncio.sleep(3.0)
+    assert look_ups.served_share() >= MIN_SERVED_SHARE
+    for name in ("n1", "n2"):
+        logged = site.entries[name].events()
+        changes = [e["slowness"] for e in logged if e["event"] == "target_slowness"]
+        assert changes, name
+        assert changes[-1] < MIN_TOLD_SLOWNESS, "as usual again"
+        attempts = [e for e in logged if e["event"] == "attempt"]
+        placed = {e["target"] for e in attempts if e["slowness"] > 1.0}
+        assert placed <= {slow.name}
+        unreadable = [e for e in logged if e["event"] == "report_unreadable"]
+        assert unreadable == []
+
+
 async def test_unreadable_reports_are_ignored(site: EntrySite) -> None:
     """One target sends a rest that is not a number, one an invalid leaving value."""
     look_ups = LookUps(site)
