--- a/leverdoor/entry/placement/fleet.py
+++ b/leverdoor/entry/placement/fleet.py
@@ -160,7 +160,9 @@
 
     def load(self, now: float) -> float:
         """Estimate the requests of all entries at the target."""
-        warm_run_s = self._run_times.warm_s * self.slowness(now)
+        warm_run_s = self._run_times.warm_s
+        if warm_run_s:
+            warm_run_s *= self.slowness(now)
         return self._load.estimate(warm_run_s, now)
 
     def slowness(self, now: float) -> float:
@@ -170,14 +172,14 @@
         """
         return self._speeds.slowness(self._id, now)
 
-    def usable_slots(self, limit_per_s: float | None, now: float) -> float:
+    def usable_slots(self, limit_per_s: float | None, slowness: float) -> float:
         """Return the slots that requests within a limit can keep busy.
 
         Args:
           limit_per_s: requests a second that the target accepts; None for no limit.
-          now: monotonic time in seconds.
+          slowness: duration of work at the target, relative to usual.
         """
-        run_s = self._run_times.warm_s * self.slowness(now)
+        run_s = self._run_times.warm_s * slowness
         if limit_per_s is None or not run_s:
             return self.target.slots
         return min(limit_per_s * run_s, float(self.target.slots))
@@ -243,6 +245,8 @@
 
     def is_silent(self, now: float) -> bool:
         """Return whether requests are in flight and none is answered in time."""
+        if not self._load.in_flight:
+            return False
         cold_run_s = self._run_times.cold_s * self.slowness(now)
         return self._health.is_silent(self._load.in_flight, cold_run_s, now)
 
@@ -407,5 +411,5 @@
                 slowness = state.slowness(now)
                 limit_per_s = self.reported_limit_per_s(target)
                 load += state.load(now) / slowness
-                slots += state.usable_slots(limit_per_s, now) / slowness
+                slots += state.usable_slots(limit_per_s, slowness) / slowness
         return load, slots
--- a/leverdoor/entry/placement/speed_estimate.py
+++ b/leverdoor/entry/placement/speed_estimate.py
@@ -145,8 +145,9 @@
           target: the `target_id` of the target.
           now: monotonic time in seconds.
         """
-        estimate = self._estimates.get(target)
-        return AS_USUAL if estimate is None else estimate.current(now)
+        if target not in self._estimates:
+            return AS_USUAL
+        return self._estimates[target].current(now)
 
     def record_answer(
         self, target: int, name: str, slowness: float, now: float
