A setting says whether requests may wait for room

The platform's settings list the parts of its rules in force. The field is read and translated; nothing uses it yet. Settings without the list, or without that part, mean as before.

--- a/leverdoor/entry/settings.py
+++ b/leverdoor/entry/settings.py
@@ -71,6 +71,8 @@
     The answer may be to any entry. Beyond this age, keys are refused because they may
     have been revoked. The value 0 disables the check.
     """
+    waits_for_room: bool = False
+    """Whether a request without room may wait at its entry for a short time."""
     first_start: bool = False
     """Whether no entry of the deployment ran before; then no quota use is unknown."""
     seed: int = 0
--- a/leverdoor/platform/settings.py
+++ b/leverdoor/platform/settings.py
@@ -22,6 +22,8 @@
 """Offset of the state transfer port in the internal port range."""
 
 
+PRESSURE_CONTRACT = "pressure"
+"""Name in `contracts` of the rules on requests beyond the capacity of targets."""
 LOOKUP_TTL_S = 2.0
 """Time for which clients may cache a look-up, in seconds, unless `ttl_max_s` is less.
 
@@ -136,6 +138,8 @@
     """Whether this is the first start of the deployment."""
     limits: _VmResources = msgspec.field(default_factory=_VmResources)
     bounds: _OperatorLimits = msgspec.field(default_factory=_OperatorLimits)
+    contracts: list[str] = []
+    """Names of the parts of the platform's rules that are in force."""
 
     def entry(self) -> EntrySettings:
         """Convert the file's fields to entry settings."""
@@ -162,6 +166,7 @@
             store_reads_per_s=self.platform.reads_per_s,
             quotas=self.bounds.quota_bounds(),
             confirm_within_s=self.bounds.confirm_within_s(),
+            waits_for_room=PRESSURE_CONTRACT in self.contracts,
             first_start=self.bootstrap,
             link_mbps=round(self.limits.link_bandwidth_mbps),
         )
--- a/tests/interface_table.py
+++ b/tests/interface_table.py
@@ -66,6 +66,7 @@
     "quotas.slack": ("float", 20.0),
     "quotas": ("object", "defaults of its parts"),
     "confirm_within_s": ("float", 0.0),
+    "waits_for_room": ("bool", False),
     "first_start": ("bool", False),
     "seed": ("int", 0),
 }
@@ -101,6 +102,7 @@
     "bounds.strict-revocation": ("bool", False),
     "bounds.revocation-ms": ("float", 5000.0),
     "bounds": ("object", "defaults of its parts"),
+    "contracts": ("list[str]", []),
 }
 """The same of the settings file on the platform, by the names in the file."""
 
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -202,6 +202,18 @@
     assert entry.domain == "a1"
 
 
+@pytest.mark.parametrize(
+    ("contracts", "waits"),
+    [(None, False), (["base", "quota"], False), (["base", "pressure"], True)],
+)
+def test_requests_wait_for_room_only_if_the_settings_ask_for_it(
+    contracts: list[str] | None, waits: bool
+) -> None:
+    named = {} if contracts is None else {"contracts": contracts}
+    settings = parse_settings(json.dumps({**SETTINGS, **named}).encode())
+    assert settings.entry().waits_for_room is waits
+
+
 @pytest.mark.parametrize("field", ["node-name", "platform", "listen-addresses"])
 def test_error_names_missing_setting(field: str) -> None:
     wrong = {k: v for k, v in SETTINGS.items() if k != field}
