Placement says when room is expected, and when some appears

A request that finds no room is to wait at its entry. For that, placement tells when a target's load may have fallen (room_changes), places a request that waits without drawing on the budgets of overflow and limiters again (place_waiting), and estimates when room is expected (estimate_room). The request carries the deadline its caller named, from which a return after a refusal can be inferred.

Tuning gets two parameters that are off in production. entry_wait_share leaves a part of the latency target for the wait at the entry; without it, new requests would take any room before those that wait, whose time is shorter. reserves_expected_run lets a request wait in a target's queue only where its expected run, warm or cold, still ends within the latency target: in a region that stays full and runs most keys cold, queues filled to the limit make every answer late. WAITING sets both; no entry uses it yet. Without them the computed values are the same as before.

--- a/leverdoor/entry/configuration/catalog.py
+++ b/leverdoor/entry/configuration/catalog.py
@@ -86,6 +86,23 @@
         """Names of all routes."""
         return {route.name for routes in self._routes.values() for route in routes}
 
+    def priorities_by_service(self) -> dict[str, list[int]]:
+        """Return the priorities that requests of each service may have, ascending.
+
+        A lower number is more urgent.
+        """
+        workspaces = self.workspaces.by_name.values()
+        found: dict[str, set[int]] = {}
+        for route in (r for routes in self._routes.values() for r in routes):
+            priorities = {
+                route.priority if w.priority is None else w.priority for w in workspaces
+            }
+            if not priorities or route.anonymous:
+                priorities.add(route.priority)
+            for service in route.services:
+                found.setdefault(service, set()).update(priorities)
+        return {service: sorted(priorities) for service, priorities in found.items()}
+
     def pairs_without_common_home(self) -> list[tuple[str, str]]:
         """Return each pair of route and workspace names without a common home region.
 
--- a/leverdoor/entry/placement/placement_request.py
+++ b/leverdoor/entry/placement/placement_request.py
@@ -11,7 +11,7 @@
 
 from leverdoor.model.resources import Route, Target, Workspace
 
-__all__ = ["Placement", "PlacementReason", "PlacementRequest"]
+__all__ = ["Placement", "PlacementReason", "PlacementRequest", "RoomEstimate"]
 
 PlacementReason = Literal["share", "overflow", "cold"]
 """Why a target was selected, as logged.
@@ -44,6 +44,8 @@
     """Names of the targets whose limiter rejected it."""
     fingerprint: int = 0
     """Hash that identifies repetitions of the request; 0 until its body is read."""
+    deadline_ms: int = 0
+    """Time that the caller said it will wait, in ms; 0 if unknown."""
 
     @property
     def priority(self) -> int:
@@ -89,3 +91,14 @@
     reason: PlacementReason
     limit_per_s: float | None = None
     """Last known limit on the requests a second of all entries; None for no limit."""
+
+
+class RoomEstimate(msgspec.Struct, frozen=True):
+    """When a request that found no room may find some; times in seconds."""
+
+    time_to_room_s: float
+    """Time until enough of the load at the best target of its key has drained."""
+    warm_run_s: float
+    """Mean duration of a warm run of such requests."""
+    interval_s: float
+    """Mean time between two ends of such runs in the region, all slots busy."""
--- a/leverdoor/entry/placement/policy.py
+++ b/leverdoor/entry/placement/policy.py
@@ -27,6 +27,7 @@
     Placement,
     PlacementReason,
     PlacementRequest,
+    RoomEstimate,
 )
 from leverdoor.entry.placement.queue_wait import URGENT_PRIORITY
 from leverdoor.entry.placement.region_share_table import RegionShareTable
@@ -88,6 +89,11 @@
         self._overflow = OverflowBudget(tuning.overflow_earn)
         self._weights = ServiceWeights(rng)
         self.shares = RegionShareTable(region, fleet, move_per_s, tuning)
+        self.room_changes: list[Callable[[Target | None], None]] = []
+        """Called with the target at which a request of this entry ended.
+
+        Called with None if other entries reported newer counts, of any targets.
+        """
         self.may_warm_up_target: Callable[[Target], bool] = lambda _: True
         """Returns whether this entry may send requests to a cold target.
 
@@ -136,6 +142,78 @@
             return self._reject_unplaced(request, regions, key_region, now)
         return placement
 
+    # Requests that wait for room.
+
+    def announce_room(self, target: Target | None) -> None:
+        """Call `room_changes`: a target may have room; None for any target."""
+        for on_room in self.room_changes:
+            on_room(target)
+
+    def key_region(self, request: PlacementRequest, now: float) -> str | None:
+        """Return the region that serves the key of a request; None without any."""
+        regions = self._candidates.regions(request)
+        if not regions:
+            return None
+        return self.shares.region(request.service, request.key, regions, now)
+
+    def place_waiting(
+        self, request: PlacementRequest, region: str, now: float
+    ) -> Placement | None:
+        """Place a request that `place` rejected for lack of room, if there is room now.
+
+        Considers neither overflow nor targets in their warm-up, whose budgets count
+        each request once.
+
+        Args:
+          request: the request.
+          region: the region of its key.
+          now: monotonic time in seconds.
+        """
+        scored = self._chooser.choose(
+            request, self._unlimited(request, region, now), "share", now
+        )
+        return None if scored is None else self._commit(request, scored, "share", now)
+
+    def estimate_room(
+        self, request: PlacementRequest, region: str, now: float
+    ) -> RoomEstimate | None:
+        """Estimate when a request that was rejected for lack of room will find some.
+
+        Args:
+          request: the request.
+          region: the region of its key.
+          now: monotonic time in seconds.
+        Returns: None if no target of its key in the region may serve it then.
+        """
+        candidates = self._unlimited(request, region, now)
+        time_to_room_ms = self._chooser.time_to_room_ms(request, candidates, now)
+        _, slots = self.shares.load_and_slots(request.service, region, now)
+        if time_to_room_ms is None or not slots:
+            return None
+        run_s = self._chooser.run_times(request).warm_s
+        return RoomEstimate(time_to_room_ms / 1000, run_s, run_s / slots)
+
+    def _unlimited(
+        self, request: PlacementRequest, region: str, now: float
+    ) -> list[Target]:
+        """Return the candidates of a region that are not known to be at their limit.
+
+        Limiters count each request that asks for room, or would have, once.
+        """
+        if region not in self._candidates.regions(request):
+            # The configuration has changed since the request began to wait.
+            return []
+        candidates = self._candidates.select(
+            request, region, lambda target: self._is_open(target, now)
+        )
+        states = [self._fleet.state_of(target, now) for target in candidates]
+        return [
+            state.target
+            for state in states
+            if not self._is_avoided(state.target, now)
+            and not self._chooser.lacks_room(request, state, now)
+        ]
+
     def is_leaving(self, target: Target, now: float) -> bool:
         """Return whether a target reported that it is leaving."""
         return self._fleet.state_of(target, now).availability.leaving
@@ -399,3 +477,4 @@
     def ended(self, placement: Placement, now: float) -> None:
         """Remove an ended request from those in flight, successful or not."""
         self._fleet.state_of(placement.target, now).record_end()
+        self.announce_room(placement.target)
--- a/leverdoor/entry/placement/queue_wait.py
+++ b/leverdoor/entry/placement/queue_wait.py
@@ -13,7 +13,7 @@
 __all__ = ["URGENT_PRIORITY", "max_queue_wait_ms"]
 
 RUN_TIME_MARGIN_X = 1.2
-"""Time reserved for the run, as a multiple of the mean warm run.
+"""Time reserved for the run, as a multiple of its mean.
 
 Run times vary by 15%. With a greater value, requests are rejected that would be in
 time. With a smaller one, more of the requests that waited are late.
@@ -29,29 +29,33 @@
 
 
 def max_queue_wait_ms(
-    request: PlacementRequest, warm_run_ms: float, tuning: Tuning, now: float
+    request: PlacementRequest, run_ms: float, tuning: Tuning, now: float
 ) -> float:
     """Return the maximum time that a request may wait at a target, in ms.
 
-    This is the latency target less the elapsed time and RUN_TIME_MARGIN_X warm runs. It
-    is at least `least_wait_share` of the latency target, because a rejected request is
+    This is the latency target less the elapsed time and RUN_TIME_MARGIN_X runs. It is
+    at least `least_wait_share` of the latency target, because a rejected request is
     retried against the same load. Less urgent requests may wait less, and are therefore
     rejected first. The wait never exceeds the caller's deadline; if it is negative, no
     target can serve the request.
 
     Args:
       request: the request to place.
-      warm_run_ms: mean duration of a warm run of such requests.
-      tuning: `least_wait_share` and `less_urgent`.
+      run_ms: duration to expect of the run; the mean of warm runs, unless
+        `Tuning.reserves_expected_run`.
+      tuning: `least_wait_share`, `entry_wait_share` and `less_urgent`.
       now: monotonic time in seconds.
     """
     latency_target_ms = request.route.target_latency_ms or DEFAULT_LATENCY_MS
-    elapsed_ms = (now - request.arrived_at) * MS_PER_S
+    elapsed_ms = max(
+        (now - request.arrived_at) * MS_PER_S,
+        tuning.entry_wait_share * latency_target_ms,
+    )
     min_wait_ms = tuning.least_wait_share * latency_target_ms
     wait_ms = max(
-        latency_target_ms - elapsed_ms - warm_run_ms * RUN_TIME_MARGIN_X, min_wait_ms
+        latency_target_ms - elapsed_ms - run_ms * RUN_TIME_MARGIN_X, min_wait_ms
     )
     if request.priority > URGENT_PRIORITY:
         wait_ms *= tuning.less_urgent
-    until_deadline_ms = (request.expires_at - now) * MS_PER_S - warm_run_ms
+    until_deadline_ms = (request.expires_at - now) * MS_PER_S - run_ms
     return min(wait_ms, until_deadline_ms)
--- a/leverdoor/entry/placement/region_share_table.py
+++ b/leverdoor/entry/placement/region_share_table.py
@@ -79,9 +79,15 @@
 
         UNUSABLE_UTILIZATION if there are no usable slots.
         """
-        load, slots = self._fleet.load(self._targets.get((service, region), ()), now)
+        load, slots = self.load_and_slots(service, region, now)
         return load / slots if slots else UNUSABLE_UTILIZATION
 
+    def load_and_slots(
+        self, service: str, region: str, now: float
+    ) -> tuple[float, float]:
+        """Return the total load and slots of a region's usable targets."""
+        return self._fleet.load(self._targets.get((service, region), ()), now)
+
     def update(
         self, peers_shares: list[dict[str, dict[str, float]]], now: float
     ) -> None:
--- a/leverdoor/entry/placement/target_chooser.py
+++ b/leverdoor/entry/placement/target_chooser.py
@@ -115,15 +115,43 @@
           now: monotonic time in seconds.
         Returns: None if no candidate is acceptable, or each has too long a wait.
         """
-        times = self._clusters(request)
-        max_wait_ms = max_queue_wait_ms(request, times.warm_run_ms, self._tuning, now)
         acceptable = [
             scored
             for scored in self._score_candidates(request, candidates, reason, now)
-            if scored.wait_ms <= max_wait_ms and self._is_acceptable(scored, now)
+            if scored.wait_ms <= self._max_wait_ms(request, scored, now)
+            and self._is_acceptable(scored, now)
         ]
         return min(acceptable, key=lambda t: t.cost_ms, default=None)
 
+    def time_to_room_ms(
+        self, request: PlacementRequest, candidates: list[Target], now: float
+    ) -> float | None:
+        """Return the time until a candidate is expected to be acceptable, in ms.
+
+        The wait for a slot shortens by a second each second, if no other request is
+        sent to the target.
+
+        Args:
+          request: a request that `choose` has no target for.
+          candidates: targets in the key's order.
+          now: monotonic time in seconds.
+        Returns: None if no candidate is acceptable at any load.
+        """
+        excess_ms = [
+            scored.wait_ms - self._max_wait_ms(request, scored, now)
+            for scored in self._score_candidates(request, candidates, "share", now)
+            if self._is_acceptable(scored, now)
+        ]
+        return max(min(excess_ms), 0.0) if excess_ms else None
+
+    def _max_wait_ms(
+        self, request: PlacementRequest, scored: ScoredTarget, now: float
+    ) -> float:
+        """Return how long a request may wait for a slot of a target, in ms."""
+        cold_share = scored.cold_share if self._tuning.reserves_expected_run else 0.0
+        run_ms = self._clusters(request).run_ms(cold_share)
+        return max_queue_wait_ms(request, run_ms, self._tuning, now)
+
     def _score_candidates(
         self,
         request: PlacementRequest,
--- a/leverdoor/entry/placement/tuning.py
+++ b/leverdoor/entry/placement/tuning.py
@@ -13,7 +13,22 @@
 
 import msgspec
 
-__all__ = ["PRODUCTION", "Tuning"]
+__all__ = ["ENTRY_WAIT_SHARE", "PRODUCTION", "WAITING", "Tuning"]
+
+ENTRY_WAIT_SHARE = 0.2
+"""Fraction of the latency target for which a request may wait at an entry.
+
+The caller has its refusal within a quarter, which leaves it the time to return. With a
+greater value, callers learn too late that they must return. With a smaller one, fewer
+runs end while a request waits.
+"""
+
+LOAD_NOISE_SHARE = 0.05
+"""Least wait at a target at entries where requests wait, in latency targets.
+
+With a value of 0, a free slot would seem taken when the estimated load is too high by a
+fraction of a request. With a greater one, requests wait for slots in targets' queues.
+"""
 
 
 class Tuning(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -45,6 +60,19 @@
     more of the requests that waited are late: 1.0 for this and `less_urgent` lowered
     worth from 0.784 to 0.763.
     """
+    entry_wait_share: float = 0.0
+    """Fraction of the latency target left for the wait at entries.
+
+    Placement assumes that each request has spent as much, so that requests that waited
+    need no more room than new ones. With a greater value, slots are free while requests
+    wait. With a smaller one, new requests take the room that others wait for.
+    """
+    reserves_expected_run: bool = False
+    """Whether a request waits at a target only as long as its expected run allows.
+
+    If not, a warm run is assumed. A run that is likely cold may take longer than the
+    latency target; then a request that waits for it makes others late too.
+    """
     less_urgent: float = 0.7
     """Fraction of the maximum queue wait that less urgent requests may use.
 
@@ -85,3 +113,13 @@
 
 PRODUCTION = Tuning()
 """The parameters that entries use."""
+WAITING = Tuning(
+    least_wait_share=LOAD_NOISE_SHARE,
+    entry_wait_share=ENTRY_WAIT_SHARE,
+    reserves_expected_run=True,
+)
+"""The parameters of entries at which requests wait for room.
+
+A request is sent only where it should be answered within its latency target, or finds a
+free slot. In a region that stays full, a longer queue would make all answers late.
+"""
--- a/leverdoor/entry/requests/routing.py
+++ b/leverdoor/entry/requests/routing.py
@@ -68,6 +68,8 @@
         catalog = self._catalog()
         route = self._find_route(catalog, request, request_id)
         workspace = self._identify_workspace(catalog, request, route, arrived)
+        deadline_name = self._headers.deadline_ms
+        deadline_ms = bounded_int(request.headers, deadline_name, DEFAULT_DEADLINE_MS)
         placement_request = PlacementRequest(
             request_id=request_id,
             route=route,
@@ -75,8 +77,9 @@
             key=request.headers.get(self._headers.affinity, request_id),
             version=catalog.version,
             arrived_at=arrived,
-            expires_at=self._deadline(request, route, arrived),
+            expires_at=request_deadline(arrived, deadline_ms, route),
             workspace=workspace,
+            deadline_ms=deadline_ms,
         )
         headers = self._forwarded_headers(request, workspace)
         return EntryRequest(
@@ -120,14 +123,6 @@
             )
         return workspace
 
-    def _deadline(
-        self, request: web.BaseRequest, route: Route, arrived: float
-    ) -> float:
-        """Return the loop time at which a request is aborted, in seconds."""
-        name = self._headers.deadline_ms
-        deadline_ms = bounded_int(request.headers, name, DEFAULT_DEADLINE_MS)
-        return request_deadline(arrived, deadline_ms, route)
-
     def _forwarded_headers(
         self, request: web.BaseRequest, workspace: Workspace | None
     ) -> list[tuple[str, str]]:
