--- a/leverdoor/entry/events.py
+++ b/leverdoor/entry/events.py
@@ -21,6 +21,7 @@
 from leverdoor.storage.position import Position
 
 if TYPE_CHECKING:
+    from leverdoor.entry.admission.room_admission import ShedChange
     from leverdoor.entry.placement.placement_request import Placement, PlacementRequest
     from leverdoor.quarantine.quarantine import Hold, QuarantineChange
 
@@ -319,6 +320,20 @@
             shares={r: round(v, 2) for r, v in shares.items()},
         )
 
+    def shed_level(self, change: "ShedChange") -> None:
+        """Log which priorities of a service are now refused at once in a region.
+
+        `utilization` is the load over the slots of the region's usable targets.
+        """
+        self.emit(
+            "shed_level",
+            service=change.service,
+            region=change.region,
+            level=change.level,
+            refused=change.refused,
+            utilization=round(change.utilization, 2),
+        )
+
     # Dependencies and the process.
 
     def fetch(
--- a/leverdoor/entry/metrics.py
+++ b/leverdoor/entry/metrics.py
@@ -15,6 +15,8 @@
 LATENCY_BUCKETS_S = (0.01, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1.0, 2.0, 4.0)
 """Bucket bounds of the latency histogram in seconds, near the routes' latency targets.
 """
+WAIT_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4)
+"""Bucket bounds of waits for room in seconds, up to a fifth of slow latency targets."""
 MAX_LABELLED_WORKSPACES = 100
 """Maximum number of workspaces with a label of their own.
 
@@ -133,6 +135,25 @@
             ["service", "what"],
             registry=self.registry,
         )
+        self.waiting = Gauge(
+            "leverdoor_entry_waiting",
+            "Requests that wait for room at targets.",
+            ["service", "region"],
+            registry=self.registry,
+        )
+        self._waited = Histogram(
+            "leverdoor_entry_waited_seconds",
+            "Time for which requests waited for room, by what came of them.",
+            ["service", "outcome"],
+            buckets=WAIT_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.shed_level = Gauge(
+            "leverdoor_entry_shed_level",
+            "Least urgent priorities that are refused at once.",
+            ["service", "region"],
+            registry=self.registry,
+        )
         self._left_out = Gauge(
             "leverdoor_entry_registrations_left_out",
             "Registrations that name no target to use, by what is wrong with them.",
@@ -171,6 +192,16 @@
         """
         self._requests.labels(service, outcome).observe(took_s)
 
+    def waited(self, service: str, outcome: str, waited_s: float) -> None:
+        """Record for how long a request waited for room.
+
+        Args:
+          service: the service it was routed to.
+          outcome: "placed", "refused" or "left".
+          waited_s: time in seconds.
+        """
+        self._waited.labels(service, outcome).observe(waited_s)
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/tests/interface_table.py
+++ b/tests/interface_table.py
@@ -152,6 +152,13 @@
     "leverdoor_entry_rests": ("counter", ("service",), ()),
     "leverdoor_entry_room_requests": ("counter", ("outcome",), ()),
     "leverdoor_entry_targets_ended": ("counter", ("service",), ()),
+    "leverdoor_entry_waiting": ("gauge", ("service", "region"), ()),
+    "leverdoor_entry_waited_seconds": (
+        "histogram",
+        ("service", "outcome"),
+        (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, inf),
+    ),
+    "leverdoor_entry_shed_level": ("gauge", ("service", "region"), ()),
 }
 """The same of the entry."""
 
@@ -288,6 +295,7 @@
     ("registration_left_out", ("cause", "detail", "name", "unlogged")),
     ("report_unreadable", ("target", "text", "what")),
     ("shares", ("service", "shares")),
+    ("shed_level", ("level", "refused", "region", "service", "utilization")),
     ("store", ("change", "detail", "era", "revision")),
     ("store_restored", ("change", "era", "kept", "revision")),
     ("target_checked", ("found", "lost", "service", "target", "took_ms")),
