Entries let requests wait for room where the settings ask for it

The forwarder asks Admission for a place where the settings have waits_for_room, and placement as before where they do not. A planned stop decides all waiting requests first. Room is announced by ended requests and by digests; shed levels follow the heartbeat rounds.

Without the contract, no request waits.

--- a/leverdoor/analysis/explaining.py
+++ b/leverdoor/analysis/explaining.py
@@ -145,6 +145,10 @@
     match f["name"]:
         case "QUEUE_FULL":
             return f"No target had room in time: {f['detail']}."
+        case "SHED_BY_TIER":
+            return (
+                f"Its region was full, more urgent requests went first: {f['detail']}."
+            )
         case "TARGETS_LIMITED":
             return f"Targets' limits for all entries left no room: {f['detail']}."
         case "TARGETS_RESTING":
--- a/leverdoor/analysis/losses.py
+++ b/leverdoor/analysis/losses.py
@@ -81,6 +81,7 @@
 
 _REFUSAL_CAUSES = {
     Code.QUEUE_FULL: Cause.NO_ROOM,
+    Code.SHED_BY_TIER: Cause.NO_ROOM,
     Code.NO_TARGET: Cause.NO_TARGET,
     Code.CONNECT_FAILED: Cause.NOT_REACHED,
     Code.ANSWER_LOST: Cause.ANSWER_LOST,
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -269,6 +269,7 @@
             self._serve_if_ready()
             self._data.update_entry_count()
             self._data.update_quarantine(now)
+            self._data.update_admission()
             self._control.peers.round(now)
             if rounds % SHARE_UPDATE_ROUNDS == 0:
                 shares = self._control.exchange.region_shares()
@@ -365,7 +366,7 @@
         started = loop.time()
         self._state = LEAVING
         handler = self._data.handler
-        handler.leaving = True
+        self._data.leave()
         self._events.process("leaving", in_flight=handler.active_count)
         self._control.peers.announce_leave()
         deregistration = asyncio.create_task(self._control.registration.end())
--- a/leverdoor/entry/data_plane.py
+++ b/leverdoor/entry/data_plane.py
@@ -14,6 +14,7 @@
 
 from aiohttp import web
 
+from leverdoor.entry.admission.admission import Admission
 from leverdoor.entry.bounds import (
     INITIAL_RETRIES,
     MAX_SAVED_RETRIES,
@@ -33,6 +34,7 @@
 from leverdoor.entry.metrics import EntryMetrics
 from leverdoor.entry.placement.fleet import SUM_OF_PEERS, Fleet
 from leverdoor.entry.placement.policy import PlacementPolicy
+from leverdoor.entry.placement.tuning import PRODUCTION, WAITING
 from leverdoor.entry.requests.client_connection import ClientConnection
 from leverdoor.entry.requests.connection_pool import ConnectionPool
 from leverdoor.entry.requests.forwarding import Forwarder
@@ -85,6 +87,7 @@
             context, membership, self.fleet, state, ask_room, metrics
         )
         self.placement = self._create_placement()
+        self._admission = self._create_admission(metrics)
         self._reports = self._create_reports(metrics)
         self.connections = ConnectionPool(
             context.wire.headers.request_id,
@@ -104,12 +107,27 @@
     def _create_placement(self) -> PlacementPolicy:
         s = self._context.settings
         move_per_s = s.max_shift * SHIFT_FRACTION / SHIFT_WINDOW_S
+        tuning = WAITING if s.waits_for_room else PRODUCTION
         policy = PlacementPolicy(
-            s.region, s.domain, self.fleet, self._context.rng, move_per_s
+            s.region, s.domain, self.fleet, self._context.rng, move_per_s, tuning
         )
         policy.may_warm_up_target = lambda target: may_warm_up(self._membership, target)
         return policy
 
+    def _create_admission(self, metrics: EntryMetrics) -> Admission | None:
+        """Return None if the settings do not let requests wait for room."""
+        context = self._context
+        if not context.settings.waits_for_room:
+            return None
+        region = context.settings.region
+        return Admission(
+            self.placement,
+            context.rng,
+            lambda: max(self._membership.count_in_region(region), 1),
+            context.events,
+            metrics,
+        )
+
     def _create_reports(self, metrics: EntryMetrics) -> TargetReportHandler:
         context = self._context
         return TargetReportHandler(
@@ -137,6 +155,7 @@
             self.quarantine,
             CrashChecker(self.connections.probe, self._on_target_checked),
             events,
+            self._admission,
         )
         return EntryHandler(
             wire,
@@ -223,6 +242,8 @@
         for name in previous.usable_target_names - catalog.usable_target_names:
             self.connections.close_idle(name)
         self.placement.renew(catalog)
+        if self._admission is not None:
+            self._admission.renew(catalog)
 
     def receive(self, update: PeerUpdate, now: float) -> None:
         """Process reports of other entries on targets, keys, quotas and requests."""
@@ -230,6 +251,7 @@
         self.limits.receive_from_peers(update.limits)
         if update.others_in_flight is not None:
             self.fleet.receive(SUM_OF_PEERS, update.others_in_flight, now)
+            self.placement.announce_room(None)
         self.placement.warm_keys.receive(update.warm_keys, now)
         if update.use is not None:
             self.update_entry_count()
@@ -242,6 +264,17 @@
         self._metrics.leaving_targets.set(self.fleet.leaving_count())
         self._metrics.resting_targets.set(self.fleet.resting_count(now))
 
+    def update_admission(self) -> None:
+        """Adapt which priorities are refused at once; called several times a second."""
+        if self._admission is not None:
+            self._admission.update()
+
+    def leave(self) -> None:
+        """Begin a planned stop: no request waits for room any more."""
+        self.handler.leaving = True
+        if self._admission is not None:
+            self._admission.stop()
+
     def update_entry_count(self) -> None:
         """Apply the number of known entries to quotas, connections and retries."""
         count = self._membership.count
--- a/leverdoor/entry/requests/forwarding.py
+++ b/leverdoor/entry/requests/forwarding.py
@@ -12,6 +12,7 @@
 
 import asyncio
 
+from leverdoor.entry.admission.admission import Admission
 from leverdoor.entry.events import Events
 from leverdoor.entry.limits.limiter_client import LimiterClient
 from leverdoor.entry.placement.placement_request import Placement, PlacementRequest
@@ -55,6 +56,7 @@
         quarantine: Quarantine,
         ended_targets: CrashChecker,
         events: Events,
+        admission: Admission | None = None,
     ) -> None:
         """Initialize the forwarder.
 
@@ -69,6 +71,7 @@
           quarantine: prevents retries of requests that may have crashed a target.
           ended_targets: probes targets that closed a connection without a reply.
           events: the event log.
+          admission: lets requests wait for room; None to reject them at once.
         """
         self._headers = wire.headers
         self._policy = policy
@@ -80,6 +83,7 @@
         self._quarantine = quarantine
         self._ended_targets = ended_targets
         self._events = events
+        self._admission = admission
 
     async def forward(self, request: EntryRequest) -> TargetReply:
         """Return the complete reply of a target.
@@ -178,7 +182,10 @@
         """
         loop = asyncio.get_running_loop()
         while True:
-            placement = self._policy.place(request, loop.time())
+            if self._admission is None:
+                placement = self._policy.place(request, loop.time())
+            else:
+                placement = await self._admission.place(request)
             if isinstance(placement, Rejection):
                 raise _AttemptFailed(
                     placement.refusal(), placed=False, reached_target=False
--- a/leverdoor/standins/entry_site.py
+++ b/leverdoor/standins/entry_site.py
@@ -12,7 +12,7 @@
 import os
 import signal
 import tempfile
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from functools import partial
 from itertools import count
 from pathlib import Path
@@ -95,14 +95,19 @@
     """A deployment: the store and the targets here, the entries as processes."""
 
     def __init__(
-        self, entries: Mapping[str, Place], targets: list[UpstreamStandin]
+        self,
+        entries: Mapping[str, Place],
+        targets: list[UpstreamStandin],
+        contracts: Sequence[str] = (),
     ) -> None:
         """Create it; `start` runs it.
 
         Args:
           entries: by name, where each entry stands.
           targets: the targets; their zones must be of those places.
+          contracts: parts of the platform's rules that the settings name.
         """
+        self._contracts = list(contracts)
         self.store = MetadataStandin()
         self.targets = {t.name: t for t in targets}
         self.entries: dict[str, EntryProcess] = {}
@@ -178,6 +183,7 @@
             "listen-addresses": ports,
             "internal-port-range": [FIRST_PORT + 3, FIRST_PORT + 9],
             "platform": {"address": store},
+            "contracts": self._contracts,
         }
         path = Path(self._folder.name) / f"{name}.json"
         path.write_bytes(serialize_json(settings))
