After a digest, an entry places its share of the free slots

All entries of a region learn of free slots from the same digests. One waiting request a digest left slots free while others waited out their time; all that fit would fill targets beyond their slots, since the other entries do the same. An entry now places as many as its share of the free slots, at least one. A run of its own that ends still makes room for one.

The burst is also played with callers that return at once or never.

--- a/leverdoor/entry/admission/room_admission.py
+++ b/leverdoor/entry/admission/room_admission.py
@@ -129,19 +129,27 @@
         return self._enqueue(group, waiter, decision, now)
 
     def on_room(self, target: Target | None, now: float) -> None:
-        """Place the first waiting request that fits, of each region that has room.
+        """Place the first waiting requests that fit.
+
+        One if a request of this entry ended. After a digest, this entry's share of the
+        free slots, since the other entries of the region know of them too.
 
         Args:
           target: the target that may have room; None for any.
           now: monotonic time in seconds.
         """
-        if target is None:
-            groups = list(self._groups.values())
-        else:
+        if target is not None:
             group = self._groups.get((target.service, target.region))
-            groups = [] if group is None else [group]
-        for group in groups:
-            self._place_next(group, now)
+            if group is not None:
+                self._place_next(group, now)
+            return
+        for (service, region), group in self._groups.items():
+            if not len(group.queue):
+                continue
+            load, slots = self._policy.shares.load_and_slots(service, region, now)
+            count = max(int((slots - load) / self._entries()), 1)
+            while count and self._place_next(group, now):
+                count -= 1
 
     def expire(self, waiter: Waiter, now: float) -> None:
         """Refuse a request that still waits when its time is over."""
@@ -206,14 +214,12 @@
             removed.decide(self._refuse_full(removed, "more urgent ones wait", now))
         return waiter
 
-    def _place_next(self, group: _Group, now: float) -> None:
-        """Place the first waiting request that fits."""
+    def _place_next(self, group: _Group, now: float) -> bool:
+        """Place the first waiting request that fits; return whether one does."""
         if not len(group.queue):
-            return
+            return False
         waiters = group.queue.in_order(group.shares.starving())
-        for waiter in waiters[:MAX_TRIED]:
-            if self._try_place(group, waiter, now):
-                return
+        return any(self._try_place(group, w, now) for w in waiters[:MAX_TRIED])
 
     def _try_place(self, group: _Group, waiter: Waiter, now: float) -> bool:
         """Place a waiting request if there is room for it; return whether it is."""
--- a/tests/admission_play.py
+++ b/tests/admission_play.py
@@ -15,7 +15,7 @@
 
 from desk import REGIONS, ROUTE, target
 from leverdoor.entry.admission.room_admission import RoomAdmission
-from leverdoor.entry.admission.wait_queue import Waiter
+from leverdoor.entry.admission.wait_queue import Waiter, WaitQueue
 from leverdoor.entry.configuration.catalog import Catalog
 from leverdoor.entry.placement.fleet import SUM_OF_PEERS, Fleet
 from leverdoor.entry.placement.placement_request import Placement, PlacementRequest
@@ -59,6 +59,11 @@
         service = Service(name="s", work=WorkClass.ONCE)
         self._configure([URGENT, BULK, service, *TARGETS], play.now)
 
+    @property
+    def queue(self) -> WaitQueue:
+        """The queue of the only service in the only region."""
+        return self.admission._group("s", "a", 100.0).queue
+
     def remove_targets(self, now: float) -> None:
         self._configure([URGENT, BULK], now)
 
@@ -72,7 +77,9 @@
 class Play:
     """Plays requests at some entries."""
 
-    def __init__(self, entries: int = 4, *, callers_return: bool = True) -> None:
+    def __init__(
+        self, entries: int = 4, *, callers_return: bool = True, at_once: bool = False
+    ) -> None:
         self.now = 100.0
         self.rng = Random(7)
         self.sent: list[Sent] = []
@@ -85,6 +92,7 @@
             t.name: [] for t in TARGETS
         }
         self._callers_return = callers_return
+        self._callers_return_at_once = at_once
         self.entries: list[PlayedEntry] = []
         self.entries += [PlayedEntry(self, i) for i in range(entries)]
         self.at(self.now, self._exchange)
@@ -137,6 +145,8 @@
         request = sent.request
         left_ms = request.deadline_ms - (self.now - request.arrived_at) * 1000
         wait_ms = min(decision.retry_after_ms, left_ms / 3)
+        if self._callers_return_at_once:
+            wait_ms = 0.0
         if self._callers_return and not sent.returned:
             left = int(left_ms - wait_ms)
             again = self.now + wait_ms / 1000
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -251,14 +251,15 @@
     task = await desk.wait()
     if placed_before:
         desk.end_one()
-        in_flight -= 1
-    task.cancel()
-    desk.policy.announce_room(None)
+        task.cancel()
+    else:
+        task.cancel()
+        desk.end_one()
     with pytest.raises(asyncio.CancelledError):
         await task
-    assert desk.in_flight == in_flight
-    desk.end_one()
     assert desk.in_flight == in_flight - 1
+    desk.end_one()
+    assert desk.in_flight == in_flight - 2
 
 
 async def test_room_that_a_leaving_caller_gives_back_goes_to_the_next() -> None:
--- a/tests/test_room_admission.py
+++ b/tests/test_room_admission.py
@@ -2,6 +2,8 @@
 # SPDX-License-Identifier: Apache-2.0
 """Requests that find no room, played at several entries on a fake clock."""
 
+import pytest
+
 from admission_play import (
     BULK,
     CAPACITY_PER_S,
@@ -25,8 +27,14 @@
     return sent
 
 
-def test_burst_of_ten_times_the_capacity_in_one_second() -> None:
-    play = Play()
+@pytest.mark.parametrize(
+    ("callers_return", "at_once"), [(True, False), (True, True), (False, False)]
+)
+def test_burst_of_ten_times_the_capacity_in_one_second(
+    callers_return: bool, at_once: bool
+) -> None:
+    """Refused callers return as told at any entry, too early, or never."""
+    play = Play(callers_return=callers_return, at_once=at_once)
     play.load(URGENT, 0.5 * CAPACITY_PER_S, 100.0, 110.0)
     play.load(URGENT, 9.5 * CAPACITY_PER_S, 103.0, 104.0)
     play.run(112.0)
@@ -119,6 +127,42 @@
     assert [len(s.outcomes) for s in waiting] == [1, 0]
 
 
+def test_a_digest_places_this_entrys_share_of_the_free_slots() -> None:
+    """All entries learn of free slots at once, and would fill targets beyond them."""
+    for others, placed in ((0, 4), (7, 1)):
+        play = Play(1, callers_return=False)
+        entry = play.entries[0]
+        play.entries += [entry] * others
+        entry.fleet.receive("other", {t.name: 7 for t in TARGETS}, play.now)
+        waiters = [
+            Waiter(_request(play), "a", False, play.now, lambda _: None)
+            for _ in range(5)
+        ]
+        queue = entry.queue
+        for waiter in waiters:
+            queue.add(waiter)
+        entry.fleet.receive("other", {t.name: 2 for t in TARGETS}, play.now)
+        entry.policy.announce_room(None)
+        assert len(queue) == len(waiters) - placed
+
+
+def test_a_new_request_does_not_take_room_before_one_that_waits() -> None:
+    """Estimates of load fall with time, without an event."""
+    play = Play(1, callers_return=False)
+    entry = play.entries[0]
+    entry.fleet.receive("other", {t.name: 7 for t in TARGETS}, play.now)
+    waiting = play.send(URGENT, DEADLINE_MS)
+    assert not waiting.outcomes
+    entry.fleet.receive("other", {"t0": 7, "t1": 6}, play.now)
+    new = play.send(URGENT, DEADLINE_MS)
+    assert isinstance(waiting.outcomes[0][1], Placement)
+    assert not new.outcomes or isinstance(new.outcomes[0][1], Rejection)
+
+
+def _request(play: Play) -> PlacementRequest:
+    return PlacementRequest("x", URGENT, "s", "x", "v", play.now, play.now + 2.0)
+
+
 def test_hopeless_requests_are_refused_at_once() -> None:
     play = Play(1, callers_return=False)
     sent = [play.send(URGENT, DEADLINE_MS) for _ in range(3 * MAX_WAITING)]
@@ -158,9 +202,7 @@
     play = Play(1, callers_return=False)
     fill(play)
     entry = play.entries[0]
-    request = PlacementRequest(
-        "x", URGENT, "s", "x", "v", play.now, play.now + 2.0, deadline_ms=DEADLINE_MS
-    )
+    request = _request(play)
     decisions: list[Outcome] = []
     waiter = entry.admission.offer(request, play.now, decisions.append)
     if isinstance(waiter, Waiter):
