--- a/tests/test_room_admission.py
+++ b/tests/test_room_admission.py
@@ -46,7 +46,7 @@
 
 
 def test_a_region_that_stays_full_answers_in_time_what_it_admits() -> None:
-    """With queues at targets up to the latency target, 334 of 425 were late."""
+    """Queues at targets that are filled up to the latency target make most late."""
     play = Play()
     play.load(URGENT, 1.5 * CAPACITY_PER_S, 100.0, 110.0)
     play.run(112.0)
