--- a/tests/interface_table.py
+++ b/tests/interface_table.py
@@ -66,6 +66,7 @@
     "quotas.slack": ("float", 20.0),
     "quotas": ("object", "defaults of its parts"),
     "confirm_within_s": ("float", 0.0),
+    "waits_for_room": ("bool", False),
     "first_start": ("bool", False),
     "seed": ("int", 0),
 }
@@ -101,6 +102,7 @@
     "bounds.strict-revocation": ("bool", False),
     "bounds.revocation-ms": ("float", 5000.0),
     "bounds": ("object", "defaults of its parts"),
+    "contracts": ("list[str]", []),
 }
 """The same of the settings file on the platform, by the names in the file."""
 
@@ -151,6 +153,13 @@
     "leverdoor_entry_room_requests": ("counter", ("outcome",), ()),
     "leverdoor_entry_slow_targets": ("gauge", (), ()),
     "leverdoor_entry_targets_ended": ("counter", ("service",), ()),
+    "leverdoor_entry_waiting": ("gauge", ("service", "region"), ()),
+    "leverdoor_entry_waited_seconds": (
+        "histogram",
+        ("service", "outcome"),
+        (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, inf),
+    ),
+    "leverdoor_entry_shed_level": ("gauge", ("service", "region"), ()),
 }
 """The same of the entry."""
 
@@ -289,6 +298,7 @@
     ("registration_left_out", ("cause", "detail", "name", "unlogged")),
     ("report_unreadable", ("target", "text", "what")),
     ("shares", ("service", "shares")),
+    ("shed_level", ("level", "refused", "region", "service", "utilization")),
     ("store", ("change", "detail", "era", "revision")),
     ("store_restored", ("change", "era", "kept", "revision")),
     ("target_checked", ("found", "lost", "service", "target", "took_ms")),
