--- a/leverdoor/platform/store.py
+++ b/leverdoor/platform/store.py
@@ -14,11 +14,15 @@
 from collections.abc import AsyncIterator, Sequence
 from typing import NamedTuple, TypeVar
 
-import aiohttp
 import msgspec
 
 from leverdoor.errors import Code, LeverdoorError, OutcomeUnknown, StoreUnavailable
-from leverdoor.sessions import new_session
+from leverdoor.http.client import HttpClient
+from leverdoor.http.client_connection import (
+    CallTimedOut,
+    ConnectFailed,
+    ResponseLost,
+)
 from leverdoor.storage.position import UNKNOWN_ERA, Position
 from leverdoor.storage.store import (
     Commit,
@@ -72,10 +76,14 @@
 `EVENT_BATCH_DELAY_S`. With a greater value an unscheduled call may be late; with a
 smaller value watches open new connections.
 """
-ERA_HEADER = "Store-Era"
-"""Header of all responses with the era of the store's history, a decimal number.
-
-It rises by one each time the store comes back from a copy, without its latest changes.
+CALL_PATH = "/api/"
+"""Path of all calls, before their names."""
+JSON_HEADERS = {"Content-Type": "application/json"}
+"""Headers of calls with a body."""
+ERA_HEADER = "store-era"
+"""Header of all responses, in lower case, with the era of the store's history.
+
+A decimal number that rises by one each time the store comes back from a copy, without its latest changes.
 """
 EVENT_BATCH_DELAY_S = 0.1
 """Delay after a watch call that returned events, in seconds; it batches later events.
@@ -157,24 +165,15 @@
         Args:
           address: the store's `ip:port`.
         """
-        self._base = f"http://{address}/api/"
-        self._read_session: aiohttp.ClientSession | None = None
-        self._write_session: aiohttp.ClientSession | None = None
+        self._address = address
+        # Reads have connections of their own, with a shorter idle time.
+        self._read_client = HttpClient(idle_s=READ_IDLE_S)
+        self._write_client = HttpClient()
 
     async def close(self) -> None:
         """Close all connections."""
-        for session in (self._read_session, self._write_session):
-            if session is not None:
-                await session.close()
-        self._read_session = self._write_session = None
-
-    def _session(self, method: str) -> aiohttp.ClientSession:
-        """Return the session for an HTTP method; reads have separate connections."""
-        if method == "GET":
-            self._read_session = self._read_session or new_session(idle_s=READ_IDLE_S)
-            return self._read_session
-        self._write_session = self._write_session or new_session()
-        return self._write_session
+        self._read_client.close()
+        self._write_client.close()
 
     async def read(self, prefix: str) -> Listing:
         """Read all keys under a prefix.
@@ -368,25 +367,25 @@
           OutcomeUnknown: the response was lost.
         """
         self.calls += 1  # Counter of the base class.
-        headers = {} if body is None else {"Content-Type": "application/json"}
+        client = self._read_client if method == "GET" else self._write_client
         try:
-            async with self._session(method).request(
+            response = await client.call(
                 method,
-                self._base + call,
-                params=query,
-                data=None if body is None else msgspec.json.encode(body),
-                headers=headers,
-                timeout=aiohttp.ClientTimeout(total=timeout_s),
-            ) as response:
-                data = await response.read()
-                self.era = _parse_era(response.headers.get(ERA_HEADER))
-                return StoreResponse(response.status, data, self.era)
-        except aiohttp.ClientConnectorError as e:
+                self._address,
+                CALL_PATH + call,
+                query,
+                headers=None if body is None else JSON_HEADERS,
+                body=None if body is None else msgspec.json.encode(body),
+                timeout_s=timeout_s,
+            )
+        except ConnectFailed as e:
             raise StoreUnavailable(f"{call}: {e}") from None
-        except TimeoutError as e:
+        except CallTimedOut as e:
             raise CallTimeoutError(f"{call}: {e!r}") from None
-        except (aiohttp.ClientError, OSError) as e:
+        except ResponseLost as e:
             raise OutcomeUnknown(f"{call}: {e!r}") from None
+        self.era = _parse_era(response.headers.get(ERA_HEADER))
+        return StoreResponse(response.status, response.body, self.era)
 
 
 def _raise_for_status(status: int, call: str) -> None:
--- a/leverdoor/storage/fetching.py
+++ b/leverdoor/storage/fetching.py
@@ -14,12 +14,12 @@
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable
 
-import aiohttp
 import msgspec
 from loguru import logger
 
 from leverdoor.codec import unpack
-from leverdoor.sessions import new_session
+from leverdoor.http.client import HttpClient
+from leverdoor.http.client_connection import HttpCallError
 from leverdoor.storage.position import UNKNOWN_ERA, Position
 from leverdoor.storage.state import Delta, State
 
@@ -67,12 +67,8 @@
 With a shorter limit, fetches open new connections more often; with a longer one, they
 wait for timeouts more often.
 """
-READ_TIMEOUT = aiohttp.ClientTimeout(
-    sock_connect=READ_TIMEOUT_S, sock_read=READ_TIMEOUT_S
-)
-"""Connect and read timeout of the HTTP client: `READ_TIMEOUT_S` for each."""
 FETCH_ERRORS = (
-    aiohttp.ClientError,
+    HttpCallError,
     OSError,
     TimeoutError,
     msgspec.MsgspecError,
@@ -81,6 +77,14 @@
 """Exceptions that a fetch from a peer may raise."""
 DEFLATE = "deflate"
 """HTTP name of the content coding that zlib implements."""
+STATE_PATH = "/v1/internal/state"
+"""Path of a peer's state."""
+FIRST_ERROR_STATUS = 400
+"""First HTTP status of rejected calls."""
+
+
+class FetchRejected(HttpCallError):
+    """The peer answered with an error."""
 
 
 class DeltaSource(ABC):
@@ -106,30 +110,27 @@
     """Fetches deltas from the HTTP API of peers."""
 
     def __init__(self) -> None:
-        """Create a source; the first fetch opens the session."""
-        self._session: aiohttp.ClientSession | None = None
+        """Create a source without opening a connection."""
+        self._client = HttpClient(idle_s=IDLE_CONNECTION_S, silence_s=READ_TIMEOUT_S)
 
     async def close(self) -> None:
         """Close the connections."""
-        if self._session is not None:
-            await self._session.close()
+        self._client.close()
 
     async def fetch(self, address: str, since: Position) -> Delta:
         """Fetch the changes after a position from a peer."""
-        if self._session is None:
-            self._session = new_session(idle_s=IDLE_CONNECTION_S)
-        url = f"http://{address}/v1/internal/state?since={since.revision}"
+        query = {"since": str(since.revision)}
         if since.era != UNKNOWN_ERA:
-            url += f"&era={since.era}"
-        headers = {"Accept-Encoding": DEFLATE}
-        async with self._session.get(
-            url, headers=headers, timeout=READ_TIMEOUT
-        ) as answer:
-            answer.raise_for_status()
-            data = await answer.read()
-            if answer.headers.get("Content-Encoding") == DEFLATE:
-                data = zlib.decompress(data)
-            return unpack(data, Delta)
+            query["era"] = str(since.era)
+        response = await self._client.call(
+            "GET", address, STATE_PATH, query, headers={"Accept-Encoding": DEFLATE}
+        )
+        if response.status >= FIRST_ERROR_STATUS:
+            raise FetchRejected(f"HTTP {response.status}")
+        data = response.body
+        if response.headers.get("content-encoding") == DEFLATE:
+            data = zlib.decompress(data)
+        return unpack(data, Delta)
 
 
 class PeerFetcher:
