--- a/leverdoor/platform/store.py
+++ b/leverdoor/platform/store.py
@@ -83,7 +83,8 @@
 ERA_HEADER = "store-era"
 """Header of all responses, in lower case, with the era of the store's history.
 
-A decimal number that rises by one each time the store comes back from a copy, without its latest changes.
+A decimal number that rises by one each time the store comes back from a copy, without
+its latest changes.
 """
 EVENT_BATCH_DELAY_S = 0.1
 """Delay after a watch call that returned events, in seconds; it batches later events.
