Metrics of an entry without prometheus_client

Importing any module of prometheus_client loads its package, and with it http.server, wsgiref, ssl and collectors of the process: 2.9 MB of private memory, measured in a fresh process after asyncio, msgspec and loguru. The entry's own module writes the same text, byte for byte, which tests/test_exposition.py compares with the library's. Agents and gates keep it.

test_interface.py read kinds, labels and bounds from private attributes of the library's registry; for the entry's it reads the same three from public ones, and compares them with the same table. test_decisions_page.py changed in a type only.

--- a/leverdoor/entry/metrics.py
+++ b/leverdoor/entry/metrics.py
@@ -7,8 +7,7 @@
 
 from collections.abc import Mapping
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
-from prometheus_client.exposition import generate_latest
+from leverdoor.exposition import Counter, Gauge, Histogram, Registry
 
 __all__ = ["EntryMetrics"]
 
@@ -29,7 +28,7 @@
 
     def __init__(self) -> None:
         """Create the metrics in a separate registry."""
-        self.registry = CollectorRegistry()
+        self.registry = Registry()
         self._requests = Histogram(
             "leverdoor_entry_request_seconds",
             "Time from a request's head to the end of its answer.",
@@ -173,4 +172,4 @@
 
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        return generate_latest(self.registry)
+        return self.registry.text()
--- a/tests/test_decisions_page.py
+++ b/tests/test_decisions_page.py
@@ -17,6 +17,7 @@
 
 from leverdoor.entry.metrics import EntryMetrics
 from leverdoor.errors import Code
+from leverdoor.exposition import Registry
 from leverdoor.metrics import AgentMetrics, GateMetrics
 
 ROOT = Path(__file__).parent.parent
@@ -125,7 +126,7 @@
 
 @cache
 def metrics() -> frozenset[str]:
-    registries: list[CollectorRegistry] = [
+    registries: list[CollectorRegistry | Registry] = [
         kind().registry for kind in (EntryMetrics, GateMetrics, AgentMetrics)
     ]
     return frozenset(
--- a/tests/test_interface.py
+++ b/tests/test_interface.py
@@ -36,6 +36,7 @@
 from leverdoor.entry.metrics import EntryMetrics
 from leverdoor.entry.settings import RELOADABLE, EntrySettings
 from leverdoor.errors import Code, code_info
+from leverdoor.exposition import Registry
 from leverdoor.gate.handler import GateHandler
 from leverdoor.logs import _LogLine
 from leverdoor.metrics import AgentMetrics, GateMetrics
@@ -133,12 +134,15 @@
 
 
 def metrics_of(
-    registry: CollectorRegistry,
+    registry: CollectorRegistry | Registry,
 ) -> dict[str, tuple[str, tuple[str, ...], tuple[float, ...]]]:
     """Return kind, labels and bounds of buckets by name.
 
-    The registry has no public way to list the labels of a metric without samples.
+    The library's registry has no public way to list the labels of a metric without
+    samples.
     """
+    if isinstance(registry, Registry):
+        return {m.name: (m.kind, m.label_names, m.bounds) for m in registry.collect()}
     found = {}
     collectors: list[Any] = list(registry._collector_to_names)
     for c in collectors:
