--- a/leverdoor/standins/cli.py
+++ b/leverdoor/standins/cli.py
@@ -11,8 +11,8 @@
 
 from leverdoor.options import ADDRESS_TYPE
 from leverdoor.settings import Address
-from leverdoor.standins.http_daemon import serve_apps
 from leverdoor.standins.kv import KvStandin
+from leverdoor.standins.serving import serve_apps
 from leverdoor.standins.targets import TargetStandin
 from leverdoor.standins.vms import VmListStandin
 from leverdoor.storage.vm_list_client import Vm
--- a/leverdoor/standins/http_daemon.py
+++ b/leverdoor/standins/serving.py
@@ -1,9 +1,8 @@
 # leverdoor: global traffic steering
 # SPDX-License-Identifier: Apache-2.0
-"""Runs HTTP applications of stand-ins as one process.
+"""Serves HTTP applications of stand-ins as a process, until it is stopped.
 
-Owns the listening sockets, which are closed with the process. Relies on
-`leverdoor.lifecycle` for the event loop and signals.
+Owns the listeners; lost with the process.
 """
 
 import asyncio
