--- a/tests/test_fetching.py
+++ b/tests/test_fetching.py
@@ -4,11 +4,14 @@
 
 import asyncio
 
+import pytest
+
 from leverdoor.storage.fetching import (
     FAILED_PEER_BACKOFF_S,
     HEDGE_DELAY_S,
     MAX_CONCURRENT_FETCHES,
     DeltaSource,
+    HttpDeltaSource,
     PeerFetcher,
 )
 from leverdoor.storage.position import Position
@@ -93,3 +96,37 @@
         assert state.entries["k"].value == b"newer"
 
     run_virtual(run())
+
+
+INVALID_RESPONSES = [
+    pytest.param(b"HTTP/1.1 503 No\r\nContent-Length: 2\r\n\r\n\x93\x00", id="error"),
+    pytest.param(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", id="no state"),
+    pytest.param(
+        b"HTTP/1.1 200 OK\r\nContent-Encoding: deflate\r\nContent-Length: 1\r\n\r\nx",
+        id="not compressed",
+    ),
+    pytest.param(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx", id="truncated"),
+    pytest.param(b"", id="closed"),
+]
+
+
+@pytest.mark.parametrize("response", INVALID_RESPONSES)
+async def test_invalid_response_is_a_failed_fetch(response: bytes) -> None:
+    """Another exception would end the caller's loop."""
+
+    async def respond(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(response)
+        writer.close()
+
+    server = await asyncio.start_server(respond, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    state = State()
+    fetcher = PeerFetcher(state, HttpDeltaSource())
+    assert await fetcher.fetch(f"{host}:{port}") is None
+    assert not fetcher.may_fetch(f"{host}:{port}", asyncio.get_running_loop().time())
+    assert state.revision == 0
+    await fetcher.close()
+    server.close()
