An HTTP server that runs pipelined safe requests side by side

Callers got the answers of pipelined reads one run after another: the HTTP library's server starts a request only when the one before it is answered. This server parses with httptools, which the connections to targets use already. Requests that may be repeated run beside others of their kind, eight a connection at most, and are answered in their order; any other waits until all before it are answered, since a client sends again whatever stands behind an answer that closes the connection. Such an answer cancels the runs behind it. What a connection holds is bounded: parsed requests, answers that wait for an earlier one, the unread part of a body, and the time without reading. A client that leaves is noticed also while its connection is not read, by the state of its socket.

Nothing uses the server yet.

--- a/leverdoor/http/messages.py
+++ b/leverdoor/http/messages.py
@@ -3,8 +3,9 @@
 """HTTP messages: headers, requests with a body that is read as it arrives, responses.
 
 A request owns the received part of its body until it is read; the connection that
-receives it pauses when that part exceeds `BODY_BUFFER_BYTES`. All of it is lost with the
-connection. Texts are decoded as latin-1, so that every byte is passed on as received.
+receives it pauses when that part exceeds `BODY_BUFFER_BYTES`. All of it is lost with
+the connection. Texts are decoded as latin-1, so that each byte is passed on as
+received.
 """
 
 import asyncio
@@ -93,8 +94,6 @@
         headers: Headers,
         version: str = "1.1",
         arrived_at: float = 0.0,
-        on_read: Callable[[], None] | None = None,
-        send_continue: Callable[[], None] | None = None,
     ) -> None:
         """Initialize the request from its head.
 
@@ -104,8 +103,6 @@
           headers: its headers.
           version: "1.0" or "1.1".
           arrived_at: loop time at which its head was complete, in seconds.
-          on_read: called when buffered bytes of the body were read.
-          send_continue: sends the interim response 100.
         """
         self.method = method
         self.target = target
@@ -122,8 +119,8 @@
         self._buffered = 0
         self._error: BodyError | None = None
         self._waiter: asyncio.Future[None] | None = None
-        self._on_read = on_read
-        self._send_continue = send_continue
+        self._on_read: Callable[[], None] | None = None
+        self._send_continue: Callable[[], None] | None = None
 
     @property
     def path(self) -> str:
@@ -155,8 +152,9 @@
     @property
     def awaits_continue(self) -> bool:
         """Return whether the client may still wait for the interim response."""
-        waits = self.expects_continue and self._send_continue is not None
-        return waits and self.has_body and not self.body_complete
+        if self.body_complete or self._buffered or self._send_continue is None:
+            return False
+        return self.expects_continue
 
     async def read_chunk(self) -> bytes:
         """Return the received part of the body, waiting for it; b"" at its end.
@@ -183,6 +181,18 @@
 
     # Called by the connection.
 
+    def attach(
+        self, on_read: Callable[[], None], send_continue: Callable[[], None]
+    ) -> None:
+        """Connect the request with the connection that receives it.
+
+        Args:
+          on_read: called when buffered bytes of the body were read.
+          send_continue: sends the interim response 100.
+        """
+        self._on_read = on_read
+        self._send_continue = send_continue
+
     def feed(self, data: bytes) -> None:
         """Add a received part of the body."""
         self._chunks.append(data)
--- /dev/null
+++ b/leverdoor/http/request_parser.py
@@ -0,0 +1,223 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Parses the requests that a client sends on a connection.
+
+Strict where two readers could take different bytes for the next request: anything but
+CRLF, conflicting or repeated lengths, a length beside chunks and codings other than
+chunked are malformed. Owns the partially received request; lost with the connection.
+Relies on httptools.
+"""
+
+import asyncio
+from typing import Protocol
+
+import httptools
+
+from leverdoor.http.messages import Headers, Request
+
+__all__ = ["MalformedRequest", "RequestParser", "RequestReceiver"]
+
+HEAD_FIELDS = 4
+"""Greatest size of a head, in multiples of the greatest size of a field.
+
+A greater value lets slow clients hold more memory. A smaller one refuses requests
+whose fields are each within their limit.
+"""
+KNOWN_NAMES = {
+    b"accept": "Accept",
+    b"accept-encoding": "Accept-Encoding",
+    b"connection": "Connection",
+    b"content-length": "Content-Length",
+    b"content-type": "Content-Type",
+    b"host": "Host",
+    b"transfer-encoding": "Transfer-Encoding",
+    b"user-agent": "User-Agent",
+    b"x-request-id": "X-Request-ID",
+}
+"""Frequent header names; requests share one text for each, in this spelling."""
+
+
+class MalformedRequest(Exception):
+    """The received bytes are no acceptable request.
+
+    Attributes:
+      status: HTTP status of the response.
+    """
+
+    def __init__(self, status: int, reason: str) -> None:
+        """Initialize the error with its status and reason."""
+        super().__init__(reason)
+        self.status = status
+
+
+class RequestReceiver(Protocol):
+    """Takes the parts of requests, in the order of receipt."""
+
+    def start_request(self, request: Request, keep_alive: bool) -> None:
+        """Take a request whose head is complete."""
+
+    def receive_body(self, data: bytes) -> None:
+        """Take a part of the body of the newest request."""
+
+    def end_request(self) -> None:
+        """Note that the newest request is complete."""
+
+
+class RequestParser:
+    """Parses the successive requests on one connection."""
+
+    __slots__ = (
+        "_head_bytes",
+        "_headers",
+        "_keep_alive",
+        "_max_bytes",
+        "_parser",
+        "_receiver",
+        "_request",
+        "_status",
+        "_stopping",
+        "_target",
+        "ended",
+        "in_head",
+    )
+
+    def __init__(self, receiver: RequestReceiver, header_bytes: int) -> None:
+        """Initialize the parser.
+
+        Args:
+          receiver: takes the parts of requests.
+          header_bytes: greatest length of the request target and of each field.
+        """
+        self._receiver = receiver
+        self._max_bytes = header_bytes
+        self._parser = httptools.HttpRequestParser(self)
+        self._target = b""
+        self._headers: list[tuple[str, str]] = []
+        self._head_bytes = 0
+        self._request: Request | None = None
+        self._keep_alive = True
+        self._status = 400
+        self._stopping = False
+        self.ended = False
+        """Whether no further request is accepted; received bytes are ignored."""
+        self.in_head = False
+        """Whether the head of a request is partially received."""
+
+    @property
+    def in_body(self) -> bool:
+        """Return whether the body of a request is partially received."""
+        return self._request is not None
+
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes.
+
+        Raises:
+          MalformedRequest: they are no acceptable request; none is parsed after them.
+        """
+        if self.ended:
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as e:
+            self._decline_upgrade(data[e.args[0] :])
+        except httptools.HttpParserError as e:
+            if self.ended:
+                return
+            self.ended = True
+            raise MalformedRequest(self._status, repr(e)) from None
+        if self.in_head:
+            self._head_bytes += len(data)
+            if self._head_bytes > HEAD_FIELDS * self._max_bytes:
+                self.ended = True
+                raise MalformedRequest(431, "head too long")
+
+    def stop(self) -> None:
+        """Accept no request whose head is not complete yet."""
+        self._stopping = True
+        self.ended = not self.in_body
+
+    def _decline_upgrade(self, rest: bytes) -> None:
+        """Continue after a request that asks for another protocol.
+
+        The library reports it before its body, whose framing is then unknown.
+        """
+        if self.in_body:
+            self.ended = True
+            raise MalformedRequest(400, "upgrade with a body")
+        if rest:
+            self.feed(rest)
+
+    def _reject(self, status: int, reason: str) -> None:
+        self._status = status
+        raise ValueError(reason)
+
+    # Callbacks of httptools.
+
+    def on_message_begin(self) -> None:
+        """Reset the state for the next request."""
+        self.in_head = not self.ended
+        self._target = b""
+        self._headers = []
+        self._head_bytes = 0
+
+    def on_url(self, url: bytes) -> None:
+        """Append a part of the request target."""
+        self._target += url
+        if len(self._target) > self._max_bytes:
+            self._reject(431, "request target too long")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Store a header; trailers of a chunked body are ignored."""
+        if self._request is not None or self.ended:
+            return
+        if len(name) + len(value) > self._max_bytes:
+            self._reject(431, "header too long")
+        text = KNOWN_NAMES.get(name.lower()) or name.decode("latin-1")
+        self._headers.append((text, value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """Pass on a request whose head is complete."""
+        if self.ended:
+            return
+        version = self._parser.get_http_version()
+        headers = Headers(self._headers)
+        self._check_framing(version, headers)
+        method = self._parser.get_method().decode("latin-1")
+        if method == "CONNECT":
+            self._reject(400, "tunnels are not supported")
+        request = Request(
+            method,
+            self._target.decode("latin-1"),
+            headers,
+            version,
+            asyncio.get_running_loop().time(),
+        )
+        self.in_head = False
+        self._headers = []
+        self._request = request if request.has_body else None
+        self._keep_alive = self._parser.should_keep_alive()
+        self._receiver.start_request(request, self._keep_alive)
+
+    def _check_framing(self, version: str, headers: Headers) -> None:
+        """Reject versions and transfer codings that others may read differently."""
+        if version not in ("1.0", "1.1"):
+            self._reject(400, f"version {version}")
+        codings = headers.get_all("Transfer-Encoding")
+        if not codings:
+            return
+        chunked = [coding.strip().lower() for coding in codings] == ["chunked"]
+        if version == "1.0" or not chunked:
+            self._reject(400, f"transfer coding {codings}")
+
+    def on_body(self, body: bytes) -> None:
+        """Pass on a part of the body."""
+        if not self.ended:
+            self._receiver.receive_body(body)
+
+    def on_message_complete(self) -> None:
+        """Pass on the end of a request."""
+        if self.ended:
+            return
+        self._request = None
+        self.ended = self._stopping or not self._keep_alive
+        self._receiver.end_request()
--- /dev/null
+++ b/leverdoor/http/server_connection.py
@@ -0,0 +1,525 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""A connection of the server: runs its requests and answers them in their order.
+
+A client may send further requests before the first answer. Those that may be repeated
+run side by side, up to `MAX_PIPELINED`; any other waits until all before it are
+answered, since a client sends again whatever stands behind an answer that closes the
+connection. If an answer closes it, the requests behind are dropped and their runs
+cancelled.
+
+Owns the unanswered requests of the connection and what is received of the next ones;
+lost with the connection, whose runs are cancelled. An idle connection has a timer and
+no task. Relies on `request_parser` for framing.
+"""
+
+import asyncio
+import socket
+from collections import deque
+from collections.abc import Awaitable, Callable
+from enum import Enum
+from functools import partial
+from typing import Protocol
+
+from loguru import logger
+
+from leverdoor.http.messages import BODY_BUFFER_BYTES, BodyError, Request, Response
+from leverdoor.http.request_parser import MalformedRequest, RequestParser
+from leverdoor.http.response_bytes import CONTINUE, serialize_response
+
+__all__ = ["MAX_PIPELINED", "ConnectionLimits", "ServerConnection", "ServerHooks"]
+
+MAX_PIPELINED = 8
+"""Requests of a connection that are parsed and not answered yet.
+
+A page or a list of a client needs six to eight requests at once. A greater value lets
+one client hold more runs and answers in memory. With a smaller one, requests of such a
+client wait for each other.
+"""
+MAX_HELD_BYTES = 256 * 1024
+"""Bytes of ready answers behind an unready one above which no further request starts.
+
+It holds `MAX_PIPELINED` answers of 32 kB. With a greater value, a few hundred clients
+whose first request is slow exhaust the memory of a small VM.
+"""
+PARSED_BYTES = 16 * 1024
+"""Bytes that are parsed between two checks of the number of unanswered requests.
+
+A greater value lets many short requests in one packet exceed `MAX_PIPELINED` by more.
+"""
+JOINED_BYTES = 64 * 1024
+"""Length of a body up to which it is sent in one piece with its head."""
+DISCARD_S = 10.0
+"""Longest time in which the rest of a body is received that nobody reads, in seconds.
+
+With a smaller value, a client over a slow link that still sends loses its answer.
+"""
+CLOSE_S = 1.0
+"""Time for a client to close a connection after the last answer, in seconds.
+
+A connection that closes while received bytes are unread is reset, and the client may
+lose the answer. A greater value keeps connections for longer.
+"""
+CLOSED_CHECK_S = 0.2
+"""Interval in which a connection that is not read is checked for its end, in seconds.
+
+The runs of a client that left are to be cancelled within half a second.
+"""
+TCP_STATES_ENDED = (7, 8)
+"""TCP_CLOSE and TCP_CLOSE_WAIT of Linux: the peer has closed the connection."""
+
+
+class ConnectionLimits(Protocol):
+    """What a client may send, and how long it may take or be idle."""
+
+    @property
+    def header_bytes(self) -> int:
+        """Greatest length of a request target and of a header, in bytes."""
+
+    @property
+    def header_timeout_ms(self) -> int:
+        """Longest time for the head of a request, in ms."""
+
+    @property
+    def idle_timeout_ms(self) -> int:
+        """Longest time between two requests, or without reading an answer, in ms."""
+
+
+class ServerHooks(Protocol):
+    """What a connection needs of its server; `HttpServer` documents it."""
+
+    handle: Callable[[Request], Awaitable[Response]]
+    may_repeat: Callable[[Request], bool]
+    on_overlap: Callable[[], None]
+    on_unread: Callable[[], None]
+    connections: "set[ServerConnection]"
+    leaving: bool
+
+
+class _Exchange:
+    """A received request and, once it is ready, its response."""
+
+    __slots__ = ("keep_alive", "request", "response", "task")
+
+    def __init__(self, request: Request | None, keep_alive: bool) -> None:
+        self.request = request
+        """None if the received bytes were no request."""
+        self.keep_alive = keep_alive
+        self.task: asyncio.Future[Response] | None = None
+        self.response: Response | None = None
+
+    @property
+    def started(self) -> bool:
+        return self.task is not None or self.response is not None
+
+
+class _Wait(Enum):
+    """What the timer of a connection limits."""
+
+    NOTHING = 0
+    HEAD = 1
+    IDLE = 2
+    DISCARD = 3
+    UNREAD = 4
+    CLOSE = 5
+
+
+class ServerConnection(asyncio.Protocol):
+    """The protocol of one connection."""
+
+    __slots__ = (
+        "_closed_check",
+        "_closing",
+        "_exchanges",
+        "_limits",
+        "_loop",
+        "_parser",
+        "_read_paused",
+        "_receiving",
+        "_server",
+        "_timer",
+        "_transport",
+        "_unparsed",
+        "_unsent_bytes",
+        "_wait",
+        "_writable",
+    )
+
+    def __init__(self, server: ServerHooks, limits: ConnectionLimits) -> None:
+        """Initialize the protocol; the listener connects it to a transport.
+
+        Args:
+          server: provides the handler; lists the connection while it is open.
+          limits: the limits that apply until the connection closes.
+        """
+        self._server = server
+        self._limits = limits
+        self._loop = asyncio.get_running_loop()
+        self._parser = RequestParser(self, limits.header_bytes)
+        self._transport: asyncio.Transport | None = None
+        self._exchanges: deque[_Exchange] = deque()
+        """The unanswered requests, in the order of receipt."""
+        self._receiving: _Exchange | None = None
+        """The request whose body is partially received."""
+        self._unparsed = b""
+        self._read_paused = False
+        self._writable = True
+        self._closing = False
+        self._unsent_bytes = 0
+        self._wait = _Wait.NOTHING
+        self._timer: asyncio.TimerHandle | None = None
+        self._closed_check: asyncio.TimerHandle | None = None
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is unanswered, or an answer is not sent completely."""
+        return bool(self._exchanges) or self._has_unsent_bytes()
+
+    def force_close(self) -> None:
+        """Cancel all runs and close the connection once written bytes are sent."""
+        self._drop(self._exchanges)
+        if self._transport is not None:
+            self._set_wait(_Wait.UNREAD)
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Cancel all runs and close the connection at once."""
+        self._drop(self._exchanges)
+        if self._transport is not None:
+            self._transport.abort()
+
+    # Methods that the transport calls.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start the timeout within which the first byte must arrive."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._server.connections.add(self)
+        self._update()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel all runs: the client has left."""
+        self._transport = None
+        self._server.connections.discard(self)
+        self._drop(self._exchanges)
+        self._parser.ended = True
+        self._unparsed = b""
+        self._set_wait(_Wait.NOTHING)
+        self._stop_closed_check()
+
+    def eof_received(self) -> bool:
+        """Treat a client that stopped sending as one that left."""
+        self._drop(self._exchanges)
+        self._set_wait(_Wait.UNREAD)
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes as far as the limits permit."""
+        if self._parser.ended:
+            return
+        self._unparsed = self._unparsed + data if self._unparsed else data
+        self._update()
+
+    def pause_writing(self) -> None:
+        """Start and read nothing while the client does not read its answers."""
+        self._writable = False
+        self._server.on_unread()
+        self._update()
+
+    def resume_writing(self) -> None:
+        """Continue to answer, start and read requests."""
+        self._writable = True
+        self._update()
+
+    # Methods that the parser calls.
+
+    def start_request(self, request: Request, keep_alive: bool) -> None:
+        """Append a request whose head is complete."""
+        request.attach(self._update, self._send_continue)
+        self._set_wait(_Wait.NOTHING)
+        exchange = _Exchange(request, keep_alive)
+        self._exchanges.append(exchange)
+        if request.has_body:
+            self._receiving = exchange
+
+    def receive_body(self, data: bytes) -> None:
+        """Add a part of a body, unless its request is answered already."""
+        if self._receiving in self._exchanges:
+            assert self._receiving is not None and self._receiving.request is not None
+            self._receiving.request.feed(data)
+
+    def end_request(self) -> None:
+        """Complete a body."""
+        if self._receiving is not None and self._receiving.request is not None:
+            self._receiving.request.end_body()
+        self._receiving = None
+
+    # Progress: every event of the connection ends in `_update`.
+
+    def _update(self) -> None:
+        """Send, parse, start and wait for what is possible now."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._send_ready()
+        self._parse()
+        self._start()
+        self._pause_or_read()
+        self._set_wait(self._next_wait())
+
+    def _may_parse(self) -> bool:
+        """Return whether the memory of the connection permits to parse more."""
+        if self._parser.ended or not self._writable:
+            return False
+        if self._receiving is None:
+            return len(self._exchanges) < MAX_PIPELINED
+        request = self._receiving.request
+        return request is not None and request.buffered < BODY_BUFFER_BYTES
+
+    def _parse(self) -> None:
+        """Parse the received bytes, a part at a time."""
+        while self._unparsed and self._may_parse():
+            data = self._unparsed[:PARSED_BYTES]
+            self._unparsed = self._unparsed[PARSED_BYTES:]
+            try:
+                self._parser.feed(data)
+            except MalformedRequest as e:
+                self._reject(e)
+        if self._parser.ended:
+            self._unparsed = b""
+
+    def _reject(self, error: MalformedRequest) -> None:
+        """Answer bytes that are no request, and end the connection after that."""
+        receiving, self._receiving = self._receiving, None
+        if receiving is None or receiving.request is None:
+            self._append_last(error.status)
+        elif receiving in self._exchanges:
+            receiving.request.fail_body(BodyError(str(error)))
+            receiving.keep_alive = False
+        else:
+            self._close()
+
+    def _append_last(self, status: int) -> None:
+        """Append a response that is sent after those to all received requests."""
+        self._parser.ended = True
+        exchange = _Exchange(None, keep_alive=False)
+        exchange.response = Response(status, close=True)
+        self._exchanges.append(exchange)
+        self._send_ready()
+
+    def _start(self) -> None:
+        """Start the requests that may run now."""
+        if not self._exchanges or not self._writable:
+            return
+        first = self._exchanges[0]
+        self._start_exchange(first)
+        if len(self._exchanges) == 1 or not self._may_overlap(first):
+            return
+        for index, exchange in enumerate(self._exchanges):
+            if index == MAX_PIPELINED or not self._may_overlap(exchange):
+                return
+            if exchange.started:
+                continue
+            if self._held_bytes() > MAX_HELD_BYTES:
+                return
+            self._server.on_overlap()
+            self._start_exchange(exchange)
+
+    def _may_overlap(self, exchange: _Exchange) -> bool:
+        """Return whether a request may run beside others of the connection."""
+        request = exchange.request
+        if request is None or request.has_body:
+            return False
+        return self._server.may_repeat(request)
+
+    def _held_bytes(self) -> int:
+        """Return the size of the answers that wait for an earlier one, in bytes."""
+        return sum(len(e.response.body) for e in self._exchanges if e.response)
+
+    def _start_exchange(self, exchange: _Exchange) -> None:
+        """Start to handle a request unless it is started."""
+        if exchange.started or exchange.request is None:
+            return
+        handling = self._server.handle(exchange.request)
+        exchange.task = asyncio.ensure_future(handling)
+        exchange.task.add_done_callback(partial(self._end_exchange, exchange))
+
+    def _end_exchange(
+        self, exchange: _Exchange, task: "asyncio.Future[Response]"
+    ) -> None:
+        """Take the response of a handler, or close the connection without one."""
+        error = None if task.cancelled() else task.exception()
+        if exchange not in self._exchanges:
+            return
+        exchange.task = None
+        if task.cancelled() or isinstance(error, BodyError | ConnectionError):
+            self.abort()
+            return
+        if error is not None:
+            logger.opt(exception=error).error("request handler failed")
+            exchange.response = Response(500, close=True)
+        else:
+            exchange.response = task.result()
+        if exchange.response.close:
+            self._drop_behind(exchange)
+        self._update()
+
+    # Answers.
+
+    def _send_ready(self) -> None:
+        """Send the answers that are ready, in the order of their requests."""
+        while self._writable and self._exchanges:
+            exchange = self._exchanges[0]
+            if exchange.response is None or self._transport is None:
+                return
+            if self._server.leaving:
+                self._parser.stop()
+            self._send(exchange, exchange.response)
+
+    def _send(self, exchange: _Exchange, response: Response) -> None:
+        """Send the first answer; the connection closes after it if it must."""
+        assert self._transport is not None
+        close = response.close or not exchange.keep_alive or self._must_end(exchange)
+        self._exchanges.popleft()
+        head, body = serialize_response(response, exchange.request, close)
+        if len(body) <= JOINED_BYTES:
+            self._transport.write(head + body)
+        else:
+            self._transport.write(head)
+            self._transport.write(body)
+        if close:
+            self._close()
+        elif self._receiving is exchange and exchange.request is not None:
+            exchange.request.discard()
+
+    def _must_end(self, exchange: _Exchange) -> bool:
+        """Return whether no further request can be received after this one."""
+        request = exchange.request
+        if request is not None and request.awaits_continue:
+            # The client may send the body or the next request.
+            return True
+        last = len(self._exchanges) == 1
+        return last and (self._parser.ended or self._server.leaving)
+
+    def _send_continue(self) -> None:
+        """Send the interim response to a request that has a body.
+
+        Such a request only runs once all before it are answered.
+        """
+        if self._transport is not None:
+            self._transport.write(CONTINUE)
+
+    def _close(self) -> None:
+        """Stop sending after the last answer; drop what stands behind it."""
+        assert self._transport is not None
+        self._parser.ended = True
+        self._closing = True
+        self._unparsed = b""
+        self._receiving = None
+        self._drop(self._exchanges)
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+
+    def _drop_behind(self, last: _Exchange) -> None:
+        """Drop the requests behind one whose answer closes the connection."""
+        self._parser.ended = True
+        kept = list(self._exchanges)
+        position = kept.index(last) + 1
+        behind = kept[position:]
+        self._exchanges = deque(kept[:position])
+        self._drop(deque(behind))
+
+    def _drop(self, exchanges: "deque[_Exchange]") -> None:
+        """Cancel runs, and forget their requests."""
+        dropped = list(exchanges)
+        exchanges.clear()
+        for exchange in dropped:
+            if exchange.task is not None:
+                exchange.task.cancel()
+
+    # Reading and timeouts.
+
+    def _pause_or_read(self) -> None:
+        """Stop reading while received bytes wait to be parsed."""
+        if self._transport is None:
+            return
+        pause = bool(self._unparsed) or (not self._writable and not self._closing)
+        if pause == self._read_paused:
+            return
+        self._read_paused = pause
+        if pause:
+            self._transport.pause_reading()
+            self._check_closed()
+        else:
+            self._transport.resume_reading()
+            self._stop_closed_check()
+
+    def _check_closed(self) -> None:
+        """Abort a connection that is not read if its client has left."""
+        self._closed_check = None
+        if self._transport is None:
+            return
+        sock = self._transport.get_extra_info("socket")
+        state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        if state in TCP_STATES_ENDED:
+            self.abort()
+            return
+        self._closed_check = self._loop.call_later(CLOSED_CHECK_S, self._check_closed)
+
+    def _stop_closed_check(self) -> None:
+        if self._closed_check is not None:
+            self._closed_check.cancel()
+            self._closed_check = None
+
+    def _next_wait(self) -> _Wait:
+        """Return what the connection waits for on the side of its client."""
+        if self._closing:
+            return _Wait.UNREAD if self._wait is _Wait.UNREAD else _Wait.CLOSE
+        if not self._writable:
+            return _Wait.UNREAD
+        if self._parser.in_head and not self._parser.ended and not self._unparsed:
+            return _Wait.HEAD
+        if self._exchanges:
+            return _Wait.NOTHING
+        return _Wait.IDLE if self._receiving is None else _Wait.DISCARD
+
+    def _set_wait(self, wait: _Wait) -> None:
+        """Start the timer of a wait unless it runs already."""
+        if wait is self._wait and self._timer is not None:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._wait = wait
+        if wait is _Wait.NOTHING or self._transport is None:
+            return
+        self._unsent_bytes = self._transport.get_write_buffer_size()
+        self._timer = self._loop.call_later(self._timeout_s(wait), self._expire)
+
+    def _timeout_s(self, wait: _Wait) -> float:
+        if wait is _Wait.HEAD:
+            return self._limits.header_timeout_ms / 1000
+        if wait is _Wait.DISCARD:
+            return DISCARD_S
+        if wait is _Wait.CLOSE:
+            return CLOSE_S
+        return self._limits.idle_timeout_ms / 1000
+
+    def _expire(self) -> None:
+        """Close the connection, unless the client still reads an answer."""
+        self._timer = None
+        if self._transport is None:
+            return
+        if self._wait is _Wait.HEAD:
+            self._append_last(408)
+            self._update()
+            return
+        unsent = self._transport.get_write_buffer_size()
+        reads = 0 < unsent < self._unsent_bytes
+        if reads or (unsent and self._wait is _Wait.CLOSE):
+            self._set_wait(_Wait.UNREAD)
+            return
+        self.abort()
+
+    def _has_unsent_bytes(self) -> bool:
+        transport = self._transport
+        return transport is not None and transport.get_write_buffer_size() > 0
