Entries serve clients and other entries with their own HTTP server

Reads that a client sends before the first answer start at once, if their route says that they may be repeated. A leaving entry answers all that it received on a connection and closes after the last; before, it closed after the first. Deadlines count from the receipt of the head, also for a request that waits for an earlier one; quotas count from the start of processing.

Metrics: leverdoor_entry_overlapping_requests, leverdoor_entry_unread_pauses.

Changed test: test_state_pull_from_entry started the HTTP library's server around the admin handler, which no longer fits; it starts the entry's server and compares the same bytes. The tables of the interface gain the metrics and one log message.

--- a/leverdoor/entry/admin.py
+++ b/leverdoor/entry/admin.py
@@ -10,12 +10,11 @@
 import zlib
 from collections.abc import Callable
 
-from aiohttp import web
-
 from leverdoor.codec import pack
 from leverdoor.entry.metrics import EntryMetrics
 from leverdoor.entry.wire import Wire
 from leverdoor.headers import bounded_int
+from leverdoor.http.messages import Headers, Request, Response
 from leverdoor.storage.fetching import DEFLATE
 from leverdoor.storage.position import START, Position
 from leverdoor.storage.state import State
@@ -72,20 +71,20 @@
         self._encoded_position = START
         """Position up to which the cached deltas lead."""
 
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def handle(self, request: Request) -> Response:
         """Dispatch a request by its path; unknown paths get status 404."""
         path = request.path
         if path == self._wire.resolve_path:
             return self._handle_lookup(request)
         if path == self._wire.ready_path:
-            return web.Response(status=200 if self._is_ready() else 503)
+            return Response(200 if self._is_ready() else 503)
         if path == STATE_PATH:
             return self._handle_state_fetch(request)
         if path == METRICS_PATH:
-            return web.Response(body=self._metrics.text(), content_type="text/plain")
-        return web.Response(status=404)
+            return _response(self._metrics.text(), "Content-Type", "text/plain")
+        return Response(404)
 
-    def _handle_state_fetch(self, request: web.BaseRequest) -> web.StreamResponse:
+    def _handle_state_fetch(self, request: Request) -> Response:
         """Return the changes since the requested revision, compressed if they are long.
 
         The encoded delta is cached because many entries fetch it after a change.
@@ -101,20 +100,23 @@
         if encoded is None:
             encoded = self._encoded[since] = _compress(pack(self._state.delta(since)))
         data, coding = encoded
-        return web.Response(body=data, headers={"Content-Encoding": coding})
+        return _response(data, "Content-Encoding", coding)
 
-    def _handle_lookup(self, request: web.BaseRequest) -> web.StreamResponse:
+    def _handle_lookup(self, request: Request) -> Response:
         """Return the entries that a client may use; status 503 if there are none."""
         self._metrics.lookups.inc()
         lookup = self._wire.parse_resolve(request.query)
         now = asyncio.get_running_loop().time()
         addresses = self._addresses(lookup.region, lookup.domain, now)
         if not addresses:
-            return web.Response(status=503)
-        return web.Response(
-            body=self._wire.serialize_resolve(addresses, self._lookup_ttl_s),
-            content_type="application/json",
-        )
+            return Response(503)
+        body = self._wire.serialize_resolve(addresses, self._lookup_ttl_s)
+        return _response(body, "Content-Type", "application/json")
+
+
+def _response(body: bytes, name: str, value: str) -> Response:
+    """Return a response with a body and one header."""
+    return Response(200, headers=Headers([(name, value)]), body=body)
 
 
 def _compress(data: bytes) -> tuple[bytes, str]:
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -13,8 +13,6 @@
 from collections.abc import Callable
 from random import Random
 
-from aiohttp import web
-
 from leverdoor.entry.admin import AdminServer
 from leverdoor.entry.bounds import SHARE_UPDATE_ROUNDS, WARM_KEY_REPORT_S
 from leverdoor.entry.configuration.catalog import Catalog
@@ -38,6 +36,7 @@
 from leverdoor.entry.settings import EntrySettings, reload_settings
 from leverdoor.entry.shutdown import STOP_POLL_S, drain
 from leverdoor.entry.wire import StoreContents, Wire
+from leverdoor.http.server import HttpServer
 from leverdoor.lifecycle import supervise
 from leverdoor.settings import Address
 from leverdoor.storage.state import Delta, State
@@ -134,7 +133,7 @@
         await self._control.peers.open(s.gossip)
         front = await self._listen(self._data.create_connection, s.front)
         for address in (s.ready, s.directory, s.pull, s.metrics):
-            await self._listen(self._admin_server, address)
+            await self._listen(self._admin_server.create_connection, address)
         loops = (
             self._join_and_follow,
             self._register,
@@ -212,7 +211,7 @@
             self._control.follows_store,
             self._catalog_manager.compile,
         )
-        self._admin_server = web.Server(self._create_admin().handle, access_log=None)
+        self._admin_server = HttpServer(self._create_admin().handle)
 
     def _create_admin(self) -> AdminServer:
         return AdminServer(
@@ -365,13 +364,13 @@
         started = loop.time()
         self._state = LEAVING
         handler = self._data.handler
-        handler.leaving = True
+        self._data.server.leaving = True
         self._events.process("leaving", in_flight=handler.active_count)
         self._control.peers.announce_leave()
         deregistration = asyncio.create_task(self._control.registration.end())
         await asyncio.sleep(LEAVE_LISTEN_S)
         front.close()
         deadline = started + self._settings.grace_s - STOP_MARGIN_S
-        await drain(handler, self._data.server, deadline)
+        await drain(self._data.server, deadline)
         deregistration.cancel()
         self._events.process("drained", in_flight=handler.active_count)
--- a/leverdoor/entry/data_plane.py
+++ b/leverdoor/entry/data_plane.py
@@ -12,8 +12,6 @@
 import asyncio
 from collections.abc import Callable
 
-from aiohttp import web
-
 from leverdoor.entry.bounds import (
     INITIAL_RETRIES,
     MAX_SAVED_RETRIES,
@@ -33,7 +31,6 @@
 from leverdoor.entry.metrics import EntryMetrics
 from leverdoor.entry.placement.fleet import SUM_OF_PEERS, Fleet
 from leverdoor.entry.placement.policy import PlacementPolicy
-from leverdoor.entry.requests.client_connection import ClientConnection
 from leverdoor.entry.requests.connection_pool import ConnectionPool
 from leverdoor.entry.requests.forwarding import Forwarder
 from leverdoor.entry.requests.handler import EntryHandler
@@ -42,6 +39,8 @@
 from leverdoor.entry.requests.target_reports import TargetReportHandler
 from leverdoor.entry.settings import EntrySettings
 from leverdoor.entry.warm_up import may_warm_up
+from leverdoor.http.server import HttpServer
+from leverdoor.http.server_connection import ServerConnection
 from leverdoor.model.resources import Target
 from leverdoor.model.target_id import target_id
 from leverdoor.quarantine.crash_checker import CrashChecker, TargetCheckResult
@@ -98,8 +97,19 @@
         self._budget = RetryBudget(ratio, MAX_SAVED_RETRIES, INITIAL_RETRIES)
         self.quarantine = Quarantine()
         self._metrics = metrics
-        self.handler = self._create_handler(metrics)
-        self.server = web.Server(self.handler.handle, handler_cancellation=True)
+        router = RequestRouter(
+            context.wire,
+            self._catalog,
+            self.placement.pick_service,
+            self.keys_confirmed,
+        )
+        self.handler = self._create_handler(router, metrics)
+        self.server = HttpServer(
+            self.handler.handle,
+            router.may_repeat,
+            metrics.overlapping_requests.inc,
+            metrics.unread_pauses.inc,
+        )
 
     def _create_placement(self) -> PlacementPolicy:
         s = self._context.settings
@@ -120,11 +130,10 @@
             metrics,
         )
 
-    def _create_handler(self, metrics: EntryMetrics) -> EntryHandler:
+    def _create_handler(
+        self, router: RequestRouter, metrics: EntryMetrics
+    ) -> EntryHandler:
         wire, events = self._context.wire, self._context.events
-        router = RequestRouter(
-            wire, self._catalog, self.placement.pick_service, self.keys_confirmed
-        )
         outcomes = OutcomeRecorder(self.placement, self.fleet, events)
         forwarder = Forwarder(
             wire,
@@ -199,13 +208,9 @@
             self._context.events.quarantine(change)
         self._metrics.quarantined.set(len(self.quarantine.holds))
 
-    def create_connection(self) -> ClientConnection:
+    def create_connection(self) -> ServerConnection:
         """Create the protocol of a client connection, with the limits in force."""
-        loop = asyncio.get_running_loop()
-        limits = self._catalog_manager.catalog.limits
-        return ClientConnection(
-            self.server, loop, limits, self.handler.busy_connections
-        )
+        return self.server.create_connection(self._catalog().limits)
 
     def reload(self, settings: EntrySettings) -> None:
         """Apply settings that changed while the entry runs."""
--- a/leverdoor/entry/metrics.py
+++ b/leverdoor/entry/metrics.py
@@ -133,6 +133,16 @@
             ["service", "what"],
             registry=self.registry,
         )
+        self.overlapping_requests = Counter(
+            "leverdoor_entry_overlapping_requests",
+            "Requests that started beside an earlier one of their connection.",
+            registry=self.registry,
+        )
+        self.unread_pauses = Counter(
+            "leverdoor_entry_unread_pauses",
+            "Times a connection paused because its client did not read its answers.",
+            registry=self.registry,
+        )
         self._left_out = Gauge(
             "leverdoor_entry_registrations_left_out",
             "Registrations that name no target to use, by what is wrong with them.",
--- a/leverdoor/entry/requests/__init__.py
+++ b/leverdoor/entry/requests/__init__.py
@@ -4,7 +4,6 @@
 
 Modules in the order in which a request passes them:
 
-- `client_connection`: idle and header timeouts of client connections;
 - `handler`: the steps of one request;
 - `routing` with `deadlines`: route, workspace and deadline;
 - `bodies`: reading of request bodies;
--- a/leverdoor/entry/requests/bodies.py
+++ b/leverdoor/entry/requests/bodies.py
@@ -2,25 +2,24 @@
 # SPDX-License-Identifier: Apache-2.0
 """Reads request bodies of clients: short ones into memory, longer ones as a stream.
 
-A buffered body can be sent again in a retry. Owns no state. Relies on aiohttp's
-request stream.
+A buffered body can be sent again in a retry. Owns no state. Relies on the request,
+which buffers what its connection receives.
 """
 
 import asyncio
 from collections.abc import AsyncIterator
 
 import msgspec
-from aiohttp import web
 
 from leverdoor.entry.requests.entry_request import (
     MAX_BUFFERED_BODY_BYTES,
     EntryRequest,
 )
 from leverdoor.errors import Code, Refusal
+from leverdoor.http.messages import BodyError, Request
 
 __all__ = ["BodyPrefix", "read_body"]
 
-CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -35,7 +34,7 @@
 
 
 async def read_body(
-    request: web.BaseRequest, entry_request: EntryRequest, max_bytes: int
+    request: Request, entry_request: EntryRequest, max_bytes: int
 ) -> BodyPrefix:
     """Read a short body completely, or prepare a longer one for streaming.
 
@@ -53,10 +52,8 @@
             Code.BODY_TOO_LARGE,
             f"body of {length} bytes exceeds the limit of {max_bytes}",
         )
-    if request.headers.get("Expect", "").lower() == "100-continue":
-        # aiohttp must not count the interim response as output of the response.
-        await request.writer.write(CONTINUE_RESPONSE)
-        request.writer.output_size = 0
+    if request.expects_continue:
+        request.send_continue()
     received, complete = await _read_start(
         request, entry_request.placement_request.expires_at
     )
@@ -72,9 +69,7 @@
     )
 
 
-async def _read_start(
-    request: web.BaseRequest, deadline_at: float
-) -> tuple[bytes, bool]:
+async def _read_start(request: Request, deadline_at: float) -> tuple[bytes, bool]:
     """Return the start of a body, and whether it is the whole body.
 
     Args:
@@ -87,19 +82,19 @@
     try:
         async with asyncio.timeout_at(deadline_at):
             while len(received) <= MAX_BUFFERED_BODY_BYTES:
-                chunk = await request.content.readany()
+                chunk = await request.read_chunk()
                 if not chunk:
                     return bytes(received), True
                 received += chunk
     except TimeoutError:
         raise Refusal(Code.BODY_TOO_SLOW, f"{len(received)} bytes received") from None
-    except web.RequestPayloadError as e:
+    except BodyError as e:
         raise Refusal(Code.BAD_REQUEST, repr(e)) from None
     return bytes(received), False
 
 
 async def _stream(
-    request: web.BaseRequest,
+    request: Request,
     entry_request: EntryRequest,
     received: bytes,
     max_bytes: int,
@@ -123,6 +118,6 @@
             yield b"%x\r\n%b\r\n" % (len(chunk), chunk)
         else:
             yield chunk
-        chunk = await request.content.readany()
+        chunk = await request.read_chunk()
     if entry_request.chunked:
         yield LAST_CHUNK
--- a/leverdoor/entry/requests/handler.py
+++ b/leverdoor/entry/requests/handler.py
@@ -7,14 +7,13 @@
 forwarded (`forwarding`) and answered (`responses`). Every refusal of these steps is
 logged here.
 
-Owns the set of connections with a request in flight; lost with the process.
+Owns the number of requests in flight; lost with the process.
 """
 
 import asyncio
 from collections.abc import Callable
 
 import msgspec
-from aiohttp import web
 from loguru import logger
 
 from leverdoor.entry.configuration.catalog import Catalog
@@ -23,14 +22,11 @@
 from leverdoor.entry.requests.bodies import BodyPrefix, read_body
 from leverdoor.entry.requests.entry_request import EntryRequest
 from leverdoor.entry.requests.forwarding import Forwarder
-from leverdoor.entry.requests.responses import (
-    close_connection_after,
-    refusal_response,
-    relay_response,
-)
+from leverdoor.entry.requests.responses import refusal_response, relay_response
 from leverdoor.entry.requests.routing import RequestRouter
 from leverdoor.entry.wire import Wire
 from leverdoor.errors import Code, Refusal, Run
+from leverdoor.http.messages import BodyError, Request, Response
 from leverdoor.model.resources import Workspace
 from leverdoor.quarantine.fingerprint import request_fingerprint
 from leverdoor.quarantine.quarantine import Quarantine
@@ -46,6 +42,9 @@
     request_id: str
     arrived: float
     """Loop time at which the request headers arrived, in seconds."""
+    started: float
+    """Loop time at which processing began, in seconds; later than `arrived` if the
+    request waited for an earlier one of its connection. Quotas count from it."""
     service: str = ""
     """The service of the request; "" until it is routed."""
     workspace: Workspace | None = None
@@ -96,43 +95,27 @@
         self._events = events
         self._metrics = metrics
         self._catalog = catalog
-        self.busy_connections: set[object] = set()
-        """The connections with a request in flight."""
-        self.leaving = False
-        """Whether the entry is shutting down. Each response then closes its
-        connection."""
-
-    @property
-    def active_count(self) -> int:
+        self.active_count = 0
         """Number of requests in flight."""
-        return len(self.busy_connections)
-
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Serve a request and send its response."""
-        connection = request.protocol
-        if request.transport is None:
-            raise asyncio.CancelledError("connection closed before processing began")
-        self.busy_connections.add(connection)
+
+    async def handle(self, request: Request) -> Response:
+        """Return the response to a request."""
+        self.active_count += 1
         try:
-            response = await self._respond(request)
-            if self.leaving:
-                close_connection_after(response)
-            await response.prepare(request)
-            await response.write_eof()
-            return response
+            return await self._respond(request)
         finally:
-            self.busy_connections.discard(connection)
+            self.active_count -= 1
 
-    async def _respond(self, request: web.BaseRequest) -> web.Response:
+    async def _respond(self, request: Request) -> Response:
         """Return the response to a request, which may be a refusal."""
         loop = asyncio.get_running_loop()
         request_id = request.headers.get(self._request_id_header, "")
-        progress = _Progress(request_id, loop.time())
+        progress = _Progress(request_id, request.arrived_at, loop.time())
         try:
             return await self._route_and_forward(request, progress)
         except Refusal as e:
             return self._handle_refusal(progress, e, loop.time() - progress.arrived)
-        except (asyncio.CancelledError, ConnectionError, web.RequestPayloadError):
+        except (asyncio.CancelledError, ConnectionError, BodyError):
             took_s = loop.time() - progress.arrived
             self._events.client_left(request_id, progress.service, took_s)
             raise
@@ -147,8 +130,8 @@
             self._metrics.request(progress.service, progress.outcome, took_s)
 
     async def _route_and_forward(
-        self, request: web.BaseRequest, progress: _Progress
-    ) -> web.Response:
+        self, request: Request, progress: _Progress
+    ) -> Response:
         """Route, admit, read and forward a request, and relay the reply.
 
         Raises:
@@ -161,7 +144,7 @@
         progress.workspace = entry_request.placement_request.workspace
         self._admit(progress)
         body_prefix = BodyPrefix()
-        if request.body_exists:
+        if request.has_body:
             max_bytes = self._catalog().limits.body_bytes
             body_prefix = await read_body(request, entry_request, max_bytes)
         progress.fingerprint = _fingerprint(request, entry_request, body_prefix)
@@ -195,17 +178,17 @@
           Refusal: the quota is exhausted.
         """
         if progress.workspace is not None:
-            self._quotas.admit(progress.workspace, progress.arrived)
+            self._quotas.admit(progress.workspace, progress.started)
             progress.admitted = True
 
     def _handle_refusal(
         self, progress: _Progress, error: Refusal, took_s: float
-    ) -> web.Response:
+    ) -> Response:
         """Log a refusal, refund the quota if nothing ran, and return the response."""
         progress.outcome = error.code.name
         workspace = progress.workspace
         if workspace is not None and progress.admitted and error.run is Run.NO:
-            self._quotas.refund(workspace, progress.arrived)
+            self._quotas.refund(workspace, progress.started)
         name = workspace.name if workspace is not None else ""
         version = self._catalog().version
         self._events.refused(
@@ -225,7 +208,7 @@
 
 
 def _fingerprint(
-    request: web.BaseRequest, entry_request: EntryRequest, body_prefix: BodyPrefix
+    request: Request, entry_request: EntryRequest, body_prefix: BodyPrefix
 ) -> int:
     """Return the fingerprint of a request from its headers and its body prefix."""
     workspace = entry_request.placement_request.workspace
--- a/leverdoor/entry/requests/routing.py
+++ b/leverdoor/entry/requests/routing.py
@@ -8,8 +8,6 @@
 
 from collections.abc import Callable
 
-from aiohttp import web
-
 from leverdoor.entry.configuration.catalog import Catalog, host_without_port
 from leverdoor.entry.placement.placement_request import PlacementRequest
 from leverdoor.entry.requests.deadlines import DEFAULT_DEADLINE_MS, request_deadline
@@ -21,7 +19,8 @@
 from leverdoor.entry.wire import Wire
 from leverdoor.errors import Code, Refusal
 from leverdoor.headers import bounded_int, forwardable_headers
-from leverdoor.model.resources import Route, Workspace
+from leverdoor.http.messages import Request
+from leverdoor.model.resources import Route, WorkClass, Workspace
 
 __all__ = ["RequestRouter"]
 
@@ -54,7 +53,7 @@
         self._keys_confirmed = keys_confirmed
 
     def create_entry_request(
-        self, request: web.BaseRequest, request_id: str, arrived: float
+        self, request: Request, request_id: str, arrived: float
     ) -> EntryRequest:
         """Return the entry request for a client request, without its body.
 
@@ -79,13 +78,15 @@
             workspace=workspace,
         )
         headers = self._forwarded_headers(request, workspace)
-        return EntryRequest(
-            placement_request, request.method, request.raw_path, headers
-        )
+        return EntryRequest(placement_request, request.method, request.target, headers)
+
+    def may_repeat(self, request: Request) -> bool:
+        """Return whether a request may run more than once, by its route."""
+        host = host_without_port(request.headers.get("Host", ""))
+        route = self._catalog().route(host, request.path)
+        return route is not None and route.work is WorkClass.LOOKUP
 
-    def _find_route(
-        self, catalog: Catalog, request: web.BaseRequest, request_id: str
-    ) -> Route:
+    def _find_route(self, catalog: Catalog, request: Request, request_id: str) -> Route:
         """Return the route of a request.
 
         Raises:
@@ -95,17 +96,17 @@
             raise Refusal(
                 Code.NO_CONFIGURATION, retry_after_ms=NO_CONFIGURATION_RETRY_MS
             )
-        path = request.raw_path
+        path = request.target
         if not path.startswith("/") or not request_id:
             raise Refusal(Code.BAD_REQUEST, "request id or absolute path missing")
         host = host_without_port(request.headers.get("Host", ""))
-        route = catalog.route(host, path.partition("?")[0])
+        route = catalog.route(host, request.path)
         if route is None:
             raise Refusal(Code.NO_ROUTE, f"{host} {path[:MAX_LOGGED_PATH_CHARS]}")
         return route
 
     def _identify_workspace(
-        self, catalog: Catalog, request: web.BaseRequest, route: Route, arrived: float
+        self, catalog: Catalog, request: Request, route: Route, arrived: float
     ) -> Workspace | None:
         """Return the workspace of a request; None as in `WorkspaceDirectory.identify`.
 
@@ -120,16 +121,14 @@
             )
         return workspace
 
-    def _deadline(
-        self, request: web.BaseRequest, route: Route, arrived: float
-    ) -> float:
+    def _deadline(self, request: Request, route: Route, arrived: float) -> float:
         """Return the loop time at which a request is aborted, in seconds."""
         name = self._headers.deadline_ms
         deadline_ms = bounded_int(request.headers, name, DEFAULT_DEADLINE_MS)
         return request_deadline(arrived, deadline_ms, route)
 
     def _forwarded_headers(
-        self, request: web.BaseRequest, workspace: Workspace | None
+        self, request: Request, workspace: Workspace | None
     ) -> list[tuple[str, str]]:
         """Return the headers to forward to the target, including Host.
 
--- a/leverdoor/entry/shutdown.py
+++ b/leverdoor/entry/shutdown.py
@@ -2,14 +2,13 @@
 # SPDX-License-Identifier: Apache-2.0
 """Connection draining at a planned stop.
 
-Owns no state; relies on the handler to track connections with a request in flight.
+Owns no state; relies on the server's connections to say whether they are busy.
 """
 
 import asyncio
 
-from aiohttp import web
-
-from leverdoor.entry.requests.handler import EntryHandler
+from leverdoor.http.server import HttpServer
+from leverdoor.http.server_connection import ServerConnection
 
 __all__ = ["STOP_POLL_S", "drain"]
 
@@ -27,43 +26,36 @@
 """
 
 
-async def drain(handler: EntryHandler, server: web.Server, until: float) -> None:
+async def drain(server: HttpServer, until: float) -> None:
     """Close idle connections until `IDLE_CHECKS` checks find no request in flight.
 
     Args:
-      handler: tracks the connections with a request in flight.
       server: owns the connections; its listener is already closed.
       until: loop time in seconds at which draining ends even if requests remain.
     """
     loop = asyncio.get_running_loop()
     idle_checks = 0
-    idle: set[object] = set()
+    idle: set[ServerConnection] = set()
     while idle_checks < IDLE_CHECKS and loop.time() < until:
-        idle = _close_idle(handler, server, idle)
+        idle = _close_idle(server, idle)
         await asyncio.sleep(STOP_POLL_S)
-        idle_checks = 0 if handler.active_count else idle_checks + 1
+        busy = any(connection.busy for connection in server.connections)
+        idle_checks = 0 if busy else idle_checks + 1
 
 
 def _close_idle(
-    handler: EntryHandler, server: web.Server, previously_idle: set[object]
-) -> set[object]:
+    server: HttpServer, previously_idle: set[ServerConnection]
+) -> set[ServerConnection]:
     """Close the connections that were idle at the previous check and still are.
 
-    The HTTP library's own shutdown keeps idle connections open without reading them
-    until the process ends. A request sent meanwhile is neither answered nor refused.
+    A request that arrives on a connection between the two checks is served.
 
     Args:
-      handler: tracks the connections with a request in flight.
       server: owns the connections.
       previously_idle: the connections that were idle at the previous check.
     Returns: the open connections that are idle now.
     """
-    idle: set[object] = set()
-    for connection in server.connections:
-        if connection in handler.busy_connections:
-            continue
-        if connection in previously_idle:
-            connection.force_close()
-        else:
-            idle.add(connection)
-    return idle
+    idle = {c for c in server.connections if not c.busy}
+    for connection in idle & previously_idle:
+        connection.force_close()
+    return idle - previously_idle
--- a/leverdoor/headers.py
+++ b/leverdoor/headers.py
@@ -6,7 +6,8 @@
 of that platform use are in `leverdoor.platform.wire_format`. Owns no state.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
+from typing import Protocol
 
 __all__ = [
     "CALLER",
@@ -77,7 +78,14 @@
     ]
 
 
-def bounded_int(headers: Mapping[str, str], name: str, default: int) -> int:
+class _Texts(Protocol):
+    """Texts by name, such as headers or query parameters."""
+
+    def get(self, name: str, default: str, /) -> str:
+        """Return a text, or the default."""
+
+
+def bounded_int(headers: _Texts, name: str, default: int) -> int:
     """Return a value if it is a non-negative integer of at most 9 digits.
 
     Args:
--- a/tests/interface_table.py
+++ b/tests/interface_table.py
@@ -141,6 +141,7 @@
     "leverdoor_entry_limited_targets": ("gauge", (), ()),
     "leverdoor_entry_limits_unreadable": ("counter", ("service",), ()),
     "leverdoor_entry_live_peers": ("gauge", (), ()),
+    "leverdoor_entry_overlapping_requests": ("counter", (), ()),
     "leverdoor_entry_quarantine_refusals": ("counter", ("service",), ()),
     "leverdoor_entry_quarantined": ("gauge", (), ()),
     "leverdoor_entry_quota_refusals": ("counter", ("workspace",), ()),
@@ -150,6 +151,7 @@
     "leverdoor_entry_rests": ("counter", ("service",), ()),
     "leverdoor_entry_room_requests": ("counter", ("outcome",), ()),
     "leverdoor_entry_targets_ended": ("counter", ("service",), ()),
+    "leverdoor_entry_unread_pauses": ("counter", (), ()),
 }
 """The same of the entry."""
 
@@ -189,6 +191,7 @@
     ("refused", "info", ("code", "detail", "request_id", "service")),
     ("refused", "warning", ("code", "detail", "request_id", "service")),
     ("request failed", "exception", ("request_id",)),
+    ("request handler failed", "error", ()),
     ("store answers", "info", ()),
     ("store lost", "warning", ("error",)),
     ("stored resource cannot be read", "error", ("error", "key")),
--- a/tests/test_http_bytes.py
+++ b/tests/test_http_bytes.py
@@ -14,7 +14,6 @@
 
 import msgspec
 import pytest
-from aiohttp import web
 
 from bench import Bench, deployment, running, until
 from entry_bench import until_in_force
@@ -25,6 +24,7 @@
 from leverdoor.entry.admin import AdminServer
 from leverdoor.entry.metrics import EntryMetrics
 from leverdoor.errors import Code, Refusal
+from leverdoor.http.server import HttpServer
 from leverdoor.platform.store import PlatformStore
 from leverdoor.platform.wire_format import wire
 from leverdoor.responses import problem_response
@@ -599,15 +599,17 @@
     admin = AdminServer(
         wire({}), state, EntryMetrics(), lambda: True, lambda *_: [], 1.0
     )
-    runner = web.ServerRunner(web.Server(admin.handle))
-    await runner.setup()
-    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    server = HttpServer(admin.handle)
+    listener = await asyncio.get_running_loop().create_server(
+        server.create_connection, "127.0.0.1", 0
+    )
     answer = await exchange(
-        f"127.0.0.1:{runner.addresses[0][1]}",
+        f"127.0.0.1:{listener.sockets[0].getsockname()[1]}",
         "GET /v1/internal/state?since=0 HTTP/1.1",
         "Host: a",
     )
-    await runner.cleanup()
+    listener.close()
+    await server.shutdown(1.0)
     head, _, body = answer.partition(b"\r\n\r\n")
     assert re.sub(rb"Length: \d+", b"Length: *", head) == pull.head
     assert unpack(pull.coding(body), Delta) == state.delta(START)
