--- a/leverdoor/lifecycle.py
+++ b/leverdoor/lifecycle.py
@@ -14,13 +14,11 @@
 from pathlib import Path
 from typing import Protocol
 
-from aiohttp import web
 from loguru import logger
 
-from leverdoor.settings import Address
 from leverdoor.signals import SighupRecorder
 
-__all__ = ["Daemon", "watch_file", "supervise", "run_daemon", "serve_apps"]
+__all__ = ["Daemon", "watch_file", "supervise", "run_daemon"]
 
 RESTART_S = 1.0
 """Delay before a failed task is restarted, in seconds.
@@ -132,36 +130,3 @@
     finally:
         if watcher is not None:
             watcher.cancel()
-
-
-class HttpDaemon:
-    """Daemon of the stand-ins: serves HTTP applications, each at its own address."""
-
-    def __init__(self, apps: list[tuple[web.Application, Address]]) -> None:
-        """Create the daemon; `run` opens the sockets."""
-        self._apps = apps
-        self._stop = asyncio.Event()
-
-    async def run(self) -> None:
-        """Serve until `stop` is called, then close all applications."""
-        runners = []
-        for app, address in self._apps:
-            runner = web.AppRunner(
-                app, handler_cancellation=True, access_log=None, shutdown_timeout=0.1
-            )
-            await runner.setup()
-            site = web.TCPSite(runner, address.host, address.port)
-            await site.start()
-            runners.append(runner)
-        await self._stop.wait()
-        for runner in runners:
-            await runner.cleanup()
-
-    def stop(self) -> None:
-        """Begin the shutdown."""
-        self._stop.set()
-
-
-def serve_apps(apps: list[tuple[web.Application, Address]]) -> None:
-    """Serve HTTP applications until SIGTERM or SIGINT."""
-    run_daemon(HttpDaemon(apps))
--- a/leverdoor/standins/cli.py
+++ b/leverdoor/standins/cli.py
@@ -9,10 +9,10 @@
 
 import click
 
-from leverdoor.lifecycle import serve_apps
 from leverdoor.options import ADDRESS_TYPE
 from leverdoor.settings import Address
 from leverdoor.standins.kv import KvStandin
+from leverdoor.standins.serving import serve_apps
 from leverdoor.standins.targets import TargetStandin
 from leverdoor.standins.vms import VmListStandin
 from leverdoor.storage.vm_list_client import Vm
