--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -120,9 +120,7 @@
         lambda: server.create_connection(limits or FixedLimits()), "127.0.0.1", 0
     )
     port = listener.sockets[0].getsockname()[1]
-    reader, writer = await asyncio.open_connection(
-        "127.0.0.1", port, limit=1024 * 1024
-    )
+    reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=1024 * 1024)
     try:
         yield Client(reader, writer)
     finally:
