Soak: callers that send several look-ups at once on one connection

Two callers beside the others send batches of two to ten look-ups on a kept connection and check the order and the ids of the answers; some leave early. Look-ups behind an answer that closes the connection count as not read. The draws of the other callers and of the faults of a seed are as before.

--- a/leverdoor/standins/soak/run.py
+++ b/leverdoor/standins/soak/run.py
@@ -23,6 +23,7 @@
 from leverdoor.standins.soak.faults import SoakFaults
 from leverdoor.standins.soak.in_force import change_again_and_again, late_changes
 from leverdoor.standins.soak.limits import LimitNamer
+from leverdoor.standins.soak.pipelining import PipeliningCaller
 from leverdoor.standins.soak.plan import PlannedFault, draw_plan
 from leverdoor.standins.soak.promises import breaches
 from leverdoor.standins.soak.record import Leave, Record, RecordedRun
@@ -34,6 +35,8 @@
 
 ENTRIES_CUT = 4
 """Entries of a region where ways are cut: two that follow the store, and two others."""
+PIPELINING_CALLERS = 2
+"""Callers that send several look-ups at once on one connection."""
 CALLERS = 8
 """Callers of a soak; they load six entries and leave cores to them."""
 SETTLED_S = 45.0
@@ -194,6 +197,10 @@
             FatalCaller(site, record, n, seed).run() for n in range(options.fatal)
         ]
         found += [SoakCaller(site, record, n, seed).run() for n in range(CALLERS)]
+        found += [
+            PipeliningCaller(site, record, n, seed).run()
+            for n in range(PIPELINING_CALLERS)
+        ]
         if self._cuts or self._restores:
             found.append(change_again_and_again(site, seed))
         return found
