--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -6,17 +6,21 @@
 import contextlib
 import re
 from collections.abc import AsyncIterator, Callable
+from pathlib import Path
 from random import Random
 
 import pytest
 
+import leverdoor
 from leverdoor.http.messages import Headers, Request, Response
 from leverdoor.http.server import FixedLimits, HttpServer
 from leverdoor.http.server_connection import (
     MAX_HELD_BYTES,
     MAX_PIPELINED,
+    PARSED_BYTES,
 )
 
+PACKAGE = Path(leverdoor.__file__).parent
 PATIENCE_S = 20
 """Longest wait for what must happen, in seconds."""
 
@@ -241,6 +245,9 @@
         await until(lambda: len(desk.started) == MAX_PIPELINED)
         await settle()
         assert len(desk.started) == MAX_PIPELINED
+        [connection] = desk.server.connections
+        in_one_part = PARSED_BYTES // len(request("/0000"))
+        assert len(connection._exchanges) <= MAX_PIPELINED + in_one_part
         client.writer.close()
         await until(lambda: len(desk.cancelled) == MAX_PIPELINED)
 
@@ -261,6 +268,35 @@
     assert desk.started == ["/a"]
 
 
+async def test_a_received_request_waits_while_the_answer_before_it_is_unread() -> None:
+    desk = Desk()
+    large = bytes(16 * 1024 * 1024)
+    async with serving(desk.server) as client:
+        client.send("/a", "/b", method="POST")
+        await until(lambda: desk.started == ["/a"])
+        desk.release("/a", large)
+        await until(lambda: desk.unread == 1)
+        await settle()
+        assert desk.started == ["/a"]
+        desk.release("/b")
+        assert (await client.read())[1] == large
+        assert (await client.read())[1] == b"/b"
+
+
+async def test_a_slow_head_is_not_counted_while_its_connection_is_not_parsed() -> None:
+    """The rest of the head was received, and waits for earlier answers."""
+    desk = Desk()
+    limits = FixedLimits(header_timeout_ms=50)
+    paths = [f"/{i:04}" for i in range(2_000)]
+    async with serving(desk.server, limits) as client:
+        client.send(*paths)
+        await until(lambda: len(desk.started) == MAX_PIPELINED)
+        await asyncio.sleep(0.1)
+        for path in paths:
+            desk.release(path)
+        assert [(await client.read())[1].decode() for _ in paths] == paths
+
+
 async def test_a_client_that_reads_slowly_gets_the_whole_answer() -> None:
     desk = Desk()
     large = bytes(32 * 1024 * 1024)
@@ -516,6 +552,16 @@
         assert (await client.read())[1] == b"/y|"
 
 
+def test_the_entrys_server_side_imports_no_other_http_library() -> None:
+    """An entry on a small VM needs less memory without one."""
+    loads = re.compile(
+        r"^\s*(?:from|import) (?:aiohttp|yarl|multidict)\b", re.MULTILINE
+    )
+    for folder in ("entry", "http"):
+        for path in (PACKAGE / folder).rglob("*.py"):
+            assert not loads.search(path.read_text()), path
+
+
 async def test_a_failing_handler_is_an_error_of_the_server() -> None:
     async def fail(request: Request) -> Response:
         raise ValueError("broken")
