--- a/leverdoor/entry/requests/routing.py
+++ b/leverdoor/entry/requests/routing.py
@@ -19,7 +19,7 @@
 from leverdoor.entry.wire import Wire
 from leverdoor.errors import Code, Refusal
 from leverdoor.headers import bounded_int, forwardable_headers
-from leverdoor.http.messages import Request
+from leverdoor.http.messages import Request, decode_value
 from leverdoor.model.resources import Route, WorkClass, Workspace
 
 __all__ = ["RequestRouter"]
@@ -113,7 +113,7 @@
         Raises:
           Refusal: the workspace key is missing, unknown or unconfirmed.
         """
-        key = request.headers.get(self._headers.workspace_key, "")
+        key = decode_value(request.headers.get(self._headers.workspace_key))
         workspace = catalog.workspaces.identify(key, anonymous=route.anonymous)
         if workspace is not None and not self._keys_confirmed(arrived):
             raise Refusal(
--- a/leverdoor/http/messages.py
+++ b/leverdoor/http/messages.py
@@ -12,7 +12,14 @@
 from collections.abc import Callable, Iterable, Mapping
 from urllib.parse import parse_qsl
 
-__all__ = ["BODY_BUFFER_BYTES", "BodyError", "Headers", "Request", "Response"]
+__all__ = [
+    "BODY_BUFFER_BYTES",
+    "BodyError",
+    "Headers",
+    "Request",
+    "Response",
+    "decode_value",
+]
 
 BODY_BUFFER_BYTES = 64 * 1024
 """Received bytes of a body above which its connection stops reading.
@@ -26,6 +33,11 @@
     """The body of a request is malformed or ended before its end was received."""
 
 
+def decode_value(value: str) -> str:
+    """Return the text of a header value that was sent as UTF-8."""
+    return value.encode("latin-1").decode("utf-8", "surrogateescape")
+
+
 class Headers:
     """An ordered list of header names and values; names match in any case."""
 
--- a/leverdoor/http/request_parser.py
+++ b/leverdoor/http/request_parser.py
@@ -77,6 +77,7 @@
         "_status",
         "_stopping",
         "_target",
+        "_unframed_bytes",
         "ended",
         "in_head",
     )
@@ -98,6 +99,8 @@
         self._keep_alive = True
         self._status = 400
         self._stopping = False
+        self._unframed_bytes = 0
+        """Bytes of a body that are still to come past the library."""
         self.ended = False
         """Whether no further request is accepted; received bytes are ignored."""
         self.in_head = False
@@ -114,12 +117,15 @@
         Raises:
           MalformedRequest: they are no acceptable request; none is parsed after them.
         """
-        if self.ended:
+        if self._unframed_bytes:
+            data = self._take_unframed(data)
+        if self.ended or not data:
             return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as e:
-            self._decline_upgrade(data[e.args[0] :])
+            self.feed(data[e.args[0] :])
+            return
         except httptools.HttpParserError as e:
             if self.ended:
                 return
@@ -136,16 +142,17 @@
         self._stopping = True
         self.ended = not self.in_body
 
-    def _decline_upgrade(self, rest: bytes) -> None:
-        """Continue after a request that asks for another protocol.
+    def _take_unframed(self, data: bytes) -> bytes:
+        """Pass on the body of a request that asks for another protocol.
 
-        The library reports it before its body, whose framing is then unknown.
+        The library ends such a request before its body. Returns the bytes behind it.
         """
-        if self.in_body:
-            self.ended = True
-            raise MalformedRequest(400, "upgrade with a body")
-        if rest:
-            self.feed(rest)
+        body = data[: self._unframed_bytes]
+        self._unframed_bytes -= len(body)
+        self.on_body(body)
+        if not self._unframed_bytes:
+            self.on_message_complete()
+        return data[len(body) :]
 
     def _reject(self, status: int, reason: str) -> None:
         self._status = status
@@ -182,11 +189,11 @@
         version = self._parser.get_http_version()
         headers = Headers(self._headers)
         self._check_framing(version, headers)
-        method = self._parser.get_method().decode("latin-1")
-        if method == "CONNECT":
+        method = self._parser.get_method()
+        if method == b"CONNECT":
             self._reject(400, "tunnels are not supported")
         request = Request(
-            method,
+            method.decode("latin-1"),
             self._target.decode("latin-1"),
             headers,
             version,
@@ -195,18 +202,23 @@
         self.in_head = False
         self._headers = []
         self._request = request if request.has_body else None
+        if self._parser.should_upgrade():
+            self._unframed_bytes = request.content_length or 0
         self._keep_alive = self._parser.should_keep_alive()
         self._receiver.start_request(request, self._keep_alive)
 
     def _check_framing(self, version: str, headers: Headers) -> None:
-        """Reject versions and transfer codings that others may read differently."""
+        """Reject what others may read differently: version, host, transfer coding."""
         if version not in ("1.0", "1.1"):
             self._reject(400, f"version {version}")
+        hosts = headers.get_all("Host")
+        if len(hosts) > 1 or (not hosts and version == "1.1"):
+            self._reject(400, f"{len(hosts)} headers Host")
         codings = headers.get_all("Transfer-Encoding")
         if not codings:
             return
         chunked = [coding.strip().lower() for coding in codings] == ["chunked"]
-        if version == "1.0" or not chunked:
+        if version == "1.0" or not chunked or self._parser.should_upgrade():
             self._reject(400, f"transfer coding {codings}")
 
     def on_body(self, body: bytes) -> None:
@@ -216,7 +228,7 @@
 
     def on_message_complete(self) -> None:
         """Pass on the end of a request."""
-        if self.ended:
+        if self.ended or self._unframed_bytes:
             return
         self._request = None
         self.ended = self._stopping or not self._keep_alive
--- a/tests/test_http_bytes.py
+++ b/tests/test_http_bytes.py
@@ -459,6 +459,20 @@
     ]
 
 
+async def test_workspace_key_beyond_ascii_is_recognized() -> None:
+    """Keys are compared as text, other values are passed on byte for byte."""
+    server = RawServer(ENTRY_CASES[0].target)
+    async with server as target, run_entry_for_target(target) as site:
+        tenant = {"name": "w1", "api-keys": ["schlüssel"]}
+        site.configure([route("file"), route("look")], tenants=[tenant])
+        await until_in_force(site, "/look/x", 401)
+        front = site.front(site.entries["n1"])
+        more = ("X-Credential: schlüssel", "X-Name: größe")
+        answer = await exchange(front, *ENTRY_REQUEST, *more, body=b"abc")
+    assert answer == ENTRY_CASES[0].client
+    assert "\r\nX-Name: größe\r\n".encode() in server.requests[0]
+
+
 class GateCase(msgspec.Struct, frozen=True):
     """The request line of a caller, and the response that the gate generates."""
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -475,6 +475,13 @@
     pytest.param(HEAD + b"A: b\r\n c\r\n\r\n", 400),
     pytest.param(HEAD + b"A : b\r\n\r\n", 400),
     pytest.param(b"GET /x HTTP/1.1\nHost: a\n\n", 400),
+    pytest.param(b"GET /x HTTP/1.1\r\n\r\n", 400),
+    pytest.param(HEAD + b"Host: b\r\n\r\n", 400),
+    pytest.param(
+        HEAD + b"Connection: upgrade\r\nUpgrade: h2c\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        400,
+    ),
     pytest.param(b"GET /x\r\n\r\n", 400),
     pytest.param(b"GET /x HTTP/2.0\r\n\r\n", 400),
     pytest.param(b"CONNECT a:1 HTTP/1.1\r\n\r\n", 400),
@@ -544,11 +551,14 @@
 
 
 async def test_a_request_for_another_protocol_is_served_as_usual() -> None:
-    upgrade = b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n\r\n"
+    upgrade = b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
     async with serving(HttpServer(echo)) as client:
-        client.writer.write(b"GET /x HTTP/1.1\r\nHost: a\r\n" + upgrade)
-        client.send("/y")
+        client.writer.write(b"GET /x HTTP/1.1\r\nHost: a\r\n" + upgrade + b"\r\n")
+        client.writer.write(HEAD + upgrade + b"Content-Length: 4\r\n\r\nab")
         assert (await client.read())[1] == b"/x|"
+        client.writer.write(b"cd")
+        client.send("/y")
+        assert (await client.read())[1] == b"/x|abcd"
         assert (await client.read())[1] == b"/y|"
 
 
