Trailers and chunk extensions of a body are limited like heads

A client could send them without end: the parser holds an incomplete trailer in memory, and no timeout of the connection ends a request that is being received. The test fails without the limit.

--- a/leverdoor/http/request_parser.py
+++ b/leverdoor/http/request_parser.py
@@ -15,7 +15,7 @@
 
 from leverdoor.http.messages import Headers, Request
 
-__all__ = ["MalformedRequest", "RequestParser", "RequestReceiver"]
+__all__ = ["PARSED_BYTES", "MalformedRequest", "RequestParser", "RequestReceiver"]
 
 HEAD_FIELDS = 4
 """Greatest size of a head, in multiples of the greatest size of a field.
@@ -23,6 +23,12 @@
 A greater value lets slow clients hold more memory. A smaller one refuses requests
 whose fields are each within their limit.
 """
+PARSED_BYTES = 16 * 1024
+"""Greatest number of bytes that are parsed at once.
+
+A greater value lets many short requests in one packet exceed the connection's bound on
+unanswered requests by more. A smaller one costs processor time for each body.
+"""
 KNOWN_NAMES = {
     b"accept": "Accept",
     b"accept-encoding": "Accept-Encoding",
@@ -67,7 +73,7 @@
     """Parses the successive requests on one connection."""
 
     __slots__ = (
-        "_head_bytes",
+        "_field_bytes",
         "_headers",
         "_keep_alive",
         "_max_bytes",
@@ -94,7 +100,8 @@
         self._parser = httptools.HttpRequestParser(self)
         self._target = b""
         self._headers: list[tuple[str, str]] = []
-        self._head_bytes = 0
+        self._field_bytes = 0
+        """Received bytes of the head, or of trailers and chunk extensions."""
         self._request: Request | None = None
         self._keep_alive = True
         self._status = 400
@@ -131,11 +138,15 @@
                 return
             self.ended = True
             raise MalformedRequest(self._status, repr(e)) from None
-        if self.in_head:
-            self._head_bytes += len(data)
-            if self._head_bytes > HEAD_FIELDS * self._max_bytes:
-                self.ended = True
-                raise MalformedRequest(431, "head too long")
+        if self.in_head or self.in_body:
+            self._count_fields(len(data))
+
+    def _count_fields(self, size: int) -> None:
+        """Limit the bytes that come before the body, or between its parts."""
+        self._field_bytes += size
+        if self._field_bytes > HEAD_FIELDS * self._max_bytes + PARSED_BYTES:
+            self.ended = True
+            raise MalformedRequest(431, "fields too long")
 
     def stop(self) -> None:
         """Accept no request whose head is not complete yet."""
@@ -165,7 +176,7 @@
         self.in_head = not self.ended
         self._target = b""
         self._headers = []
-        self._head_bytes = 0
+        self._field_bytes = 0
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
@@ -223,6 +234,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Pass on a part of the body."""
+        self._field_bytes = 0
         if not self.ended:
             self._receiver.receive_body(body)
 
--- a/leverdoor/http/server_connection.py
+++ b/leverdoor/http/server_connection.py
@@ -24,7 +24,11 @@
 from loguru import logger
 
 from leverdoor.http.messages import BODY_BUFFER_BYTES, BodyError, Request, Response
-from leverdoor.http.request_parser import MalformedRequest, RequestParser
+from leverdoor.http.request_parser import (
+    PARSED_BYTES,
+    MalformedRequest,
+    RequestParser,
+)
 from leverdoor.http.response_bytes import CONTINUE, serialize_response
 
 __all__ = ["MAX_PIPELINED", "ConnectionLimits", "ServerConnection", "ServerHooks"]
@@ -42,11 +46,6 @@
 It holds `MAX_PIPELINED` answers of 32 kB. With a greater value, a few hundred clients
 whose first request is slow exhaust the memory of a small VM.
 """
-PARSED_BYTES = 16 * 1024
-"""Bytes that are parsed between two checks of the number of unanswered requests.
-
-A greater value lets many short requests in one packet exceed `MAX_PIPELINED` by more.
-"""
 JOINED_BYTES = 64 * 1024
 """Length of a body up to which it is sent in one piece with its head."""
 DISCARD_S = 10.0
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -13,11 +13,11 @@
 
 import leverdoor
 from leverdoor.http.messages import Headers, Request, Response
+from leverdoor.http.request_parser import PARSED_BYTES
 from leverdoor.http.server import FixedLimits, HttpServer
 from leverdoor.http.server_connection import (
     MAX_HELD_BYTES,
     MAX_PIPELINED,
-    PARSED_BYTES,
 )
 
 PACKAGE = Path(leverdoor.__file__).parent
@@ -515,6 +515,18 @@
     assert "/smuggled" not in desk.started
 
 
+@pytest.mark.parametrize(
+    "endless", [b"0\r\nTrailer: ", b"1;extension=", b"0\r\n" + b"A: b\r\n" * 90_000]
+)
+async def test_endless_fields_in_a_body_end_the_connection(endless: bytes) -> None:
+    """They would be held in memory, or keep the connection busy, for ever."""
+    async with serving(HttpServer(echo)) as client:
+        client.writer.write(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+        client.writer.write(endless + b"x" * 500_000)
+        with contextlib.suppress(ConnectionError):
+            await client.rest()
+
+
 async def test_a_slow_head_behind_a_running_request_is_answered_in_its_turn() -> None:
     desk = Desk()
     limits = FixedLimits(header_timeout_ms=50)
