--- a/leverdoor/http/request_parser.py
+++ b/leverdoor/http/request_parser.py
@@ -151,7 +151,7 @@
     def stop(self) -> None:
         """Accept no request whose head is not complete yet."""
         self._stopping = True
-        self.ended = not self.in_body
+        self.ended = self.ended or not self.in_body
 
     def _take_unframed(self, data: bytes) -> bytes:
         """Pass on the body of a request that asks for another protocol.
