Usage admitted while isolated is unreported until the others can know it

Trace of the test (4 entries, demand 9 each, entry 0 cut for 2.2 s; admission limit 67.8, bound 86). Own usage and what the entry knows of others:

1002.4 cut window 79 entry 0: own 17; others 20, 21, 21, reserve 8.5 1002.6 heal entry 0 gets a digest: unreported falls from 17 to 2, allowance 3.6, it admits 2 (own 19) 1002.8 entries 1 and 2 know 0 of entry 0's 19, admit 2 each 1003.0 entry 3 admits 2: 87 in the window

Cause: an entry takes its requests as reported 0.6 s after it admitted them, as its heartbeats pass on usage all the time. While it is cut off none do; with the first digest after the cut all that it admitted in the cut counted as reported at once, so that it had a new allowance before anybody knew the old one. Now all of it stays unreported until 0.6 s after the return.

Not the whole of the model's excess: the model also takes the reservation for the entry away at the heal, 0.5 s before its usage arrives, which the product does not: a report and its reservation are replaced by the newer report only (usage_merging). The model is left as it is.

The new test failed before. tests/test_quota.py, test_usage.py and test_workspaces.py pass otherwise unchanged.

--- a/leverdoor/workspaces/quota.py
+++ b/leverdoor/workspaces/quota.py
@@ -18,6 +18,7 @@
 `entries`, and on the operator's bounds (`quota_bounds.py`).
 """
 
+import math
 from collections.abc import Iterable
 from random import Random
 
@@ -110,6 +111,10 @@
         """Usage of this entry as last reported to the others."""
         self._report_at_receipt = self._last_report
         """Value of `_last_report` when `_remote_usage` was received."""
+        self._returned_at = -math.inf
+        """When a digest ended the latest isolation of this entry."""
+        self._isolated_since = now
+        """Time to which the last digest before that isolation refers."""
 
     def receive(self, remote_usage: RemoteUsage, now: float) -> None:
         """Store the usage of the other entries, unless all of them are silent.
@@ -120,6 +125,9 @@
         """
         if self.entries > 1 and remote_usage.silent_count >= self.entries - 1:
             return
+        if self._is_isolated(now):
+            self._returned_at = now
+            self._isolated_since = self._remote_usage_at
         self._remote_usage = remote_usage
         self._remote_usage_at = now - remote_usage.age_s
         self._report_at_receipt = self._last_report
@@ -202,7 +210,7 @@
             ),
             others_use=others_use,
             own_use=own_use,
-            unreported=self._usage.count_within(name, unreported_span_s, now),
+            unreported=self._count_unreported(name, unreported_span_s, now),
             entry_count=self.entries,
             expected_use=total_use * REPORT_DELAY_S / bounds.window_s,
             silent_count=silent_count,
@@ -211,6 +219,21 @@
             ),
         )
 
+    def _count_unreported(self, name: str, span_s: float, now: float) -> int:
+        """Return the requests of this entry that the others may not know yet.
+
+        They learn of what it admitted while isolated only after its return, and until
+        then count the reservation, which may be less.
+
+        Args:
+          name: the workspace.
+          span_s: time for which requests are unreported if this entry was not isolated.
+          now: monotonic time in seconds.
+        """
+        if now - self._returned_at <= REPORT_DELAY_S:
+            span_s = now - self._isolated_since + REPORT_DELAY_S
+        return self._usage.count_within(name, span_s, now)
+
     def _others_use(
         self, name: str, admission_limit: float, silent_count: int
     ) -> float:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -336,3 +336,17 @@
     site.heal()
     site.serve(steps=3, demand=2)
     site.bound_holds()
+
+
+def test_entry_admits_nothing_more_until_others_know_its_isolated_usage() -> None:
+    """A quota was passed: on return, all that it had admitted counted as reported."""
+    quotas = Quotas(BOUNDS, Random(1), 100.0, first_start=True)
+    quotas.entries = 4
+    quotas.receive(RemoteUsage({"ward": 0}, 0.0, 5.0, 0.0), 100.0)
+    admitted = count_admitted(quotas, 50, 103.0)
+    assert admitted > 10
+    for at in (105.0, 105.4):
+        quotas.receive(RemoteUsage({"ward": 40}, 0.0, 5.0, 0.0), at)
+        assert count_admitted(quotas, 50, at) == 0
+    quotas.receive(RemoteUsage({"ward": 40}, 0.0, 5.0, 0.0), 105.8)
+    assert count_admitted(quotas, 50, 105.8) > 0
