Agents and gates of plain sites tell a restored store's history by a marker

Cause: a bare revision orders the changes of one history only, and etcd names no era that lasts.

Now each follower reads all entries before it watches, and compares them with its replica and with the positions that peers have told. If they show another history, it writes a marker with the next era at /leverdoor/history, on condition of the marker's revision. All agents take the era from there; heartbeats, gates' reports and fetches name it, so that a state of a later era is taken whole, also by agents and gates with a higher revision. The follower that finds a new era also writes the ownership tables again that it knows in a higher version: gates ignore lower ones.

Also: a parsed resource was reused for another value at the same revision.

Bytes: AgentHeartbeat has era and gate_era at its end, GateReport has era. The literals of tests/test_wire_bytes.py have these fields added; the former bytes of both messages are kept as EARLIER_BYTES and a test reads them. tests/test_api.py passes the replica that Reporter now needs. Entries are unchanged: their store names its era.

--- a/leverdoor/agent/api.py
+++ b/leverdoor/agent/api.py
@@ -28,7 +28,7 @@
 )
 from leverdoor.responses import json_response, problem_response
 from leverdoor.storage.configuration import Applied, Configuration
-from leverdoor.storage.position import position_without_era
+from leverdoor.storage.position import UNKNOWN_ERA, Position
 from leverdoor.storage.state import RESOURCES, Delta, State
 from leverdoor.storage.store import Event, KeyValue
 
@@ -179,7 +179,10 @@
     async def _internal_state(self, request: web.Request) -> web.StreamResponse:
         """Return the changes that a peer lacks."""
         since = _parse_number(request, "since", 0)
-        return web.Response(body=pack(self._state.delta(position_without_era(since))))
+        era = UNKNOWN_ERA
+        if "era" in request.query:
+            era = _parse_number(request, "era", 0)
+        return web.Response(body=pack(self._state.delta(Position(era, since))))
 
     async def _report(self, request: web.Request) -> web.StreamResponse:
         name = request.match_info["name"]
@@ -205,7 +208,7 @@
         if kind:
             _check_kind(kind)
         since = _parse_number(request, "since", self._state.revision)
-        if not self._state.log_covers(position_without_era(since)):
+        if not self._state.log_covers(self._at_revision(since)):
             raise LeverdoorError(Code.COMPACTED, revision=self._state.revision)
         prefix = RESOURCES + (f"{kind}/" if kind else "")
         return await _stream_lines(request, self._change_lines(prefix, since))
@@ -224,7 +227,7 @@
 
         subscription = self._state.changes.subscribe(enqueue)
         try:
-            delta: Delta | None = self._state.delta(position_without_era(since))
+            delta: Delta | None = self._state.delta(self._at_revision(since))
             while True:
                 if delta is None or delta.full:
                     return
@@ -241,6 +244,10 @@
         finally:
             subscription.dispose()
 
+    def _at_revision(self, revision: int) -> Position:
+        """Return the position of a revision that an operator names, in this era."""
+        return Position(self._state.position.era, revision)
+
     async def _healthz(self, request: web.Request) -> web.StreamResponse:
         return web.Response(text="ok\n")
 
--- a/leverdoor/agent/daemon.py
+++ b/leverdoor/agent/daemon.py
@@ -34,7 +34,7 @@
 from leverdoor.storage.etcd import EtcdStore
 from leverdoor.storage.fetching import PeerFetcher
 from leverdoor.storage.following import ElectedRole, StoreFollower, watcher_rank
-from leverdoor.storage.position import position_without_era
+from leverdoor.storage.position import START, Position
 from leverdoor.storage.state import Delta, State
 from leverdoor.storage.view import ViewCache
 
@@ -115,6 +115,7 @@
             self._state,
             self._role,
             self._rng,
+            accepted=self._newest_position_of_peers,
         )
         self._planner = Planner(
             s.region,
@@ -127,7 +128,7 @@
             self.departed,
         )
         self._configuration = Configuration(self._store, self._state, self._cache)
-        self._reporter = Reporter(self._cache, self._peers)
+        self._reporter = Reporter(self._cache, self._peers, self._state)
         self._api = Api(self._configuration, self._state, self._reporter, self._metrics)
         self._link = AgentLink(s.link)
         self._gates = GateSessions(self._link)
@@ -155,6 +156,11 @@
     def _rank(self, unserved: bool) -> int:
         return watcher_rank(self._peers, self._settings.vm, self._now(), unserved)
 
+    def _newest_position_of_peers(self) -> Position:
+        """Return the newest position that any agent has told."""
+        heartbeats = [p.heartbeat for p in self._peers.peers_by_vm.values()]
+        return max((b.position for b in heartbeats), default=START)
+
     def _is_elected(self, unserved: bool) -> bool:
         return self._rank(unserved) >= 0
 
@@ -178,6 +184,7 @@
             departed=sorted(self._vm_list.departed),
             leaving_vms=sorted(self._vm_list.leaving),
             unserved=self._role.unserved,
+            era=self._state.position.era,
         )
         r = self._gates.fresh_report(now)
         if r is not None:
@@ -187,6 +194,7 @@
                 relay=r.relay,
                 incarnation=r.incarnation,
                 gate_revision=r.revision,
+                gate_era=r.era,
                 ack=r.ack,
                 state=r.state,
                 loads=r.loads,
@@ -223,9 +231,9 @@
         """Merge heartbeats and fetch changes from the peer that is furthest ahead."""
         newer = self._peers.merge(gossip.heartbeats, self._now())
         self._gates.add_heartbeats(newer)
-        ahead = [b for b in newer if b.revision > self._state.revision]
+        ahead = [b for b in newer if b.position > self._state.position]
         if ahead:
-            best = max(ahead, key=lambda b: b.revision)
+            best = max(ahead, key=lambda b: b.position)
             task = asyncio.create_task(self._fetcher.pull(best.api))
             task.add_done_callback(lambda t: t.exception())
 
@@ -285,11 +293,10 @@
             peer, report = await self._link.receive()
             is_new = self._gates.receive(peer, report, self._now())
             # Also logged for each report of a gate that is ahead of this agent.
-            if report.revision > self._state.revision or is_new:
+            if report.position > self._state.position or is_new:
                 logger.info("gate joined", gate=report.gate)
-            if report.revision < self._state.revision:
-                held = position_without_era(report.revision)
-                await self._link.send(peer, self._state.delta(held))
+            if report.position < self._state.position:
+                await self._link.send(peer, self._state.delta(report.position))
 
     def _push_delta(self, delta: Delta) -> None:
         """Send a change of the configuration or the ownership table to all gates."""
--- a/leverdoor/agent/link.py
+++ b/leverdoor/agent/link.py
@@ -19,6 +19,7 @@
 from leverdoor.membership.peers import AgentHeartbeat, GateState, Load
 from leverdoor.model.probe import Probe
 from leverdoor.settings import Address
+from leverdoor.storage.position import UNKNOWN_ERA, Position
 from leverdoor.storage.state import Delta
 
 __all__ = ["AgentLink", "FromAgent", "GateLink", "GateReport", "Hints"]
@@ -35,9 +36,9 @@
 
     `gate` is the gate's address, `relay` its address for requests of other gates,
     `incarnation` its start time in microseconds since the epoch unless it was raised
-    (`Hints`), and `revision` that of the configuration in force. `loads` is the load by
-    service, `caps` the free units by shift cap row, `held` the slot rows of which the
-    gate holds units, and `draining` the requests in flight by drained target.
+    (`Hints`), and `revision` and `era` those of the configuration in force. `loads` is
+    the load by service, `caps` the free units by shift cap row, `held` the slot rows of
+    which the gate holds units, and `draining` the requests in flight by drained target.
     """
 
     gate: str
@@ -50,6 +51,12 @@
     caps: dict[str, int]
     held: list[str]
     draining: dict[str, int] = {}
+    era: int = UNKNOWN_ERA
+
+    @property
+    def position(self) -> Position:
+        """Position of the configuration in force."""
+        return Position(self.era, self.revision)
 
 
 class Hints(msgspec.Struct, frozen=True, tag=True):
--- a/leverdoor/agent/reports.py
+++ b/leverdoor/agent/reports.py
@@ -17,6 +17,8 @@
 from leverdoor.membership.peers import Peer, Peers
 from leverdoor.model.burn import BurnLine, Series, merge_series, summarize
 from leverdoor.sessions import new_session
+from leverdoor.storage.position import Position
+from leverdoor.storage.state import State
 from leverdoor.storage.view import ViewCache
 
 __all__ = ["REPORTS", "Report", "Reporter"]
@@ -96,8 +98,9 @@
 class Reporter:
     """Computes reports from heartbeats and from the responses of gates."""
 
-    def __init__(self, cache: ViewCache, peers: Peers) -> None:
+    def __init__(self, cache: ViewCache, peers: Peers, state: State) -> None:
         """Create a reporter from the components of an agent."""
+        self._state = state
         self._cache = cache
         self._peers = peers
         self._session: aiohttp.ClientSession | None = None
@@ -138,7 +141,8 @@
     def in_force(self, revision: int) -> tuple[int, int]:
         """Return the number of gates with a revision in force and of all live gates."""
         gates = [p.heartbeat for p in self._live_peers() if p.heartbeat.gate]
-        return sum(b.gate_revision >= revision for b in gates), len(gates)
+        at = Position(self._state.position.era, revision)
+        return sum(b.gate_position >= at for b in gates), len(gates)
 
     def _entries(self) -> list[EntryLine]:
         now = asyncio.get_running_loop().time()
--- a/leverdoor/entry/control_plane.py
+++ b/leverdoor/entry/control_plane.py
@@ -149,6 +149,7 @@
             prefix="",
             longest_backoff_s=STORE_BACKOFF_S,
             on_change=self._on_reachability_change,
+            marks_histories=False,
         )
 
     def reload(self, settings: EntrySettings) -> None:
--- a/leverdoor/gate/daemon.py
+++ b/leverdoor/gate/daemon.py
@@ -170,6 +170,7 @@
                 # Rows of target slots; rows of shift caps begin with c: instead.
                 held=sorted(r for r in self._held_units.rows if r.startswith("t:")),
                 draining=self._scheduler.pool.draining(now),
+                era=self._state.position.era,
             )
             await self._link.send(report)
             await asyncio.sleep(REPORT_INTERVAL_S)
--- a/leverdoor/membership/peers.py
+++ b/leverdoor/membership/peers.py
@@ -20,6 +20,7 @@
 import xxhash
 
 from leverdoor.membership.ownership import Ack
+from leverdoor.storage.position import UNKNOWN_ERA, Position
 
 __all__ = ["AgentHeartbeat", "GateState", "Gossip", "Load", "Peer", "Peers"]
 
@@ -127,6 +128,20 @@
     """Requests in flight by target that is being drained."""
     unserved: bool = False
     """Whether the store does not answer the agent of this VM."""
+    era: int = UNKNOWN_ERA
+    """Era of `revision` (`storage.history`)."""
+    gate_era: int = UNKNOWN_ERA
+    """Era of `gate_revision`."""
+
+    @property
+    def position(self) -> Position:
+        """Position of the agent's copy of the store."""
+        return Position(self.era, self.revision)
+
+    @property
+    def gate_position(self) -> Position:
+        """Position of the configuration in force at the gate."""
+        return Position(self.gate_era, self.gate_revision)
 
     def is_newer_than(self, other: "AgentHeartbeat") -> bool:
         """Return whether this heartbeat supersedes another of the same VM."""
--- a/leverdoor/storage/following.py
+++ b/leverdoor/storage/following.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import uuid
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator, Callable
 from random import Random
@@ -18,9 +19,16 @@
 
 from leverdoor.errors import Code, LeverdoorError, StoreUnavailable
 from leverdoor.membership.peers import Peers
-from leverdoor.storage.position import START
+from leverdoor.storage.history import (
+    HISTORY,
+    listing_in_own_era,
+    newer_tables,
+    next_marker_write,
+    shows_other_history,
+)
+from leverdoor.storage.position import START, UNKNOWN_ERA, Position
 from leverdoor.storage.state import PREFIX, State
-from leverdoor.storage.store import Event, Store
+from leverdoor.storage.store import Event, Listing, Store, Write
 from leverdoor.storage.store_availability import StoreAvailability
 
 __all__ = ["ElectedRole", "FollowerRole", "POLL_S", "StoreFollower", "watcher_rank"]
@@ -164,6 +172,8 @@
         prefix: str = PREFIX,
         longest_backoff_s: float = MAX_BACKOFF_S,
         on_change: Callable[[bool, str], None] | None = None,
+        accepted: Callable[[], Position] | None = None,
+        marks_histories: bool = True,
     ) -> None:
         """Create a follower.
 
@@ -176,7 +186,12 @@
           longest_backoff_s: longest pause between failed requests, in seconds.
           on_change: called when the reachability of the store changes, with the new
             state and the error.
+          accepted: returns the newest position that a peer has told.
+          marks_histories: whether to tell the histories of a store that names no era
+            apart by a marker (`storage.history`), as on plain sites.
         """
+        self._accepted = accepted or (lambda: START)
+        self._marks_histories = marks_histories
         self._on_change = on_change or _log_reachability
         self._prefix = prefix
         self._longest_backoff_s = longest_backoff_s
@@ -221,10 +236,11 @@
     async def _follow(self) -> None:
         """Watch until the role ends, or the replica is in another era.
 
-        Reads all entries before the watch if the replica is empty. Reads them and
-        returns if the store has compacted the replica's revision, or is in a later era.
+        Reads all entries before the watch if the replica is empty, or if only their
+        comparison shows whether the history is the same. Reads them and returns if the
+        store has compacted the replica's revision, or is in a later era.
         """
-        if self._state.position == START:
+        if self._state.position == START or self._must_compare():
             await self._read_all()
         era = self._state.position.era
         watch = self._store.watch(self._prefix, self._state.position, self._role.wait_s)
@@ -233,6 +249,8 @@
                 events = await self._next_events(watch)
                 if self._state.position.era != era:
                     return  # A peer had the state of a later era.
+                if any(e.key == HISTORY for e in events):
+                    return  # Another follower began an era.
                 self._state.extend(events)
                 self._record_response()
                 if not self._role.follows():
@@ -279,8 +297,15 @@
             self.reachable = reachable
             self._on_change(reachable, error)
 
+    def _must_compare(self) -> bool:
+        """Return whether the store names no era, so that a marker must."""
+        return self._marks_histories and self._store.era == UNKNOWN_ERA
+
     async def _read_all(self) -> None:
-        listing = await self._store.read(self._prefix)
+        if self._must_compare():
+            listing = await self._read_own_era()
+        else:
+            listing = await self._store.read(self._prefix)
         if not self._state.reset(listing) and listing.position < self._state.position:
             # An answer of an earlier era, or of a lagging copy.
             logger.error(
@@ -291,6 +316,41 @@
             raise StoreUnavailable("the position of the store decreased")
         self._record_response()
 
+    async def _read_own_era(self) -> Listing:
+        """Read all entries, and begin an era if they show another history.
+
+        Of several followers that begin one at the same time, one succeeds. The others
+        read its era then, as does one whose answer was lost at its next attempt.
+        """
+        # What was known before the store answered can't be newer than the answer.
+        accepted = max(self._accepted(), self._state.position)
+        listing = listing_in_own_era(await self._store.read(self._prefix))
+        if accepted <= listing.position < self._state.position:
+            # A peer had a newer state while the store answered.
+            return await self._read_own_era()
+        writes = self._writes_for_era(listing, accepted)
+        if not writes:
+            return listing
+        logger.error(
+            "the store has another history",
+            store=listing.position,
+            held=self._state.position,
+            accepted=accepted,
+            written=[w.key for w in writes],
+        )
+        await self._store.commit(writes)
+        return await self._read_own_era()
+
+    def _writes_for_era(self, listing: Listing, accepted: Position) -> list[Write]:
+        """Return what begins an era, or what the era that another one began lacks."""
+        state = self._state
+        if shows_other_history(state, listing, accepted):
+            marker = next_marker_write(state, listing, accepted, uuid.uuid4().hex)
+            return [marker, *newer_tables(state, listing)]
+        if listing.era > state.position.era:
+            return newer_tables(state, listing)
+        return []
+
 
 def _log_reachability(reachable: bool, error: str) -> None:
     if reachable:
--- a/leverdoor/storage/view.py
+++ b/leverdoor/storage/view.py
@@ -239,7 +239,7 @@
     Args:
       entries: the entries of the store.
       known: the view of `state`; its resource is reused for an entry whose revision
-        equals that in `state`.
+        and value equal those in `state`.
       state: the replica of the store from which the view was compiled.
     Returns: the resources; an entry that cannot be parsed is omitted.
     """
@@ -247,7 +247,12 @@
     for e in entries:
         key = e.key.removeprefix(RESOURCES)
         current = state.entries.get(e.key)
-        if known is not None and current is not None and current.revision == e.revision:
+        # A restored store may have given the revision out again, to another value.
+        is_known = current is not None and (current.revision, current.value) == (
+            e.revision,
+            e.value,
+        )
+        if known is not None and is_known:
             if key in known.resources:
                 resources[key] = known.resources[key]
         else:
--- a/tests/interface_table.py
+++ b/tests/interface_table.py
@@ -196,6 +196,11 @@
     ("table refused", "info", ("revision", "version")),
     ("table written", "info", ("revision", "version")),
     ("target checked", "info", ("found", "target")),
+    (
+        "the store has another history",
+        "error",
+        ("accepted", "held", "store", "written"),
+    ),
     ("the store is behind what was accepted", "error", ("held", "store")),
     ("watch silent while its answer is due", "info", ()),
 ]
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -38,7 +38,7 @@
         self.api = Api(
             Configuration(self.store, self.state, cache),
             self.state,
-            Reporter(cache, Peers("vm0", "r")),
+            Reporter(cache, Peers("vm0", "r"), self.state),
             AgentMetrics(),
         )
         self.server = TestServer(self.api.app())
--- a/tests/test_wire_bytes.py
+++ b/tests/test_wire_bytes.py
@@ -18,6 +18,7 @@
 import pytest
 
 import wire_samples as samples
+from leverdoor.agent.link import GateReport
 from leverdoor.codec import pack, parse_json, serialize_json, unpack
 from leverdoor.entry.exchange import encoding, messages
 from leverdoor.entry.exchange.target_counts import TargetCountCodec
@@ -26,6 +27,7 @@
 from leverdoor.gate.idempotency_keys import KeyRegistry, parse_key, serialize_key
 from leverdoor.membership.gossip import GossipSocket
 from leverdoor.membership.ownership import parse_table, serialize_table
+from leverdoor.membership.peers import AgentHeartbeat
 from leverdoor.model.resources import (
     KINDS,
     Tier,
@@ -35,6 +37,12 @@
 )
 from leverdoor.platform.wire_format import wire
 from leverdoor.storage.configuration import Configuration, Guard
+from leverdoor.storage.history import (
+    HISTORY,
+    HistoryMarker,
+    parse_marker,
+    serialize_marker,
+)
 from leverdoor.storage.position import START, UNKNOWN_ERA, position_without_era
 from leverdoor.storage.state import GUARD, PREFIX, RESOURCES, TABLES, Delta, State
 from leverdoor.storage.store import (
@@ -92,37 +100,37 @@
     ),
     "stored entry": b"\x95\xaaservers/t1\xc4\x02{}\xce\x00\x01\x11p\x0c\x03",
     "gate report": (
-        b"\x8b\xa4type\xaaGateReport\xa4gate\xab10.0.0.1:80\xa5relay\xab10.0.0.1:81"
+        b"\x8c\xa4type\xaaGateReport\xa4gate\xab10.0.0.1:80\xa5relay\xab10.0.0.1:81"
         b"\xabincarnation\xcf\x00\x06\x0a$\x18\x1e@\x01\xa8revision\xce\x00\x01\x11p"
         b"\xa3ack\x92(\x91\xadt:10.0.0.9:80\xa5state\xa7serving\xa5loads\x81\xa4look"
         b"\x94\x05\x02\x03\xcb@)\x00\x00\x00\x00\x00\x00\xa4caps\x81\xaec:look:kolkata"
-        b"\x06\xa4held\x91\xadt:10.0.0.9:80\xa8draining\x81\xa2t1\x02"
+        b"\x06\xa4held\x91\xadt:10.0.0.9:80\xa8draining\x81\xa2t1\x02\xa3era\x03"
     ),
     "hints": (
-        b"\x85\xa4type\xa5Hints\xaaheartbeats\x91\xdc\x00\x14\xa3vm1\xa8siliguri\xaa"
+        b"\x85\xa4type\xa5Hints\xaaheartbeats\x91\xdc\x00\x16\xa3vm1\xa8siliguri\xaa"
         b"siliguri-a\xad10.0.0.1:7946\xad10.0.0.1:7948\xcf\x00\x06\x0a$\x18\x1e@\x03"
         b"\xcd\x01,\xce\x00\x01\x11p\xab10.0.0.1:80\xab10.0.0.1:81\xcf\x00\x06\x0a$"
         b"\x18\x1e@\x01\xce\x00\x01\x11o\x92(\x91\xadt:10.0.0.9:80\xa7leaving\x81"
         b"\xa4look\x94\x05\x02\x03\xcb@)\x00\x00\x00\x00\x00\x00\x81\xaec:look:kolka"
-        b"ta\x06\x91\xb1vm8|10.0.0.8:80|1\x91\xa3vm9\x81\xa2t1\x02\xc3\xableaving_vm"
+        b"ta\x06\x91\xb1vm8|10.0.0.8:80|1\x91\xa3vm9\x81\xa2t1\x02\xc3\x03\x02\xableaving_vm"
         b"s\x91\xa3vm9\xa6probes\x81\xab10.0.0.9:80\x95\xc3\xc3\x04\xcb@\x93J\x00"
         b"\x00\x00\x00\x00\xc2\xb1incarnation_floor\xcf\x00\x06\x0a$\x18\x1e@\x00"
     ),
     "gate heartbeat": (
-        b"\xdc\x00\x14\xa3vm1\xa8siliguri\xaasiliguri-a\xad10.0.0.1:7946\xad10.0.0.1"
+        b"\xdc\x00\x16\xa3vm1\xa8siliguri\xaasiliguri-a\xad10.0.0.1:7946\xad10.0.0.1"
         b":7948\xcf\x00\x06\x0a$\x18\x1e@\x03\xcd\x01,\xce\x00\x01\x11p\xab10.0.0.1:"
         b"80\xab10.0.0.1:81\xcf\x00\x06\x0a$\x18\x1e@\x01\xce\x00\x01\x11o\x92(\x91"
         b"\xadt:10.0.0.9:80\xa7leaving\x81\xa4look\x94\x05\x02\x03\xcb@)\x00\x00\x00"
         b"\x00\x00\x00\x81\xaec:look:kolkata\x06\x91\xb1vm8|10.0.0.8:80|1\x91\xa3vm9"
-        b"\x81\xa2t1\x02\xc3"
+        b"\x81\xa2t1\x02\xc3\x03\x02"
     ),
     "gossip": (
-        b"\x91\x91\xdc\x00\x14\xa3vm1\xa8siliguri\xaasiliguri-a\xad10.0.0.1:7946\xad"
+        b"\x91\x91\xdc\x00\x16\xa3vm1\xa8siliguri\xaasiliguri-a\xad10.0.0.1:7946\xad"
         b"10.0.0.1:7948\xcf\x00\x06\x0a$\x18\x1e@\x03\xcd\x01,\xce\x00\x01\x11p\xab1"
         b"0.0.0.1:80\xab10.0.0.1:81\xcf\x00\x06\x0a$\x18\x1e@\x01\xce\x00\x01\x11o"
         b"\x92(\x91\xadt:10.0.0.9:80\xa7leaving\x81\xa4look\x94\x05\x02\x03\xcb@)"
         b"\x00\x00\x00\x00\x00\x00\x81\xaec:look:kolkata\x06\x91\xb1vm8|10.0.0.8:80|"
-        b"1\x91\xa3vm9\x81\xa2t1\x02\xc3"
+        b"1\x91\xa3vm9\x81\xa2t1\x02\xc3\x03\x02"
     ),
     "ownership table": (
         b"\x85\xa6region\xa8siliguri\xa7version)\xabnext_member\x03\xa7members\x82\x01"
@@ -136,6 +144,25 @@
         b"\xfa\xfb\xfc"
     ),
 }
+EARLIER_BYTES: dict[str, bytes] = {
+    "gate report": (
+        b"\x8b\xa4type\xaaGateReport\xa4gate\xab10.0.0.1:80\xa5relay\xab10.0.0.1:81"
+        b"\xabincarnation\xcf\x00\x06\x0a$\x18\x1e@\x01\xa8revision\xce\x00\x01\x11p"
+        b"\xa3ack\x92(\x91\xadt:10.0.0.9:80\xa5state\xa7serving\xa5loads\x81\xa4look"
+        b"\x94\x05\x02\x03\xcb@)\x00\x00\x00\x00\x00\x00\xa4caps\x81\xaec:look:kolkata"
+        b"\x06\xa4held\x91\xadt:10.0.0.9:80\xa8draining\x81\xa2t1\x02"
+    ),
+    "gate heartbeat": (
+        b"\xdc\x00\x14\xa3vm1\xa8siliguri\xaasiliguri-a\xad10.0.0.1:7946\xad10.0.0.1"
+        b":7948\xcf\x00\x06\x0a$\x18\x1e@\x03\xcd\x01,\xce\x00\x01\x11p\xab10.0.0.1:"
+        b"80\xab10.0.0.1:81\xcf\x00\x06\x0a$\x18\x1e@\x01\xce\x00\x01\x11o\x92(\x91"
+        b"\xadt:10.0.0.9:80\xa7leaving\x81\xa4look\x94\x05\x02\x03\xcb@)\x00\x00\x00"
+        b"\x00\x00\x00\x81\xaec:look:kolkata\x06\x91\xb1vm8|10.0.0.8:80|1\x91\xa3vm9"
+        b"\x81\xa2t1\x02\xc3"
+    ),
+}
+"""Messages of plain sites as an earlier release sends them, without eras."""
+
 RESOURCE_BYTES: dict[str, bytes] = {
     "region/siliguri": (
         b'{"kind":"region","name":"siliguri","domains":["siliguri-a"],"la'
@@ -250,26 +277,26 @@
     "news": (b"\x96\xa1n\xce\x00\x01\x11p\xad10.0.0.1:7947\x00\xff\xff"),
     "stored entry": b"\x95\xaaservers/t1\xc4\x02{}\xce\x00\x01\x11p\x00\xff",
     "gate report": (
-        b"\x8b\xa4type\xaaGateReport\xa4gate\xab10.0.0.1:80\xa5relay\xab10.0.0.1:81"
+        b"\x8c\xa4type\xaaGateReport\xa4gate\xab10.0.0.1:80\xa5relay\xab10.0.0.1:81"
         b"\xabincarnation\xcf\x00\x06\x0a$\x18\x1e@\x01\xa8revision\xce\x00\x01\x11p"
         b"\xa3ack\x92(\x91\xadt:10.0.0.9:80\xa5state\xa7serving\xa5loads\x81\xa4look"
         b"\x94\x05\x02\x03\xcb@)\x00\x00\x00\x00\x00\x00\xa4caps\x81\xaec:look:kolkata"
-        b"\x06\xa4held\x91\xadt:10.0.0.9:80\xa8draining\x80"
+        b"\x06\xa4held\x91\xadt:10.0.0.9:80\xa8draining\x80\xa3era\xff"
     ),
     "hints": (
-        b"\x85\xa4type\xa5Hints\xaaheartbeats\x91\xdc\x00\x14\xa3vm1\xa8siliguri\xaa"
+        b"\x85\xa4type\xa5Hints\xaaheartbeats\x91\xdc\x00\x16\xa3vm1\xa8siliguri\xaa"
         b"siliguri-a\xad10.0.0.1:7946\xad10.0.0.1:7948\xcf\x00\x06\x0a$\x18\x1e@\x03"
         b"\xcd\x01,\xce\x00\x01\x11p\xab10.0.0.1:80\xab10.0.0.1:81\xcf\x00\x06\x0a$"
         b"\x18\x1e@\x01\xce\x00\x01\x11o\x92(\x91\xadt:10.0.0.9:80\xa7leaving\x81"
         b"\xa4look\x94\x05\x02\x03\xcb@)\x00\x00\x00\x00\x00\x00\x81\xaec:look:kolka"
-        b"ta\x06\x91\xb1vm8|10.0.0.8:80|1\x91\xa3vm9\x81\xa2t1\x02\xc3\xableaving_vm"
+        b"ta\x06\x91\xb1vm8|10.0.0.8:80|1\x91\xa3vm9\x81\xa2t1\x02\xc3\x03\x02\xableaving_vm"
         b"s\x91\xa3vm9\xa6probes\x81\xab10.0.0.9:80\x95\xc3\xc3\x04\xcb@\x93J\x00"
         b"\x00\x00\x00\x00\xc2\xb1incarnation_floor\x00"
     ),
     "gate heartbeat": (
-        b"\xdc\x00\x14\xa3vm1\xa8siliguri\xaasiliguri-a\xad10.0.0.1:7946\xad10.0.0.1"
+        b"\xdc\x00\x16\xa3vm1\xa8siliguri\xaasiliguri-a\xad10.0.0.1:7946\xad10.0.0.1"
         b":7948\xcf\x00\x06\x0a$\x18\x1e@\x03\xcd\x01,\x00\xa0\xa0\x00\x00\x92\x00"
-        b"\x90\xa4none\x80\x80\x90\x90\x80\xc2"
+        b"\x90\xa4none\x80\x80\x90\x90\x80\xc2\xff\xff"
     ),
     "ownership table": (
         b"\x85\xa6region\xa8siliguri\xa7version\x00\xabnext_member\x01\xa7members\x80"
@@ -375,6 +402,15 @@
     assert pack(parsed) == data
 
 
+def test_messages_without_eras_are_read() -> None:
+    """Agents and gates of an earlier release serve beside new ones."""
+    report = unpack(EARLIER_BYTES["gate report"], GateReport)
+    assert report == msgspec.structs.replace(samples.GATE_REPORT, era=UNKNOWN_ERA)
+    heartbeat = unpack(EARLIER_BYTES["gate heartbeat"], AgentHeartbeat)
+    assert heartbeat.position == position_without_era(70_000)
+    assert heartbeat.gate_position == position_without_era(69_999)
+
+
 def test_rows_of_entries() -> None:
     data = (
         b"\x04\x03\x02\x01\x01@\x1e\x18$\x0a\x06\x00\x01"
@@ -490,9 +526,16 @@
     assert GUARD == "/leverdoor/guard"
     assert RESOURCES == "/leverdoor/resources/"
     assert TABLES == "/leverdoor/tables/"
+    assert HISTORY == "/leverdoor/history"
     assert wire({}).peer_key("n1") == "leverdoor/entries/n1"
 
 
+def test_marker_of_a_history() -> None:
+    marker = HistoryMarker(3, "a1b2")
+    assert serialize_marker(marker) == b'{"era":3,"id":"a1b2"}'
+    assert parse_marker(serialize_marker(marker)) == marker
+
+
 def test_ownership_table() -> None:
     data = PACKED_BYTES["ownership table"]
     assert serialize_table(samples.TABLE) == data
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -168,6 +168,7 @@
     caps={"c:look:kolkata": 6},
     held=["t:10.0.0.9:80"],
     draining={"t1": 2},
+    era=3,
 )
 GATE_HEARTBEAT = AgentHeartbeat(
     vm="vm1",
@@ -190,6 +191,8 @@
     leaving_vms=["vm9"],
     draining={"t1": 2},
     unserved=True,
+    era=3,
+    gate_era=2,
 )
 HINTS = Hints(
     heartbeats=[GATE_HEARTBEAT],
