A request that crashes targets on and on is judged after 1.2 s

Trace: the request is a suspect from its third crash on, and was judged once its newest crash was 0.6 s old, when the reports of other entries are in. Each further crash put the judgment off, so a request that ends targets more often was never judged: `Quarantine` alone, one crash each 0.2 to 0.6 s, had no hold after 10 s and 17 to 50 crashes; each 0.7 s it held at the third. The same with 6 real entries and 36 targets, one request each 0.15 s, without any drill: 55 targets in 10 s, refused by nobody.

Ruled out as the cause of what the new test shows: the era, records that the copy lacks, trials, crashes counted anew.

Now a suspect waits for 1.2 s at most.

--- a/leverdoor/quarantine/quarantine.py
+++ b/leverdoor/quarantine/quarantine.py
@@ -54,6 +54,14 @@
 With a smaller one, a harmless request is judged before all reports of the cause have
 arrived. `_release_applies` uses the same time as a tolerance.
 """
+MAX_JUDGMENT_DELAY_S = 1.2
+"""Longest time for which a suspect waits for its judgment, in seconds.
+
+Twice `JUDGMENT_DELAY_S`: enough for the attempts of one burst, 0.7 s apart at most, and
+the reports of them. Without this bound, a request that crashes targets more often than
+each 0.6 s is never judged. With a greater value, more targets crash; with a smaller
+one, requests are judged between the crashes of one burst.
+"""
 TRIAL_DELAY_S = 2.0
 """Time until the first trial of a request that may be harmless, in seconds.
 
@@ -126,6 +134,20 @@
     """The number of trials left if the request is quarantined."""
 
 
+class _Suspect(msgspec.Struct, frozen=True):
+    """A request to judge; monotonic times in seconds."""
+
+    since: float
+    """End of the lost run that made it a suspect."""
+    newest: float
+    """End of its newest lost run."""
+
+    def is_ready(self, now: float) -> bool:
+        """Return whether to judge it: reports are in, or it crashes on and on."""
+        waited_s, suspected_s = now - self.newest, now - self.since
+        return waited_s >= JUDGMENT_DELAY_S or suspected_s >= MAX_JUDGMENT_DELAY_S
+
+
 class Quarantine:
     """The requests that one entry refuses because they crash targets."""
 
@@ -137,8 +159,8 @@
         """By fingerprint, when a target last completed the request."""
         self._released_until: OrderedDict[int, float] = OrderedDict()
         """By fingerprint, up to which time evidence against it is discarded."""
-        self._suspects: dict[int, float] = {}
-        """Requests to judge, by fingerprint, with the end of their newest lost run."""
+        self._suspects: dict[int, _Suspect] = {}
+        """Requests to judge, by fingerprint."""
         self._outbox = Outbox()
         self._changes: list[QuarantineChange] = []
 
@@ -216,7 +238,9 @@
         crashes = self._crash_table.crashes_of(fingerprint)
         if len(crashes) >= MIN_CRASHES:
             newest = max(c.runs[fingerprint].ended for c in crashes)
-            self._suspects[fingerprint] = newest
+            suspect = self._suspects.get(fingerprint)
+            since = suspect.since if suspect is not None else newest
+            self._suspects[fingerprint] = _Suspect(since, newest)
 
     def _evidence_discarded_to(self, fingerprint: int) -> float:
         """Return up to which time evidence against a request is discarded."""
@@ -231,7 +255,7 @@
         Returns: the quarantines and releases since the last call.
         """
         self._forget(now)
-        ready = [f for f, at in self._suspects.items() if now - at >= JUDGMENT_DELAY_S]
+        ready = [f for f, s in self._suspects.items() if s.is_ready(now)]
         for fingerprint in ready:
             del self._suspects[fingerprint]
             self._judge(fingerprint, now)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -13,6 +13,7 @@
 from leverdoor.quarantine.quarantine import (
     HOLD_S,
     JUDGMENT_DELAY_S,
+    MAX_JUDGMENT_DELAY_S,
     MAX_TRIALS,
     TRIAL_DELAY_S,
     Quarantine,
@@ -92,6 +93,16 @@
     assert cluster.held(FATAL_REQUEST) == [True, True, True]
 
 
+def test_a_request_that_crashes_targets_on_and_on_is_judged() -> None:
+    """Each crash put its judgment off, so it was never quarantined."""
+    cluster = EntryCluster(3)
+    for crashes in range(MIN_CRASHES + round(MAX_JUDGMENT_DELAY_S / ROUND_S)):
+        cluster.crash(FATAL_REQUEST, entry_index=crashes % 3)
+        cluster.round()
+    assert ROUND_S < JUDGMENT_DELAY_S
+    assert cluster.held(FATAL_REQUEST) == [True, True, True]
+
+
 def test_a_request_running_beside_the_cause_is_not_quarantined() -> None:
     """The cause has one more crash, so only the cause is quarantined."""
     cluster = EntryCluster()
