Test of real agents and gates beside a restored store of a plain site

Three agents and gates of three VMs, the store's stand-in comes back without the latest six writes and holds another one: all gates serve by it, and its ownership table has no lower version.

--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -11,11 +11,15 @@
 
 import pytest
 
+from bench import deployment, running, until
+from leverdoor.client.operator import Operator
+from leverdoor.gate.daemon import Gate
 from leverdoor.membership.ownership import Table, parse_table, serialize_table
+from leverdoor.model.resources import Tier, serialize_resource
 from leverdoor.storage.following import FollowerRole, StoreFollower
 from leverdoor.storage.history import HISTORY, parse_marker
 from leverdoor.storage.position import START, UNKNOWN_ERA, Position
-from leverdoor.storage.state import TABLES, State
+from leverdoor.storage.state import RESOURCES, TABLES, State
 from leverdoor.storage.store import MemoryStore, Write
 from virtual_clock import run_virtual
 
@@ -259,3 +263,36 @@
         await site.stop()
 
     run_virtual(run())
+
+
+async def test_gates_serve_by_a_restored_store() -> None:
+    """Real agents and gates: gates had the higher revision, and ignored the new one."""
+    async with running(deployment(vms=3)) as bench:
+        store, operator = bench.kv.store, Operator([bench.api()])
+        copy = store.copy()
+        for i in range(6):
+            await operator.apply([Tier(name=f"lost-{i}")])
+        await until(lambda: all("lost-5" in tiers(g) for g in bench.gates.values()))
+        tables = {g._state.entries[TABLES + "r0"].value for g in bench.gates.values()}
+        store.down = True
+        store.wake_watches()
+        await asyncio.sleep(0.5)
+        store.restore(copy)
+        store.down = False
+        written = Write(RESOURCES + "tier/new", serialize_resource(Tier(name="new")))
+        await store.commit([written])
+        await until(lambda: all("new" in tiers(g) for g in bench.gates.values()))
+        for gate in bench.gates.values():
+            assert "lost-0" not in tiers(gate)
+            assert gate._state.position.era == 0
+        assert HISTORY in {e.key for e in (await store.read("")).entries}
+        applied = await operator.apply([Tier(name="later")])
+        await operator.wait(applied.revision, len(bench.gates), SETTLE_S)
+        await operator.close()
+        table = (await store.read(TABLES + "r0")).entries[0].value
+        known = max(parse_table(t).version for t in tables)
+        assert parse_table(table).version >= known
+
+
+def tiers(gate: Gate) -> set[str]:
+    return set(gate._scheduler.view.tiers)
