--- a/leverdoor/analysis/explaining.py
+++ b/leverdoor/analysis/explaining.py
@@ -153,6 +153,8 @@
             return f"Targets' limits for all entries left no room: {f['detail']}."
         case "TARGETS_RESTING":
             return f"All targets that may serve it wanted rest: {f['detail']}."
+        case "REGION_FULL":
+            return f"The only region that may serve it was full: {f['detail']}."
         case "NO_TARGET":
             return (
                 "No target in service may serve it: all are gone or leave, or its"
--- a/leverdoor/analysis/losses.py
+++ b/leverdoor/analysis/losses.py
@@ -95,6 +95,7 @@
     Code.QUARANTINED: Cause.QUARANTINED,
     Code.TARGETS_LIMITED: Cause.LIMITED,
     Code.TARGETS_RESTING: Cause.RESTING,
+    Code.REGION_FULL: Cause.NO_ROOM,
 }
 """Causes by the code of a refusal; any other means that it was not routed."""
 
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -272,8 +272,10 @@
             self._data.update_admission()
             self._control.peers.round(now)
             if rounds % SHARE_UPDATE_ROUNDS == 0:
-                shares = self._control.exchange.region_shares()
-                self._data.placement.shares.update([shares], now)
+                exchange = self._control.exchange
+                self._data.placement.update_shares(
+                    [exchange.region_shares()], exchange.admitted_keys(), now
+                )
             if rounds % SWEEP_ROUNDS == 0:
                 self._sweep(now)
 
@@ -356,6 +358,7 @@
             self._control.is_unserved(now),
             self._data.limits.round(now),
             self._data.quarantine.notices(now),
+            self._data.placement.admitted_keys(),
         )
 
     # Leaving.
--- a/leverdoor/entry/data_plane.py
+++ b/leverdoor/entry/data_plane.py
@@ -33,6 +33,7 @@
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.metrics import EntryMetrics
 from leverdoor.entry.placement.fleet import SUM_OF_PEERS, Fleet
+from leverdoor.entry.placement.key_admission import KeyAdmissionTable
 from leverdoor.entry.placement.policy import PlacementPolicy
 from leverdoor.entry.placement.tuning import PRODUCTION, WAITING
 from leverdoor.entry.requests.client_connection import ClientConnection
@@ -109,7 +110,13 @@
         move_per_s = s.max_shift * SHIFT_FRACTION / SHIFT_WINDOW_S
         tuning = WAITING if s.waits_for_room else PRODUCTION
         policy = PlacementPolicy(
-            s.region, s.domain, self.fleet, self._context.rng, move_per_s, tuning
+            s.region,
+            s.domain,
+            self.fleet,
+            self._context.rng,
+            move_per_s,
+            tuning,
+            KeyAdmissionTable() if s.waits_for_room else None,
         )
         policy.may_warm_up_target = lambda target: may_warm_up(self._membership, target)
         return policy
--- a/leverdoor/entry/exchange/digest_builder.py
+++ b/leverdoor/entry/exchange/digest_builder.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from leverdoor.entry.exchange.admitted_keys import AdmittedKeyMeans
 from leverdoor.entry.exchange.domain_views import DomainViews
 from leverdoor.entry.exchange.encoding import serialize_hashes
 from leverdoor.entry.exchange.exchange_types import EntryStatus
@@ -25,6 +26,7 @@
     DigestScope,
     DomainView,
     RegionCounts,
+    Shares,
 )
 from leverdoor.entry.exchange.recipients import rotate
 from leverdoor.entry.exchange.target_counts import TargetCountCodec
@@ -74,6 +76,7 @@
         merger: LoadMerger,
         views: DomainViews,
         relay: WarmKeyRelay,
+        admitted_keys: AdmittedKeyMeans,
         unserved: UnservedEntries,
     ) -> None:
         """Create the builder from the sources of the digests' contents."""
@@ -83,6 +86,7 @@
         self._merger = merger
         self._views = views
         self._warm_key_relay = relay
+        self._admitted_keys = admitted_keys
         self._unserved = unserved
 
     def build(self, digest_round: DigestRound) -> dict[DigestScope, Digest]:
@@ -119,7 +123,12 @@
         warm_hashes = self._warm_key_relay.keys_for_region(
             digest_round.status.warm_keys, digest_round.now
         )
-        return self._with_shares_and_warm_keys(digest_round, digest, mean, warm_hashes)
+        admitted = self._admitted_keys.domain_mean(
+            digest_round.status.admitted_keys, digest_round.now
+        )
+        return self._with_shares_and_warm_keys(
+            digest_round, digest, mean, admitted, warm_hashes
+        )
 
     def _region_digest(
         self,
@@ -158,7 +167,12 @@
         warm_hashes = self._warm_key_relay.keys_for_domain(
             digest_round.status.warm_keys, digest_round.now
         )
-        return self._with_shares_and_warm_keys(digest_round, digest, mean, warm_hashes)
+        admitted = self._admitted_keys.region_mean(
+            digest_round.status.admitted_keys, digest_round.now
+        )
+        return self._with_shares_and_warm_keys(
+            digest_round, digest, mean, admitted, warm_hashes
+        )
 
     def _other_region_views(self, digest_round: DigestRound) -> list[DomainView]:
         other_domains = [
@@ -229,6 +243,7 @@
         digest_round: DigestRound,
         digest: Digest,
         mean: WeightedShares,
+        admitted_keys: Shares,
         warm_hashes: list[int],
     ) -> Digest:
         """Return a copy of a digest with warm keys and, in some rounds, shares."""
@@ -237,5 +252,6 @@
             digest,
             entries=mean.entries,
             shares=mean.shares if has_shares else {},
+            admitted_keys=admitted_keys if has_shares else {},
             warm_keys=serialize_hashes(warm_hashes),
         )
--- a/leverdoor/entry/exchange/exchange.py
+++ b/leverdoor/entry/exchange/exchange.py
@@ -24,6 +24,7 @@
 import msgspec
 
 from leverdoor.entry.configuration.confirmation import ReportedAnswer
+from leverdoor.entry.exchange.admitted_keys import AdmittedKeyMeans
 from leverdoor.entry.exchange.digest_builder import (
     SHARES_INTERVAL_ROUNDS,
     DigestBuilder,
@@ -109,6 +110,7 @@
         self.use = UsageExchange(membership)
         self._views = DomainViews(membership)
         self._warm_key_relay = WarmKeyRelay()
+        self._admitted_keys = AdmittedKeyMeans()
         self.unserved = UnservedEntries(self._own)
         self._limits = LimitExchange(self._own.name)
         self._recipients = Recipients(membership, roles)
@@ -118,12 +120,14 @@
             self._merger,
             self._views,
             self._warm_key_relay,
+            self._admitted_keys,
             self.unserved,
         )
         self._others_by_region: dict[str, tuple[float, dict[str, int]]] = {}
         """By region of the targets: time of the last digest with counts for a known
         target list, and the requests in flight of all other entries."""
         self._region_shares: Shares = {}
+        self._region_admitted_keys: Shares = {}
         self._last_rounds: dict[tuple[str, DigestScope], tuple[int, int]] = {}
         """By sender and scope: incarnation and round number of its newest digest."""
 
@@ -165,6 +169,7 @@
         if known is None or known.incarnation != member.incarnation:
             return PeerUpdate()
         self._merger.record_heartbeat(heartbeat, now)
+        self._admitted_keys.record_entry(member.name, heartbeat.admitted_keys, now)
         self.use.record_heartbeat(heartbeat, now)
         self.unserved.record_heartbeat(heartbeat, now)
         warm = parse_hashes(heartbeat.warm_keys)
@@ -223,6 +228,7 @@
             shares = WeightedShares(digest.entries, digest.shares)
             counts = self._parse_counts(digest)
             self._merger.record_domain(sender.domain, counts, shares, now)
+            self._admitted_keys.record_domain(sender.domain, digest.admitted_keys, now)
             self._warm_key_relay.record_region_keys(warm, now)
             self.use.record_partial_sums(digest, sender, now)
         elif sender.region != self._own.region:
@@ -250,6 +256,8 @@
             return update
         if digest.shares:
             self._region_shares = digest.shares
+            # Sent in the same rounds; empty once all regions admit all keys.
+            self._region_admitted_keys = digest.admitted_keys
         if self._roles.is_aggregator(now):
             self._recipients.record_other_aggregator(digest.round_number, now)
             return update
@@ -282,13 +290,14 @@
         )
         while len(self._reported_counts) > MAX_REPORTED_COUNTS:
             self._reported_counts.popitem(last=False)
+        has_shares = self._seq % SHARES_INTERVAL_ROUNDS == 1
         return EntryHeartbeat(
             self._own,
             self._seq,
             status.state,
             status.position.revision,
             status.in_flight,
-            status.shares if self._seq % SHARES_INTERVAL_ROUNDS == 1 else {},
+            status.shares if has_shares else {},
             status.outage_age_ms,
             serialize_hashes(status.warm_keys),
             self.use.serialize(status.use),
@@ -296,6 +305,7 @@
             status.answer.number,
             status.unserved,
             status.position.era,
+            status.admitted_keys if has_shares else {},
         )
 
     def heartbeat_messages(
@@ -366,6 +376,9 @@
             self.use.stop_merging()
             return outgoing, PeerUpdate()
         self._region_shares = self._merger.region_shares(status.shares).shares
+        self._region_admitted_keys = self._admitted_keys.region_mean(
+            status.admitted_keys, now
+        )
         update = PeerUpdate(
             others_in_flight=self._merger.counts_of_others(now),
             use=self.use.merged_usage_of_others(status.uptime_s, now),
@@ -441,9 +454,14 @@
         """Return the last known mean of the shares over the entries of the region."""
         return self._region_shares
 
+    def admitted_keys(self) -> Shares:
+        """Return the last known mean fractions of keys that full regions admit."""
+        return self._region_admitted_keys
+
     def forget(self, now: float) -> None:
         """Remove expired data."""
         self._merger.forget(now)
+        self._admitted_keys.forget(now)
         self.use.forget(now)
         self._limits.forget(now)
 
--- a/leverdoor/entry/exchange/exchange_types.py
+++ b/leverdoor/entry/exchange/exchange_types.py
@@ -47,6 +47,9 @@
     """Limits that targets reported in responses to this entry."""
     notices: list[Notice] = []
     """Notices to send about requests that terminate targets."""
+    admitted_keys: Shares = {}
+    """By service and region: fraction of keys that this entry admits to a full
+    region."""
 
 
 class OutgoingMessage(msgspec.Struct, frozen=True):
--- a/leverdoor/entry/exchange/messages.py
+++ b/leverdoor/entry/exchange/messages.py
@@ -69,6 +69,10 @@
     """Whether the store does not answer requests of this entry."""
     era: int = UNKNOWN_ERA
     """Era of `revision`."""
+    admitted_keys: Shares = {}
+    """By service and region: fraction of keys that the entry admits to a full region.
+
+    Empty in most rounds, and for regions that admit all keys."""
 
     @property
     def position(self) -> Position:
@@ -158,6 +162,9 @@
     of its region."""
     era: int = UNKNOWN_ERA
     """Era of `revision`."""
+    admitted_keys: Shares = {}
+    """As in `EntryHeartbeat`: the mean of the entries of the sender's failure domain
+    (scope DOMAIN) or region (scope ALL). Scope REGION: none."""
 
     @property
     def position(self) -> Position:
--- a/leverdoor/entry/placement/placement_request.py
+++ b/leverdoor/entry/placement/placement_request.py
@@ -42,6 +42,8 @@
     """Names of the targets of earlier attempts."""
     targets_without_room: set[str] = msgspec.field(default_factory=set)
     """Names of the targets whose limiter rejected it."""
+    first_target_only: bool = False
+    """Whether only the first usable target of its key may serve it."""
     fingerprint: int = 0
     """Hash that identifies repetitions of the request; 0 until its body is read."""
     deadline_ms: int = 0
--- a/leverdoor/entry/placement/policy.py
+++ b/leverdoor/entry/placement/policy.py
@@ -21,6 +21,7 @@
 from leverdoor.entry.configuration.catalog import EMPTY_CATALOG, Catalog
 from leverdoor.entry.placement.candidates import CandidateSelector
 from leverdoor.entry.placement.fleet import Fleet, TargetState
+from leverdoor.entry.placement.key_admission import KeyAdmissionTable
 from leverdoor.entry.placement.overflow_budget import OverflowBudget
 from leverdoor.entry.placement.peer_rests import REST_DIGEST_TTL_S, PeerRests
 from leverdoor.entry.placement.placement_request import (
@@ -35,6 +36,7 @@
 from leverdoor.entry.placement.retry_delays import (
     describe_loads,
     limited_retry_after_ms,
+    refused_key_retry_after_ms,
     resting_retry_after_ms,
     retry_after_ms,
 )
@@ -66,6 +68,7 @@
         rng: Random,
         move_per_s: float = MOVE_PER_S,
         tuning: Tuning = PRODUCTION,
+        key_admission: KeyAdmissionTable | None = None,
     ) -> None:
         """Create a policy without a configuration.
 
@@ -77,8 +80,10 @@
           move_per_s: maximum fraction of a service's keys that changes region in a
             second.
           tuning: parameters of the rules.
+          key_admission: decides which keys a full region serves; None to serve all.
         """
         self._tuning = tuning
+        self._key_admission = key_admission
         self._region = region
         self._fleet = fleet
         self._rng = rng
@@ -131,6 +136,8 @@
         regions = self._candidates.regions(request)
         if not regions:
             return self._reject_without_region(request)
+        if self._refuses_key(request, regions, now):
+            return self._reject_key(request, regions[0])
         key_region = self.shares.region(request.service, request.key, regions, now)
         others = [region for region in regions if region != key_region]
         placement = (
@@ -142,6 +149,35 @@
             return self._reject_unplaced(request, regions, key_region, now)
         return placement
 
+    def update_shares(
+        self,
+        peers_shares: list[dict[str, dict[str, float]]],
+        admitted_keys: dict[str, dict[str, float]],
+        now: float,
+    ) -> None:
+        """Update the shares of regions and the fractions of keys that they admit.
+
+        Args:
+          peers_shares: as for `RegionShareTable.update`.
+          admitted_keys: by service and region, the mean of the admitted fractions at
+            this region's entries.
+          now: monotonic time in seconds.
+        """
+        table = self._key_admission
+        if table is None:
+            self.shares.update(peers_shares, now)
+            return
+        utilization = {
+            (service, region): self.shares.utilization(service, region, now)
+            for service, region in table.regions()
+        }
+        table.update(utilization, admitted_keys, now)
+        self.shares.update(peers_shares, now, table.restricted())
+
+    def admitted_keys(self) -> dict[str, dict[str, float]]:
+        """Return the admitted fractions of keys, for heartbeats; {} for all keys."""
+        return {} if self._key_admission is None else self._key_admission.to_send()
+
     # Requests that wait for room.
 
     def announce_room(self, target: Target | None) -> None:
@@ -327,6 +363,19 @@
             return False
         return self.may_warm_up_target(target)
 
+    def _refuses_key(
+        self, request: PlacementRequest, regions: list[str], now: float
+    ) -> bool:
+        """Return whether the only region that may serve a request refuses its key."""
+        table = self._key_admission
+        return table is not None and table.refuses(request, regions, now)
+
+    def _reject_key(self, request: PlacementRequest, region: str) -> Rejection:
+        """Reject a request because of its key."""
+        wait_ms = refused_key_retry_after_ms(self._rng.random())
+        reason = f"{request.service} in {region} serves other keys"
+        return Rejection(Code.REGION_FULL, wait_ms, reason)
+
     def _reject_without_region(self, request: PlacementRequest) -> Rejection:
         """Reject a request without a home region or without a target there."""
         if self._candidates.has_home(request):
--- a/leverdoor/entry/placement/region_share_table.py
+++ b/leverdoor/entry/placement/region_share_table.py
@@ -7,7 +7,7 @@
 regions, and on digests (entry/exchange) for the shares of the region's other entries.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
 
 from leverdoor.entry.placement.fleet import Fleet
 from leverdoor.entry.placement.region_shares import (
@@ -30,6 +30,11 @@
 
 Causes a few log lines a minute while shares change at the maximum rate.
 """
+REFUSING_LOAD = 1.5
+"""Least utilization that counts for a region that refuses keys.
+
+Above that of a region that is full, so that keys leave it for one that is nearly full.
+"""
 
 
 class RegionShareTable:
@@ -89,18 +94,26 @@
         return self._fleet.load(self._targets.get((service, region), ()), now)
 
     def update(
-        self, peers_shares: list[dict[str, dict[str, float]]], now: float
+        self,
+        peers_shares: list[dict[str, dict[str, float]]],
+        now: float,
+        refusing: Container[tuple[str, str]] = (),
     ) -> None:
         """Update all shares; to be called several times a second.
 
         Args:
           peers_shares: the shares of each other entry of the region, by service.
           now: monotonic time in seconds.
+          refusing: services and regions that refuse requests no other region may
+            serve. Requests that other regions may serve leave them.
         """
         for service in {s for s, _ in self._targets}:
             peer_shares = [p[service] for p in peers_shares if service in p]
             state = self._shares_of(service, peer_shares, now)
             utilizations = {r: self.utilization(service, r, now) for r in state.shares}
+            for region in state.shares:
+                if (service, region) in refusing:
+                    utilizations[region] = max(utilizations[region], REFUSING_LOAD)
             if not state.load_observed and not peer_shares:
                 # Targets may have been added or removed since the shares were computed.
                 state.replace(initial_shares(self._region, self._slots(service)))
--- a/leverdoor/entry/placement/retry_delays.py
+++ b/leverdoor/entry/placement/retry_delays.py
@@ -13,6 +13,7 @@
 __all__ = [
     "describe_loads",
     "limited_retry_after_ms",
+    "refused_key_retry_after_ms",
     "resting_retry_after_ms",
     "retry_after_ms",
 ]
@@ -30,6 +31,13 @@
 With a greater value, some callers wait longer than the overload lasts. With a smaller
 one, requests that were rejected together are retried together.
 """
+REFUSED_KEY_RETRY_MS = 1000
+"""Minimum delay before a request is retried whose key a full region refuses, in ms.
+
+Other keys are admitted as the load falls, within seconds. With a greater value, a
+caller waits although its key is served again. With a smaller one, the retry is refused
+as well.
+"""
 
 
 def retry_after_ms(random_fraction: float) -> int:
@@ -59,6 +67,15 @@
     return int(least_ms * (1 + random_fraction))
 
 
+def refused_key_retry_after_ms(random_fraction: float) -> int:
+    """Return the retry delay of a request that a full region refuses by its key, in ms.
+
+    Args:
+      random_fraction: a random number of [0, 1).
+    """
+    return int(REFUSED_KEY_RETRY_MS * (1 + random_fraction))
+
+
 def resting_retry_after_ms(rest_s: float, urgent: bool, random_fraction: float) -> int:
     """Return the retry delay of a request rejected because all targets rest, in ms.
 
--- a/leverdoor/entry/placement/target_chooser.py
+++ b/leverdoor/entry/placement/target_chooser.py
@@ -161,6 +161,7 @@
     ) -> list[ScoredTarget]:
         """Score the first usable candidates that are untried and not in warm-up."""
         scored: list[ScoredTarget] = []
+        max_targets = 1 if request.first_target_only else self._tuning.targets_a_key
         for target in candidates:
             if target.name in request.tried_targets:
                 continue
@@ -173,7 +174,7 @@
                 continue
             rank = RANKS - 1 if reason == "overflow" else len(scored)
             scored.append(self._score_target(request, state, rank, now))
-            if len(scored) >= self._tuning.targets_a_key:
+            if len(scored) >= max_targets:
                 break
         return scored
 
--- a/leverdoor/errors.py
+++ b/leverdoor/errors.py
@@ -75,6 +75,7 @@
     QUARANTINED = 3022
     TARGETS_LIMITED = 3023
     TARGETS_RESTING = 3024
+    REGION_FULL = 3025
     ANSWER_LOST = 3101
     ISSUER_GONE = 3102
     DEADLINE_PASSED = 3103
@@ -189,6 +190,9 @@
     Code.TARGETS_RESTING: CodeInfo(
         503, Run.NO, 61, "All targets that may serve it want rest of this entry."
     ),
+    Code.REGION_FULL: CodeInfo(
+        503, Run.NO, 62, "The only region that may serve it is full, with other keys."
+    ),
     Code.ANSWER_LOST: CodeInfo(
         502, Run.MAYBE, 50, "The request went out and its answer was lost."
     ),
--- a/tests/interface_table.py
+++ b/tests/interface_table.py
@@ -590,6 +590,7 @@
     (3022, "QUARANTINED", 503, "no", 59),
     (3023, "TARGETS_LIMITED", 503, "no", 60),
     (3024, "TARGETS_RESTING", 503, "no", 61),
+    (3025, "REGION_FULL", 503, "no", 62),
     (3101, "ANSWER_LOST", 502, "maybe", 50),
     (3102, "ISSUER_GONE", 410, "maybe", 51),
     (3103, "DEADLINE_PASSED", 504, "maybe", 52),
