--- a/leverdoor/entry/metrics.py
+++ b/leverdoor/entry/metrics.py
@@ -7,8 +7,7 @@
 
 from collections.abc import Mapping
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
-from prometheus_client.exposition import generate_latest
+from leverdoor.exposition import Counter, Gauge, Histogram, Registry
 
 __all__ = ["EntryMetrics"]
 
@@ -31,7 +30,7 @@
 
     def __init__(self) -> None:
         """Create the metrics in a separate registry."""
-        self.registry = CollectorRegistry()
+        self.registry = Registry()
         self._requests = Histogram(
             "leverdoor_entry_request_seconds",
             "Time from a request's head to the end of its answer.",
@@ -123,6 +122,11 @@
             "Targets that want rest of this entry.",
             registry=self.registry,
         )
+        self.slow_targets = Gauge(
+            "leverdoor_entry_slow_targets",
+            "Targets at which work takes longer than usual, by their own reports.",
+            registry=self.registry,
+        )
         self.rests = Counter(
             "leverdoor_entry_rests",
             "Answers by which targets asked this entry for rest.",
@@ -154,6 +158,16 @@
             ["service", "region"],
             registry=self.registry,
         )
+        self.overlapping_requests = Counter(
+            "leverdoor_entry_overlapping_requests",
+            "Requests that started beside an earlier one of their connection.",
+            registry=self.registry,
+        )
+        self.unread_pauses = Counter(
+            "leverdoor_entry_unread_pauses",
+            "Times a connection paused because its client did not read its answers.",
+            registry=self.registry,
+        )
         self._left_out = Gauge(
             "leverdoor_entry_registrations_left_out",
             "Registrations that name no target to use, by what is wrong with them.",
@@ -204,4 +218,4 @@
 
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        return generate_latest(self.registry)
+        return self.registry.text()
--- a/tests/test_http_bytes.py
+++ b/tests/test_http_bytes.py
@@ -14,7 +14,6 @@
 
 import msgspec
 import pytest
-from aiohttp import web
 
 from bench import Bench, deployment, running, until
 from entry_bench import until_in_force
@@ -25,6 +24,7 @@
 from leverdoor.entry.admin import AdminServer
 from leverdoor.entry.metrics import EntryMetrics
 from leverdoor.errors import Code, Refusal
+from leverdoor.http.server import HttpServer
 from leverdoor.platform.store import PlatformStore
 from leverdoor.platform.wire_format import wire
 from leverdoor.responses import problem_response
@@ -459,6 +459,20 @@
     ]
 
 
+async def test_workspace_key_beyond_ascii_is_recognized() -> None:
+    """Keys are compared as text, other values are passed on byte for byte."""
+    server = RawServer(ENTRY_CASES[0].target)
+    async with server as target, run_entry_for_target(target) as site:
+        tenant = {"name": "w1", "api-keys": ["schlüssel"]}
+        site.configure([route("file"), route("look")], tenants=[tenant])
+        await until_in_force(site, "/look/x", 401)
+        front = site.front(site.entries["n1"])
+        more = ("X-Credential: schlüssel", "X-Name: größe")
+        answer = await exchange(front, *ENTRY_REQUEST, *more, body=b"abc")
+    assert answer == ENTRY_CASES[0].client
+    assert "\r\nX-Name: größe\r\n".encode() in server.requests[0]
+
+
 class GateCase(msgspec.Struct, frozen=True):
     """The request line of a caller, and the response that the gate generates."""
 
@@ -599,15 +613,17 @@
     admin = AdminServer(
         wire({}), state, EntryMetrics(), lambda: True, lambda *_: [], 1.0
     )
-    runner = web.ServerRunner(web.Server(admin.handle))
-    await runner.setup()
-    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    server = HttpServer(admin.handle)
+    listener = await asyncio.get_running_loop().create_server(
+        server.create_connection, "127.0.0.1", 0
+    )
     answer = await exchange(
-        f"127.0.0.1:{runner.addresses[0][1]}",
+        f"127.0.0.1:{listener.sockets[0].getsockname()[1]}",
         "GET /v1/internal/state?since=0 HTTP/1.1",
         "Host: a",
     )
-    await runner.cleanup()
+    listener.close()
+    await server.shutdown(1.0)
     head, _, body = answer.partition(b"\r\n\r\n")
     assert re.sub(rb"Length: \d+", b"Length: *", head) == pull.head
     assert unpack(pull.coding(body), Delta) == state.delta(START)
