--- a/leverdoor/entry/admission/room_admission.py
+++ b/leverdoor/entry/admission/room_admission.py
@@ -126,6 +126,7 @@
             return decision
         if decision.code is not Code.QUEUE_FULL:
             return decision
+        group.shed.record_without_room(request.priority, now)
         return self._enqueue(group, waiter, decision, now)
 
     def on_room(self, target: Target | None, now: float) -> None:
@@ -179,6 +180,9 @@
             # Without usable slots, no priority could keep room.
             utilization = load / slots if slots else 0.0
             priorities = self._priorities.get(service, [])
+            if self._policy.refuses_keys(service, region):
+                # The keys that it admits fit its slots.
+                priorities = []
             if group.shed.update(utilization, priorities, now):
                 refused = list(group.shed.refused(priorities))
                 changes.append(
--- a/leverdoor/entry/placement/policy.py
+++ b/leverdoor/entry/placement/policy.py
@@ -365,6 +365,11 @@
             return False
         return self.may_warm_up_target(target)
 
+    def refuses_keys(self, service: str, region: str) -> bool:
+        """Return whether a region refuses keys of requests that it alone may serve."""
+        table = self._key_admission
+        return table is not None and (service, region) in table.restricted()
+
     def _refuses_key(
         self, request: PlacementRequest, regions: list[str], now: float
     ) -> bool:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -122,6 +122,7 @@
     shed, now, levels = ShedLevel(NOW), NOW, []
     for load in [1.2, 0.9] * 10 + [1.2] * 10 + [0.9] * 10 + [0.7, 0.9] * 10:
         now += 0.2
+        shed.record_without_room(0, now)
         shed.update(load, [0, 1, 2], now)
         levels.append(shed.level)
     assert levels[:20] == [0] * 20
@@ -137,10 +138,21 @@
     shed = ShedLevel(NOW)
     for priorities in ([], [3], [0, 3]):
         for step in range(20):
+            for priority in priorities:
+                shed.record_without_room(priority, NOW + step)
             shed.update(2.0, priorities, NOW + step)
         assert list(shed.refused(priorities)) == priorities[1:]
 
 
+def test_a_priority_that_fills_a_region_alone_is_not_shed() -> None:
+    """More urgent ones find room elsewhere; its slots would stay free."""
+    shed = ShedLevel(NOW)
+    for step in range(20):
+        shed.record_without_room(2, NOW + step)
+        shed.update(2.0, [0, 1, 2], NOW + step)
+    assert shed.level == 0
+
+
 def test_a_priority_that_is_never_served_is_noticed() -> None:
     shares, now = ServedShares(NOW), NOW
     for _ in range(50):
