--- a/leverdoor/entry/data_plane.py
+++ b/leverdoor/entry/data_plane.py
@@ -33,7 +33,7 @@
 from leverdoor.entry.placement.fleet import SUM_OF_PEERS, Fleet
 from leverdoor.entry.placement.key_admission import KeyAdmissionTable
 from leverdoor.entry.placement.policy import PlacementPolicy
-from leverdoor.entry.placement.tuning import PRODUCTION, WAITING
+from leverdoor.entry.placement.tuning import WAITING
 from leverdoor.entry.requests.connection_pool import ConnectionPool
 from leverdoor.entry.requests.forwarding import Forwarder
 from leverdoor.entry.requests.handler import EntryHandler
@@ -118,15 +118,14 @@
     def _create_placement(self) -> PlacementPolicy:
         s = self._context.settings
         move_per_s = s.max_shift * SHIFT_FRACTION / SHIFT_WINDOW_S
-        tuning = WAITING if s.waits_for_room else PRODUCTION
         policy = PlacementPolicy(
             s.region,
             s.domain,
             self.fleet,
             self._context.rng,
             move_per_s,
-            tuning,
-            KeyAdmissionTable() if s.waits_for_room else None,
+            key_admission=KeyAdmissionTable() if s.waits_for_room else None,
+            single_region_tuning=WAITING if s.waits_for_room else None,
         )
         policy.may_warm_up_target = lambda target: may_warm_up(self._membership, target)
         return policy
--- a/leverdoor/entry/placement/placement_request.py
+++ b/leverdoor/entry/placement/placement_request.py
@@ -42,6 +42,8 @@
     """Names of the targets of earlier attempts."""
     targets_without_room: set[str] = msgspec.field(default_factory=set)
     """Names of the targets whose limiter rejected it."""
+    single_region: bool = False
+    """Whether one region only may serve it."""
     first_target_only: bool = False
     """Whether only the first usable target of its key may serve it."""
     fingerprint: int = 0
--- a/leverdoor/entry/placement/policy.py
+++ b/leverdoor/entry/placement/policy.py
@@ -71,6 +71,7 @@
         move_per_s: float = MOVE_PER_S,
         tuning: Tuning = PRODUCTION,
         key_admission: KeyAdmissionTable | None = None,
+        single_region_tuning: Tuning | None = None,
     ) -> None:
         """Create a policy without a configuration.
 
@@ -83,6 +84,8 @@
             second.
           tuning: parameters of the rules.
           key_admission: decides which keys a full region serves; None to serve all.
+          single_region_tuning: parameters of waits for requests that one region only
+            may serve; None for the same as for others.
         """
         self._tuning = tuning
         self._key_admission = key_admission
@@ -91,7 +94,9 @@
         self._rng = rng
         self._catalog = EMPTY_CATALOG
         self._candidates = CandidateSelector(region, domain)
-        self._chooser = TargetChooser(region, domain, fleet, tuning)
+        self._chooser = TargetChooser(
+            region, domain, fleet, tuning, single_region_tuning or tuning
+        )
         self._rests = PeerRests(self._chooser.warm_keys, rng)
         self._overflow = OverflowBudget(tuning.overflow_earn)
         self._weights = ServiceWeights(rng)
@@ -138,6 +143,7 @@
         regions = self._candidates.regions(request)
         if not regions:
             return self._reject_without_region(request)
+        request.single_region = len(regions) == 1
         if self._refuses_key(request, regions, now):
             return self._reject_key(request, regions[0])
         key_region = self.shares.region(request.service, request.key, regions, now)
--- a/leverdoor/entry/placement/target_chooser.py
+++ b/leverdoor/entry/placement/target_chooser.py
@@ -76,7 +76,14 @@
 class TargetChooser:
     """Scores targets for requests, and learns from their answers."""
 
-    def __init__(self, region: str, domain: str, fleet: Fleet, tuning: Tuning) -> None:
+    def __init__(
+        self,
+        region: str,
+        domain: str,
+        fleet: Fleet,
+        tuning: Tuning,
+        single_region_tuning: Tuning,
+    ) -> None:
         """Create it.
 
         Args:
@@ -84,8 +91,11 @@
           domain: this entry's failure domain.
           fleet: the states of targets.
           tuning: parameters of the rules.
+          single_region_tuning: parameters of waits for requests that one region only
+            may serve.
         """
         self._tuning = tuning
+        self._single_region_tuning = single_region_tuning
         self._region = region
         self._domain = domain
         self._fleet = fleet
@@ -150,9 +160,10 @@
         self, request: PlacementRequest, scored: ScoredTarget, now: float
     ) -> float:
         """Return how long a request may wait for a slot of a target, in ms."""
-        cold_share = scored.cold_share if self._tuning.reserves_expected_run else 0.0
+        tuning = self._single_region_tuning if request.single_region else self._tuning
+        cold_share = scored.cold_share if tuning.reserves_expected_run else 0.0
         run_ms = self._clusters(request).run_ms(cold_share) * scored.slowness
-        return max_queue_wait_ms(request, run_ms, self._tuning, now)
+        return max_queue_wait_ms(request, run_ms, tuning, now)
 
     def _score_candidates(
         self,
--- a/leverdoor/entry/placement/tuning.py
+++ b/leverdoor/entry/placement/tuning.py
@@ -118,8 +118,9 @@
     entry_wait_share=ENTRY_WAIT_SHARE,
     reserves_expected_run=True,
 )
-"""The parameters of entries at which requests wait for room.
+"""The parameters of requests that one region only may serve, where these wait for room.
 
-A request is sent only where it should be answered within its latency target, or finds a
-free slot. In a region that stays full, a longer queue would make all answers late.
+Such a request is sent only where it should be answered within its latency target, or
+finds a free slot: its region may stay full, and a longer queue would make all answers
+late. Requests that other regions may serve leave such a region instead.
 """
--- a/tests/admission_play.py
+++ b/tests/admission_play.py
@@ -52,7 +52,9 @@
     def __init__(self, play: "Play", number: int) -> None:
         self.fleet = Fleet()
         rng = Random(number)
-        self.policy = PlacementPolicy("a", "a1", self.fleet, rng, tuning=WAITING)
+        self.policy = PlacementPolicy(
+            "a", "a1", self.fleet, rng, single_region_tuning=WAITING
+        )
         self.admission = RoomAdmission(self.policy, rng, lambda: len(play.entries))
         self.policy.room_changes.append(lambda t: self.admission.on_room(t, play.now))
         self.cut = False
