--- a/leverdoor/entry/exchange/exchange.py
+++ b/leverdoor/entry/exchange/exchange.py
@@ -24,6 +24,7 @@
 import msgspec
 
 from leverdoor.entry.configuration.confirmation import ReportedAnswer
+from leverdoor.entry.exchange.admitted_keys import AdmittedKeyMeans
 from leverdoor.entry.exchange.digest_builder import (
     SHARES_INTERVAL_ROUNDS,
     DigestBuilder,
@@ -112,6 +113,7 @@
         self._views = DomainViews(membership)
         self._warm_key_relay = WarmKeyRelay()
         self._speed_relay = SpeedRelay()
+        self._admitted_keys = AdmittedKeyMeans()
         self.unserved = UnservedEntries(self._own)
         self._limits = LimitExchange(self._own.name)
         self._recipients = Recipients(membership, roles)
@@ -122,12 +124,14 @@
             self._views,
             self._warm_key_relay,
             self._speed_relay,
+            self._admitted_keys,
             self.unserved,
         )
         self._others_by_region: dict[str, tuple[float, dict[str, int]]] = {}
         """By region of the targets: time of the last digest with counts for a known
         target list, and the requests in flight of all other entries."""
         self._region_shares: Shares = {}
+        self._region_admitted_keys: Shares = {}
         self._last_rounds: dict[tuple[str, DigestScope], tuple[int, int]] = {}
         """By sender and scope: incarnation and round number of its newest digest."""
 
@@ -169,6 +173,7 @@
         if known is None or known.incarnation != member.incarnation:
             return PeerUpdate()
         self._merger.record_heartbeat(heartbeat, now)
+        self._admitted_keys.record_entry(member.name, heartbeat.admitted_keys, now)
         self.use.record_heartbeat(heartbeat, now)
         self.unserved.record_heartbeat(heartbeat, now)
         warm = parse_hashes(heartbeat.warm_keys)
@@ -233,6 +238,7 @@
             self._merger.record_domain(sender.domain, counts, shares, now)
             self._warm_key_relay.record_region_keys(update.warm_keys, now)
             self._speed_relay.record_other_domains(update.speeds, now)
+            self._admitted_keys.record_domain(sender.domain, digest.admitted_keys, now)
             self.use.record_partial_sums(digest, sender, now)
         elif sender.region != self._own.region:
             self._merger.record_region(sender.region, self._parse_counts(digest), now)
@@ -259,6 +265,8 @@
             return update
         if digest.shares:
             self._region_shares = digest.shares
+            # Sent in the same rounds; empty once all regions admit all keys.
+            self._region_admitted_keys = digest.admitted_keys
         if self._roles.is_aggregator(now):
             self._recipients.record_other_aggregator(digest.round_number, now)
             return update
@@ -291,13 +299,14 @@
         )
         while len(self._reported_counts) > MAX_REPORTED_COUNTS:
             self._reported_counts.popitem(last=False)
+        has_shares = self._seq % SHARES_INTERVAL_ROUNDS == 1
         return EntryHeartbeat(
             self._own,
             self._seq,
             status.state,
             status.position.revision,
             status.in_flight,
-            status.shares if self._seq % SHARES_INTERVAL_ROUNDS == 1 else {},
+            status.shares if has_shares else {},
             status.outage_age_ms,
             serialize_hashes(status.warm_keys),
             self.use.serialize(status.use),
@@ -306,6 +315,7 @@
             status.unserved,
             status.position.era,
             serialize_speeds(status.speeds),
+            status.admitted_keys if has_shares else {},
         )
 
     def heartbeat_messages(
@@ -376,6 +386,9 @@
             self.use.stop_merging()
             return outgoing, PeerUpdate()
         self._region_shares = self._merger.region_shares(status.shares).shares
+        self._region_admitted_keys = self._admitted_keys.region_mean(
+            status.admitted_keys, now
+        )
         update = PeerUpdate(
             others_in_flight=self._merger.counts_of_others(now),
             use=self.use.merged_usage_of_others(status.uptime_s, now),
@@ -451,9 +464,14 @@
         """Return the last known mean of the shares over the entries of the region."""
         return self._region_shares
 
+    def admitted_keys(self) -> Shares:
+        """Return the last known mean fractions of keys that full regions admit."""
+        return self._region_admitted_keys
+
     def forget(self, now: float) -> None:
         """Remove expired data."""
         self._merger.forget(now)
+        self._admitted_keys.forget(now)
         self.use.forget(now)
         self._limits.forget(now)
         self._speed_relay.forget(now)
--- a/leverdoor/entry/exchange/exchange_types.py
+++ b/leverdoor/entry/exchange/exchange_types.py
@@ -50,6 +50,9 @@
     """Notices to send about requests that terminate targets."""
     speeds: list[TargetSpeed] = []
     """Targets that are slow or were so until now, by their answers to this entry."""
+    admitted_keys: Shares = {}
+    """By service and region: fraction of keys that this entry admits to a full
+    region."""
 
 
 class OutgoingMessage(msgspec.Struct, frozen=True):
--- a/leverdoor/entry/exchange/messages.py
+++ b/leverdoor/entry/exchange/messages.py
@@ -72,6 +72,10 @@
     """Era of `revision`."""
     speeds: bytes = b""
     """Targets that are slow or were so until now; see `speed_encoding`."""
+    admitted_keys: Shares = {}
+    """By service and region: fraction of keys that the entry admits to a full region.
+
+    Empty in most rounds, and for regions that admit all keys."""
 
     @property
     def position(self) -> Position:
@@ -164,6 +168,9 @@
     speeds: bytes = b""
     """As in `EntryHeartbeat`, of the entries of the sender's failure domain (scope
     DOMAIN) or region (scope ALL). Scope REGION: none."""
+    admitted_keys: Shares = {}
+    """As in `EntryHeartbeat`: the mean of the entries of the sender's failure domain
+    (scope DOMAIN) or region (scope ALL). Scope REGION: none."""
 
     @property
     def position(self) -> Position:
