--- a/leverdoor/storage/history.py
+++ b/leverdoor/storage/history.py
@@ -18,7 +18,6 @@
 
 import msgspec
 
-from leverdoor.membership.ownership import parse_table
 from leverdoor.storage.position import UNKNOWN_ERA, Position
 from leverdoor.storage.state import PREFIX, TABLES, State
 from leverdoor.storage.store import KeyValue, Listing, Write
@@ -142,6 +141,9 @@
 
 
 def _table_version(entry: KeyValue | None) -> int:
+    # Entries on the platform import this module and have no tables.
+    from leverdoor.membership.ownership import parse_table
+
     return parse_table(entry.value).version if entry else UNWRITTEN_TABLE
 
 
