--- a/leverdoor/entry/placement/policy.py
+++ b/leverdoor/entry/placement/policy.py
@@ -118,6 +118,8 @@
         self._candidates.renew(catalog)
         self.shares.renew(catalog.regions, self._candidates.targets_by_region)
         self._chooser.keep_only(catalog.route_names, set(catalog.targets))
+        if self._key_admission is not None:
+            self._key_admission.keep_only(catalog.services)
 
     def pick_service(self, route: Route) -> str:
         """Select a service of a route by the route's weights."""
--- a/tests/test_key_admission.py
+++ b/tests/test_key_admission.py
@@ -180,6 +180,15 @@
     assert table.regions() == []
 
 
+def test_services_that_the_configuration_dropped_are_forgotten() -> None:
+    play = Play(admits_all=False)
+    play.run(per_s=60.0, seconds=2.0)
+    _, policy = play.entries[0]
+    assert policy.key_fractions()
+    policy.renew(Catalog(2, "w", [*REGIONS]))
+    assert policy.key_fractions() == {}
+
+
 def settle(admission: KeyAdmission, demand: float, mean: float | None = None) -> None:
     """Apply a demand, relative to the slots, for half a minute."""
     now = NOW
