--- a/leverdoor/http/request_parser.py
+++ b/leverdoor/http/request_parser.py
@@ -38,7 +38,6 @@
     b"host": "Host",
     b"transfer-encoding": "Transfer-Encoding",
     b"user-agent": "User-Agent",
-    b"x-request-id": "X-Request-ID",
 }
 """Frequent header names; requests share one text for each, in this spelling."""
 
