Rejections of placement in a module of their own

The second moved to placement/rejections.py by name only; codes, texts, retry delays and the order of random draws are as before. The tests of placement, limits, reports and decisions passed.

--- a/leverdoor/entry/placement/policy.py
+++ b/leverdoor/entry/placement/policy.py
@@ -8,8 +8,9 @@
 Owns the state of the rules: the candidates (candidates.py), the chooser with run times
 and warm keys (target_chooser.py), the shares of regions (region_share_table.py), the
 overflow budget (overflow_budget.py), the round-robin credit of services
-(service_weights.py) and the rests reported by other entries (peer_rests.py). Nothing is
-persisted.
+(service_weights.py), the rests reported by other entries (peer_rests.py) and, if it has
+one, the keys that full regions serve (key_admission.py). Rejections are built by
+rejections.py. Nothing is persisted.
 
 Relies on the configuration (a `Catalog`), on the states of targets (fleet.py), and on
 calls of `answered` and `ended` for placed requests.
@@ -30,33 +31,21 @@
     PlacementRequest,
     RoomEstimate,
 )
-from leverdoor.entry.placement.queue_wait import URGENT_PRIORITY
 from leverdoor.entry.placement.region_share_table import RegionShareTable
 from leverdoor.entry.placement.region_shares import MOVE_PER_S, UNUSABLE_UTILIZATION
-from leverdoor.entry.placement.retry_delays import (
-    describe_loads,
-    limited_retry_after_ms,
-    refused_key_retry_after_ms,
-    resting_retry_after_ms,
-    retry_after_ms,
-)
+from leverdoor.entry.placement.rejections import Rejections
 from leverdoor.entry.placement.service_weights import ServiceWeights
 from leverdoor.entry.placement.target_chooser import ScoredTarget, TargetChooser
 from leverdoor.entry.placement.tuning import PRODUCTION, Tuning
 from leverdoor.entry.placement.warm_key_digests import WarmKeyDigests
 from leverdoor.entry.wire import TargetReport
-from leverdoor.errors import Code, Rejection
+from leverdoor.errors import Rejection
 from leverdoor.model.resources import Route, Target
 
 __all__ = ["PlacementPolicy"]
 
 MIN_EXPECTED_MS = 1.0
 """Lower bound of an expected duration in ms; prevents a division by zero."""
-MAX_LOGGED_TARGETS = 3
-"""Maximum targets in the log detail of a request that no target can take.
-
-Keeps the line readable; covers the first three targets in the order of the key.
-"""
 
 
 class PlacementPolicy:
@@ -97,6 +86,7 @@
         self._chooser = TargetChooser(
             region, domain, fleet, tuning, single_region_tuning or tuning
         )
+        self._rejections = Rejections(fleet, self._candidates, self._chooser, rng)
         self._rests = PeerRests(self._chooser.warm_keys, rng)
         self._overflow = OverflowBudget(tuning.overflow_earn)
         self._weights = ServiceWeights(rng)
@@ -144,10 +134,10 @@
         self._overflow.refill()
         regions = self._candidates.regions(request)
         if not regions:
-            return self._reject_without_region(request)
+            return self._rejections.without_region(request)
         request.single_region = len(regions) == 1
         if self._refuses_key(request, regions, now):
-            return self._reject_key(request, regions[0])
+            return self._rejections.by_key(request, regions[0])
         key_region = self.shares.region(request.service, request.key, regions, now)
         others = [region for region in regions if region != key_region]
         placement = (
@@ -156,7 +146,7 @@
             or self._place_in_warm_up(request, [key_region, *others], now)
         )
         if placement is None:
-            return self._reject_unplaced(request, regions, key_region, now)
+            return self._rejections.without_target(request, regions, key_region, now)
         return placement
 
     def update_shares(
@@ -389,97 +379,6 @@
         table = self._key_admission
         return table is not None and table.refuses(request, regions, now)
 
-    def _reject_key(self, request: PlacementRequest, region: str) -> Rejection:
-        """Reject a request because of its key."""
-        wait_ms = refused_key_retry_after_ms(self._rng.random())
-        reason = f"{request.service} in {region} serves other keys"
-        return Rejection(Code.REGION_FULL, wait_ms, reason)
-
-    def _reject_without_region(self, request: PlacementRequest) -> Rejection:
-        """Reject a request without a home region or without a target there."""
-        if self._candidates.has_home(request):
-            return self._reject(
-                Code.NO_TARGET,
-                f"service {request.service} has no target in any home of the request",
-            )
-        return self._reject(
-            Code.NO_COMMON_HOME,
-            f"no region is a home of route {request.route.name} and the workspace",
-        )
-
-    def _reject_unplaced(
-        self, request: PlacementRequest, regions: list[str], key_region: str, now: float
-    ) -> Rejection:
-        """Reject a request that no target can take."""
-        targets = [
-            target
-            for region in regions
-            for target in self._candidates.targets_by_region[request.service, region]
-        ]
-        if any(self._is_open(target, now) for target in targets):
-            return self._reject_as_full(request, key_region, now)
-        states = [self._fleet.state_of(target, now) for target in targets]
-        resting = [state for state in states if not state.availability.leaving]
-        if not resting:
-            return self._reject(
-                Code.NO_TARGET,
-                f"all targets of service {request.service} are leaving",
-            )
-        return self._reject_as_resting(request, resting, now)
-
-    def _reject_as_resting(
-        self, request: PlacementRequest, states: list[TargetState], now: float
-    ) -> Rejection:
-        """Reject a request during a rest; urgent requests get shorter retry delays."""
-        for state in states:
-            state.availability.record_entry_rejection(request.priority)
-        rest_s = min(state.availability.remaining_rest_s(now) for state in states)
-        urgent = request.priority <= URGENT_PRIORITY
-        wait_ms = resting_retry_after_ms(rest_s, urgent, self._rng.random())
-        reason = (
-            f"service {request.service}: {len(states)} targets are resting,"
-            f" the shortest rest ends in {rest_s:.2f} s"
-        )
-        return Rejection(Code.TARGETS_RESTING, wait_ms, reason)
-
-    def _reject_as_full(
-        self, request: PlacementRequest, key_region: str, now: float
-    ) -> Rejection:
-        """Reject a request for which no open target has capacity."""
-        targets = self._candidates.order(request, key_region)
-        loads = describe_loads(targets[:MAX_LOGGED_TARGETS], self._fleet, now)
-        reason = f"{request.service} in {key_region}: {loads}"
-        room_s = self._time_to_room_s(request, targets, now)
-        if room_s is None:
-            return self._reject(Code.QUEUE_FULL, reason)
-        wait_ms = limited_retry_after_ms(room_s, self._rng.random())
-        return Rejection(Code.TARGETS_LIMITED, wait_ms, reason)
-
-    def _time_to_room_s(
-        self, request: PlacementRequest, targets: list[Target], now: float
-    ) -> float | None:
-        """Return the time until a limiter should grant the request, in seconds.
-
-        Args:
-          request: the request that found no target.
-          targets: the targets in the region of its key.
-          now: monotonic time in seconds.
-        Returns: None unless there are usable targets outside their warm-up and all of
-          them are at their limit.
-        """
-        if self._fleet.limits.is_empty:
-            return None
-        states = [self._fleet.state_of(t, now) for t in targets]
-        usable = [s for s in states if s.is_usable(now) and not s.in_warm_up(now)]
-        limited = [s for s in usable if self._chooser.lacks_room(request, s, now)]
-        if not usable or len(limited) < len(usable):
-            return None
-        return min(s.room.time_to_room_s(now) for s in limited)
-
-    def _reject(self, code: Code, reason: str) -> Rejection:
-        """Return a rejection with a random retry time."""
-        return Rejection(code, retry_after_ms(self._rng.random()), reason)
-
     def _commit(
         self,
         request: PlacementRequest,
