--- a/leverdoor/entry/certificates.py
+++ b/leverdoor/entry/certificates.py
@@ -15,11 +15,11 @@
 
 
 def disable_certificate_loading() -> None:
-    """Point OpenSSL at an empty set of certificates. Call before aiohttp is imported.
+    """Point OpenSSL at an empty set of certificates. Call before other imports.
 
-    aiohttp loads all trusted certificates on import, which takes 0.14 of the 0.55 s of
-    processor time of an entry's start (minimum of six runs). A VM with 0.43 cores does
-    not serve requests meanwhile. Variables that are already set keep their values.
+    HTTP libraries load all trusted certificates on import, which takes 0.14 s of
+    processor time. A VM with 0.43 cores does not serve requests meanwhile. Variables
+    that are already set keep their values.
     """
     for name in CERTIFICATE_VARIABLES:
         os.environ.setdefault(name, os.devnull)
--- a/leverdoor/entry/exchange/speed_encoding.py
+++ b/leverdoor/entry/exchange/speed_encoding.py
@@ -26,6 +26,7 @@
 noticed in the times expected.
 """
 MAX_STEPS = 255
+"""Greatest slowness in a row, in steps above AS_USUAL: the greatest byte."""
 ROW = struct.Struct("<IBB")
 """Target, slowness above AS_USUAL in steps, and age as in `encoding.serialize_ages`."""
 
--- a/leverdoor/entry/placement/tuning.py
+++ b/leverdoor/entry/placement/tuning.py
@@ -6,9 +6,9 @@
 rule or to try a threshold, so the rules need no branches for experiments. Constants
 that no experiment changes are defined beside their rule. Owns no state.
 
-Credit is the fraction of the possible reward that the answers of a benchmark earn
-(emulator/results.py); worth is credit less costs, at most 1. docs/POLICY.md describes
-the benchmarks. The first target of a key is the highest-ranked usable one.
+Credit is the fraction of the possible reward that answers earn (emulator/results.py);
+worth is credit less costs, at most 1. docs/POLICY.md has the experiments. The first
+target of a key is the highest-ranked usable one.
 """
 
 import msgspec
--- a/leverdoor/platform/__main__.py
+++ b/leverdoor/platform/__main__.py
@@ -13,9 +13,9 @@
     """Run an entry.
 
     The signal handler is installed before the large imports, so that a reload signal
-    during start does not end the process. Certificate loading is disabled before them
-    as well, because aiohttp loads all trusted certificates on import, and modules that
-    an entry does not use are blocked.
+    during start does not end the process. Modules that an entry does not use are
+    blocked before them as well. Should a library load TLS all the same, it loads no
+    certificates.
 
     Returns: the exit status of the process.
     """
