Quotas: room that expired requests leave is used once, not twice

Cause: an entry added the requests that had left its window within the report delay to its allowance, and the same requests raised its remaining quota. Second, the credit lasted for the whole delay: once others had received the report without the expired requests, they used the room, and the entry replaced the requests as well.

Ruled out: the end of the reservation (it ends at 21.8 s, in this plan after the first window over the bound) and its age at either side; the use of the isolated entry, 17, is constant from 1.8 s on.

The others know one of the counts that the own window had within the delay of reports. The allowance therefore starts from the least of them (UsageWindow.least_reported): a request that expired is replaced by one, whichever report the others have. The credit is gone.

--- a/leverdoor/workspaces/allowance.py
+++ b/leverdoor/workspaces/allowance.py
@@ -84,8 +84,8 @@
 class KnownUsage(msgspec.Struct, frozen=True):
     """The usage of a workspace as one entry knows it when a request arrives.
 
-    Requests are counted in the sliding window of the quota, except for `expected_use`
-    and `expired_since_report`.
+    Requests are counted in the sliding window of the quota, except for
+    `expected_use`.
     """
 
     admission_limit: float
@@ -96,18 +96,14 @@
     own_use: int
     """Requests of this entry."""
     unreported: int
-    """Requests of this entry since `REPORT_DELAY_S` before the last received digest.
-    The other entries may not know them yet."""
+    """Requests of this entry beyond the least count of its usage that the other entries
+    may know now."""
     entry_count: int
     """Number of entries, including this one."""
     expected_use: float
     """Requests of all entries expected within `REPORT_DELAY_S`."""
     silent_count: int = 0
     """Number of silent entries, for which `others_use` contains reservations."""
-    expired_since_report: int = 0
-    """Requests of this entry that have left the window in the same time. The other
-    entries still count them, so an equal number of unreported requests does not raise
-    the total that they know."""
 
     @property
     def remaining(self) -> float:
@@ -121,9 +117,7 @@
         remaining = self.remaining
         if active_entries > 1:
             remaining = min(remaining, MAX_UNREPORTED_SHARE * self.admission_limit)
-        return self.expired_since_report + max(
-            remaining * self._share(active_entries), self._guaranteed_requests()
-        )
+        return max(remaining * self._share(active_entries), self._guaranteed_requests())
 
     def _share(self, active_entries: int) -> float:
         """Return this entry's share of the remaining quota, from 0 to 1.
--- a/leverdoor/workspaces/quota.py
+++ b/leverdoor/workspaces/quota.py
@@ -210,29 +210,29 @@
             ),
             others_use=others_use,
             own_use=own_use,
-            unreported=self._count_unreported(name, unreported_span_s, now),
+            unreported=max(
+                own_use - self._least_known(name, unreported_span_s, now), 0
+            ),
             entry_count=self.entries,
             expected_use=total_use * REPORT_DELAY_S / bounds.window_s,
             silent_count=silent_count,
-            expired_since_report=self._usage.count_expired(
-                name, unreported_span_s, now
-            ),
         )
 
-    def _count_unreported(self, name: str, span_s: float, now: float) -> int:
-        """Return the requests of this entry that the others may not know yet.
+    def _least_known(self, name: str, span_s: float, now: float) -> int:
+        """Return the least usage of this entry that the others may know now.
 
         They learn of what it admitted while isolated only after its return, and until
         then count the reservation, which may be less.
 
         Args:
           name: the workspace.
-          span_s: time for which requests are unreported if this entry was not isolated.
+          span_s: age of the oldest report that the others may know if this entry was
+            not isolated, in seconds.
           now: monotonic time in seconds.
         """
         if now - self._returned_at <= REPORT_DELAY_S:
             span_s = now - self._isolated_since + REPORT_DELAY_S
-        return self._usage.count_within(name, span_s, now)
+        return self._usage.least_reported(name, span_s, now)
 
     def _others_use(
         self, name: str, admission_limit: float, silent_count: int
--- a/leverdoor/workspaces/usage.py
+++ b/leverdoor/workspaces/usage.py
@@ -38,7 +38,7 @@
         Args:
           window_s: length of the window, in seconds.
           retention_s: how long requests are retained after they leave the window, for
-            `count_expired`, in seconds.
+            `least_reported`, in seconds.
         """
         self._window_slices = int(window_s / SLICE_S) + 1
         """Number of slices in the window, without the current one. One is added because
@@ -74,19 +74,27 @@
             if s.index >= oldest_slice
         )
 
-    def count_expired(self, workspace: str, span_s: float, now: float) -> int:
-        """Return the requests of a workspace that left the window in the last `span_s`.
+    def least_reported(self, workspace: str, span_s: float, now: float) -> int:
+        """Return the least count that a report of the last `span_s` may contain.
 
-        The count is never too high, since a slice counts only when all of it is outside
-        the window.
+        A report within a time slice may lack the requests of that slice, so each count
+        excludes its newest slice.
         """
-        first_slice = int(now / SLICE_S) - self._window_slices
-        oldest_slice = first_slice - int(span_s / SLICE_S)
-        return sum(
-            s.count
-            for s in self._discard_old(workspace, now)
-            if oldest_slice < s.index < first_slice
+        last_slice = int(now / SLICE_S)
+        oldest_report = int((now - span_s) / SLICE_S)
+        slices = self._discard_old(workspace, now)
+        counts = {s.index: s.count for s in slices if s.index < last_slice}
+        count = sum(
+            c
+            for index, c in counts.items()
+            if oldest_report - self._window_slices <= index < oldest_report
         )
+        least = count
+        for report in range(oldest_report + 1, last_slice + 1):
+            count += counts.get(report - 1, 0)
+            count -= counts.get(report - 1 - self._window_slices, 0)
+            least = min(least, count)
+        return least
 
     def totals(self, now: float) -> dict[str, int]:
         """Return the requests in the window for each workspace that has any."""
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -179,11 +179,12 @@
 
     ENTRIES = 4
     REPORT_DELAY_S = 0.5
+    SEED = 3
 
     @initialize()
     def begin(self) -> None:
         self.now = 1_000.0
-        self.rng = Random(3)
+        self.rng = Random(self.SEED)
         self.entries = [self._new(first=True) for _ in range(self.ENTRIES)]
         self.isolated: set[int] = set()
         self.returned_at: dict[int, float] = {}
@@ -356,6 +357,19 @@
     site.bound_holds()
 
 
+@pytest.mark.parametrize("seed", [1, 3, 4, 13])
+def test_bound_holds_while_usage_that_left_the_window_is_replaced(seed: int) -> None:
+    """Room that expired requests leave must not be used twice before others know it."""
+    site = QuotaMachine()
+    site.SEED = seed
+    site.begin()
+    site.serve(steps=1, demand=0)
+    site.isolate(number=0)
+    for _ in range(130):
+        site.serve(steps=1, demand=12)
+        site.bound_holds()
+
+
 def test_entry_admits_nothing_more_until_others_know_its_isolated_usage() -> None:
     """A quota was passed: on return, all that it had admitted counted as reported."""
     quotas = Quotas(BOUNDS, Random(1), 100.0, first_start=True)
