Quotas: the ceiling of an isolated entry equals what the others reserve for it

Cause: an isolated entry used the greater of an equal share and of half an equal share plus half a proportional one; the others reserve the latter. For entries with little usage the ceiling was up to twice the reservation, so that all sides together had up to 1.25 of the quota. The ceiling is the reservation now.

tests/test_quota.py::test_entry_admits_nothing_more_until_others_know_its_isolated_usage relied on the excess: its entry without any usage admitted 17 while isolated. It has reported usage first now, so that its ceiling is 28; what it checks is the same.

--- a/leverdoor/workspaces/isolation.py
+++ b/leverdoor/workspaces/isolation.py
@@ -97,8 +97,7 @@
         proportional_share = self.last_reported * isolated_use_factor(
             self.admission_limit, total_use
         )
-        return max(
-            equal_share,
+        return (
             EVENLY_DIVIDED_FRACTION * equal_share
-            + (1 - EVENLY_DIVIDED_FRACTION) * proportional_share,
+            + (1 - EVENLY_DIVIDED_FRACTION) * proportional_share
         )
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -380,6 +380,8 @@
     """A quota was passed: on return, all that it had admitted counted as reported."""
     quotas = Quotas(BOUNDS, Random(1), 100.0, first_start=True)
     quotas.entries = 4
+    assert count_admitted(quotas, 10, 99.9) > 0
+    quotas.report(99.9)
     quotas.receive(RemoteUsage({"ward": 0}, 0.0, 5.0, 0.0), 100.0)
     admitted = count_admitted(quotas, 50, 103.0)
     assert admitted > 10
--- a/tests/test_quota_partitions.py
+++ b/tests/test_quota_partitions.py
@@ -24,6 +24,21 @@
         assert all(known >= used for known in site.known_usage(returning))
 
 
+LARGE = Workspace(name="large", rate_per_s=400.0, burst=400.0)
+"""A workspace whose bound exceeds its admission limit by few percent."""
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_bound_holds_when_all_entries_are_isolated_from_each_other(seed: int) -> None:
+    """The ceilings of entries without usage must fit into what others reserve."""
+    site = PartitionSite(4, workspace=LARGE, seed=seed)
+    used = site.choose(2)
+    site.serve(8.0, demand=0.9, only=used)
+    site.site.isolated = set(site.names)
+    site.serve(12.0)
+    assert site.most_over_bound <= 1.0
+
+
 @pytest.mark.parametrize("seed", range(2))
 def test_bound_holds_when_an_aggregator_is_isolated_for_long(seed: int) -> None:
     """Its sums of nobody's reports must not pass for the usage of the others."""
