Quotas: the others reserve until the requests of an isolated entry left the window

At the end of a reservation callers of a workspace got up to 1.10 of its bound (3 entries, one isolated for over 20 s, rate 400).

Cause: both sides ended the reservation after 20 s by their own clocks. The isolated entry's requests of the last 5 s still count in the window while the others already use its part; and it counts from its last digest, they from its last report. The isolated entry now stops after 20 s (ISOLATED_USE_S), the others reserve for 28 s: the window and 3 s for the difference of the two starts.

The quota share of an entry that has ended is blocked for 8 s longer.

--- a/leverdoor/entry/membership/liveness.py
+++ b/leverdoor/entry/membership/liveness.py
@@ -19,7 +19,7 @@
 | 1.6 | `SILENCE_S` | not live: not in look-ups, no role, logged as silent |
 | 2.5 | `merging.SUM_MAX_AGE_S` | the request sums that it sent as aggregator expire |
 | 3.2 | `REMOTE_SILENCE_S` | not live, as seen from other regions |
-| 20 | `workspaces.quota.RESERVATION_S` | its quota share is available to others again |
+| 28 | `workspaces.isolation.RESERVATION_S` | its quota share is available to others |
 | 60 | `RECORD_TTL_S` | its record is deleted |
 
 Owns no state.
--- a/leverdoor/workspaces/isolation.py
+++ b/leverdoor/workspaces/isolation.py
@@ -5,8 +5,8 @@
 An entry is isolated if it receives no digests for `ISOLATION_TIMEOUT_S`. For the other
 entries it is silent, since its reports are overdue; they reserve for it what it may use
 while it is isolated (`entry/exchange/usage_merging.py`). All sides of a network
-partition together thus stay within the quota at any demand. After `RESERVATION_S`, the
-reservation expires and the isolated entry admits almost nothing.
+partition together thus stay within the quota at any demand. After `ISOLATED_USE_S`, the
+isolated entry admits almost nothing; after `RESERVATION_S`, the reservation expires.
 
 Owns no state. Relies on the last reported usage of all entries.
 """
@@ -16,8 +16,9 @@
 from leverdoor.workspaces.allowance import EVENLY_DIVIDED_FRACTION
 
 __all__ = [
-    "RESERVATION_S",
+    "ISOLATED_USE_S",
     "ISOLATION_TIMEOUT_S",
+    "RESERVATION_S",
     "IsolatedQuota",
     "isolated_use_factor",
 ]
@@ -29,12 +30,19 @@
 network partition uses the other side's remaining quota for longer. With a smaller one,
 lost datagrams make an entry refuse requests.
 """
-RESERVATION_S = 20.0
-"""How long the other entries reserve quota for a silent entry, in seconds.
+ISOLATED_USE_S = 20.0
+"""How long an isolated entry uses its share of each quota, in seconds.
 
 With a greater value, entries that have ended block a share of each quota for longer.
 With a smaller one, isolated entries refuse almost all requests sooner.
 """
+RESERVATION_S = 28.0
+"""How long the other entries reserve quota for a silent entry, in seconds.
+
+It exceeds `ISOLATED_USE_S` by the quota window, in which requests of the isolated entry
+still count, and by 3 s, since the isolated entry counts from its last digest and the
+others from its last report. If shorter, both use the same part of the quota.
+"""
 MAX_USE_FACTOR = 4.0
 """Greatest ratio of an isolated entry's usage to its last reported usage.
 
@@ -44,7 +52,7 @@
 """
 ISOLATED_MARGIN_SHARE = 0.5
 """Share of the margin above the admission limit that isolated entries may use in total
-once the reservation has expired.
+after `ISOLATED_USE_S`.
 
 The other half stays unused, since other entries may be isolated too. With a greater
 value, usage may exceed the bound.
@@ -84,7 +92,7 @@
     @property
     def ceiling(self) -> float:
         """Return the maximum number of requests of this entry per window."""
-        if self.isolated_s > RESERVATION_S:
+        if self.isolated_s > ISOLATED_USE_S:
             return (
                 (self.bound - self.admission_limit)
                 * ISOLATED_MARGIN_SHARE
--- a/tests/test_quota_partitions.py
+++ b/tests/test_quota_partitions.py
@@ -50,3 +50,13 @@
     site.site.isolated = set()
     site.serve(6.0)
     assert site.most_over_bound <= 1.0
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_bound_holds_when_a_reservation_ends(seed: int) -> None:
+    """The last requests of an isolated entry still count when its share expires."""
+    site = PartitionSite(3, workspace=LARGE, seed=seed)
+    site.serve(8.0)
+    site.site.isolated = set(site.choose(1))
+    site.serve(32.0)
+    assert site.most_over_bound <= 1.0
