Membership: entries that are registered in the store are not forgotten

Cause: records were deleted by the age of the last report alone. That an entry is silent does not show that it ended; that its registration is gone does, since the lease lapses 15 s after it ends. The records of entries that are registered as far as this entry knows are kept. A registration that is gone from the store is deleted as before, 60 s after the last report. The same count of entries divides the connections to targets, the first requests to cold targets and the saved retries: an isolated entry gave itself all of these after 60 s (by reading).

While the store is down, an entry that ended during the outage counts until the store returns; each of the others has a smaller share of these limits until then.

--- a/benchmarks/emulated_quotas.py
+++ b/benchmarks/emulated_quotas.py
@@ -133,6 +133,7 @@
         sendings, update = self.exchange.round(report, now)
         self._receive(update, now)
         self.exchange.forget(now)
+        self.membership.forget(now)
         return [(s.message, s.destinations) for s in sendings]
 
     def take(self, message: ExchangeMessage, now: float) -> None:
--- a/benchmarks/quota_partitions.py
+++ b/benchmarks/quota_partitions.py
@@ -13,6 +13,7 @@
 
 from emulated_exchange import KnowledgeSite
 from emulated_quotas import QuotaNode
+from leverdoor.codec import pack
 from leverdoor.entry.membership.member import Member
 from leverdoor.errors import Refusal
 from leverdoor.model.resources import Workspace
@@ -65,6 +66,7 @@
         self.workspace = workspace
         self.site = _PartitionedSite(entries, REGIONS, loss, self._node, seed)
         self.names = list(self.site.nodes)
+        self._register_all()
         self.taken: deque[tuple[float, str]] = deque()
         """Times of the requests in the window, each with the entry that admitted it."""
         self.most_over_bound = 0.0
@@ -75,6 +77,13 @@
     def _node(self, own: Member, _: dict[str, list[str]], rng: Random) -> QuotaNode:
         return QuotaNode(own, [self.workspace], rng)
 
+    def _register_all(self) -> None:
+        """Let each entry know the registrations of all, as read from the store."""
+        members = [self._quota_node(n).membership.own for n in self.names]
+        registrations = {m.name: pack(m) for m in members}
+        for name in self.names:
+            self._quota_node(name).membership.add_registered(registrations, 0.0)
+
     def choose(self, count: int) -> list[str]:
         """Return random entries."""
         return self._rng.sample(self.names, count)
--- a/leverdoor/entry/membership/liveness.py
+++ b/leverdoor/entry/membership/liveness.py
@@ -20,7 +20,7 @@
 | 2.5 | `merging.SUM_MAX_AGE_S` | the request sums that it sent as aggregator expire |
 | 3.2 | `REMOTE_SILENCE_S` | not live, as seen from other regions |
 | 28 | `workspaces.isolation.RESERVATION_S` | its quota share is available to others |
-| 60 | `RECORD_TTL_S` | its record is deleted |
+| 60 | `RECORD_TTL_S` | its record is deleted, unless it is registered in the store |
 
 Owns no state.
 """
@@ -60,6 +60,8 @@
 RECORD_TTL_S = 60.0
 """Time without any report after which the record of an entry is deleted, in seconds.
 
+Records of entries that are registered in the store are kept.
+
 With a shorter time, the quota share of a partitioned entry is given to others although
 it still serves. With a longer one, replaced VMs are counted in addition to their
 successors.
--- a/leverdoor/entry/membership/members.py
+++ b/leverdoor/entry/membership/members.py
@@ -63,6 +63,8 @@
         self._names_by_id: dict[int, str] = {}
         self._records_by_domain: dict[str, dict[str, PeerRecord]] = {own.domain: {}}
         self._domains_by_region: dict[str, set[str]] = {own.region: {own.domain}}
+        self._registered: set[str] = set()
+        """Names of the entries that are registered in the store, as last known."""
         self._live_at_last_call: set[str] = set()
         """Names of the entries that were live at the last call of `changes`."""
 
@@ -78,11 +80,13 @@
           registrations: values of the entries' keys; unreadable ones are skipped.
           now: monotonic time in seconds.
         """
+        self._registered.clear()
         for data in registrations.values():
             try:
                 member = unpack(data, Member)
             except msgspec.MsgspecError:
                 continue
+            self._registered.add(member.name)
             record = self._records.get(member.name)
             if record is None or now - record.heartbeat_at > SUPERSEDE_SILENCE_S:
                 self.update_member(member, now)
@@ -152,8 +156,16 @@
         return True
 
     def forget(self, now: float) -> None:
-        """Delete the records of entries without any report for `RECORD_TTL_S`."""
-        expired = [n for n, r in self._records.items() if is_expired(r, now)]
+        """Delete the records of entries without any report for `RECORD_TTL_S`.
+
+        Entries that are registered in the store are kept. An entry that is cut off from
+        the others and from the store would otherwise forget them and share nothing.
+        """
+        expired = [
+            name
+            for name, record in self._records.items()
+            if name not in self._registered and is_expired(record, now)
+        ]
         for name in expired:
             member = self._records.pop(name).member
             self._names_by_id.pop(member_id(name), None)
--- a/tests/test_entry_membership.py
+++ b/tests/test_entry_membership.py
@@ -11,6 +11,7 @@
 from leverdoor.codec import pack
 from leverdoor.entry.membership.entry_selection import EntrySelector
 from leverdoor.entry.membership.liveness import (
+    RECORD_TTL_S,
     REMOTE_SILENCE_S,
     SILENCE_S,
     SUPERSEDE_SILENCE_S,
@@ -339,3 +340,15 @@
         deliver_heartbeat(view, "a1-1", now, incarnation=5)
         deliver_heartbeat(view, "a1-1", now, LEAVING, incarnation=incarnation)
         assert "f/a1-1" in view.selector.select_addresses("a", "a1", SERVING, now)
+
+
+def test_silent_entry_is_kept_while_it_is_registered() -> None:
+    """An isolated entry that forgets the others divides every limit by one entry."""
+    own, other = member("a1-0"), member("a2-0")
+    membership = Membership(own)
+    membership.add_registered({"key": pack(other)}, 10.0)
+    membership.forget(10.0 + 10 * RECORD_TTL_S)
+    assert membership.count == 2
+    membership.add_registered({}, 10.0 + 10 * RECORD_TTL_S)
+    membership.forget(10.0 + 10 * RECORD_TTL_S)
+    assert membership.count == 1
--- a/tests/test_quota_partitions.py
+++ b/tests/test_quota_partitions.py
@@ -60,3 +60,12 @@
     site.site.isolated = set(site.choose(1))
     site.serve(32.0)
     assert site.most_over_bound <= 1.0
+
+
+def test_bound_holds_when_an_entry_is_isolated_for_longer_than_records_last() -> None:
+    """An entry that has forgotten all others must not take itself for the only one."""
+    site = PartitionSite(4)
+    site.serve(8.0)
+    site.site.isolated = set(site.choose(1))
+    site.serve(75.0)
+    assert site.most_over_bound <= 1.0
