Quotas: reservations for entries that are registered in the store do not expire

Cause: silence was taken for an end after a fixed time. The sides of a partition that lasts longer each used the whole quota. Whether an entry ended shows in the store: its lease lapses 15 s after its end. Reservations for an entry last while it is registered as far as this entry knows, for a failure domain or region while any of its entries is; for others 28 s as before.

Not covered: several entries that are cut off together from the others and from the store, for longer than 28 s and their leases. The others then use their part as well.

--- a/benchmarks/quota_partitions.py
+++ b/benchmarks/quota_partitions.py
@@ -88,12 +88,11 @@
         """Return random entries."""
         return self._rng.sample(self.names, count)
 
-    def domain(self) -> list[str]:
-        """Return the entries of a random failure domain."""
-        domain = self._quota_node(self._rng.choice(self.names)).membership.own.domain
-        return [
-            n for n in self.names if self._quota_node(n).membership.own.domain == domain
-        ]
+    def region(self, region: str) -> list[str]:
+        """Return the entries of a region."""
+        nodes = (self._quota_node(n) for n in self.names)
+        members = [node.membership.own for node in nodes]
+        return [m.name for m in members if m.region == region]
 
     def serve(
         self,
--- a/leverdoor/entry/exchange/usage_exchange.py
+++ b/leverdoor/entry/exchange/usage_exchange.py
@@ -21,6 +21,7 @@
 from leverdoor.entry.exchange.usage_encoding import Usage, UsageCodec
 from leverdoor.entry.exchange.usage_merging import (
     FRESH_S,
+    RegisteredGroups,
     UnreportedParts,
     UsageMerger,
     UsageReport,
@@ -28,6 +29,7 @@
 )
 from leverdoor.entry.membership.member import LEAVING, Member
 from leverdoor.entry.membership.members import Membership
+from leverdoor.entry.membership.peer_record import HeartbeatObservation
 from leverdoor.workspaces.isolation import RESERVATION_S
 from leverdoor.workspaces.remote_usage import RemoteUsage
 
@@ -92,6 +94,7 @@
 
     def forget(self, now: float) -> None:
         """Remove expired reports."""
+        self._merger.registered = self._registered_groups()
         self._merger.forget(now)
 
     def serialize(self, usage: Usage) -> bytes:
@@ -177,6 +180,14 @@
         """Record that this entry is not an aggregator."""
         self._complete_since = None
 
+    def _registered_groups(self) -> RegisteredGroups:
+        registered = self._membership.registered()
+        return RegisteredGroups(
+            {m.name for m in registered if m.domain == self._own.domain},
+            {m.domain for m in registered if m.domain != self._own.domain},
+            {m.region for m in registered if m.region != self._own.region},
+        )
+
     def _unreported_parts(self, uptime_s: float, now: float) -> int:
         """Return the number of equal quota parts to reserve for entries without a
         report.
@@ -193,12 +204,19 @@
         unreported = [
             s
             for s in last_seen
-            if FRESH_S < now - s.at <= RESERVATION_S
-            and s.row.state != LEAVING
+            if self._is_reserved(s, now)
             and not self._merger.has_report(self._membership.name(s.row.id))
         ]
         return never_seen + len(unreported) * UNKNOWN_USAGE_PARTS
 
+    def _is_reserved(self, seen: HeartbeatObservation, now: float) -> bool:
+        """Return whether an entry of the failure domain is silent and may serve."""
+        silent_s = now - seen.at
+        if silent_s <= FRESH_S or seen.row.state == LEAVING:
+            return False
+        name = self._membership.name(seen.row.id)
+        return silent_s <= RESERVATION_S or name in self._merger.registered.entries
+
     def _compute_sums(self, own: Usage, uptime_s: float, now: float) -> UsageSums:
         parts = UnreportedParts(
             self._unreported_parts(uptime_s, now),
--- a/leverdoor/entry/exchange/usage_merging.py
+++ b/leverdoor/entry/exchange/usage_merging.py
@@ -13,6 +13,7 @@
 import math
 from collections import deque
 from collections.abc import Collection, Mapping
+from enum import Enum, auto
 from typing import NamedTuple
 
 import msgspec
@@ -21,7 +22,14 @@
 from leverdoor.workspaces.allowance import EVENLY_DIVIDED_FRACTION
 from leverdoor.workspaces.isolation import RESERVATION_S, isolated_use_factor
 
-__all__ = ["FRESH_S", "UnreportedParts", "UsageReport", "UsageMerger", "UsageSums"]
+__all__ = [
+    "FRESH_S",
+    "RegisteredGroups",
+    "UnreportedParts",
+    "UsageMerger",
+    "UsageReport",
+    "UsageSums",
+]
 
 FRESH_S = 0.7
 """Maximum age of a fresh report, in seconds; later, a reservation replaces its usage.
@@ -69,6 +77,17 @@
     """Cached reservation; None until it is first computed."""
 
 
+class RegisteredGroups(NamedTuple):
+    """Names of what the store has registrations of; see `UsageMerger.registered`."""
+
+    entries: Collection[str] = frozenset()
+    """Entries of the own failure domain."""
+    domains: Collection[str] = frozenset()
+    """Other failure domains of the region with at least one registered entry."""
+    regions: Collection[str] = frozenset()
+    """Other regions with at least one registered entry."""
+
+
 class UnreportedParts(NamedTuple):
     """Equal parts of each quota to reserve for silent entries without a report."""
 
@@ -98,6 +117,9 @@
         """Create an empty merger."""
         self.planned: Mapping[str, float] = {}
         """By workspace: requests of a window up to which all entries together admit."""
+        self.registered = RegisteredGroups()
+        """What is registered in the store. Its reservations do not expire: both sides
+        of a partition may last, and keep their parts of each quota."""
         self._entries: dict[str, UsageReport] = {}
         self._ended: list[UsageReport] = []
         """The last reports of ended incarnations."""
@@ -153,7 +175,7 @@
         self._entries = {
             name: report
             for name, report in self._entries.items()
-            if now - report.at <= RESERVATION_S
+            if now - report.at <= RESERVATION_S or name in self.registered.entries
         }
 
     def compute_sums(
@@ -167,20 +189,28 @@
           now: monotonic time in seconds.
         """
         ended_usage = [r.use for r in self._ended if now - r.at <= ENDED_USAGE_S]
-        domain = sum_usage(
-            own, *ended_usage, *self._counted_usage(self._entries, FRESH_S, now)
-        )
-        region = sum_usage(domain, *self._counted_usage(self._domains, FRESH_S, now))
-        total = sum_usage(region, *self._counted_usage(self._regions, FAR_FRESH_S, now))
+        entries, domains, regions = self._scopes()
+        domain = sum_usage(own, *ended_usage, *self._counted_usage(entries, now))
+        region = sum_usage(domain, *self._counted_usage(domains, now))
+        total = sum_usage(region, *self._counted_usage(regions, now))
         self._totals.append((now, total))
-        domain_silent = _count_silent(self._entries, FRESH_S, now) + unreported.domain
+        domain_silent = _count_silent(entries, now) + unreported.domain
         region_silent = domain_silent + unreported.region
-        region_silent += _count_silent(self._domains, FRESH_S, now)
+        region_silent += _count_silent(domains, now)
         total_silent = region_silent + unreported.other_regions
-        total_silent += _count_silent(self._regions, FAR_FRESH_S, now)
+        total_silent += _count_silent(regions, now)
         silent = (domain_silent, region_silent, total_silent)
         return UsageSums(domain, region, total, silent)
 
+    def _scopes(self) -> "tuple[_Scope, _Scope, _Scope]":
+        """Return the reports of entries, of failure domains and of regions."""
+        registered = self.registered
+        return (
+            _Scope(self._entries, FRESH_S, registered.entries),
+            _Scope(self._domains, FRESH_S, registered.domains),
+            _Scope(self._regions, FAR_FRESH_S, registered.regions),
+        )
+
     def age_s(self, now: float) -> float:
         """Return the age of the oldest fresh report, in seconds."""
         fresh = self._fresh_reports(now)
@@ -188,33 +218,29 @@
 
     def _fresh_reports(self, now: float) -> list[UsageReport]:
         return [
-            *_fresh_reports(self._entries, FRESH_S, now).values(),
-            *_fresh_reports(self._domains, FRESH_S, now).values(),
-            *_fresh_reports(self._regions, FAR_FRESH_S, now).values(),
+            report
+            for scope in self._scopes()
+            for report in scope.reports.values()
+            if now - report.at <= scope.fresh_s
         ]
 
-    def _counted_usage(
-        self, reports_by_name: Mapping[str, UsageReport], fresh_s: float, now: float
-    ) -> list[Usage]:
+    def _counted_usage(self, scope: "_Scope", now: float) -> list[Usage]:
         current_usage = [
-            self._reported_or_reserved(report, fresh_s, now)
-            for report in reports_by_name.values()
+            self._reported_or_reserved(report, scope.state(name, now))
+            for name, report in scope.reports.items()
         ]
         previous = [
-            r.previous for r in reports_by_name.values() if r.previous is not None
+            r.previous for r in scope.reports.values() if r.previous is not None
         ]
         return current_usage + [o.use for o in previous if now - o.at <= ENDED_USAGE_S]
 
     def _reported_or_reserved(
-        self, report: UsageReport, fresh_s: float, now: float
+        self, report: UsageReport, state: "_ReportState"
     ) -> Usage:
-        """Return the reported usage if it is fresh, otherwise the reserved usage."""
-        age_s = now - report.at
-        if age_s <= fresh_s:
+        """Return the reported usage if it counts, otherwise the reserved usage."""
+        if state is _ReportState.COUNTED:
             return report.use
-        if report.is_leaving:
-            return report.use if age_s <= ENDED_USAGE_S else {}
-        if age_s > RESERVATION_S:
+        if state is _ReportState.EXPIRED:
             return {}
         if report.reserved is None:
             report.reserved = self._reservation(report)
@@ -247,16 +273,42 @@
     }
 
 
-def _count_silent(
-    reports: Mapping[str, UsageReport], fresh_s: float, now: float
-) -> int:
+class _ReportState(Enum):
+    COUNTED = auto()
+    """The usage counts as reported."""
+    RESERVED = auto()
+    """The senders are silent and may still serve."""
+    EXPIRED = auto()
+
+
+class _Scope(NamedTuple):
+    """The newest reports of entries, failure domains or regions, by name."""
+
+    reports: Mapping[str, UsageReport]
+    fresh_s: float
+    registered: Collection[str]
+
+    def state(self, name: str, now: float) -> _ReportState:
+        """Return how a report counts."""
+        report = self.reports[name]
+        age_s = now - report.at
+        if age_s <= self.fresh_s:
+            return _ReportState.COUNTED
+        if report.is_leaving:
+            has_ended = age_s > ENDED_USAGE_S
+            return _ReportState.EXPIRED if has_ended else _ReportState.COUNTED
+        if age_s <= RESERVATION_S or name in self.registered:
+            return _ReportState.RESERVED
+        return _ReportState.EXPIRED
+
+
+def _count_silent(scope: _Scope, now: float) -> int:
     """Count the silent entries that may still serve."""
     count = 0
-    for report in reports.values():
-        age_s = now - report.at
-        if age_s <= fresh_s:
+    for name, report in scope.reports.items():
+        if now - report.at <= scope.fresh_s:
             count += report.silent
-        elif age_s <= RESERVATION_S and not report.is_leaving:
+        elif scope.state(name, now) is _ReportState.RESERVED:
             count += report.entries
     return count
 
--- a/leverdoor/entry/membership/members.py
+++ b/leverdoor/entry/membership/members.py
@@ -221,6 +221,11 @@
         record = self._records.get(name)
         return record.member if record is not None else None
 
+    def registered(self) -> list[Member]:
+        """Return the other entries that are registered in the store."""
+        records = self._records
+        return [records[n].member for n in self._registered if n in records]
+
     def names(self) -> list[str]:
         """Return the names of all known entries except this one."""
         return list(self._records)
--- a/leverdoor/workspaces/isolation.py
+++ b/leverdoor/workspaces/isolation.py
@@ -37,7 +37,8 @@
 With a smaller one, isolated entries refuse almost all requests sooner.
 """
 RESERVATION_S = 28.0
-"""How long the other entries reserve quota for a silent entry, in seconds.
+"""How long the other entries reserve quota for a silent entry that is not registered in
+the store, in seconds.
 
 It exceeds `ISOLATED_USE_S` by the quota window, in which requests of the isolated entry
 still count, and by 3 s, since the isolated entry counts from its last digest and the
--- a/tests/test_entry_use.py
+++ b/tests/test_entry_use.py
@@ -16,6 +16,7 @@
     UsageExchange,
 )
 from leverdoor.entry.exchange.usage_merging import (
+    RegisteredGroups,
     UnreportedParts,
     UsageMerger,
     UsageReport,
@@ -105,6 +106,23 @@
     assert (expired.total, expired.silent) == ({"w": 15}, (0, 0, 0))
 
 
+def test_reservation_does_not_expire_while_the_entry_is_registered() -> None:
+    """A partition may last longer than any fixed time, with both sides serving."""
+    merger = create_merger()
+    merger.registered = RegisteredGroups(entries={"e1"}, regions={"r2"})
+    merger.record_entry("e1", UsageReport(10.0, {"w": 10}))
+    merger.record_region("r2", UsageReport(10.0, {"w": 10}, entries=3))
+    assert merger.compute_sums({}, NONE_UNREPORTED, 10.1).total == {"w": 20}
+    later = 10.0 + 10 * RESERVATION_S
+    merger.forget(later)
+    sums = merger.compute_sums({}, NONE_UNREPORTED, later)
+    assert (sums.total, sums.silent) == ({"w": 2 * 20}, (1, 1, 4))
+    merger.registered = RegisteredGroups()
+    merger.forget(later)
+    ended = merger.compute_sums({}, NONE_UNREPORTED, later)
+    assert (ended.total, ended.silent) == ({}, (0, 0, 0))
+
+
 def test_usage_of_an_ended_incarnation_counts_for_a_window() -> None:
     merger = create_merger()
     merger.record_entry("e1", UsageReport(10.0, {"w": 10}, incarnation=1))
--- a/tests/test_quota_partitions.py
+++ b/tests/test_quota_partitions.py
@@ -69,3 +69,21 @@
     site.site.isolated = set(site.choose(1))
     site.serve(75.0)
     assert site.most_over_bound <= 1.0
+
+
+def test_bound_holds_when_a_region_is_cut_off_for_longer_than_a_reservation() -> None:
+    """Both sides must not use the part of the other because it has been silent."""
+    site = PartitionSite(12)
+    site.serve(8.0)
+    site.site.group = site.region("r0")
+    site.serve(45.0)
+    assert site.most_over_bound <= 1.0
+
+
+def test_bound_holds_when_no_report_of_an_entry_arrives() -> None:
+    """A cut in one direction: the entry receives digests and is not isolated."""
+    site = PartitionSite(4)
+    site.serve(8.0)
+    site.site.muted = site.choose(1)
+    site.serve(45.0)
+    assert site.most_over_bound <= 1.0
