Quotas: the ceiling of an isolated entry counts only usage that the others know

Cause: an aggregator goes on merging reports for up to 1.2 s after a cut, until none is fresh, and with each merge took its newest report for known to the others.

The ceiling now uses the least of the reports that the others may have had at the time to which the last usage of the others refers.

--- a/benchmarks/quota_partitions.py
+++ b/benchmarks/quota_partitions.py
@@ -2,6 +2,12 @@
 # SPDX-License-Identifier: Apache-2.0
 """One quota under partitions of any kind and length, on a simulated clock.
 
+    python benchmarks/quota_partitions.py --plays 1000 --first-seed 1
+
+Each play draws the number of entries, the rate and demand of one workspace, and up to
+three partitions of one or two entries in series. Prints the plays that passed the bound
+and the greatest usage.
+
 Entries decide by the production `Quotas` and report by the production `Exchange`. All
 usage of one workspace is counted in a sliding window, over all entries. Owns the state
 of one run.
@@ -9,8 +15,11 @@
 
 from collections import deque
 from collections.abc import Collection
+from concurrent.futures import ProcessPoolExecutor
 from random import Random
 
+import click
+
 from emulated_exchange import KnowledgeSite
 from emulated_quotas import QuotaNode
 from leverdoor.codec import pack
@@ -19,13 +28,21 @@
 from leverdoor.model.resources import Workspace
 from leverdoor.workspaces.quota_bounds import QuotaBounds
 
-__all__ = ["WARD", "PartitionSite"]
+__all__ = ["WARD", "PartitionSite", "play_drawn_partitions"]
 
 WARD = Workspace(name="ward", rate_per_s=100.0, burst=100.0)
 """The workspace whose usage is counted."""
 DEMAND = 3.0
 """Requests that callers send, as a multiple of the rate."""
 REGIONS = 3
+ENTRY_COUNTS = (3, 4, 6, 12)
+RATES_PER_S = (10.0, 20.0, 100.0)
+MAX_DEMAND = 14.0
+PARTITION_S = (1.0, 60.0)
+"""Shortest and longest partition, in seconds."""
+PAUSE_S = (0.2, 12.0)
+"""Shortest and longest time before and between partitions, in seconds."""
+MAX_PARTITIONS = 3
 
 
 class _PartitionedSite(KnowledgeSite):
@@ -151,3 +168,42 @@
         node = self.site.nodes[name]
         assert isinstance(node, QuotaNode)
         return node
+
+
+def play_drawn_partitions(seed: int) -> float:
+    """Play partitions drawn from a seed; return the greatest usage over the bound."""
+    rng = Random(f"partitions {seed}")
+    rate = rng.choice(RATES_PER_S)
+    workspace = Workspace(name="drawn", rate_per_s=rate, burst=rate)
+    site = PartitionSite(rng.choice(ENTRY_COUNTS), workspace=workspace, seed=seed)
+    site.serve(rng.uniform(*PAUSE_S), demand=rng.choice((0.0, _draw_demand(rng))))
+    for _ in range(rng.randint(1, MAX_PARTITIONS)):
+        site.site.isolated = set(site.choose(rng.randint(1, 2)))
+        site.serve(rng.uniform(*PARTITION_S), demand=_draw_demand(rng))
+        site.site.isolated = set()
+        site.serve(rng.uniform(*PAUSE_S), demand=_draw_demand(rng))
+    return site.most_over_bound
+
+
+def _draw_demand(rng: Random) -> float:
+    return rng.uniform(0.0, rng.choice((1.5, MAX_DEMAND)))
+
+
+@click.command()
+@click.option("--plays", default=100, help="Number of plays.")
+@click.option("--first-seed", default=1, help="Seed of the first play.")
+@click.option("--processes", default=2, help="Number of processes.")
+def main(plays: int, first_seed: int, processes: int) -> None:
+    """Print the plays over the bound, and the greatest usage over it."""
+    seeds = range(first_seed, first_seed + plays)
+    with ProcessPoolExecutor(processes) as executor:
+        usages = list(executor.map(play_drawn_partitions, seeds))
+    for seed, usage in zip(seeds, usages, strict=True):
+        if usage > 1.0:
+            print(f"seed={seed} most_over_bound={usage:.4f}")
+    over = sum(usage > 1.0 for usage in usages)
+    print(f"plays={plays} over={over} most_over_bound={max(usages):.4f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/leverdoor/workspaces/quota.py
+++ b/leverdoor/workspaces/quota.py
@@ -10,7 +10,7 @@
 exchanges messages nor accesses the store.
 
 Owns this entry's usage by workspace (`usage.py`), the last received usage of the other
-entries, and this entry's last report. All of it is lost with the process. After a
+entries, and this entry's recent reports. All of it is lost with the process. After a
 restart of all entries, the admission limit grows with the part of the window for which
 usage is known.
 
@@ -19,6 +19,7 @@
 """
 
 import math
+from collections import deque
 from collections.abc import Iterable
 from random import Random
 
@@ -107,10 +108,11 @@
         """Whether usage of the other entries was received since the process started."""
         self.entries = 1
         """Number of entries, including this one."""
-        self._last_report: dict[str, int] = {}
-        """Usage of this entry as last reported to the others."""
-        self._report_at_receipt = self._last_report
-        """Value of `_last_report` when `_remote_usage` was received."""
+        self._reports: deque[tuple[float, dict[str, int]]] = deque()
+        """Recent reports of this entry's usage, with their times."""
+        self._known_reports: list[dict[str, int]] = []
+        """The reports that the others may have had at the time to which `_remote_usage`
+        refers."""
         self._returned_at = -math.inf
         """When a digest ended the latest isolation of this entry."""
         self._isolated_since = now
@@ -130,16 +132,23 @@
             self._isolated_since = self._remote_usage_at
         self._remote_usage = remote_usage
         self._remote_usage_at = now - remote_usage.age_s
-        self._report_at_receipt = self._last_report
+        self._known_reports = [
+            usage
+            for at, usage in self._reports
+            if 0.0 <= self._remote_usage_at - at <= REPORT_DELAY_S
+        ]
         self._remote_usage_received = True
         self._usage_known_since = min(
             self._usage_known_since, now - remote_usage.usage_known_for_s
         )
 
     def report(self, now: float) -> dict[str, int]:
-        """Return this entry's usage by workspace, and store it as the last report."""
-        self._last_report = self._usage.totals(now)
-        return self._last_report
+        """Return this entry's usage by workspace, and store it as reported."""
+        usage = self._usage.totals(now)
+        self._reports.append((now, usage))
+        while now - self._reports[0][0] > REPORT_DELAY_S + ISOLATION_TIMEOUT_S:
+            self._reports.popleft()
+        return usage
 
     def counting_for_s(self, now: float) -> float:
         """Return how long this entry has counted usage, in seconds."""
@@ -251,13 +260,14 @@
 
     def _ceiling(self, workspace: Workspace, known: KnownUsage, now: float) -> float:
         """Return the maximum number of requests per window while isolated."""
-        last_reported = self._report_at_receipt.get(workspace.name, 0)
+        counts = (usage.get(workspace.name, 0) for usage in self._known_reports)
+        received = self._remote_usage_received
         return IsolatedQuota(
             admission_limit=known.admission_limit,
             bound=self._bounds.bound(workspace),
             entry_count=self.entries,
             isolated_s=now - self._remote_usage_at,
-            last_reported=last_reported if self._remote_usage_received else None,
+            last_reported=min(counts, default=0) if received else None,
             others_use=known.others_use,
         ).ceiling
 
--- a/tests/test_quota_partitions.py
+++ b/tests/test_quota_partitions.py
@@ -5,7 +5,7 @@
 import pytest
 
 from leverdoor.model.resources import Workspace
-from quota_partitions import PartitionSite
+from quota_partitions import PartitionSite, play_drawn_partitions
 
 
 @pytest.mark.parametrize("seed", range(6))
@@ -87,3 +87,11 @@
     site.site.muted = site.choose(1)
     site.serve(45.0)
     assert site.most_over_bound <= 1.0
+
+
+@pytest.mark.parametrize("seed", [1, 14, 16, 23])
+def test_bound_holds_when_demand_rises_after_the_start_of_a_partition(
+    seed: int,
+) -> None:
+    """The ceiling must not grow with usage that the others never learned of."""
+    assert play_drawn_partitions(seed) <= 1.0
