Watches of resources name the era of their revision

An operator's client of a plain site that came back to a watch with the revision it had (`/v1/watch?since=`) was not told that the store had been restored from a copy: it got the changes after that number of the new history, and missed for good what the restored store had written up to it.

Cause: the agent read the bare revision as one of its present era. Evidence: the new test returns a change of the new era instead of an error on the code before (DID NOT RAISE).

Lists and changes name the era, once the store has one, and a watch takes it. A revision of another era, or of none where the store has one, is answered with COMPACTED, and the client lists again.

An operator's client that names no era can't continue a watch on a site that was restored once; it lists again. Conditional writes name a bare revision as before: open.

--- a/leverdoor/agent/api.py
+++ b/leverdoor/agent/api.py
@@ -68,20 +68,24 @@
     entries: int = 0
 
 
-class ItemList(msgspec.Struct):
-    """Resources at one revision, from which a watch can continue."""
+class ItemList(msgspec.Struct, omit_defaults=True):
+    """Resources at one position, from which a watch can continue."""
 
     revision: int
     items: list[Item]
+    era: int = UNKNOWN_ERA
+    """Era of `revision`; omitted on a site whose store was never restored."""
 
 
 class Change(msgspec.Struct, omit_defaults=True):
-    """One line of a watch: a put, a delete, or a bookmark with only a revision."""
+    """One line of a watch: a put, a delete, or a bookmark with only a position."""
 
     revision: int
     type: str
     key: str = ""
     resource: msgspec.Raw = NO_RESOURCE
+    era: int = UNKNOWN_ERA
+    """As in `ItemList`."""
 
 
 class Status(msgspec.Struct):
@@ -156,7 +160,8 @@
         self._require_configuration()
         prefix = RESOURCES + (f"{kind}/" if kind else "")
         items = [self._build_item(e) for e in self._state.list_prefix(prefix)]
-        return json_response(ItemList(self._state.revision, items))
+        era, revision = self._state.position
+        return json_response(ItemList(revision, items, era))
 
     async def _get(self, request: web.Request) -> web.StreamResponse:
         key = _parse_key(request)
@@ -178,11 +183,8 @@
 
     async def _internal_state(self, request: web.Request) -> web.StreamResponse:
         """Return the changes that a peer lacks."""
-        since = _parse_number(request, "since", 0)
-        era = UNKNOWN_ERA
-        if "era" in request.query:
-            era = _parse_number(request, "era", 0)
-        return web.Response(body=pack(self._state.delta(Position(era, since))))
+        since = Position(_parse_era(request), _parse_number(request, "since", 0))
+        return web.Response(body=pack(self._state.delta(since)))
 
     async def _report(self, request: web.Request) -> web.StreamResponse:
         name = request.match_info["name"]
@@ -202,18 +204,24 @@
             await asyncio.sleep(REPORT_WATCH_S)
 
     async def _watch(self, request: web.Request) -> web.StreamResponse:
-        """Stream all changes after a revision without gaps."""
+        """Stream all changes after a position without gaps.
+
+        A revision without an era is one of a store that was never restored. If this
+        store was, the same number may stand for a change of the lost history.
+        """
         self._require_configuration()
         kind = request.query.get("kind", "")
         if kind:
             _check_kind(kind)
-        since = _parse_number(request, "since", self._state.revision)
-        if not self._state.log_covers(self._at_revision(since)):
+        since = self._state.position
+        if "since" in request.query:
+            since = Position(_parse_era(request), _parse_number(request, "since", 0))
+        if not self._state.log_covers(since):
             raise LeverdoorError(Code.COMPACTED, revision=self._state.revision)
         prefix = RESOURCES + (f"{kind}/" if kind else "")
         return await _stream_lines(request, self._change_lines(prefix, since))
 
-    async def _change_lines(self, prefix: str, since: int) -> AsyncIterator[bytes]:
+    async def _change_lines(self, prefix: str, after: Position) -> AsyncIterator[bytes]:
         """Yield changes as lines until the watcher's queue overflows."""
         queue: asyncio.Queue[Delta | None] = asyncio.Queue(WATCH_QUEUE)
 
@@ -227,27 +235,24 @@
 
         subscription = self._state.changes.subscribe(enqueue)
         try:
-            delta: Delta | None = self._state.delta(self._at_revision(since))
+            delta: Delta | None = self._state.delta(after)
+            era, since = after
             while True:
                 if delta is None or delta.full:
                     return
                 for event in delta.events:
                     if event.revision > since and event.key.startswith(prefix):
-                        yield serialize_json(_build_change(event))
+                        yield serialize_json(_build_change(event, era))
                 since = max(since, delta.revision)
                 try:
                     async with asyncio.timeout(BOOKMARK_S):
                         delta = await queue.get()
                 except TimeoutError:
-                    yield serialize_json(Change(since, "bookmark"))
-                    delta = Delta(since, since, False, [])
+                    yield serialize_json(Change(since, "bookmark", era=era))
+                    delta = Delta(since, since, False, [], era)
         finally:
             subscription.dispose()
 
-    def _at_revision(self, revision: int) -> Position:
-        """Return the position of a revision that an operator names, in this era."""
-        return Position(self._state.position.era, revision)
-
     async def _healthz(self, request: web.Request) -> web.StreamResponse:
         return web.Response(text="ok\n")
 
@@ -301,11 +306,11 @@
         raise LeverdoorError(Code.READ_ONLY)
 
 
-def _build_change(event: Event) -> Change:
+def _build_change(event: Event, era: int) -> Change:
     key = event.key.removeprefix(RESOURCES)
     if event.value is None:
-        return Change(event.revision, "delete", key)
-    return Change(event.revision, "put", key, msgspec.Raw(event.value))
+        return Change(event.revision, "delete", key, era=era)
+    return Change(event.revision, "put", key, msgspec.Raw(event.value), era)
 
 
 def _check_kind(kind: str) -> None:
@@ -330,6 +335,13 @@
     return int(text)
 
 
+def _parse_era(request: web.Request) -> int:
+    """Return the era that a request names; `UNKNOWN_ERA` if none."""
+    if "era" not in request.query:
+        return UNKNOWN_ERA
+    return _parse_number(request, "era", 0)
+
+
 def _parse_condition(request: web.Request) -> int | None:
     """Return the required revision from If-Match or If-None-Match, or None."""
     if request.headers.get("If-None-Match") == "*":
--- a/leverdoor/client/operator.py
+++ b/leverdoor/client/operator.py
@@ -19,6 +19,7 @@
 from leverdoor.model.resources import Resource
 from leverdoor.sessions import new_session
 from leverdoor.storage.configuration import Applied
+from leverdoor.storage.position import UNKNOWN_ERA
 
 __all__ = ["Operator"]
 
@@ -115,12 +116,24 @@
         return msgspec.json.decode(data, type=Report)
 
     async def watch(
-        self, kind: str = "", since: int | None = None
+        self, kind: str = "", since: int | None = None, era: int = UNKNOWN_ERA
     ) -> AsyncIterator[Change]:
-        """Yield changes of resources after a revision."""
+        """Yield changes of resources after a position.
+
+        Args:
+          kind: the kind of the resources; "" for all.
+          since: the revision of a list or change; None for the newest.
+          era: the era that came with the revision.
+
+        Raises:
+          LeverdoorError: COMPACTED, if the position is too old or belongs to a history
+            that the store has lost; list again.
+        """
         path = f"/v1/watch?kind={kind}"
         if since is not None:
             path += f"&since={since}"
+        if era != UNKNOWN_ERA:
+            path += f"&era={era}"
         async for line in self._lines(path):
             yield msgspec.json.decode(line, type=Change)
 
--- a/tests/interface_table.py
+++ b/tests/interface_table.py
@@ -507,6 +507,7 @@
         ("--api", "ip:port", "('127.0.0.1:7400',)", "LEVERDOOR_API", "option multiple"),
         ("kind", "text", "", "", "argument"),
         ("--since", "integer", "None", "", "option"),
+        ("--era", "integer", "-1", "", "option"),
     ],
     "leverdoor report": [
         ("--api", "ip:port", "('127.0.0.1:7400',)", "LEVERDOOR_API", "option multiple"),
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -18,11 +18,11 @@
 from leverdoor.errors import Code, LeverdoorError
 from leverdoor.membership.peers import Peers
 from leverdoor.metrics import AgentMetrics
-from leverdoor.model.resources import Tier
+from leverdoor.model.resources import Tier, serialize_resource
 from leverdoor.storage.configuration import Configuration
 from leverdoor.storage.position import START
-from leverdoor.storage.state import PREFIX, Delta, State
-from leverdoor.storage.store import MemoryStore
+from leverdoor.storage.state import PREFIX, RESOURCES, Delta, State
+from leverdoor.storage.store import Event, MemoryStore
 from leverdoor.storage.view import ViewCache
 
 TIER = {"kind": "tier", "name": "a", "weight": 2}
@@ -160,6 +160,29 @@
     await operator.close()
 
 
+async def test_watch_from_a_revision_of_a_lost_history_fails(
+    api_server: ApiServer,
+) -> None:
+    """A client that comes back would miss what the restored store wrote before it."""
+    operator = Operator([api_server.address])
+    known = await operator.apply([Tier(name="a")])
+    await wait_for_replica(api_server)
+    full = api_server.state.delta(START).events
+    api_server.state.apply(Delta(0, known.revision + 2, True, full, era=0))
+    tier = serialize_resource(Tier(name="b"))
+    events = [Event(known.revision + 3, RESOURCES + "tier/b", tier)]
+    after = known.revision + 2
+    api_server.state.apply(Delta(after, after + 1, False, events, era=0))
+    with pytest.raises(LeverdoorError) as e:
+        await anext(operator.watch("tier", after))
+    assert e.value.code is Code.COMPACTED
+    listing = await operator.get()
+    assert (listing.revision, listing.era) == (after + 1, 0)
+    change = await anext(operator.watch("tier", after, listing.era))
+    assert (change.key, change.era) == ("tier/b", 0)
+    await operator.close()
+
+
 async def test_agent_without_configuration_is_not_ready(
     session: aiohttp.ClientSession,
 ) -> None:
