Plain sites: deltas name the entries from which they begin

An agent of a plain site that was cut off before the store was restored from a copy, with changes that no connected agent had, mixed both histories when it returned: it kept the lost changes and took later ones on top, as its revision was one of the others, too. Its gate served by the mixture for good.

Cause: a fetch names the position only, and a delta after it was applied to whatever the receiver had there.

A delta now carries the fingerprint of the sender's entries at its start, a hash over keys, revisions and values that each agent and gate keeps for the revisions in its log. A receiver with another fingerprint there refuses the delta and fetches all entries (gates: report no position until they have them). Equal fingerprints mean equal entries, so that nothing else of the histories matters. Entries on the platform, whose store names its eras, neither compute nor send fingerprints; releases before ignore the field.

--- a/leverdoor/agent/daemon.py
+++ b/leverdoor/agent/daemon.py
@@ -102,7 +102,7 @@
         s = self._settings
         self._rng = Random(s.seed or None)
         self._metrics = AgentMetrics()
-        self._state = State()
+        self._state = State(fingerprinted=True)
         self._cache = ViewCache(self._state, with_blocks=False)
         self._peers = Peers(s.vm, s.region)
         self._store = EtcdStore(s.store)
--- a/leverdoor/gate/daemon.py
+++ b/leverdoor/gate/daemon.py
@@ -95,7 +95,7 @@
         s = self._settings
         rng = Random(s.seed or None)
         now = asyncio.get_running_loop().time()
-        self._state = State()
+        self._state = State(fingerprinted=True)
         self._cache = ViewCache(self._state)
         self._held_units = HeldUnits(str(s.listen), self._incarnation)
         self._scheduler = Scheduler(
@@ -158,11 +158,12 @@
         while True:
             now = loop.time()
             self._metrics.waiting.set(self._dispatcher.waiting)
+            position = self._state.fetch_position
             report = GateReport(
                 gate=str(s.listen),
                 relay=s.relay_address,
                 incarnation=self._incarnation,
-                revision=self._state.revision,
+                revision=position.revision,
                 ack=self._held_units.ack(now),
                 state=self._handler.state,
                 loads=self._scheduler.loads(now),
@@ -170,7 +171,7 @@
                 # Rows of target slots; rows of shift caps begin with c: instead.
                 held=sorted(r for r in self._held_units.rows if r.startswith("t:")),
                 draining=self._scheduler.pool.draining(now),
-                era=self._state.position.era,
+                era=position.era,
             )
             await self._link.send(report)
             await asyncio.sleep(REPORT_INTERVAL_S)
--- a/leverdoor/storage/fetching.py
+++ b/leverdoor/storage/fetching.py
@@ -241,6 +241,6 @@
         """Fetch from a peer; retry once if the first connection times out."""
         async with asyncio.timeout(FETCH_TIMEOUT_S):
             try:
-                return await self._source.fetch(api, self._state.position)
+                return await self._source.fetch(api, self._state.fetch_position)
             except TimeoutError:
-                return await self._source.fetch(api, self._state.position)
+                return await self._source.fetch(api, self._state.fetch_position)
--- /dev/null
+++ b/leverdoor/storage/fingerprints.py
@@ -0,0 +1,82 @@
+# leverdoor: global traffic steering
+# SPDX-License-Identifier: Apache-2.0
+"""Fingerprints of a replica's entries at its recent revisions.
+
+On a plain site, two processes may have the same revision of different histories: the
+store was restored from a copy while one of them was cut off. Equal fingerprints at a
+revision show that both have the same entries there, so that the changes after it lead
+to the same state, however each came to it.
+
+Owns the fingerprints of the revisions in the log, lost with the process. Relies
+on `State`, which tells each change of an entry and each revision.
+"""
+
+from bisect import bisect_right
+from collections.abc import Iterable
+
+import xxhash
+
+from leverdoor.storage.store import KeyValue
+
+__all__ = ["UNKNOWN_FINGERPRINT", "Fingerprints"]
+
+UNKNOWN_FINGERPRINT = 0
+"""In messages: the sender has no fingerprint, or is of an earlier release."""
+
+
+class Fingerprints:
+    """The fingerprints of a replica from some revision on."""
+
+    def __init__(self, *, enabled: bool) -> None:
+        """Create them for a replica without entries; if disabled, all are unknown."""
+        self._enabled = enabled
+        self._current = UNKNOWN_FINGERPRINT
+        self._revisions = [0]
+        self._fingerprints = [UNKNOWN_FINGERPRINT]
+
+    def replace(self, entries: Iterable[KeyValue], revision: int) -> None:
+        """Begin anew, with all entries at a revision."""
+        if not self._enabled:
+            return
+        self._current = UNKNOWN_FINGERPRINT
+        for entry in entries:
+            self._current ^= _hash(entry)
+        self._revisions = [revision]
+        self._fingerprints = [self._current]
+
+    def change(
+        self, before: KeyValue | None, after: KeyValue | None, revision: int
+    ) -> None:
+        """Apply the change of one entry at a revision, which may change several.
+
+        Args:
+          before: the entry before the change; None if it did not exist.
+          after: the entry after the change; None if it was deleted.
+          revision: revision of the change.
+        """
+        if not self._enabled:
+            return
+        for entry in (before, after):
+            if entry is not None:
+                self._current ^= _hash(entry)
+        if self._revisions[-1] == revision:
+            self._fingerprints[-1] = self._current
+        else:
+            self._revisions.append(revision)
+            self._fingerprints.append(self._current)
+
+    def drop_before(self, revision: int) -> None:
+        """Forget the fingerprints of revisions below one."""
+        first = max(bisect_right(self._revisions, revision) - 1, 0)
+        del self._revisions[:first]
+        del self._fingerprints[:first]
+
+    def at(self, revision: int) -> int:
+        """Return the fingerprint at a revision; `UNKNOWN_FINGERPRINT` if it is lost."""
+        index = bisect_right(self._revisions, revision) - 1
+        return self._fingerprints[index] if index >= 0 else UNKNOWN_FINGERPRINT
+
+
+def _hash(entry: KeyValue) -> int:
+    text = f"{entry.key}\0{entry.revision}\0".encode() + entry.value
+    return xxhash.xxh3_64_intdigest(text)
--- a/leverdoor/storage/state.py
+++ b/leverdoor/storage/state.py
@@ -14,6 +14,7 @@
 import msgspec
 from reactivex import Subject
 
+from leverdoor.storage.fingerprints import UNKNOWN_FINGERPRINT, Fingerprints
 from leverdoor.storage.position import START, UNKNOWN_ERA, Position
 from leverdoor.storage.retained_records import RetainedRecords
 from leverdoor.storage.retention import (
@@ -51,6 +52,8 @@
     era: int = UNKNOWN_ERA
     retained: list[Retained] = []
     """Records of earlier eras that are in force at the sender."""
+    base: int = UNKNOWN_FINGERPRINT
+    """Fingerprint of the sender's entries at `since`, on plain sites."""
 
     @property
     def position(self) -> Position:
@@ -64,12 +67,19 @@
     `changes` emits each Delta after it was applied.
     """
 
-    def __init__(self, describe: DescribeRecord = describe_as_temporary) -> None:
+    def __init__(
+        self,
+        describe: DescribeRecord = describe_as_temporary,
+        *,
+        fingerprinted: bool = False,
+    ) -> None:
         """Create an empty replica.
 
         Args:
           describe: describes records, so that what an earlier era wrote can stay in
             force; by default nothing does.
+          fingerprinted: whether to compare fingerprints with the senders of deltas, as
+            on plain sites, whose store names no era.
         """
         self.position = START
         self.entries: dict[str, KeyValue] = {}
@@ -79,6 +89,15 @@
         self._log: deque[Event] = deque()
         self._log_after_revision = 0
         """The log contains all changes of the era after this revision."""
+        self._fingerprints = Fingerprints(enabled=fingerprinted)
+        self.diverged = False
+        """Whether a peer has other entries at a revision of this replica. Only a newer
+        delta with all entries ends that."""
+
+    @property
+    def fetch_position(self) -> Position:
+        """Position after which to fetch changes from a peer."""
+        return START if self.diverged else self.position
 
     @property
     def revision(self) -> int:
@@ -110,10 +129,9 @@
         new = [e for e in events if e.revision > self.revision]
         if not new:
             return False
-        position = self.position
-        return self.apply(
-            Delta(position.revision, new[-1].revision, False, new, position.era)
-        )
+        era, since = self.position
+        base = self._fingerprints.at(since)
+        return self.apply(Delta(since, new[-1].revision, False, new, era, base=base))
 
     def apply(self, delta: Delta) -> bool:
         """Apply a delta if it is newer, and leaves no gap or replaces all entries.
@@ -123,7 +141,9 @@
         if delta.position <= self.position:
             return False
         if not delta.full and (
-            delta.era != self.position.era or delta.since > self.revision
+            delta.era != self.position.era
+            or delta.since > self.revision
+            or self._diverges_from(delta)
         ):
             return False
         if delta.full:
@@ -134,6 +154,13 @@
         self.changes.on_next(delta)
         return True
 
+    def _diverges_from(self, delta: Delta) -> bool:
+        """Return, and record, whether the sender's entries differ from these."""
+        own = self._fingerprints.at(delta.since)
+        if UNKNOWN_FINGERPRINT not in (own, delta.base) and own != delta.base:
+            self.diverged = True
+        return self.diverged
+
     def _replace_entries(self, delta: Delta) -> None:
         before = self.in_force
         at = delta.position
@@ -144,6 +171,8 @@
         }
         self._log.clear()
         self._log_after_revision = delta.revision
+        self.diverged = False
+        self._fingerprints.replace(self.entries.values(), delta.revision)
         if delta.era == self.position.era:
             self._retained.replace_in_same_era(before, self.entries, at)
         else:
@@ -173,6 +202,7 @@
         else:
             stored = KeyValue(event.key, event.value, event.revision, era=at.era)
             self.entries[event.key] = stored
+        self._fingerprints.change(current, stored, event.revision)
         self._retained.change(event.key, current, stored, at)
 
     def release(self, keys: Iterable[str]) -> None:
@@ -185,6 +215,7 @@
         while self._log and self._log[0].revision == oldest:
             self._log.popleft()
         self._log_after_revision = oldest
+        self._fingerprints.drop_before(oldest)
 
     def log_covers(self, since: Position) -> bool:
         """Return whether the log contains every change after a position."""
@@ -198,7 +229,8 @@
         retained = list(self.retained.values())
         if self.log_covers(since):
             events = [e for e in self._log if e.revision > since.revision]
-            return Delta(since.revision, revision, False, events, era, retained)
+            base = self._fingerprints.at(since.revision)
+            return Delta(since.revision, revision, False, events, era, retained, base)
         events = [Event(e.revision, e.key, e.value) for e in self.entries.values()]
         return Delta(0, revision, True, events, era, retained)
 
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -39,8 +39,8 @@
 
     def __init__(self, followers: int, fetchers: int = 0) -> None:
         self.store = MemoryStore()
-        self.followed = [State() for _ in range(followers)]
-        self.fetched = [State() for _ in range(fetchers)]
+        self.followed = [State(fingerprinted=True) for _ in range(followers)]
+        self.fetched = [State(fingerprinted=True) for _ in range(fetchers)]
         self.cut_off: set[int] = set()
         """Numbers of the fetchers that reach no agent."""
         self.tasks = [
@@ -71,7 +71,7 @@
             best = max(states, key=lambda s: s.position)
             for state in states:
                 if state.position < best.position:
-                    state.apply(best.delta(state.position))
+                    state.apply(best.delta(state.fetch_position))
 
     async def write(self, key: str, value: bytes | None = b"1") -> None:
         await self.store.commit([Write(f"/leverdoor/{key}", value)])
@@ -227,6 +227,39 @@
     run_virtual(run())
 
 
+@pytest.mark.parametrize("writes_after", [1, 2, 6])
+def test_an_agent_that_alone_had_the_lost_changes_takes_none_of_them_along(
+    writes_after: int,
+) -> None:
+    """Its revisions stand for others in the restored store; both were mixed."""
+
+    async def run() -> None:
+        site = PlainSite(followers=1, fetchers=1)
+        await site.write("a")
+        await asyncio.sleep(1.0)
+        copy = site.store.copy()
+        await site.write("lost")
+        await asyncio.sleep(1.0)
+        site.cut_off = {0}
+        await site.lose_store()
+        site.tasks[0].cancel()
+        site.followed[0] = State(fingerprinted=True)
+        site.store.restore(copy)
+        site.store.down = False
+        site.tasks[0] = asyncio.ensure_future(site._follow(site.followed[0]))
+        await asyncio.sleep(SETTLE_S)
+        for number in range(writes_after):
+            await site.write(f"new-{number}")
+        await asyncio.sleep(1.0)
+        site.cut_off = set()
+        await site.write("last")
+        await asyncio.sleep(SETTLE_S)
+        assert entries_of(site.fetched[0]) == await site.stored()
+        await site.stop()
+
+    run_virtual(run())
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_agents_agree_with_the_store_after_any_restores(seed: int) -> None:
     """Agents are cut off and return, the store is lost, restored, and written."""
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -156,6 +156,7 @@
     ],
     era=3,
     retained=[Retained("op/evacuate/d2", None, 69_000, 2, b"1", 68_000)],
+    base=0x0123456789ABCDEF,
 )
 ENTRY = KeyValue(key="servers/t1", value=b"{}", revision=70_000, lease=12, era=3)
 
