Plain sites: a follower notices that the store contradicts what a peer told

An agent that follows the store took changes of a lost history from a peer that returned ahead of it, and then ignored what the restored store wrote at the same revisions: events of its watch at revisions that it already had counted as known.

Evidence: the new test lacks the store's entries on the code before.

Events at revisions that the log covers must be in the log. If one is not, the follower logs it and lists the store, which begins an era as after a lost watch.

--- a/leverdoor/storage/following.py
+++ b/leverdoor/storage/following.py
@@ -254,6 +254,12 @@
                     return  # A peer had the state of a later era.
                 if any(e.key == HISTORY for e in events):
                     return  # Another follower began an era.
+                if self._must_compare() and self._state.contradicts(events):
+                    logger.error(
+                        "the store has other changes than a peer told",
+                        held=self._state.position,
+                    )
+                    return  # The next listing shows another history.
                 self._state.extend(events)
                 self._record_response()
                 if not self._role.follows():
--- a/leverdoor/storage/state.py
+++ b/leverdoor/storage/state.py
@@ -133,6 +133,22 @@
         base = self._fingerprints.at(since)
         return self.apply(Delta(since, new[-1].revision, False, new, era, base=base))
 
+    def contradicts(self, events: Iterable[Event]) -> bool:
+        """Return whether the log lacks one of the events although it covers it.
+
+        A replica that is ahead of a watch has the same events from a peer. If the store
+        was restored from a copy, a peer may have told changes that it has lost.
+        """
+        known = [e for e in events if e.revision <= self.revision]
+        if not known:
+            return False
+        logged = {(e.revision, e.key, e.value) for e in self._log}
+        return any(
+            (e.revision, e.key, e.value) not in logged
+            for e in known
+            if e.revision > self._log_after_revision
+        )
+
     def apply(self, delta: Delta) -> bool:
         """Apply a delta if it is newer, and leaves no gap or replaces all entries.
 
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -194,6 +194,29 @@
     run_virtual(run())
 
 
+def test_changes_that_a_peer_told_of_a_lost_history_do_not_hide_the_stores() -> None:
+    """Events of the watch at revisions that a peer had told were taken for known."""
+
+    async def run() -> None:
+        store, state = MemoryStore(), State()
+        follower = StoreFollower(store, state, FakeRole(), Random(1), prefix="")
+        task = asyncio.ensure_future(follower.run())
+        await store.commit([Write("a", b"1")])
+        await asyncio.sleep(1.0)
+        since = state.revision
+        lost = [Event(since + 1, "lost", b"1"), Event(since + 2, "lost", b"2")]
+        assert state.apply(Delta(since, since + 2, False, lost))
+        for i in range(4):
+            await store.commit([Write(f"new-{i}", b"1")])
+            await asyncio.sleep(1.0)
+        await asyncio.sleep(20.0)
+        task.cancel()
+        stored = (await store.read("")).entries
+        assert {e.key for e in stored} == state.entries.keys()
+
+    run_virtual(run())
+
+
 class LateStore(MemoryStore):
     """A store whose watch answers with a change after a second."""
 
