Plain sites: a peer that returns ahead of a restored store begins an era

An agent that had been cut off with lost changes returned with a revision beyond the restored store's. The others took its state, and ignored what the store wrote at the same revisions until the next lost watch: callers were served by a lost configuration meanwhile.

Cause: followers list the store before a watch only, so that neither a peer's other entries nor events before the start of the log were compared while a watch was open.

A follower whose replica diverged from a peer's, or that is beyond an event which its log lacks, lists the store again. The listing is behind what was accepted, or differs, and begins an era, which the returned agent takes as well.

tests/test_following.py::test_late_events_of_an_earlier_era_are_not_applied had lost its subject when plain sites got markers: its store names no era, the follower began one at the start of the test, and the late event was ignored by its revision. It now follows a store whose eras are not marked, as the platform's, and fails without the check of the era, which it did not before.

The new test failed before.

--- a/leverdoor/storage/following.py
+++ b/leverdoor/storage/following.py
@@ -138,6 +138,10 @@
     """A watch is silent although the replica is stale."""
 
 
+class _HistoryInDoubtError(Exception):
+    """A peer had other entries at the same revision."""
+
+
 def watcher_rank(peers: "Peers", vm: str, now: float, unserved: bool = False) -> int:
     """Return this agent's rank among its region's watchers of the store, or -1.
 
@@ -218,6 +222,11 @@
             except _WatchOverdueError:
                 # The next watch opens a new connection.
                 logger.info("watch silent while its answer is due")
+            except _HistoryInDoubtError:
+                logger.warning(
+                    "a peer has other entries at the same revision",
+                    held=self._state.position,
+                )
             except LeverdoorError as e:
                 # The first failure after a success starts with the shortest pause.
                 if self.reachable:
@@ -281,13 +290,17 @@
         Raises:
           LeverdoorError: raised by the watch.
           _WatchOverdueError: the watch is silent and the replica is stale.
+          _HistoryInDoubtError: only a listing of the store shows which entries are its.
         """
+        divergences = self._state.divergences
         next_events = asyncio.ensure_future(anext(watch))
         waited_s = 0.0
         try:
             while not next_events.done():
                 await asyncio.wait([next_events], timeout=POLL_S)
                 waited_s += POLL_S
+                if self._must_compare() and self._state.divergences != divergences:
+                    raise _HistoryInDoubtError
                 if waited_s > WATCH_OVERDUE_S and self._role.is_stale():
                     break
             if next_events.done():
--- a/leverdoor/storage/state.py
+++ b/leverdoor/storage/state.py
@@ -90,6 +90,8 @@
         self._log_after_revision = 0
         """The log contains all changes of the era after this revision."""
         self._fingerprints = Fingerprints(enabled=fingerprinted)
+        self.divergences = 0
+        """Number of times that a peer had other entries at a revision of this one."""
         self.diverged = False
         """Whether a peer has other entries at a revision of this replica. Only a newer
         delta with all entries ends that."""
@@ -134,20 +136,17 @@
         return self.apply(Delta(since, new[-1].revision, False, new, era, base=base))
 
     def contradicts(self, events: Iterable[Event]) -> bool:
-        """Return whether the log lacks one of the events although it covers it.
+        """Return whether the replica is beyond an event that its log lacks.
 
         A replica that is ahead of a watch has the same events from a peer. If the store
-        was restored from a copy, a peer may have told changes that it has lost.
+        was restored from a copy, a peer may have told changes that it has lost. Events
+        before the log can't be confirmed.
         """
         known = [e for e in events if e.revision <= self.revision]
         if not known:
             return False
         logged = {(e.revision, e.key, e.value) for e in self._log}
-        return any(
-            (e.revision, e.key, e.value) not in logged
-            for e in known
-            if e.revision > self._log_after_revision
-        )
+        return any((e.revision, e.key, e.value) not in logged for e in known)
 
     def apply(self, delta: Delta) -> bool:
         """Apply a delta if it is newer, and leaves no gap or replaces all entries.
@@ -175,6 +174,7 @@
         own = self._fingerprints.at(delta.since)
         if UNKNOWN_FINGERPRINT not in (own, delta.base) and own != delta.base:
             self.diverged = True
+            self.divergences += 1
         return self.diverged
 
     def _replace_entries(self, delta: Delta) -> None:
--- a/tests/interface_table.py
+++ b/tests/interface_table.py
@@ -169,6 +169,7 @@
 LOG_EVENTS: list[tuple[str, str, tuple[str, ...]]] = [
     ("?", "log", ()),
     ("VM list not read", "warning", ("error",)),
+    ("a peer has other entries at the same revision", "warning", ("held",)),
     ("again", "info", ("attempt", "code", "request_id")),
     ("agent down", "info", ()),
     ("agent up", "info", ("api",)),
@@ -215,6 +216,7 @@
         "error",
         ("accepted", "held", "store", "written"),
     ),
+    ("the store has other changes than a peer told", "error", ("held",)),
     ("the store is behind what was accepted", "error", ("held", "store")),
     ("watch silent while its answer is due", "info", ()),
 ]
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -233,7 +233,9 @@
     async def run() -> None:
         state = State()
         state.apply(Delta(0, 5, True, [], era=1))
-        follower = StoreFollower(LateStore(), state, FakeRole(), Random(1), prefix="")
+        follower = StoreFollower(
+            LateStore(), state, FakeRole(), Random(1), prefix="", marks_histories=False
+        )
         task = asyncio.ensure_future(follower.run())
         await asyncio.sleep(0.5)
         state.apply(Delta(0, 3, True, [], era=2))
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -260,6 +260,38 @@
     run_virtual(run())
 
 
+def test_an_agent_that_returns_ahead_of_a_restored_store_misleads_nobody() -> None:
+    """Agents took its lost changes, and ignored the store's at the same revisions."""
+
+    async def run() -> None:
+        site = PlainSite(followers=1, fetchers=2)
+        await site.write("a")
+        await asyncio.sleep(1.0)
+        copy = site.store.copy()
+        site.cut_off = {1}
+        for number in range(5):
+            await site.write(f"lost-{number}")
+        await asyncio.sleep(1.0)
+        site.cut_off = {0, 1}
+        await site.lose_store()
+        site.tasks[0].cancel()
+        site.followed[0] = State(fingerprinted=True)
+        site.store.restore(copy)
+        site.store.down = False
+        site.tasks[0] = asyncio.ensure_future(site._follow(site.followed[0]))
+        site.cut_off = {0}
+        await asyncio.sleep(SETTLE_S)
+        await site.write("new")
+        await asyncio.sleep(1.0)
+        site.cut_off = set()
+        await asyncio.sleep(SETTLE_S)
+        stored = await site.stored()
+        assert [entries_of(s) for s in site.connected()] == [stored] * 3
+        await site.stop()
+
+    run_virtual(run())
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_agents_agree_with_the_store_after_any_restores(seed: int) -> None:
     """Agents are cut off and return, the store is lost, restored, and written."""
