The ramp of a cap falls over unused windows after a used one

After a window in which traffic shifted, a pause of any length and a new shift, the cap of the receiving region stood at twice the level of that window: requests met caches that had cooled down meanwhile.

Cause: unused windows lowered the level only if no unit had been used since the last update, and the update counted the used window and all later ones as one. The first window is now the used one, the others lower the level.

Test before: 8 units allowed after nine windows, now 2.

--- a/leverdoor/gate/cap_ramp.py
+++ b/leverdoor/gate/cap_ramp.py
@@ -60,9 +60,8 @@
         allowed = max(1, math.ceil(self._level * units))
         if self._used >= RAISE_USE_SHARE * allowed:
             self._level = min(1.0, self._level * 2)
-            # The window that raised the level is not an unused one.
-            passed -= 1
-        if passed > 0 and self._used == 0:
-            self._level = max(self._start, self._level / 2 ** min(passed, 30))
+        unused = passed - 1 if self._used else passed
+        if unused > 0:
+            self._level = max(self._start, self._level / 2 ** min(unused, 30))
         self._began = now
         self._used = 0
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -329,6 +329,17 @@
     assert Ramp(0.1, 1.0, 0.0).allowed(1, 0.0) == 1
 
 
+def test_unused_windows_after_a_used_one_lower_the_ramp() -> None:
+    """The caches cooled down meanwhile; the full level would meet them cold."""
+    ramp = Ramp(0.25, 1.0, 0.0)
+    ramp.use()
+    ramp.use()
+    assert ramp.allowed(8, 1.0) == 4
+    for _ in range(4):
+        ramp.use()
+    assert ramp.allowed(8, 10.0) == 2
+
+
 def test_paid_requests_are_accepted_while_low_tiers_wait_at_other_gates() -> None:
     s = scheduler(view(target(0, 2), queue=50))
     fill(s)
