Membership: an entry that returns in another failure domain leaves its former one

A VM that was replaced under its name in another failure domain stayed in the index of the former one.

Cause: a new incarnation replaced the member of a record, but not its place in the indexes by domain and region, nor in the order by link. Both follow the member now, and a region without domains goes.

Test before: the entry still counted in its former domain.

--- a/leverdoor/entry/membership/members.py
+++ b/leverdoor/entry/membership/members.py
@@ -107,12 +107,31 @@
         member = record.member
         self._records[member.name] = record
         self._names_by_id[member_id(member.name)] = member.name
+        self._add_to_domain(record)
+
+    def _add_to_domain(self, record: PeerRecord) -> None:
+        member = record.member
         self._records_by_domain.setdefault(member.domain, {})[member.name] = record
         self._domains_by_region.setdefault(member.region, set()).add(member.domain)
 
+    def _remove_from_domain(self, member: Member) -> None:
+        """Remove an entry from its domain; remove the domain if it has no other."""
+        domain = self._records_by_domain[member.domain]
+        del domain[member.name]
+        if domain or member.domain == self.own.domain:
+            return
+        del self._records_by_domain[member.domain]
+        domains = self._domains_by_region[member.region]
+        domains.discard(member.domain)
+        if not domains:
+            del self._domains_by_region[member.region]
+
     def _replace_incarnation(self, record: PeerRecord, member: Member) -> None:
         """Record another incarnation, from which no heartbeat was received yet."""
+        self._remove_from_domain(record.member)
         record.member = member
+        record.link_sort_key = link_sort_key(member)
+        self._add_to_domain(record)
         record.state = STARTING
         record.heartbeat_at = NEVER
         self.change_count += 1
@@ -169,11 +188,7 @@
         for name in expired:
             member = self._records.pop(name).member
             self._names_by_id.pop(member_id(name), None)
-            domain = self._records_by_domain[member.domain]
-            del domain[name]
-            if not domain and member.domain != self.own.domain:
-                del self._records_by_domain[member.domain]
-                self._domains_by_region[member.region].discard(member.domain)
+            self._remove_from_domain(member)
 
     def changes(self, now: float) -> list[LivenessChange]:
         """Return which entries became live or silent since the last call."""
--- a/tests/test_entry_membership.py
+++ b/tests/test_entry_membership.py
@@ -22,6 +22,7 @@
     STARTING,
     DigestRow,
     Member,
+    link_sort_key,
     member_id,
 )
 from leverdoor.entry.membership.members import Membership
@@ -342,6 +343,25 @@
         assert "f/a1-1" in view.selector.select_addresses("a", "a1", SERVING, now)
 
 
+def test_entry_that_returns_in_another_domain_leaves_its_former_one() -> None:
+    """Forgetting it raised KeyError, which ended the sweep of expired state."""
+    membership = Membership(member("a1-0"))
+    membership.update_member(member("a2-0"), 10.0)
+    moved = msgspec.structs.replace(
+        member("a2-0", incarnation=2), domain="b1", region="b", link_mbps=1_000
+    )
+    membership.update_member(moved, 11.0)
+    assert membership.count_in_domain("a2") == 0
+    assert membership.count_in_domain("b1") == 1
+    assert membership.domains("a") == ["a1"]
+    record = membership.record("a2-0")
+    assert record is not None
+    assert record.link_sort_key == link_sort_key(moved)
+    membership.forget(11.0 + 2 * RECORD_TTL_S)
+    assert membership.count == 1
+    assert membership.other_regions() == []
+
+
 def test_silent_entry_is_kept_while_it_is_registered() -> None:
     """An isolated entry that forgets the others divides every limit by one entry."""
     own, other = member("a1-0"), member("a2-0")
