--- a/leverdoor/entry/data_plane.py
+++ b/leverdoor/entry/data_plane.py
@@ -94,6 +94,7 @@
             s.region,
             context.events.connections_forgotten,
             self._reports.handle_reply,
+            lambda service, result: metrics.connects.labels(service, result).inc(),
         )
         now = asyncio.get_running_loop().time()
         self.quotas = Quotas(s.quotas, context.rng, now, first_start=s.first_start)
--- a/leverdoor/entry/metrics.py
+++ b/leverdoor/entry/metrics.py
@@ -127,6 +127,12 @@
             "Targets at which work takes longer than usual, by their own reports.",
             registry=self.registry,
         )
+        self.connects = Counter(
+            "leverdoor_entry_connects",
+            "Attempts to open a connection to a target, by result.",
+            ["service", "result"],
+            registry=self.registry,
+        )
         self.rests = Counter(
             "leverdoor_entry_rests",
             "Answers by which targets asked this entry for rest.",
--- a/leverdoor/entry/requests/connection_pool.py
+++ b/leverdoor/entry/requests/connection_pool.py
@@ -77,6 +77,7 @@
         region: str,
         on_idle_connection_reset: Callable[[str], None],
         on_reply: Callable[[Target, TargetReply], None],
+        on_connect: Callable[[str, str], None] = lambda service, result: None,
     ) -> None:
         """Initialize an empty pool.
 
@@ -86,7 +87,10 @@
           on_idle_connection_reset: called with each service whose targets reset idle
             connections.
           on_reply: called with each complete reply when it arrives.
+          on_connect: called with the service and the result of each attempt to open a
+            connection: "opened", "refused" or "timeout".
         """
+        self._on_connect = on_connect
         self._on_reply = on_reply
         self._on_idle_connection_reset = on_idle_connection_reset
         self._idle_timeouts = IdleTimeouts()
@@ -184,12 +188,19 @@
         same_region = target.region == self._region
         timeout_s = CONNECT_TIMEOUT_S if same_region else REMOTE_CONNECT_TIMEOUT_S
         self.opened += 1
-        return await open_connection(
-            address.host,
-            address.port,
-            timeout_s,
-            lambda reply: self._on_reply(target, reply),
-        )
+        try:
+            connection = await open_connection(
+                address.host,
+                address.port,
+                timeout_s,
+                lambda reply: self._on_reply(target, reply),
+            )
+        except RequestNotSent as e:
+            result = "refused" if e.connection_refused else "timeout"
+            self._on_connect(target.service, result)
+            raise
+        self._on_connect(target.service, "opened")
+        return connection
 
     def _release(
         self, target: Target, connection: TargetConnection, keep_alive: str
--- a/tests/interface_table.py
+++ b/tests/interface_table.py
@@ -150,6 +150,7 @@
     "leverdoor_entry_registrations_left_out": ("gauge", ("cause",), ()),
     "leverdoor_entry_reports_unreadable": ("counter", ("service", "what"), ()),
     "leverdoor_entry_resting_targets": ("gauge", (), ()),
+    "leverdoor_entry_connects": ("counter", ("service", "result"), ()),
     "leverdoor_entry_rests": ("counter", ("service",), ()),
     "leverdoor_entry_room_requests": ("counter", ("outcome",), ()),
     "leverdoor_entry_slow_targets": ("gauge", (), ()),
--- a/tests/test_entry_connections.py
+++ b/tests/test_entry_connections.py
@@ -135,6 +135,22 @@
     assert await connections.probe(one) is TargetCheckResult.ENDED
 
 
+async def test_opened_and_refused_connections_are_counted_apart() -> None:
+    server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    results: list[tuple[str, str]] = []
+    connections = ConnectionPool(
+        "x-id", "a", lambda _: None, lambda *_: None, lambda *r: results.append(r)
+    )
+    one = target("one", address=address)
+    await connections.probe(one)
+    connections.close()
+    server.close()
+    await server.wait_closed()
+    await connections.probe(one)
+    assert results == [("s", "opened"), ("s", "refused")]
+
+
 async def test_request_is_not_sent_to_withdrawn_target() -> None:
     """A target may withdraw while a connection opens, which can take up to 0.8 s."""
     received = bytearray()
