Soak: entries lose their links to targets

Of one entry, a region, half, all but one or all; to all targets, a service or a region; hanging, reset or refusing; in series and overlapping, by a plan of its own, so that the faults of a seed stay as they are.

--- a/leverdoor/commands/soak.py
+++ b/leverdoor/commands/soak.py
@@ -26,6 +26,7 @@
 @click.option("--cuts", type=click.IntRange(0, 1_000), default=0, help="Of ways.")
 @click.option("--reports", type=click.IntRange(0, 6), default=0, help="Targets.")
 @click.option("--restores", type=click.IntRange(0, 100), default=0, help="Drills.")
+@click.option("--links", type=click.IntRange(0, 100), default=0, help="Cuts.")
 @click.option("--entries", type=click.IntRange(1, 40), default=None, help="A region.")
 @click.option("--logs", type=click.Path(path_type=Path), help="Keep logs of failures.")
 def soak(
@@ -38,6 +39,7 @@
     cuts: int,
     reports: int,
     restores: int,
+    links: int,
     entries: int | None,
     logs: Path | None,
 ) -> None:
@@ -48,14 +50,15 @@
     entries run, ways between them and to the store are cut so many times, and changes
     must be in force in time. With --reports, so many targets at a time leave, or ask
     for rest, in their answers. With --restores, the store comes back so many times from
-    a copy without its latest changes; changes must be in force in time.
+    a copy without its latest changes; changes must be in force in time. With --links,
+    entries lose their links to targets so many times.
     """
     from leverdoor.standins.soak.run import Soak, SoakOptions
     from leverdoor.standins.soak.site import SoakSite
 
     first = time.time_ns() % 1_000_000_007 if seed is None else seed
     broken = 0
-    options = SoakOptions(fatal, limits, cuts, reports, restores)
+    options = SoakOptions(fatal, limits, cuts, reports, restores, links)
     for number in range(first, first + count):
         site = SoakSite(entries) if entries is not None else None
         soak = Soak(number, seconds, troubles, options, site)
--- a/leverdoor/standins/partition_site.py
+++ b/leverdoor/standins/partition_site.py
@@ -33,7 +33,9 @@
         self, entries: Iterable[str], targets: Iterable[str], kind: LinkCutKind
     ) -> None:
         """Cut the links of entries to targets; other links of these are whole."""
-        addresses = [self._addresses[name] for name in targets]
+        addresses = [
+            self._addresses[name] for name in targets if name in self._addresses
+        ]
         for name in entries:
             self._write(name, LinkCuts(kind, addresses))
 
--- a/leverdoor/standins/soak/run.py
+++ b/leverdoor/standins/soak/run.py
@@ -23,6 +23,7 @@
 from leverdoor.standins.soak.faults import SoakFaults
 from leverdoor.standins.soak.in_force import change_again_and_again, late_changes
 from leverdoor.standins.soak.limits import LimitNamer
+from leverdoor.standins.soak.lost_links import LostLinks, draw_link_cuts
 from leverdoor.standins.soak.pipelining import PipeliningCaller
 from leverdoor.standins.soak.plan import PlannedFault, draw_plan
 from leverdoor.standins.soak.promises import breaches
@@ -99,6 +100,8 @@
     restores: int = 0
     """Returns of the store from a copy, beside an operator who changes the
     configuration again and again."""
+    links: int = 0
+    """Cuts of the links of entries to targets."""
     judge_bound: bool = True
     """Whether changes must be in force in time beside cuts and returns of the store; on
     a machine that is busy with other work they may be late."""
@@ -135,6 +138,7 @@
         """
         self._options = options
         self._cuts = draw_cuts(seed, seconds, options.cuts)
+        self._link_cuts = draw_link_cuts(seed, seconds, options.links)
         self._restores = draw_restores(seed, seconds, options.restores)
         self._seconds = seconds
         self._seed = seed
@@ -168,10 +172,12 @@
             cuts = Cuts(self._site, self._record)
             played = [self._play_at(faults, f) for f in self._plan]
             restores = Restores(self._site, self._record)
+            lost_links = LostLinks(self._site)
             await asyncio.gather(
                 lasts,
                 *played,
                 *(cuts.play(c) for c in self._cuts),
+                *(lost_links.play(c) for c in self._link_cuts),
                 *(restores.play(r) for r in self._restores),
             )
             faults.end_all()
--- a/leverdoor/standins/soak/site.py
+++ b/leverdoor/standins/soak/site.py
@@ -15,7 +15,8 @@
 
 from leverdoor.codec import serialize_json
 from leverdoor.standins.entry_process import EntryProcess, Place
-from leverdoor.standins.entry_site import HOST, SAMPLE_ROUTES, EntrySite
+from leverdoor.standins.entry_site import HOST, SAMPLE_ROUTES
+from leverdoor.standins.partition_site import PartitionSite
 from leverdoor.standins.proxy import LinkFault, LoopbackProxy
 from leverdoor.standins.soak.harmed import CUTS, LostWays
 from leverdoor.standins.soak.record import now_s
@@ -50,7 +51,7 @@
         writer.close()
 
 
-class SoakSite(EntrySite):
+class SoakSite(PartitionSite):
     """Entries, targets and a store, with a proxy before each."""
 
     def __init__(self, entries_a_region: int = ENTRIES_A_REGION) -> None:
@@ -121,11 +122,11 @@
         entry = super()._entry(name, place, store)
         entry.program = "leverdoor.standins.soak.skewed"
         entry.environment[CLOCK] = str(self._clock(name))
-        entry.environment[CUTS] = str(self._cuts(name))
+        entry.environment[CUTS] = str(self._lost_ways(name))
         self.set_clock(name, 0.0)
         return entry
 
-    def _cuts(self, name: str) -> Path:
+    def _lost_ways(self, name: str) -> Path:
         return Path(self._clocks.name) / f"{name}.cuts"
 
     def cut_ways(self, ways: set[tuple[str, str]]) -> None:
@@ -142,7 +143,7 @@
             )
             fresh = Path(self._clocks.name) / f"{name}.cuts.new"
             fresh.write_bytes(serialize_json(lost))
-            fresh.replace(self._cuts(name))
+            fresh.replace(self._lost_ways(name))
 
     def _host_of(self, name: str) -> str:
         return self.entries[name].ports["frontend"].rpartition(":")[0]
--- a/leverdoor/standins/soak/skewed.py
+++ b/leverdoor/standins/soak/skewed.py
@@ -3,7 +3,8 @@
 """`python -m leverdoor.standins.soak.skewed`: an entry with a clock and ways to harm.
 
 The file that `SOAK_CLOCK` names holds the seconds to add to its time of day, the one of
-`SOAK_CUTS` which ways to other entries are cut. The product is not changed: what it
+`SOAK_CUTS` which ways to other entries are cut; links to targets are cut by
+`link_cuts`. The product is not changed: what it
 calls for the time of day and for other entries is replaced before it starts.
 """
 
@@ -32,8 +33,10 @@
     skew_clock(Path(os.environ[CLOCK]))
     from leverdoor.entry import daemon
     from leverdoor.platform.__main__ import main
+    from leverdoor.standins.link_cuts import install
     from leverdoor.standins.soak.harmed import HarmedNetwork
 
     vars(daemon)["SocketNetwork"] = HarmedNetwork
+    install()
 
     sys.exit(main())
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -76,6 +76,14 @@
     assert verdict.breaches == []
 
 
+@pytest.mark.timeout(240)
+async def test_lost_links_to_targets_break_no_promise() -> None:
+    """In series, in part and of all entries, beside faults and a fatal request."""
+    options = SoakOptions(links=5, fatal=1)
+    verdict = await Soak(9011, 8.0, 4, options).run()
+    assert verdict.breaches == []
+
+
 @pytest.mark.timeout(240)
 @pytest.mark.parametrize(
     ("seed", "seconds", "troubles", "restores", "fatal"),
