The address for streams is derived, so that upgrades take over registrations

Cause: the description of an entry had got a field for its address for streams, and a registration is adopted only if the descriptions are equal. The address now follows that for fetches, by one function; descriptions and heartbeats are as they were.

--- a/leverdoor/entry/control_plane.py
+++ b/leverdoor/entry/control_plane.py
@@ -55,7 +55,6 @@
         str(settings.pull),
         time.time_ns() // 1_000,
         settings.link_mbps,
-        str(settings.relay),
     )
 
 
--- a/leverdoor/entry/links/relay_client.py
+++ b/leverdoor/entry/links/relay_client.py
@@ -22,7 +22,7 @@
     serialize_relay_request,
 )
 from leverdoor.entry.links.relay_selector import RelaySelector
-from leverdoor.entry.membership.member import Member
+from leverdoor.entry.membership.member import Member, relay_address
 from leverdoor.model.resources import Target
 from leverdoor.settings import parse_address
 
@@ -178,7 +178,7 @@
           _Refused: the peer refuses, without a judgment on the target.
           TargetUnreached: the peer does not reach the target.
         """
-        address = parse_address(peer.relay)
+        address = relay_address(parse_address(peer.pull))
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
             async with asyncio.timeout(PEER_CONNECT_TIMEOUT_S):
--- a/leverdoor/entry/links/relay_selector.py
+++ b/leverdoor/entry/links/relay_selector.py
@@ -79,7 +79,6 @@
             record.member
             for record in records
             if record.state == SERVING
-            and record.member.relay
             and is_live(record, self._own.region, now)
             and now >= self._paused_until.get(record.member.name, 0.0)
             and may_pass(record.member.region)
--- a/leverdoor/entry/membership/member.py
+++ b/leverdoor/entry/membership/member.py
@@ -11,6 +11,8 @@
 import msgspec
 import xxhash
 
+from leverdoor.settings import Address
+
 __all__ = [
     "LEAVING",
     "SERVING",
@@ -20,6 +22,7 @@
     "DigestRow",
     "link_sort_key",
     "member_id",
+    "relay_address",
 ]
 
 EntryState: TypeAlias = int
@@ -48,9 +51,6 @@
     """Start time of its process, in microseconds since the epoch."""
     link_mbps: int = 0
     """Bandwidth of the link of its VM, in Mbit/s; 0 if unknown."""
-    relay: str = ""
-    """Address at which other entries ask for streams to targets, as `ip:port`; "" if it
-    carries none."""
 
 
 class DigestRow(msgspec.Struct, frozen=True, array_like=True):
@@ -62,6 +62,18 @@
     state: EntryState
 
 
+def relay_address(pull: Address) -> Address:
+    """Return the address at which an entry accepts streams to targets.
+
+    It is derived, so that the description of an entry stays as earlier releases know
+    it, and the next release takes over its registration. Earlier releases refuse.
+
+    Args:
+      pull: the address from which other entries fetch the entry's state.
+    """
+    return Address(pull.host, pull.port + 1)
+
+
 def member_id(name: str) -> int:
     """Return the 32-bit hash of an entry's name that identifies it in digests.
 
--- a/leverdoor/entry/settings.py
+++ b/leverdoor/entry/settings.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from leverdoor.entry.membership.member import relay_address
 from leverdoor.settings import Address
 from leverdoor.workspaces.quota_bounds import QuotaBounds
 
@@ -43,8 +44,6 @@
     """Address at which other entries fetch the state."""
     metrics: Address
     """Address of the metrics endpoint."""
-    relay: Address
-    """Address at which other entries ask for streams to targets."""
     lookup_ttl_s: float = 2.0
     """How long clients may cache a look-up, in seconds."""
     grace_s: float = 6.0
@@ -80,6 +79,11 @@
     seed: int = 0
     """Seed of the random generator; 0 selects a random seed at each start."""
 
+    @property
+    def relay(self) -> Address:
+        """Address at which other entries ask for streams to targets."""
+        return relay_address(self.pull)
+
 
 class ReloadResult(msgspec.Struct, frozen=True):
     """The result of reloading the settings file."""
--- a/leverdoor/platform/settings.py
+++ b/leverdoor/platform/settings.py
@@ -20,8 +20,7 @@
 """Offset of the heartbeat port in the internal port range."""
 STATE_TRANSFER_PORT_OFFSET = 1
 """Offset of the state transfer port in the internal port range."""
-RELAY_PORT_OFFSET = 2
-"""Offset of the port for streams to targets in the internal port range."""
+
 
 PRESSURE_CONTRACT = "pressure"
 """Name in `contracts` of the rules on requests beyond the capacity of targets."""
@@ -157,7 +156,6 @@
             gossip=Address(self.ip_address, first + HEARTBEAT_PORT_OFFSET),
             pull=Address(self.ip_address, first + STATE_TRANSFER_PORT_OFFSET),
             metrics=Address(self.ip_address, METRICS_PORT),
-            relay=Address(self.ip_address, first + RELAY_PORT_OFFSET),
             lookup_ttl_s=min(LOOKUP_TTL_S, self.bounds.ttl_max_s),
             grace_s=self.bounds.grace_s,
             leave_s=self.bounds.drain_ms / 1000,
--- a/tests/test_store_role.py
+++ b/tests/test_store_role.py
@@ -51,7 +51,7 @@
         own.region,
         own.domain,
         {},
-        *(ADDRESS for _ in range(7)),
+        *(ADDRESS for _ in range(6)),
         store_reads_per_s=reads_per_s,
     )
 
