Positions of the store's history are part of the model

membership/ and storage/ imported each other, since heartbeats of agents name a position. The position moves to model/, above both.

--- a/benchmarks/emulated_exchange.py
+++ b/benchmarks/emulated_exchange.py
@@ -29,7 +29,7 @@
 from leverdoor.entry.membership.member import SERVING, Member
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.membership.roles import Roles
-from leverdoor.storage.position import position_without_era
+from leverdoor.model.position import position_without_era
 
 __all__ = ["Figures", "KnowledgeSite", "MakeNode", "Node", "Outgoing", "measure"]
 
--- a/benchmarks/emulated_following.py
+++ b/benchmarks/emulated_following.py
@@ -41,10 +41,10 @@
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.settings import EntrySettings
 from leverdoor.entry.wire import StoreContents, Wire
+from leverdoor.model.position import Position
 from leverdoor.platform.wire_format import wire
 from leverdoor.settings import Address
 from leverdoor.storage.fetching import READ_TIMEOUT_S
-from leverdoor.storage.position import Position
 from leverdoor.storage.state import Delta, State
 from leverdoor.storage.store import KeyValue
 
--- a/benchmarks/emulated_quotas.py
+++ b/benchmarks/emulated_quotas.py
@@ -22,8 +22,8 @@
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.membership.roles import Roles
 from leverdoor.errors import Refusal
+from leverdoor.model.position import position_without_era
 from leverdoor.model.resources import Workspace
-from leverdoor.storage.position import position_without_era
 from leverdoor.workspaces.quota import Quotas
 from leverdoor.workspaces.quota_bounds import QuotaBounds
 
--- a/benchmarks/entry_slopes.py
+++ b/benchmarks/entry_slopes.py
@@ -32,6 +32,7 @@
 from leverdoor.entry.placement.policy import PlacementPolicy
 from leverdoor.entry.placement.speed_estimate import TargetSpeed
 from leverdoor.limits.advertised import LimitAdvertisement
+from leverdoor.model.position import START, position_without_era
 from leverdoor.model.resources import (
     Region,
     Resource,
@@ -41,7 +42,6 @@
     WorkClass,
 )
 from leverdoor.model.target_id import target_id
-from leverdoor.storage.position import START, position_without_era
 
 RUNS = 7
 ANSWERING_SLOW_TARGETS = 4
--- a/benchmarks/quarantine_node.py
+++ b/benchmarks/quarantine_node.py
@@ -15,6 +15,7 @@
 from leverdoor.entry.membership.member import SERVING, Member
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.membership.roles import Roles
+from leverdoor.model.position import position_without_era
 from leverdoor.quarantine.quarantine import Quarantine
 from leverdoor.quarantine.records import (
     QuarantineRecord,
@@ -22,7 +23,6 @@
     record_from_hold,
 )
 from leverdoor.quarantine.trial_owner import is_trial_owner
-from leverdoor.storage.position import position_without_era
 
 __all__ = ["EmulatedRecords", "QuarantineNode"]
 
--- a/leverdoor/agent/api.py
+++ b/leverdoor/agent/api.py
@@ -19,6 +19,7 @@
 from leverdoor.codec import pack, serialize_json
 from leverdoor.errors import Code, ConfigError, LeverdoorError
 from leverdoor.metrics import AgentMetrics
+from leverdoor.model.position import UNKNOWN_ERA, Position
 from leverdoor.model.resources import (
     KINDS,
     Resource,
@@ -28,7 +29,6 @@
 )
 from leverdoor.responses import json_response, problem_response
 from leverdoor.storage.configuration import Applied, Configuration
-from leverdoor.storage.position import UNKNOWN_ERA, Position
 from leverdoor.storage.state import RESOURCES, Delta, State
 from leverdoor.storage.store import Event, KeyValue
 
--- a/leverdoor/agent/daemon.py
+++ b/leverdoor/agent/daemon.py
@@ -29,12 +29,12 @@
 from leverdoor.membership.gossip import GossipSocket
 from leverdoor.membership.peers import AgentHeartbeat, Gossip, Peers
 from leverdoor.metrics import AgentMetrics
+from leverdoor.model.position import START, Position
 from leverdoor.settings import AgentSettings
 from leverdoor.storage.configuration import Configuration
 from leverdoor.storage.etcd import EtcdStore
 from leverdoor.storage.fetching import PeerFetcher
 from leverdoor.storage.following import ElectedRole, StoreFollower, watcher_rank
-from leverdoor.storage.position import START, Position
 from leverdoor.storage.state import Delta, State
 from leverdoor.storage.view import ViewCache
 
--- a/leverdoor/agent/link.py
+++ b/leverdoor/agent/link.py
@@ -17,9 +17,9 @@
 from leverdoor.codec import pack, unpack
 from leverdoor.membership.ownership import Ack
 from leverdoor.membership.peers import AgentHeartbeat, GateState, Load
+from leverdoor.model.position import UNKNOWN_ERA, Position
 from leverdoor.model.probe import Probe
 from leverdoor.settings import Address
-from leverdoor.storage.position import UNKNOWN_ERA, Position
 from leverdoor.storage.state import Delta
 
 __all__ = ["AgentLink", "FromAgent", "GateLink", "GateReport", "Hints"]
--- a/leverdoor/agent/reports.py
+++ b/leverdoor/agent/reports.py
@@ -16,8 +16,8 @@
 from leverdoor.membership.ownership import cap_row_name
 from leverdoor.membership.peers import Peer, Peers
 from leverdoor.model.burn import BurnLine, Series, merge_series, summarize
+from leverdoor.model.position import Position
 from leverdoor.sessions import new_session
-from leverdoor.storage.position import Position
 from leverdoor.storage.state import State
 from leverdoor.storage.view import ViewCache
 
--- a/leverdoor/client/operator.py
+++ b/leverdoor/client/operator.py
@@ -16,10 +16,10 @@
 from leverdoor.agent.reports import Report
 from leverdoor.codec import serialize_json
 from leverdoor.errors import Code, LeverdoorError, OutcomeUnknown, Problem
+from leverdoor.model.position import UNKNOWN_ERA
 from leverdoor.model.resources import Resource
 from leverdoor.sessions import new_session
 from leverdoor.storage.configuration import Applied
-from leverdoor.storage.position import UNKNOWN_ERA
 
 __all__ = ["Operator"]
 
--- a/leverdoor/emulator/entries.py
+++ b/leverdoor/emulator/entries.py
@@ -45,8 +45,8 @@
 from leverdoor.entry.placement.policy import PlacementPolicy
 from leverdoor.entry.requests.retries import may_retry
 from leverdoor.errors import Code, Refusal, Rejection
+from leverdoor.model.position import position_without_era
 from leverdoor.retry_budget import RetryBudget
-from leverdoor.storage.position import position_without_era
 
 __all__ = ["EmulatedEntry", "EmulatedReply", "EmulatedRequest"]
 
--- a/leverdoor/entry/admin.py
+++ b/leverdoor/entry/admin.py
@@ -15,8 +15,8 @@
 from leverdoor.entry.wire import Wire
 from leverdoor.headers import bounded_int
 from leverdoor.http.messages import Headers, Request, Response
+from leverdoor.model.position import START, Position
 from leverdoor.storage.fetching import DEFLATE
-from leverdoor.storage.position import START, Position
 from leverdoor.storage.state import State
 
 __all__ = ["STATE_PATH", "AdminServer"]
--- a/leverdoor/entry/configuration/catalog_manager.py
+++ b/leverdoor/entry/configuration/catalog_manager.py
@@ -18,8 +18,8 @@
 from leverdoor.entry.configuration.outage import Outage
 from leverdoor.entry.events import Events
 from leverdoor.entry.wire import StoreContents, Wire
+from leverdoor.model.position import UNKNOWN_ERA
 from leverdoor.model.resources import Target
-from leverdoor.storage.position import UNKNOWN_ERA
 from leverdoor.storage.state import State
 
 __all__ = ["CatalogManager", "CatalogListener"]
--- a/leverdoor/entry/configuration/confirmation.py
+++ b/leverdoor/entry/configuration/confirmation.py
@@ -19,7 +19,7 @@
 
 import msgspec
 
-from leverdoor.storage.position import START, Position
+from leverdoor.model.position import START, Position
 
 __all__ = ["NO_ANSWER", "ANSWER_COUNTER_BITS", "Confirmation", "ReportedAnswer"]
 
--- a/leverdoor/entry/configuration/left_out.py
+++ b/leverdoor/entry/configuration/left_out.py
@@ -13,7 +13,7 @@
 from leverdoor.entry.events import Events
 from leverdoor.entry.metrics import EntryMetrics
 from leverdoor.entry.wire import LeftOutRegistration
-from leverdoor.storage.position import Position
+from leverdoor.model.position import Position
 
 __all__ = ["LeftOutReporter"]
 
--- a/leverdoor/entry/events.py
+++ b/leverdoor/entry/events.py
@@ -17,8 +17,8 @@
 
 from leverdoor.entry.log_writer import LineRateLimiter, LineWriter
 from leverdoor.errors import Refusal
+from leverdoor.model.position import Position
 from leverdoor.quarantine.fingerprint import fingerprint_text
-from leverdoor.storage.position import Position
 
 if TYPE_CHECKING:
     from leverdoor.entry.admission.room_admission import ShedChange
--- a/leverdoor/entry/exchange/exchange.py
+++ b/leverdoor/entry/exchange/exchange.py
@@ -67,8 +67,8 @@
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.membership.peer_record import HeartbeatObservation
 from leverdoor.entry.membership.roles import Roles
+from leverdoor.model.position import Position
 from leverdoor.quarantine.notices import parse_notices, serialize_notices
-from leverdoor.storage.position import Position
 
 __all__ = ["Exchange"]
 
--- a/leverdoor/entry/exchange/exchange_types.py
+++ b/leverdoor/entry/exchange/exchange_types.py
@@ -15,8 +15,8 @@
 from leverdoor.entry.membership.member import EntryState
 from leverdoor.entry.placement.speed_estimate import TargetSpeed
 from leverdoor.limits.advertised import LimitAdvertisement
+from leverdoor.model.position import Position
 from leverdoor.quarantine.notices import Notice
-from leverdoor.storage.position import Position
 from leverdoor.workspaces.remote_usage import RemoteUsage
 
 __all__ = ["PeerUpdate", "EntryStatus", "OutgoingMessage"]
--- a/leverdoor/entry/exchange/messages.py
+++ b/leverdoor/entry/exchange/messages.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from leverdoor.entry.membership.member import EntryState, Member
-from leverdoor.storage.position import UNKNOWN_ERA, Position
+from leverdoor.model.position import UNKNOWN_ERA, Position
 
 __all__ = [
     "Digest",
--- a/leverdoor/entry/exchange/peer_network.py
+++ b/leverdoor/entry/exchange/peer_network.py
@@ -11,9 +11,9 @@
 
 from leverdoor.entry.exchange.messages import Message
 from leverdoor.membership.gossip import GossipSocket
+from leverdoor.model.position import Position
 from leverdoor.settings import Address
 from leverdoor.storage.fetching import DeltaSource, HttpDeltaSource
-from leverdoor.storage.position import Position
 from leverdoor.storage.state import Delta
 
 __all__ = ["PeerNetwork", "SocketNetwork"]
--- a/leverdoor/entry/restored_store.py
+++ b/leverdoor/entry/restored_store.py
@@ -19,7 +19,7 @@
 from leverdoor.entry.events import Events
 from leverdoor.entry.metrics import EntryMetrics
 from leverdoor.errors import LeverdoorError
-from leverdoor.storage.position import UNKNOWN_ERA
+from leverdoor.model.position import UNKNOWN_ERA
 from leverdoor.storage.retention import DescribeRecord, RecordKind, Retained
 from leverdoor.storage.state import State
 from leverdoor.storage.store import Store, Write
--- a/leverdoor/entry/wire.py
+++ b/leverdoor/entry/wire.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
+from leverdoor.model.position import Position
 from leverdoor.model.resources import Resource
-from leverdoor.storage.position import Position
 from leverdoor.storage.retention import DescribeRecord
 from leverdoor.storage.store import KeyValue
 
--- a/leverdoor/membership/peers.py
+++ b/leverdoor/membership/peers.py
@@ -20,7 +20,7 @@
 import xxhash
 
 from leverdoor.membership.ownership import Ack
-from leverdoor.storage.position import UNKNOWN_ERA, Position
+from leverdoor.model.position import UNKNOWN_ERA, Position
 
 __all__ = ["AgentHeartbeat", "GateState", "Gossip", "Load", "Peer", "Peers"]
 
--- a/leverdoor/platform/formats.py
+++ b/leverdoor/platform/formats.py
@@ -20,6 +20,7 @@
     UnreadableReport,
 )
 from leverdoor.limits.advertised import UnreadableLimit
+from leverdoor.model.position import START, Position
 from leverdoor.model.resources import Drain, Region, Resource, Target
 from leverdoor.platform.documents import OperatorConfig
 from leverdoor.platform.registrations import (
@@ -27,7 +28,6 @@
     InvalidRegistrationError,
     parse_registration,
 )
-from leverdoor.storage.position import START, Position
 from leverdoor.storage.retention import UNREADABLE, RecordFacts, RecordKind
 from leverdoor.storage.store import KeyValue
 
--- a/leverdoor/platform/store.py
+++ b/leverdoor/platform/store.py
@@ -23,7 +23,7 @@
     ConnectFailed,
     ResponseLost,
 )
-from leverdoor.storage.position import UNKNOWN_ERA, Position
+from leverdoor.model.position import UNKNOWN_ERA, Position
 from leverdoor.storage.store import (
     Commit,
     Event,
--- a/leverdoor/queries/watch.py
+++ b/leverdoor/queries/watch.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from leverdoor.client.operator import Operator
+from leverdoor.model.position import UNKNOWN_ERA
 from leverdoor.settings import Address
-from leverdoor.storage.position import UNKNOWN_ERA
 from leverdoor.terminal import api_option, run
 
 __all__ = ["watch"]
--- a/leverdoor/standins/kv.py
+++ b/leverdoor/standins/kv.py
@@ -13,9 +13,9 @@
 
 from leverdoor.codec import serialize_json
 from leverdoor.errors import Code, LeverdoorError, OutcomeUnknown, StoreUnavailable
+from leverdoor.model.position import position_without_era
 from leverdoor.responses import json_response
 from leverdoor.storage.etcd import decode_key, from_base64, to_base64
-from leverdoor.storage.position import position_without_era
 from leverdoor.storage.store import Event, MemoryStore, Write
 
 __all__ = ["KvStandin", "KvFaults"]
--- a/leverdoor/standins/soak/harmed.py
+++ b/leverdoor/standins/soak/harmed.py
@@ -16,7 +16,7 @@
 
 from leverdoor.entry.exchange.messages import Message
 from leverdoor.entry.exchange.peer_network import SocketNetwork
-from leverdoor.storage.position import Position
+from leverdoor.model.position import Position
 from leverdoor.storage.state import Delta
 
 __all__ = ["CUTS", "HarmedNetwork", "LostWays"]
--- a/leverdoor/storage/etcd.py
+++ b/leverdoor/storage/etcd.py
@@ -16,8 +16,8 @@
 import msgspec
 
 from leverdoor.errors import Code, LeverdoorError, OutcomeUnknown, StoreUnavailable
+from leverdoor.model.position import Position
 from leverdoor.sessions import new_session
-from leverdoor.storage.position import Position
 from leverdoor.storage.store import (
     WATCH_SILENCE_S,
     Commit,
--- a/leverdoor/storage/fetching.py
+++ b/leverdoor/storage/fetching.py
@@ -20,7 +20,7 @@
 from leverdoor.codec import unpack
 from leverdoor.http.client import HttpClient
 from leverdoor.http.client_connection import HttpCallError
-from leverdoor.storage.position import UNKNOWN_ERA, Position
+from leverdoor.model.position import UNKNOWN_ERA, Position
 from leverdoor.storage.state import Delta, State
 
 __all__ = [
--- a/leverdoor/storage/following.py
+++ b/leverdoor/storage/following.py
@@ -19,6 +19,7 @@
 from loguru import logger
 
 from leverdoor.errors import Code, LeverdoorError, StoreUnavailable
+from leverdoor.model.position import START, UNKNOWN_ERA, Position
 from leverdoor.storage.history import (
     HISTORY,
     listing_in_own_era,
@@ -26,7 +27,6 @@
     next_marker_write,
     shows_other_history,
 )
-from leverdoor.storage.position import START, UNKNOWN_ERA, Position
 from leverdoor.storage.state import PREFIX, State
 from leverdoor.storage.store import Event, Listing, Store, Write
 from leverdoor.storage.store_availability import StoreAvailability
--- a/leverdoor/storage/history.py
+++ b/leverdoor/storage/history.py
@@ -18,7 +18,7 @@
 
 import msgspec
 
-from leverdoor.storage.position import UNKNOWN_ERA, Position
+from leverdoor.model.position import UNKNOWN_ERA, Position
 from leverdoor.storage.state import PREFIX, TABLES, State
 from leverdoor.storage.store import KeyValue, Listing, Write
 
--- a/leverdoor/storage/retained_records.py
+++ b/leverdoor/storage/retained_records.py
@@ -12,7 +12,7 @@
 
 from collections.abc import Iterable, Mapping
 
-from leverdoor.storage.position import UNKNOWN_ERA, Position
+from leverdoor.model.position import UNKNOWN_ERA, Position
 from leverdoor.storage.retention import DescribeRecord, Retained, outlasts
 from leverdoor.storage.store import KeyValue
 
--- a/leverdoor/storage/retention.py
+++ b/leverdoor/storage/retention.py
@@ -27,7 +27,7 @@
 
 import msgspec
 
-from leverdoor.storage.position import Position
+from leverdoor.model.position import Position
 from leverdoor.storage.store import KeyValue
 
 __all__ = [
--- a/leverdoor/storage/state.py
+++ b/leverdoor/storage/state.py
@@ -14,8 +14,8 @@
 import msgspec
 from reactivex import Subject
 
+from leverdoor.model.position import START, UNKNOWN_ERA, Position
 from leverdoor.storage.fingerprints import UNKNOWN_FINGERPRINT, Fingerprints
-from leverdoor.storage.position import START, UNKNOWN_ERA, Position
 from leverdoor.storage.retained_records import RetainedRecords
 from leverdoor.storage.retention import (
     DescribeRecord,
--- a/leverdoor/storage/store.py
+++ b/leverdoor/storage/store.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from leverdoor.errors import Code, LeverdoorError, OutcomeUnknown, StoreUnavailable
-from leverdoor.storage.position import UNKNOWN_ERA, Position
+from leverdoor.model.position import UNKNOWN_ERA, Position
 
 __all__ = [
     "Commit",
--- a/leverdoor/storage/view.py
+++ b/leverdoor/storage/view.py
@@ -25,6 +25,7 @@
     compile_blocks,
     without_networks,
 )
+from leverdoor.model.position import START
 from leverdoor.model.resources import (
     ClientBlocks,
     Drain,
@@ -37,7 +38,6 @@
     Tier,
     parse_resource,
 )
-from leverdoor.storage.position import START
 from leverdoor.storage.state import RESOURCES, TABLES, Delta, State
 from leverdoor.storage.store import KeyValue
 
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -18,9 +18,9 @@
 from leverdoor.errors import Code, LeverdoorError
 from leverdoor.membership.peers import Peers
 from leverdoor.metrics import AgentMetrics
+from leverdoor.model.position import START
 from leverdoor.model.resources import Tier, serialize_resource
 from leverdoor.storage.configuration import Configuration
-from leverdoor.storage.position import START
 from leverdoor.storage.state import PREFIX, RESOURCES, Delta, State
 from leverdoor.storage.store import Event, MemoryStore
 from leverdoor.storage.view import ViewCache
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -17,6 +17,7 @@
 from returns.result import Failure, Success
 
 from leverdoor.errors import Code, OutcomeUnknown, StoreUnavailable
+from leverdoor.model.position import START
 from leverdoor.model.resources import (
     Region,
     Resource,
@@ -26,7 +27,6 @@
     WorkClass,
 )
 from leverdoor.storage.configuration import Configuration
-from leverdoor.storage.position import START
 from leverdoor.storage.state import PREFIX, State
 from leverdoor.storage.store import Commit, Listing, MemoryStore, Store, Write
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -265,3 +265,40 @@
 def test_the_pages_are_found() -> None:
     assert len(PAGES) > 20
     assert "make test" in read(ROOT / "README.md")
+
+
+def folder_ranks() -> dict[str, int]:
+    """Return the rank of each folder of the program in the overview's table."""
+    page = (ROOT / "docs" / "OVERVIEW.md").read_text()
+    table = page.partition("\n## Folders\n")[2].partition("\n## ")[0]
+    rows = [line.split("|")[1] for line in table.splitlines() if line.startswith("| `")]
+    return {
+        name: rank
+        for rank, row in enumerate(rows)
+        for name in re.findall(r"`(\w+)/`", row)
+    }
+
+
+def imported_modules(tree: ast.Module) -> set[str]:
+    found: set[str] = set()
+    for node in ast.walk(tree):
+        if isinstance(node, ast.ImportFrom) and node.module:
+            found.add(node.module)
+        elif isinstance(node, ast.Import):
+            found |= {alias.name for alias in node.names}
+    return found
+
+
+def test_folders_import_only_from_those_above_them() -> None:
+    ranks = folder_ranks()
+    assert len(ranks) > 10
+    below = [
+        f"{path.relative_to(ROOT)}: {module}"
+        for path, tree in trees().items()
+        if path.parts[len(ROOT.parts)] == "leverdoor"
+        for module in imported_modules(tree)
+        if module.startswith("leverdoor.")
+        and ranks.get(module.split(".")[1], 0)
+        > ranks.get(path.parts[len(ROOT.parts) + 1], len(ranks))
+    ]
+    assert below == []
--- a/tests/test_entry_confirmation.py
+++ b/tests/test_entry_confirmation.py
@@ -12,10 +12,10 @@
     Confirmation,
     ReportedAnswer,
 )
+from leverdoor.model.position import Position
+from leverdoor.model.position import position_without_era as at
 from leverdoor.standins.entry_site import SAMPLE_ROUTES, EntrySite
 from leverdoor.standins.metadata import MetadataFaults
-from leverdoor.storage.position import Position
-from leverdoor.storage.position import position_without_era as at
 
 
 def test_the_newest_answer_of_any_entry_counts() -> None:
--- a/tests/test_entry_exchange.py
+++ b/tests/test_entry_exchange.py
@@ -26,7 +26,7 @@
 from leverdoor.entry.membership.members import Membership
 from leverdoor.entry.membership.roles import Roles
 from leverdoor.entry.placement.speed_estimate import LIFETIME_S, TargetSpeed
-from leverdoor.storage.position import START, position_without_era
+from leverdoor.model.position import START, position_without_era
 
 TARGETS = {"a": ["ta1", "ta2"], "b": ["tb1"]}
 
--- a/tests/test_entry_registration.py
+++ b/tests/test_entry_registration.py
@@ -19,7 +19,7 @@
     Registration,
     mean_retry_pause_s,
 )
-from leverdoor.storage.position import Position
+from leverdoor.model.position import Position
 from leverdoor.storage.store import Commit, KeyValue, Lease, LeasingStore, Listing
 
 
--- a/tests/test_entry_registration_end.py
+++ b/tests/test_entry_registration_end.py
@@ -12,7 +12,7 @@
 from leverdoor.entry.log_writer import LineWriter
 from leverdoor.entry.membership import registration
 from leverdoor.entry.membership.member import Member
-from leverdoor.storage.position import Position
+from leverdoor.model.position import Position
 from leverdoor.storage.store import Commit, Lease, LeasingStore, Listing
 
 OWN = Member("n1", "a", "a1", "f", "g", "p", 50)
--- a/tests/test_fetching.py
+++ b/tests/test_fetching.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from leverdoor.model.position import Position
 from leverdoor.storage.fetching import (
     FAILED_PEER_BACKOFF_S,
     HEDGE_DELAY_S,
@@ -14,7 +15,6 @@
     HttpDeltaSource,
     PeerFetcher,
 )
-from leverdoor.storage.position import Position
 from leverdoor.storage.state import Delta, State
 from leverdoor.storage.store import Event
 from virtual_clock import run_virtual
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -15,6 +15,7 @@
 
 from leverdoor.errors import StoreUnavailable
 from leverdoor.membership.peers import AgentHeartbeat, Peers
+from leverdoor.model.position import Position
 from leverdoor.storage.following import (
     POLL_S,
     WATCH_OVERDUE_S,
@@ -24,7 +25,6 @@
     StoreFollower,
     watcher_rank,
 )
-from leverdoor.storage.position import Position
 from leverdoor.storage.state import Delta, State
 from leverdoor.storage.store import Event, MemoryStore, Wait, Write, client_default_wait
 from leverdoor.storage.store_availability import MIN_FRACTION_OF_MEAN, RETRY_MEAN_S
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -15,10 +15,10 @@
 from leverdoor.client.operator import Operator
 from leverdoor.gate.daemon import Gate
 from leverdoor.membership.ownership import Table, parse_table, serialize_table
+from leverdoor.model.position import START, UNKNOWN_ERA, Position
 from leverdoor.model.resources import Tier, serialize_resource
 from leverdoor.storage.following import FollowerRole, StoreFollower
 from leverdoor.storage.history import HISTORY, parse_marker
-from leverdoor.storage.position import START, UNKNOWN_ERA, Position
 from leverdoor.storage.state import RESOURCES, TABLES, State
 from leverdoor.storage.store import MemoryStore, Write
 from virtual_clock import run_virtual
--- a/tests/test_http_bytes.py
+++ b/tests/test_http_bytes.py
@@ -25,6 +25,7 @@
 from leverdoor.entry.metrics import EntryMetrics
 from leverdoor.errors import Code, Refusal
 from leverdoor.http.server import HttpServer
+from leverdoor.model.position import START, position_without_era
 from leverdoor.platform.store import PlatformStore
 from leverdoor.platform.wire_format import wire
 from leverdoor.responses import problem_response
@@ -33,7 +34,6 @@
 from leverdoor.standins.entry_site import EntrySite
 from leverdoor.standins.upstreams import UpstreamStandin
 from leverdoor.storage.etcd import EtcdStore
-from leverdoor.storage.position import START, position_without_era
 from leverdoor.storage.state import Delta, State
 from leverdoor.storage.store import (
     Commit,
--- a/tests/test_platform_registrations.py
+++ b/tests/test_platform_registrations.py
@@ -24,10 +24,10 @@
 from leverdoor.entry.membership.member import SERVING, Member
 from leverdoor.entry.metrics import EntryMetrics
 from leverdoor.entry.wire import LeftOutRegistration, StoreContents
+from leverdoor.model.position import position_without_era
 from leverdoor.model.resources import Target
 from leverdoor.platform.formats import Translator
 from leverdoor.settings import parse_address
-from leverdoor.storage.position import position_without_era
 from leverdoor.storage.store import KeyValue
 
 ZONES = {"a1": "a", "b1": "b"}
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -10,9 +10,9 @@
 
 import leverdoor.platform.store as platform_store
 from leverdoor.errors import Code, LeverdoorError, OutcomeUnknown, StoreUnavailable
+from leverdoor.model.position import Position
 from leverdoor.platform.store import CallTimeoutError, PlatformStore, StoreResponse
 from leverdoor.standins.metadata import MetadataFaults, MetadataStandin
-from leverdoor.storage.position import Position
 from leverdoor.storage.store import Write
 
 
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from leverdoor.model.position import START, Position
 from leverdoor.platform.formats import describe_record
-from leverdoor.storage.position import START, Position
 from leverdoor.storage.retention import Retained
 from leverdoor.storage.state import Delta, State
 from leverdoor.storage.store import Event, KeyValue, Listing
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -9,9 +9,9 @@
 from aiohttp.test_utils import TestServer
 
 from leverdoor.errors import Code, LeverdoorError, OutcomeUnknown, StoreUnavailable
+from leverdoor.model.position import position_without_era
 from leverdoor.standins.kv import KvStandin
 from leverdoor.storage.etcd import EtcdStore
-from leverdoor.storage.position import position_without_era
 from leverdoor.storage.store import MAX_LOG_EVENTS, Event, MemoryStore, Store, Write
 
 
--- a/tests/test_store_role.py
+++ b/tests/test_store_role.py
@@ -23,8 +23,8 @@
     TEMPORARY_FOLLOW_S,
     StoreRole,
 )
+from leverdoor.model.position import position_without_era as at
 from leverdoor.settings import Address
-from leverdoor.storage.position import position_without_era as at
 from leverdoor.storage.store_availability import MIN_FRACTION_OF_MEAN, RETRY_MEAN_S
 
 REGIONS = ("a", "b", "c")
--- a/tests/test_wire_bytes.py
+++ b/tests/test_wire_bytes.py
@@ -28,6 +28,7 @@
 from leverdoor.membership.gossip import GossipSocket
 from leverdoor.membership.ownership import parse_table, serialize_table
 from leverdoor.membership.peers import AgentHeartbeat
+from leverdoor.model.position import START, UNKNOWN_ERA, position_without_era
 from leverdoor.model.resources import (
     KINDS,
     Tier,
@@ -43,7 +44,6 @@
     parse_marker,
     serialize_marker,
 )
-from leverdoor.storage.position import START, UNKNOWN_ERA, position_without_era
 from leverdoor.storage.state import GUARD, PREFIX, RESOURCES, TABLES, Delta, State
 from leverdoor.storage.store import (
     Event,
