The streams that an entry carries are bounded by its descriptors

The bound is now an eighth of the descriptors that the settings name (512 of 4,100), and an entry keeps two idle streams to a target.

--- a/leverdoor/entry/data_plane.py
+++ b/leverdoor/entry/data_plane.py
@@ -30,7 +30,7 @@
 from leverdoor.entry.links.link_table import LinkTable
 from leverdoor.entry.links.relay_client import RelayClient
 from leverdoor.entry.links.relay_selector import RelaySelector
-from leverdoor.entry.links.relay_server import RelayServer
+from leverdoor.entry.links.relay_server import RelayServer, max_streams
 from leverdoor.entry.links.verifying import LinkVerifier
 from leverdoor.entry.membership.member import EntryState
 from leverdoor.entry.membership.members import Membership
@@ -115,6 +115,7 @@
             self._targets,
             self._verifier,
             lambda outcome: metrics.stream_requests.labels(outcome).inc(),
+            max_streams(s.descriptors),
         )
         self.connections = ConnectionPool(
             context.wire.headers.request_id,
--- a/leverdoor/entry/links/relay_server.py
+++ b/leverdoor/entry/links/relay_server.py
@@ -31,16 +31,18 @@
 from leverdoor.entry.links.verifying import LinkVerifier, open_target
 from leverdoor.model.resources import Target
 
-__all__ = ["MAX_STREAMS", "RelayServer"]
+__all__ = ["RelayServer", "max_streams"]
 
-MAX_STREAMS = 512
-"""Maximum number of streams.
+DEFAULT_DESCRIPTORS = 4_096
+"""Number of file descriptors assumed if the settings name none."""
+DESCRIPTORS_PER_STREAM = 8
+"""File descriptors of the process for each stream, which uses two.
 
-Two descriptors each, a quarter of the smallest VM's. With a smaller number, one entry
-cannot carry the requests of eleven others.
+The others are for own clients and targets. With a greater number, one entry cannot
+carry the requests of eleven others.
 """
-URGENT_STREAMS = 128
-"""Number of streams that only the most urgent requests may take."""
+URGENT_SHARE = 0.25
+"""Share of the streams that only the most urgent requests may take."""
 URGENT_PRIORITY = 0
 """Priority of the most urgent requests."""
 BUFFER_BYTES = 64 * 1024
@@ -48,7 +50,7 @@
 HEAD_TIMEOUT_S = 1.0
 """Maximum time for the request of a new connection, in seconds."""
 CONNECT_TIMEOUT_S = 0.4
-"""Connect timeout to targets, in seconds, as of `connection_pool`."""
+"""Connect timeout to targets, in seconds, as of `connector`."""
 MAX_LAG_S = 0.1
 """Lateness of the event loop above which streams are refused, in seconds.
 
@@ -61,6 +63,15 @@
 """Time after the last bytes of an answer until a stream counts as idle, in seconds."""
 
 
+def max_streams(descriptors: int) -> int:
+    """Return the maximum number of streams of a process.
+
+    Args:
+      descriptors: number of file descriptors that it may open; 0 if unknown.
+    """
+    return (descriptors or DEFAULT_DESCRIPTORS) // DESCRIPTORS_PER_STREAM
+
+
 class RelayServer:
     """The streams that this entry carries for others."""
 
@@ -71,6 +82,7 @@
         targets: Callable[[], Mapping[str, Target]],
         verifier: LinkVerifier,
         on_result: Callable[[str], None],
+        max_streams: int,
     ) -> None:
         """Create the server without a listener.
 
@@ -80,7 +92,9 @@
           targets: returns the registered targets by name.
           verifier: tells a failed target from a lost link.
           on_result: called with the name of the status of each reply.
+          max_streams: maximum number of streams.
         """
+        self._max_streams = max_streams
         self._links = links
         self._is_entry = is_entry
         self._targets = targets
@@ -185,8 +199,9 @@
         if self.leaving or now < self._late_until:
             return False
         urgent = request.priority <= URGENT_PRIORITY
-        limit = MAX_STREAMS if urgent else MAX_STREAMS - URGENT_STREAMS
-        return len(self.streams) <= limit
+        share = 1.0 if urgent else 1.0 - URGENT_SHARE
+        # The connection that asks is counted already.
+        return len(self.streams) <= share * self._max_streams
 
 
 class _Side(asyncio.Protocol):
--- a/leverdoor/entry/requests/connection_pool.py
+++ b/leverdoor/entry/requests/connection_pool.py
@@ -47,6 +47,12 @@
 idle connections exhaust the connection limit of a target. With a smaller one, a burst
 of requests opens new connections.
 """
+MAX_IDLE_STREAMS = 2
+"""Maximum number of idle connections to each target that pass through peers.
+
+They count against the streams that a peer carries. With a greater value, idle ones of
+many entries leave a lone peer no room; with a smaller one, more are opened.
+"""
 IDLE_CONNECTION_SHARE = 0.8
 """Share of a target's connection limit that idle connections of all entries may use.
 
@@ -207,7 +213,10 @@
         if connection.closed:
             return
         idle = self._idle.setdefault(target.name, [])
-        if len(idle) >= self._max_idle_connections(target.service):
+        limit = self._max_idle_connections(target.service)
+        if connection.via:
+            limit = min(limit, MAX_IDLE_STREAMS)
+        if len(idle) >= limit:
             connection.close()
             return
         connection.idle_since = asyncio.get_running_loop().time()
--- a/leverdoor/entry/settings.py
+++ b/leverdoor/entry/settings.py
@@ -60,6 +60,8 @@
     """Number of entries per region that follow the store."""
     link_mbps: int = 0
     """Bandwidth of the VM's link in Mbit/s; 0 if unknown."""
+    descriptors: int = 0
+    """Number of file descriptors that the process may open; 0 if unknown."""
     store_writes_per_s: float = 400.0
     """Maximum rate of write calls of all entries together to the store, per second."""
     store_reads_per_s: float = 2_000.0
--- a/leverdoor/platform/settings.py
+++ b/leverdoor/platform/settings.py
@@ -107,6 +107,8 @@
 
     link_bandwidth_mbps: float = 0.0
     """Bandwidth of the VM's link in Mbit/s; 0 if unknown."""
+    file_descriptors: int = 0
+    """Number of file descriptors that a process may open; 0 if unknown."""
 
 
 class _Store(msgspec.Struct):
@@ -169,6 +171,7 @@
             waits_for_room=PRESSURE_CONTRACT in self.contracts,
             first_start=self.bootstrap,
             link_mbps=round(self.limits.link_bandwidth_mbps),
+            descriptors=self.limits.file_descriptors,
         )
 
 
--- a/tests/test_platform_bytes.py
+++ b/tests/test_platform_bytes.py
@@ -171,7 +171,7 @@
         "directory": "10.0.0.1:8383"
     },
     "platform": {"address": "10.9.9.9:8384", "writes_per_s": 300},
-    "limits": {"link-bandwidth-mbps": 1000},
+    "limits": {"link-bandwidth-mbps": 1000, "file-descriptors": 4100},
     "bounds": {
         "grace-period-s": 7, "drain-ms": 2400, "retry-budget-ratio": 0.3,
         "ttl_max_s": 1.5, "max-shift": 0.1, "quota-window-s": 4,
@@ -196,6 +196,7 @@
     repeat_ratio=0.3,
     max_shift=0.1,
     link_mbps=1_000,
+    descriptors=4_100,
     store_writes_per_s=300.0,
     quotas=QuotaBounds(4.0, 0.2, 15.0),
     confirm_within_s=4.5,
@@ -223,6 +224,7 @@
         repeat_ratio=0.2,
         max_shift=0.15,
         link_mbps=0,
+        descriptors=0,
         store_writes_per_s=400.0,
         quotas=QuotaBounds(5.0, 0.1, 20.0),
         confirm_within_s=0.0,
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -23,7 +23,7 @@
     serialize_relay_request,
 )
 from leverdoor.entry.links.relay_selector import MAX_PEERS, RelaySelector
-from leverdoor.entry.links.relay_server import MAX_STREAMS, URGENT_STREAMS, RelayServer
+from leverdoor.entry.links.relay_server import RelayServer, max_streams
 from leverdoor.entry.links.verifying import LinkVerifier
 from leverdoor.entry.membership.member import (
     LEAVING,
@@ -38,6 +38,7 @@
 from leverdoor.settings import parse_address
 
 HOST = "127.0.0.1"
+MAX_STREAMS = 4
 REQUEST = RelayRequest("10.0.0.1:80", 2)
 
 
@@ -90,6 +91,7 @@
             lambda: self.targets,
             verifier,
             self.results.append,
+            MAX_STREAMS,
         )
         self.target_connections: list[asyncio.StreamWriter] = []
         self.target_ended = asyncio.Event()
@@ -238,16 +240,18 @@
     assert (await relay.ask(address))[0] is RelayStatus.UNAVAILABLE
 
 
-@pytest.mark.parametrize("priority, opened", [(0, True), (1, False)])
-async def test_the_last_streams_are_for_urgent_requests(
-    relay: Relay, monkeypatch: pytest.MonkeyPatch, priority: int, opened: bool
-) -> None:
-    used = MAX_STREAMS - URGENT_STREAMS
-    monkeypatch.setattr(
-        "leverdoor.entry.links.relay_server.MAX_STREAMS", MAX_STREAMS - used
-    )
-    status, _, _ = await relay.ask(relay.targets["one"].address, priority)
-    assert (status is RelayStatus.CONNECTED) is opened
+async def test_the_last_streams_are_for_urgent_requests(relay: Relay) -> None:
+    address = relay.targets["one"].address
+    asked = [await relay.ask(address, priority) for priority in (1, 1, 1, 1, 0, 0)]
+    connected, unavailable = RelayStatus.CONNECTED, RelayStatus.UNAVAILABLE
+    expected = [connected] * 3 + [unavailable, connected, unavailable]
+    assert [status for status, _, _ in asked] == expected
+
+
+def test_streams_leave_descriptors_for_own_connections() -> None:
+    for descriptors in (1_535, 4_100, 8_192):
+        assert 2 * max_streams(descriptors) <= descriptors / 4
+    assert max_streams(0) == 512
 
 
 async def test_bytes_beyond_the_request_end_the_handshake(relay: Relay) -> None:
