--- a/review/stand.py
+++ b/review/stand.py
@@ -309,6 +309,8 @@
             [Message, asyncio.StreamWriter, dict[str, Any]], Awaitable[None]
         ] = _nothing
         """Called when the answer was sent."""
+        self.behind_answer: Callable[[Message], bytes] = lambda request: b""
+        """Returns what is sent in one piece with an answer, behind it."""
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -391,7 +393,8 @@
         self.stamps[request_id] = (stamp, body)
         headers.append(("X-Server-Stamp", stamp))
         headers.append(("X-Server-Load", f"{self._running + 1},0,{self.slots}"))
-        writer.write(answer_bytes(200, headers, body))
+        surplus = self.behind_answer(request)
+        writer.write(answer_bytes(200, headers, body) + surplus)
         await writer.drain()
         self.record.add("answered", by=self.name, id=request_id, stamp=stamp)
         await self.after_answer(request, writer, connection)
