--- a/review/stand.py
+++ b/review/stand.py
@@ -22,6 +22,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST_NAME = "cases.example"
+HISTORY_S = 20.0
+"""For how long the store keeps its history, as on the small sites."""
 RESULT_HELD, RESULT_CANNOT_RUN, RESULT_BROKEN = 0, 2, 3
 """Exit statuses of a case; run.sh turns 3 into 1, which Python itself may give."""
 
@@ -113,7 +115,9 @@
         self._record = record
         self.revision = 1
         self.items: dict[str, dict[str, Any]] = {}
-        self.history: list[dict[str, Any]] = []
+        self.history: list[tuple[float, dict[str, Any]]] = []
+        """Changes and when they were made, in seconds; for HISTORY_S."""
+        self._kept_after = 1
         self._leases: dict[int, tuple[float, float]] = {}
         self._next_lease = 100
         self._changed = asyncio.Event()
@@ -152,12 +156,18 @@
             "made": made,
             "lease": lease,
         }
-        self.history.append(dict(self.items[key]))
+        self._remember(dict(self.items[key]))
 
     def _remove(self, key: str) -> None:
         if self.items.pop(key, None) is not None:
             gone = {"private-key": key, "revision": self.revision, "gone": True}
-            self.history.append(gone)
+            self._remember(gone)
+
+    def _remember(self, event: dict[str, Any]) -> None:
+        now = time.monotonic()
+        self.history.append((now, event))
+        while self.history[0][0] < now - HISTORY_S:
+            self._kept_after = self.history.pop(0)[1]["revision"]
 
     def _wake(self) -> None:
         self._changed.set()
@@ -202,6 +212,8 @@
         if name == "kv-range":
             return 200, self._range(query)
         if name == "kv-watch":
+            if int(query["after"]) < self._kept_after:
+                return 410, {}
             return 200, await self._watch(query)
         body = json.loads(request.body or b"{}")
         if name == "kv-txn":
@@ -236,7 +248,7 @@
             changed = self._changed
             events = [
                 e
-                for e in self.history
+                for _, e in self.history
                 if e["revision"] > after and e["private-key"].startswith(prefix)
             ]
             left = until - time.monotonic()
@@ -727,6 +739,11 @@
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
 
+    @property
+    def connected(self) -> bool:
+        """Return whether the connection is open, so that it is a kept one."""
+        return self._writer is not None
+
     async def ask(
         self, method: str, path: str, headers: list[tuple[str, str]], body: bytes = b""
     ) -> Message | None:
