--- a/review/3/case.py
+++ b/review/3/case.py
@@ -34,7 +34,7 @@
 """Length of one `config_storm`; they follow each other."""
 LENGTH_S = 97.0
 RESTART_S = 0.5
-CONNECTIONS = 12
+CONNECTIONS = 16
 MOST_LOST = 3
 
 
@@ -170,7 +170,7 @@
     tasks: list[asyncio.Task[None]] = []
     try:
         for zone in ("salt-lake", "matigara"):
-            for i in range(3):
+            for i in range(5):
                 name = f"i-{zone}-{i}"
                 site.add(name, "dispute-registry", zone, work_s=0.4, slots=6)
         await site.start([filing(2500)])
