--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,6 @@
 """Configurations come in quick succession; entries go over their memory and are killed.
 
-The operator adds many routes, thirteen times 350, and then changes the time-out of one
+The operator adds many routes, twelve times 350, and then changes the time-out of one
 route each third of a second. An entry keeps every one of the last 5,000 changes with
 its whole value, so that its memory grows by the size of the configuration at each
 change. The platform kills a process that goes over `memory-mb`; all that it had passed
@@ -22,9 +22,11 @@
     "frontend-salt-lake-1": ("salt-lake", "kolkata"),
     "frontend-matigara-1": ("matigara", "siliguri"),
 }
+VALUE_BYTES = 1_048_576
+"""`value_bytes` of the store: the greatest configuration."""
 MEMORY_MB = 300
 """`memory-mb` of the machines, taken as MiB."""
-BIG_CONFIGS = 13
+BIG_CONFIGS = 12
 ROUTES_EACH = 350
 """Routes that one `big_config` adds."""
 BIG_GAP_S = 0.3
@@ -32,7 +34,7 @@
 """Pause between two changes of a `config_storm`."""
 STORM_S = 4.0
 """Length of one `config_storm`; they follow each other."""
-LENGTH_S = 97.0
+LENGTH_S = 102.0
 RESTART_S = 0.5
 CONNECTIONS = 16
 MOST_LOST = 3
@@ -55,7 +57,7 @@
                 f"r-{number:07x}",
                 "safe",
                 "dispute-registry",
-                path_prefix=f"/xapu{number:05d}/ny95/",
+                path_prefix=f"/xapu{number:05d}/municipal-ny95/",
                 session_affinity=True,
                 home_regions=[],
             )
@@ -85,6 +87,8 @@
         }
         routes = ",".join([first, *self._added])
         text = f'{{"routes":[{routes}],{json.dumps(rest)[1:]}'
+        if len(text) > VALUE_BYTES:
+            raise ValueError(f"a configuration of {len(text)} bytes")
         self._site.store.put("op/config", text.encode())
         self._site.record.add(
             "configured", version=self.version, routes=len(self._added), size=len(text)
