--- a/review/3/case.py
+++ b/review/3/case.py
@@ -34,7 +34,7 @@
 """Pause between two changes of a `config_storm`."""
 STORM_S = 4.0
 """Length of one `config_storm`; they follow each other."""
-LENGTH_S = 102.0
+LENGTH_S = 97.0
 RESTART_S = 0.5
 CONNECTIONS = 16
 MOST_LOST = 3
@@ -213,4 +213,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(play(case, Path(__file__).resolve().parent, limit_s=114.0))
+    sys.exit(play(case, Path(__file__).resolve().parent, limit_s=116.0))
