--- a/review/stand.py
+++ b/review/stand.py
@@ -292,7 +292,10 @@
 
 
 class Upstream:
-    """One upstream; a sound one unless a hook changes what it sends."""
+    """One upstream; a sound one unless a hook changes what it sends.
+
+    It works on `slots` requests at once, lets as many wait and turns others away.
+    """
 
     def __init__(
         self, record: Record, name: str, service: str, zone: str, **more: Any
@@ -311,6 +314,8 @@
         self.stamps: dict[str, tuple[str, bytes]] = {}
         """By request id, the stamp and the body that the answer carried."""
         self._running = 0
+        self._waiting = 0
+        self._free = asyncio.Semaphore(self.slots)
         self._server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
         self.before_answer: Callable[
@@ -387,10 +392,15 @@
             "arrived", at_upstream=self.name, id=request_id, line=request.start
         )
         await self.before_answer(request, writer, connection)
-        if self._running >= 2 * self.slots:
+        if self._waiting >= self.slots:
             headers.append(("X-Not-Executed", "1"))
             writer.write(answer_bytes(503, headers))
             return
+        self._waiting += 1
+        try:
+            await self._free.acquire()
+        finally:
+            self._waiting -= 1
         run = Run(request_id, self.name)
         self.runs.append(run)
         self._running += 1
@@ -399,12 +409,14 @@
             await asyncio.sleep(self.work_s)
         finally:
             self._running -= 1
+            self._free.release()
         run.ended = True
         stamp = f"{self.name}.{len(self.runs)}.{random.getrandbits(32):08x}"
         body = json.dumps({"id": request_id, "by": self.name}).encode()
         self.stamps[request_id] = (stamp, body)
         headers.append(("X-Server-Stamp", stamp))
-        headers.append(("X-Server-Load", f"{self._running + 1},0,{self.slots}"))
+        load = f"{self._running + 1},{self._waiting},{self.slots}"
+        headers.append(("X-Server-Load", load))
         surplus = self.behind_answer(request)
         writer.write(answer_bytes(200, headers, body) + surplus)
         await writer.drain()
