--- a/review/3/case.py
+++ b/review/3/case.py
@@ -33,7 +33,8 @@
 STORM_GAP_S = 0.33
 """Pause between two changes of a `config_storm`."""
 STORM_S = 4.0
-"""Length of one `config_storm`; they follow each other."""
+"""Length of one `config_storm`; each begins where the one before has ended."""
+STORM_CHANGES = 12
 LENGTH_S = 97.0
 RESTART_S = 0.5
 CONNECTIONS = 16
@@ -188,21 +189,24 @@
             for _ in range(BIG_CONFIGS):
                 operator.add_routes()
                 await asyncio.sleep(BIG_GAP_S)
-        changes = 0
-        due = time.monotonic()
+        changes = storms = 0
+        first = time.monotonic()
         while time.monotonic() - began < LENGTH_S:
             if len(set(platform.killed)) == len(site.entries):
                 break
+            storm, step = divmod(changes, STORM_CHANGES)
+            due = first + storm * STORM_S + step * STORM_GAP_S
+            await asyncio.sleep(max(due - time.monotonic(), 0.01))
+            changes += 1
             if trouble:
-                changes += 1
+                storms = storm + 1
                 operator.write(2000 + changes % 500)
-            due += STORM_GAP_S
-            await asyncio.sleep(max(due - time.monotonic(), 0.01))
         await asyncio.sleep(1.5)
         clients.ended = True
         peaks = {name: round(mb) for name, mb in platform.peak_mb.items()}
         counts = {name: len(ids) for name, ids in clients.lost.items()}
-        print(f"answers {dict(clients.statuses)}, changes {changes}, peak MiB {peaks}")
+        played = f"storms {storms}, changes {changes if trouble else 0}"
+        print(f"answers {dict(clients.statuses)}, {played}, peak MiB {peaks}")
         print(f"killed over memory: {platform.killed}; lost requests: {counts}")
         return all(count <= MOST_LOST for count in counts.values())
     finally:
