--- a/leverdoor/entry/admin.py
+++ b/leverdoor/entry/admin.py
@@ -81,6 +81,7 @@
         if path == STATE_PATH:
             return self._handle_state_fetch(request)
         if path == METRICS_PATH:
+            self._metrics.set_memory(self._state.held_bytes())
             return _response(self._metrics.text(), "Content-Type", "text/plain")
         return Response(404)
 
--- a/leverdoor/entry/metrics.py
+++ b/leverdoor/entry/metrics.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 
 from leverdoor.exposition import Counter, Gauge, Histogram, Registry
+from leverdoor.process_memory import resident_bytes
 
 __all__ = ["EntryMetrics"]
 
@@ -59,6 +60,17 @@
             ["kind"],
             registry=self.registry,
         )
+        self._replica_bytes = Gauge(
+            "leverdoor_entry_replica_bytes",
+            "Bytes of the values that the copy of the store keeps, by what for.",
+            ["part"],
+            registry=self.registry,
+        )
+        self._resident_bytes = Gauge(
+            "leverdoor_entry_resident_bytes",
+            "Resident memory of the process.",
+            registry=self.registry,
+        )
         self.confirmed_age = Gauge(
             "leverdoor_entry_confirmed_age_seconds",
             "Age of the store's newest answer that the state rests on.",
@@ -229,6 +241,12 @@
         for kind, count in kinds.items():
             self._retained.labels(kind).set(count)
 
+    def set_memory(self, replica_bytes: Mapping[str, int]) -> None:
+        """Set the resident memory, and the bytes that the replica keeps by part."""
+        for part, size in replica_bytes.items():
+            self._replica_bytes.labels(part).set(size)
+        self._resident_bytes.set(resident_bytes())
+
     def request(self, service: str, outcome: str, took_s: float) -> None:
         """Record the latency and outcome of a request.
 
--- a/leverdoor/storage/retained_records.py
+++ b/leverdoor/storage/retained_records.py
@@ -111,6 +111,10 @@
         for key in keys:
             self.by_key.pop(key, None)
 
+    def removed_bytes(self) -> int:
+        """Return the bytes of the last values of removed keys."""
+        return sum(len(r.last_value) for r in self._removed.values())
+
     def _known(self, before: Mapping[str, KeyValue]) -> dict[str, Retained]:
         """Return all that is known of records in force and of removed ones, by key."""
         removed = {k: r for k, r in self.by_key.items() if r.value is None}
--- a/leverdoor/storage/state.py
+++ b/leverdoor/storage/state.py
@@ -221,6 +221,16 @@
         self._fingerprints.change(current, stored, event.revision)
         self._retained.change(event.key, current, stored, at)
 
+    def held_bytes(self) -> dict[str, int]:
+        """Return the bytes of the values that the replica keeps, by what for."""
+        current = {id(e.value) for e in self.entries.values()}
+        logged = (e.value for e in self._log if id(e.value) not in current)
+        return {
+            "entries": sum(len(e.value) for e in self.entries.values()),
+            "log": sum(len(value or b"") for value in logged),
+            "removals": self._retained.removed_bytes(),
+        }
+
     def release(self, keys: Iterable[str]) -> None:
         """Stop to retain records: from now on the store's own are in force."""
         self._retained.release(keys)
