--- a/leverdoor/agent/api.py
+++ b/leverdoor/agent/api.py
@@ -216,13 +216,14 @@
         since = self._state.position
         if "since" in request.query:
             since = Position(_parse_era(request), _parse_number(request, "since", 0))
-        if not self._state.log_covers(since):
-            raise LeverdoorError(Code.COMPACTED, revision=self._state.revision)
         prefix = RESOURCES + (f"{kind}/" if kind else "")
+        is_covered = self._state.log_covers(since)
+        if not is_covered or _lacks_changes(self._state.delta(since), prefix):
+            raise LeverdoorError(Code.COMPACTED, revision=self._state.revision)
         return await _stream_lines(request, self._change_lines(prefix, since))
 
     async def _change_lines(self, prefix: str, after: Position) -> AsyncIterator[bytes]:
-        """Yield changes as lines until the watcher's queue overflows."""
+        """Yield changes as lines until one is lost to this agent or watcher."""
         queue: asyncio.Queue[Delta | None] = asyncio.Queue(WATCH_QUEUE)
 
         def enqueue(delta: Delta) -> None:
@@ -238,7 +239,7 @@
             delta: Delta | None = self._state.delta(after)
             era, since = after
             while True:
-                if delta is None or delta.full:
+                if delta is None or delta.full or _lacks_changes(delta, prefix):
                     return
                 for event in delta.events:
                     if event.revision > since and event.key.startswith(prefix):
@@ -306,6 +307,11 @@
         raise LeverdoorError(Code.READ_ONLY)
 
 
+def _lacks_changes(delta: Delta, prefix: str) -> bool:
+    """Return whether a delta leaves out changes of keys under a prefix."""
+    return any(s.key.startswith(prefix) for s in delta.superseded)
+
+
 def _build_change(event: Event, era: int) -> Change:
     key = event.key.removeprefix(RESOURCES)
     if event.value is None:
--- a/leverdoor/storage/fingerprints.py
+++ b/leverdoor/storage/fingerprints.py
@@ -7,8 +7,9 @@
 revision show that both have the same entries there, so that the changes after it lead
 to the same state, however each came to it.
 
-Owns the fingerprints of the revisions in the log, lost with the process. Relies
-on `State`, which tells each change of an entry and each revision.
+Owns the fingerprints of the revisions in the log, and the digests of the entries; both
+are lost with the process. Relies on `State`, which tells each change of an entry and
+each revision.
 """
 
 from bisect import bisect_right
@@ -18,10 +19,12 @@
 
 from leverdoor.storage.store import KeyValue
 
-__all__ = ["UNKNOWN_FINGERPRINT", "Fingerprints"]
+__all__ = ["REMOVAL_DIGEST", "UNKNOWN_FINGERPRINT", "Fingerprints", "digest"]
 
 UNKNOWN_FINGERPRINT = 0
 """In messages: the sender has no fingerprint, or is of an earlier release."""
+REMOVAL_DIGEST = 0
+"""Digest of the removal of a key."""
 
 
 class Fingerprints:
@@ -31,6 +34,8 @@
         """Create them for a replica without entries; if disabled, all are unknown."""
         self._enabled = enabled
         self._current = UNKNOWN_FINGERPRINT
+        self._digests: dict[str, int] = {}
+        """Digest of the newest change of each entry."""
         self._revisions = [0]
         self._fingerprints = [UNKNOWN_FINGERPRINT]
 
@@ -38,27 +43,26 @@
         """Begin anew, with all entries at a revision."""
         if not self._enabled:
             return
+        self._digests = {e.key: digest(e.key, e.revision, e.value) for e in entries}
         self._current = UNKNOWN_FINGERPRINT
-        for entry in entries:
-            self._current ^= _hash(entry)
+        for entry_digest in self._digests.values():
+            self._current ^= entry_digest
         self._revisions = [revision]
         self._fingerprints = [self._current]
 
-    def change(
-        self, before: KeyValue | None, after: KeyValue | None, revision: int
-    ) -> None:
+    def change(self, key: str, change_digest: int, revision: int) -> None:
         """Apply the change of one entry at a revision, which may change several.
 
         Args:
-          before: the entry before the change; None if it did not exist.
-          after: the entry after the change; None if it was deleted.
+          key: key of the entry.
+          change_digest: digest of the change.
           revision: revision of the change.
         """
         if not self._enabled:
             return
-        for entry in (before, after):
-            if entry is not None:
-                self._current ^= _hash(entry)
+        self._current ^= self._digests.pop(key, REMOVAL_DIGEST) ^ change_digest
+        if change_digest != REMOVAL_DIGEST:
+            self._digests[key] = change_digest
         if self._revisions[-1] == revision:
             self._fingerprints[-1] = self._current
         else:
@@ -77,6 +81,8 @@
         return self._fingerprints[index] if index >= 0 else UNKNOWN_FINGERPRINT
 
 
-def _hash(entry: KeyValue) -> int:
-    text = f"{entry.key}\0{entry.revision}\0".encode() + entry.value
-    return xxhash.xxh3_64_intdigest(text)
+def digest(key: str, revision: int, value: bytes | None) -> int:
+    """Return the digest of a change, 64 bits; `REMOVAL_DIGEST` without a value."""
+    if value is None:
+        return REMOVAL_DIGEST
+    return xxhash.xxh3_64_intdigest(f"{key}\0{revision}\0".encode() + value)
--- a/leverdoor/storage/state.py
+++ b/leverdoor/storage/state.py
@@ -2,20 +2,22 @@
 # SPDX-License-Identifier: Apache-2.0
 """A process's replica of the store; its position never decreases.
 
-Owns the entries at one position, a log of recent changes for peers, and the records of
-earlier eras that stay in force (`storage.retention`); all are lost with the process and
-fetched again from a peer or the store. A delta is applied only if it is newer than the
-replica and leaves no gap, so late and duplicate messages are harmless.
+Owns the entries at one position, a log of recent changes for peers
+(`storage.change_log`), and the records of earlier eras that stay in force
+(`storage.retention`); all are lost with the process and fetched again from a peer or
+the store. What it keeps besides the entries is bounded in bytes. A delta is applied
+only if it is newer than the replica and leaves no gap, so late and duplicate messages
+are harmless.
 """
 
-from collections import deque
 from collections.abc import Iterable, Mapping
 
 import msgspec
 from reactivex import Subject
 
 from leverdoor.model.position import START, UNKNOWN_ERA, Position
-from leverdoor.storage.fingerprints import UNKNOWN_FINGERPRINT, Fingerprints
+from leverdoor.storage.change_log import ChangeLog, Superseded
+from leverdoor.storage.fingerprints import UNKNOWN_FINGERPRINT, Fingerprints, digest
 from leverdoor.storage.retained_records import RetainedRecords
 from leverdoor.storage.retention import (
     DescribeRecord,
@@ -31,18 +33,13 @@
 TABLES = PREFIX + "tables/"
 GUARD = PREFIX + "guard"
 """Key that every configuration write replaces, which puts the writes in one order."""
-MAX_LOG_EVENTS = 5_000
-"""Number of changes kept for incremental fetches by peers.
-
-Covers one day of changes (4,600) at the planned size of the system. A peer that is
-further behind fetches all entries.
-"""
 
 
 class Delta(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
     """The changes after `since` up to `revision`, all of one era.
 
-    If `full`, `since` is 0 and `events` are all entries at `revision`.
+    If `full`, `since` is 0 and `events` are all entries at `revision`. Otherwise
+    `events` have at least the newest change of each key.
     """
 
     since: int
@@ -54,6 +51,8 @@
     """Records of earlier eras that are in force at the sender."""
     base: int = UNKNOWN_FINGERPRINT
     """Fingerprint of the sender's entries at `since`, on plain sites."""
+    superseded: list[Superseded] = []
+    """The changes that `events` lack: a later one of the same key replaced them."""
 
     @property
     def position(self) -> Position:
@@ -86,9 +85,7 @@
         """What the store holds."""
         self._retained = RetainedRecords(describe)
         self.changes: Subject[Delta] = Subject()
-        self._log: deque[Event] = deque()
-        self._log_after_revision = 0
-        """The log contains all changes of the era after this revision."""
+        self._log = ChangeLog()
         self._fingerprints = Fingerprints(enabled=fingerprinted)
         self.divergences = 0
         """Number of times that a peer had other entries at a revision of this one."""
@@ -142,11 +139,12 @@
         was restored from a copy, a peer may have told changes that it has lost. Events
         before the log can't be confirmed.
         """
-        known = [e for e in events if e.revision <= self.revision]
-        if not known:
-            return False
-        logged = {(e.revision, e.key, e.value) for e in self._log}
-        return any((e.revision, e.key, e.value) not in logged for e in known)
+        known = [
+            Superseded(e.revision, e.key, digest(e.key, e.revision, e.value))
+            for e in events
+            if e.revision <= self.revision
+        ]
+        return bool(known) and not self._log.has_all(known)
 
     def apply(self, delta: Delta) -> bool:
         """Apply a delta if it is newer, and leaves no gap or replaces all entries.
@@ -185,8 +183,7 @@
             for e in delta.events
             if e.value is not None
         }
-        self._log.clear()
-        self._log_after_revision = delta.revision
+        self._log.restart(delta.revision)
         self.diverged = False
         self._fingerprints.replace(self.entries.values(), delta.revision)
         if delta.era == self.position.era:
@@ -197,18 +194,23 @@
             )
 
     def _apply_changes(self, delta: Delta) -> None:
-        for e in delta.events:
-            if e.revision <= self.revision:
+        changes: list[Event | Superseded] = [*delta.events, *delta.superseded]
+        changes.sort(key=lambda change: change.revision)
+        for c in changes:
+            if c.revision <= self.revision:
                 continue
-            current = self.entries.get(e.key)
-            if current is not None and current.revision > e.revision:
+            current = self.entries.get(c.key)
+            if current is not None and current.revision > c.revision:
                 # A listing that was read in pages (`platform/store.py`) may contain
                 # values newer than its revision.
                 continue
-            self._apply_change(e, current)
-            self._log.append(e)
-        while len(self._log) > MAX_LOG_EVENTS:
-            self._drop_oldest_revision()
+            if isinstance(c, Event):
+                self._apply_change(c, current)
+            else:
+                self._fingerprints.change(c.key, c.digest, c.revision)
+                self._log.append_superseded(c)
+        self._log.drop_excess()
+        self._fingerprints.drop_before(self._log.after_revision)
 
     def _apply_change(self, event: Event, current: KeyValue | None) -> None:
         at = Position(self.position.era, event.revision)
@@ -218,16 +220,16 @@
         else:
             stored = KeyValue(event.key, event.value, event.revision, era=at.era)
             self.entries[event.key] = stored
-        self._fingerprints.change(current, stored, event.revision)
+        change_digest = digest(event.key, event.revision, event.value)
+        self._fingerprints.change(event.key, change_digest, event.revision)
         self._retained.change(event.key, current, stored, at)
+        self._log.append(event, change_digest)
 
     def held_bytes(self) -> dict[str, int]:
         """Return the bytes of the values that the replica keeps, by what for."""
-        current = {id(e.value) for e in self.entries.values()}
-        logged = (e.value for e in self._log if id(e.value) not in current)
         return {
             "entries": sum(len(e.value) for e in self.entries.values()),
-            "log": sum(len(value or b"") for value in logged),
+            "log": self._log.former_bytes(),
             "removals": self._retained.removed_bytes(),
         }
 
@@ -235,28 +237,22 @@
         """Stop to retain records: from now on the store's own are in force."""
         self._retained.release(keys)
 
-    def _drop_oldest_revision(self) -> None:
-        """Drop all events of the oldest revision; a delta never splits a revision."""
-        oldest = self._log[0].revision
-        while self._log and self._log[0].revision == oldest:
-            self._log.popleft()
-        self._log_after_revision = oldest
-        self._fingerprints.drop_before(oldest)
-
     def log_covers(self, since: Position) -> bool:
         """Return whether the log contains every change after a position."""
         if since.era != self.position.era:
             return False
-        return self._log_after_revision <= since.revision <= self.revision
+        return self._log.after_revision <= since.revision <= self.revision
 
     def delta(self, since: Position) -> Delta:
         """Return the changes that a replica at position `since` lacks."""
         era, revision = self.position
         retained = list(self.retained.values())
         if self.log_covers(since):
-            events = [e for e in self._log if e.revision > since.revision]
+            events, superseded = self._log.after(since.revision)
             base = self._fingerprints.at(since.revision)
-            return Delta(since.revision, revision, False, events, era, retained, base)
+            return Delta(
+                since.revision, revision, False, events, era, retained, base, superseded
+            )
         events = [Event(e.revision, e.key, e.value) for e in self.entries.values()]
         return Delta(0, revision, True, events, era, retained)
 
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -19,7 +19,7 @@
 from leverdoor.membership.peers import Peers
 from leverdoor.metrics import AgentMetrics
 from leverdoor.model.position import START
-from leverdoor.model.resources import Tier, serialize_resource
+from leverdoor.model.resources import ClientBlocks, Region, Tier, serialize_resource
 from leverdoor.storage.configuration import Configuration
 from leverdoor.storage.state import PREFIX, RESOURCES, Delta, State
 from leverdoor.storage.store import Event, MemoryStore
@@ -160,6 +160,31 @@
     await operator.close()
 
 
+def blocks(number: int) -> ClientBlocks:
+    """Return a resource of more than the log keeps once it is replaced."""
+    networks = [f"10.{number}.{i}.0/24" for i in range(200)]
+    return ClientBlocks(name="b", networks={"r": networks})
+
+
+async def test_watch_ends_where_a_great_value_was_replaced(
+    api_server: ApiServer,
+) -> None:
+    """A watch without a gap must not pass over the changes that the log lacks."""
+    operator = Operator([api_server.address])
+    await operator.apply([Region(name="r", domains=["d"])])
+    first = await operator.apply([blocks(0)])
+    for number in (1, 2):
+        await operator.apply([blocks(number)])
+    await operator.apply([Tier(name="a")])
+    await wait_for_replica(api_server)
+    with pytest.raises(LeverdoorError) as e:
+        await anext(operator.watch("clientblocks", first.revision))
+    assert e.value.code is Code.COMPACTED
+    change = await anext(operator.watch("tier", first.revision))
+    assert change.key == "tier/a"
+    await operator.close()
+
+
 async def test_watch_from_a_revision_of_a_lost_history_fails(
     api_server: ApiServer,
 ) -> None:
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -292,9 +292,13 @@
     run_virtual(run())
 
 
+@pytest.mark.parametrize("size", [1, 2_000])
 @pytest.mark.parametrize("seed", range(12))
-def test_agents_agree_with_the_store_after_any_restores(seed: int) -> None:
-    """Agents are cut off and return, the store is lost, restored, and written."""
+def test_agents_agree_with_the_store_after_any_restores(seed: int, size: int) -> None:
+    """Agents are cut off and return, the store is lost, restored, and written.
+
+    The logs of agents keep former values of one byte, and not those of 2,000.
+    """
 
     async def run() -> None:
         rng = Random(seed)
@@ -303,7 +307,7 @@
         for _ in range(30):
             for _ in range(rng.randrange(4)):
                 key = f"k{rng.randrange(5)}"
-                await site.write(key, rng.choice([b"1", b"2", None]))
+                await site.write(key, rng.choice([b"1" * size, b"2" * size, None]))
                 await asyncio.sleep(rng.choice([0.0, 0.2]))
             step = rng.randrange(5)
             if step == 0:
--- a/tests/test_wire_bytes.py
+++ b/tests/test_wire_bytes.py
@@ -97,12 +97,13 @@
     ),
     "room answer": b"\x95\xa1g\xce\x00\x01\x11p\xc2\xcd\x01\x18\xcd\x05x",
     "delta": (
-        b"\x88\xa4type\xa5Delta\xa5since\xce\x00\x01\x11n\xa8revision\xce\x00\x01\x11p"
+        b"\x89\xa4type\xa5Delta\xa5since\xce\x00\x01\x11n\xa8revision\xce\x00\x01\x11p"
         b"\xa4full\xc3\xa6events\x92\x93\xce\x00\x01\x11o\xbe/leverdoor/resources/tier"
         b'/gold\xc4\x0f{"kind":"tier"}\x93\xce\x00\x01\x11p\xbd/leverdoor/resource'
         b"s/drain/d1\xc0\xa3era\x03\xa8retained\x91\x96\xaeop/evacuate/d2\xc0\xce"
         b"\x00\x01\r\x88\x02\xc4\x011\xce\x00\x01\t\xa0\xa4base\xcf\x01#Eg\x89"
-        b"\xab\xcd\xef"
+        b"\xab\xcd\xef\xaasuperseded\x91\x93\xce\x00\x01\x11o\xa9op/config"
+        b"\xcf\xfe\xdc\xba\x98vT2\x10"
     ),
     "stored entry": b"\x95\xaaservers/t1\xc4\x02{}\xce\x00\x01\x11p\x0c\x03",
     "gate report": (
@@ -151,6 +152,14 @@
     ),
 }
 EARLIER_BYTES: dict[str, bytes] = {
+    "delta": (
+        b"\x88\xa4type\xa5Delta\xa5since\xce\x00\x01\x11n\xa8revision\xce\x00\x01\x11p"
+        b"\xa4full\xc3\xa6events\x92\x93\xce\x00\x01\x11o\xbe/leverdoor/resources/tier"
+        b'/gold\xc4\x0f{"kind":"tier"}\x93\xce\x00\x01\x11p\xbd/leverdoor/resource'
+        b"s/drain/d1\xc0\xa3era\x03\xa8retained\x91\x96\xaeop/evacuate/d2\xc0\xce"
+        b"\x00\x01\r\x88\x02\xc4\x011\xce\x00\x01\t\xa0\xa4base\xcf\x01#Eg\x89"
+        b"\xab\xcd\xef"
+    ),
     "gate report": (
         b"\x8b\xa4type\xaaGateReport\xa4gate\xab10.0.0.1:80\xa5relay\xab10.0.0.1:81"
         b"\xabincarnation\xcf\x00\x06\x0a$\x18\x1e@\x01\xa8revision\xce\x00\x01\x11p"
@@ -423,6 +432,11 @@
     assert heartbeat.gate_position == position_without_era(69_999)
 
 
+def test_deltas_without_superseded_changes_are_read() -> None:
+    delta = unpack(EARLIER_BYTES["delta"], Delta)
+    assert delta == msgspec.structs.replace(samples.DELTA, superseded=[])
+
+
 def test_rows_of_entries() -> None:
     data = (
         b"\x04\x03\x02\x01\x01@\x1e\x18$\x0a\x06\x00\x01"
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -47,6 +47,7 @@
     Workspace,
 )
 from leverdoor.quarantine.notices import Notice, NoticeKind, serialize_notices
+from leverdoor.storage.change_log import Superseded
 from leverdoor.storage.configuration import Applied, Guard
 from leverdoor.storage.retention import Retained
 from leverdoor.storage.state import Delta
@@ -159,6 +160,7 @@
     era=3,
     retained=[Retained("op/evacuate/d2", None, 69_000, 2, b"1", 68_000)],
     base=0x0123456789ABCDEF,
+    superseded=[Superseded(69_999, "op/config", 0xFEDCBA9876543210)],
 )
 ENTRY = KeyValue(key="servers/t1", value=b"{}", revision=70_000, lease=12, era=3)
 
