--- a/leverdoor/storage/retained_records.py
+++ b/leverdoor/storage/retained_records.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterable, Mapping
 
 from leverdoor.model.position import UNKNOWN_ERA, Position
+from leverdoor.storage.change_log import SMALL_VALUE_BYTES
 from leverdoor.storage.retention import DescribeRecord, Retained, outlasts
 from leverdoor.storage.store import KeyValue
 
@@ -137,8 +138,18 @@
 
     def _remember_removal(self, last: Retained, at: Position) -> None:
         self._removed.pop(last.key, None)
+        last_value, last_facts = last.value or b"", None
+        if len(last_value) > SMALL_VALUE_BYTES:
+            last_facts = self._describe(last.key, last_value)
+            last_value = b""
         self._removed[last.key] = Retained(
-            last.key, None, at.revision, at.era, last.value or b"", last.revision
+            last.key,
+            None,
+            at.revision,
+            at.era,
+            last_value,
+            last.revision,
+            last_facts,
         )
         while len(self._removed) > MAX_KNOWN_REMOVALS:
             del self._removed[next(iter(self._removed))]
--- a/leverdoor/storage/retention.py
+++ b/leverdoor/storage/retention.py
@@ -89,9 +89,11 @@
     """Revision of its write or removal."""
     era: int
     last_value: bytes = b""
-    """For a removed record: its last value."""
+    """For a removed record: its last value; empty if that was not small."""
     last_revision: int = 0
     """For a removed record: the revision of that value."""
+    last_facts: RecordFacts | None = None
+    """For a removed record whose last value was not small: what that said."""
 
     @property
     def position(self) -> Position:
@@ -117,7 +119,7 @@
     if (stored.value if stored else None) == retained.value:
         return False
     value = retained.last_value if retained.value is None else retained.value
-    known = describe(retained.key, value)
+    known = retained.last_facts or describe(retained.key, value)
     if known.kind is RecordKind.TEMPORARY:
         return False
     if known.kind in (RecordKind.SWITCH, RecordKind.OWN):
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -10,6 +10,7 @@
 
 from leverdoor.model.position import START, Position
 from leverdoor.platform.formats import describe_record
+from leverdoor.storage.change_log import SMALL_VALUE_BYTES
 from leverdoor.storage.retention import Retained
 from leverdoor.storage.state import Delta, State
 from leverdoor.storage.store import Event, KeyValue, Listing
@@ -19,6 +20,8 @@
 EVACUATION = "op/evacuate/z1"
 RECORD = "leverdoor/quarantine/00000000000ca05e"
 ENTRY = "leverdoor/entries/n1"
+PADDING = b" " * SMALL_VALUE_BYTES
+"""Makes a value greater than those that a replica keeps of removed records."""
 
 
 def config(version: int) -> bytes:
@@ -95,6 +98,11 @@
 REMOVALS = [
     pytest.param(TARGET, target(5, "draining"), target(4), True, id="left"),
     pytest.param(TARGET, target(5), target(5), True, id="silent"),
+    pytest.param(
+        TARGET, target(5, "draining") + PADDING, target(4), True, id="left, great"
+    ),
+    pytest.param(TARGET, target(5) + PADDING, target(4), True, id="silent, great"),
+    pytest.param(TARGET, target(5) + PADDING, target(9), False, id="again, great"),
     pytest.param(TARGET, target(5), target(9), False, id="registered again"),
     pytest.param(EVACUATION, b"1", b"1", True, id="evacuation taken back"),
     pytest.param(RECORD, b"a", b"a", True, id="request released"),
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -72,6 +72,17 @@
     assert after - before - live <= 4 * GREATEST_VALUE_BYTES
 
 
+def test_records_that_are_removed_do_not_fill_the_memory(traced: None) -> None:
+    """The last values of 5,000 removed records were kept whole."""
+    state = replica()
+    before, _ = tracemalloc.get_traced_memory()
+    for number in range(300):
+        write(state, f"k{number}", value_of(524_288, number))
+        write(state, f"k{number}", None)
+    after, _ = tracemalloc.get_traced_memory()
+    assert after - before <= 4 * GREATEST_VALUE_BYTES
+
+
 @pytest.mark.parametrize("lag", [1, 7, 300])
 def test_a_peer_behind_a_series_of_changes_gets_the_newest_value(lag: int) -> None:
     """Bounded memory must not cost a fetch of all entries, or of former values."""
