--- a/leverdoor/agent/api.py
+++ b/leverdoor/agent/api.py
@@ -16,6 +16,7 @@
 from returns.result import Failure, Result
 
 from leverdoor.agent.reports import Reporter
+from leverdoor.agent.watch_queue import WatchQueue
 from leverdoor.codec import pack, serialize_json
 from leverdoor.errors import Code, ConfigError, LeverdoorError
 from leverdoor.metrics import AgentMetrics
@@ -40,12 +41,6 @@
 """Interval of bookmarks on an idle watch, in seconds; below common idle timeouts."""
 REPORT_WATCH_S = 1.0
 """Interval of reports to a watcher, in seconds; sufficient for human readers."""
-WATCH_QUEUE = 1_000
-"""Length of a watcher's queue, in deltas; a full queue ends the watch.
-
-A watcher has to list again after its watch ended. The queue suffices for a large apply;
-a longer one costs memory for each slow watcher.
-"""
 NO_CONFIGURATION_RETRY_MS = 500
 """Retry-After in ms while the agent has no replica of the store yet.
 
@@ -224,17 +219,8 @@
 
     async def _change_lines(self, prefix: str, after: Position) -> AsyncIterator[bytes]:
         """Yield changes as lines until one is lost to this agent or watcher."""
-        queue: asyncio.Queue[Delta | None] = asyncio.Queue(WATCH_QUEUE)
-
-        def enqueue(delta: Delta) -> None:
-            if queue.full():
-                # None ends the watch; it takes the place of a queued delta.
-                queue.get_nowait()
-                queue.put_nowait(None)
-            else:
-                queue.put_nowait(delta)
-
-        subscription = self._state.changes.subscribe(enqueue)
+        queue = WatchQueue()
+        subscription = self._state.changes.subscribe(queue.put)
         try:
             delta: Delta | None = self._state.delta(after)
             era, since = after
--- a/leverdoor/storage/state.py
+++ b/leverdoor/storage/state.py
@@ -59,6 +59,11 @@
         """The position that the delta leads to."""
         return Position(self.era, self.revision)
 
+    @property
+    def value_bytes(self) -> int:
+        """Bytes of the values of its events."""
+        return sum(len(e.value or b"") for e in self.events)
+
 
 class State:
     """All entries under the prefix at one position of the store.
