--- a/leverdoor/agent/daemon.py
+++ b/leverdoor/agent/daemon.py
@@ -296,13 +296,18 @@
             if report.position > self._state.position or is_new:
                 logger.info("gate joined", gate=report.gate)
             if report.position < self._state.position:
-                await self._link.send(peer, self._state.delta(report.position))
+                await self._send_missing(peer, report.position)
+
+    async def _send_missing(self, peer: bytes, since: Position) -> None:
+        """Send a gate the changes that it lacks, unless they are under way."""
+        if not self._gates.awaits_confirmation(peer):
+            delta = self._state.delta(since)
+            await self._gates.send_delta(peer, delta, self._now())
 
     def _push_delta(self, delta: Delta) -> None:
         """Send a change of the configuration or the ownership table to all gates."""
-        for peer in self._gates.connections():
-            task = asyncio.create_task(self._link.send(peer, delta))
-            task.add_done_callback(lambda t: t.exception())
+        task = asyncio.create_task(self._gates.push_delta(delta, self._now()))
+        task.add_done_callback(lambda t: t.exception())
 
     async def _send_hints(self) -> None:
         report = self._gates.report
