--- a/leverdoor/entry/admin.py
+++ b/leverdoor/entry/admin.py
@@ -2,21 +2,21 @@
 # SPDX-License-Identifier: Apache-2.0
 """HTTP endpoints of an entry besides the proxy: readiness, directory, state, metrics.
 
-Owns a cache of the deltas encoded at the current position; it is lost with the process.
-Relies on the local copy of the store's state and on the entry's metrics.
+Owns no state but the cache of encoded deltas. Relies on the local copy of the store's
+state and on the entry's metrics.
 """
 
 import asyncio
-import zlib
 from collections.abc import Callable
 
-from leverdoor.codec import pack
+from loguru import logger
+
+from leverdoor.entry.encoded_deltas import EncodedDeltas
 from leverdoor.entry.metrics import EntryMetrics
 from leverdoor.entry.wire import Wire
 from leverdoor.headers import bounded_int
 from leverdoor.http.messages import Headers, Request, Response
-from leverdoor.model.position import START, Position
-from leverdoor.storage.fetching import DEFLATE
+from leverdoor.model.position import Position
 from leverdoor.storage.state import State
 
 __all__ = ["STATE_PATH", "AdminServer"]
@@ -24,16 +24,12 @@
 STATE_PATH = "/v1/internal/state"
 """Path at which other entries fetch the state's changes since a revision."""
 METRICS_PATH = "/metrics"
-COMPRESSION_THRESHOLD_BYTES = 1_400
-"""Size in bytes above which a delta exceeds one packet and is compressed.
-
-A smaller value spends processor time on deltas that fit one packet anyway. A greater
-value sends more bytes over narrow links.
-"""
-ZLIB_LEVEL = 1
-"""zlib compression level for deltas.
+MAX_UNSENT_BYTES = 16 * 1024 * 1024
+"""Bytes of responses that wait for their receivers above which a fetch is rejected.
 
-Greater levels block the event loop, and so requests, for longer and save few bytes.
+A tenth of the memory of the smallest VM, and more than a link of 50 Mbit/s sends until
+the fetches time out. With a greater value, all entries that fetch a great state at once
+exhaust the memory. With a smaller one, more of them turn to another peer.
 """
 
 
@@ -48,6 +44,7 @@
         is_ready: Callable[[], bool],
         addresses: Callable[[str, str, float], list[str]],
         lookup_ttl_s: float,
+        unsent_bytes: Callable[[], int],
     ) -> None:
         """Create the server.
 
@@ -59,6 +56,7 @@
           addresses: returns entry addresses for a client's region and failure domain
             at a loop time in seconds.
           lookup_ttl_s: how long clients may cache a look-up, in seconds.
+          unsent_bytes: returns the bytes of responses that wait for their receivers.
         """
         self._wire = wire
         self._state = state
@@ -66,10 +64,8 @@
         self._is_ready = is_ready
         self._addresses = addresses
         self._lookup_ttl_s = lookup_ttl_s
-        self._encoded: dict[Position, tuple[bytes, str]] = {}
-        """Encoded delta and its content coding, by the requesting entry's position."""
-        self._encoded_position = START
-        """Position up to which the cached deltas lead."""
+        self._unsent_bytes = unsent_bytes
+        self._deltas = EncodedDeltas(state)
 
     async def handle(self, request: Request) -> Response:
         """Dispatch a request by its path; unknown paths get status 404."""
@@ -88,20 +84,18 @@
     def _handle_state_fetch(self, request: Request) -> Response:
         """Return the changes since the requested revision, compressed if they are long.
 
-        The encoded delta is cached because many entries fetch it after a change.
+        Status 503 if too many responses wait to be sent; the caller turns to another
+        peer.
         """
         revision = bounded_int(request.query, "since", 0)
-        position = self._state.position
-        if self._encoded_position != position:
-            self._encoded_position = position
-            self._encoded.clear()
         # An earlier release sends no era, and means the one that it is served in.
-        since = Position(bounded_int(request.query, "era", position.era), revision)
-        encoded = self._encoded.get(since)
-        if encoded is None:
-            encoded = self._encoded[since] = _compress(pack(self._state.delta(since)))
-        data, coding = encoded
-        return _response(data, "Content-Encoding", coding)
+        era = bounded_int(request.query, "era", self._state.position.era)
+        unsent = self._unsent_bytes()
+        if unsent > MAX_UNSENT_BYTES:
+            logger.warning("fetch rejected", unsent_bytes=unsent)
+            return Response(503)
+        delta = self._deltas.get(Position(era, revision))
+        return _response(delta.data, "Content-Encoding", delta.coding)
 
     def _handle_lookup(self, request: Request) -> Response:
         """Return the entries that a client may use; status 503 if there are none."""
@@ -118,10 +112,3 @@
 def _response(body: bytes, name: str, value: str) -> Response:
     """Return a response with a body and one header."""
     return Response(200, headers=Headers([(name, value)]), body=body)
-
-
-def _compress(data: bytes) -> tuple[bytes, str]:
-    """Return the data as it is sent, and its content coding."""
-    if len(data) <= COMPRESSION_THRESHOLD_BYTES:
-        return data, "identity"
-    return zlib.compress(data, ZLIB_LEVEL), DEFLATE
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -227,6 +227,7 @@
                 region, domain, self._state, now
             ),
             self._settings.lookup_ttl_s,
+            lambda: self._admin_server.unsent_bytes(),
         )
 
     async def _listen(
--- a/leverdoor/http/server.py
+++ b/leverdoor/http/server.py
@@ -66,6 +66,10 @@
         """Return the protocol of a new connection."""
         return ServerConnection(self, limits)
 
+    def unsent_bytes(self) -> int:
+        """Return the bytes of all answers that their clients have not taken yet."""
+        return sum(connection.unsent_bytes for connection in self.connections)
+
     async def shutdown(self, timeout_s: float) -> None:
         """Close the idle connections, wait for the others, then abort these.
 
--- a/leverdoor/http/server_connection.py
+++ b/leverdoor/http/server_connection.py
@@ -139,7 +139,7 @@
         "_timer",
         "_transport",
         "_unparsed",
-        "_unsent_bytes",
+        "_unsent_at_wait",
         "_wait",
         "_writable",
     )
@@ -164,7 +164,7 @@
         self._read_paused = False
         self._writable = True
         self._closing = False
-        self._unsent_bytes = 0
+        self._unsent_at_wait = 0
         self._wait = _Wait.NOTHING
         self._timer: asyncio.TimerHandle | None = None
         self._closed_check: asyncio.TimerHandle | None = None
@@ -172,7 +172,12 @@
     @property
     def busy(self) -> bool:
         """Whether a request is unanswered, or an answer is not sent completely."""
-        return bool(self._exchanges) or self._has_unsent_bytes()
+        return bool(self._exchanges) or self.unsent_bytes > 0
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that the client has not taken yet."""
+        return self._transport.get_write_buffer_size() if self._transport else 0
 
     def force_close(self) -> None:
         """Cancel all runs and close the connection once written bytes are sent."""
@@ -491,7 +496,7 @@
         self._wait = wait
         if wait is _Wait.NOTHING or self._transport is None:
             return
-        self._unsent_bytes = self._transport.get_write_buffer_size()
+        self._unsent_at_wait = self._transport.get_write_buffer_size()
         self._timer = self._loop.call_later(self._timeout_s(wait), self._expire)
 
     def _timeout_s(self, wait: _Wait) -> float:
@@ -513,12 +518,8 @@
             self._update()
             return
         unsent = self._transport.get_write_buffer_size()
-        reads = 0 < unsent < self._unsent_bytes
+        reads = 0 < unsent < self._unsent_at_wait
         if reads or (unsent and self._wait is _Wait.CLOSE):
             self._set_wait(_Wait.UNREAD)
             return
         self.abort()
-
-    def _has_unsent_bytes(self) -> bool:
-        transport = self._transport
-        return transport is not None and transport.get_write_buffer_size() > 0
--- a/tests/interface_table.py
+++ b/tests/interface_table.py
@@ -193,6 +193,7 @@
     ("bad gossip", "warning", ("error", "sender")),
     ("bad message from the agent", "error", ("error",)),
     ("configuration not taken", "error", ("error", "key")),
+    ("fetch rejected", "warning", ("unsent_bytes",)),
     ("gate down", "info", ()),
     ("gate drained", "info", ()),
     ("gate joined", "info", ("gate",)),
--- a/tests/test_http_bytes.py
+++ b/tests/test_http_bytes.py
@@ -611,7 +611,7 @@
     state = State()
     state.apply(Delta(0, 5, True, [Event(5, "op/a", pull.value)]))
     admin = AdminServer(
-        wire({}), state, EntryMetrics(), lambda: True, lambda *_: [], 1.0
+        wire({}), state, EntryMetrics(), lambda: True, lambda *_: [], 1.0, lambda: 0
     )
     server = HttpServer(admin.handle)
     listener = await asyncio.get_running_loop().create_server(
