--- a/leverdoor/http/client_connection.py
+++ b/leverdoor/http/client_connection.py
@@ -13,20 +13,23 @@
 import httptools
 
 __all__ = [
+    "MAX_RESPONSE_BYTES",
     "CallTimedOut",
     "ClientConnection",
     "ConnectFailed",
     "HttpCallError",
     "HttpResponse",
     "ResponseLost",
+    "ResponseTooLong",
     "open_connection",
 ]
 
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 """Maximum length of the headers and body of a response, in bytes.
 
-A faulty peer must not exhaust the memory of the VM. No valid response is longer, since
-an entry keeps the whole state in less memory.
+More than twice the state at the planned size of the system. A response is held up to
+three times while it is read and parsed: with a greater value, one response exhausts the
+memory of a small VM.
 """
 FIRST_FINAL_STATUS = 200
 """First status of final responses; smaller ones are interim (1xx) responses."""
@@ -56,6 +59,10 @@
     """
 
 
+class ResponseTooLong(ResponseLost):
+    """The response exceeds `MAX_RESPONSE_BYTES`; it was not received whole."""
+
+
 class HttpResponse(NamedTuple):
     """A complete response."""
 
@@ -98,7 +105,10 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as e:
-            self._fail(f"malformed response: {e!r}")
+            if self._length > MAX_RESPONSE_BYTES:
+                self._fail_with(ResponseTooLong(f"over {MAX_RESPONSE_BYTES} bytes"))
+            else:
+                self._fail(f"malformed response: {e!r}")
 
     def eof_received(self) -> bool:
         """Complete a response without length, or fail the call if it is incomplete."""
@@ -113,9 +123,12 @@
 
     def _fail(self, reason: str) -> None:
         """Close the connection and fail its call, if any."""
+        self._fail_with(ResponseLost(reason))
+
+    def _fail_with(self, error: ResponseLost) -> None:
         response = self._response
         if response is not None and not response.done():
-            response.set_exception(ResponseLost(reason))
+            response.set_exception(error)
         self.close()
 
     # Callbacks of httptools.
--- a/leverdoor/platform/store.py
+++ b/leverdoor/platform/store.py
@@ -22,6 +22,7 @@
     CallTimedOut,
     ConnectFailed,
     ResponseLost,
+    ResponseTooLong,
 )
 from leverdoor.model.position import UNKNOWN_ERA, Position
 from leverdoor.storage.store import (
@@ -157,6 +158,10 @@
     """The store did not respond within the timeout of a call."""
 
 
+class ResponseTooLongError(StoreUnavailable):
+    """The store responded with more than the client receives."""
+
+
 class PlatformStore(LeasingStore):
     """Client of the store; reads make one call per page."""
 
@@ -231,7 +236,11 @@
             }
             timeouts_s = [wait_ms / 1000 + s for s in margins_s]
             margins_s = [WATCH_MARGIN_S]
-            response = await self._get_with_retry("kv-watch", query, timeouts_s)
+            try:
+                response = await self._get_with_retry("kv-watch", query, timeouts_s)
+            except ResponseTooLongError:
+                # A listing has the newest values only, a page at a time.
+                raise LeverdoorError(Code.COMPACTED) from None
             if response.era != after.era:
                 raise LeverdoorError(Code.COMPACTED)
             found = _parse_response(response.data, _WatchResponse)
@@ -364,6 +373,7 @@
 
         Raises:
           StoreUnavailable: no connection was opened, so the call was not sent.
+          ResponseTooLongError: a read has a response that is too long.
           CallTimeoutError: the store did not respond in time.
           OutcomeUnknown: the response was lost.
         """
@@ -383,6 +393,8 @@
             raise StoreUnavailable(f"{call}: {e}") from None
         except CallTimedOut as e:
             raise CallTimeoutError(f"{call}: {e!r}") from None
+        except ResponseTooLong as e:
+            raise ResponseTooLongError(f"{call}: {e!r}") from None
         except ResponseLost as e:
             raise OutcomeUnknown(f"{call}: {e!r}") from None
         self.era = _parse_era(response.headers.get(ERA_HEADER))
--- a/leverdoor/storage/fetching.py
+++ b/leverdoor/storage/fetching.py
@@ -19,7 +19,7 @@
 
 from leverdoor.codec import unpack
 from leverdoor.http.client import HttpClient
-from leverdoor.http.client_connection import HttpCallError
+from leverdoor.http.client_connection import MAX_RESPONSE_BYTES, HttpCallError
 from leverdoor.model.position import UNKNOWN_ERA, Position
 from leverdoor.storage.state import Delta, State
 
@@ -28,6 +28,7 @@
     "FETCH_ERRORS",
     "READ_TIMEOUT_S",
     "DeltaSource",
+    "FetchRejected",
     "HttpDeltaSource",
     "PeerFetcher",
 ]
@@ -84,7 +85,7 @@
 
 
 class FetchRejected(HttpCallError):
-    """The peer answered with an error."""
+    """The peer answered with an error, or with too much."""
 
 
 class DeltaSource(ABC):
@@ -129,10 +130,26 @@
             raise FetchRejected(f"HTTP {response.status}")
         data = response.body
         if response.headers.get("content-encoding") == DEFLATE:
-            data = zlib.decompress(data)
+            data = _decompress(data)
         return unpack(data, Delta)
 
 
+def _decompress(data: bytes) -> bytes:
+    """Decompress a response, whose length is limited as that of a plain one is.
+
+    Raises:
+      FetchRejected: it is longer.
+      zlib.error: it is malformed.
+    """
+    decompressor = zlib.decompressobj()
+    found = decompressor.decompress(data, MAX_RESPONSE_BYTES)
+    if decompressor.unconsumed_tail:
+        raise FetchRejected(f"over {MAX_RESPONSE_BYTES} bytes")
+    if not decompressor.eof:
+        raise zlib.error("incomplete stream")
+    return found
+
+
 class PeerFetcher:
     """Updates the replica from peers with a newer revision."""
 
--- a/tests/test_fetching.py
+++ b/tests/test_fetching.py
@@ -3,15 +3,21 @@
 """Fetching newer state from peers of which some do not respond."""
 
 import asyncio
+import zlib
 
 import pytest
 
-from leverdoor.model.position import Position
+from leverdoor.http.client_connection import MAX_RESPONSE_BYTES
+from leverdoor.http.messages import Headers, Request, Response
+from leverdoor.http.server import HttpServer
+from leverdoor.model.position import START, Position
 from leverdoor.storage.fetching import (
+    DEFLATE,
     FAILED_PEER_BACKOFF_S,
     HEDGE_DELAY_S,
     MAX_CONCURRENT_FETCHES,
     DeltaSource,
+    FetchRejected,
     HttpDeltaSource,
     PeerFetcher,
 )
@@ -130,3 +136,24 @@
     assert state.revision == 0
     await fetcher.close()
     server.close()
+
+
+async def test_a_compressed_response_is_limited_too() -> None:
+    """A few kB from a faulty peer filled the memory."""
+    endless = zlib.compress(bytes(4 * MAX_RESPONSE_BYTES))
+
+    async def handle(_: Request) -> Response:
+        headers = Headers([("Content-Encoding", DEFLATE)])
+        return Response(200, headers=headers, body=endless)
+
+    server = HttpServer(handle)
+    listener = await asyncio.get_running_loop().create_server(
+        server.create_connection, "127.0.0.1", 0
+    )
+    source = HttpDeltaSource()
+    port = listener.sockets[0].getsockname()[1]
+    with pytest.raises(FetchRejected):
+        await source.fetch(f"127.0.0.1:{port}", START)
+    await source.close()
+    listener.close()
+    await server.shutdown(1.0)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -102,6 +102,19 @@
     assert caught.value.code is Code.COMPACTED
 
 
+async def test_a_watch_that_is_far_behind_great_values_lists_again(
+    contract: StoreFixture,
+) -> None:
+    """Its answer has each former value, and filled the memory of a small VM."""
+    for number in range(20):
+        contract.standin.put("op/config", bytes([number]) * 1_048_576)
+    with pytest.raises(LeverdoorError) as e:
+        await anext(contract.store.watch("", first_era(1)))
+    assert e.value.code is Code.COMPACTED
+    listing = await contract.store.read("")
+    assert [entry.value for entry in listing.entries] == [bytes([19]) * 1_048_576]
+
+
 async def test_first_watch_call_is_repeated_after_timeout(
     contract: StoreFixture, monkeypatch: pytest.MonkeyPatch
 ) -> None:
