--- a/leverdoor/standins/metadata.py
+++ b/leverdoor/standins/metadata.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import base64
+from collections import deque
 from collections.abc import Callable
 
 import msgspec
@@ -27,6 +28,12 @@
 MOST_KEY_BYTES = 200
 """Longest key in bytes, by the published protocol."""
 FOREIGN_PREFIXES = ("op/", "servers/")
+MAX_HISTORY_BYTES = 64 * 1024 * 1024
+"""Bytes of the values in the history, encoded; the oldest are forgotten.
+
+Twenty seconds of the greatest values, two a second. With a greater value, a series of
+great values exhausts the memory of a test machine.
+"""
 
 
 class MetadataFaults(msgspec.Struct):
@@ -115,7 +122,8 @@
         self.items: dict[str, _Item] = {}
         self.faults = MetadataFaults()
         self.calls: dict[str, int] = {}
-        self._history: list[tuple[int, dict[str, object]]] = []
+        self._history: deque[tuple[int, dict[str, object]]] = deque()
+        self._history_bytes = 0
         self._kept_after = 1
         self._leases: dict[int, _Lease] = {}
         self._next_lease = 77_120
@@ -146,6 +154,7 @@
     def forget_history(self) -> None:
         """Drop what watches could have continued from."""
         self._history.clear()
+        self._history_bytes = 0
         self._kept_after = self.revision
         self._wake()
 
@@ -175,7 +184,8 @@
         self.era += 1
         self.revision = copy.revision
         self.items = dict(copy.items)
-        self._history = list(copy.history)
+        self._history = deque(copy.history)
+        self._history_bytes = sum(_encoded_bytes(event) for _, event in copy.history)
         self._kept_after = copy.kept_after
         self._leases = {
             n: _Lease(v.ttl_s, self._now() + v.ttl_s) for n, v in copy.leases.items()
@@ -188,12 +198,19 @@
         made = before.made if before else self.revision
         item = _Item(key, value, self.revision, made, lease)
         self.items[key] = item
-        self._history.append((self.revision, item.shown()))
+        self._remember(item.shown())
 
     def _remove(self, key: str) -> None:
         if self.items.pop(key, None) is not None:
             gone = {"private-key": key, "revision": self.revision, "gone": True}
-            self._history.append((self.revision, gone))
+            self._remember(gone)
+
+    def _remember(self, event: dict[str, object]) -> None:
+        self._history.append((self.revision, event))
+        self._history_bytes += _encoded_bytes(event)
+        while self._history_bytes > MAX_HISTORY_BYTES:
+            self._kept_after, oldest = self._history.popleft()
+            self._history_bytes -= _encoded_bytes(oldest)
 
     def _wake(self) -> None:
         self._changed.set()
@@ -378,6 +395,11 @@
         return _json({})
 
 
+def _encoded_bytes(event: dict[str, object]) -> int:
+    """Return the length of the value of a change, as it is sent."""
+    return len(str(event.get("value", "")))
+
+
 def _json(value: object, status: int = 200) -> web.Response:
     return web.Response(
         body=serialize_json(value), status=status, content_type="application/json"
--- a/leverdoor/storage/store.py
+++ b/leverdoor/storage/store.py
@@ -46,6 +46,11 @@
 
 A watch that starts at an older revision fails with COMPACTED, as with the real service.
 """
+MAX_LOG_BYTES = 32 * 1024 * 1024
+"""Bytes of the values of these events; more than a watch of an ordinary site is behind.
+
+With a greater value, a series of great values exhausts the memory of a test machine.
+"""
 
 
 Wait: TypeAlias = Callable[[], float | None]
@@ -243,7 +248,8 @@
         self.waiting = 0
         """Number of open watches."""
         self._entries: dict[str, KeyValue] = {}
-        self._log: deque[Event] = deque(maxlen=MAX_LOG_EVENTS)
+        self._log: deque[Event] = deque()
+        self._log_bytes = 0
         self._compacted_revision = 0
         self._change_event = asyncio.Event()
 
@@ -277,12 +283,18 @@
                 self._entries.pop(w.key, None)
             else:
                 self._entries[w.key] = KeyValue(w.key, w.value, self.revision)
-            if len(self._log) == MAX_LOG_EVENTS:
-                self._compacted_revision = self._log[0].revision
             self._log.append(Event(self.revision, w.key, w.value))
+            self._log_bytes += len(w.value or b"")
+        self._compact()
         self.wake_watches()
         return Commit(True, self.revision)
 
+    def _compact(self) -> None:
+        while len(self._log) > MAX_LOG_EVENTS or self._log_bytes > MAX_LOG_BYTES:
+            oldest = self._log.popleft()
+            self._log_bytes -= len(oldest.value or b"")
+            self._compacted_revision = oldest.revision
+
     def copy(self) -> MemoryCopy:
         """Return a copy of all that the store holds now."""
         return MemoryCopy(
@@ -296,7 +308,8 @@
         """Come back as a copy; revisions are given out again, and no era names it."""
         self.revision = copy.revision
         self._entries = dict(copy.entries)
-        self._log = deque(copy.log, maxlen=MAX_LOG_EVENTS)
+        self._log = deque(copy.log)
+        self._log_bytes = sum(len(e.value or b"") for e in copy.log)
         self._compacted_revision = copy.compacted_revision
         self.wake_watches()
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -12,7 +12,11 @@
 from leverdoor.errors import Code, LeverdoorError, OutcomeUnknown, StoreUnavailable
 from leverdoor.model.position import Position
 from leverdoor.platform.store import CallTimeoutError, PlatformStore, StoreResponse
-from leverdoor.standins.metadata import MetadataFaults, MetadataStandin
+from leverdoor.standins.metadata import (
+    MAX_HISTORY_BYTES,
+    MetadataFaults,
+    MetadataStandin,
+)
 from leverdoor.storage.store import Write
 
 
@@ -115,6 +119,21 @@
     assert [entry.value for entry in listing.entries] == [bytes([19]) * 1_048_576]
 
 
+async def test_the_stand_in_forgets_great_values_by_their_bytes(
+    contract: StoreFixture,
+) -> None:
+    """Its history was not bounded."""
+    for number in range(60):
+        contract.standin.put("op/config", bytes([number]) * 1_048_576)
+    assert contract.standin._history_bytes <= MAX_HISTORY_BYTES
+    with pytest.raises(LeverdoorError) as e:
+        await anext(contract.store.watch("", first_era(1)))
+    assert e.value.code is Code.COMPACTED
+    newest = contract.standin.revision
+    (event,) = await anext(contract.store.watch("", first_era(newest - 1)))
+    assert event.value == bytes([59]) * 1_048_576
+
+
 async def test_first_watch_call_is_repeated_after_timeout(
     contract: StoreFixture, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -98,6 +98,23 @@
     assert e.value.code is Code.COMPACTED
 
 
+async def test_great_values_are_compacted_by_their_bytes(backend: Backend) -> None:
+    """A log of 20,000 whole values filled the memory of the test machine."""
+    values = [bytes([number]) * 1_000_000 for number in range(40)]
+    for value in values:
+        backend.memory._commit([Write("/a", value)])
+    with pytest.raises(LeverdoorError) as e:
+        async for _ in backend.store.watch("/", position_without_era(1)):
+            pass
+    assert e.value.code is Code.COMPACTED
+    revision = backend.memory.revision
+    watch = backend.store.watch("/", position_without_era(revision - 1))
+    events: list[Event] = []
+    while not events:
+        events = await anext(watch)
+    assert [event.value for event in events] == [values[-1]]
+
+
 async def test_outage_rejects_requests_and_writes_nothing(
     backend: Backend,
 ) -> None:
