--- a/leverdoor/standins/entry_process.py
+++ b/leverdoor/standins/entry_process.py
@@ -77,6 +77,12 @@
         """Return whether the process runs."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def pid(self) -> int:
+        """Return the number of the process, which was started."""
+        assert self._process is not None
+        return self._process.pid
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         if self._process is not None and self.running:
--- a/leverdoor/standins/soak/run.py
+++ b/leverdoor/standins/soak/run.py
@@ -24,6 +24,7 @@
 from leverdoor.standins.soak.in_force import change_again_and_again, late_changes
 from leverdoor.standins.soak.limits import LimitNamer
 from leverdoor.standins.soak.lost_links import LostLinks, draw_link_cuts
+from leverdoor.standins.soak.memory import MemoryWatch, change_greatly
 from leverdoor.standins.soak.pipelining import PipeliningCaller
 from leverdoor.standins.soak.plan import PlannedFault, draw_plan
 from leverdoor.standins.soak.promises import breaches
@@ -82,6 +83,8 @@
     requests: int
     statuses: dict[str, int]
     runs: int
+    peak_mb: int
+    """The most memory that an entry took, in MiB."""
     breaches: list[str]
 
 
@@ -102,6 +105,8 @@
     configuration again and again."""
     links: int = 0
     """Cuts of the links of entries to targets."""
+    great: int = 0
+    """Configurations a second of nearly the store's greatest value, in a row."""
     judge_bound: bool = True
     """Whether changes must be in force in time beside cuts and returns of the store; on
     a machine that is busy with other work they may be late."""
@@ -109,7 +114,7 @@
     @property
     def lasts(self) -> bool:
         """Whether something goes on for the whole time, whatever the faults."""
-        return bool(self.fatal or self.limits or self.reports)
+        return bool(self.fatal or self.limits or self.reports or self.great)
 
 
 FAULTS_ALONE = SoakOptions()
@@ -145,6 +150,7 @@
         self._plan = draw_plan(seed, seconds, troubles)
         self._site = site or SoakSite(ENTRIES_CUT if options.cuts else ENTRIES_A_REGION)
         self._record = Record()
+        self._memory = MemoryWatch(self._site)
         self._late: list[str] = []
 
     async def run(self, logs: Path | None = None) -> Verdict:
@@ -207,7 +213,10 @@
             PipeliningCaller(site, record, n, seed).run()
             for n in range(PIPELINING_CALLERS)
         ]
-        if self._cuts or self._restores:
+        found.append(self._memory.run())
+        if options.great:
+            found.append(change_greatly(site, seed, options.great, self._seconds))
+        elif self._cuts or self._restores:
             found.append(change_again_and_again(site, seed))
         return found
 
@@ -288,6 +297,7 @@
         if self._options.judge_bound and self._restores:
             self._late += left_too_late(self._record, self._site.left)
         self._late += reports_not_heeded(self._site, self._record)
+        self._late += self._memory.breaches
         statuses = Counter(str(a.status) for a in self._record.attempts)
         return Verdict(
             seed=self._seed,
@@ -295,6 +305,7 @@
             requests=len(self._record.attempts),
             statuses=dict(statuses),
             runs=len(self._record.runs),
+            peak_mb=round(self._memory.peak_mb),
             breaches=[*self._late, *breaches(self._record)],
         )
 
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -22,7 +22,7 @@
 def test_resident_memory_is_unknown_without_the_kernel_s_file(
     monkeypatch: pytest.MonkeyPatch, tmp_path: Path
 ) -> None:
-    monkeypatch.setattr(process_memory, "STATM", tmp_path / "statm")
+    monkeypatch.setattr(process_memory, "PROC", tmp_path)
     assert resident_bytes() == UNKNOWN_BYTES
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -76,6 +76,13 @@
     assert verdict.breaches == []
 
 
+@pytest.mark.timeout(240)
+async def test_great_configurations_take_no_entry_over_its_memory() -> None:
+    """All entries were killed at nearly the same time, and their requests lost."""
+    verdict = await Soak(7, 15.0, 2, SoakOptions(great=10)).run()
+    assert verdict.breaches == []
+
+
 @pytest.mark.timeout(240)
 async def test_lost_links_to_targets_break_no_promise() -> None:
     """In series, in part and of all entries, beside faults and a fatal request."""
