--- a/leverdoor/entry/requests/connection.py
+++ b/leverdoor/entry/requests/connection.py
@@ -5,7 +5,8 @@
 HTTP client libraries do not guarantee the following properties, which this module
 provides:
 
-- A late duplicate reply is not taken for the reply to the next request.
+- A late duplicate reply is not taken for the reply to the next request, nor a piece of
+  one for its beginning.
 - A request is never resent automatically.
 - A connection is not reused if its last request body was not sent completely.
 
@@ -242,7 +243,7 @@
             raise
         finally:
             self._pending = None
-            if reply_has_no_body:
+            if reply_has_no_body or self._parser.in_message:
                 self.reusable = False
             if not self.reusable:
                 self.close()
--- a/leverdoor/entry/requests/replies.py
+++ b/leverdoor/entry/requests/replies.py
@@ -11,6 +11,8 @@
 import httptools
 import msgspec
 
+from leverdoor.http.reply_proof import has_second_status_line
+
 __all__ = ["ReplyParser", "TargetReply"]
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
@@ -75,6 +77,8 @@
         self._self_delimited = False
         """Whether the reply ends before the connection does."""
         self._headers_complete = False
+        self.in_message = False
+        """Whether a part of a reply was received, and not its end."""
         self.reply_has_no_body = False
         """Whether replies have no body regardless of their headers (HEAD requests)."""
 
@@ -96,6 +100,7 @@
 
     def on_message_begin(self) -> None:
         """Reset the state for the next reply."""
+        self.in_message = True
         self._headers = []
         self._head_bytes = 0
         self._body = bytearray()
@@ -113,7 +118,10 @@
         if self._head_bytes > MAX_HEAD_BYTES:
             raise ValueError(f"reply headers exceed {MAX_HEAD_BYTES} bytes")
         key = name.decode("latin-1").lower()
-        self._headers.append((key, value.decode("latin-1")))
+        text = value.decode("latin-1")
+        if has_second_status_line(text):
+            raise ValueError(f"status line in the header {key}")
+        self._headers.append((key, text))
         if key == "content-length" or (
             key == "transfer-encoding" and b"chunked" in value.lower()
         ):
@@ -122,6 +130,8 @@
     def on_headers_complete(self) -> None:
         """Determine whether a body follows and how it is delimited."""
         self._headers_complete = True
+        if has_second_status_line(self._reason.decode("latin-1")):
+            raise ValueError("status line in the reason phrase")
         status = self._parser.get_status_code()
         if status < FIRST_FINAL_STATUS or status in BODYLESS_STATUSES:
             self._self_delimited = True
@@ -137,6 +147,7 @@
 
     def on_message_complete(self) -> None:
         """Complete a reply."""
+        self.in_message = False
         self._complete()
 
     def _complete(self) -> None:
--- a/tests/test_entry_connection.py
+++ b/tests/test_entry_connection.py
@@ -141,6 +141,53 @@
         assert connection.closed
 
 
+PIECES = [
+    b"HTTP/1.1 503 Service Unavail",
+    b"HTTP/1.1 503 Service Unavailable\r\nX-Id: 1\r\nContent-Le",
+    b"HTTP/1.1 503 Service Unavailable\r\nX-Any: ",
+    b"H",
+]
+"""Beginnings of a second reply."""
+
+
+@pytest.mark.parametrize("piece", PIECES)
+async def test_piece_of_a_second_reply_closes_connection(piece: bytes) -> None:
+    """The next reply was read as its rest: 200 became 503, the promise of no run."""
+
+    async def script(r: asyncio.StreamReader, w: asyncio.StreamWriter) -> None:
+        await read_head(r)
+        w.write(make_reply("1", b"first") + piece)
+        await r.read()
+
+    async with ScriptedTarget(script) as target:
+        connection = await target.connect()
+        assert (await exchange_request(connection, "1")).body == b"first"
+        assert connection.closed
+
+
+@pytest.mark.parametrize("piece", PIECES)
+async def test_late_piece_of_a_second_reply_does_not_change_the_next(
+    piece: bytes,
+) -> None:
+    """It arrives after the next request was sent, and before its reply."""
+
+    async def script(r: asyncio.StreamReader, w: asyncio.StreamWriter) -> None:
+        await read_head(r)
+        w.write(make_reply("1", b"first"))
+        await read_head(r)
+        w.write(piece)
+        await w.drain()
+        w.write(make_reply("2", b"second"))
+        await r.read()
+
+    async with ScriptedTarget(script) as target:
+        connection = await target.connect()
+        await exchange_request(connection, "1")
+        with pytest.raises(ReplyLost):
+            await exchange_request(connection, "2")
+        assert connection.closed
+
+
 LOST_REPLIES = [
     pytest.param(b"", id="closed"),
     pytest.param(b"HTTP/1.1 200 OK\r\nX-Id", id="truncated headers"),
