--- a/leverdoor/entry/data_plane.py
+++ b/leverdoor/entry/data_plane.py
@@ -48,6 +48,7 @@
 from leverdoor.entry.requests.target_reports import TargetReportHandler
 from leverdoor.entry.settings import EntrySettings
 from leverdoor.entry.warm_up import may_warm_up
+from leverdoor.http.reply_proof import ReplyNames
 from leverdoor.http.server import HttpServer
 from leverdoor.http.server_connection import ServerConnection
 from leverdoor.model.resources import Target
@@ -117,8 +118,9 @@
             lambda outcome: metrics.stream_requests.labels(outcome).inc(),
             max_streams(s.descriptors),
         )
+        names = context.wire.headers
         self.connections = ConnectionPool(
-            context.wire.headers.request_id,
+            ReplyNames(names.request_id, names.stamp, names.not_run),
             self._create_connector(metrics),
             context.events.connections_forgotten,
         )
--- a/leverdoor/entry/requests/connection.py
+++ b/leverdoor/entry/requests/connection.py
@@ -1,17 +1,17 @@
 # leverdoor: global traffic steering
 # SPDX-License-Identifier: Apache-2.0
-"""An HTTP/1.1 client connection to a target that matches replies by request id.
+"""An HTTP/1.1 client connection to a target whose replies have to prove themselves.
 
 HTTP client libraries do not guarantee the following properties, which this module
 provides:
 
-- A late duplicate reply is not taken for the reply to the next request, nor a piece of
-  one for its beginning.
+- Bytes that a target sends behind a reply are not taken for the reply to the next
+  request, nor for its beginning.
 - A request is never resent automatically.
 - A connection is not reused if its last request body was not sent completely.
 
 Owns the pending request of the connection; it fails when the connection is lost.
-Relies on `replies` for parsing.
+Relies on `replies` for parsing, and on `http.reply_proof` for what proves a reply.
 """
 
 import asyncio
@@ -19,9 +19,11 @@
 from collections.abc import AsyncIterator, Callable
 
 import httptools
+from loguru import logger
 
 from leverdoor.entry.links.tcp_keepalive import set_keepalive_options
 from leverdoor.entry.requests.replies import ReplyParser, TargetReply
+from leverdoor.http.reply_proof import Proof, ReplyNames, prove_reply
 
 __all__ = [
     "ReplyLost",
@@ -80,9 +82,9 @@
 class _PendingRequest:
     """The request on a connection that awaits its reply."""
 
-    def __init__(self, request_id: str, id_header: str) -> None:
+    def __init__(self, request_id: str, names: ReplyNames) -> None:
         self.request_id = request_id
-        self.id_header = id_header
+        self.names = names
         self.reply: asyncio.Future[TargetReply] = asyncio.Future()
 
 
@@ -178,8 +180,8 @@
         """Match a complete reply to the pending request.
 
         Args:
-          reply: the reply; if it carries the id of another request, it is dropped and
-            the pending request continues to wait.
+          reply: the reply. A surplus one is dropped, and the pending request continues
+            to wait; a doubtful one fails it.
           keep_alive: whether the target keeps the connection open afterwards.
         """
         pending = self._pending
@@ -187,7 +189,14 @@
             # After a surplus reply, later replies may be matched wrongly.
             self.reusable = False
             return
-        if reply.get(pending.id_header) not in ("", pending.request_id):
+        proof = prove_reply(pending.names, pending.request_id, reply.status, reply.get)
+        if proof is Proof.SURPLUS:
+            self.reusable = False
+            logger.warning("surplus reply dropped", status=reply.status)
+            return
+        if proof is Proof.DOUBTFUL:
+            logger.warning("reply without proof", status=reply.status)
+            self._fail(f"status {reply.status} without proof")
             return
         reply.via = self.via
         self._on_reply(reply)
@@ -214,7 +223,7 @@
         head: bytes,
         body: bytes | AsyncIterator[bytes],
         request_id: str,
-        id_header: str,
+        names: ReplyNames,
         reply_has_no_body: bool,
     ) -> TargetReply:
         """Send a request and wait for its complete reply.
@@ -222,8 +231,8 @@
         Args:
           head: request line and headers, including the empty line.
           body: the whole body, or its parts with their framing.
-          request_id: the expected id; a reply without an id is accepted.
-          id_header: name of the header with the id, in lower case.
+          request_id: the expected id; "" if the request has none.
+          names: the headers by which replies prove themselves.
           bodyless: whether the reply has no body regardless of its headers.
         Raises:
           RequestNotSent: the connection was already closed.
@@ -231,7 +240,7 @@
         """
         if self._transport is None or not self.reusable:
             raise RequestNotSent("connection closed before use")
-        pending = self._pending = _PendingRequest(request_id, id_header)
+        pending = self._pending = _PendingRequest(request_id, names)
         self._parser.reply_has_no_body = reply_has_no_body
         try:
             if isinstance(body, bytes):
--- a/leverdoor/entry/requests/connection_pool.py
+++ b/leverdoor/entry/requests/connection_pool.py
@@ -21,6 +21,7 @@
 from leverdoor.entry.requests.idle_timeouts import IdleTimeouts
 from leverdoor.entry.requests.outgoing_request import OutgoingRequest
 from leverdoor.entry.requests.replies import TargetReply
+from leverdoor.http.reply_proof import ReplyNames
 from leverdoor.model.resources import Target
 from leverdoor.quarantine.crash_checker import TargetCheckResult
 
@@ -65,14 +66,14 @@
 
     def __init__(
         self,
-        id_header: str,
+        names: ReplyNames,
         connector: Connector,
         on_idle_connection_reset: Callable[[str], None],
     ) -> None:
         """Initialize an empty pool.
 
         Args:
-          id_header: name of the header with the request id, in lower case.
+          names: the headers by which replies prove themselves.
           connector: opens connections.
           on_idle_connection_reset: called with each service whose targets reset idle
             connections.
@@ -80,7 +81,7 @@
         self.connector = connector
         self._on_idle_connection_reset = on_idle_connection_reset
         self._idle_timeouts = IdleTimeouts()
-        self._id_header = id_header
+        self._names = names
         self._idle: dict[str, list[TargetConnection]] = {}
         self.entries = 1
         """Number of entries, including this one and silent ones."""
@@ -123,7 +124,7 @@
                 request.head,
                 request.body,
                 request.request_id,
-                self._id_header,
+                self._names,
                 request.method == "HEAD",
             )
         except ReplyLost as e:
--- a/leverdoor/gate/hop_client.py
+++ b/leverdoor/gate/hop_client.py
@@ -20,6 +20,7 @@
 
 from leverdoor import headers as h
 from leverdoor.errors import Code, Problem, Refusal, Run
+from leverdoor.http.reply_proof import Proof, ReplyNames, prove_reply
 from leverdoor.sessions import new_session
 
 __all__ = ["HopResponse", "Body", "Hop", "HopClient"]
@@ -43,6 +44,9 @@
 gate does not.
 """
 
+REPLY_NAMES = ReplyNames(h.REQUEST_ID.lower(), always_named=False)
+"""What proves the replies of targets and gates; both may leave the id out."""
+
 
 class Body:
     """A request body, either buffered or a stream that is read once."""
@@ -201,6 +205,9 @@
         """
         response = await self._send_request(hop, now)
         answer = HopResponse(response, hop.relay)
+        if not _is_own(response, hop):
+            answer.close()
+            raise Refusal(Code.ANSWER_LOST, "the response names another request")
         if not answer.delimited:
             answer.close()
             raise Refusal(
@@ -235,6 +242,18 @@
             raise Refusal(Code.ANSWER_LOST, repr(e)) from None
 
 
+def _is_own(response: aiohttp.ClientResponse, hop: Hop) -> bool:
+    """Return whether a response belongs to the request of a hop."""
+    request_id = next((v for n, v in hop.headers if n == h.REQUEST_ID), "")
+    found = prove_reply(
+        REPLY_NAMES,
+        request_id,
+        response.status,
+        lambda name: str(response.headers.get(name, "")),
+    )
+    return found is Proof.OWN
+
+
 def _timeout(hop: Hop, now: float) -> aiohttp.ClientTimeout:
     """Return the timeouts of a hop: its deadline, or the idle timeout of a stream."""
     streamed = hop.body.buffered is None
--- a/tests/test_entry_connection.py
+++ b/tests/test_entry_connection.py
@@ -16,9 +16,11 @@
     open_connection,
 )
 from leverdoor.entry.requests.replies import TargetReply
+from leverdoor.http.reply_proof import ReplyNames
 
 Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
-ID = "x-id"
+NAMES = ReplyNames("x-id")
+STRICT = ReplyNames("x-id", signature="x-stamp", not_run="x-not-run")
 
 
 def make_reply(request_id: str, body: bytes = b"ok", extra: bytes = b"") -> bytes:
@@ -68,10 +70,11 @@
     request_id: str,
     body: bytes | AsyncIterator[bytes] = b"",
     method: str = "GET",
+    names: ReplyNames = NAMES,
 ) -> TargetReply:
     async with asyncio.timeout(5):
         return await connection.exchange(
-            make_request(request_id, method), body, request_id, ID, method == "HEAD"
+            make_request(request_id, method), body, request_id, names, method == "HEAD"
         )
 
 
@@ -173,21 +176,63 @@
 
     async def script(r: asyncio.StreamReader, w: asyncio.StreamWriter) -> None:
         await read_head(r)
-        w.write(make_reply("1", b"first"))
+        w.write(make_reply("1", b"first", b"X-Stamp: s\r\n"))
         await read_head(r)
         w.write(piece)
         await w.drain()
-        w.write(make_reply("2", b"second"))
+        w.write(make_reply("2", b"second", b"X-Stamp: s\r\n"))
         await r.read()
 
     async with ScriptedTarget(script) as target:
         connection = await target.connect()
-        await exchange_request(connection, "1")
+        await exchange_request(connection, "1", names=STRICT)
         with pytest.raises(ReplyLost):
-            await exchange_request(connection, "2")
+            await exchange_request(connection, "2", names=STRICT)
         assert connection.closed
 
 
+SURPLUS_REPLIES = [
+    b"HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\nsurplus bytes",
+    b"HTTP/1.1 200 OK\r\nX-Stamp: s\r\nContent-Length: 2\r\n\r\nno",
+    b"HTTP/1.1 503 no\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+]
+
+
+@pytest.mark.parametrize("surplus", SURPLUS_REPLIES)
+async def test_surplus_reply_without_id_is_not_matched_to_next_request(
+    surplus: bytes,
+) -> None:
+    """Clients got it as a success; a 503 let the request run at a second target."""
+
+    async def script(r: asyncio.StreamReader, w: asyncio.StreamWriter) -> None:
+        await read_head(r)
+        w.write(make_reply("1", b"first", b"X-Stamp: s\r\n"))
+        await read_head(r)
+        w.write(surplus)
+        await w.drain()
+        w.write(make_reply("2", b"second", b"X-Stamp: s\r\n"))
+        await r.read()
+
+    async with ScriptedTarget(script) as target:
+        connection = await target.connect()
+        await exchange_request(connection, "1", names=STRICT)
+        reply = await exchange_request(connection, "2", names=STRICT)
+        assert (reply.status, reply.body) == (200, b"second")
+        assert connection.closed
+
+
+async def test_unsigned_success_is_lost() -> None:
+    async def script(r: asyncio.StreamReader, w: asyncio.StreamWriter) -> None:
+        await read_head(r)
+        w.write(make_reply("1", b"unsigned"))
+        await r.read()
+
+    async with ScriptedTarget(script) as target:
+        connection = await target.connect()
+        with pytest.raises(ReplyLost):
+            await exchange_request(connection, "1", names=STRICT)
+
+
 LOST_REPLIES = [
     pytest.param(b"", id="closed"),
     pytest.param(b"HTTP/1.1 200 OK\r\nX-Id", id="truncated headers"),
--- a/tests/test_entry_connections.py
+++ b/tests/test_entry_connections.py
@@ -19,6 +19,7 @@
 )
 from leverdoor.entry.requests.outgoing_request import OutgoingRequest
 from leverdoor.entry.requests.replies import TargetReply
+from leverdoor.http.reply_proof import ReplyNames
 from leverdoor.model.resources import Target
 from leverdoor.quarantine.crash_checker import TargetCheckResult
 
@@ -38,7 +39,9 @@
     on_reply: Callable[[Target, TargetReply], None] = lambda target, reply: None,
     on_connect: Callable[[str, str], None] = lambda service, result: None,
 ) -> ConnectionPool:
-    return ConnectionPool("x-id", Connector("a", on_reply, on_connect), on_reset)
+    return ConnectionPool(
+        ReplyNames("x-id"), Connector("a", on_reply, on_connect), on_reset
+    )
 
 
 def test_prompt_reset_of_idle_connection_reduces_idle_timeout() -> None:
@@ -129,7 +132,7 @@
 
     async def serve(r: asyncio.StreamReader, w: asyncio.StreamWriter) -> None:
         await r.readuntil(b"\r\n\r\n")
-        w.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        w.write(b"HTTP/1.1 200 OK\r\nX-Id: first\r\nContent-Length: 0\r\n\r\n")
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
@@ -185,7 +188,7 @@
 
     async def serve(r: asyncio.StreamReader, w: asyncio.StreamWriter) -> None:
         await r.readuntil(b"\r\n\r\n")
-        w.write(b"HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n")
+        w.write(b"HTTP/1.1 503 no\r\nX-Id: first\r\nContent-Length: 0\r\n\r\n")
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -100,6 +100,26 @@
     server.close()
 
 
+async def test_a_response_that_names_another_request_is_an_error(
+    bench: Bench, session: aiohttp.ClientSession
+) -> None:
+    """A surplus response on a kept connection was relayed to the next caller."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        other = f"{h.REQUEST_ID}: other\r\n".encode()
+        writer.write(b"HTTP/1.1 200 OK\r\n" + other + b"Content-Length: 2\r\n\r\nno")
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    await _replace_targets(bench, "look", f"127.0.0.1:{port}")
+    async with session.get(f"http://{bench.listen()}/s/look/x") as answer:
+        assert answer.status == 502
+        assert answer.headers[h.RUN] == Run.MAYBE
+    server.close()
+
+
 async def _replace_targets(bench: Bench, service: str, address: str) -> None:
     """Replace the targets of a service by one at an address."""
     operator = Operator([bench.api("vm00")])
