--- a/leverdoor/entry/exchange/usage_exchange.py
+++ b/leverdoor/entry/exchange/usage_exchange.py
@@ -221,33 +221,42 @@
         parts = UnreportedParts(
             self._unreported_parts(uptime_s, now),
             self._unreported_group_parts(
-                self._other_domains(), self._merger.reported_domains
+                self._other_domains(), self._merger.reported_domains, uptime_s
             ),
             self._unreported_group_parts(
-                self._other_region_domains(), self._merger.reported_regions
+                self._other_region_domains(), self._merger.reported_regions, uptime_s
             ),
         )
         return self._merger.compute_sums(own, parts, now)
 
     def _unreported_group_parts(
-        self, domains_by_group: Mapping[str, list[str]], reported: Collection[str]
+        self,
+        domains_by_group: Mapping[str, list[str]],
+        reported: Collection[str],
+        uptime_s: float,
     ) -> int:
         """Return the number of equal quota parts to reserve for silent groups.
 
-        These are failure domains or regions whose entries were seen, but that have not
-        reported to this aggregator. They may serve behind a network partition that
-        began before this entry became an aggregator.
+        These are failure domains or regions that have not reported to this aggregator.
+        Those of their entries that were seen may serve behind a network partition that
+        began before this entry became an aggregator. The others may do so for a while
+        after its start, as in the own failure domain.
 
         Args:
           domains_by_group: the failure domains of each group.
           reported: the groups that have reported.
+          uptime_s: time since this entry was started, in seconds.
         """
-        return sum(
-            UNKNOWN_USAGE_PARTS * len(self._membership.newest_heartbeats(domain))
+        silent_domains = [
+            domain
             for group, domains in domains_by_group.items()
             if group not in reported
             for domain in domains
-        )
+        ]
+        seen = sum(len(self._membership.newest_heartbeats(d)) for d in silent_domains)
+        known = sum(self._membership.count_in_domain(d) for d in silent_domains)
+        never_seen = known - seen if uptime_s <= RESERVATION_S else 0
+        return never_seen + seen * UNKNOWN_USAGE_PARTS
 
     def _other_domains(self) -> dict[str, list[str]]:
         """Return the region's other failure domains, each as a group of itself."""
