--- a/leverdoor/entry/exchange/usage_merging.py
+++ b/leverdoor/entry/exchange/usage_merging.py
@@ -226,7 +226,7 @@
 
     def _counted_usage(self, scope: "_Scope", now: float) -> list[Usage]:
         current_usage = [
-            self._reported_or_reserved(report, scope.state(name, now))
+            self._reported_or_reserved(report, scope.state(name, now), now)
             for name, report in scope.reports.items()
         ]
         previous = [
@@ -235,16 +235,22 @@
         return current_usage + [o.use for o in previous if now - o.at <= ENDED_USAGE_S]
 
     def _reported_or_reserved(
-        self, report: UsageReport, state: "_ReportState"
+        self, report: UsageReport, state: "_ReportState", now: float
     ) -> Usage:
-        """Return the reported usage if it counts, otherwise the reserved usage."""
+        """Return the reported usage if it counts, otherwise the reserved usage.
+
+        What was reported counts until it has left the window, if it is more than the
+        silent entries may reach.
+        """
         if state is _ReportState.COUNTED:
             return report.use
         if state is _ReportState.EXPIRED:
             return {}
         if report.reserved is None:
             report.reserved = self._reservation(report)
-        return report.reserved
+        if now - report.at > ENDED_USAGE_S:
+            return report.reserved
+        return {n: max(c, report.use[n]) for n, c in report.reserved.items()}
 
     def _reservation(self, report: UsageReport) -> Usage:
         """Return the usage that the silent entries of a report may reach.
--- a/leverdoor/workspaces/isolation.py
+++ b/leverdoor/workspaces/isolation.py
@@ -89,6 +89,8 @@
     received a digest."""
     others_use: float
     """Requests of the other entries as last received, including reservations."""
+    window_s: float = 5.0
+    """Length of the sliding window of usage, in seconds."""
 
     @property
     def ceiling(self) -> float:
@@ -114,4 +116,30 @@
             EVENLY_DIVIDED_FRACTION * equal_share
             + (1 - EVENLY_DIVIDED_FRACTION) * proportional_share
         )
-        return max(reserved, min(equal_share, 1.0))
+        ceiling = max(reserved, min(equal_share, 1.0))
+        if self.isolated_s > self.window_s:
+            return ceiling
+        return self._while_usage_of_others_counts(ceiling, self.last_reported)
+
+    def _while_usage_of_others_counts(self, ceiling: float, reported: int) -> float:
+        """Return the ceiling until the last known usage of others has left the window.
+
+        An entry with most of the usage is above its ceiling at first. If the others
+        grew to theirs meanwhile, all together would exceed the quota by that excess.
+
+        Args:
+          ceiling: the ceiling of this entry after that.
+          reported: requests of this entry as last known to the others.
+        """
+        growth = ceiling - reported
+        if growth <= 0.0:
+            return ceiling
+        remaining = max(self.admission_limit - self.others_use - reported, 0.0)
+        factor = isolated_use_factor(self.admission_limit, self.others_use + reported)
+        proportional_share = (1 - EVENLY_DIVIDED_FRACTION) * factor * self.others_use
+        even_share = EVENLY_DIVIDED_FRACTION * self.admission_limit / self.entry_count
+        # At most: all that others use is that of a single entry.
+        excess = max(self.others_use - proportional_share - even_share, 0.0)
+        if not excess:
+            return ceiling
+        return reported + growth * remaining / (remaining + excess)
--- a/leverdoor/workspaces/quota.py
+++ b/leverdoor/workspaces/quota.py
@@ -267,6 +267,7 @@
             bound=self._bounds.bound(workspace),
             entry_count=self.entries,
             isolated_s=now - self._remote_usage_at,
+            window_s=self._bounds.window_s,
             last_reported=min(counts, default=0) if received else None,
             others_use=known.others_use,
         ).ceiling
--- a/tests/test_entry_use.py
+++ b/tests/test_entry_use.py
@@ -106,6 +106,16 @@
     assert (expired.total, expired.silent) == ({"w": 15}, (0, 0, 0))
 
 
+def test_usage_above_a_reservation_counts_until_it_has_left_the_window() -> None:
+    """The others used what a silent entry had used above its ceiling."""
+    merger = create_merger()
+    merger.record_entry("e1", UsageReport(10.0, {"w": 90}))
+    assert merger.compute_sums({}, NONE_UNREPORTED, 10.1).total == {"w": 90}
+    assert merger.compute_sums({}, NONE_UNREPORTED, 14.9).total == {"w": 90}
+    later = merger.compute_sums({}, NONE_UNREPORTED, 15.1)
+    assert later.total == {"w": 50}
+
+
 def test_reservation_does_not_expire_while_the_entry_is_registered() -> None:
     """A partition may last longer than any fixed time, with both sides serving."""
     merger = create_merger()
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -28,6 +28,7 @@
 from leverdoor.workspaces.isolation import (
     ISOLATION_TIMEOUT_S,
     RESERVATION_S,
+    IsolatedQuota,
     isolated_use_factor,
 )
 from leverdoor.workspaces.quota import Quotas
@@ -131,6 +132,32 @@
     assert count_admitted(quotas, 200, 100.0 + RESERVATION_S + 10.0) <= 1
 
 
+@pytest.mark.parametrize("entries", [2, 3, 12, 74])
+@pytest.mark.parametrize("used_by_one", [0, 20, 40, 60, 70])
+@pytest.mark.parametrize("used_by_each", [0, 1, 5])
+def test_ceilings_leave_room_for_usage_above_the_ceiling_of_another(
+    entries: int, used_by_one: int, used_by_each: int
+) -> None:
+    """The others grew to theirs while that usage was still in the window."""
+    limit = BOUNDS.admission_limit(WARD)
+    used = [used_by_one] + [used_by_each] * (entries - 1)
+    ceilings = [
+        IsolatedQuota(
+            admission_limit=limit,
+            bound=BOUNDS.bound(WARD),
+            entry_count=entries,
+            isolated_s=ISOLATION_TIMEOUT_S,
+            last_reported=own,
+            others_use=float(sum(used) - own),
+            window_s=BOUNDS.window_s,
+        ).ceiling
+        for own in used
+    ]
+    reached = sum(max(own, c) for own, c in zip(used, ceilings, strict=True))
+    # Each entry may admit a whole request, however small its share is.
+    assert reached <= max(limit, sum(used)) + entries
+
+
 def test_reservations_for_silent_entries_stay_within_quota() -> None:
     """More silent entries than known ones must not reserve more than the quota.
 
