--- a/benchmarks/emulated_following.py
+++ b/benchmarks/emulated_following.py
@@ -176,6 +176,7 @@
             self._status,
             self._take_update,
             _no_room,
+            lambda renewed_at: None,
         )
         loops = (self.control.join_and_follow, self.control.register, self._rounds)
         self._tasks = [asyncio.ensure_future(run()) for run in loops]
--- a/benchmarks/emulated_quotas.py
+++ b/benchmarks/emulated_quotas.py
@@ -20,6 +20,7 @@
 from leverdoor.entry.exchange.messages import ExchangeMessage
 from leverdoor.entry.membership.member import SERVING, Member
 from leverdoor.entry.membership.members import Membership
+from leverdoor.entry.membership.registration import LEASE_TTL_S
 from leverdoor.entry.membership.roles import Roles
 from leverdoor.errors import Refusal
 from leverdoor.model.position import position_without_era
@@ -120,11 +121,15 @@
         roles = Roles(self.membership, rng)
         self.exchange = Exchange(self.membership, roles)
         self.quotas = Quotas(QuotaBounds(), rng, 0.0, first_start=True)
+        self.registered = True
+        """Whether it renews its lease in the store."""
         self.exchange.use.renew(self.quotas.admission_limits(workspaces))
 
     def round(self, now: float) -> list[Outgoing]:
         """Return what it sends in a round."""
         self.quotas.entries = self.membership.count
+        if self.registered:
+            self.quotas.renew_lease(now)
         use = self.quotas.report(now)
         counting_for_s = self.quotas.counting_for_s(now)
         report = EntryStatus(
@@ -136,6 +141,11 @@
         self.membership.forget(now)
         return [(s.message, s.destinations) for s in sendings]
 
+    def lose_lease(self, expired_at: float) -> None:
+        """Stop to renew its lease, which expires at a time, in seconds."""
+        self.registered = False
+        self.quotas.renew_lease(expired_at - LEASE_TTL_S)
+
     def take(self, message: ExchangeMessage, now: float) -> None:
         """Take a message."""
         self._receive(self.exchange.take(message, position_without_era(1), now), now)
--- a/benchmarks/quota_partitions.py
+++ b/benchmarks/quota_partitions.py
@@ -95,12 +95,17 @@
         return QuotaNode(own, [self.workspace], rng)
 
     def register(self, registered: Collection[str], readers: Collection[str]) -> None:
-        """Let entries read the registrations of some entries from the store."""
+        """Let entries read the registrations of some entries from the store.
+
+        The leases of the others have expired.
+        """
         members = [self._quota_node(n).membership.own for n in registered]
         registrations = {m.name: pack(m) for m in members}
         for name in readers:
             membership = self._quota_node(name).membership
             membership.add_registered(registrations, self.site.now)
+        for name in set(self.names) - set(registered):
+            self._quota_node(name).lose_lease(self.site.now)
 
     def choose(self, count: int) -> list[str]:
         """Return random entries."""
--- a/leverdoor/entry/control_plane.py
+++ b/leverdoor/entry/control_plane.py
@@ -70,6 +70,7 @@
         status: Callable[[], EntryStatus],
         take_update: PeerUpdateHandler,
         take_room: PermitMessageHandler,
+        lease_renewed: Callable[[float], None],
     ) -> None:
         """Create all components without opening any socket or connection.
 
@@ -81,7 +82,10 @@
           status: returns the status that this entry's heartbeats carry.
           take_update: called with reports of other entries and the loop time in s.
           take_room: called with requests for capacity at targets, and their replies.
+          lease_renewed: called with the loop time in seconds from which the lease of
+            this entry's registration lasts.
         """
+        self._lease_renewed = lease_renewed
         self._context = context
         self._state = state
         self._catalog_manager = catalog_manager
@@ -126,6 +130,7 @@
             self._context.events,
             self._context.rng,
             self._registration_pause_s,
+            self._lease_renewed,
         )
 
     def _create_joining(self) -> JoinProcedure:
--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -195,6 +195,7 @@
             self._status,
             self._on_peer_update,
             self._data.limits.take,
+            self._data.quotas.renew_lease,
         )
         self._records = QuarantineRecords(
             self._data.quarantine,
--- a/leverdoor/entry/membership/registration.py
+++ b/leverdoor/entry/membership/registration.py
@@ -79,6 +79,7 @@
         events: Events,
         rng: Random,
         mean_pause_s: Callable[[], float],
+        on_renewed: Callable[[float], None] = lambda called_at: None,
     ) -> None:
         """Create the registration; `run` writes it to the store.
 
@@ -89,7 +90,9 @@
           events: the event log of this entry.
           rng: spreads the calls after an outage.
           mean_pause_s: returns the mean pause after a failed call, in seconds.
+          on_renewed: called with the loop time in seconds from which the lease lasts.
         """
+        self._on_renewed = on_renewed
         self._store = store
         self._key = key
         self._member = member
@@ -128,7 +131,9 @@
 
         Return once the registration is ended.
         """
+        loop = asyncio.get_running_loop()
         while not self._ended:
+            called_at = loop.time()
             try:
                 if self._lease is None:
                     await self._register()
@@ -141,6 +146,7 @@
                 self._events.process("registration failed", error=str(e))
                 await self._pause()
                 continue
+            self._on_renewed(called_at)
             await asyncio.sleep(RENEW_INTERVAL_S)
 
     async def _pause(self) -> None:
--- a/leverdoor/workspaces/isolation.py
+++ b/leverdoor/workspaces/isolation.py
@@ -8,6 +8,10 @@
 partition together thus stay within the quota at any demand. After `ISOLATED_USE_S`, the
 isolated entry admits almost nothing; after `RESERVATION_S`, the reservation expires.
 
+A reservation for a registered entry does not expire, so that entries that reach the
+store keep their share however long a partition lasts. A group of entries that reaches
+neither the others nor the store has to stop before the others see its leases expire.
+
 Owns no state. Relies on the last reported usage of all entries.
 """
 
@@ -21,6 +25,7 @@
     "RESERVATION_S",
     "IsolatedQuota",
     "isolated_use_factor",
+    "may_be_taken_for_ended",
 ]
 
 ISOLATION_TIMEOUT_S = 1.6
@@ -44,6 +49,14 @@
 still count, and by 3 s, since the isolated entry counts from its last digest and the
 others from its last report. If shorter, both use the same part of the quota.
 """
+MAX_LEASE_AGE_S = 9.0
+"""Age of an entry's lease beyond which others may soon see it expire, in seconds.
+
+A lease lasts 15 s from its renewal; the quota window, in which the entry's requests
+still count, and 1 s have to pass before. Leases are renewed each 5 s. With a greater
+value, both sides use the same part of the quota. With a smaller one, a slow store ends
+the share of entries that others reach no longer.
+"""
 MAX_USE_FACTOR = 4.0
 """Greatest ratio of an isolated entry's usage to its last reported usage.
 
@@ -73,6 +86,18 @@
     return min(max(admission_limit / max(total_use, 1.0), 1.0), MAX_USE_FACTOR)
 
 
+def may_be_taken_for_ended(silent_s: float, lease_age_s: float) -> bool:
+    """Return whether silent entries may have ended their reservation for this one.
+
+    They take an entry for ended once its reports and its lease have both expired.
+
+    Args:
+      silent_s: how long other entries have been silent, in seconds.
+      lease_age_s: time since this entry renewed its lease, in seconds.
+    """
+    return silent_s > ISOLATED_USE_S and lease_age_s > MAX_LEASE_AGE_S
+
+
 class IsolatedQuota(msgspec.Struct, frozen=True):
     """A quota as an isolated entry knows it; requests are counted per window."""
 
--- a/leverdoor/workspaces/quota.py
+++ b/leverdoor/workspaces/quota.py
@@ -6,8 +6,9 @@
 a delay of some tenths of a second. The requests that it has not yet reported to the
 others are limited to its share of the remaining quota (`allowance.py`). An entry that
 receives no digests is limited to a ceiling that depends on its last reported usage. The
-others reserve the same amount for it (`isolation.py`). The request path neither
-exchanges messages nor accesses the store.
+others reserve the same amount for it (`isolation.py`). So is one of a group that is cut
+off from the other entries and from the store, once the others may take it for ended.
+The request path neither exchanges messages nor accesses the store.
 
 Owns this entry's usage by workspace (`usage.py`), the last received usage of the other
 entries, and this entry's recent reports. All of it is lost with the process. After a
@@ -26,7 +27,11 @@
 from leverdoor.errors import Code, Refusal
 from leverdoor.model.resources import Workspace
 from leverdoor.workspaces.allowance import EVENLY_DIVIDED_FRACTION, KnownUsage
-from leverdoor.workspaces.isolation import ISOLATION_TIMEOUT_S, IsolatedQuota
+from leverdoor.workspaces.isolation import (
+    ISOLATION_TIMEOUT_S,
+    IsolatedQuota,
+    may_be_taken_for_ended,
+)
 from leverdoor.workspaces.quota_bounds import QuotaBounds
 from leverdoor.workspaces.remote_usage import NO_REMOTE_USAGE, RemoteUsage
 from leverdoor.workspaces.usage import UsageWindow
@@ -117,6 +122,10 @@
         """When a digest ended the latest isolation of this entry."""
         self._isolated_since = now
         """Time to which the last digest before that isolation refers."""
+        self._others_silent_since: float | None = None
+        """Since when some other entries have been silent; None if none is."""
+        self._lease_renewed_at = now
+        """When this entry last renewed its registration in the store."""
 
     def receive(self, remote_usage: RemoteUsage, now: float) -> None:
         """Store the usage of the other entries, unless all of them are silent.
@@ -130,6 +139,10 @@
         if self._is_isolated(now):
             self._returned_at = now
             self._isolated_since = self._remote_usage_at
+        if not remote_usage.silent_count:
+            self._others_silent_since = None
+        elif self._others_silent_since is None:
+            self._others_silent_since = now
         self._remote_usage = remote_usage
         self._remote_usage_at = now - remote_usage.age_s
         self._known_reports = [
@@ -142,6 +155,14 @@
             self._usage_known_since, now - remote_usage.usage_known_for_s
         )
 
+    def renew_lease(self, renewed_at: float) -> None:
+        """Record that this entry is registered in the store.
+
+        Args:
+          renewed_at: when its lease was renewed, in seconds.
+        """
+        self._lease_renewed_at = renewed_at
+
     def report(self, now: float) -> dict[str, int]:
         """Return this entry's usage by workspace, and store it as reported."""
         usage = self._usage.totals(now)
@@ -172,10 +193,10 @@
             return
         known = self.known_usage(workspace, now)
         random_fraction = self._rng.random()
-        if self._is_isolated(now):
-            admitted = known.own_use + random_fraction < self._ceiling(
-                workspace, known, now
-            )
+        cut_off_s = self._cut_off_s(now)
+        if cut_off_s is not None:
+            ceiling = self._ceiling(workspace, known, cut_off_s)
+            admitted = known.own_use + random_fraction < ceiling
         else:
             admitted = known.admits(random_fraction)
         if not admitted:
@@ -201,6 +222,16 @@
         """Return whether other entries exist but no recent digest was received."""
         return now - self._remote_usage_at > ISOLATION_TIMEOUT_S and self.entries > 1
 
+    def _cut_off_s(self, now: float) -> float | None:
+        """Return for how long others may only reserve for this entry; None if not."""
+        if self._is_isolated(now):
+            return now - self._remote_usage_at
+        since = self._others_silent_since
+        if since is None:
+            return None
+        silent_s, lease_age_s = now - since, now - self._lease_renewed_at
+        return silent_s if may_be_taken_for_ended(silent_s, lease_age_s) else None
+
     def known_usage(self, workspace: Workspace, now: float) -> KnownUsage:
         """Return the usage of a workspace as this entry knows it."""
         bounds = self._bounds
@@ -258,15 +289,17 @@
             + EVENLY_DIVIDED_FRACTION * admission_limit * silent_count / self.entries
         )
 
-    def _ceiling(self, workspace: Workspace, known: KnownUsage, now: float) -> float:
-        """Return the maximum number of requests per window while isolated."""
+    def _ceiling(
+        self, workspace: Workspace, known: KnownUsage, cut_off_s: float
+    ) -> float:
+        """Return the maximum number of requests per window while cut off."""
         counts = (usage.get(workspace.name, 0) for usage in self._known_reports)
         received = self._remote_usage_received
         return IsolatedQuota(
             admission_limit=known.admission_limit,
             bound=self._bounds.bound(workspace),
             entry_count=self.entries,
-            isolated_s=now - self._remote_usage_at,
+            isolated_s=cut_off_s,
             window_s=self._bounds.window_s,
             last_reported=min(counts, default=0) if received else None,
             others_use=known.others_use,
--- a/tests/test_entry_registration.py
+++ b/tests/test_entry_registration.py
@@ -95,6 +95,22 @@
     assert (store.renewed, store.written) == ([Lease(12)], [])
 
 
+async def test_each_renewal_is_told_with_the_time_of_its_call() -> None:
+    """Quotas stop to rely on the registration before its lease may expire."""
+    told: list[float] = []
+    events = Events(LineWriter(os.open(os.devnull, os.O_WRONLY)), "n1")
+    store = FakeStore(set())
+    own_registration = Registration(
+        store, "entries/n1", OWN, events, Random(1), lambda: 0.01, told.append
+    )
+    before = asyncio.get_running_loop().time()
+    task = asyncio.create_task(own_registration.run())
+    await asyncio.sleep(0.02)
+    task.cancel()
+    assert len(told) == 1
+    assert before <= told[0] <= asyncio.get_running_loop().time()
+
+
 async def test_an_expired_lease_is_replaced() -> None:
     store = FakeStore({12})
     await run_registration(store, former_registration(12))
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -27,6 +27,7 @@
 from leverdoor.workspaces.allowance import EVENLY_DIVIDED_FRACTION, KnownUsage
 from leverdoor.workspaces.isolation import (
     ISOLATION_TIMEOUT_S,
+    MAX_LEASE_AGE_S,
     RESERVATION_S,
     IsolatedQuota,
     isolated_use_factor,
@@ -132,6 +133,32 @@
     assert count_admitted(quotas, 200, 100.0 + RESERVATION_S + 10.0) <= 1
 
 
+def group_with_silent_others(lease_renewed_at: float) -> Quotas:
+    """Return an entry that hears some others, while the rest has been silent."""
+    quotas = Quotas(BOUNDS, Random(1), 100.0, first_start=True)
+    quotas.entries = 4
+    silent = RemoteUsage({"ward": 10}, 0.0, 5.0, 0.0, silent_count=2)
+    for tenths in range(250):
+        quotas.receive(silent, 100.0 + tenths / 10)
+    quotas.renew_lease(lease_renewed_at)
+    return quotas
+
+
+def test_a_group_without_the_store_stops_before_its_leases_expire() -> None:
+    """Both sides used the part of the group once its leases had expired."""
+    cut_off = group_with_silent_others(lease_renewed_at=124.9 - MAX_LEASE_AGE_S - 0.1)
+    assert count_admitted(cut_off, 200, 124.9) <= 2
+    registered = group_with_silent_others(lease_renewed_at=124.9 - MAX_LEASE_AGE_S)
+    assert count_admitted(registered, 200, 124.9) > 5
+
+
+def test_a_group_without_the_store_goes_on_once_the_others_are_back() -> None:
+    quotas = group_with_silent_others(lease_renewed_at=100.0)
+    assert count_admitted(quotas, 200, 124.9) <= 2
+    quotas.receive(RemoteUsage({"ward": 10}, 0.0, 5.0, 0.0), 131.0)
+    assert count_admitted(quotas, 200, 131.0) > 2
+
+
 @pytest.mark.parametrize("entries", [2, 3, 12, 74])
 @pytest.mark.parametrize("used_by_one", [0, 20, 40, 60, 70])
 @pytest.mark.parametrize("used_by_each", [0, 1, 5])
