--- a/leverdoor/agent/daemon.py
+++ b/leverdoor/agent/daemon.py
@@ -302,11 +302,11 @@
         """Send a gate the changes that it lacks, unless they are under way."""
         if not self._gates.awaits_confirmation(peer):
             delta = self._state.delta(since)
-            await self._gates.send_delta(peer, delta, self._now())
+            await self._gates.send_missing(peer, delta, self._now())
 
     def _push_delta(self, delta: Delta) -> None:
         """Send a change of the configuration or the ownership table to all gates."""
-        task = asyncio.create_task(self._gates.push_delta(delta, self._now()))
+        task = asyncio.create_task(self._gates.push_change(delta, self._now()))
         task.add_done_callback(lambda t: t.exception())
 
     async def _send_hints(self) -> None:
--- a/leverdoor/agent/gate_sessions.py
+++ b/leverdoor/agent/gate_sessions.py
@@ -54,6 +54,8 @@
 
     def __init__(self) -> None:
         self.last_seen = 0.0
+        self.missed_change = False
+        """Whether a change was left out, so that later ones leave a gap."""
         self._sent: deque[_SentDelta] = deque()
 
     def confirm(self, position: Position, now: float) -> None:
@@ -107,22 +109,26 @@
         """Return whether deltas are under way to a gate."""
         return self._sessions[peer].awaits_confirmation
 
-    async def send_delta(self, peer: bytes, delta: Delta, now: float) -> None:
-        """Send a delta to one gate.
+    async def send_missing(self, peer: bytes, delta: Delta, now: float) -> None:
+        """Send a gate all changes after the position that it reported."""
+        session = self._sessions[peer]
+        session.missed_change = False
+        session.record(delta, now)
+        await self._link.send(peer, delta)
 
-        It is left out if too much is under way to the gate, whose later reports lead to
-        another one.
+    async def push_change(self, delta: Delta, now: float) -> None:
+        """Send a change to all gates.
+
+        It is left out for a gate to which too much is under way. The later reports of
+        that gate lead to a delta with everything that it lacks.
         """
-        session = self._sessions.get(peer)
-        if session is not None and session.has_room(delta):
+        for peer, session in list(self._sessions.items()):
+            if session.missed_change or not session.has_room(delta):
+                session.missed_change = True
+                continue
             session.record(delta, now)
             await self._link.send(peer, delta)
 
-    async def push_delta(self, delta: Delta, now: float) -> None:
-        """Send a delta to all gates."""
-        for peer in list(self._sessions):
-            await self.send_delta(peer, delta, now)
-
     def add_heartbeats(self, heartbeats: Iterable[AgentHeartbeat]) -> None:
         """Queue the latest heartbeat of each VM for the next hints."""
         for heartbeat in heartbeats:
--- a/tests/test_entry_connection.py
+++ b/tests/test_entry_connection.py
@@ -168,22 +168,26 @@
         assert connection.closed
 
 
-@pytest.mark.parametrize("piece", PIECES)
-async def test_late_piece_of_a_second_reply_does_not_change_the_next(
-    piece: bytes,
-) -> None:
-    """It arrives after the next request was sent, and before its reply."""
+def write_between_replies(data: bytes) -> Script:
+    """Return a script that writes bytes between the second request and its reply."""
 
     async def script(r: asyncio.StreamReader, w: asyncio.StreamWriter) -> None:
         await read_head(r)
         w.write(make_reply("1", b"first", b"X-Stamp: s\r\n"))
         await read_head(r)
-        w.write(piece)
+        w.write(data)
         await w.drain()
         w.write(make_reply("2", b"second", b"X-Stamp: s\r\n"))
         await r.read()
 
-    async with ScriptedTarget(script) as target:
+    return script
+
+
+@pytest.mark.parametrize("piece", PIECES)
+async def test_late_piece_of_a_second_reply_does_not_change_the_next(
+    piece: bytes,
+) -> None:
+    async with ScriptedTarget(write_between_replies(piece)) as target:
         connection = await target.connect()
         await exchange_request(connection, "1", names=STRICT)
         with pytest.raises(ReplyLost):
@@ -203,17 +207,7 @@
     surplus: bytes,
 ) -> None:
     """Clients got it as a success; a 503 let the request run at a second target."""
-
-    async def script(r: asyncio.StreamReader, w: asyncio.StreamWriter) -> None:
-        await read_head(r)
-        w.write(make_reply("1", b"first", b"X-Stamp: s\r\n"))
-        await read_head(r)
-        w.write(surplus)
-        await w.drain()
-        w.write(make_reply("2", b"second", b"X-Stamp: s\r\n"))
-        await r.read()
-
-    async with ScriptedTarget(script) as target:
+    async with ScriptedTarget(write_between_replies(surplus)) as target:
         connection = await target.connect()
         await exchange_request(connection, "1", names=STRICT)
         reply = await exchange_request(connection, "2", names=STRICT)
--- a/tests/test_gate_sessions.py
+++ b/tests/test_gate_sessions.py
@@ -48,7 +48,7 @@
     sessions = GateSessions(link)
     sessions.receive(GATE, report(0), 0.0)
     for revision in range(1, 301):
-        await sessions.push_delta(delta(revision), 0.01 * revision)
+        await sessions.push_change(delta(revision), 0.01 * revision)
     assert sum(d.value_bytes for d in link.sent) <= 2 * GREATEST_VALUE_BYTES
 
 
@@ -59,7 +59,7 @@
     for _ in range(1_000):
         sessions.receive(GATE, report(0), 0.0)
         if not sessions.awaits_confirmation(GATE):
-            await sessions.send_delta(GATE, delta(1), 0.0)
+            await sessions.send_missing(GATE, delta(1), 0.0)
     assert len(link.sent) == 1
 
 
@@ -68,7 +68,7 @@
     sessions = GateSessions(link)
     sessions.receive(GATE, report(0), 0.0)
     for revision in range(1, 101):
-        await sessions.push_delta(delta(revision, 300), 0.0)
+        await sessions.push_change(delta(revision, 300), 0.0)
     assert len(link.sent) == 100
 
 
@@ -78,7 +78,7 @@
     for revision in range(1, 11):
         sessions.receive(GATE, report(revision - 1), 0.1 * revision)
         assert not sessions.awaits_confirmation(GATE)
-        await sessions.push_delta(delta(revision), 0.1 * revision)
+        await sessions.push_change(delta(revision), 0.1 * revision)
     assert [d.revision for d in link.sent] == list(range(1, 11))
 
 
@@ -86,8 +86,25 @@
     link = FakeLink()
     sessions = GateSessions(link)
     sessions.receive(GATE, report(0), 0.0)
-    await sessions.push_delta(delta(1), 0.0)
+    await sessions.push_change(delta(1), 0.0)
     sessions.receive(GATE, report(0), RESEND_S / 2)
     assert sessions.awaits_confirmation(GATE)
     sessions.receive(GATE, report(0), RESEND_S * 1.1)
     assert not sessions.awaits_confirmation(GATE)
+
+
+async def test_a_gate_that_missed_a_change_gets_no_later_one_by_itself() -> None:
+    """It would leave a gap, and delay the delta with everything by `RESEND_S`."""
+    link = FakeLink()
+    sessions = GateSessions(link)
+    sessions.receive(GATE, report(0), 0.0)
+    for revision in (1, 2, 3):
+        await sessions.push_change(delta(revision), 0.0)
+    sessions.receive(GATE, report(2), 0.1)
+    await sessions.push_change(delta(4), 0.1)
+    assert [d.revision for d in link.sent] == [1, 2]
+    assert not sessions.awaits_confirmation(GATE)
+    await sessions.send_missing(GATE, Delta(2, 4, False, []), 0.1)
+    sessions.receive(GATE, report(4), 0.2)
+    await sessions.push_change(delta(5), 0.2)
+    assert [d.revision for d in link.sent] == [1, 2, 4, 5]
