--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -14,9 +14,8 @@
 
 
 def test_resident_memory_includes_what_is_held() -> None:
-    before = resident_bytes()
-    held = b"x" * 64 * 1024 * 1024
-    assert resident_bytes() - before >= len(held) // 2
+    held = b"x" * 256 * 1024 * 1024
+    assert resident_bytes() >= len(held)
 
 
 def test_resident_memory_is_unknown_without_the_kernel_s_file(
