--- a/leverdoor/agent/gate_sessions.py
+++ b/leverdoor/agent/gate_sessions.py
@@ -31,7 +31,7 @@
 MAX_UNCONFIRMED_BYTES = 2 * 1024 * 1024
 """Bytes of values on their way to a gate that has not reported them as in force.
 
-Twice the store's greatest value. With a greater value, a gate that stopped reading
+Twice the store's largest value. With a greater value, a gate that stopped reading
 exhausts the memory of its VM. With a smaller one, changes that follow each other wait
 for the gate's next report.
 """
--- a/leverdoor/agent/watch_queue.py
+++ b/leverdoor/agent/watch_queue.py
@@ -16,10 +16,10 @@
 MAX_QUEUED_DELTAS = 1_000
 """Length of a queue, in deltas; suffices for a large apply."""
 MAX_QUEUED_BYTES = 2 * 1024 * 1024
-"""Bytes of the values in a queue; twice the store's greatest value.
+"""Bytes of the values in a queue; twice the store's largest value.
 
 With a greater value, a few slow watchers exhaust the memory of a VM. With a smaller
-one, a watcher of great resources has to list again after each of them.
+one, a watcher of large resources has to list again after each of them.
 """
 
 
--- a/leverdoor/commands/soak.py
+++ b/leverdoor/commands/soak.py
@@ -27,7 +27,7 @@
 @click.option("--reports", type=click.IntRange(0, 6), default=0, help="Targets.")
 @click.option("--restores", type=click.IntRange(0, 100), default=0, help="Drills.")
 @click.option("--links", type=click.IntRange(0, 100), default=0, help="Cuts.")
-@click.option("--great", type=click.IntRange(0, 50), default=0, help="A second.")
+@click.option("--large", type=click.IntRange(0, 50), default=0, help="A second.")
 @click.option("--entries", type=click.IntRange(1, 40), default=None, help="A region.")
 @click.option("--logs", type=click.Path(path_type=Path), help="Keep logs of failures.")
 def soak(
@@ -41,7 +41,7 @@
     reports: int,
     restores: int,
     links: int,
-    great: int,
+    large: int,
     entries: int | None,
     logs: Path | None,
 ) -> None:
@@ -53,8 +53,8 @@
     must be in force in time. With --reports, so many targets at a time leave, or ask
     for rest, in their answers. With --restores, the store comes back so many times from
     a copy without its latest changes; changes must be in force in time. With --links,
-    entries lose their links to targets so many times. With --great, so many
-    configurations a second of nearly the store's greatest value are written one after
+    entries lose their links to targets so many times. With --large, so many
+    configurations a second of nearly the store's largest value are written one after
     the other. In every soak, an entry that goes over the memory of the smallest VM is
     killed, and a promise is broken.
     """
@@ -63,7 +63,7 @@
 
     first = time.time_ns() % 1_000_000_007 if seed is None else seed
     broken = 0
-    options = SoakOptions(fatal, limits, cuts, reports, restores, links, great)
+    options = SoakOptions(fatal, limits, cuts, reports, restores, links, large)
     for number in range(first, first + count):
         site = SoakSite(entries) if entries is not None else None
         soak = Soak(number, seconds, troubles, options, site)
--- a/leverdoor/entry/admin.py
+++ b/leverdoor/entry/admin.py
@@ -28,7 +28,7 @@
 """Bytes of responses that wait for their receivers above which a fetch is rejected.
 
 A tenth of the memory of the smallest VM, and more than a link of 50 Mbit/s sends until
-the fetches time out. With a greater value, all entries that fetch a great state at once
+the fetches time out. With a greater value, all entries that fetch a large state at once
 exhaust the memory. With a smaller one, more of them turn to another peer.
 """
 
--- a/leverdoor/entry/encoded_deltas.py
+++ b/leverdoor/entry/encoded_deltas.py
@@ -32,9 +32,9 @@
 MAX_CACHED_BYTES = 4 * 1024 * 1024
 """Bytes of encoded deltas that are kept.
 
-Four of the store's greatest value, not compressed. With a greater value, entries that
+Four of the store's largest value, not compressed. With a greater value, entries that
 fetch from many positions exhaust the memory of a VM. With a smaller one, deltas of
-great values are encoded again for each of them.
+large values are encoded again for each of them.
 """
 
 
--- a/leverdoor/standins/metadata.py
+++ b/leverdoor/standins/metadata.py
@@ -32,7 +32,7 @@
 """Bytes of the values in the history, encoded; the oldest are forgotten.
 
 Twenty seconds of the greatest values, two a second. With a greater value, a series of
-great values exhausts the memory of a test machine.
+large values exhausts the memory of a test machine.
 """
 
 
--- a/leverdoor/standins/soak/memory.py
+++ b/leverdoor/standins/soak/memory.py
@@ -1,6 +1,6 @@
 # leverdoor: global traffic steering
 # SPDX-License-Identifier: Apache-2.0
-"""A long series of great configurations, and the memory that entries take meanwhile.
+"""A long series of large configurations, and the memory that entries take meanwhile.
 
 The platform kills a process that goes over the memory of its VM. The watch does so here
 and notes it. Owns what it noted; lost with the soak.
@@ -16,20 +16,20 @@
 from leverdoor.standins.entry_site import SAMPLE_ROUTES
 from leverdoor.standins.soak.site import SoakSite
 
-__all__ = ["MEMORY_MB", "MemoryWatch", "change_greatly"]
+__all__ = ["MEMORY_MB", "MemoryWatch", "write_large_configurations"]
 
 MEMORY_MB = 152
 """Memory of the smallest VM that an entry runs on, in MiB."""
-GREATEST_VALUE_BYTES = 1_048_576
-"""The greatest value that the store takes."""
+MAX_VALUE_BYTES = 1_048_576
+"""The largest value that the store takes."""
 SMALLEST_SHARE = 0.9
-"""Smallest size of a configuration, as a share of the greatest one."""
+"""Smallest size of a configuration, as a share of the largest one."""
 LOOK_S = 0.1
 """Interval in which the memory is looked at, in seconds."""
 BYTES_PER_MIB = 1024 * 1024
 
 
-def great_routes(size: int) -> list[dict[str, object]]:
+def large_routes(size: int) -> list[dict[str, object]]:
     """Return the sample routes and as many others as fit into a number of bytes."""
     routes = [dict(route) for route in SAMPLE_ROUTES]
     route_bytes = len(serialize_json(_route(0))) + 1
@@ -43,10 +43,10 @@
     return {**SAMPLE_ROUTES[0], "name": name, "path-prefix": f"/{name}/"}
 
 
-async def change_greatly(
+async def write_large_configurations(
     site: SoakSite, seed: int, rate: float, seconds: float
 ) -> None:
-    """Write great configurations one after the other.
+    """Write large configurations one after the other.
 
     Args:
       site: the site.
@@ -54,12 +54,12 @@
       rate: configurations a second.
       seconds: how long.
     """
-    rng = Random(f"great/{seed}")
+    rng = Random(f"large/{seed}")
     loop = asyncio.get_running_loop()
     until = loop.time() + seconds
     while loop.time() < until:
         share = rng.uniform(SMALLEST_SHARE, 1.0)
-        site.configure(great_routes(int(share * GREATEST_VALUE_BYTES)))
+        site.configure(large_routes(int(share * MAX_VALUE_BYTES)))
         await asyncio.sleep(1 / rate)
 
 
--- a/leverdoor/standins/soak/run.py
+++ b/leverdoor/standins/soak/run.py
@@ -24,7 +24,7 @@
 from leverdoor.standins.soak.in_force import change_again_and_again, late_changes
 from leverdoor.standins.soak.limits import LimitNamer
 from leverdoor.standins.soak.lost_links import LostLinks, draw_link_cuts
-from leverdoor.standins.soak.memory import MemoryWatch, change_greatly
+from leverdoor.standins.soak.memory import MemoryWatch, write_large_configurations
 from leverdoor.standins.soak.pipelining import PipeliningCaller
 from leverdoor.standins.soak.plan import PlannedFault, draw_plan
 from leverdoor.standins.soak.promises import breaches
@@ -105,8 +105,8 @@
     configuration again and again."""
     links: int = 0
     """Cuts of the links of entries to targets."""
-    great: int = 0
-    """Configurations a second of nearly the store's greatest value, in a row."""
+    large: int = 0
+    """Configurations a second of nearly the store's largest value, in a row."""
     judge_bound: bool = True
     """Whether changes must be in force in time beside cuts and returns of the store; on
     a machine that is busy with other work they may be late."""
@@ -114,7 +114,7 @@
     @property
     def lasts(self) -> bool:
         """Whether something goes on for the whole time, whatever the faults."""
-        return bool(self.fatal or self.limits or self.reports or self.great)
+        return bool(self.fatal or self.limits or self.reports or self.large)
 
 
 FAULTS_ALONE = SoakOptions()
@@ -214,8 +214,10 @@
             for n in range(PIPELINING_CALLERS)
         ]
         found.append(self._memory.run())
-        if options.great:
-            found.append(change_greatly(site, seed, options.great, self._seconds))
+        if options.large:
+            found.append(
+                write_large_configurations(site, seed, options.large, self._seconds)
+            )
         elif self._cuts or self._restores:
             found.append(change_again_and_again(site, seed))
         return found
--- a/leverdoor/storage/change_log.py
+++ b/leverdoor/storage/change_log.py
@@ -4,7 +4,7 @@
 
 A peer needs the newest value of each key that changed, which the replica keeps anyway.
 Former values are kept only if they are small: watches report them, and what outlasts a
-restored store is decided by the last value of a removed record. Of a great one only its
+restored store is decided by the last value of a removed record. Of a large one only its
 digest is kept, so that replicas can still compare their histories.
 
 Owns the changes, which are lost with the process. Relies on the caller to append them
@@ -28,7 +28,7 @@
 further behind fetches all entries.
 """
 SMALL_VALUE_BYTES = 1_024
-"""Length of the greatest former value that is kept, in bytes.
+"""length of the largest former value that is kept, in bytes.
 
 Three times a registration or a resource of ordinary length; all of them together take
 5 MB at most. With a smaller value, watches have to list again more often.
@@ -63,7 +63,7 @@
     """None also for a removal."""
     has_value: bool
 
-    def drop_great_value(self) -> None:
+    def drop_large_value(self) -> None:
         """Drop the value, which a later change replaces, unless it is small."""
         if self.value is not None and len(self.value) > SMALL_VALUE_BYTES:
             self.value = None
@@ -135,7 +135,7 @@
     def _append(self, change: _LoggedChange) -> None:
         replaced = self._newest.get(change.key)
         if replaced is not None:
-            replaced.drop_great_value()
+            replaced.drop_large_value()
         self._newest[change.key] = change
         self._changes.append(change)
 
--- a/leverdoor/storage/store.py
+++ b/leverdoor/storage/store.py
@@ -49,7 +49,7 @@
 MAX_LOG_BYTES = 32 * 1024 * 1024
 """Bytes of the values of these events; more than a watch of an ordinary site is behind.
 
-With a greater value, a series of great values exhausts the memory of a test machine.
+With a greater value, a series of large values exhausts the memory of a test machine.
 """
 
 
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -166,7 +166,7 @@
     return ClientBlocks(name="b", networks={"r": networks})
 
 
-async def test_watch_ends_where_a_great_value_was_replaced(
+async def test_watch_ends_where_a_large_value_was_replaced(
     api_server: ApiServer,
 ) -> None:
     """A watch without a gap must not pass over the changes that the log lacks."""
--- a/tests/test_encoded_deltas.py
+++ b/tests/test_encoded_deltas.py
@@ -15,16 +15,16 @@
 from leverdoor.storage.state import Delta, State
 from leverdoor.storage.store import Event
 
-GREATEST_VALUE_BYTES = 1_048_576
+MAX_VALUE_BYTES = 1_048_576
 
 
 def replica() -> State:
-    """Return a replica with a great value, which compression makes no shorter."""
+    """Return a replica with a large value, which compression makes no shorter."""
     state = State()
     state.apply(Delta(0, 1, True, []))
     for revision in range(2, 300):
         state.extend([Event(revision, "servers/a", b"%d" % revision)])
-    value = Random(1).randbytes(GREATEST_VALUE_BYTES)
+    value = Random(1).randbytes(MAX_VALUE_BYTES)
     state.extend([Event(300, "op/config", value)])
     return state
 
@@ -37,7 +37,7 @@
         deltas.get(Position(UNKNOWN_ERA, revision))
     held, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    assert held <= MAX_CACHED_BYTES + GREATEST_VALUE_BYTES
+    assert held <= MAX_CACHED_BYTES + MAX_VALUE_BYTES
 
 
 def test_positions_that_the_log_does_not_cover_share_one_delta() -> None:
@@ -50,7 +50,7 @@
 
 
 async def test_a_fetch_is_rejected_while_too_much_is_unsent() -> None:
-    """All entries that fetch a great state at once fill the memory with responses."""
+    """All entries that fetch a large state at once fill the memory with responses."""
     unsent = 0
     admin = AdminServer(
         wire({}),
--- a/tests/test_gate_sessions.py
+++ b/tests/test_gate_sessions.py
@@ -9,7 +9,7 @@
 from leverdoor.storage.state import Delta
 from leverdoor.storage.store import Event
 
-GREATEST_VALUE_BYTES = 1_048_576
+MAX_VALUE_BYTES = 1_048_576
 GATE = b"gate"
 
 
@@ -38,18 +38,18 @@
     )
 
 
-def delta(revision: int, size: int = GREATEST_VALUE_BYTES) -> Delta:
+def delta(revision: int, size: int = MAX_VALUE_BYTES) -> Delta:
     return Delta(revision - 1, revision, False, [Event(revision, "k", bytes(size))])
 
 
 async def test_a_gate_that_does_not_read_does_not_fill_the_memory() -> None:
-    """The link queued a thousand messages for it, each perhaps of a great value."""
+    """The link queued a thousand messages for it, each perhaps of a large value."""
     link = FakeLink()
     sessions = GateSessions(link)
     sessions.receive(GATE, report(0), 0.0)
     for revision in range(1, 301):
         await sessions.push_change(delta(revision), 0.01 * revision)
-    assert sum(d.value_bytes for d in link.sent) <= 2 * GREATEST_VALUE_BYTES
+    assert sum(d.value_bytes for d in link.sent) <= 2 * MAX_VALUE_BYTES
 
 
 async def test_reports_from_before_a_delta_do_not_send_it_again() -> None:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -106,7 +106,7 @@
     assert caught.value.code is Code.COMPACTED
 
 
-async def test_a_watch_that_is_far_behind_great_values_lists_again(
+async def test_a_watch_that_is_far_behind_large_values_lists_again(
     contract: StoreFixture,
 ) -> None:
     """Its answer has each former value, and filled the memory of a small VM."""
@@ -119,7 +119,7 @@
     assert [entry.value for entry in listing.entries] == [bytes([19]) * 1_048_576]
 
 
-async def test_the_stand_in_forgets_great_values_by_their_bytes(
+async def test_the_stand_in_forgets_large_values_by_their_bytes(
     contract: StoreFixture,
 ) -> None:
     """Its history was not bounded."""
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -99,10 +99,10 @@
     pytest.param(TARGET, target(5, "draining"), target(4), True, id="left"),
     pytest.param(TARGET, target(5), target(5), True, id="silent"),
     pytest.param(
-        TARGET, target(5, "draining") + PADDING, target(4), True, id="left, great"
+        TARGET, target(5, "draining") + PADDING, target(4), True, id="left, large"
     ),
-    pytest.param(TARGET, target(5) + PADDING, target(4), True, id="silent, great"),
-    pytest.param(TARGET, target(5) + PADDING, target(9), False, id="again, great"),
+    pytest.param(TARGET, target(5) + PADDING, target(4), True, id="silent, large"),
+    pytest.param(TARGET, target(5) + PADDING, target(9), False, id="again, large"),
     pytest.param(TARGET, target(5), target(9), False, id="registered again"),
     pytest.param(EVACUATION, b"1", b"1", True, id="evacuation taken back"),
     pytest.param(RECORD, b"a", b"a", True, id="request released"),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -77,9 +77,9 @@
 
 
 @pytest.mark.timeout(240)
-async def test_great_configurations_take_no_entry_over_its_memory() -> None:
+async def test_large_configurations_take_no_entry_over_its_memory() -> None:
     """All entries were killed at nearly the same time, and their requests lost."""
-    verdict = await Soak(7, 15.0, 2, SoakOptions(great=10)).run()
+    verdict = await Soak(7, 15.0, 2, SoakOptions(large=10)).run()
     assert verdict.breaches == []
 
 
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -15,8 +15,8 @@
 from leverdoor.storage.state import Delta, State
 from leverdoor.storage.store import Event
 
-GREATEST_VALUE_BYTES = 1_048_576
-"""The greatest value that the platform's store takes."""
+MAX_VALUE_BYTES = 1_048_576
+"""The largest value that the platform's store takes."""
 KEY = "op/config"
 
 
@@ -35,9 +35,9 @@
     return state
 
 
-def great_configurations(state: State) -> None:
+def large_configurations(state: State) -> None:
     for number in range(300):
-        write(state, KEY, value_of(GREATEST_VALUE_BYTES, number))
+        write(state, KEY, value_of(MAX_VALUE_BYTES, number))
 
 
 def ordinary_configurations(state: State) -> None:
@@ -58,7 +58,7 @@
 
 
 @pytest.mark.parametrize(
-    "changes", [great_configurations, ordinary_configurations, changes_of_many_keys]
+    "changes", [large_configurations, ordinary_configurations, changes_of_many_keys]
 )
 def test_a_series_of_changes_does_not_fill_the_memory(
     traced: None, changes: Callable[[State], None]
@@ -69,7 +69,7 @@
     changes(state)
     after, _ = tracemalloc.get_traced_memory()
     live = sum(len(e.value) for e in state.entries.values())
-    assert after - before - live <= 4 * GREATEST_VALUE_BYTES
+    assert after - before - live <= 4 * MAX_VALUE_BYTES
 
 
 def test_records_that_are_removed_do_not_fill_the_memory(traced: None) -> None:
@@ -80,22 +80,22 @@
         write(state, f"k{number}", value_of(524_288, number))
         write(state, f"k{number}", None)
     after, _ = tracemalloc.get_traced_memory()
-    assert after - before <= 4 * GREATEST_VALUE_BYTES
+    assert after - before <= 4 * MAX_VALUE_BYTES
 
 
 @pytest.mark.parametrize("lag", [1, 7, 300])
 def test_a_peer_behind_a_series_of_changes_gets_the_newest_value(lag: int) -> None:
     """Bounded memory must not cost a fetch of all entries, or of former values."""
     state = replica()
-    write(state, "unchanged", value_of(GREATEST_VALUE_BYTES, 1))
+    write(state, "unchanged", value_of(MAX_VALUE_BYTES, 1))
     peer = State(fingerprinted=True)
     peer.apply(state.delta(peer.position))
-    great_configurations(state)
+    large_configurations(state)
     missing = State(fingerprinted=True)
     at = state.position._replace(revision=state.revision - lag)
     delta = state.delta(at)
     assert not delta.full
-    assert sum(len(e.value or b"") for e in delta.events) == GREATEST_VALUE_BYTES
+    assert sum(len(e.value or b"") for e in delta.events) == MAX_VALUE_BYTES
     assert len(delta.events) + len(delta.superseded) == lag
     assert not missing.apply(delta), "it leaves a gap"
     assert peer.apply(state.delta(peer.position))
@@ -105,7 +105,7 @@
 def late_events(count: int) -> tuple[State, list[Event]]:
     """Return a replica with the newest of several changes, and all of them."""
     events = [
-        Event(2 + number, KEY, value_of(GREATEST_VALUE_BYTES, number))
+        Event(2 + number, KEY, value_of(MAX_VALUE_BYTES, number))
         for number in range(count)
     ]
     source, state = replica(), replica()
@@ -124,7 +124,7 @@
 def test_a_late_watch_of_another_history_is_noticed(number: int) -> None:
     """Also by a change whose value the log does not keep."""
     state, events = late_events(8)
-    other = Event(events[number].revision, KEY, b"other" * GREATEST_VALUE_BYTES)
+    other = Event(events[number].revision, KEY, b"other" * MAX_VALUE_BYTES)
     assert state.contradicts([other])
     assert state.contradicts([Event(other.revision, KEY, None)])
     assert state.contradicts([Event(other.revision, "other", other.value)])
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -98,7 +98,7 @@
     assert e.value.code is Code.COMPACTED
 
 
-async def test_great_values_are_compacted_by_their_bytes(backend: Backend) -> None:
+async def test_large_values_are_compacted_by_their_bytes(backend: Backend) -> None:
     """A log of 20,000 whole values filled the memory of the test machine."""
     values = [bytes([number]) * 1_000_000 for number in range(40)]
     for value in values:
--- a/tests/test_watch_queue.py
+++ b/tests/test_watch_queue.py
@@ -8,7 +8,7 @@
 from leverdoor.storage.state import Delta
 from leverdoor.storage.store import Event
 
-GREATEST_VALUE_BYTES = 1_048_576
+MAX_VALUE_BYTES = 1_048_576
 
 
 def delta(revision: int, size: int) -> Delta:
@@ -17,14 +17,14 @@
 
 
 async def test_a_watcher_that_does_not_read_does_not_fill_the_memory() -> None:
-    """A thousand queued deltas may have a great value each."""
+    """A thousand queued deltas may have a large value each."""
     queue = WatchQueue()
     tracemalloc.start()
     for revision in range(1, 301):
-        queue.put(delta(revision, GREATEST_VALUE_BYTES))
+        queue.put(delta(revision, MAX_VALUE_BYTES))
     held, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    assert held <= 4 * GREATEST_VALUE_BYTES
+    assert held <= 4 * MAX_VALUE_BYTES
     assert await queue.get() is None
 
 
@@ -39,7 +39,7 @@
 async def test_a_watcher_that_reads_gets_each_change() -> None:
     queue = WatchQueue()
     for revision in range(1, 6):
-        queue.put(delta(revision, GREATEST_VALUE_BYTES))
+        queue.put(delta(revision, MAX_VALUE_BYTES))
         found = await queue.get()
         assert found is not None
         assert found.revision == revision
