--- a/leverdoor/storage/change_log.py
+++ b/leverdoor/storage/change_log.py
@@ -28,7 +28,7 @@
 further behind fetches all entries.
 """
 SMALL_VALUE_BYTES = 1_024
-"""length of the largest former value that is kept, in bytes.
+"""Length of the largest former value that is kept, in bytes.
 
 Three times a registration or a resource of ordinary length; all of them together take
 5 MB at most. With a smaller value, watches have to list again more often.
