--- a/leverdoor/standins/crowds/play.py
+++ b/leverdoor/standins/crowds/play.py
@@ -19,7 +19,7 @@
 from leverdoor.standins.crowds.client import CrowdReport
 from leverdoor.standins.crowds.crowd import Crowd, Endpoint
 
-__all__ = ["CrowdResult", "Watched", "kill_when_set", "play_crowd"]
+__all__ = ["CrowdResult", "Watched", "kill_when_set", "play_crowd", "watch_memory"]
 
 LOOK_S = 0.05
 """Interval in which the memory is looked at, in seconds."""
@@ -98,7 +98,7 @@
     """
     result = CrowdResult(f"{crowd.name} at {endpoint.path}")
     result.before_mb = _resident_mb(watched)
-    watch = asyncio.create_task(_watch(watched, result, kill))
+    watch = asyncio.create_task(watch_memory(watched, result, kill))
     callers = {name: Callers(d, CALL_S, deadline_s) for name, d in ordinary.items()}
     process = await asyncio.create_subprocess_exec(
         sys.executable,
@@ -131,7 +131,10 @@
     end()
 
 
-async def _watch(watched: Watched, result: CrowdResult, kill: asyncio.Event) -> None:
+async def watch_memory(
+    watched: Watched, result: CrowdResult, kill: asyncio.Event
+) -> None:
+    """Keep the peaks of the memory; set an event if the process goes over its own."""
     while not result.killed:
         used_mb = _resident_mb(watched)
         unread_mb = await asyncio.to_thread(_unread_bytes, watched) / BYTES_PER_MB
