Metrics tell what replies of targets hold, and which of them are broken

An entry that went over its memory beside an endless reply showed only its resident memory: no metric told whether replies, connections of clients or the replica held it, nor that replies were broken at all. Bytes of incomplete replies and broken replies by service and fault tell the hypotheses of the incident apart.

--- a/leverdoor/entry/data_plane.py
+++ b/leverdoor/entry/data_plane.py
@@ -122,6 +122,7 @@
             lambda outcome: metrics.stream_requests.labels(outcome).inc(),
             max_streams(s.descriptors),
         )
+        self._reply_memory = ReplyMemory(s.memory_mb)
         names = context.wire.headers
         self.connections = ConnectionPool(
             ReplyNames(names.request_id, names.stamp, names.not_run),
@@ -200,7 +201,7 @@
             RelayClient(self._relay_selector, self._context.settings.relay.host),
             self._verifier,
             self._on_link_change,
-            ReplyMemory(self._context.settings.memory_mb),
+            self._reply_memory,
         )
 
     def _on_link_change(self, target: Target) -> None:
@@ -223,7 +224,12 @@
         self, router: RequestRouter, metrics: EntryMetrics
     ) -> EntryHandler:
         wire, events = self._context.wire, self._context.events
-        outcomes = OutcomeRecorder(self.placement, self.fleet, events)
+        outcomes = OutcomeRecorder(
+            self.placement,
+            self.fleet,
+            events,
+            lambda service, fault: metrics.broken_replies.labels(service, fault).inc(),
+        )
         forwarder = Forwarder(
             wire,
             self.placement,
@@ -352,6 +358,7 @@
         for (service, region), fraction in self.placement.key_fractions().items():
             self._metrics.admitted_keys.labels(service, region).set(fraction)
         self._relay_selector.forget(now)
+        self._metrics.reply_bytes.set(self._reply_memory.held_bytes)
         self._metrics.lost_links.set(self.links.lost_count)
         self._metrics.relayed_streams.set(len(self.relay_server.streams))
         self._metrics.relayed_bytes.set(self.relay_server.bytes)
--- a/leverdoor/entry/metrics.py
+++ b/leverdoor/entry/metrics.py
@@ -219,6 +219,17 @@
             ["cause"],
             registry=self.registry,
         )
+        self.broken_replies = Counter(
+            "leverdoor_entry_broken_replies",
+            "Replies of targets that were not whole replies, by what was wrong.",
+            ["service", "fault"],
+            registry=self.registry,
+        )
+        self.reply_bytes = Gauge(
+            "leverdoor_entry_reply_bytes",
+            "Bytes received of replies that are not complete.",
+            registry=self.registry,
+        )
         self._left_out = Gauge(
             "leverdoor_entry_registrations_left_out",
             "Registrations that name no target to use, by what is wrong with them.",
--- a/leverdoor/entry/requests/connection.py
+++ b/leverdoor/entry/requests/connection.py
@@ -22,7 +22,7 @@
 from loguru import logger
 
 from leverdoor.entry.links.tcp_keepalive import set_keepalive_options
-from leverdoor.entry.requests.replies import ReplyParser, TargetReply
+from leverdoor.entry.requests.replies import ReplyFault, ReplyParser, TargetReply
 from leverdoor.entry.requests.reply_memory import ReplyMemory
 from leverdoor.http.reply_proof import Proof, ReplyNames, prove_reply
 
@@ -67,15 +67,21 @@
       link_lost: whether the connection, or the peer that carried it, may be the cause
         rather than the target.
       via: name of the peer that carried the connection; "" if it was direct.
+      fault: what was wrong with the received bytes; None if there were none.
     """
 
     def __init__(
-        self, reason: str, unreachable: bool = False, closed: bool = False
+        self,
+        reason: str,
+        unreachable: bool = False,
+        closed: bool = False,
+        fault: ReplyFault | None = None,
     ) -> None:
         """Initialize the error with its reason."""
         super().__init__(reason)
         self.unreachable = unreachable
         self.closed = closed
+        self.fault = fault
         self.link_lost = False
         self.via = ""
 
@@ -150,7 +156,7 @@
         try:
             self._parser.feed(data)
         except (httptools.HttpParserError, ValueError) as e:
-            self._fail(f"malformed reply: {e!r}")
+            self._fail(f"malformed reply: {e!r}", fault=self._parser.fault)
 
     def eof_received(self) -> bool:
         """Complete a reply without length, or fail the request if it is incomplete.
@@ -169,14 +175,20 @@
         self._fail(f"connection lost: {exc!r}", unreachable, closed=not unreachable)
 
     def _fail(
-        self, reason: str, unreachable: bool = False, closed: bool = False
+        self,
+        reason: str,
+        unreachable: bool = False,
+        closed: bool = False,
+        fault: ReplyFault | None = None,
     ) -> None:
         """Close the connection and fail its pending request, if any."""
         self.reusable = False
+        if fault is None and self._parser.in_message:
+            fault = ReplyFault.CUT
         self._writable.set()
         pending = self._pending
         if pending is not None and not pending.reply.done():
-            error = ReplyLost(reason, unreachable, closed)
+            error = ReplyLost(reason, unreachable, closed, fault)
             error.via = self.via
             pending.reply.set_exception(error)
         self.close()
@@ -201,7 +213,9 @@
             return
         if proof is Proof.DOUBTFUL:
             logger.warning("reply without proof", status=reply.status)
-            self._fail(f"status {reply.status} without proof")
+            self._fail(
+                f"status {reply.status} without proof", fault=ReplyFault.UNPROVEN
+            )
             return
         reply.via = self.via
         self._on_reply(reply)
--- a/leverdoor/entry/requests/outcomes.py
+++ b/leverdoor/entry/requests/outcomes.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 from leverdoor.entry.events import Events
 from leverdoor.entry.placement.fleet import Fleet
@@ -16,7 +17,7 @@
 from leverdoor.entry.placement.policy import PlacementPolicy
 from leverdoor.entry.requests.connection import ReplyLost
 from leverdoor.entry.requests.entry_request import EntryRequest
-from leverdoor.entry.requests.replies import TargetReply
+from leverdoor.entry.requests.replies import ReplyFault, TargetReply
 from leverdoor.entry.requests.retries import WRONG_INSTANCE_STATUS
 
 __all__ = ["OutcomeRecorder"]
@@ -33,6 +34,9 @@
         policy: PlacementPolicy,
         fleet: Fleet,
         events: Events,
+        on_broken_reply: Callable[[str, ReplyFault], None] = lambda service, fault: (
+            None
+        ),
     ) -> None:
         """Initialize the recorder.
 
@@ -40,7 +44,9 @@
           policy: receives run times and warm keys.
           fleet: receives failures.
           events: the event log.
+          on_broken_reply: called with the service and the fault of each broken reply.
         """
+        self._on_broken_reply = on_broken_reply
         self._policy = policy
         self._fleet = fleet
         self._events = events
@@ -108,8 +114,10 @@
     def record_lost_reply(self, placement: Placement, error: ReplyLost) -> None:
         """Record a lost reply; a target with several lost replies is ejected.
 
-        Nothing is recorded if the link to the target may be the cause.
+        Nothing but its fault is recorded if the link to the target may be the cause.
         """
+        if error.fault is not None:
+            self._on_broken_reply(placement.target.service, error.fault)
         if error.link_lost:
             return
         if error.unreachable:
--- a/leverdoor/entry/requests/replies.py
+++ b/leverdoor/entry/requests/replies.py
@@ -7,13 +7,14 @@
 """
 
 from collections.abc import Callable
+from enum import StrEnum
 
 import httptools
 import msgspec
 
 from leverdoor.http.reply_proof import has_second_status_line
 
-__all__ = ["MAX_BODY_BYTES", "ReplyParser", "TargetReply"]
+__all__ = ["MAX_BODY_BYTES", "ReplyFault", "ReplyParser", "TargetReply"]
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
 """Maximum length of a reply body in bytes; a fifth of the memory of a 300 MB VM.
@@ -33,6 +34,19 @@
 """First status of final replies; smaller ones are interim (1xx) replies."""
 
 
+class ReplyFault(StrEnum):
+    """What is wrong with the bytes that a target sent as a reply."""
+
+    MALFORMED = "malformed"
+    """They are no HTTP reply, or their head is ambiguous."""
+    LONG_HEAD = "long head"
+    LONG_BODY = "long body"
+    UNPROVEN = "unproven"
+    """Nothing proves that the reply belongs to the request."""
+    CUT = "cut"
+    """The connection ended in the middle of the reply."""
+
+
 class TargetReply(msgspec.Struct):
     """A complete reply of a target."""
 
@@ -85,6 +99,8 @@
         self._headers_complete = False
         self.in_message = False
         """Whether a part of a reply was received, and not its end."""
+        self.fault = ReplyFault.MALFORMED
+        """What is wrong with the reply if `feed` has raised an error."""
         self.reply_has_no_body = False
         """Whether replies have no body regardless of their headers (HEAD requests)."""
 
@@ -122,6 +138,7 @@
         """Store a header."""
         self._head_bytes += len(name) + len(value)
         if self._head_bytes > MAX_HEAD_BYTES:
+            self.fault = ReplyFault.LONG_HEAD
             raise ValueError(f"reply headers exceed {MAX_HEAD_BYTES} bytes")
         key = name.decode("latin-1").lower()
         text = value.decode("latin-1")
@@ -148,6 +165,7 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
         if len(self._body) + len(body) > self._max_body_bytes:
+            self.fault = ReplyFault.LONG_BODY
             raise ValueError(f"reply body exceeds {self._max_body_bytes} bytes")
         self._body += body
 
--- a/tests/interface_table.py
+++ b/tests/interface_table.py
@@ -175,6 +175,8 @@
     "leverdoor_entry_shed_level": ("gauge", ("service", "region"), ()),
     "leverdoor_entry_unread_pauses": ("counter", (), ()),
     "leverdoor_entry_evicted_connections": ("counter", ("cause",), ()),
+    "leverdoor_entry_broken_replies": ("counter", ("service", "fault"), ()),
+    "leverdoor_entry_reply_bytes": ("gauge", (), ()),
 }
 """The same of the entry."""
 
