An entry parses replies of targets in bounded turns

Callers saw answers up to 5 s past their deadline beside six targets whose replies are chunks of one byte. The bounds on replies left 0.45 s: up to 43,000 callbacks of the parser, all that one read of the loop brings, ran at once for each connection.

The scheduler that parses requests of clients in slices, by recent work, does the same for replies, with a queue of its own; a connection is not read while its bytes wait, so that nothing more is held.

--- a/leverdoor/entry/data_plane.py
+++ b/leverdoor/entry/data_plane.py
@@ -44,7 +44,7 @@
 from leverdoor.entry.requests.forwarding import Forwarder
 from leverdoor.entry.requests.handler import EntryHandler
 from leverdoor.entry.requests.outcomes import OutcomeRecorder
-from leverdoor.entry.requests.reply_memory import ReplyMemory
+from leverdoor.entry.requests.reply_resources import ReplyResources
 from leverdoor.entry.requests.routing import RequestRouter
 from leverdoor.entry.requests.target_reports import TargetReportHandler
 from leverdoor.entry.settings import EntrySettings
@@ -122,7 +122,7 @@
             lambda outcome: metrics.stream_requests.labels(outcome).inc(),
             max_streams(s.descriptors),
         )
-        self._reply_memory = ReplyMemory(s.memory_mb)
+        self._reply_resources = ReplyResources(s.memory_mb)
         names = context.wire.headers
         self.connections = ConnectionPool(
             ReplyNames(names.request_id, names.stamp, names.not_run),
@@ -201,7 +201,7 @@
             RelayClient(self._relay_selector, self._context.settings.relay.host),
             self._verifier,
             self._on_link_change,
-            self._reply_memory,
+            self._reply_resources,
         )
 
     def _on_link_change(self, target: Target) -> None:
@@ -358,7 +358,7 @@
         for (service, region), fraction in self.placement.key_fractions().items():
             self._metrics.admitted_keys.labels(service, region).set(fraction)
         self._relay_selector.forget(now)
-        self._metrics.reply_bytes.set(self._reply_memory.held_bytes)
+        self._metrics.reply_bytes.set(self._reply_resources.memory.held_bytes)
         self._metrics.lost_links.set(self.links.lost_count)
         self._metrics.relayed_streams.set(len(self.relay_server.streams))
         self._metrics.relayed_bytes.set(self.relay_server.bytes)
--- a/leverdoor/entry/requests/connection.py
+++ b/leverdoor/entry/requests/connection.py
@@ -23,7 +23,8 @@
 
 from leverdoor.entry.links.tcp_keepalive import set_keepalive_options
 from leverdoor.entry.requests.replies import ReplyFault, ReplyParser, TargetReply
-from leverdoor.entry.requests.reply_memory import ReplyMemory
+from leverdoor.entry.requests.reply_resources import ReplyResources
+from leverdoor.http.parse_scheduler import SLICE_WORK, RecentWork
 from leverdoor.http.reply_proof import Proof, ReplyNames, prove_reply
 
 __all__ = [
@@ -35,7 +36,11 @@
 ]
 
 PIECE_BYTES = 4 * 1024
-"""Length of the pieces that are parsed at once, in bytes."""
+"""Length of the pieces that are parsed at once, in bytes.
+
+One piece has up to a thousand fields or chunks; with a greater length, a turn of the
+event loop takes longer than its share of work.
+"""
 MAX_SURPLUS_REPLIES = 8
 """Replies to other requests that are dropped while a request waits for its own.
 
@@ -112,7 +117,7 @@
         on_reply: Callable[[TargetReply], None],
         via: str = "",
         via_region: str = "",
-        memory: ReplyMemory | None = None,
+        resources: ReplyResources | None = None,
     ) -> None:
         """Initialize the protocol; the loop's `create_connection` opens it.
 
@@ -120,17 +125,23 @@
           on_reply: called with each complete reply to a request.
           via: name of the peer that carries the connection; "" if it is direct.
           via_region: region of that peer.
-          memory: what the replies of all connections hold; by default, of this one.
+          resources: what the connections to all targets share; by default, its own.
         """
-        self._memory = memory or ReplyMemory()
+        resources = resources or ReplyResources()
+        self._memory = resources.memory
+        self._scheduler = resources.scheduler
         self._on_reply = on_reply
         self.via = via
         self.via_region = via_region
         self._transport: asyncio.Transport | None = None
         self._parser = ReplyParser(self._match_reply, self._memory.max_reply_bytes)
         self._pending: _PendingRequest | None = None
+        self._unparsed = memoryview(b"")
+        """Received bytes that are not parsed yet; nothing is received meanwhile."""
+        self._memory_is_full = False
         self._surplus_replies = 0
         """Replies to other requests since the current one was sent."""
+        self.recent_work = RecentWork(0.0)
         self._writable = asyncio.Event()
         self._writable.set()
         self.reusable = True
@@ -164,9 +175,45 @@
             self._fail("received bytes without a pending request")
             return
         self._memory.add(self, len(data))
+        self._unparsed = memoryview(data)
+        now = asyncio.get_running_loop().time()
+        if self._scheduler.may_parse(self, now):
+            self._parse(SLICE_WORK, now)
+        self._wait_for_turn(now)
+
+    @property
+    def sends_ahead(self) -> bool:
+        """Return False: a target sends one reply at a time."""
+        return False
+
+    def parse_slice(self) -> None:
+        """Parse a slice in a turn of the scheduler, and continue from there."""
+        now = asyncio.get_running_loop().time()
+        self._parse(SLICE_WORK, now)
+        self._wait_for_turn(now)
+
+    def _wait_for_turn(self, now: float) -> None:
+        """Wait for another turn if bytes are left; receive more otherwise."""
+        if self._unparsed:
+            if self._transport is not None:
+                self._transport.pause_reading()
+            self._scheduler.wait(self, now)
+        else:
+            self._receive_if_possible()
+
+    def _parse(self, max_work: int, now: float) -> None:
+        """Parse received bytes for about a number of callbacks."""
+        before = self._parser.work
+        while self._unparsed and self._parser.work - before < max_work:
+            piece = self._unparsed[:PIECE_BYTES]
+            self._unparsed = self._unparsed[PIECE_BYTES:]
+            self._feed(piece)
+        self._scheduler.count(self, self._parser.work - before, now)
+
+    def _feed(self, piece: memoryview) -> None:
+        """Parse a piece; fail the request if it is malformed or exceeds a bound."""
         try:
-            for start in range(0, len(data), PIECE_BYTES):
-                self._parser.feed(data[start : start + PIECE_BYTES])
+            self._parser.feed(piece)
         except (httptools.HttpParserError, ValueError) as e:
             self._fail(f"malformed reply: {e!r}", fault=self._parser.fault)
 
@@ -175,6 +222,8 @@
 
         The end of a stream through a peer does not tell whether the reply is complete.
         """
+        while self._unparsed:
+            self._parse(SLICE_WORK, asyncio.get_running_loop().time())
         if self._pending is not None and not self.via:
             self._parser.feed_eof()
         self._fail("closed by the target", closed=True)
@@ -248,18 +297,27 @@
     def close(self) -> None:
         """Abort the connection, which cancels a request in flight."""
         self.reusable = False
+        self._unparsed = memoryview(b"")
         if self._transport is not None:
             self._transport.abort()
             self._transport = None
 
     def pause_reading(self) -> None:
         """Receive nothing while earlier replies hold too much memory."""
+        self._memory_is_full = True
         if self._transport is not None:
             self._transport.pause_reading()
 
     def resume_reading(self) -> None:
         """Receive the reply further."""
-        if self._transport is not None and not self._transport.is_closing():
+        self._memory_is_full = False
+        self._receive_if_possible()
+
+    def _receive_if_possible(self) -> None:
+        """Receive further if there is memory, and what was received is parsed."""
+        if self._memory_is_full or self._unparsed or self._transport is None:
+            return
+        if not self._transport.is_closing():
             self._transport.resume_reading()
 
     async def exchange(
@@ -297,7 +355,7 @@
             raise
         finally:
             self._pending = None
-            if reply_has_no_body or self._parser.in_message:
+            if reply_has_no_body or self._parser.in_message or self._unparsed:
                 self.reusable = False
             if not self.reusable:
                 self.close()
@@ -344,7 +402,7 @@
     port: int,
     timeout_s: float,
     on_reply: Callable[[TargetReply], None],
-    memory: ReplyMemory | None = None,
+    resources: ReplyResources | None = None,
 ) -> TargetConnection:
     """Open a direct connection to a target.
 
@@ -353,7 +411,7 @@
       port: TCP port of the target.
       timeout_s: connect timeout in seconds.
       on_reply: called with each complete reply to a request.
-      memory: what the replies of all connections hold.
+      resources: what the connections to all targets share.
     Raises:
       RequestNotSent: the connection could not be opened within the timeout.
     """
@@ -361,7 +419,7 @@
     try:
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(
-                lambda: TargetConnection(on_reply, memory=memory), host, port
+                lambda: TargetConnection(on_reply, resources=resources), host, port
             )
     except (OSError, TimeoutError) as e:
         connection_refused = isinstance(e, ConnectionRefusedError)
--- a/leverdoor/entry/requests/connector.py
+++ b/leverdoor/entry/requests/connector.py
@@ -23,7 +23,7 @@
     open_connection,
 )
 from leverdoor.entry.requests.replies import TargetReply
-from leverdoor.entry.requests.reply_memory import ReplyMemory
+from leverdoor.entry.requests.reply_resources import ReplyResources
 from leverdoor.model.resources import Target
 from leverdoor.settings import parse_address
 
@@ -61,7 +61,7 @@
         relays: RelayClient | None = None,
         verifier: LinkVerifier | None = None,
         on_link_change: Callable[[Target], None] = lambda target: None,
-        memory: ReplyMemory | None = None,
+        resources: ReplyResources | None = None,
     ) -> None:
         """Create the connector.
 
@@ -76,9 +76,9 @@
             all for lost links then.
           on_link_change: called with each target whose link was found lost, or works
             again; what this entry noted of the target's health is then void.
-          memory: what the replies of all connections hold.
+          resources: what the connections to all targets share.
         """
-        self._memory = memory or ReplyMemory()
+        self._resources = resources or ReplyResources()
         self.links = links or LinkTable()
         self._region = region
         self._on_reply = on_reply
@@ -210,7 +210,7 @@
                 address.port,
                 timeout_s,
                 lambda reply: self._handle_direct_reply(target, reply),
-                self._memory,
+                self._resources,
             )
         except RequestNotSent as e:
             result = "refused" if e.connection_refused else "timeout"
@@ -246,7 +246,7 @@
                 lambda reply: self._on_reply(target, reply),
                 peer.name,
                 peer.region,
-                self._memory,
+                self._resources,
             )
 
         connection = await self._relays.open(
