One reply beyond a bound ejects its target

A lost reply is weak evidence, since working targets lose a few; a reply that exceeds a bound is not, since none of them sends one, and each costs the memory and time of others.

--- a/leverdoor/entry/requests/outcomes.py
+++ b/leverdoor/entry/requests/outcomes.py
@@ -114,10 +114,14 @@
     def record_lost_reply(self, placement: Placement, error: ReplyLost) -> None:
         """Record a lost reply; a target with several lost replies is ejected.
 
-        Nothing but its fault is recorded if the link to the target may be the cause.
+        One reply that exceeds a bound suffices, as it costs what other replies need.
+        Nothing else is recorded if the link to the target may be the cause.
         """
         if error.fault is not None:
             self._on_broken_reply(placement.target.service, error.fault)
+            if error.fault.is_excess:
+                self.record_unreached(placement, f"reply with {error.fault}")
+                return
         if error.link_lost:
             return
         if error.unreachable:
--- a/leverdoor/entry/requests/replies.py
+++ b/leverdoor/entry/requests/replies.py
@@ -69,6 +69,16 @@
     CUT = "cut"
     """The connection ended in the middle of the reply."""
 
+    @property
+    def is_excess(self) -> bool:
+        """Whether the reply exceeded a bound, which no working server does."""
+        return self in (
+            ReplyFault.LONG_HEAD,
+            ReplyFault.LONG_BODY,
+            ReplyFault.SMALL_PARTS,
+            ReplyFault.SURPLUS,
+        )
+
 
 class TargetReply(msgspec.Struct):
     """A complete reply of a target."""
