Bytes of other programs are decoded in one place, with one kind of error

The decoder raises RecursionError for depth, ValueError for a lone byte or too many digits; most readers caught its own errors only, and what they missed ended the loop around them, which started again at the same record.

A guard of another writer counts as empty, keys of etcd need not be UTF-8. A configuration may have unknown fields of any depth: what is deep is left out, so that a configuration which the store accepted stays in force through a restart.

--- a/leverdoor/agent/probing.py
+++ b/leverdoor/agent/probing.py
@@ -13,6 +13,7 @@
 import aiohttp
 import msgspec
 
+from leverdoor.codec import decode_json
 from leverdoor.model.probe import Probe
 
 __all__ = ["Prober", "TargetReport"]
@@ -60,7 +61,7 @@
             async with self._session.get(f"http://{address}{PROBE_PATH}") as response:
                 if response.status == 404:
                     return Probe(True, taken_at=loop.time(), reports=False)
-                report = msgspec.json.decode(await response.read(), type=TargetReport)
+                report = decode_json(await response.read(), TargetReport)
         except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError):
             return Probe(False, taken_at=loop.time())
         return Probe(True, report.leaving, report.in_flight, loop.time())
--- a/leverdoor/agent/reports.py
+++ b/leverdoor/agent/reports.py
@@ -12,6 +12,7 @@
 import aiohttp
 import msgspec
 
+from leverdoor.codec import decode_json
 from leverdoor.errors import Code, LeverdoorError
 from leverdoor.membership.ownership import cap_row_name
 from leverdoor.membership.peers import Peer, Peers
@@ -225,6 +226,6 @@
             self._session = new_session(FETCH_TIMEOUT_S)
         try:
             async with self._session.get(f"http://{relay}/v1/burn") as response:
-                return msgspec.json.decode(await response.read(), type=list[Series])
+                return decode_json(await response.read(), list[Series])
         except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError):
             return None
--- a/leverdoor/analysis/log_lines.py
+++ b/leverdoor/analysis/log_lines.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from leverdoor.codec import decode_json
+
 __all__ = ["BadLine", "Log", "LogLine", "parse_log"]
 
 
@@ -65,14 +67,14 @@
     if start < 0:
         return "no JSON object"
     try:
-        fields = msgspec.json.decode(line[start:])
+        fields = decode_json(line[start:], object)
     except msgspec.DecodeError as e:
         return f"not JSON: {e}"
     if not isinstance(fields, dict) or "event" not in fields:
         return "a JSON object without an event"
     try:
         at = float(fields.pop("t", 0.0))
-    except (TypeError, ValueError):
+    except (TypeError, ValueError, OverflowError):
         return "an event whose time is not a number"
     event = str(fields.pop("event"))
     return LogLine(at, str(fields.pop("entry", "")), event, fields, number)
--- a/leverdoor/client/caller.py
+++ b/leverdoor/client/caller.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from leverdoor import headers as h
-from leverdoor.codec import parse_json
+from leverdoor.codec import decode_json, parse_json
 from leverdoor.errors import Code, ConfigError, Problem, Refusal, Run
 from leverdoor.gate.hop_client import refusal_from_problem
 from leverdoor.gate.lookups import LookupAnswer, LookupEntry
@@ -115,7 +115,7 @@
             raise Refusal(Code.CONNECT_FAILED, repr(e)) from None
         if answer.status != 200:
             raise _refusal(data)
-        return msgspec.json.decode(data, type=LookupAnswer)
+        return decode_json(data, LookupAnswer)
 
     async def request(
         self,
--- a/leverdoor/client/load.py
+++ b/leverdoor/client/load.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import json
 from collections.abc import Sequence
 from random import Random
 
@@ -14,6 +13,7 @@
 from hdrh.histogram import HdrHistogram
 
 from leverdoor.client.caller import Caller
+from leverdoor.codec import decode_json
 from leverdoor.errors import Code, Refusal, Run
 
 __all__ = ["Load", "LoadPlan", "LoadResult", "Stream", "StreamResult"]
@@ -175,11 +175,17 @@
         result.served_by[place] = result.served_by.get(place, 0) + 1
 
 
+class _OwnReply(msgspec.Struct):
+    """The part of a stand-in's reply that names its request."""
+
+    request_id: str
+
+
 def _own(body: bytes, request_id: str) -> bool:
     """Check that an answer of a target stand-in is this request's and whole."""
     try:
-        return bool(json.loads(body)["request_id"] == request_id)
-    except (ValueError, KeyError, TypeError):
+        return decode_json(body, _OwnReply).request_id == request_id
+    except msgspec.DecodeError:
         return False
 
 
--- a/leverdoor/client/operator.py
+++ b/leverdoor/client/operator.py
@@ -14,7 +14,7 @@
 
 from leverdoor.agent.api import Change, ItemList, Status
 from leverdoor.agent.reports import Report
-from leverdoor.codec import serialize_json
+from leverdoor.codec import decode_json, serialize_json
 from leverdoor.errors import Code, LeverdoorError, OutcomeUnknown, Problem
 from leverdoor.model.position import UNKNOWN_ERA
 from leverdoor.model.resources import Resource
@@ -61,7 +61,7 @@
         data = await self._call(
             "POST", path, serialize_json(list(resources)), head, again=False
         )
-        return msgspec.json.decode(data, type=Applied)
+        return decode_json(data, Applied)
 
     async def delete(self, key: str, condition: int | None = None) -> Applied:
         """Delete a resource."""
@@ -69,7 +69,7 @@
         data = await self._call(
             "DELETE", f"/v1/resources/{key}", None, head, again=False
         )
-        return msgspec.json.decode(data, type=Applied)
+        return decode_json(data, Applied)
 
     async def wait(self, revision: int, entries: int, timeout_s: float) -> Status:
         """Wait until a revision is in force on all entries.
@@ -99,7 +99,7 @@
     async def get(self, path: str = "") -> ItemList:
         """Read all resources, or those of one kind."""
         data = await self._call("GET", "/v1/resources" + (f"/{path}" if path else ""))
-        return msgspec.json.decode(data, type=ItemList)
+        return decode_json(data, ItemList)
 
     async def get_one(self, key: str) -> bytes:
         """Read one resource as JSON, with its revision."""
@@ -108,12 +108,12 @@
     async def status(self, revision: int = 0) -> Status:
         """Read how far a revision, or the latest, is in force."""
         path = "/v1/status" + (f"?revision={revision}" if revision else "")
-        return msgspec.json.decode(await self._call("GET", path), type=Status)
+        return decode_json(await self._call("GET", path), Status)
 
     async def report(self, name: str) -> Report:
         """Read a report."""
         data = await self._call("GET", f"/v1/reports/{name}")
-        return msgspec.json.decode(data, type=Report)
+        return decode_json(data, Report)
 
     async def watch(
         self, kind: str = "", since: int | None = None, era: int = UNKNOWN_ERA
@@ -135,7 +135,7 @@
         if era != UNKNOWN_ERA:
             path += f"&era={era}"
         async for line in self._lines(path):
-            yield msgspec.json.decode(line, type=Change)
+            yield decode_json(line, Change)
 
     async def watch_report(self, name: str) -> AsyncIterator[bytes]:
         """Yield a report as JSON each time it changes."""
@@ -188,7 +188,7 @@
 
 def _error(data: bytes) -> LeverdoorError:
     try:
-        p = msgspec.json.decode(data, type=Problem)
+        p = decode_json(data, Problem)
         return LeverdoorError(
             Code(p.code),
             p.detail,
--- a/leverdoor/codec.py
+++ b/leverdoor/codec.py
@@ -3,19 +3,92 @@
 """Serialization: JSON for operators and the platform, MessagePack between processes.
 
 Messages and resources are encoded and decoded here; the doc string of a type says
-whether it is sent. Owns no state.
+whether it is sent. What another program wrote is decoded by `decode_json` or `unpack`,
+which raise one kind of error whatever the bytes are: the library raises others for deep
+nesting, invalid UTF-8 and numbers out of range. Owns no state.
 """
 
+import re
 from typing import Any, TypeVar
 
 import msgspec
 
 from leverdoor.errors import Code, ConfigError
 
-__all__ = ["pack", "parse_json", "serialize_json", "unpack"]
+__all__ = [
+    "UndecodableError",
+    "decode_json",
+    "decode_nested_json",
+    "pack",
+    "parse_json",
+    "serialize_json",
+    "unpack",
+]
 
 T = TypeVar("T")
 
+MAX_DEPTH = 64
+"""Depth to which values of JSON are read; documents of this project have up to five."""
+BRACKETS = (b"[", b"]", b"{", b"}")
+JSON_TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[{]|[\]}]|[^"\[\]{}]+|"', re.DOTALL)
+"""A string, a bracket, or what stands between them."""
+
+
+class UndecodableError(msgspec.DecodeError):
+    """Bytes that the decoder could not process."""
+
+
+def decode_json(data: bytes | str, kind: type[T], *, strict: bool = True) -> T:
+    """Decode JSON that another program wrote.
+
+    Args:
+      data: the JSON document, of any content.
+      kind: the type to decode into.
+      strict: whether numbers in strings are rejected.
+    Raises:
+      msgspec.DecodeError: the data is not JSON of this type.
+    """
+    try:
+        return msgspec.json.decode(data, type=kind, strict=strict)
+    except msgspec.MsgspecError:
+        raise
+    except (RecursionError, ValueError, OverflowError) as e:
+        raise UndecodableError(repr(e)) from None
+
+
+def decode_nested_json(data: bytes, kind: type[T]) -> T:
+    """Decode JSON of any depth; values deeper than `MAX_DEPTH` count as null.
+
+    A document may have unknown fields with values of any depth.
+
+    Args:
+      data: the JSON document, of any content.
+      kind: the type to decode into.
+    Raises:
+      msgspec.DecodeError: the data is not JSON of this type.
+    """
+    try:
+        return decode_json(data, kind)
+    except UndecodableError:
+        return decode_json(_without_deep_values(data), kind)
+
+
+def _without_deep_values(data: bytes) -> bytes:
+    """Replace values below `MAX_DEPTH` by null; the rest stays as it is."""
+    kept: list[bytes] = []
+    depth = 0
+    for match in JSON_TOKEN.finditer(data):
+        token = match[0]
+        if token in (b"]", b"}"):
+            depth -= 1
+        if token in (b"[", b"{") and depth == MAX_DEPTH:
+            kept.append(b"null")
+        elif depth < MAX_DEPTH or (depth == MAX_DEPTH and token not in BRACKETS):
+            kept.append(token)
+        if token in (b"[", b"{"):
+            depth += 1
+    return b"".join(kept)
+
 
 def parse_json(data: bytes | str, kind: type[T]) -> T:
     """Parse JSON into a typed value.
@@ -29,12 +102,12 @@
         does not match the type, with the field where msgspec names it.
     """
     try:
-        return msgspec.json.decode(data, type=kind)
+        return decode_json(data, kind)
     except msgspec.ValidationError as e:
         raise ConfigError(
             Code.UNKNOWN_FIELD, str(e), field=_field_in_message(str(e))
         ) from None
-    except (msgspec.DecodeError, UnicodeDecodeError) as e:
+    except msgspec.DecodeError as e:
         raise ConfigError(Code.MALFORMED, str(e)) from None
 
 
@@ -49,7 +122,7 @@
 
 
 def unpack(data: bytes, kind: type[T]) -> T:
-    """Parse a MessagePack message from another process.
+    """Decode a MessagePack message from another process.
 
     Args:
       data: the bytes of one message.
@@ -58,7 +131,12 @@
     Raises:
       msgspec.DecodeError: the data is not a message of this type.
     """
-    return msgspec.msgpack.decode(data, type=kind)
+    try:
+        return msgspec.msgpack.decode(data, type=kind)
+    except msgspec.MsgspecError:
+        raise
+    except (RecursionError, ValueError, OverflowError) as e:
+        raise UndecodableError(repr(e)) from None
 
 
 def _field_in_message(message: str) -> str:
--- a/leverdoor/gate/hop_client.py
+++ b/leverdoor/gate/hop_client.py
@@ -19,6 +19,7 @@
 from yarl import URL
 
 from leverdoor import headers as h
+from leverdoor.codec import decode_json
 from leverdoor.errors import Code, Problem, Refusal, Run
 from leverdoor.http.reply_proof import Proof, ReplyNames, prove_reply
 from leverdoor.sessions import new_session
@@ -148,12 +149,20 @@
         return bodyless or "Content-Length" in head or "Transfer-Encoding" in head
 
     async def problem(self) -> Problem | None:
-        """Return the refusal that a gate sent instead of a response, if any."""
+        """Return the refusal that a gate sent instead of a response, if any.
+
+        Raises:
+          Refusal: ANSWER_LOST, the refusal cannot be read.
+        """
         code = self._response.headers.get(h.CODE, "0")
         if not self.relay or code == "0":
             return None
         data = await self._response.read()
-        return msgspec.json.decode(data, type=Problem)
+        try:
+            return decode_json(data, Problem)
+        except msgspec.MsgspecError as e:
+            self.close()
+            raise Refusal(Code.ANSWER_LOST, f"unreadable refusal: {e}") from None
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body.
--- a/leverdoor/gate/idempotency_keys.py
+++ b/leverdoor/gate/idempotency_keys.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+from leverdoor.codec import unpack
 from leverdoor.errors import Code, Refusal
 
 __all__ = ["Key", "KeyRegistry", "KeyState", "Outcome", "parse_key", "serialize_key"]
@@ -77,7 +78,7 @@
     """
     try:
         raw = base64.urlsafe_b64decode(text + "=" * (-len(text) % 4))
-        return msgspec.msgpack.decode(raw, type=Key)
+        return unpack(raw, Key)
     except (ValueError, msgspec.MsgspecError):
         raise Refusal(Code.KEY_INVALID) from None
 
--- a/leverdoor/membership/ownership.py
+++ b/leverdoor/membership/ownership.py
@@ -35,6 +35,8 @@
 import msgspec
 import xxhash
 
+from leverdoor.codec import unpack
+
 __all__ = [
     "Ack",
     "GateProcess",
@@ -148,7 +150,7 @@
 
 def parse_table(data: bytes) -> Table:
     """Parse a table in the format of the store."""
-    return msgspec.msgpack.decode(data, type=Table)
+    return unpack(data, Table)
 
 
 def serialize_table(table: Table) -> bytes:
--- a/leverdoor/platform/formats.py
+++ b/leverdoor/platform/formats.py
@@ -13,6 +13,7 @@
 import msgspec
 from loguru import logger
 
+from leverdoor.codec import decode_json, decode_nested_json
 from leverdoor.entry.wire import (
     LeftOutRegistration,
     StoreContents,
@@ -133,11 +134,12 @@
     def _apply_config(self, item: KeyValue) -> None:
         """Apply a new configuration; keep the previous one if it cannot be decoded."""
         try:
-            config = msgspec.json.decode(item.value, type=OperatorConfig)
+            config = decode_nested_json(item.value, OperatorConfig)
             self._config_resources = config.to_resources()
             self._config = config
             self._apply_services(config)
-        except msgspec.MsgspecError as e:
+        except (msgspec.MsgspecError, ValueError, OverflowError) as e:
+            # Values of the right type may still fit no resource, such as 1e400.
             logger.error("configuration not taken", key=item.key, error=str(e))
         # The position is kept for an invalid document as well, so that the document is
         # decoded and logged only once.
@@ -216,15 +218,15 @@
 
 def _version_number(value: bytes) -> int:
     try:
-        return int(msgspec.json.decode(value, type=_Versioned).version, 16)
-    except (msgspec.MsgspecError, ValueError, RecursionError):
+        return int(decode_nested_json(value, _Versioned).version, 16)
+    except (msgspec.MsgspecError, ValueError):
         return UNREADABLE
 
 
 def _describe_registration(value: bytes) -> RecordFacts:
     try:
-        found = msgspec.json.decode(value, type=_Sequenced)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        found = decode_json(value, _Sequenced)
+    except msgspec.MsgspecError:
         return RecordFacts(RecordKind.REGISTRATION, UNREADABLE)
     return RecordFacts(
         RecordKind.REGISTRATION, found.sequence, found.state == LEAVING_STATE
--- a/leverdoor/platform/registrations.py
+++ b/leverdoor/platform/registrations.py
@@ -16,6 +16,7 @@
 import msgspec
 from msgspec import Meta
 
+from leverdoor.codec import decode_json
 from leverdoor.errors import SettingsError
 from leverdoor.model.resources import Target
 from leverdoor.settings import parse_address
@@ -106,9 +107,6 @@
     Some deployments omit it."""
 
 
-_DECODER = msgspec.json.Decoder(_Server)
-
-
 def parse_registration(name: str, data: bytes, allowed: AllowedReferences) -> Target:
     """Decode and validate the registration of a target.
 
@@ -127,8 +125,8 @@
             f"{name!r} is not 1 to {MAX_NAME_LENGTH} printable ASCII non-spaces",
         )
     try:
-        server = _DECODER.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as e:
+        server = decode_json(data, _Server)
+    except msgspec.MsgspecError as e:
         raise InvalidRegistrationError(RejectionCause.UNREADABLE, str(e)) from None
     region = allowed.zones.get(server.zone)
     if region is None:
--- a/leverdoor/platform/settings.py
+++ b/leverdoor/platform/settings.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from leverdoor.codec import decode_json
 from leverdoor.entry.settings import EntrySettings
 from leverdoor.errors import SettingsError
 from leverdoor.settings import Address, parse_address
@@ -185,6 +186,6 @@
       SettingsError: a field is missing or invalid; the message names it.
     """
     try:
-        return msgspec.json.decode(data, type=PlatformSettings)
+        return decode_json(data, PlatformSettings)
     except msgspec.MsgspecError as e:
         raise SettingsError(str(e)) from None
--- a/leverdoor/platform/store.py
+++ b/leverdoor/platform/store.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from leverdoor.codec import decode_json
 from leverdoor.errors import Code, LeverdoorError, OutcomeUnknown, StoreUnavailable
 from leverdoor.http.client import HttpClient
 from leverdoor.http.client_connection import (
@@ -428,6 +429,6 @@
 
 def _parse_response(data: bytes, kind: type[T]) -> T:
     try:
-        return msgspec.json.decode(data, type=kind)
+        return decode_json(data, kind)
     except msgspec.MsgspecError as e:
         raise StoreUnavailable(f"invalid response from the store: {e}") from None
--- a/leverdoor/quarantine/records.py
+++ b/leverdoor/quarantine/records.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from leverdoor.codec import serialize_json
+from leverdoor.codec import decode_json, serialize_json
 from leverdoor.quarantine.crashes import CRASH_RETENTION_S
 from leverdoor.quarantine.quarantine import HOLD_S, MAX_TRIALS, TRIAL_DELAY_S, Hold
 
@@ -48,7 +48,7 @@
     Raises:
       msgspec.MsgspecError: the data is not a valid record.
     """
-    return msgspec.json.decode(data, type=QuarantineRecord)
+    return decode_json(data, QuarantineRecord)
 
 
 def serialize_record(record: QuarantineRecord) -> bytes:
--- a/leverdoor/queries/get.py
+++ b/leverdoor/queries/get.py
@@ -6,11 +6,13 @@
 """
 
 from collections.abc import Sequence
+from typing import Any
 
 import click
 import msgspec
 
 from leverdoor.client.operator import Operator
+from leverdoor.codec import decode_json
 from leverdoor.settings import Address
 from leverdoor.terminal import api_option, output_option, print_rows, run
 
@@ -35,7 +37,7 @@
             return
         rows = []
         for item in listing.items:
-            resource = msgspec.json.decode(item.resource)
+            resource = decode_json(item.resource, dict[str, Any])
             rows.append(
                 {
                     "kind": resource["kind"],
--- a/leverdoor/storage/configuration.py
+++ b/leverdoor/storage/configuration.py
@@ -16,6 +16,7 @@
 from loguru import logger
 from returns.result import Failure, Result, Success
 
+from leverdoor.codec import decode_json
 from leverdoor.errors import (
     Code,
     ConfigError,
@@ -263,7 +264,14 @@
 
 
 def _parse_guard(entry: KeyValue | None) -> Guard:
-    return msgspec.json.decode(entry.value, type=Guard) if entry else Guard([])
+    """Return the guard; an unreadable one counts as empty, and is replaced."""
+    if entry is None:
+        return Guard([])
+    try:
+        return decode_json(entry.value, Guard)
+    except msgspec.MsgspecError as e:
+        logger.error("guard of writes cannot be read", key=entry.key, error=str(e))
+        return Guard([])
 
 
 def _check_conditions(
--- a/leverdoor/storage/etcd.py
+++ b/leverdoor/storage/etcd.py
@@ -15,6 +15,7 @@
 import aiohttp
 import msgspec
 
+from leverdoor.codec import decode_json
 from leverdoor.errors import Code, LeverdoorError, OutcomeUnknown, StoreUnavailable
 from leverdoor.model.position import Position
 from leverdoor.sessions import new_session
@@ -146,7 +147,10 @@
             raise StoreUnavailable(f"{path}: HTTP 503")
         if response.status != 200:
             raise OutcomeUnknown(f"{path}: HTTP {response.status}")
-        return msgspec.json.decode(data, type=response_type, strict=False)
+        try:
+            return decode_json(data, response_type, strict=False)
+        except msgspec.MsgspecError as e:
+            raise OutcomeUnknown(f"{path}: unreadable response: {e}") from None
 
     def _switch_member(self) -> None:
         self._member = (self._member + 1) % len(self._urls)
@@ -204,7 +208,10 @@
 
 
 def _events(line: bytes) -> list[Event]:
-    result = msgspec.json.decode(line, type=_WatchMessage, strict=False).result
+    try:
+        result = decode_json(line, _WatchMessage, strict=False).result
+    except msgspec.MsgspecError as error:
+        raise StoreUnavailable(f"unreadable message: {error}") from None
     # The service cancels a watch if its start revision is compacted.
     if result.canceled:
         raise LeverdoorError(Code.COMPACTED, revision=result.compact_revision)
@@ -238,13 +245,23 @@
 
 
 def from_base64(text: str) -> bytes:
-    """Decode a key or value of the JSON API."""
-    return base64.b64decode(text)
+    """Decode a key or value of the JSON API.
+
+    Raises:
+      StoreUnavailable: the text is not base64.
+    """
+    try:
+        return base64.b64decode(text)
+    except ValueError as e:
+        raise StoreUnavailable(f"no base64 in a response: {e}") from None
 
 
 def decode_key(text: str) -> str:
-    """Decode a key of the JSON API."""
-    return from_base64(text).decode()
+    """Decode a key of the JSON API.
+
+    Other writers may use keys that are not UTF-8; these stay distinct.
+    """
+    return from_base64(text).decode(errors="backslashreplace")
 
 
 def _range_end(prefix: str) -> str:
--- a/leverdoor/storage/history.py
+++ b/leverdoor/storage/history.py
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from leverdoor.codec import decode_json
 from leverdoor.model.position import UNKNOWN_ERA, Position
 from leverdoor.storage.state import PREFIX, TABLES, State
 from leverdoor.storage.store import KeyValue, Listing, Write
@@ -53,7 +54,7 @@
     Raises:
       msgspec.MsgspecError: the value is malformed.
     """
-    return msgspec.json.decode(value, type=HistoryMarker)
+    return decode_json(value, HistoryMarker)
 
 
 def serialize_marker(marker: HistoryMarker) -> bytes:
--- a/leverdoor/storage/vm_list_client.py
+++ b/leverdoor/storage/vm_list_client.py
@@ -12,6 +12,7 @@
 import aiohttp
 import msgspec
 
+from leverdoor.codec import decode_json
 from leverdoor.errors import Code, ConfigError, LeverdoorError
 from leverdoor.sessions import new_session
 
@@ -76,7 +77,7 @@
       ConfigError: MALFORMED, the data is not a JSON array of VMs.
     """
     try:
-        return msgspec.json.decode(data, type=list[Vm])
+        return decode_json(data, list[Vm])
     except msgspec.MsgspecError as e:
         raise ConfigError(Code.MALFORMED, str(e)) from None
 
