Numbers of any length in headers raise no error of their own

A target whose replies carry `Keep-Alive: timeout=` with 5,000 digits had each of them turned into 502, also its promise of not having run, and was never left alone: int() rejects over 4,300 digits, and str.isdigit accepts digits that int() does not. The same stood in the era of the store and in numbers that callers of the resource API send.

Patterns of at most 9 or 18 ASCII digits decide before int() is called. What a target says of itself is processed apart from its reply, whose request has its answer even if a report cannot be processed.

--- a/leverdoor/agent/api.py
+++ b/leverdoor/agent/api.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import re
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import msgspec
@@ -36,6 +37,8 @@
 
 __all__ = ["MAX_BODY_BYTES", "Api", "Change", "Item", "ItemList", "Status"]
 
+WHOLE_NUMBER = re.compile(r"[0-9]{1,18}", re.ASCII)
+"""A revision, an era or a time: a decimal number that fits 64 bits."""
 MAX_BODY_BYTES = 1_000_000
 """Maximum size of a request body in bytes; equals the store's limit for a value."""
 BOOKMARK_S = 5.0
@@ -321,7 +324,7 @@
 
 def _parse_number(request: web.Request, name: str, default: int) -> int:
     text = request.query.get(name, str(default))
-    if not text.isdigit():
+    if not WHOLE_NUMBER.fullmatch(text):
         raise ConfigError(
             Code.UNKNOWN_FIELD, f"{name} must be a whole number", field=name
         )
@@ -342,7 +345,7 @@
     text = request.headers.get("If-Match", "").strip('"')
     if not text:
         return None
-    if not text.isdigit():
+    if not WHOLE_NUMBER.fullmatch(text):
         raise ConfigError(
             Code.UNKNOWN_FIELD, "If-Match must be a revision", field="If-Match"
         )
--- a/leverdoor/entry/requests/connection.py
+++ b/leverdoor/entry/requests/connection.py
@@ -282,7 +282,11 @@
             )
             return
         reply.via = self.via
-        self._on_reply(reply)
+        try:
+            self._on_reply(reply)
+        except Exception:
+            # What the target says of itself must not lose a whole reply.
+            logger.exception("report of a target not processed")
         if not keep_alive:
             self.reusable = False
         pending.reply.set_result(reply)
--- a/leverdoor/entry/requests/connection_pool.py
+++ b/leverdoor/entry/requests/connection_pool.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import re
 from collections.abc import Callable, Mapping
 
 from leverdoor.entry.requests.connection import (
@@ -60,6 +61,9 @@
 The rest is available to connections that are opened for a request.
 """
 
+SECONDS = re.compile(r"[0-9]{1,9}", re.ASCII)
+"""An idle timeout of a target, in whole seconds; a longer number counts as none."""
+
 
 class ConnectionPool:
     """Persistent connections by target, each with at most one request in flight."""
@@ -278,6 +282,6 @@
     """Return the idle timeout in seconds for a Keep-Alive header."""
     for part in keep_alive.split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.strip().isdigit():
+        if name.lower() == "timeout" and SECONDS.fullmatch(value.strip()):
             return max(0.0, int(value) - IDLE_TIMEOUT_MARGIN_S)
     return DEFAULT_IDLE_TIMEOUT_S
--- a/leverdoor/platform/store.py
+++ b/leverdoor/platform/store.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import re
 from collections.abc import AsyncIterator, Sequence
 from typing import NamedTuple, TypeVar
 
@@ -88,6 +89,10 @@
 A decimal number that rises by one each time the store comes back from a copy, without
 its latest changes.
 """
+ERA = re.compile(r"[0-9]{1,18}", re.ASCII)
+"""An era: a decimal number that fits 64 bits."""
+MAX_SHOWN = 40
+"""Greatest number of characters of an invalid value in an error."""
 EVENT_BATCH_DELAY_S = 0.1
 """Delay after a watch call that returned events, in seconds; it batches later events.
 
@@ -422,8 +427,8 @@
     """
     if text is None:
         return UNKNOWN_ERA
-    if not text.isascii() or not text.isdigit():
-        raise StoreUnavailable(f"invalid era of the store: {text!r}")
+    if not ERA.fullmatch(text):
+        raise StoreUnavailable(f"invalid era of the store: {text[:MAX_SHOWN]!r}")
     return int(text)
 
 
--- a/tests/test_foreign_bytes.py
+++ b/tests/test_foreign_bytes.py
@@ -5,6 +5,7 @@
 Any other error would end the loop that reads them, or a start.
 """
 
+import asyncio
 import base64
 from collections.abc import Callable
 from pathlib import Path
@@ -13,14 +14,22 @@
 
 import msgspec
 import pytest
+from aiohttp.test_utils import make_mocked_request
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from leverdoor import codec
+from leverdoor.agent.api import _parse_condition, _parse_number
 from leverdoor.analysis.log_lines import parse_log
 from leverdoor.entry.membership.member import Member
 from leverdoor.entry.quarantine_records import QuarantineRecords
-from leverdoor.errors import ConfigError, LeverdoorError
+from leverdoor.entry.requests.connection import TargetConnection
+from leverdoor.entry.requests.connection_pool import (
+    DEFAULT_IDLE_TIMEOUT_S,
+    _idle_timeout_s,
+)
+from leverdoor.errors import ConfigError, LeverdoorError, StoreUnavailable
+from leverdoor.http.reply_proof import ReplyNames
 from leverdoor.membership.ownership import Table, parse_table
 from leverdoor.model.resources import parse_resource, parse_resources
 from leverdoor.platform.formats import CONFIG_KEY, Translator, describe_record
@@ -30,7 +39,7 @@
     parse_registration,
 )
 from leverdoor.platform.settings import parse_settings
-from leverdoor.platform.store import _parse_response, _WatchResponse
+from leverdoor.platform.store import _parse_era, _parse_response, _WatchResponse
 from leverdoor.quarantine.fingerprint import fingerprint_text
 from leverdoor.quarantine.records import parse_record
 from leverdoor.storage.configuration import _parse_guard
@@ -200,3 +209,36 @@
         and any(call in path.read_text() for call in calls)
     }
     assert found == {"codec.py"}
+
+
+@pytest.mark.parametrize("digits", ["9" * 5_000, "²", "٣", "-1", "1e999", "NaN", ""])
+def test_no_number_of_a_header_raises_another_error_than_its_readers(
+    digits: str,
+) -> None:
+    """A Keep-Alive of 5,000 digits turned each answer of its target into 502."""
+    assert _idle_timeout_s(f"timeout={digits}") == DEFAULT_IDLE_TIMEOUT_S
+    with pytest.raises(StoreUnavailable):
+        _parse_era(digits)
+    request = make_mocked_request(
+        "GET", f"/?since={digits}", {"If-Match": digits or "x"}
+    )
+    with pytest.raises(ConfigError):
+        _parse_number(request, "since", 0)
+    with pytest.raises(ConfigError):
+        _parse_condition(request)
+
+
+async def test_a_reply_is_whole_though_its_report_cannot_be_processed() -> None:
+    """An answer that promised not to have run became 502."""
+
+    def fail(reply: object) -> None:
+        raise ValueError("report")
+
+    connection = TargetConnection(fail)
+    connection.connection_made(Mock(spec=asyncio.Transport))
+    names = ReplyNames("x-id", not_run="x-not-run")
+    sent = asyncio.ensure_future(connection.exchange(b"", b"", "1", names, False))
+    await asyncio.sleep(0)
+    head = b"HTTP/1.1 503 No\r\nX-Id: 1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    connection.data_received(head)
+    assert (await sent).status == 503
