Agents, gates and operators read bodies of others up to a bound

The HTTP library reads a body to its end, and only the time of the call bounds it: the VM list, the answers and watches of etcd, reports of gates and refusals were read like this too.

read_body() refuses an announced length at once and stops at its bound: 64 KiB of reports and errors, 32 MiB of listings, also for a line of a watch.

Listings of endless bodies ended by their time limit before and by the bound now.

--- a/leverdoor/agent/probing.py
+++ b/leverdoor/agent/probing.py
@@ -15,6 +15,7 @@
 
 from leverdoor.codec import decode_json
 from leverdoor.model.probe import Probe
+from leverdoor.sessions import MAX_REPORT_BYTES, read_body
 
 __all__ = ["Prober", "TargetReport"]
 
@@ -61,7 +62,9 @@
             async with self._session.get(f"http://{address}{PROBE_PATH}") as response:
                 if response.status == 404:
                     return Probe(True, taken_at=loop.time(), reports=False)
-                report = decode_json(await response.read(), TargetReport)
+                report = decode_json(
+                    await read_body(response, MAX_REPORT_BYTES), TargetReport
+                )
         except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError):
             return Probe(False, taken_at=loop.time())
         return Probe(True, report.leaving, report.in_flight, loop.time())
--- a/leverdoor/agent/reports.py
+++ b/leverdoor/agent/reports.py
@@ -18,7 +18,7 @@
 from leverdoor.membership.peers import Peer, Peers
 from leverdoor.model.burn import BurnLine, Series, merge_series, summarize
 from leverdoor.model.position import Position
-from leverdoor.sessions import new_session
+from leverdoor.sessions import MAX_LISTING_BYTES, new_session, read_body
 from leverdoor.storage.state import State
 from leverdoor.storage.view import ViewCache
 
@@ -226,6 +226,8 @@
             self._session = new_session(FETCH_TIMEOUT_S)
         try:
             async with self._session.get(f"http://{relay}/v1/burn") as response:
-                return decode_json(await response.read(), list[Series])
+                return decode_json(
+                    await read_body(response, MAX_LISTING_BYTES), list[Series]
+                )
         except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError):
             return None
--- a/leverdoor/client/caller.py
+++ b/leverdoor/client/caller.py
@@ -19,7 +19,7 @@
 from leverdoor.errors import Code, ConfigError, Problem, Refusal, Run
 from leverdoor.gate.hop_client import refusal_from_problem
 from leverdoor.gate.lookups import LookupAnswer, LookupEntry
-from leverdoor.sessions import new_session
+from leverdoor.sessions import MAX_LISTING_BYTES, new_session, read_body
 
 __all__ = ["Caller", "Reply"]
 
@@ -110,7 +110,7 @@
         url = f"http://{entry}/v1/lookup/{service}"
         try:
             async with self._session.get(url, timeout=timeout) as answer:
-                data = await answer.read()
+                data = await read_body(answer, MAX_LISTING_BYTES)
         except (aiohttp.ClientError, OSError, TimeoutError) as e:
             raise Refusal(Code.CONNECT_FAILED, repr(e)) from None
         if answer.status != 200:
--- a/leverdoor/client/operator.py
+++ b/leverdoor/client/operator.py
@@ -18,7 +18,12 @@
 from leverdoor.errors import Code, LeverdoorError, OutcomeUnknown, Problem
 from leverdoor.model.position import UNKNOWN_ERA
 from leverdoor.model.resources import Resource
-from leverdoor.sessions import new_session
+from leverdoor.sessions import (
+    MAX_LISTING_BYTES,
+    MAX_REPORT_BYTES,
+    new_session,
+    read_body,
+)
 from leverdoor.storage.configuration import Applied
 
 __all__ = ["Operator"]
@@ -147,7 +152,7 @@
         url = f"http://{self._agents[0]}{path}"
         async with self._session.get(url, timeout=timeout) as answer:
             if answer.status != 200:
-                raise _error(await answer.read())
+                raise _error(await read_body(answer, MAX_REPORT_BYTES))
             rest = b""
             async for chunk in answer.content.iter_any():
                 *lines, rest = (rest + chunk).split(b"\n")
@@ -169,7 +174,7 @@
                 async with self._session.request(
                     method, f"http://{agent}{path}", data=body, headers=head
                 ) as answer:
-                    data = await answer.read()
+                    data = await read_body(answer, MAX_LISTING_BYTES)
             except aiohttp.ClientConnectorError as e:
                 last = LeverdoorError(Code.STORE_UNAVAILABLE, str(e))
                 continue
--- a/leverdoor/gate/gate_quarantine.py
+++ b/leverdoor/gate/gate_quarantine.py
@@ -29,7 +29,7 @@
 from leverdoor.quarantine.quarantine import Quarantine
 from leverdoor.quarantine.refusal import quarantine_refusal
 from leverdoor.quarantine.trial_owner import is_trial_owner
-from leverdoor.sessions import new_session
+from leverdoor.sessions import MAX_REPORT_BYTES, new_session, read_body
 from leverdoor.settings import parse_address
 
 __all__ = ["NOTICES_PATH", "GateQuarantine"]
@@ -164,7 +164,7 @@
         url = f"http://{relay}{NOTICES_PATH}"
         try:
             async with self._session.post(url, data=notices) as answer:
-                await answer.read()
+                await read_body(answer, MAX_REPORT_BYTES)
         except (aiohttp.ClientError, OSError, TimeoutError) as e:
             logger.info("gate not told", relay=relay, error=repr(e))
 
--- a/leverdoor/gate/hop_client.py
+++ b/leverdoor/gate/hop_client.py
@@ -22,7 +22,7 @@
 from leverdoor.codec import decode_json
 from leverdoor.errors import Code, Problem, Refusal, Run
 from leverdoor.http.reply_proof import Proof, ReplyNames, prove_reply
-from leverdoor.sessions import new_session
+from leverdoor.sessions import MAX_REPORT_BYTES, new_session, read_body
 
 __all__ = ["HopResponse", "Body", "Hop", "HopClient"]
 
@@ -157,10 +157,10 @@
         code = self._response.headers.get(h.CODE, "0")
         if not self.relay or code == "0":
             return None
-        data = await self._response.read()
         try:
+            data = await read_body(self._response, MAX_REPORT_BYTES)
             return decode_json(data, Problem)
-        except msgspec.MsgspecError as e:
+        except (aiohttp.ClientError, OSError, msgspec.MsgspecError) as e:
             self.close()
             raise Refusal(Code.ANSWER_LOST, f"unreadable refusal: {e}") from None
 
--- a/leverdoor/storage/etcd.py
+++ b/leverdoor/storage/etcd.py
@@ -18,7 +18,7 @@
 from leverdoor.codec import decode_json
 from leverdoor.errors import Code, LeverdoorError, OutcomeUnknown, StoreUnavailable
 from leverdoor.model.position import Position
-from leverdoor.sessions import new_session
+from leverdoor.sessions import MAX_LISTING_BYTES, BodyTooLong, new_session, read_body
 from leverdoor.storage.store import (
     WATCH_SILENCE_S,
     Commit,
@@ -135,7 +135,7 @@
                 headers={"Content-Type": "application/json"},
                 timeout=timeout,
             ) as response:
-                data = await response.read()
+                data = await read_body(response, MAX_LISTING_BYTES)
         except aiohttp.ClientConnectorError as e:
             self._switch_member()
             raise StoreUnavailable(f"{path}: {e}") from None
@@ -198,10 +198,16 @@
 
 
 async def _lines(content: aiohttp.StreamReader) -> AsyncIterator[bytes]:
-    """Yield complete lines of any length."""
+    """Yield complete lines.
+
+    Raises:
+      BodyTooLong: a line exceeds `MAX_LISTING_BYTES`.
+    """
     partial = b""
     async for chunk in content.iter_any():
         *complete, partial = (partial + chunk).split(b"\n")
+        if len(partial) > MAX_LISTING_BYTES:
+            raise BodyTooLong(f"a line of over {MAX_LISTING_BYTES} bytes")
         for line in complete:
             if line:
                 yield line
--- a/leverdoor/storage/vm_list_client.py
+++ b/leverdoor/storage/vm_list_client.py
@@ -14,7 +14,7 @@
 
 from leverdoor.codec import decode_json
 from leverdoor.errors import Code, ConfigError, LeverdoorError
-from leverdoor.sessions import new_session
+from leverdoor.sessions import MAX_LISTING_BYTES, new_session, read_body
 
 __all__ = ["DepartureTracker", "HttpVmList", "Vm", "VmState", "parse_vms"]
 
@@ -60,7 +60,7 @@
         try:
             async with self._session.get(self._url) as response:
                 response.raise_for_status()
-                return parse_vms(await response.read())
+                return parse_vms(await read_body(response, MAX_LISTING_BYTES))
         except (aiohttp.ClientError, OSError, TimeoutError, ConfigError) as e:
             raise LeverdoorError(Code.STORE_UNAVAILABLE, f"VM list: {e!r}") from None
 
