Responses of the store and of other entries are bounded in every part

What is received and belongs to no body is bounded by 64 KiB and 256 bytes a chunk, the whole by 32 MiB, an announced length at once; a failed call frees what it holds.

Legal long responses in pieces of any length keep their connection.

--- a/leverdoor/http/client_connection.py
+++ b/leverdoor/http/client_connection.py
@@ -8,7 +8,8 @@
 """
 
 import asyncio
-from typing import NamedTuple
+import re
+from typing import Any, NamedTuple
 
 import httptools
 
@@ -31,8 +32,16 @@
 three times while it is read and parsed: with a greater value, one response exhausts the
 memory of a small VM.
 """
+MAX_HEAD_BYTES = 64 * 1024
+"""Maximum length of the head of a response, interim responses before it included."""
+CHUNK_FRAME_BYTES = 256
+"""Length of the size, extension and line ends of a chunk that is allowed, in bytes."""
+MAX_RECEIVED_BYTES = 2 * MAX_RESPONSE_BYTES
+"""Maximum length of a response as received, with the framing of its chunks."""
 FIRST_FINAL_STATUS = 200
 """First status of final responses; smaller ones are interim (1xx) responses."""
+DECIMAL = re.compile(r"[0-9]{1,20}", re.ASCII)
+"""A length of at most 20 digits, which the parser accepts."""
 BODYLESS_STATUSES = frozenset({204, 304})
 """HTTP statuses of responses that have no body regardless of their headers."""
 
@@ -82,8 +91,12 @@
         """Initialize the protocol; `open_connection` connects it."""
         self._transport: asyncio.Transport | None = None
         self._response: asyncio.Future[HttpResponse] | None = None
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser: Any = httptools.HttpResponseParser(self)
         self._reset_message()
+        self._received_bytes = 0
+        """Bytes received since the call was sent."""
+        self._parts = 0
+        """Parts of bodies received since the call was sent."""
         self._received_at = 0.0
         """Loop time of the last received byte, in seconds."""
         self.reusable = True
@@ -102,6 +115,7 @@
             self._fail("received bytes without a call")
             return
         self._received_at = asyncio.get_running_loop().time()
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as e:
@@ -109,6 +123,14 @@
                 self._fail_with(ResponseTooLong(f"over {MAX_RESPONSE_BYTES} bytes"))
             else:
                 self._fail(f"malformed response: {e!r}")
+            return
+        if self._response.done():
+            return
+        framing_bytes = self._received_bytes - len(self._body)
+        if framing_bytes > MAX_HEAD_BYTES + CHUNK_FRAME_BYTES * self._parts:
+            self._fail_with(ResponseTooLong("head, chunk or trailers without end"))
+        elif self._received_bytes > MAX_RECEIVED_BYTES:
+            self._fail_with(ResponseTooLong(f"over {MAX_RECEIVED_BYTES} bytes"))
 
     def eof_received(self) -> bool:
         """Complete a response without length, or fail the call if it is incomplete."""
@@ -153,10 +175,18 @@
         status = self._parser.get_status_code()
         if status < FIRST_FINAL_STATUS or status in BODYLESS_STATUSES:
             self._self_delimited = True
+        elif self._announced_bytes() > MAX_RESPONSE_BYTES:
+            self._add_length(self._announced_bytes())
+
+    def _announced_bytes(self) -> int:
+        """Return the length that the head announces, 0 if it announces none."""
+        text = self._headers.get("content-length", "")
+        return int(text) if DECIMAL.fullmatch(text.strip()) else 0
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
         self._add_length(len(body))
+        self._parts += 1
         self._body += body
 
     def on_message_complete(self) -> None:
@@ -171,6 +201,11 @@
         self._headers_complete = False
         self._self_delimited = False
 
+    def _discard(self) -> None:
+        """Free what was received; errors of the parser refer to it otherwise."""
+        self._parser = None
+        self._reset_message()
+
     def _add_length(self, count: int) -> None:
         self._length += count
         if self._length > MAX_RESPONSE_BYTES:
@@ -223,6 +258,8 @@
             raise ConnectFailed("connection closed before use")
         loop = asyncio.get_running_loop()
         self._received_at = loop.time()
+        self._received_bytes = 0
+        self._parts = 0
         response: asyncio.Future[HttpResponse] = loop.create_future()
         self._response = response
         try:
@@ -236,6 +273,7 @@
             self._response = None
             if not self.reusable:
                 self.close()
+                self._discard()
 
     async def _wait(
         self,
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from collections.abc import AsyncIterator
+from unittest.mock import Mock
 
 import pytest
 
@@ -12,10 +13,12 @@
 from leverdoor.http.client import HttpClient, serialize_request
 from leverdoor.http.client_connection import (
     CallTimedOut,
+    ClientConnection,
     ConnectFailed,
     HttpResponse,
     ResponseLost,
 )
+from leverdoor.standins.broken_targets import ENDLESS_REPLIES
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Name: a\r\n\r\nok"
 CLOSE = b""
@@ -259,3 +262,42 @@
         serialize_request("GET", "10.0.0.1:80", "/", None, None, None)
         == b"GET / HTTP/1.1\r\nHost: 10.0.0.1:80\r\n\r\n"
     )
+
+
+@pytest.mark.parametrize(
+    "kind", [k for k in ENDLESS_REPLIES if k not in ("zeros", "status-line")]
+)
+async def test_a_response_without_end_is_lost_within_its_bounds(kind: str) -> None:
+    """Names, values and interim responses were held until the call timed out."""
+    reply = ENDLESS_REPLIES[kind]
+    connection = ClientConnection()
+    connection.connection_made(Mock(spec=asyncio.Transport))
+    call = asyncio.ensure_future(connection.exchange(b"", None, None))
+    await asyncio.sleep(0)
+    connection.data_received(reply.start)
+    received = 0
+    while not connection.closed and received <= 2**26:
+        connection.data_received(reply.endless)
+        received += len(reply.endless)
+    if kind in ("after-a-reply", "replies-to-others"):
+        assert (await call).status == 200
+    else:
+        with pytest.raises(ResponseLost):
+            await call
+        assert connection._parser is None
+    assert connection.closed
+
+
+@pytest.mark.parametrize("piece_bytes", [1_000, 64 * 1024, 4 * 1024 * 1024])
+async def test_a_connection_is_reused_after_a_long_response(piece_bytes: int) -> None:
+    connection = ClientConnection()
+    connection.connection_made(Mock(spec=asyncio.Transport))
+    body = b"x" * 2 * 1024 * 1024
+    data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+    for _ in range(2):
+        call = asyncio.ensure_future(connection.exchange(b"", None, None))
+        await asyncio.sleep(0)
+        for start in range(0, len(data), piece_bytes):
+            connection.data_received(data[start : start + piece_bytes])
+        assert (await call).body == body
+    assert not connection.closed
