The kernel holds little of replies that nobody reads

Beside a hundred connections to targets that send without end, an entry of 300 MB had 155 MB resident and 93 MB more in the kernel, received and not read: the receive buffer of each connection grew as it was read, before memory for replies ran short and reading stopped. An entry of 152 MB, with 102 MB resident in the same play, would have been killed.

A connection keeps the 128 KiB that the system begins with until a reply is longer than 512 KiB; then it gets what the system allows. Clamping the window, and smaller buffers once reading stops, were tried and did not help (53 and 58 MB): growth sets the clamp anew, and the bytes are there by then.

The new test failed before.

--- a/leverdoor/entry/requests/connection.py
+++ b/leverdoor/entry/requests/connection.py
@@ -24,6 +24,7 @@
 from leverdoor.entry.links.tcp_keepalive import set_keepalive_options
 from leverdoor.entry.requests.replies import ReplyFault, ReplyParser, TargetReply
 from leverdoor.entry.requests.reply_resources import ReplyResources
+from leverdoor.http.listening import bound_receive_buffer
 from leverdoor.http.parse_scheduler import SLICE_WORK, RecentWork
 from leverdoor.http.reply_proof import Proof, ReplyNames, prove_reply
 
@@ -41,6 +42,16 @@
 One piece has up to a thousand fields or chunks; with a greater length, a turn of the
 event loop takes longer than its share of work.
 """
+RECEIVE_BUFFER_BYTES = 128 * 1024
+"""What the kernel may hold of a reply that is not read, in bytes, at first.
+
+It would let the buffer grow for each of many targets that send without end.
+"""
+LONG_REPLY_BYTES = 512 * 1024
+"""Received bytes from which a reply is long."""
+LONG_REPLY_BUFFER_BYTES = 1024 * 1024
+"""The buffer of a long reply, as far as the system allows; a round trip between regions
+brings as much."""
 MAX_SURPLUS_REPLIES = 8
 """Replies to other requests that are dropped while a request waits for its own.
 
@@ -139,6 +150,8 @@
         self._unparsed = memoryview(b"")
         """Received bytes that are not parsed yet; nothing is received meanwhile."""
         self._memory_is_full = False
+        self._received_bytes = 0
+        """Bytes received since the request was sent, up to `LONG_REPLY_BYTES`."""
         self._surplus_replies = 0
         """Replies to other requests since the current one was sent."""
         self.recent_work = RecentWork(0.0)
@@ -160,6 +173,7 @@
         sock = transport.get_extra_info("socket")
         if sock is not None:
             set_keepalive_options(sock)
+        bound_receive_buffer(transport, RECEIVE_BUFFER_BYTES)
 
     def pause_writing(self) -> None:
         """Pause the request body while the transport's buffer is full."""
@@ -175,12 +189,21 @@
             self._fail("received bytes without a pending request")
             return
         self._memory.add(self, len(data))
+        self._widen_buffer(len(data))
         self._unparsed = memoryview(data)
         now = asyncio.get_running_loop().time()
         if self._scheduler.may_parse(self, now):
             self._parse(SLICE_WORK, now)
         self._wait_for_turn(now)
 
+    def _widen_buffer(self, count: int) -> None:
+        """Let a target send more at once when its reply proves to be long."""
+        if self._received_bytes >= LONG_REPLY_BYTES or self._transport is None:
+            return
+        self._received_bytes += count
+        if self._received_bytes >= LONG_REPLY_BYTES and not self._memory_is_full:
+            bound_receive_buffer(self._transport, LONG_REPLY_BUFFER_BYTES)
+
     @property
     def sends_ahead(self) -> bool:
         """Return False: a target sends one reply at a time."""
@@ -348,6 +371,7 @@
             raise RequestNotSent("connection closed before use")
         pending = self._pending = _PendingRequest(request_id, names)
         self._surplus_replies = 0
+        self._received_bytes = 0
         self._parser.start(reply_has_no_body)
         try:
             if isinstance(body, bytes):
--- a/leverdoor/http/listening.py
+++ b/leverdoor/http/listening.py
@@ -16,6 +16,7 @@
 __all__ = [
     "RECEIVE_BUFFER_BYTES",
     "WAITING_BUFFER_BYTES",
+    "bound_receive_buffer",
     "listen",
     "widen_receive_buffer",
 ]
@@ -88,6 +89,13 @@
         logger.debug("the window of a connection stays small", error=repr(e))
 
 
+def bound_receive_buffer(transport: asyncio.BaseTransport, size: int) -> None:
+    """Bound what the kernel holds for a connection that is not read."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        _set_receive_buffer(sock, size)
+
+
 def _set_receive_buffer(sock: socket.socket, size: int) -> None:
     """Set the size that the kernel gives; it doubles what it is told (socket(7))."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size // 2)
--- a/tests/test_entry_connection.py
+++ b/tests/test_entry_connection.py
@@ -10,6 +10,8 @@
 import pytest
 
 from leverdoor.entry.requests.connection import (
+    LONG_REPLY_BYTES,
+    RECEIVE_BUFFER_BYTES,
     ReplyLost,
     RequestNotSent,
     TargetConnection,
@@ -387,3 +389,24 @@
         port = target.port
     with pytest.raises(RequestNotSent):
         await open_connection("127.0.0.1", port, 1.0, lambda _: None)
+
+
+async def test_the_kernel_holds_little_of_a_reply_until_it_proves_to_be_long() -> None:
+    """It held 93 MB for a hundred targets that sent without end."""
+
+    async def script(r: asyncio.StreamReader, w: asyncio.StreamWriter) -> None:
+        for name, size in (("1", 10), ("2", 2 * LONG_REPLY_BYTES)):
+            await read_head(r)
+            w.write(make_reply(name, b"x" * size))
+        await r.read()
+
+    async with ScriptedTarget(script) as target:
+        connection = await target.connect()
+        assert connection._transport is not None
+        sock = connection._transport.get_extra_info("socket")
+        await exchange_request(connection, "1")
+        first = sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+        assert first == RECEIVE_BUFFER_BYTES
+        await exchange_request(connection, "2")
+        assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF) > first
+        connection.close()
