A soak counts requests without an answer at entries that nobody disturbs

The check leaves out what cannot be answered: while the entry is disturbed or stopped, or when the proxy before it found nobody listening (the caller then has a connection, and no answer).

--- a/leverdoor/standins/proxy.py
+++ b/leverdoor/standins/proxy.py
@@ -54,6 +54,8 @@
           onward: returns the `ip:port` behind it at the time.
         """
         self._onward = onward
+        self.refused_at: list[float] = []
+        """Loop times at which the address behind it took no connection, in seconds."""
         self._fault = LinkFault.NONE
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
@@ -126,6 +128,8 @@
                     way.cancel()
                 await asyncio.gather(*ways, return_exceptions=True)
         except OSError:
+            if onward is None:
+                self.refused_at.append(asyncio.get_running_loop().time())
             writer.transport.abort()
         finally:
             for end in (writer, onward):
--- a/leverdoor/standins/soak/promises.py
+++ b/leverdoor/standins/soak/promises.py
@@ -28,6 +28,10 @@
 """Seconds within which all entries are to know it then."""
 MOST_MORE = 3
 """Times that it may be sent on after that."""
+MOST_CROSSING = 3
+"""Requests at an entry that may cross the end of their connection."""
+SEEN_S = 0.3
+"""Seconds within which a caller sees that its connection has ended."""
 QUIET_S = 4.0
 """Seconds before a planned stop without another disturbance, for it to count."""
 
@@ -46,6 +50,7 @@
     found += _leaves(record)
     found += _reverts(record)
     found += _stops(record, ran)
+    found += _unanswered(record)
     found += _fatal(record)
     found += _harmless(record)
     found += limit_breaches(record)
@@ -167,6 +172,33 @@
                 yield f"LOST {a.request_id}: cut by the planned stop of {entry}"
 
 
+def _unanswered(record: Record) -> Iterator[str]:
+    """An entry that nobody disturbs answers each request that reaches it.
+
+    A few may cross the end of a connection that the entry closes.
+    """
+    lost = Counter(
+        a.entry
+        for a in record.attempts
+        if a.status == 0 and a.connected and not a.left and _could_answer(record, a)
+    )
+    for entry, count in lost.items():
+        if count > MOST_CROSSING:
+            yield f"LOST {count} requests without an answer at {entry}"
+
+
+def _could_answer(record: Record, a: Attempt) -> bool:
+    """Return whether an entry listened, and was neither disturbed nor stopped."""
+    refused = any(
+        name == a.entry and abs(at - a.ended_at) < SEEN_S
+        for name, at in record.ways_refused
+    )
+    return not refused and not any(
+        name == a.entry and began <= a.ended_at and ended >= a.sent_at - SEEN_S
+        for name, began, ended in (*record.unplanned, *record.stops)
+    )
+
+
 def _fatal(record: Record) -> Iterator[str]:
     """A request that ends its targets is sent on a few times at most.
 
--- a/leverdoor/standins/soak/record.py
+++ b/leverdoor/standins/soak/record.py
@@ -100,6 +100,8 @@
     """Planned stops: entry, when it was signalled, when it had ended."""
     unplanned: list[tuple[str, float, float]] = []
     """What else disturbed an entry or its callers' links: entry, from, until."""
+    ways_refused: list[tuple[str, float]] = []
+    """Entries that took no connection, and when."""
     links_cut: list[tuple[str, float, float]] = []
     """Cuts of links to targets: entry, from, until."""
     changes: list[tuple[int, float]] = []
--- a/leverdoor/standins/soak/run.py
+++ b/leverdoor/standins/soak/run.py
@@ -294,6 +294,11 @@
                 for r in target.runs
             ]
         self._record.changes = self._site.changes
+        self._record.ways_refused = [
+            (name, at)
+            for name in self._site.entries
+            for at in self._site.proxies[f"front/{name}"].refused_at
+        ]
         if self._options.judge_bound and (self._cuts or self._restores):
             self._late += late_changes(self._record)
         if self._options.judge_bound and self._restores:
--- a/tests/test_soak_promises.py
+++ b/tests/test_soak_promises.py
@@ -210,3 +210,22 @@
     record = fatal_record(cut_until=6.0)
     record.links_cut = [("n", 0.5, 1.15)]
     assert fatal_breaches(record) == []
+
+
+def unanswered(count: int = 4, **more: object) -> Record:
+    lost = {"status": 0, "own": False, "stamped": False}
+    attempts = [attempt(f"r{n}", **lost) for n in range(count)]
+    return Record(attempts=attempts, **more)  # type: ignore[arg-type]
+
+
+def test_requests_without_an_answer_at_an_undisturbed_entry_are_found() -> None:
+    assert breaches(unanswered()) == ["LOST 4 requests without an answer at n"]
+    elsewhere = [("m", 1.0, 3.0)]
+    assert breaches(unanswered(unplanned=elsewhere, ways_refused=[("n", 1.0)]))
+
+
+def test_requests_that_an_entry_could_not_answer_are_no_breach() -> None:
+    assert breaches(unanswered(3)) == []
+    assert breaches(unanswered(unplanned=[("n", 1.0, 1.9)])) == []
+    assert breaches(unanswered(stops=[("n", 1.5, 2.5)])) == []
+    assert breaches(unanswered(ways_refused=[("n", 1.9)])) == []
