--- a/tests/test_entry_connection.py
+++ b/tests/test_entry_connection.py
@@ -6,6 +6,7 @@
 import socket
 import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
+from unittest.mock import Mock
 
 import pytest
 
@@ -410,3 +411,29 @@
         await exchange_request(connection, "2")
         assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF) > first
         connection.close()
+
+
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"2\r\nok\r\n0\r\nT: v\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize("reset", [False, True], ids=["closed", "reset"])
+@pytest.mark.parametrize("reply", [make_reply("1", b"body"), CHUNKED])
+async def test_a_reply_that_is_cut_at_any_byte_is_no_reply(
+    reply: bytes, reset: bool
+) -> None:
+    """A part of a head framed an empty success."""
+    for end in range(len(reply)):
+        connection = TargetConnection(lambda _: None)
+        connection.connection_made(Mock(spec=asyncio.Transport))
+        sent = asyncio.ensure_future(exchange_request(connection, "1"))
+        await asyncio.sleep(0)
+        connection.data_received(reply[:end])
+        if reset:
+            connection.connection_lost(ConnectionResetError())
+        else:
+            connection.eof_received()
+        with pytest.raises(ReplyLost):
+            await sent
