An entry waits for a port that another process holds

Cause: one listener that can't be opened ended the process. Every port is tried again until it is free or the entry is told to stop; the metrics are served once theirs is free, and nothing waits for them.

--- a/leverdoor/entry/daemon.py
+++ b/leverdoor/entry/daemon.py
@@ -10,8 +10,11 @@
 """
 
 import asyncio
-from collections.abc import Callable
+import contextlib
+import errno
+from collections.abc import Awaitable, Callable
 from random import Random
+from typing import TypeVar
 
 from leverdoor.entry.admin import AdminServer
 from leverdoor.entry.bounds import SHARE_UPDATE_ROUNDS, WARM_KEY_REPORT_S
@@ -54,6 +57,12 @@
 State expires after seconds. With a greater value, idle connections are closed late and
 metrics lag. A smaller value costs processor time.
 """
+PORT_RETRY_S = 0.2
+"""Time after which a port that another process holds is tried again, in seconds.
+
+A former process may be about to end. A greater value prolongs such a start; a smaller
+one costs processor time.
+"""
 LEAVE_LISTEN_S = 2.2
 """How long a leaving entry accepts connections, in seconds.
 
@@ -70,6 +79,13 @@
 """
 
 
+T = TypeVar("T")
+
+
+class _StopRequested(Exception):
+    """A stop was requested before all ports were open."""
+
+
 class Entry:
     """The components and the lifecycle of one entry process."""
 
@@ -127,12 +143,14 @@
             pull=str(s.pull),
             metrics=str(s.metrics),
         )
-        await self._control.peers.open(s.gossip)
-        front = await self._listen(self._data.create_connection, s.front)
-        for address in (s.ready, s.directory, s.pull, s.metrics):
-            await self._listen(self._admin_server.create_connection, address)
-        await self._listen(self._data.relay_server.create_connection, s.relay)
+        try:
+            front = await self._open_ports()
+        except _StopRequested:
+            await self._close()
+            self._events.process("end")
+            return
         loops = (
+            self._serve_metrics,
             self._join_and_follow,
             self._register,
             self._heartbeat,
@@ -240,13 +258,45 @@
             lambda: self._admin_server.unsent_bytes(),
         )
 
+    async def _open_ports(self) -> asyncio.Server:
+        """Open all ports but that of the metrics; return the listener of requests.
+
+        Raises:
+          _StopRequested: a stop was requested while a port was taken.
+        """
+        s = self._settings
+        await self._when_free(lambda: self._control.peers.open(s.gossip), s.gossip)
+        front = await self._listen(self._data.create_connection, s.front)
+        for address in (s.ready, s.directory, s.pull):
+            await self._listen(self._admin_server.create_connection, address)
+        await self._listen(self._data.relay_server.create_connection, s.relay)
+        return front
+
     async def _listen(
         self, server: Callable[[], asyncio.BaseProtocol], address: Address
     ) -> asyncio.Server:
-        listener = await listen(server, address)
+        listener = await self._when_free(lambda: listen(server, address), address)
         self._servers.append(listener)
         return listener
 
+    async def _when_free(self, open_port: Callable[[], Awaitable[T]], at: Address) -> T:
+        """Open a port; while another process holds it, try again.
+
+        Raises:
+          _StopRequested: a stop was requested meanwhile.
+        """
+        while not self._stop.is_set():
+            try:
+                return await open_port()
+            except OSError as e:
+                if e.errno != errno.EADDRINUSE:
+                    raise
+            self._events.process("port taken", address=str(at))
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(PORT_RETRY_S):
+                    await self._stop.wait()
+        raise _StopRequested
+
     async def _close(self) -> None:
         for listener in self._servers:
             listener.close()
@@ -262,6 +312,13 @@
     async def _join_and_follow(self) -> None:
         await self._control.join_and_follow()
 
+    async def _serve_metrics(self) -> None:
+        """Serve metrics; requests are served without them while their port is taken."""
+        connection = self._admin_server.create_connection
+        with contextlib.suppress(_StopRequested):
+            await self._listen(connection, self._settings.metrics)
+            await self._stop.wait()
+
     async def _register(self) -> None:
         await self._control.register()
 
