--- a/leverdoor/commands/soak.py
+++ b/leverdoor/commands/soak.py
@@ -28,6 +28,7 @@
 @click.option("--restores", type=click.IntRange(0, 100), default=0, help="Drills.")
 @click.option("--links", type=click.IntRange(0, 100), default=0, help="Cuts.")
 @click.option("--large", type=click.IntRange(0, 50), default=0, help="A second.")
+@click.option("--broken", type=click.IntRange(0, 6), default=0, help="Targets.")
 @click.option("--entries", type=click.IntRange(1, 40), default=None, help="A region.")
 @click.option("--logs", type=click.Path(path_type=Path), help="Keep logs of failures.")
 def soak(
@@ -42,6 +43,7 @@
     restores: int,
     links: int,
     large: int,
+    broken: int,
     entries: int | None,
     logs: Path | None,
 ) -> None:
@@ -55,19 +57,20 @@
     a copy without its latest changes; changes must be in force in time. With --links,
     entries lose their links to targets so many times. With --large, so many
     configurations a second of nearly the store's largest value are written one after
-    the other. In every soak, an entry that goes over the memory of the smallest VM is
-    killed, and a promise is broken.
+    the other. With --broken, so many targets send replies without end, and entries know
+    of the smallest VM. In every soak, an entry that goes over the memory of the
+    smallest VM is killed, and a promise is broken.
     """
     from leverdoor.standins.soak.run import Soak, SoakOptions
     from leverdoor.standins.soak.site import SoakSite
 
     first = time.time_ns() % 1_000_000_007 if seed is None else seed
-    broken = 0
-    options = SoakOptions(fatal, limits, cuts, reports, restores, links, large)
+    failed = 0
+    options = SoakOptions(fatal, limits, cuts, reports, restores, links, large, broken)
     for number in range(first, first + count):
         site = SoakSite(entries) if entries is not None else None
         soak = Soak(number, seconds, troubles, options, site)
         verdict = asyncio.run(soak.run(logs))
-        broken += bool(verdict.breaches)
+        failed += bool(verdict.breaches)
         click.echo(msgspec.json.encode(verdict).decode())
-    sys.exit(BROKEN if broken else 0)
+    sys.exit(BROKEN if failed else 0)
--- a/leverdoor/standins/soak/run.py
+++ b/leverdoor/standins/soak/run.py
@@ -17,6 +17,7 @@
 
 from leverdoor.standins.entry_process import EntryProcess
 from leverdoor.standins.entry_site import SAMPLE_ROUTES
+from leverdoor.standins.soak.broken import SMALLEST_VM, run_broken_target
 from leverdoor.standins.soak.callers import SoakCaller, SoakProber
 from leverdoor.standins.soak.cuts import Cuts, draw_cuts
 from leverdoor.standins.soak.fatal import FatalCaller
@@ -107,6 +108,8 @@
     """Cuts of the links of entries to targets."""
     large: int = 0
     """Configurations a second of nearly the store's largest value, in a row."""
+    broken: int = 0
+    """Targets whose replies never end."""
     judge_bound: bool = True
     """Whether changes must be in force in time beside cuts and returns of the store; on
     a machine that is busy with other work they may be late."""
@@ -114,7 +117,9 @@
     @property
     def lasts(self) -> bool:
         """Whether something goes on for the whole time, whatever the faults."""
-        return bool(self.fatal or self.limits or self.reports or self.large)
+        return bool(
+            self.fatal or self.limits or self.reports or self.large or self.broken
+        )
 
 
 FAULTS_ALONE = SoakOptions()
@@ -148,7 +153,10 @@
         self._seconds = seconds
         self._seed = seed
         self._plan = draw_plan(seed, seconds, troubles)
-        self._site = site or SoakSite(ENTRIES_CUT if options.cuts else ENTRIES_A_REGION)
+        self._site = site or SoakSite(
+            ENTRIES_CUT if options.cuts else ENTRIES_A_REGION,
+            SMALLEST_VM if options.broken else None,
+        )
         self._record = Record()
         self._memory = MemoryWatch(self._site)
         self._late: list[str] = []
@@ -205,6 +213,7 @@
             LimitNamer(site, record, n, seed).run() for n in range(options.limits)
         ]
         found += [ReportingTarget(site, n, seed).run() for n in range(options.reports)]
+        found += [run_broken_target(site, n, seed) for n in range(options.broken)]
         found += [
             FatalCaller(site, record, n, seed).run() for n in range(options.fatal)
         ]
--- a/leverdoor/standins/soak/site.py
+++ b/leverdoor/standins/soak/site.py
@@ -54,11 +54,16 @@
 class SoakSite(PartitionSite):
     """Entries, targets and a store, with a proxy before each."""
 
-    def __init__(self, entries_a_region: int = ENTRIES_A_REGION) -> None:
+    def __init__(
+        self,
+        entries_a_region: int = ENTRIES_A_REGION,
+        resources: Mapping[str, int] | None = None,
+    ) -> None:
         """Create it; `start` runs it.
 
         Args:
           entries_a_region: entries in each of the three regions.
+          resources: the resources of each VM that the settings name.
         """
         places = {
             f"n-{region}-{i}": Place(f"{region}1", region)
@@ -71,7 +76,7 @@
             for region in REGIONS
             for i in range(TARGETS_A_SERVICE)
         ]
-        super().__init__(places, targets)
+        super().__init__(places, targets, resources=resources)
         self.proxies: dict[str, LoopbackProxy] = {}
         self.left: dict[str, float] = {}
         """Targets that have left or are about to, and since when (loop time, s)."""
--- a/tests/interface_table.py
+++ b/tests/interface_table.py
@@ -455,6 +455,7 @@
         ("--restores", "integer range min=0 max=100", "0", "", "option"),
         ("--links", "integer range min=0 max=100", "0", "", "option"),
         ("--large", "integer range min=0 max=50", "0", "", "option"),
+        ("--broken", "integer range min=0 max=6", "0", "", "option"),
         ("--entries", "integer range min=1 max=40", "None", "", "option"),
         ("--logs", "path file_okay dir_okay readable", "None", "", "option"),
     ],
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -83,6 +83,13 @@
     assert verdict.breaches == []
 
 
+@pytest.mark.timeout(240)
+async def test_replies_without_end_break_no_promise_beside_faults() -> None:
+    """Entries were killed over their memory, and their requests lost."""
+    verdict = await Soak(780201, 10.0, 6, SoakOptions(broken=4)).run()
+    assert verdict.breaches == []
+
+
 @pytest.mark.timeout(240)
 @pytest.mark.parametrize("seed", [9011, 751102])
 async def test_lost_links_to_targets_break_no_promise(seed: int) -> None:
