A target that changes the protocol loses its request at once

Found by reading, after replies got their turns: 101 with an upgrade makes the parser raise an error outside of its own kind. It ended the turn in which other replies were parsed, and the request waited for its deadline. The test failed before (HttpParserUpgrade).

--- a/leverdoor/entry/requests/connection.py
+++ b/leverdoor/entry/requests/connection.py
@@ -36,6 +36,12 @@
     "open_connection",
 ]
 
+PARSER_ERRORS = (
+    httptools.HttpParserError,
+    httptools.HttpParserUpgrade,
+    ValueError,
+)
+"""Errors with which a parser rejects bytes; an upgrade is no error to the library."""
 PIECE_BYTES = 4 * 1024
 """Length of the pieces that are parsed at once, in bytes.
 
@@ -237,7 +243,7 @@
         """Parse a piece; fail the request if it is malformed or exceeds a bound."""
         try:
             self._parser.feed(piece)
-        except (httptools.HttpParserError, ValueError) as e:
+        except PARSER_ERRORS as e:
             self._fail(f"malformed reply: {e!r}", fault=self._parser.fault)
 
     def eof_received(self) -> bool:
--- a/tests/test_entry_connection.py
+++ b/tests/test_entry_connection.py
@@ -437,3 +437,16 @@
             connection.eof_received()
         with pytest.raises(ReplyLost):
             await sent
+
+
+async def test_a_reply_that_changes_the_protocol_loses_its_request_at_once() -> None:
+    """The parser's error ended the turn in which other replies were parsed."""
+    connection = TargetConnection(lambda _: None)
+    connection.connection_made(Mock(spec=asyncio.Transport))
+    sent = asyncio.ensure_future(exchange_request(connection, "1"))
+    await asyncio.sleep(0)
+    connection.data_received(
+        b"HTTP/1.1 101 Switching\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nbytes"
+    )
+    with pytest.raises(ReplyLost):
+        await sent
