--- a/leverdoor/http/parse_scheduler.py
+++ b/leverdoor/http/parse_scheduler.py
@@ -159,11 +159,14 @@
         """
         self._turn_ends = False
         self._work = 0
-        while self._work < TURN_WORK:
-            queues = [queue for queue in self._waiting if queue]
-            if not queues:
-                return
-            is_last = self._work >= TURN_WORK - SLICE_WORK
-            queues[-1 if is_last else 0].popleft().parse_slice()
-        if any(self._waiting):
-            self._schedule()
+        try:
+            while self._work < TURN_WORK:
+                queues = [queue for queue in self._waiting if queue]
+                if not queues:
+                    return
+                is_last = self._work >= TURN_WORK - SLICE_WORK
+                queues[-1 if is_last else 0].popleft().parse_slice()
+        finally:
+            # An error of one connection must not leave the others waiting.
+            if any(self._waiting):
+                self._schedule()
--- a/tests/test_parse_scheduler.py
+++ b/tests/test_parse_scheduler.py
@@ -139,3 +139,20 @@
     work.add(1_000, NOW)
     assert work.at(NOW) == 1_000
     assert work.at(NOW + HALF_LIFE_S) == 500
+
+
+async def test_an_error_of_one_connection_leaves_no_other_waiting() -> None:
+    """Those that waited behind it were not parsed until other bytes arrived."""
+    asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+    scheduler = ParseScheduler()
+    failing, other = connections(scheduler, 1, 1)
+
+    def fail() -> None:
+        raise ValueError("not expected")
+
+    failing.parse_slice = fail  # type: ignore[method-assign]
+    scheduler.wait(failing, NOW)
+    scheduler.wait(other, NOW)
+    for _ in range(3):
+        await turn()
+    assert other.log == [other.name]
