Bytes that arrive while others wait for their turn are parsed behind them

Found by reading the change as a whole: bytes that a transport still delivers after it was paused took the place of those that waited to be parsed. The loop's own transports stop at once; one that hands over what it held, like that of a soak's cut links, does not. A reply would have lost its middle.

--- a/leverdoor/entry/requests/connection.py
+++ b/leverdoor/entry/requests/connection.py
@@ -196,6 +196,10 @@
             return
         self._memory.add(self, len(data))
         self._widen_buffer(len(data))
+        if self._unparsed:
+            # A transport may have had more when it was paused.
+            self._unparsed = memoryview(bytes(self._unparsed) + data)
+            return
         self._unparsed = memoryview(data)
         now = asyncio.get_running_loop().time()
         if self._scheduler.may_parse(self, now):
--- a/tests/test_reply_turns.py
+++ b/tests/test_reply_turns.py
@@ -103,3 +103,13 @@
     for _ in range(3):
         await asyncio.sleep(0)
     assert connection.closed and connection._parser.work == work
+
+
+async def test_bytes_that_arrive_while_others_wait_are_parsed_behind_them() -> None:
+    """They took the place of those that waited."""
+    connection = TargetConnection(lambda _: None)
+    task = await exchange(connection)
+    data = make_reply(30_000)
+    for start in range(0, len(data), READ_BYTES // 8):
+        connection.data_received(data[start : start + READ_BYTES // 8])
+    assert len((await task).body) == 30_000
