--- a/tests/test_entry_connection.py
+++ b/tests/test_entry_connection.py
@@ -396,7 +396,7 @@
     """It held 93 MB for a hundred targets that sent without end."""
 
     async def script(r: asyncio.StreamReader, w: asyncio.StreamWriter) -> None:
-        for name, size in (("1", 10), ("2", 2 * LONG_REPLY_BYTES)):
+        for name, size in (("1", LONG_REPLY_BYTES // 2), ("2", 2 * LONG_REPLY_BYTES)):
             await read_head(r)
             w.write(make_reply(name, b"x" * size))
         await r.read()
