Regression tests say what they guard against; one name for the greatest head

Comments of four tests told figures of the incident, which are in the postmortem. The stand-in's bound on a head has the name that the others have.

--- a/leverdoor/standins/broken_play.py
+++ b/leverdoor/standins/broken_play.py
@@ -32,7 +32,6 @@
 """Requests that a sound target runs at once."""
 WORK_S = 0.005
 """Time that a request takes at a sound target, in seconds."""
-SECOND_S = 1.0
 EARNING_REQUESTS = 30
 """Requests that fill the retry budget of an entry, before a target is broken."""
 
@@ -149,7 +148,7 @@
     started = loop.time()
     calls = []
     for number in range(int(play.per_s * play.seconds)):
-        due_at = started + number * SECOND_S / play.per_s
+        due_at = started + number * 1.0 / play.per_s
         await asyncio.sleep(max(due_at - loop.time(), 0.0))
         for method, path in (("GET", "/look/"), ("POST", "/file/")):
             calls.append(
--- a/leverdoor/standins/broken_targets.py
+++ b/leverdoor/standins/broken_targets.py
@@ -21,8 +21,8 @@
 """Length of the piece that an endless reply repeats, in bytes."""
 CONTENT_LENGTH = re.compile(rb"\r\ncontent-length: *(\d{1,9})\r\n", re.IGNORECASE)
 REQUEST_ID = re.compile(rb"\r\nx-request-id: *([^\r]*)\r\n", re.IGNORECASE)
-HEAD_LIMIT = 64 * 1024
-"""Greatest length of a request's head, in bytes."""
+MAX_HEAD_BYTES = 64 * 1024
+"""Maximum length of a request's head, in bytes."""
 
 
 class BrokenReply(msgspec.Struct, frozen=True):
@@ -103,7 +103,7 @@
     async def start(self) -> None:
         """Listen at a free port of loopback."""
         self._server = await asyncio.start_server(
-            self._accept, HOST, 0, limit=HEAD_LIMIT
+            self._accept, HOST, 0, limit=MAX_HEAD_BYTES
         )
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{HOST}:{port}"
--- a/tests/test_entry_connection.py
+++ b/tests/test_entry_connection.py
@@ -393,7 +393,7 @@
 
 
 async def test_the_kernel_holds_little_of_a_reply_until_it_proves_to_be_long() -> None:
-    """It held 93 MB for a hundred targets that sent without end."""
+    """Guards against a buffer that grows while a target sends without end."""
 
     async def script(r: asyncio.StreamReader, w: asyncio.StreamWriter) -> None:
         for name, size in (("1", LONG_REPLY_BYTES // 2), ("2", 2 * LONG_REPLY_BYTES)):
--- a/tests/test_reply_turns.py
+++ b/tests/test_reply_turns.py
@@ -55,7 +55,7 @@
 
 
 async def test_chunks_of_one_byte_of_many_targets_are_parsed_in_bounded_turns() -> None:
-    """All that had arrived was parsed at once, 43,000 callbacks each connection."""
+    """Guards against parsing at once all that one read brings."""
     resources = ReplyResources()
     connections = [
         TargetConnection(lambda _: None, resources=resources) for _ in range(20)
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -49,7 +49,7 @@
 
 
 async def test_probes_without_end_neither_fill_the_memory_nor_end_the_prober() -> None:
-    """Three of three agents went over 300 MB beside bodies without end."""
+    """Guards against probes that read a body to its end."""
     deep = BrokenReply(
         b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(DEEP) + DEEP
     )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -90,7 +90,7 @@
 async def test_replies_without_end_break_no_promise_beside_faults(
     seed: int, seconds: float, troubles: int
 ) -> None:
-    """Entries were killed over their memory; at 782006 the soak itself failed."""
+    """Guards against entries that are killed over their memory."""
     verdict = await Soak(seed, seconds, troubles, SoakOptions(broken=4)).run()
     assert verdict.breaches == []
 
